--- /dev/null
+++ b/src/pimentolatch/backend/channel.py
@@ -0,0 +1,339 @@
+"""HTTP/1.1 connections that carry one request at a time, kept between requests.
+
+h11 parses and frames, asyncio carries the bytes. The client library of the other calls
+hides what this path depends on: whether a byte was sent before an error, where an
+answer without a length ends, and bytes that arrive after an answer or before a request.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import socket
+import typing
+from collections import abc
+
+import h11
+
+from pimentolatch import settings
+
+__all__ = [
+    "AnswerStart",
+    "BrokenError",
+    "Channel",
+    "ChannelPool",
+    "ConnectError",
+    "connect",
+]
+
+_READ_BUFFER_BYTES = 262_144
+# A peer behind a network partition, or a connection that was forgotten on the way, is
+# silent for ever without a probe. Three probes a second apart notice it before the
+# shortest span in which anybody is told to have noticed (three seconds).
+_PROBE_AFTER_S = 1
+_PROBE_EVERY_S = 1
+_PROBES = 2
+_UNACKNOWLEDGED_MS = 3000
+# Kept connections close this much before the time that the server states, so that a
+# request does not cross the server's close.
+_KEEP_MARGIN = datetime.timedelta(milliseconds=700)
+_KEEP_DEFAULT = datetime.timedelta(seconds=4)
+_IDLE_PER_SERVER = 128
+
+Fields = abc.Sequence[tuple[bytes, bytes]]
+
+
+class ConnectError(Exception):
+    """No connection stood, so no byte of the request has left."""
+
+
+class BrokenError(Exception):
+    """The exchange broke off after a byte of the request may have left.
+
+    Attributes:
+        silent: Nothing of the answer had arrived.
+    """
+
+    def __init__(self, reason: str, *, silent: bool = False) -> None:
+        super().__init__(reason)
+        self.silent = silent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerStart:
+    """Status and header of an answer, with lower-case names."""
+
+    status: int
+    fields: tuple[tuple[bytes, bytes], ...]
+
+
+class _Wire(asyncio.Protocol):
+    """The bytes of one connection, handed over when they are asked for."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.waiting = bytearray()
+        self.ended = False
+        self.error: Exception | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep what arrived; stop reading when too much waits."""
+        self.waiting += data
+        if len(self.waiting) > _READ_BUFFER_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end; the transport closes by itself."""
+        self.ended = True
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end and its reason."""
+        if not self.ended:
+            self.error = exc or ConnectionResetError("closed")
+        self.ended = True
+        self._wake()
+
+    async def read(self) -> bytes:
+        """Return what arrived; empty at the end; raises `OSError` after a reset."""
+        while not self.waiting and not self.ended:
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        if self.waiting:
+            data = bytes(self.waiting)
+            self.waiting.clear()
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+            return data
+        if self.error is not None:
+            raise self.error
+        return b""
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class Channel:
+    """One connection; `send`, `start` and `read` are one exchange."""
+
+    def __init__(self, wire: _Wire) -> None:
+        self._wire = wire
+        self._parser = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._answered = False
+        self.used = False
+        self.keep_for: datetime.timedelta = _KEEP_DEFAULT
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent.
+
+        Bytes that nobody asked for, or a body that the server has not taken whole,
+        would be read as part of the next exchange.
+        """
+        wire = self._wire
+        return (
+            wire.transport is not None
+            and not wire.transport.is_closing()
+            and not wire.ended
+            and not wire.waiting
+            and not self._parser.trailing_data[0]
+            and wire.transport.get_write_buffer_size() == 0
+            and self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+
+    @property
+    def idle(self) -> bool:
+        """Whether a kept connection still stands and is silent."""
+        wire = self._wire
+        return not wire.ended and not wire.waiting
+
+    def send(self, method: str, target: bytes, fields: Fields, body: bytes) -> None:
+        """Send a request; raises `ValueError` before any byte if it is malformed."""
+        if self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        headers = list(fields)
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            headers.append((b"content-length", b"%d" % len(body)))
+        try:
+            self._request = h11.Request(method=method, target=target, headers=headers)
+            data = self._parser.send(self._request)
+            if body:
+                data += self._parser.send(h11.Data(body))
+            data += self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise ValueError(str(error)) from error
+        self._answered = False
+        assert self._wire.transport is not None
+        self._wire.transport.write(data)
+
+    async def start(self) -> AnswerStart:
+        """Wait for the header of the answer; raises `BrokenError`."""
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.Response):
+                self._answered = True
+                fields = tuple(event.headers)
+                self._note_keeping(fields)
+                return AnswerStart(event.status_code, fields)
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenError("no answer", silent=not self._answered)
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, empty at its end; raises `BrokenError`."""
+        event = await self._event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise BrokenError("the answer broke off")
+
+    def skip_answer(self) -> None:
+        """Take the answer just read for somebody else's and expect another one.
+
+        A server may answer an earlier request once more where the next answer is due.
+        """
+        rest, _ = self._parser.trailing_data
+        assert self._request is not None
+        self._parser = h11.Connection(h11.CLIENT)
+        self._parser.send(self._request)
+        length = dict(self._request.headers).get(b"content-length", b"0")
+        if int(length):
+            self._parser.send(h11.Data(bytes(int(length))))
+        self._parser.send(h11.EndOfMessage())
+        if rest:
+            self._feed(rest)
+
+    def close(self) -> None:
+        """Close the connection; a server then stops working on its request."""
+        if self._wire.transport is not None:
+            self._wire.transport.abort()
+
+    def _note_keeping(self, fields: Fields) -> None:
+        for name, value in fields:
+            if name == b"keep-alive":
+                for item in value.split(b","):
+                    key, _, seconds = item.strip().partition(b"=")
+                    if key.lower() == b"timeout" and seconds.isdigit():
+                        stated = datetime.timedelta(seconds=int(seconds))
+                        self.keep_for = stated - _KEEP_MARGIN
+
+    async def _event(self) -> typing.Any:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._wire.read()
+            except OSError as error:
+                silent = not self._answered
+                raise BrokenError(repr(error), silent=silent) from error
+            self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise BrokenError(str(error)) from error
+
+
+async def connect(address: settings.Address, limit: datetime.timedelta) -> Channel:
+    """Open a connection; raises `ConnectError`."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            transport, wire = await loop.create_connection(
+                _Wire, address.host, address.port
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectError(repr(error)) from error
+    _probe_silence(transport.get_extra_info("socket"))
+    return Channel(wire)
+
+
+def _probe_silence(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _PROBE_AFTER_S),
+        (socket.TCP_KEEPINTVL, _PROBE_EVERY_S),
+        (socket.TCP_KEEPCNT, _PROBES),
+        (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    channel: Channel
+    since: datetime.timedelta
+
+
+class ChannelPool:
+    """Kept connections, by server.
+
+    Args:
+        connect_limit: Time limit of opening a connection.
+    """
+
+    def __init__(self, connect_limit: datetime.timedelta) -> None:
+        self._connect_limit = connect_limit
+        self._kept: dict[str, list[_Kept]] = {}
+
+    async def take(
+        self,
+        server: str,
+        address: settings.Address,
+        now: datetime.timedelta,
+        *,
+        longest_idle: datetime.timedelta | None = None,
+    ) -> Channel:
+        """Return a kept connection or a new one; raises `ConnectError`.
+
+        Args:
+            server: Key of the connections.
+            address: Where the server is.
+            now: The time.
+            longest_idle: Do not use a connection that was idle for longer.
+        """
+        kept = self._kept.get(server, [])
+        while kept:
+            entry = kept.pop()
+            idle = now - entry.since
+            fresh = longest_idle is None or idle <= longest_idle
+            if entry.channel.idle and idle < entry.channel.keep_for and fresh:
+                entry.channel.used = True
+                return entry.channel
+            entry.channel.close()
+        return await connect(address, self._connect_limit)
+
+    def give_back(self, server: str, channel: Channel, now: datetime.timedelta) -> None:
+        """Keep a connection if another request may use it; else close it."""
+        kept = self._kept.setdefault(server, [])
+        if channel.reusable and len(kept) < _IDLE_PER_SERVER:
+            kept.append(_Kept(channel, now))
+        else:
+            channel.close()
+
+    def retain(self, servers: abc.Container[str]) -> None:
+        """Close the kept connections of all other servers."""
+        for server in [name for name in self._kept if name not in servers]:
+            for entry in self._kept.pop(server):
+                entry.channel.close()
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        self.retain(())
--- a/src/pimentolatch/backend/instance.py
+++ b/src/pimentolatch/backend/instance.py
@@ -13,15 +13,12 @@
 __all__ = [
     "FORWARDED_HEADER",
     "REQUEST_ID_HEADER",
-    "RESULT_HEADER",
     "Forward",
     "InstanceClient",
 ]
 
 # Marks a call as passed on, so that it is never passed on again in a circle.
 FORWARDED_HEADER = "x-forwarded-by-instance"
-# Tells a refusal of the instance from an answer of the service.
-RESULT_HEADER = "x-result-code"
 REQUEST_ID_HEADER = "x-request-id"
 
 
@@ -102,7 +99,7 @@
 ) -> outcomes.Answered | results.Refusal | outcomes.Broken:
     if not connections.has_framed_body(response):
         return outcomes.Broken("the answer's headers were cut")
-    if RESULT_HEADER not in response.headers:
+    if results.RESULT_HEADER not in response.headers:
         content_type = str(response.headers.get("content-type", ""))
         return outcomes.Answered(response.status_code, body, content_type)
     try:
--- a/src/pimentolatch/cli/commands.py
+++ b/src/pimentolatch/cli/commands.py
@@ -13,6 +13,8 @@
 from pimentolatch.cli import operator_client
 from pimentolatch.document import changes, schema
 from pimentolatch.entry import process
+from pimentolatch.gateway import daemon
+from pimentolatch.platform import heads
 
 __all__ = ["application", "main"]
 
@@ -61,6 +63,21 @@
         _fail(EXIT_INVALID_INPUT, f"could not start: {error}")
 
 
+@application.command
+def gateway(
+    settings_file: typing.Annotated[
+        pathlib.Path,
+        cyclopts.Parameter(name="--settings", env_var=heads.SETTINGS_VARIABLE),
+    ],
+) -> None:
+    """Serve the operator's routes until SIGTERM.
+
+    Args:
+        settings_file: Settings of this instance, JSON with comments.
+    """
+    sys.exit(daemon.run(settings_file))
+
+
 @application.command
 def check(document: pathlib.Path, *, json_output: JsonOption = False) -> None:
     """Check a fleet document without submitting it.
--- /dev/null
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -0,0 +1,183 @@
+"""What each engine of a model service still has to do, and which prompts it keeps.
+
+Load pattern: engines report their work some hundred milliseconds late, which is longer
+than it takes to read most prompts. Sent by such reports, all instances choose the same
+idle engine at once and leave it to queue for a second. So work is counted when it is
+sent and taken off when it ends; peers tell their counts several times a second.
+
+The same holds for prompts: a part of a prompt that an engine has read is kept there
+until memory runs out, and reading it again elsewhere costs as much as a new prompt.
+What was sent where is known at once; the engines' own reports of it come late and with
+gaps.
+
+Speeds are learned from answers and start at figures that any engine of today exceeds,
+so that a cold start expects too long waits rather than too short ones.
+"""
+
+import collections
+import dataclasses
+import datetime
+from collections import abc
+
+from pimentolatch.requests import prompts
+from pimentolatch.routes import servers
+
+__all__ = ["EngineLoad", "EngineLoads", "PeerLoad"]
+
+# Prompt tokens that an engine reads in a millisecond, before any answer was seen.
+_FIRST_READING_RATE = 25.0
+# An engine that writes answers reads prompts between its steps, at about half the rate.
+IN_PLACE_SLOWNESS = 2.0
+# Weight of one answer in the learned speeds: the mean of about the last twenty.
+_MEMORY = 0.05
+# Part of an engine's memory that is taken to hold shared parts; running requests take
+# the rest first.
+_KEPT_SHARE = 0.75
+# A peer that is silent for longer has ended or is cut off; its work ends by itself.
+_PEER_SILENCE = datetime.timedelta(seconds=2)
+# Answers faster than this say more of the network than of the engine.
+_LEAST_READING_MS = 5.0
+# A server that failed is passed over for this long while others can serve; it doubles
+# with each failure in a row up to the longest.
+_FIRST_PAUSE = datetime.timedelta(seconds=1)
+_LONGEST_PAUSE = datetime.timedelta(seconds=8)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What one peer has under way at one engine."""
+
+    reading: float
+    writing: int
+
+
+class EngineLoad:
+    """Counts of one engine.
+
+    Attributes:
+        reading: Prompt tokens that this instance has sent and that are not read yet.
+        writing: Streams of this instance that run there.
+        pause_ms: Mean time between events of its streams.
+        failures: Exchanges in a row that broke off.
+    """
+
+    def __init__(self, server: servers.Server) -> None:
+        self.server = server
+        self.reading = 0.0
+        self.writing = 0
+        self.pause_ms = 0.0
+        self.failures = 0
+        self.avoid_until = datetime.timedelta()
+        self.peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
+        self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._kept_tokens = 0
+
+    def all_reading(self, now: datetime.timedelta) -> float:
+        """Prompt tokens under way from all instances that are heard."""
+        return self.reading + sum(load.reading for load in self._heard(now))
+
+    def all_writing(self, now: datetime.timedelta) -> int:
+        """Streams from all instances that are heard."""
+        return self.writing + sum(load.writing for load in self._heard(now))
+
+    def unread(self, prompt: prompts.Prompt) -> int:
+        """Return the tokens of a prompt that the engine would have to read.
+
+        A kept part saves its tokens only if every part before it is kept too.
+        """
+        saved = 0
+        for part in prompt.parts:
+            if part.name not in self._kept:
+                break
+            saved += part.tokens
+        return max(0, prompt.tokens - saved)
+
+    def keep(self, parts: abc.Iterable[prompts.Part], most_tokens: int) -> None:
+        """Note that the engine keeps parts; the least lately used ones yield."""
+        for part in parts:
+            if part.name in self._kept:
+                self._kept.move_to_end(part.name)
+            else:
+                self._kept[part.name] = part.tokens
+                self._kept_tokens += part.tokens
+        while self._kept_tokens > most_tokens * _KEPT_SHARE and self._kept:
+            _, tokens = self._kept.popitem(last=False)
+            self._kept_tokens -= tokens
+
+    def _heard(self, now: datetime.timedelta) -> abc.Iterator[PeerLoad]:
+        for load, at in self.peers.values():
+            if now - at <= _PEER_SILENCE:
+                yield load
+
+
+class EngineLoads:
+    """The engines of one model service."""
+
+    def __init__(self) -> None:
+        self._engines: dict[str, EngineLoad] = {}
+        self.reading_rate = _FIRST_READING_RATE
+
+    def update(self, listed: abc.Iterable[servers.Server]) -> None:
+        """Take the listed engines; what is known of the others is dropped."""
+        engines = {}
+        for server in listed:
+            known = self._engines.get(server.server_id)
+            if known is None:
+                known = EngineLoad(server)
+            known.server = server
+            engines[server.server_id] = known
+        self._engines = engines
+
+    def get(self, server_id: str) -> EngineLoad | None:
+        """Return the counts of an engine that is listed."""
+        return self._engines.get(server_id)
+
+    def all(self) -> abc.Collection[EngineLoad]:
+        """Return every engine."""
+        return self._engines.values()
+
+    def usable(
+        self, stage: servers.Stage, now: datetime.timedelta, without: abc.Container[str]
+    ) -> list[EngineLoad]:
+        """Return the engines of a stage that take requests.
+
+        Engines that failed lately are left out as long as others remain.
+        """
+        found = [
+            engine
+            for engine in self._engines.values()
+            if engine.server.stage is stage
+            and not engine.server.leaving
+            and engine.server.server_id not in without
+        ]
+        sound = [engine for engine in found if now >= engine.avoid_until]
+        return sound or found
+
+    def read_in(self, ahead: float, tokens: float, took: datetime.timedelta) -> None:
+        """Learn the reading rate from a prompt that was read apart.
+
+        Args:
+            ahead: Tokens that waited at the engine before it.
+            tokens: Tokens of the prompt that had to be read.
+            took: Time from sending to the answer.
+        """
+        milliseconds = took / datetime.timedelta(milliseconds=1)
+        if milliseconds < _LEAST_READING_MS or tokens <= 0:
+            return
+        rate = (ahead + tokens) / milliseconds
+        self.reading_rate += _MEMORY * (rate - self.reading_rate)
+
+    def paused(self, engine: EngineLoad, took: datetime.timedelta) -> None:
+        """Learn from the time between two events of a stream."""
+        milliseconds = took / datetime.timedelta(milliseconds=1)
+        engine.pause_ms += _MEMORY * (milliseconds - engine.pause_ms)
+
+    def succeeded(self, engine: EngineLoad) -> None:
+        """Forget earlier failures of an engine."""
+        engine.failures = 0
+
+    def failed(self, engine: EngineLoad, now: datetime.timedelta) -> None:
+        """Pass an engine over for a while."""
+        pause = _FIRST_PAUSE * 2**engine.failures
+        engine.failures = min(engine.failures + 1, 8)
+        engine.avoid_until = now + min(pause, _LONGEST_PAUSE)
--- /dev/null
+++ b/src/pimentolatch/decisions/repeat_budget.py
@@ -0,0 +1,63 @@
+"""Bounds how often requests are sent to a second server, over all instances.
+
+Load pattern: a third of the servers fail part of their requests. If every instance
+sends each of these again, and again, the sound servers take twice their load and fail
+too; that state stays after the fault is over.
+
+The operator bounds the repeats for each service: a share of the requests in a sliding
+window and a fixed slack, summed over all instances. Each instance works with the share
+of its own requests and its part of the slack, so the sum stays within the bound
+without a message between them, also when they are cut off from each other.
+"""
+
+import collections
+import datetime
+
+__all__ = ["RepeatBudget"]
+
+# The bound is kept with a margin: a request that arrived here at the end of one window
+# may be counted by its server in the next.
+_USED_SHARE = 0.8
+
+
+class RepeatBudget:
+    """Repeats of one instance, by service.
+
+    Args:
+        ratio: Repeats allowed for each request in a window.
+        slack: Repeats that all instances together may make besides.
+        window: Length of the sliding window.
+    """
+
+    def __init__(self, ratio: float, slack: float, window: datetime.timedelta) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._requests: dict[str, collections.deque[datetime.timedelta]] = {}
+        self._repeats: dict[str, collections.deque[datetime.timedelta]] = {}
+        self.instances = 1
+
+    def arrived(self, service: str, now: datetime.timedelta) -> None:
+        """Count a request for a service."""
+        self._recent(self._requests, service, now).append(now)
+
+    def spend(self, service: str, now: datetime.timedelta) -> bool:
+        """Take one repeat; False if the window holds as many as are allowed."""
+        requests = len(self._recent(self._requests, service, now))
+        repeats = self._recent(self._repeats, service, now)
+        allowed = self._ratio * requests + self._slack / max(1, self.instances)
+        if len(repeats) + 1 > _USED_SHARE * allowed:
+            return False
+        repeats.append(now)
+        return True
+
+    def _recent(
+        self,
+        table: dict[str, collections.deque[datetime.timedelta]],
+        service: str,
+        now: datetime.timedelta,
+    ) -> collections.deque[datetime.timedelta]:
+        times = table.setdefault(service, collections.deque())
+        while times and now - times[0] > self._window:
+            times.popleft()
+        return times
--- /dev/null
+++ b/src/pimentolatch/decisions/server_choice.py
@@ -0,0 +1,84 @@
+"""Chooses a server for a short call and passes over servers that fail.
+
+Load pattern: one of four servers fails every second call while its health check is
+good, or takes calls and never answers. Spread evenly, a quarter of all calls meet it,
+and a call that may not be repeated is lost there. Counting what is outstanding keeps
+calls away from a server that is slow; a pause after each failure keeps them away from
+one that fails fast, which by its count alone looks the least busy.
+"""
+
+import collections
+import dataclasses
+import datetime
+from collections import abc
+
+from pimentolatch.routes import servers
+
+__all__ = ["ServerChoice"]
+
+# A call to another failure domain costs about this part of a server's slots.
+_FOREIGN_COST = 0.35
+# Pause after a failure; it doubles with each further one. A server that fails two calls
+# in five is passed over most of the time, one that failed once by chance hardly.
+_FIRST_PAUSE = datetime.timedelta(milliseconds=300)
+_LONGEST_PAUSE = datetime.timedelta(seconds=5)
+_MOST_DOUBLINGS = 5
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    outstanding: int = 0
+    failures: int = 0
+    avoid_until: datetime.timedelta = datetime.timedelta()
+
+
+class ServerChoice:
+    """Outstanding calls and failures of plain servers.
+
+    Args:
+        own_domain: Failure domain of this instance.
+    """
+
+    def __init__(self, own_domain: str) -> None:
+        self._domain = own_domain
+        self._records: dict[str, _Record] = collections.defaultdict(_Record)
+
+    def choose(
+        self,
+        listed: abc.Sequence[servers.Server],
+        now: datetime.timedelta,
+        without: abc.Container[str] = (),
+    ) -> servers.Server | None:
+        """Return the server with the least cost, or None if there is none."""
+        found = [server for server in listed if server.server_id not in without]
+        sound = [s for s in found if now >= self._records[s.server_id].avoid_until]
+        return min(sound or found, key=self._cost, default=None)
+
+    def begin(self, server: servers.Server) -> None:
+        """Count a call that is sent."""
+        self._records[server.server_id].outstanding += 1
+
+    def end(
+        self, server: servers.Server, now: datetime.timedelta, *, failed: bool
+    ) -> None:
+        """Count a call that ended."""
+        record = self._records[server.server_id]
+        record.outstanding -= 1
+        if not failed:
+            record.failures = max(0, record.failures - 1)
+            return
+        pause = _FIRST_PAUSE * 2 ** min(record.failures, _MOST_DOUBLINGS)
+        record.failures += 1
+        record.avoid_until = now + min(pause, _LONGEST_PAUSE)
+
+    def retain(self, listed: abc.Container[str]) -> None:
+        """Forget servers that are no longer listed and have no call."""
+        for name in list(self._records):
+            if name not in listed and self._records[name].outstanding <= 0:
+                del self._records[name]
+
+    def _cost(self, server: servers.Server) -> tuple[float, str]:
+        cost = self._records[server.server_id].outstanding / max(1, server.slots)
+        if server.failure_domain != self._domain:
+            cost += _FOREIGN_COST
+        return cost, server.server_id
--- a/src/pimentolatch/entry/answers.py
+++ b/src/pimentolatch/entry/answers.py
@@ -12,12 +12,12 @@
 
 from pimentolatch import clock, metrics, results, waits
 from pimentolatch.backend import instance
+from pimentolatch.entry import guard
 from pimentolatch.requests import stream
 
-__all__ = ["ABORT_EXTENSION", "CompletionAnswer", "refusal_response"]
+__all__ = ["CompletionAnswer", "refusal_response"]
 
 _log = logbook.Logger("answers")
-ABORT_EXTENSION = "pimentolatch.abort"
 # After these the rest of the body may still be on its way; see `servers`.
 _CLOSING_CODES = (
     results.ResultCode.BODY_TOO_LARGE,
@@ -40,7 +40,7 @@
     refusal: results.Refusal, request_id: str | None = None, status: int | None = None
 ) -> responses.Response:
     """Return a refusal as an HTTP answer."""
-    headers = {instance.RESULT_HEADER: str(int(refusal.code))}
+    headers = {results.RESULT_HEADER: str(int(refusal.code))}
     if refusal.retry_after is not None:
         seconds = max(1, round(refusal.retry_after.total_seconds()))
         headers["retry-after"] = str(seconds)
@@ -153,7 +153,7 @@
             await limits.within(_STALL_SECONDS, ending)
         except TimeoutError:
             _log.warn("caller reads nothing; answer given up", request=request_id)
-            scope["extensions"][ABORT_EXTENSION]["call"]()
+            scope["extensions"][guard.ABORT_EXTENSION]["call"]()
             # Lets the server see the connection's end before this answer's.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
--- a/src/pimentolatch/entry/bodies.py
+++ b/src/pimentolatch/entry/bodies.py
@@ -18,7 +18,6 @@
     "check_json",
     "deadline_of",
     "idempotency_key_of",
-    "invalid",
     "priority_of",
     "read_body",
 ]
@@ -63,13 +62,6 @@
     duration: datetime.timedelta
 
 
-def invalid(message: str) -> results.Refusal:
-    """Return the refusal of a request that is wrong in itself."""
-    return results.Refusal(
-        results.ResultCode.INVALID_REQUEST, message, results.Execution.NOT_RUN
-    )
-
-
 async def read_body(
     request: requests.Request, limits: ReadLimits
 ) -> bytes | results.Refusal:
@@ -96,7 +88,7 @@
             results.Execution.NOT_RUN,
         )
     except requests.ClientDisconnect:
-        return invalid("the caller closed the connection")
+        return results.invalid("the caller closed the connection")
     return bytes(body)
 
 
@@ -118,7 +110,7 @@
     if text is None:
         return now + default
     if not text.isascii() or not text.isdigit() or len(text) > 9 or int(text) == 0:
-        return invalid(
+        return results.invalid(
             f"{_TIMEOUT_HEADER}: found {text[:40]!r}; must be a whole number of "
             "milliseconds above 0"
         )
@@ -130,10 +122,10 @@
     try:
         value = json.loads(raw)
     except (ValueError, RecursionError):
-        return invalid("the body must be a JSON object")
+        return results.invalid("the body must be a JSON object")
     checked = checks.check_value(model, value)
     if isinstance(checked, checks.Problems):
-        return invalid(str(checked))
+        return results.invalid(str(checked))
     return checked
 
 
@@ -147,9 +139,11 @@
     if len(text) > 1 and text[0] == text[-1] == '"':
         text = text[1:-1]
     if not text.isascii() or not text.isprintable() or not len(text) > 0:
-        return invalid(f"{_KEY_HEADER}: must be printable ASCII and not empty")
+        return results.invalid(f"{_KEY_HEADER}: must be printable ASCII and not empty")
     if len(text) > _KEY_LENGTH_LIMIT:
-        return invalid(f"{_KEY_HEADER}: is over {_KEY_LENGTH_LIMIT} characters long")
+        return results.invalid(
+            f"{_KEY_HEADER}: is over {_KEY_LENGTH_LIMIT} characters long"
+        )
     return text
 
 
--- a/src/pimentolatch/entry/callers.py
+++ b/src/pimentolatch/entry/callers.py
@@ -282,7 +282,7 @@
     request: requests.Request, error: Exception
 ) -> responses.Response:
     assert isinstance(error, exceptions.HTTPException)
-    refusal = bodies.invalid(f"{request.method} {request.url.path}: {error.detail}")
+    refusal = results.invalid(f"{request.method} {request.url.path}: {error.detail}")
     return answers.refusal_response(refusal, status=error.status_code)
 
 
--- a/src/pimentolatch/entry/guard.py
+++ b/src/pimentolatch/entry/guard.py
@@ -13,10 +13,20 @@
 from uvicorn.protocols.http import httptools_impl
 
 from pimentolatch import results
-from pimentolatch.backend import instance
-from pimentolatch.entry import answers, bodies
 
-__all__ = ["GuardedProtocol"]
+__all__ = [
+    "ABORT_EXTENSION",
+    "CLOSE_EXTENSION",
+    "TARGET_EXTENSION",
+    "GuardedProtocol",
+]
+
+# Ends the connection at once; for callers that do not read.
+ABORT_EXTENSION = "pimentolatch.abort"
+# Closes the connection after what was written; for answers that broke off.
+CLOSE_EXTENSION = "pimentolatch.close"
+# The request's target as the caller sent it.
+TARGET_EXTENSION = "pimentolatch.target"
 
 HEAD_LIMIT_BYTES = 32_768
 HEAD_SECONDS = 10.0
@@ -27,7 +37,6 @@
 # sending, gets to read the refusal rather than a reset connection.
 LINGER_SECONDS = 5.0
 _SERVICE_PATHS = "/v1/services/"
-_HEAD_TOO_LARGE = f"the head is over {HEAD_LIMIT_BYTES} bytes"
 
 
 class _HeadTooLargeError(Exception):
@@ -37,6 +46,21 @@
 class GuardedProtocol(httptools_impl.HttpToolsProtocol):
     """One connection of a caller."""
 
+    @property
+    def head_limit_bytes(self) -> int:
+        """Largest head of a request."""
+        return HEAD_LIMIT_BYTES
+
+    @property
+    def head_seconds(self) -> float:
+        """Longest time a head may take to arrive."""
+        return HEAD_SECONDS
+
+    @property
+    def first_byte_seconds(self) -> float:
+        """Longest time a new connection may stay silent."""
+        return FIRST_BYTE_SECONDS
+
     _head_bytes = 0
     _head_too_large = False
     _in_head = False
@@ -47,7 +71,7 @@
     def connection_made(self, transport: typing.Any) -> None:
         """Start the bound on the first byte."""
         super().connection_made(transport)
-        self._arm(FIRST_BYTE_SECONDS)
+        self._arm(self.first_byte_seconds)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop the timer."""
@@ -65,10 +89,10 @@
         super().data_received(data)
         if self._in_head:
             self._head_bytes += len(data)
-            if self._head_bytes > HEAD_LIMIT_BYTES:
-                self._refuse(431, _HEAD_TOO_LARGE)
+            if self._head_bytes > self.head_limit_bytes:
+                self._refuse(431, self._head_too_large_text())
             elif not was_in_head:
-                self._arm(HEAD_SECONDS)
+                self._arm(self.head_seconds)
         elif self._in_message:
             if was_in_head or not was_in_message:
                 self._arm(MESSAGE_SECONDS)
@@ -89,15 +113,19 @@
             return None
         if not self._answering():
             return None
-        if not self.cycle.scope["path"].startswith(_SERVICE_PATHS):
+        if not self.runs_to_its_end(self.cycle.scope["path"]):
             return None
         self.cycle.keep_alive = False
         return True
 
+    def runs_to_its_end(self, path: str) -> bool:
+        """Tell whether a request goes on when its caller has stopped sending."""
+        return path.startswith(_SERVICE_PATHS)
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request without a mark on an earlier one's answer."""
         if self._head_too_large:
-            self._refuse(431, _HEAD_TOO_LARGE)
+            self._refuse(431, self._head_too_large_text())
         else:
             self._refuse(400, "the request is not valid HTTP/1.1")
 
@@ -107,16 +135,18 @@
         self._in_head = self._in_message = True
         self._head_bytes = 0
         self.scope["extensions"] = {
-            answers.ABORT_EXTENSION: {"call": self.transport.abort}
+            ABORT_EXTENSION: {"call": self.transport.abort},
+            CLOSE_EXTENSION: {"call": self.transport.close},
         }
 
     def on_headers_complete(self) -> None:
         """Bound the head also when it came in one read."""
         size = len(self.url) + sum(len(n) + len(v) for n, v in self.headers)
-        if size > HEAD_LIMIT_BYTES:
+        if size > self.head_limit_bytes:
             self._head_too_large = True
             raise _HeadTooLargeError
         self._in_head = False
+        self.scope["extensions"][TARGET_EXTENSION] = {"bytes": self.url}
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -130,6 +160,9 @@
         if self._in_message and not self.transport.is_closing():
             self._arm(LINGER_SECONDS)
 
+    def _head_too_large_text(self) -> str:
+        return f"the head is over {self.head_limit_bytes} bytes"
+
     def _answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
@@ -152,11 +185,11 @@
             if self.cycle.response_started:
                 self.transport.close()
                 return
-        body = json.dumps(bodies.invalid(message).to_json())
+        body = json.dumps(results.invalid(message).to_json())
         self.transport.write(
             f"HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\n"
             f"content-length: {len(body)}\r\nconnection: close\r\n"
-            f"{instance.RESULT_HEADER}: {int(results.ResultCode.INVALID_REQUEST)}\r\n"
+            f"{results.RESULT_HEADER}: {int(results.ResultCode.INVALID_REQUEST)}\r\n"
             f"\r\n{body}".encode()
         )
         self.transport.write_eof()
@@ -173,7 +206,9 @@
 
     def _overdue(self) -> None:
         if self._in_head:
-            self._refuse(408, f"the head took more than {HEAD_SECONDS:g} s to arrive")
+            self._refuse(
+                408, f"the head took more than {self.head_seconds:g} s to arrive"
+            )
         elif not self._answering():
             # Nothing came at all, or the rest of a body that was refused.
             self.transport.abort()
--- a/src/pimentolatch/entry/operators.py
+++ b/src/pimentolatch/entry/operators.py
@@ -177,7 +177,7 @@
         text = request.query_params.get("count", str(_AUDIT_RECORDS))
         if not text.isascii() or not text.isdigit() or int(text) > _AUDIT_LIMIT:
             message = f"count: found {text!r}; must be a number up to {_AUDIT_LIMIT}"
-            return _refused(bodies.invalid(message))
+            return _refused(results.invalid(message))
         reader = trail.AuditReader(self._control.store)
         records = await reader.latest_of_all(int(text))
         if isinstance(records, store.Unavailable):
@@ -204,7 +204,7 @@
             )
         expected = request.query_params.get("expected")
         if expected is not None and not expected.isdigit():
-            return bodies.invalid(f"expected: found {expected!r}; must be a number")
+            return results.invalid(f"expected: found {expected!r}; must be a number")
         return configuration.Submission(
             request.query_params.get("submission", identity.new_id()),
             request.query_params.get("operator", "unknown"),
--- a/src/pimentolatch/entry/servers.py
+++ b/src/pimentolatch/entry/servers.py
@@ -47,15 +47,26 @@
 
 
 class HttpServer:
-    """One ASGI application on one address."""
-
-    def __init__(self, application: typing.Any, address: settings.Address) -> None:
+    """One ASGI application on one address.
+
+    Args:
+        application: The application.
+        address: Where to listen.
+        protocol: Makes the protocol of each connection.
+    """
+
+    def __init__(
+        self,
+        application: typing.Any,
+        address: settings.Address,
+        protocol: typing.Callable[..., typing.Any] = guard.GuardedProtocol,
+    ) -> None:
         self._server = _Server(
             uvicorn.Config(
                 application,
                 host=address.host,
                 port=address.port,
-                http=guard.GuardedProtocol,
+                http=typing.cast(typing.Any, protocol),
                 ws="none",
                 lifespan="off",
                 log_config=None,
--- /dev/null
+++ b/src/pimentolatch/gateway/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m pimentolatch.gateway`."""
+
+from pimentolatch.gateway import daemon
+
+daemon.main()
--- /dev/null
+++ b/src/pimentolatch/gateway/generation.py
@@ -0,0 +1,435 @@
+"""Answers requests on stream routes from model engines."""
+
+import asyncio
+import dataclasses
+import datetime
+
+import logbook
+
+from pimentolatch import clock
+from pimentolatch.backend import channel
+from pimentolatch.decisions import engine_loads, placement, repeat_budget, urgency
+from pimentolatch.gateway import events, inbound, knowledge, refusals, sending
+from pimentolatch.platform import engines, heads
+
+__all__ = ["StreamForwarder"]
+
+_log = logbook.Logger("streams")
+
+# The answer needs this long back to the client.
+_RETURN_TIME = datetime.timedelta(milliseconds=10)
+# Clients give a stream up after a gap of the longest of these.
+_CLIENT_GAP = datetime.timedelta(seconds=2)
+_CLIENT_GAP_TARGETS = 4
+_CLIENT_GAP_PAUSES = 8
+# An engine that is silent for this many of the route's longest pauses has stopped: a
+# batch that is full and reads prompts besides stays under two.
+_STALL_PAUSES = 4.0
+# Time allowed to the first event, as a multiple of what was expected and at least.
+_FIRST_EVENT_FACTOR = 3.0
+_LEAST_FIRST_EVENT = datetime.timedelta(milliseconds=900)
+# Engines that one request may be offered to, declining ones included.
+_MOST_TRIES = 5
+_RELEASE_LIMIT = datetime.timedelta(seconds=1)
+_NO_MORE_TRIES_RETRY = datetime.timedelta(milliseconds=500)
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Source:
+    """A prompt that waits at the engine that read it."""
+
+    reader: engine_loads.EngineLoad
+    handle: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What has become of one request so far.
+
+    Attributes:
+        failed: Engines that failed or declined it.
+        ran: Engines that may have begun to write.
+        arrivals: Sendings that reached an engine, as the budget counts them.
+        last_event: Number of the last event that the client received.
+        answered: A failure that an engine gave, to be passed on if nothing better
+            comes.
+        wait: When to come back, if no engine took the request.
+    """
+
+    failed: set[str] = dataclasses.field(default_factory=set)
+    ran: int = 0
+    arrivals: int = 0
+    last_event: int = 0
+    answered: sending.Whole | None = None
+    reason: str = ""
+    wait: datetime.timedelta = _NO_MORE_TRIES_RETRY
+
+
+class StreamForwarder:
+    """Places requests on engines and passes their events on.
+
+    A stream that breaks goes on at another engine, within the same answer, if its
+    route allows it: the client sees no seam. Otherwise its connection is closed, so
+    that the answer does not look whole.
+    """
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        client: sending.ServerClient,
+        budget: repeat_budget.RepeatBudget,
+        time: clock.Clock,
+        own_domain: str,
+    ) -> None:
+        self._known = known
+        self._client = client
+        self._budget = budget
+        self._clock = time
+        self._domain = own_domain
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
+        """Answer a request."""
+        progress = _Progress(last_event=asked.head.last_event)
+        try:
+            async with asyncio.timeout(
+                max(0.0, (asked.until - self._clock.monotonic()).total_seconds())
+            ):
+                for _ in range(_MOST_TRIES):
+                    if await self._try(asked, answer, progress):
+                        return
+        except TimeoutError:
+            await self._time_is_up(answer, progress)
+            return
+        await self._conclude(answer, progress)
+
+    async def _time_is_up(self, answer: inbound.Answer, progress: _Progress) -> None:
+        if answer.started:
+            answer.break_off("deadline passed in the stream")
+        elif progress.ran:
+            await answer.refuse(refusals.deadline_passed())
+        else:
+            await answer.refuse(refusals.not_run_in_time())
+
+    async def _conclude(self, answer: inbound.Answer, progress: _Progress) -> None:
+        whole = progress.answered
+        if answer.started:
+            answer.break_off(progress.reason)
+        elif whole is not None and whole.status not in _PROMISES:
+            await answer.whole(whole.status, whole.head.fields, whole.body)
+        elif progress.ran:
+            await answer.refuse(refusals.outcome_unknown(progress.reason))
+        else:
+            await answer.refuse(refusals.overloaded(progress.wait))
+
+    async def _try(
+        self, asked: inbound.Inbound, answer: inbound.Answer, progress: _Progress
+    ) -> bool:
+        """Offer the request to engines once; True if the answer is finished."""
+        now = self._clock.monotonic()
+        if progress.ran >= max(1, asked.route.most_servers):
+            return await self._give_up(answer, progress)
+        place = self._choose(asked, progress, now)
+        if isinstance(place, placement.Hopeless):
+            progress.wait = place.retry_after
+            return await self._give_up(answer, progress)
+        if progress.arrivals and not self._budget.spend(asked.service.name, now):
+            return await self._give_up(answer, progress)
+        source = None
+        if isinstance(place, placement.Apart):
+            source = await self._read_apart(asked, place, progress)
+            if source is None:
+                return False
+        return await self._write(asked, answer, progress, place, source)
+
+    async def _give_up(self, answer: inbound.Answer, progress: _Progress) -> bool:
+        await self._conclude(answer, progress)
+        return True
+
+    def _choose(
+        self, asked: inbound.Inbound, progress: _Progress, now: datetime.timedelta
+    ) -> placement.Place:
+        assert asked.head.prompt is not None and asked.service.engine is not None
+        loads = self._known.loads(asked.service.name)
+        chooser = placement.Placement(loads, self._domain)
+        return chooser.choose(
+            asked.head.prompt,
+            asked.service.engine,
+            now,
+            patience=min(asked.until, asked.arrived + _client_gap(asked)) - now,
+            without=frozenset(progress.failed),
+        )
+
+    def _urgency(self, asked: inbound.Inbound, expected: datetime.timedelta) -> int:
+        due = asked.arrived + asked.route.latency_target
+        late = self._clock.monotonic() + expected > due
+        return urgency.of(asked.route.rank, late=late)
+
+    async def _read_apart(
+        self, asked: inbound.Inbound, place: placement.Apart, progress: _Progress
+    ) -> _Source | None:
+        """Have the prompt read; None if the engine did not."""
+        reader = place.reader
+        loads = self._known.loads(asked.service.name)
+        ahead = reader.all_reading(self._clock.monotonic())
+        begun = self._clock.monotonic()
+        delivery = heads.Delivery(
+            reader.server.server_id,
+            asked.until - begun - _RETURN_TIME,
+            urgency=self._urgency(asked, place.expected),
+            only_read=True,
+        )
+        limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
+        reader.reading += place.tokens
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                outcome = await self._client.whole(reader.server, asked, delivery)
+        except TimeoutError:
+            outcome = sending.Broken("the prompt was not read in time")
+        finally:
+            reader.reading -= place.tokens
+        source = self._source(reader, outcome)
+        now = self._clock.monotonic()
+        if source is None:
+            progress.failed.add(reader.server.server_id)
+            if not isinstance(outcome, sending.NotSent):
+                progress.arrivals += 1
+            if not isinstance(outcome, sending.Declined):
+                loads.failed(reader, now)
+            progress.reason = f"prompt not read: {outcome}"
+            return None
+        loads.succeeded(reader)
+        loads.read_in(ahead, place.tokens, now - begun)
+        self._keep(asked, reader)
+        return source
+
+    def _source(
+        self,
+        reader: engine_loads.EngineLoad,
+        outcome: sending.Whole | sending.NotSent | sending.Declined | sending.Broken,
+    ) -> _Source | None:
+        if not isinstance(outcome, sending.Whole) or outcome.status != 200:
+            return None
+        try:
+            return _Source(reader, engines.decode_read_prompt(outcome.body).handle)
+        except ValueError as error:
+            _log.warn("a reading engine gave no handle", reason=str(error))
+            return None
+
+    def _keep(self, asked: inbound.Inbound, engine: engine_loads.EngineLoad) -> None:
+        assert asked.head.prompt is not None and asked.service.engine is not None
+        engine.keep(asked.head.prompt.parts, asked.service.engine.kv_tokens)
+
+    async def _write(
+        self,
+        asked: inbound.Inbound,
+        answer: inbound.Answer,
+        progress: _Progress,
+        place: placement.InPlace | placement.Apart,
+        source: _Source | None,
+    ) -> bool:
+        engine = place.engine
+        in_place = place.tokens if source is None else 0
+        engine.writing += 1
+        engine.reading += in_place
+        writing = _Writing(asked, answer, progress, place, in_place)
+        taken = False
+        try:
+            opened = await self._open(writing, source)
+            if not isinstance(opened, sending.Opened):
+                return self._not_opened(writing, opened)
+            taken = True
+            with self._client.held(engine.server, opened):
+                return await self._pass_on(writing, opened)
+        finally:
+            engine.writing -= 1
+            engine.reading -= writing.unread
+            if source is not None and not taken:
+                self._release(source)
+
+    async def _open(
+        self, writing: "_Writing", source: _Source | None
+    ) -> sending.Opened | sending.NotSent | sending.Declined | sending.Broken:
+        asked, place, progress = writing.asked, writing.place, writing.progress
+        now = self._clock.monotonic()
+        resumed = progress.last_event > asked.head.last_event
+        delivery = heads.Delivery(
+            place.engine.server.server_id,
+            asked.until - now - _RETURN_TIME,
+            urgency=self._urgency(asked, datetime.timedelta()),
+            source=None
+            if source is None
+            else (source.reader.server.address, source.handle),
+            last_event=progress.last_event if resumed else None,
+        )
+        limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
+        if not asked.route.repeatable:
+            limit = asked.until - now
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._client.open(place.engine.server, asked, delivery)
+        except TimeoutError:
+            return sending.Broken("no answer in time")
+
+    def _not_opened(
+        self,
+        writing: "_Writing",
+        outcome: sending.NotSent | sending.Declined | sending.Broken,
+    ) -> bool:
+        """Note why an engine gave no answer; returns False: the request goes on."""
+        asked, progress = writing.asked, writing.progress
+        engine = writing.place.engine
+        progress.reason = str(outcome)
+        if not isinstance(outcome, sending.NotSent):
+            progress.arrivals += 1
+        if isinstance(outcome, sending.Declined):
+            # A handle that lapsed says nothing against the engine.
+            if writing.in_place:
+                progress.failed.add(engine.server.server_id)
+            return False
+        progress.failed.add(engine.server.server_id)
+        loads = self._known.loads(asked.service.name)
+        loads.failed(engine, self._clock.monotonic())
+        if isinstance(outcome, sending.Broken):
+            self._count_run(writing)
+        return False
+
+    def _count_run(self, writing: "_Writing") -> None:
+        writing.progress.ran += 1
+        if not writing.asked.route.repeatable:
+            # Nothing may run a second time, so no further engine is tried.
+            writing.progress.ran = max(
+                writing.progress.ran, writing.asked.route.most_servers
+            )
+
+    async def _pass_on(self, writing: "_Writing", opened: sending.Opened) -> bool:
+        """Pass an engine's events on; True if the answer is finished."""
+        asked, progress = writing.asked, writing.progress
+        engine = writing.place.engine
+        loads = self._known.loads(asked.service.name)
+        progress.arrivals += 1
+        self._count_run(writing)
+        try:
+            if not 200 <= opened.status < 300:
+                return await self._failed_answer(writing, opened)
+            if not opened.head.sealed:
+                raise channel.BrokenError("a success without the server's proof")
+            await self._relay(writing, opened)
+        except channel.BrokenError as error:
+            opened.link.close()
+            progress.reason = str(error)
+            progress.failed.add(engine.server.server_id)
+            loads.failed(engine, self._clock.monotonic())
+            if not asked.route.repeatable and writing.answer.started:
+                writing.answer.break_off(progress.reason)
+                return True
+            return False
+        loads.succeeded(engine)
+        return True
+
+    async def _failed_answer(self, writing: "_Writing", opened: sending.Opened) -> bool:
+        body = bytearray()
+        while part := await opened.link.read():
+            body += part
+        progress = writing.progress
+        progress.answered = sending.Whole(opened.status, opened.head, bytes(body))
+        progress.reason = f"status {opened.status}"
+        if opened.status < 500:
+            await self._conclude(writing.answer, progress)
+            return True
+        progress.failed.add(writing.place.engine.server.server_id)
+        return False
+
+    async def _relay(self, writing: "_Writing", opened: sending.Opened) -> None:
+        """Pass whole events on until the stream's end; raises `BrokenError`."""
+        cutter = events.EventCutter()
+        answer, progress = writing.answer, writing.progress
+        last = self._clock.monotonic()
+        while data := await self._read(writing, opened):
+            whole = cutter.feed(data)
+            new = [
+                e for e in whole if e.number is None or e.number > progress.last_event
+            ]
+            if not new:
+                continue
+            now = self._clock.monotonic()
+            self._learn(writing, now - last)
+            last = now
+            if not answer.started:
+                await answer.start(opened.status, opened.head.fields)
+            await answer.write(b"".join(event.data for event in new))
+            progress.last_event = new[-1].number or progress.last_event
+        if cutter.cut:
+            raise channel.BrokenError("the stream ended within an event")
+        if not answer.started:
+            await answer.start(opened.status, opened.head.fields)
+        await answer.finish()
+
+    async def _read(self, writing: "_Writing", opened: sending.Opened) -> bytes:
+        route = writing.asked.route
+        if not route.repeatable:
+            return await opened.link.read()
+        limit = _STALL_PAUSES * route.pause_target
+        if writing.unread:
+            limit = max(limit, _FIRST_EVENT_FACTOR * writing.place.expected)
+        limit = max(limit, _LEAST_FIRST_EVENT)
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await opened.link.read()
+        except TimeoutError:
+            raise channel.BrokenError("the engine stopped in its stream") from None
+
+    def _learn(self, writing: "_Writing", since: datetime.timedelta) -> None:
+        """Note the first event, and the pauses after it."""
+        engine = writing.place.engine
+        if not writing.first_seen:
+            writing.first_seen = True
+            engine.reading -= writing.unread
+            writing.unread = 0
+            self._keep(writing.asked, engine)
+            return
+        self._known.loads(writing.asked.service.name).paused(engine, since)
+
+    def _release(self, source: _Source) -> None:
+        """Free a prompt that nobody will take, so that others get its memory."""
+        task = asyncio.create_task(self._free(source))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _free(self, source: _Source) -> None:
+        target = engines.release_target(source.handle)
+        await self._client.call(
+            source.reader.server, "DELETE", target, limit=_RELEASE_LIMIT
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Writing:
+    """One engine's part in answering a request.
+
+    Attributes:
+        in_place: Tokens of the prompt that the engine reads itself.
+        unread: Those of them that it has not read yet.
+    """
+
+    asked: inbound.Inbound
+    answer: inbound.Answer
+    progress: _Progress
+    place: placement.InPlace | placement.Apart
+    in_place: int
+    unread: int = 0
+    first_seen: bool = False
+
+    def __post_init__(self) -> None:
+        self.unread = self.in_place
+
+
+def _client_gap(asked: inbound.Inbound) -> datetime.timedelta:
+    """Return how long the client waits for an event before it leaves."""
+    route = asked.route
+    return max(
+        _CLIENT_GAP,
+        _CLIENT_GAP_TARGETS * route.latency_target,
+        _CLIENT_GAP_PAUSES * route.pause_target,
+    )
--- /dev/null
+++ b/src/pimentolatch/gateway/knowledge.py
@@ -0,0 +1,92 @@
+"""What an instance knows: the configuration, the servers and the engines' work."""
+
+from collections import abc
+
+from pimentolatch.decisions import engine_loads
+from pimentolatch.routes import servers, table
+
+__all__ = ["Knowledge"]
+
+
+class Knowledge:
+    """The newest configuration and servers that this instance has heard of.
+
+    It never goes back: an older version or revision that arrives late, from the store
+    or from a peer, is dropped.
+
+    Attributes:
+        configuration: None until one was read.
+        servers_revision: Revision of the store up to which the servers are known.
+        servers_listed: Whether the servers were ever read.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: table.Configuration | None = None
+        self.servers = servers.ServerTable()
+        self.servers_revision = 0
+        self.servers_listed = False
+        self._loads: dict[str, engine_loads.EngineLoads] = {}
+        self._on_change: list[abc.Callable[[], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration; 0 without one."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served."""
+        return self.configuration is not None and self.servers_listed
+
+    def on_change(self, call: abc.Callable[[], None]) -> None:
+        """Have something called after each change of the servers."""
+        self._on_change.append(call)
+
+    def configure(self, configuration: table.Configuration) -> bool:
+        """Take a configuration if it is newer; tells whether it was."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self._share_servers()
+        return True
+
+    def list_servers(self, revision: int, listed: abc.Iterable[servers.Server]) -> bool:
+        """Take a whole listing if it is not older; tells whether it was taken."""
+        if self.servers_listed and revision < self.servers_revision:
+            return False
+        self.servers.replace(listed)
+        self.servers_revision = revision
+        self.servers_listed = True
+        self._share_servers()
+        return True
+
+    def change_servers(
+        self,
+        revision: int,
+        changed: abc.Iterable[servers.Server],
+        removed: abc.Iterable[str],
+    ) -> None:
+        """Take changes that follow on the known revision."""
+        if revision <= self.servers_revision:
+            return
+        self.servers.change(changed, removed)
+        self.servers_revision = revision
+        self._share_servers()
+
+    def loads(self, service: str) -> engine_loads.EngineLoads:
+        """Return the engines of a model service."""
+        return self._loads.setdefault(service, engine_loads.EngineLoads())
+
+    def all_loads(self) -> abc.Mapping[str, engine_loads.EngineLoads]:
+        """Return the engines of every model service."""
+        return self._loads
+
+    def _share_servers(self) -> None:
+        engines: dict[str, list[servers.Server]] = {}
+        for server in self.servers.all():
+            if server.stage is not None:
+                engines.setdefault(server.service, []).append(server)
+        for service, listed in engines.items():
+            self.loads(service).update(listed)
+        for call in self._on_change:
+            call()
--- /dev/null
+++ b/src/pimentolatch/gateway/plain.py
@@ -0,0 +1,138 @@
+"""Forwards requests that one server answers whole."""
+
+import asyncio
+import datetime
+
+import logbook
+
+from pimentolatch import clock
+from pimentolatch.decisions import repeat_budget, server_choice
+from pimentolatch.gateway import inbound, knowledge, refusals, sending
+from pimentolatch.platform import heads
+from pimentolatch.routes import servers
+
+__all__ = ["PlainForwarder"]
+
+_log = logbook.Logger("plain")
+
+_Outcome = sending.Whole | sending.NotSent | sending.Declined | sending.Broken
+# A server that may be asked again elsewhere gets this many times the latency target:
+# long enough for nearly every answer, short enough that a second server can still
+# answer before the client stops waiting.
+_PATIENCE_TARGETS = 2.0
+_LEAST_PATIENCE = datetime.timedelta(milliseconds=150)
+# The answer needs this long back to the client.
+_RETURN_TIME = datetime.timedelta(milliseconds=10)
+# Tries that reached no server, or one that declined, end here at the latest.
+_MOST_TRIES = 4
+# These promise that a request has not run, which is ours to say only if it is true.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class PlainForwarder:
+    """Sends requests to plain servers and passes their answers on.
+
+    A request that may not be repeated goes out again only if the server before it was
+    not reached or states that it did not run the request: a second arrival would print
+    a second badge.
+    """
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        client: sending.ServerClient,
+        choice: server_choice.ServerChoice,
+        budget: repeat_budget.RepeatBudget,
+        time: clock.Clock,
+    ) -> None:
+        self._known = known
+        self._client = client
+        self._choice = choice
+        self._budget = budget
+        self._clock = time
+
+    async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
+        """Answer a request."""
+        service = asked.service.name
+        tried: set[str] = set()
+        ran = arrivals = 0
+        last: _Outcome | None = None
+        for _ in range(_MOST_TRIES):
+            now = self._clock.monotonic()
+            if now >= asked.until - _RETURN_TIME:
+                break
+            if arrivals and not self._budget.spend(service, now):
+                break
+            listed = self._known.servers.of_service(service)
+            server = self._choice.choose(listed, now, tried)
+            if server is None:
+                break
+            tried.add(server.server_id)
+            may_repeat = asked.route.repeatable and ran + 1 < asked.route.most_servers
+            outcome = await self._send(server, asked, may_repeat)
+            # A server's own failure says more than what came after it.
+            if not isinstance(last, sending.Whole) or isinstance(
+                outcome, sending.Whole
+            ):
+                last = outcome
+            if isinstance(outcome, sending.NotSent):
+                continue
+            arrivals += 1
+            if isinstance(outcome, sending.Declined):
+                continue
+            ran += 1
+            if not may_repeat or _final(outcome):
+                break
+        await _conclude(asked, answer, last, ran)
+
+    async def _send(
+        self, server: servers.Server, asked: inbound.Inbound, may_repeat: bool
+    ) -> _Outcome:
+        now = self._clock.monotonic()
+        left = asked.until - now - _RETURN_TIME
+        patience = left
+        if may_repeat:
+            target = _PATIENCE_TARGETS * asked.route.latency_target
+            patience = min(left, max(target, _LEAST_PATIENCE))
+        delivery = heads.Delivery(server.server_id, left)
+        outcome: _Outcome = sending.Broken("cancelled")
+        self._choice.begin(server)
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                outcome = await self._client.whole(server, asked, delivery)
+        except TimeoutError:
+            outcome = sending.Broken("no answer in time")
+        finally:
+            failed = isinstance(outcome, sending.Broken | sending.NotSent)
+            self._choice.end(server, self._clock.monotonic(), failed=failed)
+        if isinstance(outcome, sending.Whole) and not _genuine(outcome):
+            return sending.Broken("a success without the server's proof")
+        return outcome
+
+
+def _genuine(whole: sending.Whole) -> bool:
+    return whole.head.sealed or not 200 <= whole.status < 300
+
+
+def _final(outcome: _Outcome) -> bool:
+    return isinstance(outcome, sending.Whole) and outcome.status < 500
+
+
+async def _conclude(
+    asked: inbound.Inbound,
+    answer: inbound.Answer,
+    last: _Outcome | None,
+    ran: int,
+) -> None:
+    if isinstance(last, sending.Whole):
+        if last.status not in _PROMISES:
+            await answer.whole(last.status, last.head.fields, last.body)
+            return
+        await answer.refuse(refusals.outcome_unknown(f"server status {last.status}"))
+    elif ran == 0:
+        await answer.refuse(refusals.no_server(asked.service.name))
+    elif isinstance(last, sending.Broken) and last.reason == "no answer in time":
+        await answer.refuse(refusals.deadline_passed())
+    else:
+        reason = last.reason if isinstance(last, sending.Broken) else "not answered"
+        await answer.refuse(refusals.outcome_unknown(reason))
--- /dev/null
+++ b/src/pimentolatch/gateway/refusals.py
@@ -0,0 +1,103 @@
+"""Final answers of our own to clients of routes."""
+
+import datetime
+
+from pimentolatch import results
+
+__all__ = [
+    "body_too_large",
+    "body_too_slow",
+    "deadline_passed",
+    "no_configuration",
+    "no_route",
+    "no_server",
+    "not_run_in_time",
+    "outcome_unknown",
+    "overloaded",
+]
+
+_NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
+_NO_SERVER_RETRY = datetime.timedelta(milliseconds=500)
+
+
+def no_configuration() -> results.Refusal:
+    """Refuse before any configuration is known."""
+    return results.Refusal(
+        results.ResultCode.NO_CONFIGURATION,
+        "this instance knows no configuration yet",
+        results.Execution.NOT_RUN,
+        _NO_CONFIGURATION_RETRY,
+    )
+
+
+def no_route(host: str, path: str) -> results.Refusal:
+    """Refuse what no route takes."""
+    return results.Refusal(
+        results.ResultCode.UNKNOWN_SERVICE,
+        f"no route for {host[:60]}{path[:60]}",
+        results.Execution.NOT_RUN,
+    )
+
+
+def no_server(service: str) -> results.Refusal:
+    """Refuse for want of a server that takes requests."""
+    return results.Refusal(
+        results.ResultCode.NO_BACKEND_SERVER,
+        f"no server of {service} took the request",
+        results.Execution.NOT_RUN,
+        _NO_SERVER_RETRY,
+    )
+
+
+def overloaded(retry_after: datetime.timedelta) -> results.Refusal:
+    """Refuse what would start too late."""
+    return results.Refusal(
+        results.ResultCode.OVERLOADED,
+        "the answer would start too late",
+        results.Execution.NOT_RUN,
+        retry_after,
+    )
+
+
+def not_run_in_time(retry_after: datetime.timedelta | None = None) -> results.Refusal:
+    """Tell that the time limit passed before the request ran."""
+    return results.Refusal(
+        results.ResultCode.DEADLINE_UNREACHABLE,
+        "the time limit passed before a server ran the request",
+        results.Execution.NOT_RUN,
+        retry_after,
+    )
+
+
+def deadline_passed() -> results.Refusal:
+    """Tell that the time limit passed while a server may have run the request."""
+    return results.Refusal(
+        results.ResultCode.DEADLINE_PASSED,
+        "the time limit passed while the request ran",
+        results.Execution.UNKNOWN,
+    )
+
+
+def outcome_unknown(reason: str) -> results.Refusal:
+    """Tell that a server may have run the request and no answer came."""
+    return results.Refusal(
+        results.ResultCode.OUTCOME_UNKNOWN, reason, results.Execution.UNKNOWN
+    )
+
+
+def body_too_large(limit: int) -> results.Refusal:
+    """Refuse a body over the limit."""
+    return results.Refusal(
+        results.ResultCode.BODY_TOO_LARGE,
+        f"the body is over {limit} bytes",
+        results.Execution.NOT_RUN,
+    )
+
+
+def body_too_slow() -> results.Refusal:
+    """Refuse a body that did not arrive in time."""
+    return results.Refusal(
+        results.ResultCode.BODY_TOO_SLOW,
+        "the body took too long to arrive",
+        results.Execution.NOT_RUN,
+    )
--- /dev/null
+++ b/src/pimentolatch/gateway/sending.py
@@ -0,0 +1,214 @@
+"""Sends a request to one server and tells apart what may have become of it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime
+from collections import abc
+
+from pimentolatch import clock
+from pimentolatch.backend import channel
+from pimentolatch.gateway import inbound
+from pimentolatch.platform import heads
+from pimentolatch.routes import servers
+
+__all__ = [
+    "Broken",
+    "Declined",
+    "NotSent",
+    "Opened",
+    "ServerClient",
+    "Whole",
+]
+
+_CONNECT_LIMIT = datetime.timedelta(milliseconds=700)
+# A kept connection that may not repeat its request is used only while it is this
+# fresh: a server that closes idle ones early would leave the outcome unknown.
+_FRESH = datetime.timedelta(seconds=2)
+# Answers of earlier requests that are skipped in front of the right one.
+_MOST_SKIPPED = 3
+# A body that is read whole before it is passed on may be this large.
+_MOST_BODY_BYTES = 8_000_000
+_MISDIRECTED = 421
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """The server was not reached, so nothing ran."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """The server states that it did not run the request."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """No usable answer came; the request may have run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Whole:
+    """A whole answer of the server, whatever its status."""
+
+    status: int
+    head: heads.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Opened:
+    """An answer whose header has arrived; its body is read from `link`."""
+
+    status: int
+    head: heads.AnswerHead
+    link: channel.Channel
+
+
+class ServerClient:
+    """Sends requests to servers over kept connections."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._pool = channel.ChannelPool(_CONNECT_LIMIT)
+
+    def retain(self, listed: abc.Container[str]) -> None:
+        """Close the kept connections of servers that are no longer listed."""
+        self._pool.retain(listed)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        self._pool.close()
+
+    async def open(
+        self,
+        server: servers.Server,
+        asked: inbound.Inbound,
+        delivery: heads.Delivery,
+    ) -> Opened | NotSent | Declined | Broken:
+        """Send a request and wait for the header of its answer.
+
+        The connection of an `Opened` answer belongs to whoever called; in all other
+        cases, cancellation included, it is closed or kept.
+        """
+        fresh = None if asked.route.repeatable or delivery.only_read else _FRESH
+        try:
+            link = await self._pool.take(
+                server.server_id,
+                server.address,
+                self._clock.monotonic(),
+                longest_idle=fresh,
+            )
+        except channel.ConnectError as error:
+            return NotSent(str(error))
+        try:
+            fields = heads.request_fields(asked.fields, delivery)
+            link.send(asked.method, asked.target, fields, asked.body)
+            return await self._opened(server, asked, link)
+        except channel.BrokenError as error:
+            link.close()
+            return Broken(str(error))
+        except BaseException:
+            link.close()
+            raise
+
+    async def whole(
+        self,
+        server: servers.Server,
+        asked: inbound.Inbound,
+        delivery: heads.Delivery,
+    ) -> Whole | NotSent | Declined | Broken:
+        """Send a request and read its answer to the end."""
+        opened = await self.open(server, asked, delivery)
+        if not isinstance(opened, Opened):
+            return opened
+        with self.held(server, opened):
+            try:
+                body = await _body(opened.link)
+            except channel.BrokenError as error:
+                return Broken(str(error))
+        return Whole(opened.status, opened.head, body)
+
+    @contextlib.contextmanager
+    def held(
+        self, server: servers.Server, opened: Opened
+    ) -> abc.Generator[None, None, None]:
+        """Keep the connection afterwards if its answer was read to the end."""
+        try:
+            yield
+        except BaseException:
+            opened.link.close()
+            raise
+        self._pool.give_back(server.server_id, opened.link, self._clock.monotonic())
+
+    async def call(
+        self,
+        server: servers.Server,
+        method: str,
+        target: bytes,
+        fields: abc.Sequence[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        *,
+        limit: datetime.timedelta,
+    ) -> tuple[int, bytes] | None:
+        """Make a call of the server's own interface; None if no answer came."""
+        host = f"{server.address.host}:{server.address.port}".encode()
+        try:
+            link = await self._pool.take(
+                server.server_id, server.address, self._clock.monotonic()
+            )
+        except channel.ConnectError:
+            return None
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                link.send(method, target, [(b"host", host), *fields], body)
+                start = await link.start()
+                content = await _body(link)
+        except (channel.BrokenError, TimeoutError):
+            link.close()
+            return None
+        except BaseException:
+            link.close()
+            raise
+        self._pool.give_back(server.server_id, link, self._clock.monotonic())
+        return start.status, content
+
+    async def _opened(
+        self, server: servers.Server, asked: inbound.Inbound, link: channel.Channel
+    ) -> Opened | Declined | Broken:
+        for _ in range(_MOST_SKIPPED):
+            start = await link.start()
+            head = heads.read_answer(start.fields)
+            if head.request_id in ("", asked.request_id):
+                return await self._judged(server, Opened(start.status, head, link))
+            await _body(link)
+            link.skip_answer()
+        link.close()
+        return Broken("only answers to other requests came")
+
+    async def _judged(
+        self, server: servers.Server, opened: Opened
+    ) -> Opened | Declined | Broken:
+        if opened.head.not_run or opened.status == _MISDIRECTED:
+            with self.held(server, opened), contextlib.suppress(channel.BrokenError):
+                await _body(opened.link)
+            return Declined(opened.status)
+        if opened.head.encoded:
+            opened.link.close()
+            return Broken("the body was recoded on the way")
+        return opened
+
+
+async def _body(link: channel.Channel) -> bytes:
+    content = bytearray()
+    while part := await link.read():
+        content += part
+        if len(content) > _MOST_BODY_BYTES:
+            raise channel.BrokenError("the answer is too large to be held")
+    return bytes(content)
--- /dev/null
+++ b/src/pimentolatch/gateway/settings.py
@@ -0,0 +1,72 @@
+"""Settings of one instance that serves the operator's routes."""
+
+import pydantic
+
+from pimentolatch import checks, settings
+
+__all__ = ["BoundSettings", "GatewaySettings", "PeerSettings", "StoreSettings"]
+
+
+class PeerSettings(checks.CheckedModel):
+    """How instances reach each other.
+
+    Attributes:
+        host: Address of this instance.
+        ports: First and last port that instances may use between themselves.
+        seeds: Addresses of some instances; they may be out of date.
+    """
+
+    host: settings.IpNumber
+    ports: tuple[settings.PortNumber, settings.PortNumber]
+    seeds: tuple[settings.AddressText, ...] = ()
+
+
+class StoreSettings(checks.CheckedModel):
+    """The platform's store.
+
+    Attributes:
+        call_timeout_s: How long a call may take before its outcome is unknown.
+    """
+
+    address: settings.AddressText
+    call_timeout_s: float = pydantic.Field(default=1.0, gt=0, le=60)
+
+
+class BoundSettings(checks.CheckedModel):
+    """What the operator holds this instance to.
+
+    Attributes:
+        stop_grace_s: Time from the stop signal until the process is killed.
+        repeat_ratio: Repeated sendings allowed for each request, over all instances.
+        repeat_window_s: Length of the sliding window in which they are counted.
+        repeat_slack: Repeats allowed besides, over all instances.
+        lease_s: Shortest time between orders of two holders.
+        silence_s: A dependency that is silent for so long must have been noticed.
+    """
+
+    stop_grace_s: float = pydantic.Field(default=8.0, gt=0)
+    repeat_ratio: float = pydantic.Field(default=0.2, ge=0)
+    repeat_window_s: float = pydantic.Field(default=10.0, gt=0)
+    repeat_slack: float = pydantic.Field(default=0.0, ge=0)
+    lease_s: float = pydantic.Field(default=3.0, gt=0)
+    silence_s: float = pydantic.Field(default=3.0, gt=0)
+
+
+class GatewaySettings(checks.CheckedModel):
+    """Settings of one instance.
+
+    Attributes:
+        instance: Name of this instance, unique in the fleet.
+        failure_domain: Failure domain that it stands in.
+        clients: Where requests on routes arrive.
+        readiness: Where the balancer asks whether to send requests here.
+    """
+
+    instance: str = pydantic.Field(min_length=1)
+    failure_domain: str = pydantic.Field(min_length=1)
+    clients: settings.AddressText
+    readiness: settings.AddressText
+    peers: PeerSettings
+    store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
+    logs: settings.LogSettings = settings.LogSettings()
--- /dev/null
+++ b/src/pimentolatch/platform/configuration.py
@@ -0,0 +1,92 @@
+"""Reads the operator's configuration out of the platform's object `config/main`."""
+
+import datetime
+import typing
+from collections import abc
+
+from pimentolatch.routes import table
+
+__all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode"]
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+
+_Fields = abc.Mapping[str, typing.Any]
+
+
+def decode(spec: _Fields) -> table.Configuration:
+    """Return the configuration that a spec holds.
+
+    Raises:
+        KeyError, TypeError, ValueError: The spec is not a configuration.
+    """
+    services = (_service(fields) for fields in spec["services"])
+    return table.Configuration(
+        int(spec["version"]),
+        [_route(fields) for fields in spec["routes"]],
+        {service.name: service for service in services},
+        _limits(spec["limits"]),
+    )
+
+
+def _route(fields: _Fields) -> table.Route:
+    return table.Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        path_prefix=fields["path_prefix"],
+        kind=table.Kind(fields["kind"]),
+        shares=_shares(fields),
+        timeout=_milliseconds(fields["timeout_ms"]),
+        latency_target=_milliseconds(fields.get("latency_target_ms", 0)),
+        pause_target=_milliseconds(fields.get("gap_target_ms", 0)),
+        rank=int(fields.get("priority", 0)),
+        most_servers=int(fields.get("max_attempts", 1)),
+        # The platform's name speaks of sessions; what it says is that the requests
+        # name the parts of a prompt.
+        carries_prompt=bool(fields.get("sticky", False)),
+        resumable=bool(fields.get("resumable", False)),
+    )
+
+
+def _shares(fields: _Fields) -> tuple[table.ServiceShare, ...]:
+    split = fields.get("traffic_split")
+    if not split:
+        return (table.ServiceShare(fields["service"], 1.0),)
+    return tuple(
+        table.ServiceShare(part["service"], float(part["weight"])) for part in split
+    )
+
+
+def _service(fields: _Fields) -> table.Service:
+    engine = fields.get("engine")
+    return table.Service(
+        name=fields["name"],
+        most_connections=int(fields.get("max_conns", 0)),
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(fields: _Fields) -> table.EngineTraits:
+    return table.EngineTraits(
+        slots=int(fields["slots"]),
+        kv_tokens=int(fields["kv_tokens"]),
+        kv_token_bytes=float(fields["kv_bytes"]),
+        # The platform calls the tokens of one event its stride.
+        tokens_per_event=int(fields.get("stride", 1)),
+        handle_lifetime=datetime.timedelta(seconds=fields.get("handle_ttl_s", 0)),
+        stage_change=datetime.timedelta(seconds=fields.get("switch_s", 0)),
+        model=fields["models"][0]["name"] if fields.get("models") else "",
+    )
+
+
+def _limits(fields: _Fields) -> table.ClientLimits:
+    return table.ClientLimits(
+        head_bytes=int(fields["max_header_bytes"]),
+        body_bytes=int(fields["max_body_bytes"]),
+        head_timeout=_milliseconds(fields["header_timeout_ms"]),
+        idle_timeout=_milliseconds(fields["idle_timeout_ms"]),
+    )
+
+
+def _milliseconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=value)
--- /dev/null
+++ b/src/pimentolatch/platform/heads.py
@@ -0,0 +1,226 @@
+"""The header fields of requests and answers, decoded once into typed values."""
+
+import dataclasses
+import datetime
+from collections import abc
+
+from pimentolatch import settings
+from pimentolatch.requests import prompts
+
+__all__ = [
+    "AnswerHead",
+    "ClientHead",
+    "Delivery",
+    "SETTINGS_VARIABLE",
+    "read_answer",
+    "read_client",
+    "request_fields",
+]
+
+# Environment variable with the path of a process's settings file.
+SETTINGS_VARIABLE = "PIMENTOLATCH_BOOT"
+
+Fields = abc.Sequence[tuple[bytes, bytes]]
+
+_REQUEST_ID = b"x-request-id"
+_DEADLINE = b"x-deadline-ms"
+_MODEL = b"x-model"
+_TOKEN_COUNTS = b"x-token-counts"
+_PROMPT_PARTS = b"x-prompt-prefix"
+_LENGTH_HINT = b"x-length-hint"
+_LAST_EVENT = b"last-event-id"
+_EXPECTED_SERVER = b"x-expect-instance"
+_URGENCY = b"x-request-urgency"
+_STAGE = b"x-stage"
+_CACHE_SOURCE = b"x-kv-source"
+_CACHE_FETCH = b"kv-fetch"
+_NOT_RUN = b"x-not-executed"
+_SEAL = b"x-response-seal"
+_READ_ONLY = b"prefill"
+
+# Only we set these: a client that sends one would claim memory, another request's
+# prompt or another place in the queue for itself.
+_OURS = frozenset(
+    {
+        _DEADLINE,
+        _EXPECTED_SERVER,
+        _URGENCY,
+        _STAGE,
+        _CACHE_SOURCE,
+        _CACHE_FETCH,
+        b"x-expect-version",
+        b"x-pin-ms",
+        b"x-kv-hold",
+        b"x-kv-backup",
+        b"x-instance-id",
+        _NOT_RUN,
+        _SEAL,
+    }
+)
+# These concern one connection, not the request.
+_CONNECTION_FIELDS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientHead:
+    """What the header of a client's request says.
+
+    Attributes:
+        time_left: How long the client will wait from now on; None if it does not say.
+        last_event: Number of the last event that the client holds; 0 for none.
+        prompt: What is to be read and written, for model requests.
+    """
+
+    host: str
+    request_id: str
+    time_left: datetime.timedelta | None
+    last_event: int
+    prompt: prompts.Prompt | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """What we tell a server about a request that is sent to it.
+
+    Attributes:
+        server_id: The only server that may run it.
+        time_left: After this time the server stops working on it.
+        urgency: 0 is served first, 9 last; None leaves it to the server.
+        only_read: Only read the prompt and keep it for another server.
+        source: Server and handle of a prompt that was read there.
+        last_event: Go on after this event; None leaves the client's own field.
+    """
+
+    server_id: str
+    time_left: datetime.timedelta
+    urgency: int | None = None
+    only_read: bool = False
+    source: tuple[settings.Address, str] | None = None
+    last_event: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What the header of a server's answer says.
+
+    Attributes:
+        request_id: The request that it answers; empty if it names none.
+        not_run: The server states that it did not run the request.
+        sealed: The answer bears the server's proof of origin.
+        encoded: The body was recoded on the way, so it is not the server's.
+        fields: What is passed on to the client.
+    """
+
+    request_id: str
+    not_run: bool
+    sealed: bool
+    encoded: bool
+    fields: tuple[tuple[bytes, bytes], ...]
+
+
+def read_client(fields: Fields) -> ClientHead:
+    """Decode the header of a client's request.
+
+    Raises:
+        ValueError: A field that we must understand is malformed.
+    """
+    found = {name.lower(): value for name, value in fields}
+    time_left = found.get(_DEADLINE)
+    return ClientHead(
+        host=found.get(b"host", b"").decode("latin-1"),
+        request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
+        time_left=None if time_left is None else _milliseconds(time_left),
+        last_event=int(found.get(_LAST_EVENT, b"0") or b"0"),
+        prompt=_prompt(found),
+    )
+
+
+def _milliseconds(value: bytes) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=float(value))
+
+
+def _prompt(found: dict[bytes, bytes]) -> prompts.Prompt | None:
+    counts = found.get(_TOKEN_COUNTS)
+    if counts is None:
+        return None
+    tokens, most_output = counts.split(b",")
+    hint = found.get(_LENGTH_HINT)
+    return prompts.Prompt(
+        model=found.get(_MODEL, b"").decode("latin-1"),
+        tokens=int(tokens),
+        most_output=int(most_output),
+        expected_output=int(most_output) if hint is None else int(float(hint)),
+        parts=_parts(found.get(_PROMPT_PARTS, b"")),
+    )
+
+
+def _parts(value: bytes) -> tuple[prompts.Part, ...]:
+    parts = []
+    for entry in value.split(b","):
+        if entry.strip():
+            name, tokens = entry.strip().split(b":")
+            parts.append(prompts.Part(name.decode("latin-1"), int(tokens)))
+    return tuple(parts)
+
+
+def request_fields(fields: Fields, delivery: Delivery) -> list[tuple[bytes, bytes]]:
+    """Return the header that a server receives, without its body's length."""
+    dropped = _CONNECTION_FIELDS | _OURS | _named_by_connection(fields)
+    if delivery.last_event is not None:
+        dropped |= {_LAST_EVENT}
+    kept = [(name, value) for name, value in fields if name.lower() not in dropped]
+    left = max(1, int(delivery.time_left / datetime.timedelta(milliseconds=1)))
+    kept.append((_DEADLINE, b"%d" % left))
+    kept.append((_EXPECTED_SERVER, delivery.server_id.encode("latin-1")))
+    if delivery.urgency is not None:
+        kept.append((_URGENCY, b"%d" % delivery.urgency))
+    if delivery.only_read:
+        kept.append((_STAGE, _READ_ONLY))
+    if delivery.source is not None:
+        address, handle = delivery.source
+        text = f"{address.host}:{address.port}/{handle}"
+        kept.append((_CACHE_SOURCE, text.encode("latin-1")))
+    if delivery.last_event is not None:
+        kept.append((_LAST_EVENT, b"%d" % delivery.last_event))
+    return kept
+
+
+def _named_by_connection(fields: Fields) -> frozenset[bytes]:
+    named = set()
+    for name, value in fields:
+        if name.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    # A client can't have us drop what the request consists of.
+    return frozenset(
+        named - {_REQUEST_ID, _MODEL, _TOKEN_COUNTS, _PROMPT_PARTS, b"host"}
+    )
+
+
+def read_answer(fields: Fields) -> AnswerHead:
+    """Decode the header of a server's answer."""
+    found = {name.lower(): value for name, value in fields}
+    dropped = (_CONNECTION_FIELDS - {b"content-length"}) | _named_by_connection(fields)
+    dropped |= {_NOT_RUN, b"x-instance-id"}
+    return AnswerHead(
+        request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
+        not_run=_NOT_RUN in found,
+        sealed=_SEAL in found,
+        encoded=found.get(b"content-encoding", b"identity").lower() != b"identity",
+        fields=tuple(
+            (name, value) for name, value in fields if name.lower() not in dropped
+        ),
+    )
--- /dev/null
+++ b/src/pimentolatch/platform/objects.py
@@ -0,0 +1,201 @@
+"""Client of the platform's object store."""
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import typing
+import urllib.parse
+
+from pimentolatch import clock, settings
+from pimentolatch.backend import channel
+from pimentolatch.platform import store
+
+__all__ = ["Changes", "HistoryGone", "ObjectStore"]
+
+_JSON = [(b"content-type", b"application/json")]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed in a kind up to a revision of the store."""
+
+    revision: int
+    changed: tuple[store.Found, ...]
+    removed: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes after the asked revision are no longer known; list anew."""
+
+
+class ObjectStore:
+    """Calls of the store; each is made once and never repeated by itself.
+
+    Args:
+        address: The store's address.
+        call_limit: How long a call may take; a watch takes its wait besides.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        call_limit: datetime.timedelta,
+        time: clock.Clock,
+    ) -> None:
+        self._address = address
+        self._limit = call_limit
+        self._clock = time
+        self._pool = channel.ChannelPool(call_limit)
+
+    async def list_objects(
+        self, kind: str, *, stale: bool = False
+    ) -> store.Listing | store.Unavailable:
+        """Return all objects of a kind.
+
+        Args:
+            kind: The kind.
+            stale: Accept a listing that is seconds old, at a tenth of the price.
+        """
+        found: list[store.Found] = []
+        after = ""
+        revision = 0
+        while True:
+            query = {"after": after} if after else {}
+            if stale:
+                query["serializable"] = "1"
+            answer = await self._call("GET", _path(kind, query=query))
+            if isinstance(answer, store.Unavailable):
+                return answer
+            body = answer.body
+            found += [_object(item) for item in body["items"]]
+            # A page of a later revision may lack what moved to an earlier page, so
+            # changes are followed from the first page's revision.
+            revision = revision or int(body["as_of"])
+            if not body["has_more"] or not body["items"]:
+                return store.Listing(revision, tuple(found))
+            after = found[-1].name
+
+    async def watch(
+        self, kind: str, *, after: int, wait: datetime.timedelta
+    ) -> Changes | HistoryGone | store.Unavailable:
+        """Return the changes of a kind after a revision; waits until there is one."""
+        milliseconds = int(wait / datetime.timedelta(milliseconds=1))
+        query = {"watch": str(after), "wait_ms": str(milliseconds)}
+        answer = await self._call("GET", _path(kind, query=query), extra=wait)
+        if isinstance(answer, store.Unavailable):
+            return answer
+        if answer.status == 410:
+            return HistoryGone()
+        events = answer.body["events"]
+        latest = {event["object"]["metadata"]["name"]: event for event in events}
+        return Changes(
+            int(answer.body["as_of"]),
+            tuple(_object(e["object"]) for e in latest.values() if not e["deleted"]),
+            tuple(name for name, e in latest.items() if e["deleted"]),
+        )
+
+    async def get(
+        self, kind: str, name: str
+    ) -> store.Found | store.Absent | store.Unavailable:
+        """Read an object."""
+        answer = await self._call("GET", _path(kind, name))
+        if isinstance(answer, store.Unavailable):
+            return answer
+        if answer.status == 404:
+            return store.Absent(name)
+        return _object(answer.body)
+
+    async def put(
+        self, kind: str, name: str, value: store.Json, *, if_version: int
+    ) -> store.Written | store.Conflict | store.Unavailable:
+        """Write an object if its version is `if_version`; 0 means it is absent."""
+        metadata: dict[str, typing.Any] = {"name": name}
+        if if_version:
+            metadata["revision"] = if_version
+            method, path = "PUT", _path(kind, name)
+        else:
+            method, path = "POST", _path(kind)
+        body = {"metadata": metadata, "spec": value}
+        answer = await self._call(method, path, body)
+        if isinstance(answer, store.Unavailable):
+            return answer
+        if answer.status in (404, 409):
+            current = (answer.body or {}).get("metadata", {})
+            return store.Conflict(int(current.get("revision", 0)))
+        return store.Written(int(answer.body["metadata"]["revision"]))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: typing.Any = None,
+        *,
+        extra: datetime.timedelta = datetime.timedelta(),
+    ) -> "_Answer | store.Unavailable":
+        write = method != "GET"
+        data = b"" if body is None else json.dumps(body).encode()
+        host = f"{self._address.host}:{self._address.port}".encode()
+        try:
+            # A write never goes out on a connection that may have died unseen.
+            link = await self._pool.take(
+                "store",
+                self._address,
+                self._clock.monotonic(),
+                longest_idle=datetime.timedelta(0) if write else None,
+            )
+        except channel.ConnectError as error:
+            return store.Unavailable(str(error), effect_unknown=False)
+        try:
+            async with asyncio.timeout((self._limit + extra).total_seconds()):
+                link.send(method, target.encode(), [(b"host", host), *_JSON], data)
+                start = await link.start()
+                content = bytearray()
+                while part := await link.read():
+                    content += part
+            parsed = json.loads(content) if content else None
+        except (channel.BrokenError, TimeoutError, ValueError) as error:
+            link.close()
+            return store.Unavailable(repr(error), effect_unknown=write)
+        except BaseException:
+            link.close()
+            raise
+        self._pool.give_back("store", link, self._clock.monotonic())
+        return _checked(start, parsed, write)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pool.close()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: typing.Any
+
+
+def _checked(
+    start: channel.AnswerStart, parsed: typing.Any, write: bool
+) -> _Answer | store.Unavailable:
+    if start.status in (200, 201, 404, 409, 410):
+        return _Answer(start.status, parsed)
+    retry_after = None
+    for name, value in start.fields:
+        if name == b"retry-after":
+            retry_after = datetime.timedelta(seconds=float(value))
+    # 503 and 429 promise that nothing was done.
+    unknown = write and start.status not in (429, 503)
+    return store.Unavailable(f"status {start.status}", unknown, retry_after)
+
+
+def _object(item: typing.Any) -> store.Found:
+    metadata = item["metadata"]
+    return store.Found(metadata["name"], int(metadata["revision"]), item["spec"])
+
+
+def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
+    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+    if name:
+        path += "/" + urllib.parse.quote(name, safe="")
+    return path + ("?" + urllib.parse.urlencode(query) if query else "")
--- a/src/pimentolatch/results.py
+++ b/src/pimentolatch/results.py
@@ -9,7 +9,10 @@
 import datetime
 import enum
 
-__all__ = ["Execution", "Refusal", "ResultCode"]
+__all__ = ["RESULT_HEADER", "Execution", "Refusal", "ResultCode", "invalid"]
+
+# Tells a refusal of the instance from an answer of the service.
+RESULT_HEADER = "x-result-code"
 
 
 class Execution(enum.StrEnum):
@@ -113,3 +116,8 @@
         if self.retry_after is not None:
             body["retry_after_seconds"] = self.retry_after.total_seconds()
         return {"error": body}
+
+
+def invalid(message: str) -> Refusal:
+    """Return the refusal of a request that is wrong in itself."""
+    return Refusal(ResultCode.INVALID_REQUEST, message, Execution.NOT_RUN)
--- /dev/null
+++ b/src/pimentolatch/routes/servers.py
@@ -0,0 +1,78 @@
+"""The backend servers as the platform's store lists them."""
+
+import dataclasses
+import datetime
+import enum
+from collections import abc
+
+from pimentolatch import settings
+
+__all__ = ["Server", "ServerTable", "Stage"]
+
+
+class Stage(enum.Enum):
+    """What an engine does: read prompts for others, or write answers."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """One life of a backend server: a restart gives it another id.
+
+    Attributes:
+        leaving: It takes no new requests and ends what runs.
+        stage: None for servers that are no engines.
+        slots: Requests that it works on at once.
+        cold: How much longer it is slow after its start.
+    """
+
+    server_id: str
+    service: str
+    address: settings.Address
+    failure_domain: str
+    leaving: bool
+    stage: Stage | None
+    slots: int
+    cold: datetime.timedelta = datetime.timedelta()
+
+
+class ServerTable:
+    """The servers of one revision of the store; entries never go back."""
+
+    def __init__(self) -> None:
+        self._servers: dict[str, Server] = {}
+        self._by_service: dict[str, list[Server]] = {}
+
+    def replace(self, servers: abc.Iterable[Server]) -> None:
+        """Take a whole listing."""
+        self._servers = {server.server_id: server for server in servers}
+        self._index()
+
+    def change(self, changed: abc.Iterable[Server], removed: abc.Iterable[str]) -> None:
+        """Take the changes after the last revision."""
+        for server in changed:
+            self._servers[server.server_id] = server
+        for name in removed:
+            self._servers.pop(name, None)
+        self._index()
+
+    def get(self, server_id: str) -> Server | None:
+        """Return a server that is still listed."""
+        return self._servers.get(server_id)
+
+    def all(self) -> abc.Collection[Server]:
+        """Return every listed server."""
+        return self._servers.values()
+
+    def of_service(self, service: str) -> list[Server]:
+        """Return the servers of a service that take new requests."""
+        return self._by_service.get(service, [])
+
+    def _index(self) -> None:
+        found: dict[str, list[Server]] = {}
+        for server in self._servers.values():
+            if not server.leaving:
+                found.setdefault(server.service, []).append(server)
+        self._by_service = found
--- a/src/pimentolatch/settings.py
+++ b/src/pimentolatch/settings.py
@@ -10,7 +10,13 @@
 
 from pimentolatch import checks
 
-__all__ = ["Address", "EntrySettings", "PeerSettings", "PlatformSettings"]
+__all__ = [
+    "Address",
+    "AddressText",
+    "EntrySettings",
+    "PeerSettings",
+    "PlatformSettings",
+]
 
 
 def _ip_number(value: str) -> str:
@@ -33,12 +39,30 @@
     host: IpNumber
     port: PortNumber
 
+    @classmethod
+    def from_text(cls, text: str) -> typing.Self:
+        """Return the address written as `HOST:PORT`; raises `ValueError`."""
+        host, _, port = text.rpartition(":")
+        return cls(host=host, port=int(port))
+
     @property
     def url(self) -> str:
         """Base URL without a trailing slash."""
         return f"http://{self.host}:{self.port}"
 
 
+def _address_from_text(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    try:
+        return Address.from_text(value)
+    except ValueError:
+        raise ValueError("must be HOST:PORT, such as 192.0.2.7:8080") from None
+
+
+AddressText = typing.Annotated[Address, pydantic.BeforeValidator(_address_from_text)]
+
+
 class PlatformSettings(checks.CheckedModel):
     """Where the platform is and how much of it this instance may use.
 
--- a/tests/features/steps/requests_http_steps.py
+++ b/tests/features/steps/requests_http_steps.py
@@ -276,7 +276,7 @@
             measured=metrics.Metrics(),
         )
         abort = {"call": lambda: context.seen.append("aborted")}
-        await answer({"extensions": {answers.ABORT_EXTENSION: abort}}, receive, send)
+        await answer({"extensions": {guard.ABORT_EXTENSION: abort}}, receive, send)
         return clock.monotonic().total_seconds()
 
     context.play = play
