Answer the balancer's question, with the ASGI interface stated

Cause: the server library guessed the interface of a bound method wrongly, so each readiness check ended in a 500 and no instance counted as ready.

--- a/src/pimentolatch/entry/servers.py
+++ b/src/pimentolatch/entry/servers.py
@@ -67,6 +67,8 @@
                 host=address.host,
                 port=address.port,
                 http=typing.cast(typing.Any, protocol),
+                interface="asgi3",
+                proxy_headers=False,
                 ws="none",
                 lifespan="off",
                 log_config=None,
