--- a/src/pimentolatch/clock.py
+++ b/src/pimentolatch/clock.py
@@ -1,8 +1,8 @@
 """Clocks, passed in so that every decision can be tested without waiting.
 
-`Clock.monotonic` goes on while a process is stopped, so a process that wakes after
-a freeze sees at once how long it was away. Wall time is only for records that
-people read and for deadlines that cross a process border.
+`Clock.monotonic` goes on while a process is stopped or its machine suspended, so a
+process that wakes after a freeze sees at once how long it was away. Wall time is only
+for records that people read and for deadlines that cross a process border.
 """
 
 import asyncio
@@ -37,7 +37,7 @@
 
     def monotonic(self) -> datetime.timedelta:
         """See `Clock.monotonic`."""
-        return datetime.timedelta(seconds=time.monotonic())
+        return datetime.timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     async def sleep(self, duration: datetime.timedelta) -> None:
         """See `Clock.sleep`."""
--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -28,15 +28,21 @@
 _FIRST_READING_RATE = 25.0
 # An engine that writes answers reads prompts between its steps, at about half the rate.
 IN_PLACE_SLOWNESS = 2.0
-# Weight of one answer in the learned speeds: the mean of about the last twenty.
+# Weight of one answer in the learned pauses: the mean of about the last twenty.
 _MEMORY = 0.05
+# Weights of a prompt that was read faster, or slower, than the learned rate. Work that
+# was not counted makes an answer late and never early, so the fast ones say more.
+_FASTER_WEIGHT = 0.15
+_SLOWER_WEIGHT = 0.03
+# Prompts below this, and prompts behind others, show the way there and the wait rather
+# than the rate.
+_TELLING_TOKENS = 1500
+_MOST_AHEAD_SHARE = 0.25
 # Part of an engine's memory that is taken to hold shared parts; running requests take
 # the rest first.
 _KEPT_SHARE = 0.75
 # A peer that is silent for longer has ended or is cut off; its work ends by itself.
 _PEER_SILENCE = datetime.timedelta(seconds=2)
-# Answers faster than this say more of the network than of the engine.
-_LEAST_READING_MS = 5.0
 # A server that failed is passed over for this long while others can serve; it doubles
 # with each failure in a row up to the longest.
 _FIRST_PAUSE = datetime.timedelta(seconds=1)
@@ -45,10 +51,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """What one peer has under way at one engine."""
+    """What one peer has under way at one engine.
+
+    Attributes:
+        reading: Prompt tokens that are not read yet.
+        writing: Streams that run.
+        held: Tokens that these streams keep in memory.
+    """
 
     reading: float
     writing: int
+    held: int
 
 
 class EngineLoad:
@@ -57,6 +70,7 @@
     Attributes:
         reading: Prompt tokens that this instance has sent and that are not read yet.
         writing: Streams of this instance that run there.
+        held: Tokens that these streams keep in memory.
         pause_ms: Mean time between events of its streams.
         failures: Exchanges in a row that broke off.
     """
@@ -65,6 +79,7 @@
         self.server = server
         self.reading = 0.0
         self.writing = 0
+        self.held = 0
         self.pause_ms = 0.0
         self.failures = 0
         self.avoid_until = datetime.timedelta()
@@ -80,6 +95,10 @@
         """Streams from all instances that are heard."""
         return self.writing + sum(load.writing for load in self._heard(now))
 
+    def all_held(self, now: datetime.timedelta) -> int:
+        """Tokens in memory for streams from all instances that are heard."""
+        return self.held + sum(load.held for load in self._heard(now))
+
     def unread(self, prompt: prompts.Prompt) -> int:
         """Return the tokens of a prompt that the engine would have to read.
 
@@ -162,10 +181,11 @@
             took: Time from sending to the answer.
         """
         milliseconds = took / datetime.timedelta(milliseconds=1)
-        if milliseconds < _LEAST_READING_MS or tokens <= 0:
+        if tokens < _TELLING_TOKENS or ahead > _MOST_AHEAD_SHARE * tokens:
             return
-        rate = (ahead + tokens) / milliseconds
-        self.reading_rate += _MEMORY * (rate - self.reading_rate)
+        rate = (ahead + tokens) / max(milliseconds, 1.0)
+        weight = _FASTER_WEIGHT if rate > self.reading_rate else _SLOWER_WEIGHT
+        self.reading_rate += weight * (rate - self.reading_rate)
 
     def paused(self, engine: EngineLoad, took: datetime.timedelta) -> None:
         """Learn from the time between two events of a stream."""
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -24,7 +24,7 @@
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers, table
 
-__all__ = ["Apart", "Hopeless", "InPlace", "Placement", "Place"]
+__all__ = ["Apart", "Hopeless", "InPlace", "Place", "Placement", "fullness"]
 
 # Charge of a shared token that is read again, on top of the time it takes: reading
 # again what another engine keeps takes the time of others in the queue.
@@ -41,6 +41,10 @@
 _IN_PLACE_TOKENS = 2000
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
+# Above this share of its slots or memory an engine sets streams back or lets them wait;
+# the charge grows so fast that only an engine that is as full is chosen.
+_FULL = 0.85
+_OVERFULL_MS = 4000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,10 +140,10 @@
         traits: table.EngineTraits,
         now: datetime.timedelta,
     ) -> float:
-        full = writer.all_writing(now) / max(1, traits.slots)
+        full = fullness(writer, traits, now)
         cost = _BATCH_MS * full
-        if full >= 1:
-            cost += _BATCH_MS * 20 * (full - 0.95)
+        if full > _FULL:
+            cost += _OVERFULL_MS * (full - _FULL)
         if writer.server.failure_domain != self._domain:
             cost += _FOREIGN_MS
         return cost
@@ -178,6 +182,16 @@
         return cost, Apart(reader, writer, tokens, expected)
 
 
+def fullness(
+    writer: engine_loads.EngineLoad,
+    traits: table.EngineTraits,
+    now: datetime.timedelta,
+) -> float:
+    """Return the used share of an engine's slots or memory, whichever is scarcer."""
+    slots = writer.all_writing(now) / max(1, traits.slots)
+    return max(slots, writer.all_held(now) / max(1, traits.kv_tokens))
+
+
 def _shared_unread(engine: engine_loads.EngineLoad, prompt: prompts.Prompt) -> int:
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
     return max(0, engine.unread(prompt) - own)
--- a/src/pimentolatch/decisions/repeat_budget.py
+++ b/src/pimentolatch/decisions/repeat_budget.py
@@ -18,6 +18,8 @@
 # The bound is kept with a margin: a request that arrived here at the end of one window
 # may be counted by its server in the next.
 _USED_SHARE = 0.8
+# Instances that are reckoned with before any was heard: fleets of today have eight.
+_FIRST_INSTANCES = 8
 
 
 class RepeatBudget:
@@ -35,7 +37,15 @@
         self._window = window
         self._requests: dict[str, collections.deque[datetime.timedelta]] = {}
         self._repeats: dict[str, collections.deque[datetime.timedelta]] = {}
-        self.instances = 1
+        self._shared_by = _FIRST_INSTANCES
+
+    def share_with(self, instances: int) -> None:
+        """Divide the slack by the instances that live, this one included.
+
+        Instances that were heard once count on: one that is cut off spends its part
+        all the same.
+        """
+        self._shared_by = max(instances, self._shared_by)
 
     def arrived(self, service: str, now: datetime.timedelta) -> None:
         """Count a request for a service."""
@@ -45,7 +55,7 @@
         """Take one repeat; False if the window holds as many as are allowed."""
         requests = len(self._recent(self._requests, service, now))
         repeats = self._recent(self._repeats, service, now)
-        allowed = self._ratio * requests + self._slack / max(1, self.instances)
+        allowed = self._ratio * requests + self._slack / self._shared_by
         if len(repeats) + 1 > _USED_SHARE * allowed:
             return False
         repeats.append(now)
--- /dev/null
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -0,0 +1,167 @@
+"""Plans how many engines read prompts and how many write answers.
+
+Load pattern: for a quarter of a minute most requests bring long prompts, then most ask
+for long answers. Engines that read are two thirds idle in one half and a queue of
+seconds in the other. Routing bends first: short prompts are read where they are
+answered. What it can't bend, because reading in place stops the streams there, is worth
+a change of stage, which takes an engine away for seconds.
+
+Work is compared as a share of what each stage can do. A stage that is asked for more
+than it can do takes an engine from the other if that one stays well below its own
+limit. Writing is limited by slots and memory, which are counted, and by the pause
+between events, which is measured; reading by the learned rate.
+
+Without a band between giving and taking, two stages near their limits would hand an
+engine back and forth, each time at the price of a change.
+"""
+
+import dataclasses
+import datetime
+import statistics
+from collections import abc
+
+from pimentolatch.decisions import engine_loads, placement
+from pimentolatch.routes import servers, table
+
+__all__ = ["Change", "StagePlanner"]
+
+# A stage asks for an engine above this share of what it can do ...
+_CROWDED = 0.80
+# ... if the giving stage stays below this share afterwards.
+_ROOM_AFTER = 0.62
+# A stage that was given an engine lately keeps it for this long, several times the
+# length of a change.
+_DWELL = datetime.timedelta(seconds=6)
+# A demand must last this long; a shorter one is over before the engine is back.
+_LASTING = datetime.timedelta(milliseconds=700)
+# Engines that may be changing at once, as a share of all.
+_AT_ONCE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """An engine that should change its stage, and the figures that say so."""
+
+    server_id: str
+    stage: servers.Stage
+    reading_share: float
+    writing_share: float
+
+
+class StagePlanner:
+    """Plans the stages of one service's engines."""
+
+    def __init__(self) -> None:
+        self._crowded_since: dict[servers.Stage, datetime.timedelta] = {}
+        self._changed: dict[str, datetime.timedelta] = {}
+        self._last_to: dict[servers.Stage, datetime.timedelta] = {}
+
+    def changed(self, change: Change, now: datetime.timedelta) -> None:
+        """Note that an engine was told to change."""
+        self._changed[change.server_id] = now
+        self._last_to[change.stage] = now
+
+    def plan(
+        self,
+        loads: engine_loads.EngineLoads,
+        traits: table.EngineTraits,
+        pause_target_ms: float,
+        reading_demand: float,
+        now: datetime.timedelta,
+    ) -> Change | None:
+        """Return the change that is worth its price now, if any.
+
+        Args:
+            loads: Work of the engines, from all instances that are heard.
+            traits: What the operator says of the engines.
+            pause_target_ms: Longest pause between events that is on time.
+            reading_demand: Prompt tokens a second that all instances are asked to read.
+            now: The time.
+        """
+        engines = [e for e in loads.all() if not e.server.leaving]
+        readers = [e for e in engines if e.server.stage is servers.Stage.PREFILL]
+        writers = [e for e in engines if e.server.stage is servers.Stage.DECODE]
+        moving = self._moving(traits, now)
+        if len(moving) >= max(1, int(_AT_ONCE * len(engines))):
+            return None
+        reading = reading_demand / 1000 / loads.reading_rate
+        writing = _writing_need(writers, traits, pause_target_ms, now)
+        reading_share = reading / max(len(readers), 0.5)
+        writing_share = writing / max(len(writers), 0.5)
+        for taker, need, givers, given_need in (
+            (servers.Stage.PREFILL, reading_share, writers, writing),
+            (servers.Stage.DECODE, writing_share, readers, reading),
+        ):
+            if not self._lasts(taker, need > _CROWDED, now) or len(givers) < 2:
+                continue
+            if given_need / (len(givers) - 1) > _ROOM_AFTER:
+                continue
+            if self._dwells(taker, now):
+                continue
+            engine = _cheapest(givers, readers, writers, moving, now)
+            if engine is not None:
+                return Change(
+                    engine.server.server_id, taker, reading_share, writing_share
+                )
+        return None
+
+    def _moving(self, traits: table.EngineTraits, now: datetime.timedelta) -> set[str]:
+        away = traits.stage_change + _LASTING
+        self._changed = {
+            name: at for name, at in self._changed.items() if now - at < 4 * away
+        }
+        return {name for name, at in self._changed.items() if now - at < away}
+
+    def _lasts(
+        self, stage: servers.Stage, crowded: bool, now: datetime.timedelta
+    ) -> bool:
+        if not crowded:
+            self._crowded_since.pop(stage, None)
+            return False
+        return now - self._crowded_since.setdefault(stage, now) >= _LASTING
+
+    def _dwells(self, taker: servers.Stage, now: datetime.timedelta) -> bool:
+        other = next(stage for stage in servers.Stage if stage is not taker)
+        last = self._last_to.get(other)
+        return last is not None and now - last < _DWELL
+
+
+def _writing_need(
+    writers: abc.Sequence[engine_loads.EngineLoad],
+    traits: table.EngineTraits,
+    pause_target_ms: float,
+    now: datetime.timedelta,
+) -> float:
+    """Return how many engines the running streams fill."""
+    by_room = sum(placement.fullness(engine, traits, now) for engine in writers)
+    pauses = [engine.pause_ms for engine in writers if engine.pause_ms > 0]
+    if not pauses or pause_target_ms <= 0:
+        return by_room
+    by_pause = statistics.fmean(pauses) / pause_target_ms * len(writers)
+    return max(by_room, by_pause)
+
+
+def _cheapest(
+    givers: abc.Sequence[engine_loads.EngineLoad],
+    readers: abc.Sequence[engine_loads.EngineLoad],
+    writers: abc.Sequence[engine_loads.EngineLoad],
+    moving: abc.Container[str],
+    now: datetime.timedelta,
+) -> engine_loads.EngineLoad | None:
+    """Return the engine that a stage can best spare.
+
+    A domain that keeps both stages moves its prompts within it, so the engine comes
+    from where the giving stage is strongest against the other; among these the one
+    with the least work ends it soonest.
+    """
+    taking = writers if givers is readers else readers
+
+    def cost(engine: engine_loads.EngineLoad) -> tuple[float, float, str]:
+        domain = engine.server.failure_domain
+        own = sum(g.server.failure_domain == domain for g in givers)
+        others = sum(t.server.failure_domain == domain for t in taking)
+        work = engine.all_writing(now) + engine.all_reading(now) / 1000
+        return (others - own, work, engine.server.server_id)
+
+    found = [e for e in givers if e.server.server_id not in moving]
+    return min(found, key=cost, default=None)
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -8,8 +8,14 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import engine_loads, placement, repeat_budget, urgency
-from pimentolatch.gateway import events, inbound, knowledge, refusals, sending
+from pimentolatch.decisions import (
+    demand_rate,
+    engine_loads,
+    placement,
+    repeat_budget,
+    urgency,
+)
+from pimentolatch.gateway import events, inbound, knowledge, peers, refusals, sending
 from pimentolatch.platform import engines, heads
 
 __all__ = ["StreamForwarder"]
@@ -51,6 +57,7 @@
         failed: Engines that failed or declined it.
         ran: Engines that may have begun to write.
         arrivals: Sendings that reached an engine, as the budget counts them.
+        read_before: An engine has read the prompt for another one.
         last_event: Number of the last event that the client received.
         answered: A failure that an engine gave, to be passed on if nothing better
             comes.
@@ -60,6 +67,7 @@
     failed: set[str] = dataclasses.field(default_factory=set)
     ran: int = 0
     arrivals: int = 0
+    read_before: bool = False
     last_event: int = 0
     answered: sending.Whole | None = None
     reason: str = ""
@@ -81,16 +89,39 @@
         budget: repeat_budget.RepeatBudget,
         time: clock.Clock,
         own_domain: str,
+        sightings: peers.Sightings,
     ) -> None:
         self._known = known
         self._client = client
+        self._sightings = sightings
+        self._demands: dict[str, demand_rate.DemandRate] = {}
         self._budget = budget
         self._clock = time
         self._domain = own_domain
         self._background: set[asyncio.Task[None]] = set()
 
+    def demand(self, service: str) -> demand_rate.ServiceDemand:
+        """Return what clients ask of a service through this instance."""
+        return self._rate(service).rate(self._clock.monotonic())
+
+    def demands(self) -> dict[str, demand_rate.ServiceDemand]:
+        """Return what clients ask of each service through this instance."""
+        return {service: self.demand(service) for service in self._demands}
+
+    def _rate(self, service: str) -> demand_rate.DemandRate:
+        return self._demands.setdefault(service, demand_rate.DemandRate())
+
+    def _count_demand(self, asked: inbound.Inbound) -> None:
+        prompt = asked.head.prompt
+        assert prompt is not None
+        engines = self._known.loads(asked.service.name).all()
+        unread = min((e.unread(prompt) for e in engines), default=prompt.tokens)
+        rate = self._rate(asked.service.name)
+        rate.add(unread, prompt.expected_output, self._clock.monotonic())
+
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
         """Answer a request."""
+        self._count_demand(asked)
         progress = _Progress(last_event=asked.head.last_event)
         try:
             async with asyncio.timeout(
@@ -134,15 +165,30 @@
         if isinstance(place, placement.Hopeless):
             progress.wait = place.retry_after
             return await self._give_up(answer, progress)
-        if progress.arrivals and not self._budget.spend(asked.service.name, now):
-            return await self._give_up(answer, progress)
         source = None
         if isinstance(place, placement.Apart):
+            if not self._may_send(asked, progress):
+                return await self._give_up(answer, progress)
             source = await self._read_apart(asked, place, progress)
             if source is None:
                 return False
+        if not self._may_send(asked, progress):
+            if source is not None:
+                self._release(source)
+            return await self._give_up(answer, progress)
         return await self._write(asked, answer, progress, place, source)
 
+    def _may_send(self, asked: inbound.Inbound, progress: _Progress) -> bool:
+        """Tell whether the budget allows one more sending of a request.
+
+        The first sending is free, and so is the first prompt that is read apart. A
+        further one is paid for before it goes out, since a server that declines it has
+        been disturbed all the same.
+        """
+        if not progress.arrivals:
+            return True
+        return self._budget.spend(asked.service.name, self._clock.monotonic())
+
     async def _give_up(self, answer: inbound.Answer, progress: _Progress) -> bool:
         await self._conclude(answer, progress)
         return True
@@ -199,6 +245,9 @@
                 loads.failed(reader, now)
             progress.reason = f"prompt not read: {outcome}"
             return None
+        if progress.read_before:
+            progress.arrivals += 1
+        progress.read_before = True
         loads.succeeded(reader)
         loads.read_in(ahead, place.tokens, now - begun)
         self._keep(asked, reader)
@@ -220,6 +269,7 @@
     def _keep(self, asked: inbound.Inbound, engine: engine_loads.EngineLoad) -> None:
         assert asked.head.prompt is not None and asked.service.engine is not None
         engine.keep(asked.head.prompt.parts, asked.service.engine.kv_tokens)
+        self._sightings.add(engine.server.server_id, asked.head.prompt.parts)
 
     async def _write(
         self,
@@ -231,7 +281,10 @@
     ) -> bool:
         engine = place.engine
         in_place = place.tokens if source is None else 0
+        assert asked.head.prompt is not None
+        held = asked.head.prompt.tokens + asked.head.prompt.expected_output
         engine.writing += 1
+        engine.held += held
         engine.reading += in_place
         writing = _Writing(asked, answer, progress, place, in_place)
         taken = False
@@ -244,6 +297,7 @@
                 return await self._pass_on(writing, opened)
         finally:
             engine.writing -= 1
+            engine.held -= held
             engine.reading -= writing.unread
             if source is not None and not taken:
                 self._release(source)
--- a/src/pimentolatch/gateway/knowledge.py
+++ b/src/pimentolatch/gateway/knowledge.py
@@ -1,5 +1,6 @@
 """What an instance knows: the configuration, the servers and the engines' work."""
 
+import typing
 from collections import abc
 
 from pimentolatch.decisions import engine_loads
@@ -16,12 +17,16 @@
 
     Attributes:
         configuration: None until one was read.
+        configuration_spec: The same as the store holds it, for peers.
+        server_specs: The servers as the store holds them, for peers.
         servers_revision: Revision of the store up to which the servers are known.
         servers_listed: Whether the servers were ever read.
     """
 
     def __init__(self) -> None:
         self.configuration: table.Configuration | None = None
+        self.configuration_spec: typing.Any = None
+        self.server_specs: dict[str, typing.Any] = {}
         self.servers = servers.ServerTable()
         self.servers_revision = 0
         self.servers_listed = False
@@ -42,18 +47,24 @@
         """Have something called after each change of the servers."""
         self._on_change.append(call)
 
-    def configure(self, configuration: table.Configuration) -> bool:
+    def configure(self, configuration: table.Configuration, spec: typing.Any) -> bool:
         """Take a configuration if it is newer; tells whether it was."""
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
-        self._share_servers()
+        self.configuration_spec = spec
         return True
 
-    def list_servers(self, revision: int, listed: abc.Iterable[servers.Server]) -> bool:
-        """Take a whole listing if it is not older; tells whether it was taken."""
+    def list_servers(
+        self,
+        revision: int,
+        specs: abc.Mapping[str, typing.Any],
+        listed: abc.Iterable[servers.Server],
+    ) -> bool:
+        """Take a whole listing if it is newer; tells whether it was taken."""
         if self.servers_listed and revision < self.servers_revision:
             return False
+        self.server_specs = dict(specs)
         self.servers.replace(listed)
         self.servers_revision = revision
         self.servers_listed = True
@@ -63,16 +74,31 @@
     def change_servers(
         self,
         revision: int,
+        specs: abc.Mapping[str, typing.Any],
         changed: abc.Iterable[servers.Server],
         removed: abc.Iterable[str],
     ) -> None:
         """Take changes that follow on the known revision."""
         if revision <= self.servers_revision:
             return
-        self.servers.change(changed, removed)
         self.servers_revision = revision
+        self.server_specs.update(specs)
+        self.servers.change(changed, ())
+        self.drop_servers(removed)
+
+    def drop_servers(self, removed: abc.Iterable[str]) -> None:
+        """Drop servers that are gone."""
+        for name in removed:
+            self.server_specs.pop(name, None)
+            self.servers.change((), (name,))
         self._share_servers()
 
+    def engine_traits(self, service: str) -> table.EngineTraits | None:
+        """Return what the operator says of a service's engines."""
+        if self.configuration is None or service not in self.configuration.services:
+            return None
+        return self.configuration.services[service].engine
+
     def loads(self, service: str) -> engine_loads.EngineLoads:
         """Return the engines of a model service."""
         return self._loads.setdefault(service, engine_loads.EngineLoads())
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -4,20 +4,26 @@
 import datetime
 import signal
 import typing
+import uuid
 
 import logbook
 
 from pimentolatch import clock, tasks
+from pimentolatch import settings as settings_of_addresses
 from pimentolatch.decisions import repeat_budget, server_choice
 from pimentolatch.entry import gate, servers
 from pimentolatch.gateway import (
     face,
     generation,
     knowledge,
+    lease,
+    peers,
     plain,
     protocol,
     sending,
     settings,
+    spread,
+    stages,
     watching,
 )
 from pimentolatch.platform import objects
@@ -28,6 +34,7 @@
 # The balancer asks every second and takes an instance out after two misses; until then
 # it goes on sending new connections, which are served.
 _BALANCER_NOTICE = datetime.timedelta(seconds=2.4)
+_BUDGET_INTERVAL = datetime.timedelta(seconds=1)
 # What is left of the grace when the last requests are cut, so that the process ends by
 # itself.
 _END_MARGIN = datetime.timedelta(milliseconds=400)
@@ -54,26 +61,65 @@
             datetime.timedelta(seconds=chosen.store.call_timeout_s),
             time,
         )
+        self._sightings = peers.Sightings()
+        self._prompts = generation.StreamForwarder(
+            self._known,
+            self._client,
+            self._budget,
+            time,
+            chosen.failure_domain,
+            self._sightings,
+        )
         self._face = servers.HttpServer(
             self._route_face(), chosen.clients, protocol.protocol_class(self._known)
         )
         self._readiness = servers.HttpServer(self._ready, chosen.readiness)
         self._known.on_change(self._drop_unlisted)
         self._tasks: list[asyncio.Task[None]] = []
+        self._link_peers()
 
-    def _route_face(self) -> face.RouteFace:
-        known, client, budget, time = (
-            self._known,
+    def _link_peers(self) -> None:
+        chosen, known, time = self._settings, self._known, self._clock
+        life = uuid.uuid4().hex
+        self._peer_table = peers.PeerTable(chosen.instance, time)
+        self._peers = peers.Peers(
+            chosen.peers,
+            chosen.instance,
+            life,
+            known,
+            self._peer_table,
+            self._sightings,
+            self._prompts.demands,
+            time,
+        )
+        self._source = spread.PeerSource(
+            known, self._peer_table, chosen.peers.ports[0], time
+        )
+        snapshots = settings_of_addresses.Address(
+            host=chosen.peers.host, port=chosen.peers.ports[0]
+        )
+        self._snapshots = servers.HttpServer(spread.SnapshotFace(known), snapshots)
+        between = datetime.timedelta(milliseconds=chosen.bounds.lease_ms)
+        self._stages = stages.StageKeeper(
+            chosen.instance,
+            known,
+            self._peer_table,
+            lease.OrderLease(self._store, f"{chosen.instance}/{life}", between, time),
             self._client,
-            self._budget,
-            self._clock,
+            self._prompts.demand,
+            time,
         )
-        plain_requests = plain.PlainForwarder(known, client, self._choice, budget, time)
-        prompts = generation.StreamForwarder(
-            known, client, budget, time, self._settings.failure_domain
+
+    def _route_face(self) -> face.RouteFace:
+        plain_requests = plain.PlainForwarder(
+            self._known, self._client, self._choice, self._budget, self._clock
         )
         return face.RouteFace(
-            known, (plain_requests, prompts), budget, self._gate, time
+            self._known,
+            (plain_requests, self._prompts),
+            self._budget,
+            self._gate,
+            self._clock,
         )
 
     def _drop_unlisted(self) -> None:
@@ -96,21 +142,38 @@
 
     async def start(self) -> None:
         """Start the parts; raises `OSError` if an address can't be had."""
-        watches = (
-            watching.ConfigurationWatch(self._store, self._known, self._clock),
-            watching.ServerWatch(self._store, self._known, self._clock),
+        server_watch = watching.ServerWatch(self._store, self._known, self._clock)
+        configuration_watch = watching.ConfigurationWatch(
+            self._store, self._known, self._clock
         )
-        for watch in watches:
-            kept = tasks.keep_running(watch.kind, watch.run, self._clock)
+        await self._snapshots.start()
+        await self._peers.start()
+        for work in (
+            configuration_watch.run,
+            server_watch.run,
+            server_watch.drop_lapsed,
+            self._peers.run,
+            self._source.run,
+            self._stages.run,
+            self._share_budget,
+        ):
+            kept = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(kept))
         await self._readiness.start()
         await self._face.start()
         _log.info("started", failure_domain=self._settings.failure_domain)
 
+    async def _share_budget(self) -> None:
+        """Divide the common slack of repeats by the instances that live."""
+        while True:
+            self._budget.share_with(self._peer_table.instances)
+            await self._clock.sleep(_BUDGET_INTERVAL)
+
     async def stop(self) -> None:
         """Stop without cutting a request that ends within the grace."""
         _log.info("stopping", in_flight=self._gate.in_flight)
         self._gate.announce_stop()
+        self._peers.announce_stop()
         await self._clock.sleep(_BALANCER_NOTICE)
         grace = datetime.timedelta(seconds=self._settings.bounds.stop_grace_s)
         closing = asyncio.create_task(self._face.stop())
@@ -119,6 +182,8 @@
         closing.cancel()
         for task in self._tasks:
             task.cancel()
+        self._peers.close()
+        self._source.close()
         self._client.close()
         self._store.close()
         _log.info("stopped")
--- a/src/pimentolatch/gateway/protocol.py
+++ b/src/pimentolatch/gateway/protocol.py
@@ -45,7 +45,7 @@
 
     def on_response_complete(self) -> None:
         """Keep the connection for as long as the configuration says."""
-        self.timeout_keep_alive = self.first_byte_seconds
+        self.timeout_keep_alive = round(self.first_byte_seconds)
         super().on_response_complete()
 
 
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -40,16 +40,14 @@
         repeat_ratio: Repeated sendings allowed for each request, over all instances.
         repeat_window_s: Length of the sliding window in which they are counted.
         repeat_slack: Repeats allowed besides, over all instances.
-        lease_s: Shortest time between orders of two holders.
-        silence_s: A dependency that is silent for so long must have been noticed.
+        lease_ms: Shortest time between orders of two holders.
     """
 
     stop_grace_s: float = pydantic.Field(default=8.0, gt=0)
     repeat_ratio: float = pydantic.Field(default=0.2, ge=0)
     repeat_window_s: float = pydantic.Field(default=10.0, gt=0)
     repeat_slack: float = pydantic.Field(default=0.0, ge=0)
-    lease_s: float = pydantic.Field(default=3.0, gt=0)
-    silence_s: float = pydantic.Field(default=3.0, gt=0)
+    lease_ms: float = pydantic.Field(default=3000.0, gt=0)
 
 
 class GatewaySettings(checks.CheckedModel):
--- /dev/null
+++ b/src/pimentolatch/gateway/stages.py
@@ -0,0 +1,135 @@
+"""Has engines change their stage when the mix of prompts and answers shifts."""
+
+import datetime
+from collections import abc
+
+import logbook
+
+from pimentolatch import clock
+from pimentolatch.decisions import demand_rate, stage_plan
+from pimentolatch.gateway import knowledge, lease, peers, sending
+from pimentolatch.platform import engines
+from pimentolatch.routes import servers, table
+
+__all__ = ["StageKeeper"]
+
+_log = logbook.Logger("stages")
+_INTERVAL = datetime.timedelta(milliseconds=500)
+_CALL_LIMIT = datetime.timedelta(milliseconds=800)
+# An order that got no answer may still be carried out this much later.
+_UNSETTLED = datetime.timedelta(seconds=13)
+_ACCEPTED = (200, 202)
+_FENCED_OFF = 412
+
+
+class StageKeeper:
+    """Plans stages while this instance is first among those that are heard.
+
+    That choice only saves double work; what keeps two instances from ordering at once
+    is the lease.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        known: knowledge.Knowledge,
+        table_of_peers: peers.PeerTable,
+        order_lease: lease.OrderLease,
+        client: sending.ServerClient,
+        own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
+        time: clock.Clock,
+    ) -> None:
+        self._name = own_name
+        self._known = known
+        self._peers = table_of_peers
+        self._lease = order_lease
+        self._client = client
+        self._own_demand = own_demand
+        self._clock = time
+        self._planners: dict[str, stage_plan.StagePlanner] = {}
+        self._unsettled: dict[str, datetime.timedelta] = {}
+
+    async def run(self) -> None:
+        """Look for changes that are worth their price, for ever."""
+        while True:
+            await self._clock.sleep(_INTERVAL)
+            names = [peer.beacon.instance for peer in self._peers.live()]
+            if any(name < self._name for name in names):
+                continue
+            for service in list(self._known.all_loads()):
+                await self._look(service)
+
+    async def _look(self, service: str) -> None:
+        traits = self._known.engine_traits(service)
+        if traits is None or self._known.configuration is None:
+            return
+        loads = self._known.loads(service)
+        planner = self._planners.setdefault(service, stage_plan.StagePlanner())
+        now = self._clock.monotonic()
+        own, others = self._own_demand(service), self._peers.demand(service)
+        change = planner.plan(
+            loads,
+            traits,
+            _pause_target(self._known.configuration, service),
+            own.reading + others.reading,
+            now,
+        )
+        if change is None or self._is_unsettled(change.server_id, now):
+            return
+        server = self._known.servers.get(change.server_id)
+        if server is None or not await self._lease.acquire():
+            return
+        if await self._order(server, change):
+            planner.changed(change, self._clock.monotonic())
+
+    def _is_unsettled(self, server_id: str, now: datetime.timedelta) -> bool:
+        until = self._unsettled.get(server_id)
+        return until is not None and now < until
+
+    async def _order(self, server: servers.Server, change: stage_plan.Change) -> bool:
+        """Order a change; tells whether it was or may have been accepted."""
+        report = await self._client.call(
+            server, "GET", engines.REPORT_TARGET, limit=_CALL_LIMIT
+        )
+        state = None if report is None else engines.decode_report(report[1])
+        if state is None or state.busy or state.stage == change.stage.value:
+            return False
+        if not self._lease.valid():
+            return False
+        order = engines.StageOrder(
+            change.stage.value, self._name, self._lease.fence, state.orders
+        )
+        answer = await self._client.call(
+            server,
+            "POST",
+            engines.ORDER_TARGET,
+            engines.order_fields(server.server_id),
+            engines.encode_stage_order(order),
+            limit=_CALL_LIMIT,
+        )
+        _log.info(
+            "stage ordered",
+            server=server.server_id,
+            stage=change.stage.value,
+            fence=self._lease.fence,
+            reading_share=round(change.reading_share, 2),
+            writing_share=round(change.writing_share, 2),
+            reading_rate=round(self._known.loads(server.service).reading_rate, 1),
+            status=None if answer is None else answer[0],
+        )
+        if answer is None:
+            self._unsettled[server.server_id] = self._clock.monotonic() + _UNSETTLED
+            return True
+        if answer[0] == _FENCED_OFF:
+            self._lease.fenced_off()
+        return answer[0] in _ACCEPTED
+
+
+def _pause_target(configuration: table.Configuration, service: str) -> float:
+    """Return the shortest pause target of a service's routes, in milliseconds."""
+    targets = [
+        route.pause_target / datetime.timedelta(milliseconds=1)
+        for route in configuration.routes
+        if route.pause_target and any(s.service == service for s in route.shares)
+    ]
+    return min(targets, default=0.0)
--- a/src/pimentolatch/platform/engines.py
+++ b/src/pimentolatch/platform/engines.py
@@ -5,17 +5,20 @@
 import typing
 
 __all__ = [
-    "JSON_FIELDS",
     "ORDER_TARGET",
+    "REPORT_TARGET",
+    "EngineReport",
     "ReadPrompt",
     "StageOrder",
     "decode_read_prompt",
+    "decode_report",
     "encode_stage_order",
+    "order_fields",
     "release_target",
 ]
 
-JSON_FIELDS = ((b"content-type", b"application/json"),)
 ORDER_TARGET = b"/v1/order"
+REPORT_TARGET = b"/v1/report"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,11 +37,24 @@
         stage: The new stage, as the platform spells it.
         holder: The instance that orders.
         fence: Fencing token of the holder's lease.
+        orders: Orders that the engine has accepted so far. If it has accepted another
+            one when this one is carried out, this one has no effect: an order that was
+            held up on the way can't undo a newer one.
     """
 
     stage: str
     holder: str
     fence: int
+    orders: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine's state as of some hundred milliseconds ago."""
+
+    stage: str
+    busy: bool
+    orders: int
 
 
 def decode_read_prompt(body: bytes) -> ReadPrompt:
@@ -57,10 +73,32 @@
         "stage": order.stage,
         "holder": order.holder,
         "fence": order.fence,
+        # The platform calls the number of accepted orders `sequence` in reports and
+        # `precondition` in orders.
+        "precondition": order.orders,
     }
     return json.dumps(fields).encode()
 
 
+def order_fields(server_id: str) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the header of an order that only one server may carry out."""
+    return (
+        (b"content-type", b"application/json"),
+        (b"x-expect-instance", server_id.encode("latin-1")),
+    )
+
+
+def decode_report(body: bytes) -> EngineReport | None:
+    """Decode an engine's report; None if it is not understood."""
+    try:
+        fields = json.loads(body)
+        return EngineReport(
+            str(fields["stage"]), bool(fields["busy"]), int(fields["sequence"])
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def release_target(handle: str) -> bytes:
     """Return the target of the call that frees a kept prompt."""
     return f"/v1/kv-handle/{handle}".encode()
--- a/src/pimentolatch/platform/heads.py
+++ b/src/pimentolatch/platform/heads.py
@@ -200,7 +200,7 @@
 
 
 def _named_by_connection(fields: Fields) -> frozenset[bytes]:
-    named = set()
+    named: set[bytes] = set()
     for name, value in fields:
         if name.lower() == b"connection":
             named.update(token.strip().lower() for token in value.split(b","))
--- /dev/null
+++ b/src/pimentolatch/protocol/beacons.py
@@ -0,0 +1,140 @@
+"""Datagrams in which instances tell each other what they know and have under way.
+
+A count of outstanding work is worth something for a fraction of a second, so a lost one
+is not sent again: the next is on its way. That makes datagrams the better carrier than
+the links between instances of the other protocol, whose connections would have to be
+opened, probed and given up at every partition.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import cbor2
+
+__all__ = ["Beacon", "Demand", "Load", "Malformed", "Sighting", "decode", "encode"]
+
+_VERSION = 1
+_FIELDS = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Work of the sender at one engine.
+
+    Attributes:
+        reading: Prompt tokens that are not read yet.
+        writing: Streams that run.
+        held: Tokens that these streams keep in memory.
+    """
+
+    server_id: str
+    reading: int
+    writing: int
+    held: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sighting:
+    """A shared part of a prompt that the sender has lately sent to an engine."""
+
+    server_id: str
+    part: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What clients ask of a service through the sender, in tokens a second."""
+
+    service: str
+    reading: int
+    writing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beacon:
+    """What one instance tells its peers several times a second.
+
+    Attributes:
+        instance: Name of the sender.
+        life: Differs for each start of the sender.
+        configuration: Version that the sender has in force.
+        servers: Revision of the store up to which the sender knows the servers.
+        stopping: The sender is about to end.
+        members: IP numbers of instances that the sender has heard lately.
+    """
+
+    instance: str
+    life: str
+    configuration: int
+    servers: int
+    stopping: bool
+    members: tuple[str, ...]
+    loads: tuple[Load, ...] = ()
+    sightings: tuple[Sighting, ...] = ()
+    demands: tuple[Demand, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """A datagram that is no beacon of this version."""
+
+    reason: str
+
+
+def encode(beacon: Beacon) -> bytes:
+    """Return the datagram of a beacon."""
+    rows: list[typing.Any] = [
+        _VERSION,
+        beacon.instance,
+        beacon.life,
+        beacon.configuration,
+        beacon.servers,
+        beacon.stopping,
+        list(beacon.members),
+        [[w.server_id, w.reading, w.writing, w.held] for w in beacon.loads],
+        [[seen.server_id, seen.part, seen.tokens] for seen in beacon.sightings],
+        [[d.service, d.reading, d.writing] for d in beacon.demands],
+    ]
+    return cbor2.dumps(rows)
+
+
+def decode(datagram: bytes) -> Beacon | Malformed:
+    """Return the beacon of a datagram; anybody may have sent it."""
+    try:
+        rows = cbor2.loads(datagram)
+        if not isinstance(rows, list) or len(rows) != _FIELDS or rows[0] != _VERSION:
+            return Malformed("not a beacon of this version")
+        return Beacon(
+            _text(rows[1]),
+            _text(rows[2]),
+            _count(rows[3]),
+            _count(rows[4]),
+            bool(rows[5]),
+            tuple(_text(member) for member in rows[6]),
+            tuple(Load(_text(row[0]), *_counts(row[1:4])) for row in rows[7]),
+            tuple(
+                Sighting(_text(row[0]), _text(row[1]), _count(row[2]))
+                for row in rows[8]
+            ),
+            tuple(Demand(_text(row[0]), *_counts(row[1:3])) for row in rows[9]),
+        )
+    except (ValueError, TypeError, IndexError, OverflowError, RecursionError) as error:
+        return Malformed(repr(error))
+
+
+def _counts(values: abc.Iterable[typing.Any]) -> list[int]:
+    return [_count(value) for value in values]
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r}")
+    return value
+
+
+def _count(value: typing.Any) -> int:
+    if not isinstance(value, int) or value < 0:
+        raise ValueError(f"not a count: {value!r}")
+    return value
