Count prompts by urgency, and let on-time prompts go before late ones

Cause: an urgent prompt was thought to wait for everything at an engine, so policy checks were refused although they would have been read next, and all long prompts became late together. The reading rate was learned from prompts whose wait was not known.

--- a/src/pimentolatch/decisions/demand_rate.py
+++ b/src/pimentolatch/decisions/demand_rate.py
@@ -33,11 +33,11 @@
         self._writing = 0.0
         self._at = datetime.timedelta()
 
-    def add(self, reading: int, writing: int, now: datetime.timedelta) -> None:
+    def add(self, reading: float, writing: int, now: datetime.timedelta) -> None:
         """Count a request.
 
         Args:
-            reading: Tokens of its prompt that no engine keeps.
+            reading: Tokens that could be read in the time that its prompt takes.
             writing: Tokens that it is expected to write.
             now: The time.
         """
--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -19,25 +19,30 @@
 import datetime
 from collections import abc
 
+from pimentolatch.decisions import urgency
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers
 
 __all__ = ["EngineLoad", "EngineLoads", "PeerLoad"]
 
-# Prompt tokens that an engine reads in a millisecond, before any answer was seen.
-_FIRST_READING_RATE = 25.0
+# Prompt tokens that an engine reads in a millisecond, and the time that each prompt
+# takes besides, before any answer was seen.
+_FIRST_READING_RATE = 30.0
+_FIRST_OVERHEAD_MS = 20.0
 # An engine that writes answers reads prompts between its steps, at about half the rate.
 IN_PLACE_SLOWNESS = 2.0
 # Weight of one answer in the learned pauses: the mean of about the last twenty.
 _MEMORY = 0.05
-# Weights of a prompt that was read faster, or slower, than the learned rate. Work that
-# was not counted makes an answer late and never early, so the fast ones say more.
-_FASTER_WEIGHT = 0.15
-_SLOWER_WEIGHT = 0.03
-# Prompts below this, and prompts behind others, show the way there and the wait rather
-# than the rate.
-_TELLING_TOKENS = 1500
-_MOST_AHEAD_SHARE = 0.25
+# Steps of the learned figures, as a share, when a prompt was read faster or slower than
+# they say. Work that was not counted makes an answer late and never early, so the fast
+# ones say more; a step of fixed size keeps one odd answer from saying much.
+_FASTER_STEP = 0.06
+_SLOWER_STEP = 0.015
+# Prompts above the first figure show the rate, those below the second the overhead;
+# prompts behind others show the wait and neither.
+_LONG_PROMPT = 3000
+_SHORT_PROMPT = 1000
+_MOST_AHEAD_SHARE = 0.2
 # Part of an engine's memory that is taken to hold shared parts; running requests take
 # the rest first.
 _KEPT_SHARE = 0.75
@@ -54,12 +59,12 @@
     """What one peer has under way at one engine.
 
     Attributes:
-        reading: Prompt tokens that are not read yet.
+        reading: Prompt tokens that are not read yet, by urgency.
         writing: Streams that run.
         held: Tokens that these streams keep in memory.
     """
 
-    reading: float
+    reading: tuple[float, ...]
     writing: int
     held: int
 
@@ -68,7 +73,8 @@
     """Counts of one engine.
 
     Attributes:
-        reading: Prompt tokens that this instance has sent and that are not read yet.
+        reading: Prompt tokens that this instance has sent and that are not read yet,
+            by urgency.
         writing: Streams of this instance that run there.
         held: Tokens that these streams keep in memory.
         pause_ms: Mean time between events of its streams.
@@ -77,7 +83,7 @@
 
     def __init__(self, server: servers.Server) -> None:
         self.server = server
-        self.reading = 0.0
+        self.reading = [0.0] * urgency.LEVELS
         self.writing = 0
         self.held = 0
         self.pause_ms = 0.0
@@ -87,9 +93,17 @@
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
 
-    def all_reading(self, now: datetime.timedelta) -> float:
-        """Prompt tokens under way from all instances that are heard."""
-        return self.reading + sum(load.reading for load in self._heard(now))
+    def all_reading(
+        self, now: datetime.timedelta, level: int = urgency.LEVELS - 1
+    ) -> float:
+        """Prompt tokens under way from all instances that are heard.
+
+        Args:
+            now: The time.
+            level: Only count what is read before a prompt of this urgency.
+        """
+        own = sum(self.reading[: level + 1])
+        return own + sum(sum(load.reading[: level + 1]) for load in self._heard(now))
 
     def all_writing(self, now: datetime.timedelta) -> int:
         """Streams from all instances that are heard."""
@@ -135,6 +149,7 @@
     def __init__(self) -> None:
         self._engines: dict[str, EngineLoad] = {}
         self.reading_rate = _FIRST_READING_RATE
+        self.overhead_ms = _FIRST_OVERHEAD_MS
 
     def update(self, listed: abc.Iterable[servers.Server]) -> None:
         """Take the listed engines; what is known of the others is dropped."""
@@ -180,12 +195,21 @@
             tokens: Tokens of the prompt that had to be read.
             took: Time from sending to the answer.
         """
-        milliseconds = took / datetime.timedelta(milliseconds=1)
-        if tokens < _TELLING_TOKENS or ahead > _MOST_AHEAD_SHARE * tokens:
+        if ahead > _MOST_AHEAD_SHARE * tokens:
             return
-        rate = (ahead + tokens) / max(milliseconds, 1.0)
-        weight = _FASTER_WEIGHT if rate > self.reading_rate else _SLOWER_WEIGHT
-        self.reading_rate += weight * (rate - self.reading_rate)
+        milliseconds = took / datetime.timedelta(milliseconds=1)
+        if tokens >= _LONG_PROMPT:
+            rate = (ahead + tokens) / max(1.0, milliseconds - self.overhead_ms)
+            faster = rate > self.reading_rate
+            self.reading_rate *= 1 + (_FASTER_STEP if faster else -_SLOWER_STEP)
+        elif tokens <= _SHORT_PROMPT:
+            overhead = milliseconds - tokens / self.reading_rate
+            faster = overhead < self.overhead_ms
+            self.overhead_ms *= 1 + (-_FASTER_STEP if faster else _SLOWER_STEP)
+
+    def reading_cost(self, tokens: int) -> float:
+        """Return the tokens that could be read in the time that a prompt takes."""
+        return tokens + self.overhead_ms * self.reading_rate
 
     def paused(self, engine: EngineLoad, took: datetime.timedelta) -> None:
         """Learn from the time between two events of a stream."""
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -19,16 +19,17 @@
 
 import dataclasses
 import datetime
+from collections import abc
 
-from pimentolatch.decisions import engine_loads, subset
+from pimentolatch.decisions import engine_loads, subset, urgency
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers, table
 
-__all__ = ["Apart", "Hopeless", "InPlace", "Place", "Placement", "fullness"]
+__all__ = ["Apart", "Asked", "Hopeless", "InPlace", "Place", "Placement", "fullness"]
 
 # Charge of a shared token that is read again, on top of the time it takes: reading
 # again what another engine keeps takes the time of others in the queue.
-_READ_AGAIN_MS = 0.02
+_READ_AGAIN_MS = 0.035
 # Charge of a token whose memory crosses a link, and the factor between domains.
 _MOVED_MS = 0.002
 _FAR_FACTOR = 3.0
@@ -41,6 +42,12 @@
 _IN_PLACE_TOKENS = 2000
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
+# Charge of a first event that comes too late to be on time.
+_LATE_MS = 300.0
+# From the end of reading to the first event: on the same engine, and on another one.
+_FIRST_STEP_MS = 30.0
+_HANDOVER_MS = 60.0
+_NO_ENGINE_RETRY = datetime.timedelta(seconds=1)
 # Above this share of its slots or memory an engine sets streams back or lets them wait;
 # the charge grows so fast that only an engine that is as full is chosen.
 _FULL = 0.85
@@ -49,20 +56,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InPlace:
-    """Read and write on one engine."""
+    """Read and write on one engine.
+
+    Attributes:
+        tokens: Tokens that have to be read.
+        level: Urgency to send it with.
+        expected: Time to the first event.
+    """
 
     engine: engine_loads.EngineLoad
     tokens: int
+    level: int
     expected: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Apart:
-    """Read on one engine, write on another."""
+    """Read on one engine, write on another; see `InPlace`."""
 
     reader: engine_loads.EngineLoad
     engine: engine_loads.EngineLoad
     tokens: int
+    level: int
     expected: datetime.timedelta
 
 
@@ -80,6 +95,22 @@
 Place = InPlace | Apart | Hopeless
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A prompt to be placed.
+
+    Attributes:
+        rank: Rank of its route, 0 first.
+        due: Until then its first event is on time.
+        patience: Its client waits this long for the first event.
+    """
+
+    prompt: prompts.Prompt
+    rank: int
+    due: datetime.timedelta
+    patience: datetime.timedelta
+
+
 class Placement:
     """Chooses engines for one model service.
 
@@ -94,45 +125,47 @@
 
     def choose(
         self,
-        prompt: prompts.Prompt,
+        asked: Asked,
         traits: table.EngineTraits,
         now: datetime.timedelta,
-        *,
-        patience: datetime.timedelta,
         without: frozenset[str] = frozenset(),
     ) -> Place:
         """Return where to send a prompt.
 
         Args:
-            prompt: What is to be read.
+            asked: The prompt and its time.
             traits: The service's engines.
             now: The time.
-            patience: The first event must come within this time.
             without: Engines that have failed the request.
         """
         writers = self._loads.usable(servers.Stage.DECODE, now, without)
         readers = self._loads.usable(servers.Stage.PREFILL, now, without)
-        if not writers:
-            return Hopeless(datetime.timedelta(seconds=1))
-        ranks = _ranks(prompt, readers)
-        best: tuple[float, Place] | None = None
+        found = list(self._places(asked, traits, now, writers, readers))
+        if not found:
+            return Hopeless(_NO_ENGINE_RETRY)
+        _, place = min(found, key=lambda item: item[0])
+        if place.expected > asked.patience:
+            return Hopeless(place.expected - asked.patience)
+        return place
+
+    def _places(
+        self,
+        asked: Asked,
+        traits: table.EngineTraits,
+        now: datetime.timedelta,
+        writers: abc.Sequence[engine_loads.EngineLoad],
+        readers: abc.Sequence[engine_loads.EngineLoad],
+    ) -> abc.Iterator[tuple[float, InPlace | Apart]]:
+        """Yield every place with its cost in milliseconds."""
+        ranks = _ranks(asked.prompt, readers)
         for writer in writers:
             base = self._writer_cost(writer, traits, now)
-            for cost, place in self._in_place(writer, prompt, now):
-                if best is None or base + cost < best[0]:
-                    best = (base + cost, place)
+            in_place = self._in_place(writer, asked, now)
+            if in_place is not None:
+                yield base + in_place[0], in_place[1]
             for reader in readers:
-                cost, place = self._apart(reader, writer, prompt, now)
-                cost += base + ranks[reader.server.server_id]
-                if best is None or cost < best[0]:
-                    best = (cost, place)
-        if best is None:
-            return Hopeless(datetime.timedelta(seconds=1))
-        place = best[1]
-        assert not isinstance(place, Hopeless)
-        if place.expected > patience:
-            return Hopeless(place.expected - patience)
-        return place
+                cost, place = self._apart(reader, writer, asked, now)
+                yield base + cost + ranks[reader.server.server_id], place
 
     def _writer_cost(
         self,
@@ -149,37 +182,43 @@
         return cost
 
     def _in_place(
-        self,
-        writer: engine_loads.EngineLoad,
-        prompt: prompts.Prompt,
-        now: datetime.timedelta,
-    ) -> list[tuple[float, Place]]:
-        tokens = writer.unread(prompt)
+        self, writer: engine_loads.EngineLoad, asked: Asked, now: datetime.timedelta
+    ) -> tuple[float, InPlace] | None:
+        tokens = writer.unread(asked.prompt)
         ahead = writer.all_reading(now)
         if ahead + tokens > _IN_PLACE_TOKENS:
-            return []
+            return None
         rate = self._loads.reading_rate / engine_loads.IN_PLACE_SLOWNESS
-        milliseconds = (ahead + tokens) / rate
+        milliseconds = (ahead + self._loads.reading_cost(tokens)) / rate
+        expected = datetime.timedelta(milliseconds=milliseconds + _FIRST_STEP_MS)
+        late = expected > asked.due
         # The streams there wait for it too.
-        cost = 2 * milliseconds + _READ_AGAIN_MS * _shared_unread(writer, prompt)
-        expected = datetime.timedelta(milliseconds=milliseconds)
-        return [(cost, InPlace(writer, tokens, expected))]
+        cost = 2 * milliseconds + (_LATE_MS if late else 0)
+        cost += _READ_AGAIN_MS * _shared_unread(writer, asked.prompt)
+        level = urgency.level_of(asked.rank, late=late)
+        return cost, InPlace(writer, tokens, level, expected)
 
     def _apart(
         self,
         reader: engine_loads.EngineLoad,
         writer: engine_loads.EngineLoad,
-        prompt: prompts.Prompt,
+        asked: Asked,
         now: datetime.timedelta,
-    ) -> tuple[float, Place]:
-        tokens = reader.unread(prompt)
-        milliseconds = (reader.all_reading(now) + tokens) / self._loads.reading_rate
-        moved = writer.unread(prompt) * _MOVED_MS
+    ) -> tuple[float, Apart]:
+        tokens = reader.unread(asked.prompt)
+        moved = writer.unread(asked.prompt) * _MOVED_MS
         if reader.server.failure_domain != writer.server.failure_domain:
             moved *= _FAR_FACTOR
-        cost = milliseconds + moved + _READ_AGAIN_MS * _shared_unread(reader, prompt)
-        expected = datetime.timedelta(milliseconds=milliseconds)
-        return cost, Apart(reader, writer, tokens, expected)
+        cost = moved + _READ_AGAIN_MS * _shared_unread(reader, asked.prompt)
+        for late in (False, True):
+            level = urgency.level_of(asked.rank, late=late)
+            work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
+            milliseconds = work / self._loads.reading_rate
+            expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
+            if expected <= asked.due:
+                break
+        cost += milliseconds + (_LATE_MS if late else 0)
+        return cost, Apart(reader, writer, tokens, level, expected)
 
 
 def fullness(
@@ -198,7 +237,7 @@
 
 
 def _ranks(
-    prompt: prompts.Prompt, readers: list[engine_loads.EngineLoad]
+    prompt: prompts.Prompt, readers: abc.Sequence[engine_loads.EngineLoad]
 ) -> dict[str, float]:
     """Return a small charge by how low an engine ranks for the shared part."""
     shared = prompt.parts[-2].name if len(prompt.parts) > 1 else prompt.model
--- a/src/pimentolatch/decisions/stage_plan.py
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -26,9 +26,9 @@
 __all__ = ["Change", "StagePlanner"]
 
 # A stage asks for an engine above this share of what it can do ...
-_CROWDED = 0.80
+_CROWDED = 0.90
 # ... if the giving stage stays below this share afterwards.
-_ROOM_AFTER = 0.62
+_ROOM_AFTER = 0.72
 # A stage that was given an engine lately keeps it for this long, several times the
 # length of a change.
 _DWELL = datetime.timedelta(seconds=6)
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -13,7 +13,6 @@
     engine_loads,
     placement,
     repeat_budget,
-    urgency,
 )
 from pimentolatch.gateway import events, inbound, knowledge, peers, refusals, sending
 from pimentolatch.platform import engines, heads
@@ -62,6 +61,7 @@
         answered: A failure that an engine gave, to be passed on if nothing better
             comes.
         wait: When to come back, if no engine took the request.
+        counted: The request has been counted as demand.
     """
 
     failed: set[str] = dataclasses.field(default_factory=set)
@@ -72,6 +72,7 @@
     answered: sending.Whole | None = None
     reason: str = ""
     wait: datetime.timedelta = _NO_MORE_TRIES_RETRY
+    counted: bool = False
 
 
 class StreamForwarder:
@@ -111,17 +112,23 @@
     def _rate(self, service: str) -> demand_rate.DemandRate:
         return self._demands.setdefault(service, demand_rate.DemandRate())
 
-    def _count_demand(self, asked: inbound.Inbound) -> None:
+    def _count_demand(self, asked: inbound.Inbound, place: placement.Place) -> None:
+        """Count what the engines that read apart are asked for."""
         prompt = asked.head.prompt
         assert prompt is not None
-        engines = self._known.loads(asked.service.name).all()
-        unread = min((e.unread(prompt) for e in engines), default=prompt.tokens)
+        loads = self._known.loads(asked.service.name)
+        if isinstance(place, placement.InPlace):
+            cost = 0.0
+        elif isinstance(place, placement.Apart):
+            cost = loads.reading_cost(place.tokens)
+        else:
+            unread = (engine.unread(prompt) for engine in loads.all())
+            cost = loads.reading_cost(min(unread, default=prompt.tokens))
         rate = self._rate(asked.service.name)
-        rate.add(unread, prompt.expected_output, self._clock.monotonic())
+        rate.add(cost, prompt.expected_output, self._clock.monotonic())
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
         """Answer a request."""
-        self._count_demand(asked)
         progress = _Progress(last_event=asked.head.last_event)
         try:
             async with asyncio.timeout(
@@ -199,18 +206,21 @@
         assert asked.head.prompt is not None and asked.service.engine is not None
         loads = self._known.loads(asked.service.name)
         chooser = placement.Placement(loads, self._domain)
-        return chooser.choose(
-            asked.head.prompt,
+        place = chooser.choose(
+            placement.Asked(
+                asked.head.prompt,
+                asked.route.rank,
+                due=asked.arrived + asked.route.latency_target - now,
+                patience=min(asked.until, asked.arrived + _client_gap(asked)) - now,
+            ),
             asked.service.engine,
             now,
-            patience=min(asked.until, asked.arrived + _client_gap(asked)) - now,
             without=frozenset(progress.failed),
         )
-
-    def _urgency(self, asked: inbound.Inbound, expected: datetime.timedelta) -> int:
-        due = asked.arrived + asked.route.latency_target
-        late = self._clock.monotonic() + expected > due
-        return urgency.of(asked.route.rank, late=late)
+        if not progress.counted:
+            progress.counted = True
+            self._count_demand(asked, place)
+        return place
 
     async def _read_apart(
         self, asked: inbound.Inbound, place: placement.Apart, progress: _Progress
@@ -218,23 +228,24 @@
         """Have the prompt read; None if the engine did not."""
         reader = place.reader
         loads = self._known.loads(asked.service.name)
-        ahead = reader.all_reading(self._clock.monotonic())
         begun = self._clock.monotonic()
+        ahead = reader.all_reading(begun)
+        cost = loads.reading_cost(place.tokens)
         delivery = heads.Delivery(
             reader.server.server_id,
             asked.until - begun - _RETURN_TIME,
-            urgency=self._urgency(asked, place.expected),
+            urgency=place.level,
             only_read=True,
         )
         limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
-        reader.reading += place.tokens
+        reader.reading[place.level] += cost
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 outcome = await self._client.whole(reader.server, asked, delivery)
         except TimeoutError:
             outcome = sending.Broken("the prompt was not read in time")
         finally:
-            reader.reading -= place.tokens
+            reader.reading[place.level] -= cost
         source = self._source(reader, outcome)
         now = self._clock.monotonic()
         if source is None:
@@ -285,7 +296,7 @@
         held = asked.head.prompt.tokens + asked.head.prompt.expected_output
         engine.writing += 1
         engine.held += held
-        engine.reading += in_place
+        engine.reading[place.level] += in_place
         writing = _Writing(asked, answer, progress, place, in_place)
         taken = False
         try:
@@ -298,7 +309,7 @@
         finally:
             engine.writing -= 1
             engine.held -= held
-            engine.reading -= writing.unread
+            engine.reading[place.level] -= writing.unread
             if source is not None and not taken:
                 self._release(source)
 
@@ -311,7 +322,7 @@
         delivery = heads.Delivery(
             place.engine.server.server_id,
             asked.until - now - _RETURN_TIME,
-            urgency=self._urgency(asked, datetime.timedelta()),
+            urgency=place.level,
             source=None
             if source is None
             else (source.reader.server.address, source.handle),
@@ -439,7 +450,7 @@
         engine = writing.place.engine
         if not writing.first_seen:
             writing.first_seen = True
-            engine.reading -= writing.unread
+            engine.reading[writing.place.level] -= writing.unread
             writing.unread = 0
             self._keep(writing.asked, engine)
             return
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -254,10 +254,18 @@
         )
 
     def _own_loads(self) -> list[beacons.Load]:
-        found = [
-            beacons.Load(e.server.server_id, max(0, int(e.reading)), e.writing, e.held)
-            for loads in self._known.all_loads().values()
-            for e in loads.all()
-            if e.reading > 0 or e.writing > 0
-        ]
-        return sorted(found, key=lambda load: load.reading, reverse=True)
+        found = []
+        for loads in self._known.all_loads().values():
+            for engine in loads.all():
+                if engine.writing or any(engine.reading):
+                    found.append(_load(engine))
+        return sorted(found, key=lambda load: sum(load.reading), reverse=True)
+
+
+def _load(engine: engine_loads.EngineLoad) -> beacons.Load:
+    reading = [max(0, int(tokens)) for tokens in engine.reading]
+    while reading and not reading[-1]:
+        reading.pop()
+    return beacons.Load(
+        engine.server.server_id, tuple(reading), engine.writing, engine.held
+    )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -154,7 +154,6 @@
             server_watch.drop_lapsed,
             self._peers.run,
             self._source.run,
-            self._stages.run,
             self._share_budget,
         ):
             kept = tasks.keep_running(work.__qualname__, work, self._clock)
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -23,13 +23,13 @@
     """Work of the sender at one engine.
 
     Attributes:
-        reading: Prompt tokens that are not read yet.
+        reading: Prompt tokens that are not read yet, by urgency.
         writing: Streams that run.
         held: Tokens that these streams keep in memory.
     """
 
     server_id: str
-    reading: int
+    reading: tuple[int, ...]
     writing: int
     held: int
 
@@ -93,7 +93,7 @@
         beacon.servers,
         beacon.stopping,
         list(beacon.members),
-        [[w.server_id, w.reading, w.writing, w.held] for w in beacon.loads],
+        [[w.server_id, list(w.reading), w.writing, w.held] for w in beacon.loads],
         [[seen.server_id, seen.part, seen.tokens] for seen in beacon.sightings],
         [[d.service, d.reading, d.writing] for d in beacon.demands],
     ]
@@ -113,7 +113,10 @@
             _count(rows[4]),
             bool(rows[5]),
             tuple(_text(member) for member in rows[6]),
-            tuple(Load(_text(row[0]), *_counts(row[1:4])) for row in rows[7]),
+            tuple(
+                Load(_text(row[0]), tuple(_counts(row[1])), *_counts(row[2:4]))
+                for row in rows[7]
+            ),
             tuple(
                 Sighting(_text(row[0]), _text(row[1]), _count(row[2]))
                 for row in rows[8]
