--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -148,6 +148,27 @@
             return Hopeless(place.expected - asked.patience)
         return place
 
+    def choose_writer(
+        self,
+        prompt: prompts.Prompt,
+        reader: engine_loads.EngineLoad,
+        traits: table.EngineTraits,
+        now: datetime.timedelta,
+        without: frozenset[str] = frozenset(),
+    ) -> engine_loads.EngineLoad | None:
+        """Return where to write the answer to a prompt that was just read.
+
+        Reading takes up to seconds. The engine that was the best when it began may be
+        full by now, or leaving: then it must not get the request any more.
+        """
+        writers = self._loads.usable(servers.Stage.DECODE, now, without)
+        costs = {
+            writer.server.server_id: self._writer_cost(writer, traits, now)
+            + _moved_cost(reader, writer, prompt)
+            for writer in writers
+        }
+        return min(writers, key=lambda w: costs[w.server.server_id], default=None)
+
     def _places(
         self,
         asked: Asked,
@@ -206,10 +227,8 @@
         now: datetime.timedelta,
     ) -> tuple[float, Apart]:
         tokens = reader.unread(asked.prompt)
-        moved = writer.unread(asked.prompt) * _MOVED_MS
-        if reader.server.failure_domain != writer.server.failure_domain:
-            moved *= _FAR_FACTOR
-        cost = moved + _READ_AGAIN_MS * _shared_unread(reader, asked.prompt)
+        cost = _moved_cost(reader, writer, asked.prompt)
+        cost += _READ_AGAIN_MS * _shared_unread(reader, asked.prompt)
         for late in (False, True):
             level = urgency.level_of(asked.rank, late=late)
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
@@ -231,6 +250,17 @@
     return max(slots, writer.all_held(now) / max(1, traits.kv_tokens))
 
 
+def _moved_cost(
+    reader: engine_loads.EngineLoad,
+    writer: engine_loads.EngineLoad,
+    prompt: prompts.Prompt,
+) -> float:
+    moved = writer.unread(prompt) * _MOVED_MS
+    if reader.server.failure_domain != writer.server.failure_domain:
+        moved *= _FAR_FACTOR
+    return moved
+
+
 def _shared_unread(engine: engine_loads.EngineLoad, prompt: prompts.Prompt) -> int:
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
     return max(0, engine.unread(prompt) - own)
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -172,19 +172,33 @@
         if isinstance(place, placement.Hopeless):
             progress.wait = place.retry_after
             return await self._give_up(answer, progress)
-        source = None
-        if isinstance(place, placement.Apart):
-            if not self._may_send(asked, progress):
-                return await self._give_up(answer, progress)
-            source = await self._read_apart(asked, place, progress)
-            if source is None:
-                return False
         if not self._may_send(asked, progress):
-            if source is not None:
-                self._release(source)
             return await self._give_up(answer, progress)
+        if isinstance(place, placement.InPlace):
+            return await self._write(asked, answer, progress, place, None)
+        source = await self._read_apart(asked, place, progress)
+        if source is None:
+            return False
+        writer = self._choose_writer(asked, source, progress)
+        if writer is None or not self._may_send(asked, progress):
+            self._release(source)
+            return await self._give_up(answer, progress)
+        place = dataclasses.replace(place, engine=writer)
         return await self._write(asked, answer, progress, place, source)
 
+    def _choose_writer(
+        self, asked: inbound.Inbound, source: _Source, progress: _Progress
+    ) -> engine_loads.EngineLoad | None:
+        assert asked.head.prompt is not None and asked.service.engine is not None
+        loads = self._known.loads(asked.service.name)
+        return placement.Placement(loads, self._domain).choose_writer(
+            asked.head.prompt,
+            source.reader,
+            asked.service.engine,
+            self._clock.monotonic(),
+            without=frozenset(progress.failed),
+        )
+
     def _may_send(self, asked: inbound.Inbound, progress: _Progress) -> bool:
         """Tell whether the budget allows one more sending of a request.
 
