Fetch kept parts of a prompt from the engine that has them

Cause: 1.0 M of 1.9 M shared tokens were read a second time within seconds of their last use, because the engine that kept them had a queue and another one was chosen.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -113,8 +113,8 @@
         """Tokens in memory for streams from all instances that are heard."""
         return self.held + sum(load.held for load in self._heard(now))
 
-    def unread(self, prompt: prompts.Prompt) -> int:
-        """Return the tokens of a prompt that the engine would have to read.
+    def kept(self, prompt: prompts.Prompt) -> int:
+        """Return the tokens at the beginning of a prompt that the engine keeps.
 
         A kept part saves its tokens only if every part before it is kept too.
         """
@@ -123,7 +123,11 @@
             if part.name not in self._kept:
                 break
             saved += part.tokens
-        return max(0, prompt.tokens - saved)
+        return min(saved, prompt.tokens)
+
+    def unread(self, prompt: prompts.Prompt) -> int:
+        """Return the tokens of a prompt that the engine would have to read."""
+        return prompt.tokens - self.kept(prompt)
 
     def keep(self, parts: abc.Iterable[prompts.Part], most_tokens: int) -> None:
         """Note that the engine keeps parts; the least lately used ones yield."""
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -13,7 +13,8 @@
 that server go on within their pause.
 
 Shared parts come back to the engine that read them, which the charge for reading again
-sees to. A part that nobody has read goes to the engine that ranks highest for it, so
+sees to. When that engine has a queue, another one fetches them from it, which costs a
+few milliseconds of a link where reading takes a hundred of an engine. A part that nobody has read goes to the engine that ranks highest for it, so
 that instances which have not heard of one another's prompts meet on the same engine.
 """
 
@@ -47,6 +48,8 @@
 # From the end of reading to the first event: on the same engine, and on another one.
 _FIRST_STEP_MS = 30.0
 _HANDOVER_MS = 60.0
+# Fewer tokens are read sooner than fetched.
+_LEAST_FETCHED = 256
 _NO_ENGINE_RETRY = datetime.timedelta(seconds=1)
 # Above this share of its slots or memory an engine sets streams back or lets them wait;
 # the charge grows so fast that only an engine that is as full is chosen.
@@ -60,12 +63,15 @@
 
     Attributes:
         tokens: Tokens that have to be read.
+        donor: Engine that keeps more of the prompt, to fetch it from; None if the
+            reading engine keeps as much itself.
         level: Urgency to send it with.
         expected: Time to the first event.
     """
 
     engine: engine_loads.EngineLoad
     tokens: int
+    donor: engine_loads.EngineLoad | None
     level: int
     expected: datetime.timedelta
 
@@ -77,6 +83,7 @@
     reader: engine_loads.EngineLoad
     engine: engine_loads.EngineLoad
     tokens: int
+    donor: engine_loads.EngineLoad | None
     level: int
     expected: datetime.timedelta
 
@@ -111,6 +118,14 @@
     patience: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Donor:
+    """An engine that keeps the first `tokens` tokens of a prompt."""
+
+    engine: engine_loads.EngineLoad
+    tokens: int
+
+
 class Placement:
     """Chooses engines for one model service.
 
@@ -179,13 +194,14 @@
     ) -> abc.Iterator[tuple[float, InPlace | Apart]]:
         """Yield every place with its cost in milliseconds."""
         ranks = _ranks(asked.prompt, readers)
+        donors = _donors(asked.prompt, [*writers, *readers])
         for writer in writers:
             base = self._writer_cost(writer, traits, now)
-            in_place = self._in_place(writer, asked, now)
+            in_place = self._in_place(writer, asked, now, donors)
             if in_place is not None:
                 yield base + in_place[0], in_place[1]
             for reader in readers:
-                cost, place = self._apart(reader, writer, asked, now)
+                cost, place = self._apart(reader, writer, asked, now, donors)
                 yield base + cost + ranks[reader.server.server_id], place
 
     def _writer_cost(
@@ -203,9 +219,13 @@
         return cost
 
     def _in_place(
-        self, writer: engine_loads.EngineLoad, asked: Asked, now: datetime.timedelta
+        self,
+        writer: engine_loads.EngineLoad,
+        asked: Asked,
+        now: datetime.timedelta,
+        donors: abc.Sequence[_Donor],
     ) -> tuple[float, InPlace] | None:
-        tokens = writer.unread(asked.prompt)
+        tokens, donor, fetched = _to_read(writer, asked.prompt, donors)
         ahead = writer.all_reading(now)
         if ahead + tokens > _IN_PLACE_TOKENS:
             return None
@@ -215,9 +235,9 @@
         late = expected > asked.due
         # The streams there wait for it too.
         cost = 2 * milliseconds + (_LATE_MS if late else 0)
-        cost += _READ_AGAIN_MS * _shared_unread(writer, asked.prompt)
+        cost += fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         level = urgency.level_of(asked.rank, late=late)
-        return cost, InPlace(writer, tokens, level, expected)
+        return cost, InPlace(writer, tokens, donor, level, expected)
 
     def _apart(
         self,
@@ -225,10 +245,11 @@
         writer: engine_loads.EngineLoad,
         asked: Asked,
         now: datetime.timedelta,
+        donors: abc.Sequence[_Donor],
     ) -> tuple[float, Apart]:
-        tokens = reader.unread(asked.prompt)
-        cost = _moved_cost(reader, writer, asked.prompt)
-        cost += _READ_AGAIN_MS * _shared_unread(reader, asked.prompt)
+        tokens, donor, fetched = _to_read(reader, asked.prompt, donors)
+        cost = fetched + _moved_cost(reader, writer, asked.prompt)
+        cost += _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         for late in (False, True):
             level = urgency.level_of(asked.rank, late=late)
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
@@ -237,7 +258,7 @@
             if expected <= asked.due:
                 break
         cost += milliseconds + (_LATE_MS if late else 0)
-        return cost, Apart(reader, writer, tokens, level, expected)
+        return cost, Apart(reader, writer, tokens, donor, level, expected)
 
 
 def fullness(
@@ -261,9 +282,45 @@
     return moved
 
 
-def _shared_unread(engine: engine_loads.EngineLoad, prompt: prompts.Prompt) -> int:
+def _donors(
+    prompt: prompts.Prompt, engines: abc.Iterable[engine_loads.EngineLoad]
+) -> list[_Donor]:
+    """Return the engines that keep some of a prompt, the most first."""
+    found = [_Donor(engine, engine.kept(prompt)) for engine in engines]
+    found = [donor for donor in found if donor.tokens >= _LEAST_FETCHED]
+    return sorted(found, key=lambda donor: donor.tokens, reverse=True)
+
+
+def _to_read(
+    engine: engine_loads.EngineLoad,
+    prompt: prompts.Prompt,
+    donors: abc.Sequence[_Donor],
+) -> tuple[int, engine_loads.EngineLoad | None, float]:
+    """Return the tokens to read, who gives the others, and the charge of giving."""
+    kept = engine.kept(prompt)
+    best: tuple[float, _Donor] | None = None
+    for donor in donors:
+        fetched = donor.tokens - kept
+        if donor.engine is engine or fetched < _LEAST_FETCHED:
+            continue
+        charge = fetched * _MOVED_MS
+        if donor.engine.server.failure_domain != engine.server.failure_domain:
+            charge *= _FAR_FACTOR
+        gain = fetched * _READ_AGAIN_MS - charge
+        if best is None or gain > best[0]:
+            best = gain, donor
+    if best is None:
+        return prompt.tokens - kept, None, 0.0
+    donor = best[1]
+    fetched = donor.tokens - kept
+    charge = fetched * _READ_AGAIN_MS - best[0]
+    return prompt.tokens - donor.tokens, donor.engine, charge
+
+
+def _shared(prompt: prompts.Prompt, tokens: int) -> int:
+    """Return how many of the tokens to be read belong to shared parts."""
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-    return max(0, engine.unread(prompt) - own)
+    return max(0, tokens - own)
 
 
 def _ranks(
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from pimentolatch import clock
+from pimentolatch import clock, settings
 from pimentolatch.backend import channel
 from pimentolatch.decisions import (
     demand_rate,
@@ -250,6 +250,7 @@
             asked.until - begun - _RETURN_TIME,
             urgency=place.level,
             only_read=True,
+            donor=_address(place.donor),
         )
         limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
         reader.reading[place.level] += cost
@@ -341,6 +342,7 @@
             if source is None
             else (source.reader.server.address, source.handle),
             last_event=progress.last_event if resumed else None,
+            donor=_address(place.donor) if source is None else None,
         )
         limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
         if not asked.route.repeatable:
@@ -504,6 +506,10 @@
         self.unread = self.in_place
 
 
+def _address(engine: engine_loads.EngineLoad | None) -> settings.Address | None:
+    return None if engine is None else engine.server.address
+
+
 def _client_gap(asked: inbound.Inbound) -> datetime.timedelta:
     """Return how long the client waits for an event before it leaves."""
     route = asked.route
--- a/src/pimentolatch/platform/heads.py
+++ b/src/pimentolatch/platform/heads.py
@@ -103,6 +103,7 @@
         only_read: Only read the prompt and keep it for another server.
         source: Server and handle of a prompt that was read there.
         last_event: Go on after this event; None leaves the client's own field.
+        donor: Server that keeps parts of the prompt, to be fetched from there.
     """
 
     server_id: str
@@ -111,6 +112,7 @@
     only_read: bool = False
     source: tuple[settings.Address, str] | None = None
     last_event: int | None = None
+    donor: settings.Address | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +196,9 @@
         address, handle = delivery.source
         text = f"{address.host}:{address.port}/{handle}"
         kept.append((_CACHE_SOURCE, text.encode("latin-1")))
+    if delivery.donor is not None:
+        text = f"{delivery.donor.host}:{delivery.donor.port}"
+        kept.append((_CACHE_FETCH, text.encode("latin-1")))
     if delivery.last_event is not None:
         kept.append((_LAST_EVENT, b"%d" % delivery.last_event))
     return kept
