--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -14,8 +14,9 @@
 
 Shared parts come back to the engine that read them, which the charge for reading again
 sees to. When that engine has a queue, another one fetches them from it, which costs a
-few milliseconds of a link where reading takes a hundred of an engine. A part that nobody has read goes to the engine that ranks highest for it, so
-that instances which have not heard of one another's prompts meet on the same engine.
+few milliseconds of a link where reading takes a hundred of an engine. A part that
+nobody has read goes to the engine that ranks highest for it, so that instances which
+have not heard of one another's prompts meet on the same engine.
 """
 
 import dataclasses
@@ -43,6 +44,9 @@
 _IN_PLACE_TOKENS = 2000
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
+# A prompt is large if its reading alone takes this share of the time for a first event:
+# behind a queue that others bear it is late.
+_LARGE_SHARE = 0.25
 # Charge of a first event that comes too late to be on time.
 _LATE_MS = 300.0
 # From the end of reading to the first event: on the same engine, and on another one.
@@ -108,12 +112,14 @@
 
     Attributes:
         rank: Rank of its route, 0 first.
-        due: Until then its first event is on time.
+        target: The route's time for the first event.
+        due: What is left of that time.
         patience: Its client waits this long for the first event.
     """
 
     prompt: prompts.Prompt
     rank: int
+    target: datetime.timedelta
     due: datetime.timedelta
     patience: datetime.timedelta
 
@@ -233,10 +239,11 @@
         milliseconds = (ahead + self._loads.reading_cost(tokens)) / rate
         expected = datetime.timedelta(milliseconds=milliseconds + _FIRST_STEP_MS)
         late = expected > asked.due
+        large = self._is_large(asked, tokens)
         # The streams there wait for it too.
         cost = 2 * milliseconds + (_LATE_MS if late else 0)
         cost += fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
-        level = urgency.level_of(asked.rank, late=late)
+        level = urgency.level_of(asked.rank, late=late, large=large)
         return cost, InPlace(writer, tokens, donor, level, expected)
 
     def _apart(
@@ -250,8 +257,9 @@
         tokens, donor, fetched = _to_read(reader, asked.prompt, donors)
         cost = fetched + _moved_cost(reader, writer, asked.prompt)
         cost += _READ_AGAIN_MS * _shared(asked.prompt, tokens)
+        large = self._is_large(asked, tokens)
         for late in (False, True):
-            level = urgency.level_of(asked.rank, late=late)
+            level = urgency.level_of(asked.rank, late=late, large=large)
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
             milliseconds = work / self._loads.reading_rate
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
@@ -260,6 +268,11 @@
         cost += milliseconds + (_LATE_MS if late else 0)
         return cost, Apart(reader, writer, tokens, donor, level, expected)
 
+    def _is_large(self, asked: Asked, tokens: int) -> bool:
+        milliseconds = tokens / self._loads.reading_rate
+        target_ms = asked.target / datetime.timedelta(milliseconds=1)
+        return milliseconds > _LARGE_SHARE * target_ms
+
 
 def fullness(
     writer: engine_loads.EngineLoad,
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -224,6 +224,7 @@
             placement.Asked(
                 asked.head.prompt,
                 asked.route.rank,
+                asked.route.latency_target,
                 due=asked.arrived + asked.route.latency_target - now,
                 patience=min(asked.until, asked.arrived + _client_gap(asked)) - now,
             ),
