--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -115,6 +115,7 @@
         target: The route's time for the first event.
         due: What is left of that time.
         patience: Its client waits this long for the first event.
+        lot: Drawn evenly from 0 to 1 for the request.
     """
 
     prompt: prompts.Prompt
@@ -122,6 +123,7 @@
     target: datetime.timedelta
     due: datetime.timedelta
     patience: datetime.timedelta
+    lot: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,7 +245,7 @@
         # The streams there wait for it too.
         cost = 2 * milliseconds + (_LATE_MS if late else 0)
         cost += fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
-        level = urgency.level_of(asked.rank, late=late, large=large)
+        level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
         return cost, InPlace(writer, tokens, donor, level, expected)
 
     def _apart(
@@ -259,7 +261,7 @@
         cost += _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         large = self._is_large(asked, tokens)
         for late in (False, True):
-            level = urgency.level_of(asked.rank, late=late, large=large)
+            level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
             milliseconds = work / self._loads.reading_rate
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
--- a/src/pimentolatch/decisions/urgency.py
+++ b/src/pimentolatch/decisions/urgency.py
@@ -7,10 +7,13 @@
 
 The route's rank goes first. Within a rank a request that can still be on time goes
 before one that can't. So the engines' time goes to requests that are on time, as many
-as there is time for, instead of making all of them late; late ones take what is left.
-Of the late ones the large prompts go first: few as they are, they delay the others
-little, and without it the largest tenth of a route was served less than half as often
-as the whole.
+as there is time for, instead of making all of them late.
+
+What is left for late ones is nothing as long as the load lasts. So a share of them,
+drawn by lot, waits among those that are on time, and of the others the large prompts go
+first. Without that the largest tenth of a route, which is hardly ever on time, was
+served less than half as often as the whole. The share is what that takes; more would
+make on-time requests late for the sake of late ones.
 
 No rank is put behind what is late in a lower one.
 """
@@ -20,9 +23,20 @@
 # Engines know ten urgencies, 0 first: three places for each of the first three ranks.
 LEVELS = 10
 _PLACES = 3
+_ON_TIME, _LATE_LARGE, _LATE = range(_PLACES)
+_LATE_SHARE = 0.35
+
 
+def level_of(rank: int, *, late: bool, large: bool, lot: float) -> int:
+    """Return the urgency of a request, 0 first.
 
-def level_of(rank: int, *, late: bool, large: bool = False) -> int:
-    """Return the urgency of a request, 0 first."""
-    place = 0 if not late else 1 if large else 2
+    Args:
+        rank: Rank of its route, 0 first.
+        late: Its first event can't be on time.
+        large: Its own reading takes much of the time that it has.
+        lot: Drawn evenly from 0 to 1 for the request.
+    """
+    place = _LATE_LARGE if large else _LATE
+    if not late or (large and lot < _LATE_SHARE):
+        place = _ON_TIME
     return min(LEVELS - 1, _PLACES * rank + place)
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -13,6 +13,7 @@
     engine_loads,
     placement,
     repeat_budget,
+    subset,
 )
 from pimentolatch.gateway import events, inbound, knowledge, peers, refusals, sending
 from pimentolatch.platform import engines, heads
@@ -227,6 +228,7 @@
                 asked.route.latency_target,
                 due=asked.arrived + asked.route.latency_target - now,
                 patience=min(asked.until, asked.arrived + _client_gap(asked)) - now,
+                lot=subset.rank(asked.request_id, "lot") / 2**64,
             ),
             asked.service.engine,
             now,
