--- a/src/pimentolatch/audit/trail.py
+++ b/src/pimentolatch/audit/trail.py
@@ -13,8 +13,7 @@
 
 import logbook
 
-from pimentolatch import clock
-from pimentolatch.platform import store
+from pimentolatch import clock, store
 from pimentolatch.requests import identity
 
 __all__ = ["AuditReader", "AuditTrail", "Record"]
--- a/src/pimentolatch/platform/budget.py
+++ b/src/pimentolatch/call_budget.py
@@ -8,8 +8,7 @@
 import datetime
 import typing
 
-from pimentolatch import clock, metrics
-from pimentolatch.platform import store
+from pimentolatch import clock, metrics, store
 
 __all__ = ["BudgetedStore", "CallBudget"]
 
@@ -102,7 +101,7 @@
 
     async def watch(
         self, kind: str, *, after: int, wait: datetime.timedelta
-    ) -> store.Listing | store.Unavailable:
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`."""
         if not await self._budget.take():
             return self._refused("watch")
--- a/src/pimentolatch/control/collector.py
+++ b/src/pimentolatch/control/collector.py
@@ -2,8 +2,8 @@
 
 import logbook
 
+from pimentolatch import store
 from pimentolatch.control import configuration, heads
-from pimentolatch.platform import store
 
 __all__ = ["PartCollector"]
 
--- a/src/pimentolatch/control/configuration.py
+++ b/src/pimentolatch/control/configuration.py
@@ -11,10 +11,9 @@
 import random
 import secrets
 
-from pimentolatch import clock
+from pimentolatch import backoff, clock, store
 from pimentolatch.control import heads, parts
 from pimentolatch.document import schema
-from pimentolatch.platform import backoff, store
 
 __all__ = [
     "Accepted",
--- a/src/pimentolatch/control/drain.py
+++ b/src/pimentolatch/control/drain.py
@@ -10,11 +10,11 @@
 import typing
 from collections import abc
 
+from pimentolatch import store
 from pimentolatch.backend import orders as order_client
 from pimentolatch.control import slots, targets
 from pimentolatch.document import schema
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 
 __all__ = [
     "Drained",
--- a/src/pimentolatch/control/duty.py
+++ b/src/pimentolatch/control/duty.py
@@ -12,8 +12,7 @@
 import random
 import typing
 
-from pimentolatch import clock
-from pimentolatch.platform import store
+from pimentolatch import clock, store
 
 __all__ = ["DUTY_KIND", "DutyLease", "DutySettings", "LeaseRecord"]
 
--- a/src/pimentolatch/control/holder.py
+++ b/src/pimentolatch/control/holder.py
@@ -13,7 +13,7 @@
 
 import logbook
 
-from pimentolatch import clock, fleet
+from pimentolatch import clock, fleet, store
 from pimentolatch.audit import trail
 from pimentolatch.backend import orders as order_client
 from pimentolatch.control import (
@@ -27,7 +27,6 @@
 )
 from pimentolatch.decisions import roles
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 
 __all__ = ["ChangeStatus", "DutyHolder", "DutyStatus", "HolderSettings", "NoPlanner"]
 
--- a/src/pimentolatch/control/known_slots.py
+++ b/src/pimentolatch/control/known_slots.py
@@ -10,9 +10,8 @@
 import datetime
 from collections import abc
 
-from pimentolatch import clock
+from pimentolatch import clock, store
 from pimentolatch.control import slots
-from pimentolatch.platform import store
 
 __all__ = ["KnownSlots"]
 
--- a/src/pimentolatch/control/publication.py
+++ b/src/pimentolatch/control/publication.py
@@ -5,11 +5,10 @@
 
 import logbook
 
-from pimentolatch import fleet
+from pimentolatch import fleet, store
 from pimentolatch.audit import trail
 from pimentolatch.control import drain, known_slots, slots
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 
 __all__ = ["Publication"]
 
--- a/src/pimentolatch/control/slots.py
+++ b/src/pimentolatch/control/slots.py
@@ -13,8 +13,8 @@
 
 import transitions
 
+from pimentolatch import store
 from pimentolatch.document import schema
-from pimentolatch.platform import store
 
 __all__ = [
     "SLOT_KIND",
--- a/src/pimentolatch/control/tenure.py
+++ b/src/pimentolatch/control/tenure.py
@@ -14,7 +14,7 @@
 
 import logbook
 
-from pimentolatch import clock, fleet
+from pimentolatch import clock, fleet, store
 from pimentolatch.audit import trail
 from pimentolatch.backend import orders as order_client
 from pimentolatch.control import (
@@ -29,7 +29,6 @@
 )
 from pimentolatch.document import schema
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 
 __all__ = ["Bounds", "Outside", "Tenure", "Waiting"]
 
--- a/src/pimentolatch/control/watcher.py
+++ b/src/pimentolatch/control/watcher.py
@@ -14,10 +14,9 @@
 
 import logbook
 
-from pimentolatch import clock
+from pimentolatch import backoff, clock, store
 from pimentolatch.control import configuration, heads, keeper
 from pimentolatch.membership import node, view_table, views
-from pimentolatch.platform import backoff, store
 
 __all__ = ["DocumentFollower", "StoreFollower", "ViewFollower"]
 
@@ -62,27 +61,38 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        revision = 0
+        revision: int | None = None
         pauses = backoff.Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._chance)
         while True:
             watching = self._watches()
-            wait = _WATCH_WAIT if watching else datetime.timedelta()
-            listing = await self._store.watch(
-                self._handler.kind, after=revision, wait=wait
-            )
-            if isinstance(listing, store.Unavailable):
-                _log.warn("platform unavailable", reason=listing.reason)
-                await self._pause(pauses, listing.retry_after)
+            news = await self._news(revision, watching)
+            if isinstance(news, store.Unavailable):
+                _log.warn("platform unavailable", reason=news.reason)
+                await self._pause(pauses, news.retry_after)
+                continue
+            if isinstance(news, store.HistoryGone):
+                revision = None
                 continue
-            present = tuple(row for row in listing.objects if row.value is not None)
-            if present and not await self._handler.handle(present):
+            if news.changed and not await self._handler.handle(news.changed):
                 await self._pause(pauses, None)
                 continue
             pauses.reset()
-            revision = listing.revision
+            revision = news.revision
             if not watching:
                 await self._clock.sleep(self._check_pause())
 
+    async def _news(
+        self, revision: int | None, watching: bool
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
+        """Return what is new: everything at first and after a gap."""
+        if revision is None:
+            listing = await self._store.list_objects(self._handler.kind)
+            if isinstance(listing, store.Unavailable):
+                return listing
+            return store.Changes(listing.revision, listing.objects, ())
+        wait = _WATCH_WAIT if watching else datetime.timedelta()
+        return await self._store.watch(self._handler.kind, after=revision, wait=wait)
+
     async def _pause(
         self, pauses: backoff.Backoff, asked: datetime.timedelta | None
     ) -> None:
--- a/src/pimentolatch/entry/control_plane.py
+++ b/src/pimentolatch/entry/control_plane.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from pimentolatch import clock, fleet, metrics, settings, tasks
+from pimentolatch import call_budget, clock, fleet, metrics, settings, store, tasks
 from pimentolatch.control import collector, configuration, keeper, spread, watcher
 from pimentolatch.decisions import shares
 from pimentolatch.entry import peer_metrics
@@ -18,7 +18,7 @@
     view_table,
     views,
 )
-from pimentolatch.platform import budget, client, store
+from pimentolatch.platform import objects
 
 __all__ = ["ControlPlane", "NoShares"]
 
@@ -64,10 +64,14 @@
             reached_at.host,
             reached_at.port,
         )
-        self._http = client.HttpStore(chosen.platform)
-        self._store = budget.BudgetedStore(
+        self._http = objects.ObjectStore(
+            chosen.platform.address,
+            datetime.timedelta(seconds=chosen.platform.call_timeout_s),
+            time,
+        )
+        self._store = call_budget.BudgetedStore(
             self._http,
-            budget.CallBudget(chosen.platform.calls_per_second, time),
+            call_budget.CallBudget(chosen.platform.calls_per_second, time),
             measured,
         )
         self._documents = configuration.ConfigurationObjects(self._store, time, chance)
@@ -237,7 +241,7 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
         await self._peering.stop()
-        await self._http.aclose()
+        self._http.close()
 
 
 def _seconds(duration: datetime.timedelta | None) -> float:
--- a/src/pimentolatch/entry/operators.py
+++ b/src/pimentolatch/entry/operators.py
@@ -7,12 +7,11 @@
 
 from starlette import applications, requests, responses, routing
 
-from pimentolatch import checks, clock, fleet, metrics, results, settings
+from pimentolatch import checks, clock, fleet, metrics, results, settings, store
 from pimentolatch.audit import trail
 from pimentolatch.control import configuration, heads, holder
 from pimentolatch.document import schema
 from pimentolatch.entry import bodies, control_plane, gate
-from pimentolatch.platform import store
 from pimentolatch.requests import identity
 
 __all__ = ["OperatorFace"]
--- a/src/pimentolatch/entry/servers.py
+++ b/src/pimentolatch/entry/servers.py
@@ -96,6 +96,17 @@
         if self._task is not None:
             await self._task
 
+    def abort(self) -> None:
+        """Close the address and every connection at once."""
+        self._server.force_exit = True
+        self._server.ask_exit()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        if self._task is not None:
+            self._task.cancel()
+        for listening in getattr(self._server, "servers", []):
+            listening.close()
+
     async def _serve(self) -> None:
         try:
             await self._server.serve()
--- a/src/pimentolatch/gateway/lease.py
+++ b/src/pimentolatch/gateway/lease.py
@@ -4,8 +4,8 @@
 
 import logbook
 
-from pimentolatch import clock
-from pimentolatch.platform import objects, store
+from pimentolatch import clock, store
+from pimentolatch.platform import objects
 
 __all__ = ["OrderLease"]
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -78,6 +78,11 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._link_peers()
 
+    @property
+    def known(self) -> knowledge.Knowledge:
+        """What the instance knows."""
+        return self._known
+
     def _link_peers(self) -> None:
         chosen, known, time = self._settings, self._known, self._clock
         life = uuid.uuid4().hex
@@ -179,13 +184,20 @@
         if not await self._gate.wait_empty(grace - _BALANCER_NOTICE - _END_MARGIN):
             _log.warn("requests cut at the end of the grace", n=self._gate.in_flight)
         closing.cancel()
+        await self.abort()
+        _log.info("stopped")
+
+    async def abort(self) -> None:
+        """Stop at once."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in (self._face, self._readiness, self._snapshots):
+            server.abort()
         self._peers.close()
         self._source.close()
         self._client.close()
         self._store.close()
-        _log.info("stopped")
 
 
 async def run_until_signal(chosen: settings.GatewaySettings) -> None:
--- a/src/pimentolatch/gateway/spread.py
+++ b/src/pimentolatch/gateway/spread.py
@@ -12,10 +12,9 @@
 import cbor2
 import logbook
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
 from pimentolatch.gateway import knowledge, peers, watching
-from pimentolatch.platform import store
 
 __all__ = ["PeerSource", "SnapshotFace"]
 
--- a/src/pimentolatch/gateway/watching.py
+++ b/src/pimentolatch/gateway/watching.py
@@ -6,9 +6,9 @@
 
 import logbook
 
-from pimentolatch import clock
+from pimentolatch import backoff, clock, store
 from pimentolatch.gateway import knowledge
-from pimentolatch.platform import backoff, configuration, entries, objects, store
+from pimentolatch.platform import configuration, entries, objects
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -83,7 +83,7 @@
         outcome = await self._store.watch(self.kind, after=self._revision, wait=_WAIT)
         if isinstance(outcome, store.Unavailable):
             return outcome
-        if isinstance(outcome, objects.HistoryGone):
+        if isinstance(outcome, store.HistoryGone):
             _log.info("history gone, listing anew", kind=self.kind)
             self._revision = None
             return None
@@ -94,7 +94,7 @@
     def _listed(self, listing: store.Listing, away: datetime.timedelta) -> None:
         raise NotImplementedError
 
-    def _changed(self, changes: objects.Changes) -> None:
+    def _changed(self, changes: store.Changes) -> None:
         raise NotImplementedError
 
 
@@ -106,7 +106,7 @@
     def _listed(self, listing: store.Listing, away: datetime.timedelta) -> None:
         self._take(listing.objects)
 
-    def _changed(self, changes: objects.Changes) -> None:
+    def _changed(self, changes: store.Changes) -> None:
         self._take(changes.changed)
 
     def _take(self, found: tuple[store.Found, ...]) -> None:
@@ -158,7 +158,7 @@
             )
         take_listing(self._known, listing.revision, found)
 
-    def _changed(self, changes: objects.Changes) -> None:
+    def _changed(self, changes: store.Changes) -> None:
         for name in (*changes.removed, *(item.name for item in changes.changed)):
             self._doubtful.pop(name, None)
         self._known.change_servers(
--- a/src/pimentolatch/membership/acknowledgements.py
+++ b/src/pimentolatch/membership/acknowledgements.py
@@ -23,9 +23,8 @@
 import datetime
 from collections import abc
 
-from pimentolatch import clock
+from pimentolatch import clock, store
 from pimentolatch.membership import incarnations, registrations
-from pimentolatch.platform import store
 from pimentolatch.protocol import messages
 
 __all__ = ["UNREAD_REGISTRATIONS", "AcknowledgementTable"]
--- a/src/pimentolatch/membership/dialer.py
+++ b/src/pimentolatch/membership/dialer.py
@@ -4,9 +4,8 @@
 import datetime
 import random
 
-from pimentolatch import clock, settings
+from pimentolatch import backoff, clock, settings, store
 from pimentolatch.membership import incarnations, links, topology
-from pimentolatch.platform import backoff, store
 
 __all__ = ["Dialer"]
 
--- a/src/pimentolatch/membership/leaving.py
+++ b/src/pimentolatch/membership/leaving.py
@@ -10,8 +10,7 @@
 import typing
 from collections import abc
 
-from pimentolatch import clock
-from pimentolatch.platform import store
+from pimentolatch import clock, store
 
 __all__ = ["LeavingServers"]
 
--- a/src/pimentolatch/membership/node.py
+++ b/src/pimentolatch/membership/node.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from pimentolatch import clock
+from pimentolatch import clock, store
 from pimentolatch.membership import (
     acknowledgements,
     gathering,
@@ -27,7 +27,6 @@
     view_table,
     views,
 )
-from pimentolatch.platform import store
 from pimentolatch.protocol import messages
 
 __all__ = ["Node"]
--- a/src/pimentolatch/membership/peering.py
+++ b/src/pimentolatch/membership/peering.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from pimentolatch import clock, settings, tasks
+from pimentolatch import backoff, clock, settings, store, tasks
 from pimentolatch.membership import (
     dialer,
     incarnations,
@@ -20,7 +20,6 @@
     view_table,
     views,
 )
-from pimentolatch.platform import backoff, store
 
 __all__ = ["Peering"]
 
--- a/src/pimentolatch/membership/registrations.py
+++ b/src/pimentolatch/membership/registrations.py
@@ -8,8 +8,8 @@
 import dataclasses
 import typing
 
+from pimentolatch import store
 from pimentolatch.membership import incarnations
-from pimentolatch.platform import store
 from pimentolatch.protocol import messages
 
 __all__ = ["REGISTRATION_KIND", "Registration", "Registrations"]
--- a/src/pimentolatch/membership/topology.py
+++ b/src/pimentolatch/membership/topology.py
@@ -12,8 +12,8 @@
 import hashlib
 from collections import abc
 
+from pimentolatch import store
 from pimentolatch.membership import incarnations
-from pimentolatch.platform import store
 
 __all__ = ["dials", "ranked"]
 
--- a/src/pimentolatch/membership/view_table.py
+++ b/src/pimentolatch/membership/view_table.py
@@ -4,8 +4,8 @@
 import typing
 from collections import abc
 
+from pimentolatch import store
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 from pimentolatch.protocol import messages
 
 __all__ = ["ViewTable", "stored_view", "view_from_message", "view_from_object"]
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -7,29 +7,14 @@
 import typing
 import urllib.parse
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
-from pimentolatch.platform import store
 
-__all__ = ["Changes", "HistoryGone", "ObjectStore"]
+__all__ = ["ObjectStore"]
 
 _JSON = [(b"content-type", b"application/json")]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """What changed in a kind up to a revision of the store."""
-
-    revision: int
-    changed: tuple[store.Found, ...]
-    removed: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HistoryGone:
-    """The changes after the asked revision are no longer known; list anew."""
-
-
 class ObjectStore:
     """Calls of the store; each is made once and never repeated by itself.
 
@@ -50,21 +35,14 @@
         self._pool = channel.ChannelPool(call_limit)
 
     async def list_objects(
-        self, kind: str, *, stale: bool = False
+        self, kind: str, prefix: str = ""
     ) -> store.Listing | store.Unavailable:
-        """Return all objects of a kind.
-
-        Args:
-            kind: The kind.
-            stale: Accept a listing that is seconds old, at a tenth of the price.
-        """
+        """See `store.Store.list_objects`."""
         found: list[store.Found] = []
         after = ""
         revision = 0
         while True:
             query = {"after": after} if after else {}
-            if stale:
-                query["serializable"] = "1"
             answer = await self._call("GET", _path(kind, query=query))
             if isinstance(answer, store.Unavailable):
                 return answer
@@ -74,23 +52,24 @@
             # changes are followed from the first page's revision.
             revision = revision or int(body["as_of"])
             if not body["has_more"] or not body["items"]:
-                return store.Listing(revision, tuple(found))
+                kept = (item for item in found if item.name.startswith(prefix))
+                return store.Listing(revision, tuple(kept))
             after = found[-1].name
 
     async def watch(
         self, kind: str, *, after: int, wait: datetime.timedelta
-    ) -> Changes | HistoryGone | store.Unavailable:
-        """Return the changes of a kind after a revision; waits until there is one."""
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
+        """See `store.Store.watch`."""
         milliseconds = int(wait / datetime.timedelta(milliseconds=1))
         query = {"watch": str(after), "wait_ms": str(milliseconds)}
         answer = await self._call("GET", _path(kind, query=query), extra=wait)
         if isinstance(answer, store.Unavailable):
             return answer
         if answer.status == 410:
-            return HistoryGone()
+            return store.HistoryGone()
         events = answer.body["events"]
         latest = {event["object"]["metadata"]["name"]: event for event in events}
-        return Changes(
+        return store.Changes(
             int(answer.body["as_of"]),
             tuple(_object(e["object"]) for e in latest.values() if not e["deleted"]),
             tuple(name for name, e in latest.items() if e["deleted"]),
@@ -99,7 +78,7 @@
     async def get(
         self, kind: str, name: str
     ) -> store.Found | store.Absent | store.Unavailable:
-        """Read an object."""
+        """See `store.Store.get`."""
         answer = await self._call("GET", _path(kind, name))
         if isinstance(answer, store.Unavailable):
             return answer
@@ -110,7 +89,7 @@
     async def put(
         self, kind: str, name: str, value: store.Json, *, if_version: int
     ) -> store.Written | store.Conflict | store.Unavailable:
-        """Write an object if its version is `if_version`; 0 means it is absent."""
+        """See `store.Store.put`."""
         metadata: dict[str, typing.Any] = {"name": name}
         if if_version:
             metadata["revision"] = if_version
@@ -126,6 +105,31 @@
             return store.Conflict(int(current.get("revision", 0)))
         return store.Written(int(answer.body["metadata"]["revision"]))
 
+    async def delete(
+        self, kind: str, name: str, *, if_version: int
+    ) -> store.Written | store.Absent | store.Conflict | store.Unavailable:
+        """See `store.Store.delete`."""
+        path = _path(kind, name, {"revision": str(if_version)})
+        answer = await self._call("DELETE", path)
+        if isinstance(answer, store.Unavailable):
+            return answer
+        if answer.status == 404:
+            return store.Absent(name)
+        version = int(((answer.body or {}).get("metadata") or {}).get("revision", 0))
+        return (
+            store.Conflict(version) if answer.status == 409 else store.Written(version)
+        )
+
+    async def instances(self) -> tuple[store.Instance, ...] | store.Unavailable:
+        """See `store.Store.instances`."""
+        answer = await self._call("GET", "/v1/instances")
+        if isinstance(answer, store.Unavailable):
+            return answer
+        rows = answer.body["instances"]
+        return tuple(
+            store.Instance(**{**row, "ended": tuple(row["ended"])}) for row in rows
+        )
+
     async def _call(
         self,
         method: str,
--- a/src/pimentolatch/requests/claims.py
+++ b/src/pimentolatch/requests/claims.py
@@ -19,9 +19,8 @@
 import typing
 from collections import abc
 
-from pimentolatch import clock, settings
+from pimentolatch import call_budget, clock, settings, store
 from pimentolatch.backend import outcomes
-from pimentolatch.platform import budget, store
 from pimentolatch.requests import identity
 
 __all__ = [
@@ -143,9 +142,9 @@
     retry_after: datetime.timedelta | None = None
 
 
-def share_of(calls_per_second: float, time: clock.Clock) -> budget.CallBudget:
+def share_of(calls_per_second: float, time: clock.Clock) -> call_budget.CallBudget:
     """Return the share of an instance's calls of the platform that claims may take."""
-    return budget.CallBudget(_SHARE * calls_per_second / _CALLS_PER_CHANGE, time)
+    return call_budget.CallBudget(_SHARE * calls_per_second / _CALLS_PER_CHANGE, time)
 
 
 _Claims = tuple[Claim, ...]
@@ -170,7 +169,7 @@
         objects: store.Store,
         owner: Owner,
         time: clock.Clock,
-        share: budget.CallBudget | None = None,
+        share: call_budget.CallBudget | None = None,
     ) -> None:
         self._store = objects
         self._owner = owner
--- a/src/pimentolatch/requests/retired.py
+++ b/src/pimentolatch/requests/retired.py
@@ -10,8 +10,7 @@
 import datetime
 import typing
 
-from pimentolatch import clock
-from pimentolatch.platform import store
+from pimentolatch import clock, store
 
 __all__ = ["Record", "RetiredOwners", "Use"]
 
--- a/src/pimentolatch/requests/stream.py
+++ b/src/pimentolatch/requests/stream.py
@@ -9,11 +9,10 @@
 
 import logbook
 
-from pimentolatch import clock, results, settings, waits
+from pimentolatch import backoff, clock, results, settings, waits
 from pimentolatch.backend import engine as engine_client
 from pimentolatch.backend import outcomes
 from pimentolatch.document import schema
-from pimentolatch.platform import backoff
 from pimentolatch.requests import handover, identity
 
 __all__ = [
--- a/src/pimentolatch/requests/tickets.py
+++ b/src/pimentolatch/requests/tickets.py
@@ -22,8 +22,7 @@
 
 import cbor2
 
-from pimentolatch import clock, settings
-from pimentolatch.platform import store
+from pimentolatch import clock, settings, store
 from pimentolatch.requests import claims
 
 __all__ = ["Forged", "NoSecret", "PREFIX", "Ticket", "TicketOffice"]
--- a/src/pimentolatch/platform/store.py
+++ b/src/pimentolatch/store.py
@@ -12,8 +12,10 @@
 
 __all__ = [
     "Absent",
+    "Changes",
     "Conflict",
     "Found",
+    "HistoryGone",
     "Instance",
     "Listing",
     "Store",
@@ -77,6 +79,20 @@
     objects: tuple[Found, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed in a kind up to a revision of the store; the newest of each name."""
+
+    revision: int
+    changed: tuple[Found, ...]
+    removed: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes after the asked revision are no longer known; list anew."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
     """An entry of the platform's lagging instance list.
@@ -117,7 +133,7 @@
 
     async def watch(
         self, kind: str, *, after: int, wait: datetime.timedelta
-    ) -> Listing | Unavailable:
+    ) -> Changes | HistoryGone | Unavailable:
         """Return changes of a kind after a revision; waits until there is one.
 
         The answer may be empty when `wait` has passed.
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -11,8 +11,7 @@
 import typing
 from collections import abc
 
-from pimentolatch import clock
-from pimentolatch.platform import store
+from pimentolatch import clock, store
 from standins import objects
 
 __all__ = ["MemoryStore", "Pause", "StoreFaults", "no_pause"]
@@ -141,7 +140,7 @@
 
     async def watch(
         self, kind: str, *, after: int, wait: datetime.timedelta
-    ) -> store.Listing | store.Unavailable:
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`; waits in steps of the clock that was passed in."""
         if failed := await self._begin(f"watch {kind}"):
             return failed
@@ -151,7 +150,14 @@
             if self._clock.monotonic() >= end or self._cut_off:
                 break
             await self._clock.sleep(step)
-        return self._listing(self._table.changes(kind, after))
+        if after < self._table.history_from:
+            return store.HistoryGone()
+        rows = self._table.changes(kind, after)
+        return store.Changes(
+            self._table.revision,
+            tuple(_found(row) for row in rows if row.value is not None),
+            tuple(row.name for row in rows if row.value is None),
+        )
 
     async def instances(self) -> tuple[store.Instance, ...] | store.Unavailable:
         """See `store.Store.instances`."""
@@ -191,5 +197,8 @@
         task.add_done_callback(self._late.discard)
 
     def _listing(self, rows: list[objects.Row]) -> store.Listing:
-        found = tuple(store.Found(row.name, row.version, row.value) for row in rows)
-        return store.Listing(self._table.revision, found)
+        return store.Listing(self._table.revision, tuple(_found(row) for row in rows))
+
+
+def _found(row: objects.Row) -> store.Found:
+    return store.Found(row.name, row.version, row.value)
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -25,22 +25,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """An object; `revision` orders all writes of its kind, `value` None is removed."""
+    """An object; `version` orders all writes, `value` None is removed.
+
+    Attributes:
+        version: Revision of the store at the object's last write.
+        created: Revision of the store at its creation.
+    """
 
     name: str
     version: int
-    revision: int
+    created: int
     value: typing.Any
 
 
 class ObjectTable:
-    """All objects, in memory. A removed object keeps its version count."""
+    """All objects, in memory, with one count of revisions for all.
+
+    Attributes:
+        history: Every write in order, with its kind.
+        history_from: Changes before this revision are forgotten.
+    """
 
     def __init__(self) -> None:
         self._revision = 0
         self._rows: dict[str, dict[str, Row]] = {}
         self._changed = asyncio.Condition()
         self.history: list[tuple[str, Row]] = []
+        self.history_from = 0
 
     @property
     def revision(self) -> int:
@@ -60,8 +71,8 @@
 
     def changes(self, kind: str, after: int) -> list[Row]:
         """Return the rows of a kind written after a revision, removals included."""
-        rows = [r for r in self._rows.get(kind, {}).values() if r.revision > after]
-        return sorted(rows, key=lambda row: row.revision)
+        rows = [r for r in self._rows.get(kind, {}).values() if r.version > after]
+        return sorted(rows, key=lambda row: row.version)
 
     async def put(
         self, kind: str, name: str, value: typing.Any, if_version: int
@@ -75,8 +86,8 @@
         if shown_version != if_version:
             raise VersionConflictError(shown_version)
         self._revision += 1
-        version = (current.version if current is not None else 0) + 1
-        row = Row(name, version, self._revision, copy.deepcopy(value))
+        created = current.created if current is not None and present else self._revision
+        row = Row(name, self._revision, created, copy.deepcopy(value))
         self._rows.setdefault(kind, {})[name] = row
         self.history.append((kind, row))
         async with self._changed:
@@ -89,6 +100,10 @@
             return None
         return await self.put(kind, name, None, if_version)
 
+    def forget_history(self) -> None:
+        """Drop the changes so far; whoever watches from before them must list anew."""
+        self.history_from = self._revision
+
     async def wait(self, kind: str, after: int, seconds: float) -> list[Row]:
         """Return changes of a kind after a revision, waiting until there is one."""
         try:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,6 +16,7 @@
 
 JsonResponse = responses.JSONResponse
 _WATCH_SLICE_S = 0.5
+_PAGE = 500
 
 
 class CallLimit:
@@ -77,64 +78,85 @@
         if refused := self._refused("read", self._reads):
             return refused
         row = self.table.get(request.path_params["kind"], request.path_params["name"])
-        if row is None:
+        return JsonResponse({}, 404) if row is None else JsonResponse(_shown(row))
+
+    async def create(self, request: requests.Request) -> JsonResponse:
+        """Create an object."""
+        body = await request.json()
+        return await self._write(request, body["metadata"]["name"], body["spec"], 0)
+
+    async def replace(self, request: requests.Request) -> JsonResponse:
+        """Replace an object that is as the caller knows it."""
+        body = await request.json()
+        name = request.path_params["name"]
+        current = self.table.get(request.path_params["kind"], name)
+        if current is None:
             return JsonResponse({}, 404)
-        return JsonResponse({"version": row.version, "value": row.value})
-
-    async def put(self, request: requests.Request) -> JsonResponse:
-        """Write one object conditionally."""
-        return await self._write(request, (await request.json())["value"])
+        version = int(body["metadata"].get("revision", current.version))
+        return await self._write(request, name, body["spec"], version)
 
     async def delete(self, request: requests.Request) -> JsonResponse:
-        """Remove one object conditionally."""
-        return await self._write(request, None)
+        """Remove an object that is as the caller knows it."""
+        name = request.path_params["name"]
+        current = self.table.get(request.path_params["kind"], name)
+        if current is None:
+            return JsonResponse({}, 404)
+        version = int(request.query_params.get("revision", current.version))
+        return await self._write(request, name, None, version)
 
     async def _write(
-        self, request: requests.Request, value: typing.Any
+        self, request: requests.Request, name: str, spec: typing.Any, version: int
     ) -> JsonResponse:
         if refused := self._refused("write", self._writes):
             return refused
-        kind, name = request.path_params["kind"], request.path_params["name"]
-        if_version = int(request.query_params["if_version"])
+        kind = request.path_params["kind"]
         try:
-            if value is None:
-                row = await self.table.delete(kind, name, if_version)
-            else:
-                row = await self.table.put(kind, name, value, if_version)
-        except objects.VersionConflictError as conflict:
-            return JsonResponse({"version": conflict.version}, 409)
+            row = await self.table.put(kind, name, spec, version)
+        except objects.VersionConflictError:
+            current = self.table.get(kind, name)
+            return JsonResponse({} if current is None else _shown(current), 409)
         except objects.ValueTooLargeError:
             return JsonResponse({}, 413)
-        if row is None:
-            return JsonResponse({}, 404)
-        return JsonResponse({"version": row.version})
+        return JsonResponse(_shown(row))
 
     async def list_objects(self, request: requests.Request) -> JsonResponse:
-        """List objects of a kind."""
+        """List objects of a kind, or wait for changes of it."""
+        if "watch" in request.query_params:
+            return await self._watch(request)
         if refused := self._refused("read", self._reads):
             return refused
-        prefix = request.query_params.get("prefix", "")
-        return self._rows(self.table.list_objects(request.path_params["kind"], prefix))
-
-    async def watch(self, request: requests.Request) -> JsonResponse:
-        """Wait for changes of a kind."""
+        rows = self.table.list_objects(request.path_params["kind"])
+        rows = [r for r in rows if r.name > request.query_params.get("after", "")]
+        return JsonResponse(
+            {
+                "items": [_shown(row) for row in rows[:_PAGE]],
+                "has_more": len(rows) > _PAGE,
+                "as_of": self.table.revision,
+            }
+        )
+
+    async def _watch(self, request: requests.Request) -> JsonResponse:
         if refused := self._refused("watch", self._reads):
             return refused
-        after = int(request.query_params["after"])
-        wait = float(request.query_params["wait"])
+        after = int(request.query_params["watch"])
+        wait = float(request.query_params.get("wait_ms", 0)) / 1000
+        if after < self.table.history_from:
+            return JsonResponse({}, 410)
         kind = request.path_params["kind"]
         end = asyncio.get_running_loop().time() + wait
-        rows: list[objects.Row] = []
+        rows = self.table.changes(kind, after)
         # In slices, so that a watch whose caller went away ends soon.
         while not rows and (left := end - asyncio.get_running_loop().time()) > 0:
             rows = await self.table.wait(kind, after, min(left, _WATCH_SLICE_S))
             if await request.is_disconnected():
                 break
-        return self._rows(rows)
+        events = [{"object": _shown(r), "deleted": r.value is None} for r in rows]
+        return JsonResponse({"events": events, "as_of": self.table.revision})
 
-    def _rows(self, rows: list[objects.Row]) -> JsonResponse:
-        shown = [{"name": r.name, "version": r.version, "value": r.value} for r in rows]
-        return JsonResponse({"revision": self.table.revision, "objects": shown})
+    async def forget_history(self, request: requests.Request) -> JsonResponse:
+        """Drop the history: a test's command, not a call of the platform."""
+        self.table.forget_history()
+        return JsonResponse({})
 
     async def instances(self, request: requests.Request) -> JsonResponse:
         """Show the instance list as it was some time ago."""
@@ -176,6 +198,17 @@
         return JsonResponse(rows)
 
 
+def _shown(row: objects.Row) -> dict[str, typing.Any]:
+    metadata = {
+        "name": row.name,
+        "revision": row.version,
+        "created": row.created,
+        "finalizers": [],
+        "deleting": False,
+    }
+    return {"metadata": metadata, "spec": row.value, "status": None}
+
+
 def _counting(platform: Platform, application: typing.Any) -> typing.Any:
     """Count every call that arrives, answered or not, and the most in one second."""
     by_second: collections.Counter[int] = collections.Counter()
@@ -197,10 +230,11 @@
     trouble = faults.Faults()
     routes = [
         routing.Route("/v1/objects/{kind}/{name}", platform.get, methods=["GET"]),
-        routing.Route("/v1/objects/{kind}/{name}", platform.put, methods=["PUT"]),
+        routing.Route("/v1/objects/{kind}/{name}", platform.replace, methods=["PUT"]),
         routing.Route("/v1/objects/{kind}/{name}", platform.delete, methods=["DELETE"]),
-        routing.Route("/v1/objects/{kind}", platform.list_objects),
-        routing.Route("/v1/watch/{kind}", platform.watch),
+        routing.Route("/v1/objects/{kind}", platform.list_objects, methods=["GET"]),
+        routing.Route("/v1/objects/{kind}", platform.create, methods=["POST"]),
+        routing.Route("/history/forget", platform.forget_history, methods=["POST"]),
         routing.Route("/v1/instances", platform.instances),
         routing.Route("/v1/weights/{model}", platform.weights),
         routing.Route("/instances", platform.change_instances, methods=["POST"]),
--- /dev/null
+++ b/tests/features/routes_serving.feature
@@ -0,0 +1,121 @@
+Feature: Requests on the operator's routes
+
+  Background:
+    Given routes: a store with a configuration
+    And routes: an engine "p1" that reads
+    And routes: an engine "d1" that writes
+    And routes: an engine "d2" that writes
+    And routes: an instance
+
+  Scenario: A prompt is read apart and its memory handed over
+    When routes: a client asks for "digest" as "r1" while writers are reading
+    Then routes: the answer is whole with 6 pieces
+    And routes: "p1" read "r1" once and a writer ran it with its memory
+
+  # The caller sees one whole answer with the proof of the first engine. The engine dies
+  # in the middle of its third event: half of it has arrived. The half is dropped and
+  # the second engine goes on after the second event.
+  Scenario: A stream that breaks in the middle of an event goes on without a seam
+    Given routes: the next stream of each writer ends by "cut"
+    When routes: a client asks for "digest" as "r1"
+    Then routes: the answer is whole with 6 pieces
+    And routes: each writer ran "r1" once
+
+  # The route does not allow a second run. Ending the body properly would make half an
+  # answer look whole; so the connection closes without the body's end.
+  Scenario: A stream that may not be resumed ends so that it does not look whole
+    Given routes: the next stream of each writer ends by "cut"
+    When routes: a client asks for "draft" as "r1"
+    Then routes: the answer is not whole and has 2 pieces
+    And routes: "r1" ran 1 time
+
+  # The server takes the request and the connection is reset. Nobody knows whether the
+  # badge was printed: the caller must hear that, and no second server may get it.
+  Scenario: An unsafe call whose answer is lost is not sent again
+    Given routes: a plain server "a1"
+    And routes: a plain server "a2"
+    And routes: the next call of each plain server ends by "reset"
+    When routes: a client asks for "print" as "r1"
+    Then routes: the status is 502
+    And routes: "r1" ran 1 time
+
+  # 503 with the server's own statement that it did not run the request: another server
+  # may have it, and the caller sees only the success.
+  Scenario: An unsafe call that a server declines runs on another one
+    Given routes: a plain server "a1"
+    And routes: a plain server "a2"
+    And routes: the next call of one plain server ends by "decline"
+    When routes: a client asks for "print" as "r1"
+    Then routes: the status is 200
+    And routes: "r1" ran 1 time
+
+  Scenario: A safe call that fails is answered by another server
+    Given routes: a plain server "a1"
+    And routes: a plain server "a2"
+    And routes: the next call of one plain server ends by "fail"
+    When routes: a client asks for "notify" as "r1"
+    Then routes: the status is 200
+    And routes: "r1" ran 2 times
+
+  # A server answers an earlier request once more where the answer to this one is due.
+  # Passed on, a guest would get somebody else's badge.
+  Scenario: An answer to another request is never passed on
+    Given routes: a plain server "a1"
+    And routes: the next call of each plain server ends by "other first"
+    When routes: a client asks for "notify" as "r1"
+    Then routes: the status is 200
+    And routes: the body is the answer to this request
+
+  # Bytes without the server's proof may be anybody's.
+  Scenario: A success without the server's proof is not passed on
+    Given routes: a plain server "a1"
+    And routes: the next call of each plain server ends by "no proof"
+    When routes: a client asks for "print" as "r1"
+    Then routes: the status is 502
+
+  # The client closes its connection while the prompt is being read. Without a word to
+  # the engine it would read on for nobody and keep the memory.
+  Scenario: Reading ends when the client leaves
+    Given routes: the next prompt of "p1" ends by "silent"
+    When routes: a client asks for "digest" as "r1" while writers are reading and leaves
+    Then routes: "p1" sees the connection of "r1" closed
+
+  # The writing engine was chosen before the prompt was read; while it is read, the
+  # engine says that it leaves. Sent there all the same, the request would reach it when
+  # it should get nothing new.
+  Scenario: A request goes to no engine that began to leave while its prompt was read
+    Given routes: the next prompt of "p1" ends by "slow"
+    When routes: a client asks for "digest" as "r1" and writer "d1" leaves meanwhile
+    Then routes: the answer is whole with 6 pieces
+    And routes: "d1" never got "r1"
+
+  # A client sets headers with which engines are told whose memory to use or which stage
+  # to take. Passed on, it would read another request's prompt.
+  Scenario: What only the system may tell a server is dropped from clients
+    Given routes: a plain server "a1"
+    When routes: a client asks for "notify" with headers that are the system's
+    Then routes: the status is 200
+    And routes: no server got a header that the client had no right to set
+
+  Scenario: A path without a route is not found
+    When routes: a client asks for "nowhere" as "r1"
+    Then routes: the status is 404
+
+  # The store forgets its history and cuts its watches while the configuration changes.
+  # A watch that went on from its old revision would wait for ever.
+  Scenario: A configuration that changed while the watch was cut is in force soon
+    When routes: the store restarts, forgets its history and has a new route
+    Then routes: the new route is served
+
+  # The store turns one instance away. It hears from its peer that there is a newer
+  # configuration and takes it from there.
+  Scenario: An instance without the store learns from its peer
+    When routes: a second instance starts while it can't reach the store
+    Then routes: the second instance serves the routes
+
+  # Readiness ends at once; new requests are served until the balancer has noticed, and
+  # each answer asks its client to leave the connection.
+  Scenario: A planned stop cuts no request
+    Given routes: a plain server "a1"
+    When routes: the instance is told to stop
+    Then routes: it is not ready any more and still serves
--- a/tests/features/steps/config_logic_steps.py
+++ b/tests/features/steps/config_logic_steps.py
@@ -7,10 +7,9 @@
 import behave
 import logbook
 
-from pimentolatch import clock, fleet
+from pimentolatch import clock, fleet, store
 from pimentolatch.control import collector, configuration, heads, keeper, parts, spread
 from pimentolatch.document import changes, schema
-from pimentolatch.platform import store
 from pimentolatch.protocol import messages
 from standins import memory_store, objects
 from tests.support import config_history, config_world, schedule
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -255,13 +255,13 @@
 def replace_head(context):
     url = context.deployment.platform_url + "/v1/objects/configuration/head"
     _, before = processes.call("GET", url)
-    version = before["version"]
-    broken = {"value": {"number": "none"}}
-    processes.call("PUT", f"{url}?if_version={version}", broken)
+    metadata = before["metadata"]
+    broken = {"metadata": metadata, "spec": {"number": "none"}}
+    _, written = processes.call("PUT", url, broken)
     for entry in context.deployment.entries:
         processes.wait_for(lambda e=entry: faults_logged(context, e), "a logged fault")
-    value = {"value": before["value"]}
-    processes.call("PUT", f"{url}?if_version={version + 1}", value)
+    again = {"metadata": written["metadata"], "spec": before["spec"]}
+    processes.call("PUT", url, again)
 
 
 def faults_logged(context, entry):
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -7,7 +7,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from pimentolatch import clock
+from pimentolatch import backoff, call_budget, clock, store
 from pimentolatch.decisions import shares
 from pimentolatch.membership import (
     acknowledgements,
@@ -20,7 +20,6 @@
     view_table,
     views,
 )
-from pimentolatch.platform import backoff, budget, store
 from pimentolatch.protocol import codec, messages
 
 LAG = datetime.timedelta(seconds=30)
@@ -500,7 +499,7 @@
 def many_calls(context):
     async def go():
         time = clock.ManualClock()
-        calls = budget.CallBudget(10, time)
+        calls = call_budget.CallBudget(10, time)
         tasks = [asyncio.create_task(calls.take()) for _ in range(50)]
         for _ in range(40):
             await asyncio.sleep(0)
--- a/tests/features/steps/orders_process_steps.py
+++ b/tests/features/steps/orders_process_steps.py
@@ -74,7 +74,7 @@
 
     def slot(self):
         url = self.platform_url(f"/v1/objects/order-slots/{DOMAIN}.engine-1")
-        return processes.call("GET", url)[1]["value"]
+        return processes.call("GET", url)[1]["spec"]
 
     def orders_taken(self):
         history = processes.call("GET", self.engine_url("/history"))[1]
--- /dev/null
+++ b/tests/features/steps/routes_serving_steps.py
@@ -0,0 +1,278 @@
+import asyncio
+
+import behave
+
+from tests.support import route_world
+
+SYSTEM_FIELDS = {
+    "x-stage": "prefill",
+    "x-kv-source": "127.0.0.1:1/x",
+    "x-kv-hold": "h",
+    "x-kv-backup": "127.0.0.1:1",
+    "kv-fetch": "127.0.0.1:1",
+    "x-pin-ms": "9",
+    "x-request-urgency": "0",
+    "x-expect-version": "7",
+    "x-expect-instance": "forged",
+}
+
+
+def start(context):
+    context.runner = asyncio.Runner()
+    context.world = route_world.RouteWorld()
+    context.run = context.runner.run
+
+
+def writers(context):
+    return [s for s in context.world.servers.values() if s.stage == "decode"]
+
+
+def plain_servers(context):
+    return [s for s in context.world.servers.values() if s.stage is None]
+
+
+def keep_writers_reading(context):
+    """Make it seem that writers read so much that a prompt is read apart."""
+    _, instance = context.world.instances["one"]
+    for engine in instance.known.loads("lm").all():
+        if engine.server.stage.value == "decode":
+            engine.reading[0] += 5000
+
+
+@behave.given("routes: a store with a configuration")
+def store_with_configuration(context):
+    start(context)
+    context.run(context.world.start_store())
+    context.run(context.world.configure(1))
+
+
+@behave.given('routes: an engine "{name}" that {does}')
+def add_engine(context, name, does):
+    stage = {"reads": "prefill", "writes": "decode"}[does]
+    context.run(context.world.add_server(name, "lm", stage))
+
+
+@behave.given('routes: a plain server "{name}"')
+def add_plain(context, name):
+    context.run(context.world.add_server(name, "app"))
+    _, instance = context.world.instances["one"]
+    known = instance.known
+    context.run(context.world.until(lambda: known.servers.get(name) is not None))
+
+
+@behave.given("routes: an instance")
+def add_instance(context):
+    context.run(context.world.add_instance())
+
+
+@behave.given('routes: the next stream of each writer ends by "{fault}"')
+def fault_of_writers(context, fault):
+    first, *others = writers(context)
+    # Whichever engine is chosen first breaks; the one after it does not.
+    first.faults.append(fault)
+    for other in others:
+        other.faults.append(fault)
+        other.faults.append("")
+    context.broken = fault
+
+
+@behave.given('routes: the next call of each plain server ends by "{fault}"')
+def fault_of_each(context, fault):
+    for server in plain_servers(context):
+        server.faults.append(fault)
+
+
+@behave.given('routes: the next call of one plain server ends by "{fault}"')
+def fault_of_one(context, fault):
+    # The choice between equals falls on the first name.
+    plain_servers(context)[0].faults.append(fault)
+
+
+@behave.given('routes: the next prompt of "{name}" ends by "{fault}"')
+def fault_of_reader(context, name, fault):
+    context.world.servers[name].faults.append(fault)
+
+
+@behave.when('routes: a client asks for "{place}" as "{request_id}"')
+def ask(context, place, request_id):
+    for server in writers(context)[1:]:
+        server.faults.clear()
+    context.reply = context.run(context.world.ask(place, request_id, body=b"text"))
+
+
+@behave.when(
+    'routes: a client asks for "{place}" as "{request_id}" while writers are reading'
+)
+def ask_apart(context, place, request_id):
+    keep_writers_reading(context)
+    context.reply = context.run(context.world.ask(place, request_id))
+
+
+@behave.when(
+    'routes: a client asks for "{place}" as "{request_id}"'
+    " while writers are reading and leaves"
+)
+def ask_and_leave(context, place, request_id):
+    keep_writers_reading(context)
+
+    async def leave():
+        _, writer = await context.world.connect()
+        writer.write(route_world.request(place, request_id))
+        reader = context.world.servers["p1"]
+        await context.world.until(lambda: reader.received)
+        writer.close()
+
+    context.run(leave())
+
+
+@behave.when(
+    'routes: a client asks for "{place}" as "{request_id}"'
+    ' and writer "{name}" leaves meanwhile'
+)
+def ask_while_leaving(context, place, request_id, name):
+    keep_writers_reading(context)
+
+    async def both():
+        asked = asyncio.create_task(context.world.ask(place, request_id))
+        await context.world.until(lambda: context.world.servers["p1"].received)
+        await context.world.drain(name)
+        return await asked
+
+    context.reply = context.run(both())
+
+
+@behave.when('routes: a client asks for "{place}" with headers that are the system\'s')
+def ask_with_forged(context, place):
+    context.reply = context.run(context.world.ask(place, "r1", **SYSTEM_FIELDS))
+
+
+@behave.when("routes: the store restarts, forgets its history and has a new route")
+def restart_store(context):
+    async def restart():
+        world = context.world
+        await world.stop_store()
+        added = route_world.route("added", "app", "safe")
+        await world.configure(2, [*route_world.ROUTES, added])
+        world.platform.table.forget_history()
+        await world.start_store()
+
+    context.run(context.world.add_server("a1", "app"))
+    context.run(restart())
+
+
+@behave.when("routes: a second instance starts while it can't reach the store")
+def second_instance(context):
+    async def begin():
+        world = context.world
+        await world.add_server("a1", "app")
+        known = world.instances["one"][1].known
+        await world.until(lambda: known.servers.get("a1") is not None)
+        await world.stop_store()
+        seeds = [f"{route_world.HOST}:{world.peer_port}"]
+        await world.add_instance("two", seeds, host="127.0.0.2")
+
+    context.run(begin())
+
+
+@behave.when("routes: the instance is told to stop")
+def stop_instance(context):
+    async def begin():
+        _, instance = context.world.instances["one"]
+        context.stopping = asyncio.create_task(instance.stop())
+        await asyncio.sleep(0.05)
+
+    context.run(begin())
+
+
+@behave.then("routes: the answer is whole with {count:d} pieces")
+def whole(context, count):
+    reply = context.reply
+    assert reply.status == 200 and reply.whole, reply
+    assert reply.pieces == [str(n + 1) for n in range(count)], reply.pieces
+    assert reply.fields["x-response-seal"].startswith("seal-"), reply.fields
+
+
+@behave.then("routes: the answer is not whole and has {count:d} pieces")
+def not_whole(context, count):
+    assert context.reply.status == 200 and not context.reply.whole, context.reply
+    assert len(context.reply.pieces) == count, context.reply.pieces
+
+
+@behave.then(
+    'routes: "{name}" read "{request_id}" once and a writer ran it with its memory'
+)
+def read_apart(context, name, request_id):
+    got = context.world.servers[name].received
+    assert [item.what for item in got] == ["read"], got
+    ran = [item for s in writers(context) for item in s.received if item.what == "run"]
+    assert len(ran) == 1, ran
+    port = context.world.servers[name].port
+    source = f"{route_world.HOST}:{port}/h-{request_id}"
+    assert ran[0].fields["x-kv-source"] == source, ran[0].fields
+
+
+@behave.then('routes: each writer ran "{request_id}" once')
+def each_ran(context, request_id):
+    counts = [server.runs(request_id) for server in writers(context)]
+    assert counts == [1, 1], counts
+
+
+@behave.then('routes: "{request_id}" ran {count:d} time')
+@behave.then('routes: "{request_id}" ran {count:d} times')
+def ran_times(context, request_id, count):
+    ran = sum(s.runs(request_id) for s in context.world.servers.values())
+    assert ran == count, ran
+
+
+@behave.then("routes: the status is {status:d}")
+def status_is(context, status):
+    assert context.reply.status == status, context.reply
+    assert context.reply.whole
+
+
+@behave.then("routes: the body is the answer to this request")
+def right_body(context):
+    assert context.reply.body == b"answer of text", context.reply
+
+
+@behave.then('routes: "{name}" sees the connection of "{request_id}" closed')
+def closed(context, name, request_id):
+    server = context.world.servers[name]
+    context.run(context.world.until(lambda: request_id in server.cancelled))
+
+
+@behave.then('routes: "{name}" never got "{request_id}"')
+def never_got(context, name, request_id):
+    got = [r for r in context.world.servers[name].received if r.what == "run"]
+    assert got == [], got
+
+
+@behave.then("routes: no server got a header that the client had no right to set")
+def no_forged(context):
+    got = [r for s in context.world.servers.values() for r in s.received]
+    assert got
+    for item in got:
+        for name, value in SYSTEM_FIELDS.items():
+            assert item.fields.get(name) != value, item.fields
+
+
+@behave.then("routes: the new route is served")
+def new_route(context):
+    async def status():
+        return (await context.world.ask("added", "r1")).status
+
+    context.run(context.world.until_asked(status, 200))
+
+
+@behave.then("routes: the second instance serves the routes")
+def second_serves(context):
+    reply = context.run(context.world.ask("notify", "r1", name="two"))
+    assert reply.status == 200, reply
+
+
+@behave.then("routes: it is not ready any more and still serves")
+def stopping(context):
+    assert context.run(context.world.ask_ready("one")) == 503
+    reply = context.run(context.world.ask("notify", "r1"))
+    assert reply.status == 200, reply
+    assert reply.fields["connection"] == "close", reply.fields
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -1,11 +1,14 @@
 import asyncio
+import datetime
 
 import behave
 
-from pimentolatch import settings
-from pimentolatch.platform import client, store
+from pimentolatch import clock, settings, store
+from pimentolatch.platform import objects
 from tests.support import slow_store
 
+CALL_LIMIT = datetime.timedelta(seconds=0.2)
+
 
 @behave.given('a store that answers for the object "{name}" too late')
 def late_store(context, name):
@@ -26,32 +29,30 @@
     server = await asyncio.start_server(slow.handle, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     address = settings.Address(host=host, port=port)
-    objects = client.HttpStore(
-        settings.PlatformSettings(address=address, call_timeout_s=0.2)
-    )
+    client = objects.ObjectStore(address, CALL_LIMIT, clock.SystemClock())
     try:
-        return await work(objects)
+        return await work(client)
     finally:
-        await objects.aclose()
+        client.close()
         server.close()
 
 
-async def read_all(objects, names):
+async def read_all(client, names):
     found = {}
     for name in names:
-        found[name] = await objects.get("things", name)
+        found[name] = await client.get("things", name)
         await asyncio.sleep(slow_store.LATE_S)
     return found
 
 
-async def read_and_write(objects):
-    await objects.get("things", "a")
-    return await objects.put("things", "a", "new", if_version=1)
+async def read_and_write(client):
+    await client.get("things", "a")
+    return await client.put("things", "a", "new", if_version=1)
 
 
 @behave.when('an instance reads the objects "a", "b" and "c"')
 def read_objects(context):
-    work = with_store(context.slow_store, lambda objects: read_all(objects, "abc"))
+    work = with_store(context.slow_store, lambda client: read_all(client, "abc"))
     context.found = asyncio.run(work)
 
 
--- a/tests/support/config_world.py
+++ b/tests/support/config_world.py
@@ -11,7 +11,7 @@
 import random
 import typing
 
-from pimentolatch import fleet
+from pimentolatch import fleet, store
 from pimentolatch.control import configuration, heads, keeper, spread, watcher
 from pimentolatch.decisions import shares
 from pimentolatch.document import schema
@@ -25,7 +25,6 @@
     view_table,
     views,
 )
-from pimentolatch.platform import store
 from pimentolatch.protocol import codec, messages
 from standins import memory_store, objects
 from tests.support import config_history, schedule
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -12,12 +12,11 @@
 import random
 import typing
 
-from pimentolatch import fleet
+from pimentolatch import fleet, store
 from pimentolatch.control import drain, duty, holder, slots, targets
 from pimentolatch.decisions import roles
 from pimentolatch.document import schema
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 from standins import memory_engine, memory_store, objects
 from tests.support import history, schedule
 
--- a/tests/support/order_driver.py
+++ b/tests/support/order_driver.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import datetime
 import json
 import os
 import pathlib
@@ -19,7 +20,7 @@
 from pimentolatch.backend import orders as order_client
 from pimentolatch.control import orders, slots
 from pimentolatch.document import schema
-from pimentolatch.platform import client
+from pimentolatch.platform import objects
 from pimentolatch.requests import identity
 
 __all__ = ["main"]
@@ -80,12 +81,13 @@
         self._engine = schema.Engine(**chosen["engine"])
         self._target = slots.Target(chosen["role"], _MODELS)
         platform = settings.PlatformSettings(address=chosen["address"])
-        self._store = client.HttpStore(platform)
+        self._clock = clock.SystemClock()
+        limit = datetime.timedelta(seconds=platform.call_timeout_s)
+        self._store = objects.ObjectStore(platform.address, limit, self._clock)
         self._slots = slots.SlotObjects(self._store, chosen["failure_domain"])
         inner = order_client.HttpOrderClient(chosen["instance"])
         self._client = _FreezingClient(inner, chosen["freeze_at"])
         self._giver = orders.OrderGiver(self._slots, self._client, self._sender)
-        self._clock = clock.SystemClock()
 
     async def run(self) -> str:
         """Return the last outcome."""
@@ -99,7 +101,7 @@
                 state = await self._client.state(self._engine.address)
                 outcome = await self._step(slot, state, seen)
                 if outcome is not None:
-                    await self._store.aclose()
+                    self._store.close()
                     return outcome
             await asyncio.sleep(_PAUSE_S)
 
--- /dev/null
+++ b/tests/support/route_world.py
@@ -0,0 +1,258 @@
+"""Instances that serve routes, a store and servers, over sockets in one process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+
+import uvicorn
+
+from pimentolatch import clock
+from pimentolatch.gateway import process, settings
+from standins import platform, route_server
+
+HOST = "127.0.0.1"
+WAIT_S = 10.0
+POLL_S = 0.01
+
+
+def free_port():
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def route(name, service, kind, **fields):
+    """Return a route as the operator writes it."""
+    chosen = {
+        "name": name,
+        "host": "site.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 8000,
+        "latency_target_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "sticky": kind == "stream",
+        "resumable": False,
+        "gap_target_ms": 100,
+    }
+    return chosen | fields
+
+
+def configuration(version, routes):
+    """Return a configuration as the operator writes it."""
+    engine = {
+        "slots": 8,
+        "kv_tokens": 100_000,
+        "kv_bytes": 1000,
+        "link_mbps": 1000.0,
+        "stride": 1,
+        "handle_ttl_s": 5.0,
+        "switch_s": 1.0,
+        "models": [{"name": "m"}],
+    }
+    services = [
+        {"name": "lm", "health_path": "/health", "max_conns": 100, "engine": engine},
+        {"name": "app", "health_path": "/health", "max_conns": 100},
+    ]
+    limits = {
+        "max_header_bytes": 8192,
+        "max_body_bytes": 100_000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15_000,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+    }
+
+
+ROUTES = [
+    route("digest", "lm", "stream", resumable=True),
+    route("draft", "lm", "stream", max_attempts=1),
+    route("print", "app", "unsafe", max_attempts=1),
+    route("notify", "app", "safe"),
+]
+
+
+@dataclasses.dataclass
+class Reply:
+    """An answer as a client saw it; `whole` is False if it broke off."""
+
+    status: int
+    fields: dict
+    body: bytes
+    whole: bool
+
+    @property
+    def pieces(self):
+        lines = self.body.decode().split("\n")
+        return [line.split()[-1] for line in lines if line.startswith("data:")]
+
+
+class RouteWorld:
+    """Everything that a scenario starts."""
+
+    def __init__(self):
+        self.platform = platform.Platform()
+        self.servers = {}
+        self.instances = {}
+        self.ports = {}
+        self.readiness = {}
+        self.store_port = free_port()
+        self._store = None
+        self._store_task = None
+
+    async def start_store(self):
+        chosen = uvicorn.Config(
+            platform.build(self.platform),
+            host=HOST,
+            port=self.store_port,
+            log_config=None,
+            lifespan="off",
+        )
+        self._store = uvicorn.Server(chosen)
+        self._store.capture_signals = contextlib.nullcontext
+        self._store_task = asyncio.create_task(self._store.serve())
+        await self.until(lambda: self._store.started)
+
+    async def stop_store(self):
+        self._store.should_exit = True
+        self._store.force_exit = True
+        await self._store_task
+
+    async def configure(self, version, routes=None):
+        spec = configuration(version, ROUTES if routes is None else routes)
+        await self.write("config", "main", spec)
+
+    async def write(self, kind, name, spec):
+        current = self.platform.table.get(kind, name)
+        version = 0 if current is None else current.version
+        await self.platform.table.put(kind, name, spec, version)
+
+    async def add_server(self, name, service, stage=None, domain="here"):
+        server = route_server.RouteServer(name, service, domain, stage)
+        await server.start()
+        self.servers[name] = server
+        await self.write("servers", name, server.entry())
+        return server
+
+    async def drain(self, name):
+        self.servers[name].state = "draining"
+        await self.write("servers", name, self.servers[name].entry())
+
+    def settings(self, name, seeds=(), host=HOST):
+        return settings.GatewaySettings.model_validate(
+            {
+                "instance": name,
+                "failure_domain": "here",
+                "clients": f"{host}:{self.ports[name]}",
+                "readiness": f"{host}:{self.readiness[name]}",
+                "peers": {
+                    "host": host,
+                    "ports": [self.peer_port, self.peer_port + 1],
+                    "seeds": list(seeds),
+                },
+                "store": {"address": f"{HOST}:{self.store_port}"},
+                "bounds": {"repeat_slack": 100},
+            }
+        )
+
+    async def add_instance(self, name="one", seeds=(), host=HOST, ready=True):
+        if not self.ports:
+            self.peer_port = free_port()
+        self.ports[name] = free_port()
+        self.readiness[name] = free_port()
+        chosen = self.settings(name, seeds, host)
+        instance = process.GatewayInstance(chosen, clock.SystemClock())
+        await instance.start()
+        self.instances[name] = (host, instance)
+        if ready:
+            await self.until_ready(name)
+        return instance
+
+    async def until_ready(self, name):
+        await self.until_asked(lambda: self.ask_ready(name), 200)
+
+    async def ask_ready(self, name):
+        host, _ = self.instances[name]
+        reader, writer = await asyncio.open_connection(host, self.readiness[name])
+        writer.write(b"GET /v1/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1]) if line else 0
+
+    async def connect(self, name="one"):
+        host, _ = self.instances[name]
+        return await asyncio.open_connection(host, self.ports[name])
+
+    async def ask(self, place, request_id, *, name="one", body=b"", **fields):
+        reader, writer = await self.connect(name)
+        writer.write(request(place, request_id, body, **fields))
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await reply(reader)
+        finally:
+            writer.close()
+
+    async def until(self, condition):
+        for _ in range(round(WAIT_S / POLL_S)):
+            if condition():
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError
+
+    async def until_asked(self, ask, wanted):
+        for _ in range(round(WAIT_S / POLL_S)):
+            if await ask() == wanted:
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError
+
+    async def stop(self):
+        for _, instance in self.instances.values():
+            await instance.abort()
+        for server in self.servers.values():
+            await server.stop()
+        if self._store is not None:
+            await self.stop_store()
+
+
+def request(place, request_id, body=b"", **fields):
+    """Return the bytes of a client's request."""
+    lines = {"host": "site.example", "x-request-id": request_id}
+    lines |= {"x-deadline-ms": "6000", "content-length": str(len(body))}
+    if place in ("digest", "draft"):
+        lines |= {
+            "x-model": "m",
+            "x-token-counts": "1200,20",
+            "x-prompt-prefix": f"aa:800,{request_id}:400",
+        }
+    lines |= {name.replace("_", "-"): value for name, value in fields.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    return f"POST /{place}/x HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+async def reply(reader):
+    """Read an answer, to its end or to where it broke off."""
+    status = int((await reader.readline()).split()[1])
+    fields = {}
+    while (line := (await reader.readline()).strip()) != b"":
+        name, _, value = line.decode().partition(":")
+        fields[name.lower()] = value.strip()
+    if "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+        return Reply(status, fields, body, True)
+    body = b""
+    try:
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+    except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+        return Reply(status, fields, body, False)
+    return Reply(status, fields, body, True)
--- a/tests/support/slow_store.py
+++ b/tests/support/slow_store.py
@@ -40,7 +40,9 @@
             writer.close()
 
     async def _answer(self, name: str, writer: asyncio.StreamWriter) -> None:
-        body = json.dumps({"version": 1, "value": name}).encode()
+        body = json.dumps(
+            {"metadata": {"name": name, "revision": 1}, "spec": name}
+        ).encode()
         if name == self.late:
             await asyncio.sleep(LATE_S)
         head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
--- a/tests/support/view_world.py
+++ b/tests/support/view_world.py
@@ -8,8 +8,8 @@
 import typing
 from collections import abc
 
+from pimentolatch import store
 from pimentolatch.membership import views
-from pimentolatch.platform import store
 from tests.support import config_world, schedule
 
 __all__ = ["ViewWorld", "cut_off_start", "random_trouble", "start_in_an_outage"]
