--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,10 @@
         writes_per_second: Limit on writes.
         list_lag_s: Age of the instance list that is shown.
         weights_per_second: Limit on fetches from the weight store.
+
+    Attributes:
+        tells_gone: Whether a watch from before the known history is told so at once;
+            else it waits for the next change, as it may just after a cut.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
     ) -> None:
         self.table = objects.ObjectTable()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.tells_gone = True
         self._reads = CallLimit(reads_per_second)
         self._writes = CallLimit(writes_per_second)
         self._weights = CallLimit(weights_per_second)
@@ -140,10 +145,11 @@
             return refused
         after = int(request.query_params["watch"])
         wait = float(request.query_params.get("wait_ms", 0)) / 1000
-        if after < self.table.history_from:
+        if after < self.table.history_from and self.tells_gone:
             return JsonResponse({}, 410)
         kind = request.path_params["kind"]
         end = asyncio.get_running_loop().time() + wait
+        after = max(after, self.table.history_from)
         rows = self.table.changes(kind, after)
         # In slices, so that a watch whose caller went away ends soon.
         while not rows and (left := end - asyncio.get_running_loop().time()) > 0:
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -47,7 +47,7 @@
         faults: Taken one by one by requests that read or run; empty text for none.
             `decline`, `reset`, `cut` (in the middle of an event), `no proof`,
             `other first` (an answer to another request comes first), `fail`, `silent`,
-            `slow`.
+            `slow`, `from the start` (a resumed stream begins anew).
         received: What arrived, in order.
         cancelled: Ids of requests whose connection closed while they ran.
         freed: Handles that were freed.
@@ -202,6 +202,8 @@
         fault: str,
     ) -> bool:
         first = int(received.fields.get("last-event-id", "0")) + 1
+        if fault == "from the start":
+            first = 1
         await link.begin(200, fields)
         for number in range(first, _EVENTS + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/tests/features/routes_serving.feature
+++ b/tests/features/routes_serving.feature
@@ -21,6 +21,13 @@
     Then routes: the answer is whole with 6 pieces
     And routes: each writer ran "r1" once
 
+  # The engine that goes on begins anew instead of after the last event. What the client
+  # has already must not come twice.
+  Scenario: Events that the client has already are not passed on again
+    Given routes: the next stream of each writer ends by "cut, then from the start"
+    When routes: a client asks for "digest" as "r1"
+    Then routes: the answer is whole with 6 pieces
+
   # The route does not allow a second run. Ending the body properly would make half an
   # answer look whole; so the connection closes without the body's end.
   Scenario: A stream that may not be resumed ends so that it does not look whole
@@ -76,9 +83,11 @@
   # The client closes its connection while the prompt is being read. Without a word to
   # the engine it would read on for nobody and keep the memory.
   Scenario: Reading ends when the client leaves
-    Given routes: the next prompt of "p1" ends by "silent"
+    Given routes: an engine "p2" that reads
+    And routes: the next prompt of each reader ends by "silent"
     When routes: a client asks for "digest" as "r1" while writers are reading and leaves
-    Then routes: "p1" sees the connection of "r1" closed
+    Then routes: a reader sees the connection of "r1" closed
+    And routes: no other server gets "r1"
 
   # The writing engine was chosen before the prompt was read; while it is read, the
   # engine says that it leaves. Sent there all the same, the request would reach it when
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -1,9 +1,12 @@
 import asyncio
+import collections
 
 import behave
 
 from tests.support import route_world
 
+# Longer than a prompt may take to be read before another engine is tried.
+RETRY_S = 1.5
 SYSTEM_FIELDS = {
     "x-stage": "prefill",
     "x-kv-source": "127.0.0.1:1/x",
@@ -65,15 +68,28 @@
     context.run(context.world.add_instance())
 
 
-@behave.given('routes: the next stream of each writer ends by "{fault}"')
-def fault_of_writers(context, fault):
-    first, *others = writers(context)
+@behave.given('routes: the next stream of each writer ends by "cut"')
+def cut_of_writers(context):
     # Whichever engine is chosen first breaks; the one after it does not.
-    first.faults.append(fault)
-    for other in others:
-        other.faults.append(fault)
-        other.faults.append("")
-    context.broken = fault
+    context.shared_faults = [["cut"], []]
+    share_faults(context)
+
+
+@behave.given(
+    'routes: the next stream of each writer ends by "cut, then from the start"'
+)
+def cut_and_anew(context):
+    context.shared_faults = [["cut"], ["from the start"]]
+    share_faults(context)
+
+
+def share_faults(context):
+    """Give the engines one list of faults, in the order in which they are asked."""
+    shared = collections.deque(
+        fault for part in context.shared_faults for fault in part
+    )
+    for server in writers(context):
+        server.faults = shared
 
 
 @behave.given('routes: the next call of each plain server ends by "{fault}"')
@@ -88,6 +104,19 @@
     plain_servers(context)[0].faults.append(fault)
 
 
+@behave.given('routes: the next prompt of each reader ends by "{fault}"')
+def fault_of_readers(context, fault):
+    context.run(listed(context, "p2"))
+    for server in context.world.servers.values():
+        if server.stage == "prefill":
+            server.faults.append(fault)
+
+
+async def listed(context, name):
+    _, instance = context.world.instances["one"]
+    await context.world.until(lambda: instance.known.servers.get(name) is not None)
+
+
 @behave.given('routes: the next prompt of "{name}" ends by "{fault}"')
 def fault_of_reader(context, name, fault):
     context.world.servers[name].faults.append(fault)
@@ -95,8 +124,6 @@
 
 @behave.when('routes: a client asks for "{place}" as "{request_id}"')
 def ask(context, place, request_id):
-    for server in writers(context)[1:]:
-        server.faults.clear()
     context.reply = context.run(context.world.ask(place, request_id, body=b"text"))
 
 
@@ -118,8 +145,10 @@
     async def leave():
         _, writer = await context.world.connect()
         writer.write(route_world.request(place, request_id))
-        reader = context.world.servers["p1"]
-        await context.world.until(lambda: reader.received)
+        servers = context.world.servers
+        await context.world.until(
+            lambda: servers["p1"].received or servers["p2"].received
+        )
         writer.close()
 
     context.run(leave())
@@ -154,6 +183,7 @@
         added = route_world.route("added", "app", "safe")
         await world.configure(2, [*route_world.ROUTES, added])
         world.platform.table.forget_history()
+        world.platform.tells_gone = False
         await world.start_store()
 
     context.run(context.world.add_server("a1", "app"))
@@ -235,10 +265,24 @@
     assert context.reply.body == b"answer of text", context.reply
 
 
-@behave.then('routes: "{name}" sees the connection of "{request_id}" closed')
-def closed(context, name, request_id):
-    server = context.world.servers[name]
-    context.run(context.world.until(lambda: request_id in server.cancelled))
+@behave.then('routes: a reader sees the connection of "{request_id}" closed')
+def closed(context, request_id):
+    servers = context.world.servers.values()
+    context.run(
+        context.world.until(lambda: any(request_id in s.cancelled for s in servers))
+    )
+
+
+@behave.then('routes: no other server gets "{request_id}"')
+def gets_no_more(context, request_id):
+    context.run(asyncio.sleep(RETRY_S))
+    got = [
+        item
+        for server in context.world.servers.values()
+        for item in server.received
+        if item.fields.get("x-request-id") == request_id
+    ]
+    assert len(got) == 1, got
 
 
 @behave.then('routes: "{name}" never got "{request_id}"')
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -124,6 +124,8 @@
     async def stop_store(self):
         self._store.should_exit = True
         self._store.force_exit = True
+        for connection in list(self._store.server_state.connections):
+            connection.transport.abort()
         await self._store_task
 
     async def configure(self, version, routes=None):
