Leave a prompt at an engine that goes on answering others

Cause: the stories of refused requests showed prompts that were given up after 0.9 to 1.7 s in an engine's queue and sent to the end of another one, once or twice, until no time was left; each sending was a paid repeat.

Ruled out: dead engines; those that were given up answered others all the while. The log field level was the urgency and hid the record's own level; it is called urgency now.

Two scenarios: an engine that answers others, and one that answers nobody.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -84,6 +84,7 @@
         pause_ms: Mean time between events of its streams.
         failures: Exchanges in a row that broke off.
         declines: Requests in a row that it stated not to run.
+        answered_at: When it last answered, as a sign of life.
     """
 
     def __init__(self, server: servers.Server) -> None:
@@ -95,6 +96,7 @@
         self.failures = 0
         self.declines = 0
         self.avoid_until = datetime.timedelta()
+        self.answered_at = datetime.timedelta()
         self.peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
@@ -234,8 +236,9 @@
         milliseconds = took / datetime.timedelta(milliseconds=1)
         engine.pause_ms += _MEMORY * (milliseconds - engine.pause_ms)
 
-    def succeeded(self, engine: EngineLoad) -> None:
-        """Forget earlier failures of an engine."""
+    def succeeded(self, engine: EngineLoad, now: datetime.timedelta) -> None:
+        """Note an answer and forget earlier failures of an engine."""
+        engine.answered_at = now
         engine.failures = 0
         engine.declines = 0
 
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import datetime
+import typing
+from collections import abc
 
 import logbook
 
@@ -28,6 +30,7 @@
 
 __all__ = ["StreamForwarder"]
 
+_Outcome = typing.TypeVar("_Outcome")
 _log = logbook.Logger("streams")
 
 # The answer needs this long back to the client.
@@ -265,7 +268,7 @@
             writer=place.engine.server.server_id,
             donor=None if place.donor is None else place.donor.server.server_id,
             tokens=place.tokens,
-            level=place.level,
+            urgency=place.level,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
         )
 
@@ -303,13 +306,13 @@
             only_read=True,
             donor=_address(place.donor),
         )
-        limit = max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
         reader.reading[place.level] += cost
         try:
-            async with asyncio.timeout(limit.total_seconds()):
-                outcome = await self._client.whole(reader.server, asked, delivery)
-        except TimeoutError:
-            outcome = sending.Broken("the prompt was not read in time")
+            outcome = await self._while_alive(
+                reader,
+                self._client.whole(reader.server, asked, delivery),
+                max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected),
+            )
         finally:
             reader.reading[place.level] -= cost
         self._tell_sent(asked, reader, "read", outcome, begun)
@@ -328,11 +331,35 @@
         if progress.read_before:
             progress.arrivals += 1
         progress.read_before = True
-        loads.succeeded(reader)
+        loads.succeeded(reader, now)
         loads.read_in(ahead, place.tokens, now - begun)
         self._keep(asked, reader)
         return source
 
+    async def _while_alive(
+        self,
+        engine: engine_loads.EngineLoad,
+        call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
+        silence: datetime.timedelta,
+    ) -> _Outcome | sending.Broken:
+        """Wait for a call as long as its engine answers anybody.
+
+        A prompt that waits behind others is not helped by a second engine, where it
+        would start at the end of the queue again and cost a repeat. An engine that has
+        answered nothing in all that time has stopped.
+        """
+        task = asyncio.create_task(call)
+        begun = self._clock.monotonic()
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=silence.total_seconds())
+                if not task.done() and engine.answered_at < begun:
+                    return sending.Broken("the engine answered nobody in time")
+                begun = self._clock.monotonic()
+            return task.result()
+        finally:
+            task.cancel()
+
     def _source(
         self,
         reader: engine_loads.EngineLoad,
@@ -463,7 +490,7 @@
                 writing.answer.break_off(progress.reason)
                 return True
             return False
-        loads.succeeded(engine)
+        loads.succeeded(engine, self._clock.monotonic())
         return True
 
     async def _failed_answer(self, writing: "_Writing", opened: sending.Opened) -> bool:
--- a/src/pimentolatch/gateway/story.py
+++ b/src/pimentolatch/gateway/story.py
@@ -17,7 +17,7 @@
 ANSWERED = "answered"
 # Every event with its fields; `explain` reads them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
-    PLACED: ("reader", "writer", "donor", "tokens", "level", "expected_ms"),
+    PLACED: ("reader", "writer", "donor", "tokens", "urgency", "expected_ms"),
     SENT: ("server", "what", "outcome", "ms"),
     ANSWERED: ("route", "service", "status", "outcome", "ms", "version", "servers"),
 }
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -17,6 +17,7 @@
 __all__ = ["Received", "RouteServer"]
 
 _EVENTS = 6
+_PAUSES_S = {"slow": 0.5, "late": 1.3}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +48,8 @@
         faults: Taken one by one by requests that read or run; empty text for none.
             `decline`, `reset`, `cut` (in the middle of an event), `no proof`,
             `other first` (an answer to another request comes first), `fail`, `silent`,
-            `slow`, `from the start` (a resumed stream begins anew).
+            `slow` and `late` (pauses before the answer), `from the start` (a resumed
+            stream begins anew).
         received: What arrived, in order.
         cancelled: Ids of requests whose connection closed while they ran.
         freed: Handles that were freed.
@@ -170,9 +172,11 @@
         if fault == "silent":
             await self._until_closed(link, request_id)
             return False
-        if fault == "slow":
+        if fault in _PAUSES_S:
             closed = asyncio.create_task(self._until_closed(link, request_id))
-            await asyncio.wait({closed}, timeout=0.5)
+            await asyncio.wait({closed}, timeout=_PAUSES_S[fault])
+            if closed.done():
+                return False
             closed.cancel()
         if fault == "fail":
             await link.send(500, [*own, (b"x-response-seal", b"f")], b"failed")
--- a/tests/features/routes_serving.feature
+++ b/tests/features/routes_serving.feature
@@ -89,6 +89,25 @@
     Then routes: a reader sees the connection of "r1" closed
     And routes: no other server gets "r1"
 
+  # An engine with a queue answers others while one prompt waits longer than expected.
+  # Sent to a second engine, the prompt would start at the end of a queue again.
+  Scenario: A prompt is left at an engine that goes on answering others
+    Given routes: an engine "p2" that reads
+    And routes: engine "p1" is the one with the shorter queue
+    And routes: the next prompt of "p1" ends by "late"
+    When routes: clients ask for "digest" as "r1" and half a second later as "r2"
+    Then routes: both answers are whole
+    And routes: "p1" read 2 prompts and "p2" read 0
+
+  # The engine takes the prompt and answers nobody any more.
+  Scenario: A prompt goes to another engine when its engine answers nobody
+    Given routes: an engine "p2" that reads
+    And routes: engine "p1" is the one with the shorter queue
+    And routes: the next prompt of "p1" ends by "silent"
+    When routes: a client asks for "digest" as "r1" while writers are reading
+    Then routes: the answer is whole with 6 pieces
+    And routes: "p1" read 1 prompts and "p2" read 1
+
   # The writing engine was chosen before the prompt was read; while it is read, the
   # engine says that it leaves. Sent there all the same, the request would reach it when
   # it should get nothing new.
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -175,6 +175,41 @@
     context.reply = context.run(context.world.ask(place, "r1", **SYSTEM_FIELDS))
 
 
+@behave.given('routes: engine "{name}" is the one with the shorter queue')
+def shorter_queue(context, name):
+    context.run(listed(context, "p2"))
+    _, instance = context.world.instances["one"]
+    for engine in instance.known.loads("lm").all():
+        if engine.server.server_id not in (name, "d1", "d2"):
+            engine.reading[0] += 20_000
+
+
+@behave.when('routes: clients ask for "digest" as "r1" and half a second later as "r2"')
+def ask_twice(context):
+    keep_writers_reading(context)
+
+    async def both():
+        first = asyncio.create_task(context.world.ask("digest", "r1"))
+        await asyncio.sleep(0.5)
+        second = await context.world.ask("digest", "r2")
+        return [await first, second]
+
+    context.replies = context.run(both())
+
+
+@behave.then("routes: both answers are whole")
+def both_whole(context):
+    for reply in context.replies:
+        assert reply.status == 200 and reply.whole, reply
+
+
+@behave.then('routes: "{name}" read {count:d} prompts and "{other}" read {others:d}')
+def prompts_read(context, name, count, other, others):
+    servers = context.world.servers
+    read = [sum(r.what == "read" for r in servers[n].received) for n in (name, other)]
+    assert read == [count, others], read
+
+
 @behave.when("routes: the store restarts, forgets its history and has a new route")
 def restart_store(context):
     async def restart():
