--- /dev/null
+++ b/src/pimentolatch/gateway/attempt.py
@@ -0,0 +1,147 @@
+"""What has become of one stream request so far, and what its parts share."""
+
+import dataclasses
+import datetime
+
+from pimentolatch import clock, settings
+from pimentolatch.decisions import engine_loads, placement
+from pimentolatch.gateway import inbound, knowledge, peers, refusals, sending, story
+
+__all__ = [
+    "RETURN_TIME",
+    "Parts",
+    "Progress",
+    "Source",
+    "Writing",
+    "address_of",
+    "conclude",
+    "first_event_limit",
+]
+
+# The answer needs this long back to the client.
+RETURN_TIME = datetime.timedelta(milliseconds=10)
+# Time allowed to the first event, as a multiple of what was expected and at least.
+_FIRST_EVENT_FACTOR = 3.0
+_LEAST_FIRST_EVENT = datetime.timedelta(milliseconds=900)
+_NO_MORE_TRIES_RETRY = datetime.timedelta(milliseconds=500)
+# These promise that a request has not run, which is ours to say only if it is true.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What everything on the path of a stream uses."""
+
+    known: knowledge.Knowledge
+    client: sending.ServerClient
+    sightings: peers.Sightings
+    story: story.Story
+    clock: clock.Clock
+
+    def keep(self, asked: inbound.Inbound, engine: engine_loads.EngineLoad) -> None:
+        """Note that an engine has read a request's prompt and keeps it."""
+        assert asked.head.prompt is not None and asked.service.engine is not None
+        engine.keep(asked.head.prompt.parts, asked.service.engine.kv_tokens)
+        self.sightings.add(engine.server.server_id, asked.head.prompt.parts)
+
+    def loads(self, asked: inbound.Inbound) -> engine_loads.EngineLoads:
+        """Return the engines of a request's service."""
+        return self.known.loads(asked.service.name)
+
+    def tell_sent(
+        self,
+        asked: inbound.Inbound,
+        engine: engine_loads.EngineLoad,
+        what: str,
+        outcome: sending.Outcome,
+        since: datetime.timedelta,
+    ) -> None:
+        """Log one sending and what became of it."""
+        self.story.tell(
+            story.SENT,
+            asked.request_id,
+            wrong=not isinstance(outcome, sending.Whole | sending.Opened),
+            server=engine.server.server_id,
+            what=what,
+            outcome=sending.text_of(outcome),
+            ms=self.story.elapsed_ms(since),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """A prompt that waits at the engine that read it."""
+
+    reader: engine_loads.EngineLoad
+    handle: str
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has become of one request so far.
+
+    Attributes:
+        failed: Engines that failed or declined it.
+        ran: Engines that may have begun to write.
+        arrivals: Sendings that reached an engine, as the budget counts them.
+        read_before: An engine has read the prompt for another one.
+        last_event: Number of the last event that the client received.
+        answered: A failure that an engine gave, to be passed on if nothing better
+            comes.
+        wait: When to come back, if no engine took the request.
+        counted: The request has been counted as demand.
+    """
+
+    failed: set[str] = dataclasses.field(default_factory=set)
+    ran: int = 0
+    arrivals: int = 0
+    read_before: bool = False
+    last_event: int = 0
+    answered: sending.Whole | None = None
+    reason: str = ""
+    wait: datetime.timedelta = _NO_MORE_TRIES_RETRY
+    counted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Writing:
+    """One engine's part in answering a request.
+
+    Attributes:
+        in_place: Tokens of the prompt that the engine reads itself.
+        unread: Those of them that it has not read yet.
+    """
+
+    asked: inbound.Inbound
+    answer: inbound.Answer
+    progress: Progress
+    place: placement.InPlace | placement.Apart
+    in_place: int
+    unread: int = 0
+    first_seen: bool = False
+
+    def __post_init__(self) -> None:
+        self.unread = self.in_place
+
+
+async def conclude(answer: inbound.Answer, progress: Progress) -> None:
+    """Write the final answer of a request that no engine goes on with."""
+    whole = progress.answered
+    if answer.started:
+        answer.break_off(progress.reason)
+    elif whole is not None and whole.status not in _PROMISES:
+        await answer.whole(whole.status, whole.head.fields, whole.body)
+    elif progress.ran:
+        await answer.refuse(refusals.outcome_unknown(progress.reason))
+    else:
+        await answer.refuse(refusals.overloaded(progress.wait))
+
+
+def first_event_limit(place: placement.InPlace | placement.Apart) -> datetime.timedelta:
+    """Return how long a first event may take before its engine is doubted."""
+    return max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
+
+
+def address_of(engine: engine_loads.EngineLoad | None) -> settings.Address | None:
+    """Return an engine's address; None for no engine."""
+    return None if engine is None else engine.server.address
--- /dev/null
+++ b/src/pimentolatch/gateway/reading.py
@@ -0,0 +1,122 @@
+"""Has prompts read by one engine for another one."""
+
+import asyncio
+import datetime
+import typing
+from collections import abc
+
+import logbook
+
+from pimentolatch.decisions import engine_loads, placement
+from pimentolatch.gateway import attempt, inbound, sending
+from pimentolatch.platform import engines, heads
+
+__all__ = ["PromptReader"]
+
+_log = logbook.Logger("reading")
+_Outcome = typing.TypeVar("_Outcome")
+_RELEASE_LIMIT = datetime.timedelta(seconds=1)
+
+
+class PromptReader:
+    """Sends prompts to engines that read, and frees what nobody takes."""
+
+    def __init__(self, parts: attempt.Parts) -> None:
+        self._parts = parts
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def read(
+        self, asked: inbound.Inbound, place: placement.Apart, progress: attempt.Progress
+    ) -> attempt.Source | None:
+        """Have a prompt read; None if the engine did not."""
+        reader = place.reader
+        loads = self._parts.loads(asked)
+        begun = self._parts.clock.monotonic()
+        ahead = reader.all_reading(begun)
+        cost = loads.reading_cost(place.tokens)
+        delivery = heads.Delivery(
+            reader.server.server_id,
+            asked.until - begun - attempt.RETURN_TIME,
+            urgency=place.level,
+            only_read=True,
+            donor=attempt.address_of(place.donor),
+        )
+        reader.reading[place.level] += cost
+        try:
+            outcome = await self._while_alive(
+                reader,
+                self._parts.client.whole(reader.server, asked, delivery),
+                attempt.first_event_limit(place),
+            )
+        finally:
+            reader.reading[place.level] -= cost
+        self._parts.tell_sent(asked, reader, "read", outcome, begun)
+        source = self._source(reader, outcome)
+        now = self._parts.clock.monotonic()
+        if source is None:
+            progress.failed.add(reader.server.server_id)
+            if not isinstance(outcome, sending.NotSent):
+                progress.arrivals += 1
+            if isinstance(outcome, sending.Declined):
+                loads.declined(reader, now)
+            else:
+                loads.failed(reader, now)
+            progress.reason = f"prompt not read: {sending.text_of(outcome)}"
+            return None
+        if progress.read_before:
+            progress.arrivals += 1
+        progress.read_before = True
+        loads.succeeded(reader, now)
+        loads.read_in(ahead, place.tokens, now - begun)
+        self._parts.keep(asked, reader)
+        return source
+
+    def release(self, source: attempt.Source) -> None:
+        """Free a prompt that nobody will take, so that others get its memory."""
+        task = asyncio.create_task(self._free(source))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _while_alive(
+        self,
+        engine: engine_loads.EngineLoad,
+        call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
+        silence: datetime.timedelta,
+    ) -> _Outcome | sending.Broken:
+        """Wait for a call as long as its engine answers anybody.
+
+        A prompt that waits behind others is not helped by a second engine, where it
+        would start at the end of the queue again and cost a repeat. An engine that has
+        answered nothing in all that time has stopped.
+        """
+        task = asyncio.create_task(call)
+        begun = self._parts.clock.monotonic()
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=silence.total_seconds())
+                if not task.done() and engine.answered_at < begun:
+                    return sending.Broken("the engine answered nobody in time")
+                begun = self._parts.clock.monotonic()
+            return task.result()
+        finally:
+            task.cancel()
+
+    def _source(
+        self,
+        reader: engine_loads.EngineLoad,
+        outcome: sending.Whole | sending.NotSent | sending.Declined | sending.Broken,
+    ) -> attempt.Source | None:
+        if not isinstance(outcome, sending.Whole) or outcome.status != 200:
+            return None
+        try:
+            read = engines.decode_read_prompt(outcome.body)
+        except ValueError as error:
+            _log.warn("a reading engine gave no handle", reason=str(error))
+            return None
+        return attempt.Source(reader, read.handle)
+
+    async def _free(self, source: attempt.Source) -> None:
+        target = engines.release_target(source.handle)
+        await self._parts.client.call(
+            source.reader.server, "DELETE", target, limit=_RELEASE_LIMIT
+        )
--- /dev/null
+++ b/src/pimentolatch/gateway/writing.py
@@ -0,0 +1,211 @@
+"""Has an engine write an answer and passes its events on to the client."""
+
+import asyncio
+import datetime
+
+from pimentolatch.backend import channel
+from pimentolatch.decisions import placement
+from pimentolatch.gateway import attempt, events, inbound, reading, sending
+from pimentolatch.platform import heads
+
+__all__ = ["StreamWriter"]
+
+# An engine that is silent for this many of the route's longest pauses has stopped: a
+# batch that is full and reads prompts besides stays under two.
+_STALL_PAUSES = 4.0
+_LEAST_STALL = datetime.timedelta(milliseconds=900)
+
+
+class StreamWriter:
+    """Sends requests to engines that write.
+
+    Args:
+        parts: What everything on the path uses.
+        reader: Frees prompts that were read and not taken.
+    """
+
+    def __init__(self, parts: attempt.Parts, reader: reading.PromptReader) -> None:
+        self._parts = parts
+        self._reader = reader
+
+    async def write(
+        self,
+        asked: inbound.Inbound,
+        answer: inbound.Answer,
+        progress: attempt.Progress,
+        place: placement.InPlace | placement.Apart,
+        source: attempt.Source | None,
+    ) -> bool:
+        """Have an engine answer; True if the answer is finished."""
+        engine = place.engine
+        in_place = place.tokens if source is None else 0
+        assert asked.head.prompt is not None
+        held = asked.head.prompt.tokens + asked.head.prompt.expected_output
+        engine.writing += 1
+        engine.held += held
+        engine.reading[place.level] += in_place
+        writing = attempt.Writing(asked, answer, progress, place, in_place)
+        taken = False
+        try:
+            begun = self._parts.clock.monotonic()
+            opened = await self._open(writing, source)
+            self._parts.tell_sent(asked, engine, "run", opened, begun)
+            if not isinstance(opened, sending.Opened):
+                return self._not_opened(writing, opened)
+            taken = True
+            with self._parts.client.held(engine.server, opened):
+                return await self._pass_on(writing, opened)
+        finally:
+            engine.writing -= 1
+            engine.held -= held
+            engine.reading[place.level] -= writing.unread
+            if source is not None and not taken:
+                self._reader.release(source)
+
+    async def _open(
+        self, writing: attempt.Writing, source: attempt.Source | None
+    ) -> sending.Opened | sending.NotSent | sending.Declined | sending.Broken:
+        asked, place, progress = writing.asked, writing.place, writing.progress
+        now = self._parts.clock.monotonic()
+        resumed = progress.last_event > asked.head.last_event
+        delivery = heads.Delivery(
+            place.engine.server.server_id,
+            asked.until - now - attempt.RETURN_TIME,
+            urgency=place.level,
+            source=None
+            if source is None
+            else (source.reader.server.address, source.handle),
+            last_event=progress.last_event if resumed else None,
+            donor=attempt.address_of(place.donor) if source is None else None,
+        )
+        limit = attempt.first_event_limit(place)
+        if not asked.route.repeatable:
+            limit = asked.until - now
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._parts.client.open(
+                    place.engine.server, asked, delivery
+                )
+        except TimeoutError:
+            return sending.Broken("no answer in time")
+
+    def _not_opened(
+        self,
+        writing: attempt.Writing,
+        outcome: sending.NotSent | sending.Declined | sending.Broken,
+    ) -> bool:
+        """Note why an engine gave no answer; returns False: the request goes on."""
+        asked, progress = writing.asked, writing.progress
+        engine = writing.place.engine
+        progress.reason = sending.text_of(outcome)
+        if not isinstance(outcome, sending.NotSent):
+            progress.arrivals += 1
+        loads = self._parts.loads(asked)
+        now = self._parts.clock.monotonic()
+        progress.failed.add(engine.server.server_id)
+        if isinstance(outcome, sending.Declined):
+            loads.declined(engine, now)
+            return False
+        loads.failed(engine, now)
+        if isinstance(outcome, sending.Broken):
+            self._count_run(writing)
+        return False
+
+    def _count_run(self, writing: attempt.Writing) -> None:
+        writing.progress.ran += 1
+        if not writing.asked.route.repeatable:
+            # Nothing may run a second time, so no further engine is tried.
+            writing.progress.ran = max(
+                writing.progress.ran, writing.asked.route.most_servers
+            )
+
+    async def _pass_on(self, writing: attempt.Writing, opened: sending.Opened) -> bool:
+        """Pass an engine's events on; True if the answer is finished."""
+        asked, progress = writing.asked, writing.progress
+        engine = writing.place.engine
+        loads = self._parts.loads(asked)
+        progress.arrivals += 1
+        self._count_run(writing)
+        try:
+            if not 200 <= opened.status < 300:
+                return await self._failed_answer(writing, opened)
+            if not opened.head.sealed:
+                raise channel.BrokenError("a success without the server's proof")
+            await self._relay(writing, opened)
+        except channel.BrokenError as error:
+            opened.link.close()
+            progress.reason = str(error)
+            broken = sending.Broken(progress.reason)
+            self._parts.tell_sent(asked, engine, "stream", broken, asked.arrived)
+            progress.failed.add(engine.server.server_id)
+            loads.failed(engine, self._parts.clock.monotonic())
+            if not asked.route.repeatable and writing.answer.started:
+                writing.answer.break_off(progress.reason)
+                return True
+            return False
+        loads.succeeded(engine, self._parts.clock.monotonic())
+        return True
+
+    async def _failed_answer(
+        self, writing: attempt.Writing, opened: sending.Opened
+    ) -> bool:
+        body = bytearray()
+        while part := await opened.link.read():
+            body += part
+        progress = writing.progress
+        progress.answered = sending.Whole(opened.status, opened.head, bytes(body))
+        progress.reason = f"status {opened.status}"
+        if opened.status < 500:
+            await attempt.conclude(writing.answer, progress)
+            return True
+        progress.failed.add(writing.place.engine.server.server_id)
+        return False
+
+    async def _relay(self, writing: attempt.Writing, opened: sending.Opened) -> None:
+        """Pass whole events on until the stream's end; raises `BrokenError`."""
+        cutter = events.EventCutter()
+        answer, progress = writing.answer, writing.progress
+        last = self._parts.clock.monotonic()
+        while data := await self._read(writing, opened):
+            whole = cutter.feed(data)
+            new = [
+                e for e in whole if e.number is None or e.number > progress.last_event
+            ]
+            if not new:
+                continue
+            now = self._parts.clock.monotonic()
+            self._learn(writing, now - last)
+            last = now
+            if not answer.started:
+                await answer.start(opened.status, opened.head.fields)
+            await answer.write(b"".join(event.data for event in new))
+            progress.last_event = new[-1].number or progress.last_event
+        if cutter.cut:
+            raise channel.BrokenError("the stream ended within an event")
+        if not answer.started:
+            await answer.start(opened.status, opened.head.fields)
+        await answer.finish()
+
+    async def _read(self, writing: attempt.Writing, opened: sending.Opened) -> bytes:
+        route = writing.asked.route
+        if not route.repeatable:
+            return await opened.link.read()
+        limit = max(_STALL_PAUSES * route.pause_target, _LEAST_STALL)
+        if writing.unread:
+            limit = max(limit, attempt.first_event_limit(writing.place))
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await opened.link.read()
+        except TimeoutError:
+            raise channel.BrokenError("the engine stopped in its stream") from None
+
+    def _learn(self, writing: attempt.Writing, since: datetime.timedelta) -> None:
+        """Note the first event, and the pauses after it."""
+        engine = writing.place.engine
+        if not writing.first_seen:
+            writing.first_seen = True
+            engine.reading[writing.place.level] -= writing.unread
+            writing.unread = 0
+            self._parts.keep(writing.asked, engine)
+            return
+        self._parts.loads(writing.asked).paused(engine, since)
