Keep the hook of the routes' scenarios to themselves

Cause: the hook that ends a scenario took another feature's runner for its own and asked its world to stop; 23 scenarios of keyed calls ended in an error of the hook.

Ruled out: the keyed calls; their steps had all passed.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -6,8 +6,8 @@
     if deployment is not None:
         deployment.stop()
         context.deployment = None
-    runner = getattr(context, "runner", None)
+    runner = getattr(context, "route_runner", None)
     if runner is not None:
         runner.run(context.world.stop())
         runner.close()
-        context.runner = None
+        context.route_runner = None
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -21,9 +21,9 @@
 
 
 def start(context):
-    context.runner = asyncio.Runner()
+    context.route_runner = asyncio.Runner()
     context.world = route_world.RouteWorld()
-    context.run = context.runner.run
+    context.run = context.route_runner.run
 
 
 def writers(context):
