Drop what the configuration holds and nobody reads

Cause: five fields of services and engines were decoded and used by nothing; one of them, the bound on connections, looked as if it were kept.

--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -61,7 +61,6 @@
     engine = fields.get("engine")
     return table.Service(
         name=fields["name"],
-        most_connections=int(fields.get("max_conns", 0)),
         engine=None if engine is None else _engine(engine),
     )
 
@@ -70,12 +69,7 @@
     return table.EngineTraits(
         slots=int(fields["slots"]),
         kv_tokens=int(fields["kv_tokens"]),
-        kv_token_bytes=float(fields["kv_bytes"]),
-        # The platform calls the tokens of one event its stride.
-        tokens_per_event=int(fields.get("stride", 1)),
-        handle_lifetime=datetime.timedelta(seconds=fields.get("handle_ttl_s", 0)),
         stage_change=datetime.timedelta(seconds=fields.get("switch_s", 0)),
-        model=fields["models"][0]["name"] if fields.get("models") else "",
     )
 
 
--- a/src/pimentolatch/routes/table.py
+++ b/src/pimentolatch/routes/table.py
@@ -99,32 +99,19 @@
     Attributes:
         slots: Requests that an engine runs at once.
         kv_tokens: Tokens that fit an engine's memory.
-        kv_token_bytes: Bytes of memory for each token.
-        tokens_per_event: Output tokens in one event of a stream.
-        handle_lifetime: How long an engine keeps a prompt that was read for another.
         stage_change: How long an engine is away when its stage changes.
-        model: The model that is served.
     """
 
     slots: int
     kv_tokens: int
-    kv_token_bytes: float
-    tokens_per_event: int
-    handle_lifetime: datetime.timedelta
     stage_change: datetime.timedelta
-    model: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A group of equal backend servers; `engine` is set for model engines.
-
-    Attributes:
-        most_connections: Connections that a server accepts from all instances together.
-    """
+    """A group of equal backend servers; `engine` is set for model engines."""
 
     name: str
-    most_connections: int
     engine: EngineTraits | None
 
 
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -35,11 +35,7 @@
 TRAITS = table.EngineTraits(
     slots=8,
     kv_tokens=200_000,
-    kv_token_bytes=1000.0,
-    tokens_per_event=1,
-    handle_lifetime=SECOND,
     stage_change=SECOND,
-    model="m",
 )
 
 
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -238,7 +238,7 @@
 
 @behave.when("{rate:d} tokens a second are to be read for {seconds:d} seconds")
 def demand(context, rate, seconds):
-    traits = table.EngineTraits(64, 500_000, 1000.0, 1, SECOND, 3 * SECOND, "m")
+    traits = table.EngineTraits(64, 500_000, 3 * SECOND)
     context.planned = []
     for tick in range(seconds * 2):
         at = NOW + tick * SECOND / 2
