Name the address between instances once

Cause: the process put the address together from its parts, under an alias for a module of the same name.

--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -155,7 +155,7 @@
         """Open the socket; raises `OSError` if the address can't be had."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._chosen.host, self._chosen.ports[0])
+            lambda: self, local_addr=(self._chosen.host, self._chosen.address.port)
         )
 
     async def run(self) -> None:
@@ -224,7 +224,7 @@
             return
         data = beacons.encode(self._beacon())
         for host in self._neighbours():
-            self._transport.sendto(data, (host, self._chosen.ports[0]))
+            self._transport.sendto(data, (host, self._chosen.address.port))
 
     def _neighbours(self) -> list[str]:
         hosts = {address.host for address in self._table.addresses()} | self._told
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -10,7 +10,6 @@
 import logbook
 
 from pimentolatch import checks, clock, logs, tasks
-from pimentolatch import settings as settings_of_addresses
 from pimentolatch.decisions import repeat_budget, server_choice
 from pimentolatch.entry import gate, servers
 from pimentolatch.gateway import (
@@ -107,12 +106,11 @@
             time,
         )
         self._source = spread.PeerSource(
-            known, self._peer_table, chosen.peers.ports[0], time
+            known, self._peer_table, chosen.peers.address.port, time
         )
-        snapshots = settings_of_addresses.Address(
-            host=chosen.peers.host, port=chosen.peers.ports[0]
+        self._snapshots = servers.HttpServer(
+            spread.SnapshotFace(known), chosen.peers.address
         )
-        self._snapshots = servers.HttpServer(spread.SnapshotFace(known), snapshots)
         between = datetime.timedelta(milliseconds=chosen.bounds.lease_ms)
         self._stages = stages.StageKeeper(
             chosen.instance,
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -20,6 +20,11 @@
     ports: tuple[settings.PortNumber, settings.PortNumber]
     seeds: tuple[settings.AddressText, ...] = ()
 
+    @property
+    def address(self) -> settings.Address:
+        """Where this instance hears its peers, by datagrams and by HTTP."""
+        return settings.Address(host=self.host, port=self.ports[0])
+
 
 class StoreSettings(checks.CheckedModel):
     """The platform's store.
