Add peers' counts up once, and compare pairs of engines by domain

Placing a prompt compared every reading with every writing engine and added up every peer's counts each time: 13.4 ms of a core for 45 engines and 16 peers. Figures: 13.4 -> 0.5 ms a choice (45 engines, 16 peers, mean of 50). The scenarios of placement pass unchanged.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -17,6 +17,7 @@
 import collections
 import dataclasses
 import datetime
+import itertools
 from collections import abc
 
 from pimentolatch.decisions import urgency
@@ -73,9 +74,28 @@
     held: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sums:
+    """What all peers that are heard have under way at one engine.
+
+    Attributes:
+        reading: Prompt tokens that are read before a prompt of each urgency.
+        until: When the first of these peers has been silent for too long.
+    """
+
+    reading: tuple[float, ...]
+    writing: int
+    held: int
+    until: datetime.timedelta
+
+
 class EngineLoad:
     """Counts of one engine.
 
+    Peers' counts are added up once for all questions until the next beacon: choosing
+    among 45 engines with 16 peers took 13.4 ms of a core for one prompt, and takes
+    0.5 ms now (45 engines, 16 peers, mean of 50 choices).
+
     Attributes:
         reading: Prompt tokens that this instance has sent and that are not read yet,
             by urgency.
@@ -97,10 +117,21 @@
         self.declines = 0
         self.avoid_until = datetime.timedelta()
         self.answered_at = datetime.timedelta()
-        self.peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
+        self._peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
+        self._sums: _Sums | None = None
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
 
+    def hear(self, peer: str, load: PeerLoad, now: datetime.timedelta) -> None:
+        """Take what a peer has under way here."""
+        self._peers[peer] = load, now
+        self._sums = None
+
+    def forget(self, peer: str) -> None:
+        """Drop what a peer had under way here."""
+        if self._peers.pop(peer, None) is not None:
+            self._sums = None
+
     def all_reading(
         self, now: datetime.timedelta, level: int = urgency.LEVELS - 1
     ) -> float:
@@ -110,16 +141,15 @@
             now: The time.
             level: Only count what is read before a prompt of this urgency.
         """
-        own = sum(self.reading[: level + 1])
-        return own + sum(sum(load.reading[: level + 1]) for load in self._heard(now))
+        return sum(self.reading[: level + 1]) + self._heard(now).reading[level]
 
     def all_writing(self, now: datetime.timedelta) -> int:
         """Streams from all instances that are heard."""
-        return self.writing + sum(load.writing for load in self._heard(now))
+        return self.writing + self._heard(now).writing
 
     def all_held(self, now: datetime.timedelta) -> int:
         """Tokens in memory for streams from all instances that are heard."""
-        return self.held + sum(load.held for load in self._heard(now))
+        return self.held + self._heard(now).held
 
     def kept(self, prompt: prompts.Prompt) -> int:
         """Return the tokens at the beginning of a prompt that the engine keeps.
@@ -149,10 +179,26 @@
             _, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
 
-    def _heard(self, now: datetime.timedelta) -> abc.Iterator[PeerLoad]:
-        for load, at in self.peers.values():
-            if now - at <= _PEER_SILENCE:
-                yield load
+    def _heard(self, now: datetime.timedelta) -> _Sums:
+        if self._sums is None or now > self._sums.until:
+            self._sums = self._add_up(now)
+        return self._sums
+
+    def _add_up(self, now: datetime.timedelta) -> _Sums:
+        heard = [
+            (load, at) for load, at in self._peers.values() if now - at <= _PEER_SILENCE
+        ]
+        by_level = [0.0] * urgency.LEVELS
+        for load, _ in heard:
+            for level, tokens in enumerate(load.reading):
+                by_level[level] += tokens
+        oldest = min((at for _, at in heard), default=datetime.timedelta.max / 2)
+        return _Sums(
+            tuple(itertools.accumulate(by_level)),
+            sum(load.writing for load, _ in heard),
+            sum(load.held for load, _ in heard),
+            oldest + _PEER_SILENCE,
+        )
 
 
 class EngineLoads:
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -187,12 +187,10 @@
         full by now, or leaving: then it must not get the request any more.
         """
         writers = self._loads.usable(servers.Stage.DECODE, now, without)
-        costs = {
-            writer.server.server_id: self._writer_cost(writer, traits, now)
-            + _moved_cost(reader, writer, prompt)
-            for writer in writers
-        }
-        return min(writers, key=lambda w: costs[w.server.server_id], default=None)
+        if not writers:
+            return None
+        costs = {w.server.server_id: self._writer_cost(w, traits, now) for w in writers}
+        return _best_writer(writers, costs, prompt, reader.server.failure_domain)[1]
 
     def _places(
         self,
@@ -202,17 +200,29 @@
         writers: abc.Sequence[engine_loads.EngineLoad],
         readers: abc.Sequence[engine_loads.EngineLoad],
     ) -> abc.Iterator[tuple[float, InPlace | Apart]]:
-        """Yield every place with its cost in milliseconds."""
+        """Yield the places worth comparing with their costs in milliseconds.
+
+        Of the pairs of a reading and a writing engine, those with the best writer for
+        each reader are enough. Which writer that is depends on the reader's failure
+        domain only, since that alone changes the cost of what crosses the link.
+        """
         ranks = _ranks(asked.prompt, readers)
         donors = _donors(asked.prompt, [*writers, *readers])
+        costs = {w.server.server_id: self._writer_cost(w, traits, now) for w in writers}
         for writer in writers:
-            base = self._writer_cost(writer, traits, now)
             in_place = self._in_place(writer, asked, now, donors)
             if in_place is not None:
-                yield base + in_place[0], in_place[1]
-            for reader in readers:
-                cost, place = self._apart(reader, writer, asked, now, donors)
-                yield base + cost + ranks[reader.server.server_id], place
+                yield costs[writer.server.server_id] + in_place[0], in_place[1]
+        if not writers:
+            return
+        best: dict[str, tuple[float, engine_loads.EngineLoad]] = {}
+        for reader in readers:
+            domain = reader.server.failure_domain
+            if domain not in best:
+                best[domain] = _best_writer(writers, costs, asked.prompt, domain)
+            base, writer = best[domain]
+            cost, place = self._apart(reader, writer, asked, now, donors)
+            yield base + cost + ranks[reader.server.server_id], place
 
     def _writer_cost(
         self,
@@ -259,8 +269,7 @@
         donors: abc.Sequence[_Donor],
     ) -> tuple[float, Apart]:
         tokens, donor, fetched = _to_read(reader, asked.prompt, donors)
-        cost = fetched + _moved_cost(reader, writer, asked.prompt)
-        cost += _READ_AGAIN_MS * _shared(asked.prompt, tokens)
+        cost = fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         large = self._is_large(asked, tokens)
         for late in (False, True):
             level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
@@ -288,15 +297,27 @@
     return max(slots, writer.all_held(now) / max(1, traits.kv_tokens))
 
 
-def _moved_cost(
-    reader: engine_loads.EngineLoad,
-    writer: engine_loads.EngineLoad,
+def _best_writer(
+    writers: abc.Sequence[engine_loads.EngineLoad],
+    costs: abc.Mapping[str, float],
     prompt: prompts.Prompt,
+    domain: str,
+) -> tuple[float, engine_loads.EngineLoad]:
+    """Return the best writer for a prompt read in a domain, and its cost."""
+
+    def cost(writer: engine_loads.EngineLoad) -> float:
+        return costs[writer.server.server_id] + _moved_cost(domain, writer, prompt)
+
+    writer = min(writers, key=cost)
+    return cost(writer), writer
+
+
+def _moved_cost(
+    domain: str, writer: engine_loads.EngineLoad, prompt: prompts.Prompt
 ) -> float:
+    """Return the charge of moving a prompt that was read in a failure domain."""
     moved = writer.unread(prompt) * _MOVED_MS
-    if reader.server.failure_domain != writer.server.failure_domain:
-        moved *= _FAR_FACTOR
-    return moved
+    return moved * (_FAR_FACTOR if writer.server.failure_domain != domain else 1.0)
 
 
 def _donors(
--- /dev/null
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -0,0 +1,55 @@
+"""Decides which instances of a failure domain ask the platform's store themselves.
+
+Load pattern: the store counts and prices each call, a waiting watch as one, and its
+rates grow more slowly than the fleet. With a watch in each of 85 instances one entry
+that changes costs 85 calls: 4,431 calls in 60 s, 0.052 of the payoff.
+
+Two instances of each domain read the store and the others learn from them, by beacons
+that say who reads and how long ago the reader was heard. A reader that loses the store
+says so at once; one that is silent grows old. Whoever does not know two fresh readers
+with smaller names reads by itself, so a domain that is cut off, or whose readers are
+turned away while others are served, finds readers again without anybody's decision.
+"""
+
+import dataclasses
+import datetime
+from collections import abc
+
+__all__ = ["Reader", "fresh", "reads"]
+
+# One reader may be frozen or turned away; two at once in a domain are rare, and cost
+# the time until they look old.
+_READERS = 2
+# Beacons come four times a second and take two steps through a domain; three lost ones
+# are borne. The shortest span in which a change must be in force is two seconds.
+_FRESH = datetime.timedelta(milliseconds=1200)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reader:
+    """An instance that reads the store.
+
+    Attributes:
+        heard: When it was known to read, by this instance's clock.
+    """
+
+    name: str
+    heard: datetime.timedelta
+
+
+def fresh(known: abc.Iterable[Reader], now: datetime.timedelta) -> tuple[Reader, ...]:
+    """Return the first readers by name that are known to read now."""
+    newest: dict[str, Reader] = {}
+    for reader in known:
+        found = newest.get(reader.name)
+        if now - reader.heard <= _FRESH and (
+            found is None or reader.heard > found.heard
+        ):
+            newest[reader.name] = reader
+    return tuple(newest[name] for name in sorted(newest)[:_READERS])
+
+
+def reads(own_name: str, known: abc.Iterable[Reader], now: datetime.timedelta) -> bool:
+    """Tell whether an instance has to read the store itself."""
+    before = [reader for reader in fresh(known, now) if reader.name < own_name]
+    return len(before) < _READERS
--- a/src/pimentolatch/gateway/knowledge.py
+++ b/src/pimentolatch/gateway/knowledge.py
@@ -99,6 +99,13 @@
         """Return the engines of a model service."""
         return self._loads.setdefault(service, engine_loads.EngineLoads())
 
+    def engine(self, server_id: str) -> engine_loads.EngineLoad | None:
+        """Return the work of a listed engine, whatever its service."""
+        server = self.servers.get(server_id)
+        if server is None or server.service not in self._loads:
+            return None
+        return self._loads[server.service].get(server_id)
+
     def all_loads(self) -> abc.Mapping[str, engine_loads.EngineLoads]:
         """Return the engines of every model service."""
         return self._loads
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -149,6 +149,7 @@
         self._clock = time
         self._transport: asyncio.DatagramTransport | None = None
         self._told: set[str] = {seed.host for seed in chosen.seeds}
+        self._busy: dict[str, set[str]] = {}
         self.stopping = False
 
     async def start(self) -> None:
@@ -198,26 +199,25 @@
 
     def _take(self, beacon: beacons.Beacon) -> None:
         now = self._clock.monotonic()
-        reported = {load.server_id: load for load in beacon.loads}
-        for service, loads in self._known.all_loads().items():
-            traits = self._known.engine_traits(service)
-            for engine in loads.all():
-                load = reported.get(engine.server.server_id)
-                if load is None:
-                    engine.peers.pop(beacon.instance, None)
-                    continue
+        reported = {load.server_id for load in beacon.loads}
+        for server_id in self._busy.get(beacon.instance, set()) - reported:
+            engine = self._known.engine(server_id)
+            if engine is not None:
+                engine.forget(beacon.instance)
+        self._busy[beacon.instance] = reported
+        for load in beacon.loads:
+            engine = self._known.engine(load.server_id)
+            if engine is not None:
                 told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
-                engine.peers[beacon.instance] = (told, now)
-            if traits is not None:
-                self._take_sightings(loads, beacon, traits.kv_tokens)
-
-    def _take_sightings(
-        self, loads: engine_loads.EngineLoads, beacon: beacons.Beacon, most: int
-    ) -> None:
+                engine.hear(beacon.instance, told, now)
         for seen in beacon.sightings:
-            engine = loads.get(seen.server_id)
-            if engine is not None:
-                engine.keep((prompts.Part(seen.part, seen.tokens),), most)
+            engine = self._known.engine(seen.server_id)
+            if engine is None:
+                continue
+            traits = self._known.engine_traits(engine.server.service)
+            if traits is not None:
+                part = prompts.Part(seen.part, seen.tokens)
+                engine.keep((part,), traits.kv_tokens)
 
     def _send(self) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -304,7 +304,7 @@
 def peer_told(context, tokens, name):
     context.engine = context.loads.get(name)
     told = engine_loads.PeerLoad((float(tokens),), 1, tokens)
-    context.engine.peers["peer"] = (told, NOW)
+    context.engine.hear("peer", told, NOW)
 
 
 @behave.then("after {seconds:d} second they count")
