Serve metrics of the routes' face on an address of the settings

Cause: on-call engineers have logs and metrics only, and the routes' face served none. Pauses are those that the client sees, whichever engines its events come from. Ruled out: a label for each route or service, whose number the operator chooses. Tests: a scenario that reads the metrics over a socket after a resumed stream and a failed call.

--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -9,6 +9,7 @@
     doubting,
     inbound,
     knowledge,
+    measuring,
     peers,
     refusals,
     sending,
@@ -40,6 +41,7 @@
     doubts: doubting.EngineDoubts
     sightings: peers.Sightings
     story: story.Story
+    measured: measuring.RouteMetrics
     clock: clock.Clock
 
     def keep(self, asked: inbound.Inbound, engine: engine_loads.EngineLoad) -> None:
@@ -91,6 +93,7 @@
         arrivals: Sendings that reached an engine, as the budget counts them.
         read_before: An engine has read the prompt for another one.
         last_event: Number of the last event that the client received.
+        event_at: When the client was sent its last event.
         answered: A failure that an engine gave, to be passed on if nothing better
             comes.
         wait: When to come back, if no engine took the request.
@@ -103,6 +106,7 @@
     arrivals: int = 0
     read_before: bool = False
     last_event: int = 0
+    event_at: datetime.timedelta | None = None
     answered: sending.Whole | None = None
     reason: str = ""
     wait: datetime.timedelta = _NO_MORE_TRIES_RETRY
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -17,6 +17,7 @@
     doubting,
     inbound,
     knowledge,
+    measuring,
     peers,
     reading,
     refusals,
@@ -52,9 +53,12 @@
         own_domain: str,
         sightings: peers.Sightings,
         told: story.Story,
+        measured: measuring.RouteMetrics,
     ) -> None:
         doubts = doubting.EngineDoubts(client, told, time)
-        self._parts = attempt.Parts(known, client, doubts, sightings, told, time)
+        self._parts = attempt.Parts(
+            known, client, doubts, sightings, told, measured, time
+        )
         self._reader = reading.PromptReader(self._parts)
         self._writer = writing.StreamWriter(self._parts, self._reader)
         self._demands: dict[str, demand_rate.DemandRate] = {}
--- /dev/null
+++ b/src/pimentolatch/gateway/measuring.py
@@ -0,0 +1,151 @@
+"""Counters and histograms of one instance that serves routes.
+
+They count what the log tells, so a line that the log's budget drops still counts. No
+label takes values that clients or servers choose.
+"""
+
+import typing
+
+import prometheus_client
+from prometheus_client import core, registry
+
+from pimentolatch.entry import gate
+from pimentolatch.gateway import knowledge, peer_table, story
+
+__all__ = ["MetricsFace", "RouteMetrics", "StateCollector"]
+
+_PREFIX = "pimentolatch_"
+# Dense around the targets of today, 0.1 to 1.2 s, and up to the longest deadline.
+_SECONDS = (0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0)
+# Pauses between events: a quarter second is the longest that is on time today.
+_PAUSES = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5)
+_MS_PER_S = 1000.0
+
+_Fields = typing.Mapping[str, typing.Any]
+
+
+class RouteMetrics:
+    """The metrics, in a registry of their own so that tests can hold several."""
+
+    def __init__(self) -> None:
+        self.registry = registry.CollectorRegistry()
+        prometheus_client.ProcessCollector(registry=self.registry)
+        self._answers = self._counter(
+            "answers", "Final answers, by class of status and who gave it.", "by"
+        )
+        self._answer_seconds = self._histogram(
+            "answer_seconds", "Time from a request to the end of its answer.", _SECONDS
+        )
+        self._sendings = self._counter(
+            "sendings", "Requests sent to servers, by what was asked.", "what"
+        )
+        self._placed = self._counter("prompts", "Prompts, by where they are read.")
+        self._doubts = self._counter("doubts", "Silent engines asked, by verdict.")
+        self._expected = self._histogram(
+            "expected_first_event_seconds",
+            "Time to the first event that was expected.",
+            _SECONDS,
+        )
+        self._first_event = self._histogram(
+            "first_event_seconds", "Time from a prompt to its first event.", _SECONDS
+        )
+        self._pause = self._histogram(
+            "event_pause_seconds", "Time between two events of a stream.", _PAUSES
+        )
+
+    def saw(self, event: str, fields: _Fields, *, wrong: bool) -> None:
+        """Count an event of a request's story."""
+        if event == story.ANSWERED:
+            by = "server" if fields["outcome"] == "passed on" else "instance"
+            self._answers.labels(_status_class(int(fields["status"])), by).inc()
+            if "ms" in fields:
+                self._answer_seconds.observe(fields["ms"] / _MS_PER_S)
+        elif event == story.SENT:
+            outcome = "failed" if wrong else "answered"
+            self._sendings.labels(outcome, fields["what"]).inc()
+        elif event == story.DOUBTED:
+            self._doubts.labels(fields["verdict"]).inc()
+        elif event == story.PLACED:
+            self._placed_seen(fields)
+
+    def first_event(self, seconds: float) -> None:
+        """Count the first event of a stream."""
+        self._first_event.observe(seconds)
+
+    def pause(self, seconds: float) -> None:
+        """Count a pause between two events of a stream."""
+        self._pause.observe(seconds)
+
+    def text(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _placed_seen(self, fields: _Fields) -> None:
+        if "refused_for_ms" in fields:
+            self._placed.labels("refused").inc()
+            return
+        apart = fields["reader"] != fields["writer"]
+        self._placed.labels("apart" if apart else "in place").inc()
+        self._expected.observe(fields["expected_ms"] / _MS_PER_S)
+
+    def _counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            _PREFIX + name, text, ["outcome", *labels], registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            _PREFIX + name, text, buckets=buckets, registry=self.registry
+        )
+
+
+def _status_class(status: int) -> str:
+    return f"{status // 100}xx" if status else "client left"
+
+
+class StateCollector(registry.Collector):
+    """What an instance holds at the moment it is asked."""
+
+    def __init__(
+        self, known: knowledge.Knowledge, peers: peer_table.PeerTable, door: gate.Gate
+    ) -> None:
+        self._known = known
+        self._peers = peers
+        self._door = door
+
+    def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
+        """Yield the gauges."""
+        known = self._known
+        for name, text, value in (
+            ("requests_in_flight", "Requests now being served.", self._door.in_flight),
+            ("configuration_version", "Version in force.", known.version),
+            ("servers", "Servers that are listed.", len(known.servers.all())),
+            ("servers_revision", "Revision of the servers.", known.servers_revision),
+            ("reads_store", "Whether it reads the store.", known.reads_store),
+            ("store_lost", "Whether the store does not answer.", known.store_lost),
+            ("peers_heard", "Peers that were heard lately.", len(self._peers.live())),
+            ("fleet_instances", "Instances of the fleet.", self._peers.instances),
+        ):
+            yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
+
+
+class MetricsFace:
+    """Answers every request with the metrics (ASGI)."""
+
+    def __init__(self, measured: RouteMetrics) -> None:
+        self._measured = measured
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one request."""
+        body = self._measured.text()
+        fields = [
+            (b"content-type", prometheus_client.CONTENT_TYPE_LATEST.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        start = {"type": "http.response.start", "status": 200, "headers": fields}
+        await send(start)
+        await send({"type": "http.response.body", "body": body})
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -19,6 +19,7 @@
     knowledge,
     lapsed,
     lease,
+    measuring,
     peer_table,
     peers,
     plain,
@@ -67,7 +68,8 @@
             time,
         )
         self._sightings = peers.Sightings()
-        self._story = story.Story(time)
+        self._measured = measuring.RouteMetrics()
+        self._story = story.Story(time, self._measured)
         self._prompts = generation.StreamForwarder(
             self._known,
             self._client,
@@ -76,6 +78,7 @@
             chosen.failure_domain,
             self._sightings,
             self._story,
+            self._measured,
         )
         self._face = servers.HttpServer(
             self._route_face(), chosen.clients, protocol.protocol_class(self._known)
@@ -84,6 +87,13 @@
         self._known.on_change(self._drop_unlisted)
         self._tasks: list[asyncio.Task[None]] = []
         self._link_peers()
+        self._measured.registry.register(
+            measuring.StateCollector(self._known, self._peer_table, self._gate)
+        )
+        self._metrics_server: servers.HttpServer | None = None
+        if chosen.metrics is not None:
+            shown = measuring.MetricsFace(self._measured)
+            self._metrics_server = servers.HttpServer(shown, chosen.metrics)
 
     @property
     def budget(self) -> repeat_budget.RepeatBudget:
@@ -199,6 +209,8 @@
         ):
             kept = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(kept))
+        if self._metrics_server is not None:
+            await self._metrics_server.start()
         await self._readiness.start()
         await self._face.start()
         _log.info("started", failure_domain=self._settings.failure_domain)
@@ -247,8 +259,14 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in (self._face, self._readiness, self._snapshots):
-            server.abort()
+        for server in (
+            self._face,
+            self._readiness,
+            self._snapshots,
+            self._metrics_server,
+        ):
+            if server is not None:
+                server.abort()
         self._peers.close()
         self._source.close()
         self._client.close()
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -63,12 +63,14 @@
         failure_domain: Failure domain that it stands in.
         clients: Where requests on routes arrive.
         readiness: Where the balancer asks whether to send requests here.
+        metrics: Where metrics are served; nowhere if it is not set.
     """
 
     instance: str = pydantic.Field(min_length=1)
     failure_domain: str = pydantic.Field(min_length=1)
     clients: settings.AddressText
     readiness: settings.AddressText
+    metrics: settings.AddressText | None = None
     peers: PeerSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
--- a/src/pimentolatch/gateway/story.py
+++ b/src/pimentolatch/gateway/story.py
@@ -8,7 +8,7 @@
 from pimentolatch import clock
 from pimentolatch.decisions import log_budget
 
-__all__ = ["ANSWERED", "DOUBTED", "EVENTS", "PLACED", "SENT", "Story"]
+__all__ = ["ANSWERED", "DOUBTED", "EVENTS", "Counted", "PLACED", "SENT", "Story"]
 
 _log = logbook.Logger("request")
 
@@ -25,17 +25,33 @@
 }
 
 
+class Counted(typing.Protocol):
+    """Counts what is told."""
+
+    def saw(
+        self, event: str, fields: typing.Mapping[str, typing.Any], *, wrong: bool
+    ) -> None:
+        """Count an event of a request's story."""
+
+
 class Story:
-    """Writes the lines of all requests of an instance, within a budget."""
+    """Writes the lines of all requests of an instance, within a budget.
+
+    Args:
+        time: Clock of the budget.
+        counted: Counts every event, also those whose line is dropped.
+    """
 
-    def __init__(self, time: clock.Clock) -> None:
+    def __init__(self, time: clock.Clock, counted: Counted) -> None:
         self._clock = time
+        self._counted = counted
         self._budget = log_budget.LogBudget()
 
     def tell(
         self, event: str, request_id: str, *, wrong: bool = False, **fields: typing.Any
     ) -> None:
         """Write one line if the budget has room for it."""
+        self._counted.saw(event, fields, wrong=wrong)
         dropped = self._budget.take(event, self._clock.monotonic(), wrong=wrong)
         if dropped is None:
             return
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -173,6 +173,7 @@
                 continue
             now = self._parts.clock.monotonic()
             self._learn(writing, now - last)
+            self._measure(writing, now)
             last = now
             if not answer.started:
                 await answer.start(opened.status, opened.head.fields)
@@ -214,3 +215,12 @@
             self._parts.keep(writing.asked, engine)
             return
         self._parts.loads(writing.asked).paused(engine, since)
+
+    def _measure(self, writing: attempt.Writing, now: datetime.timedelta) -> None:
+        """Count what the client sees, whichever engines its events come from."""
+        progress, measured = writing.progress, self._parts.measured
+        if progress.event_at is None:
+            measured.first_event((now - writing.asked.arrived).total_seconds())
+        else:
+            measured.pause((now - progress.event_at).total_seconds())
+        progress.event_at = now
--- a/tests/features/routes_serving.feature
+++ b/tests/features/routes_serving.feature
@@ -167,6 +167,20 @@
     When routes: a second instance starts while it can't reach the store
     Then routes: the second instance serves the routes
 
+  # On call there are only logs and metrics. A stream that was resumed, one that nobody
+  # could serve and a call that a server failed are told apart by the counters.
+  Scenario: Metrics tell what became of requests
+    Given routes: the next stream of each writer ends by "cut"
+    And routes: a plain server "a1"
+    And routes: the next call of each plain server ends by "fail"
+    When routes: a client asks for "digest" as "r1"
+    And routes: a client asks for "print" as "r2"
+    Then routes: the metric "answers" with "2xx" of "server" is 1
+    And routes: the metric "answers" with "5xx" of "server" is 1
+    And routes: the metric "sendings" with "failed" of "stream" is 1
+    And routes: 1 first event and 5 pauses were timed
+    And routes: the gauges tell version 1 and 4 servers
+
   # Readiness ends at once; new requests are served until the balancer has noticed, and
   # each answer asks its client to leave the connection.
   Scenario: A planned stop cuts no request
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -395,3 +395,28 @@
     reply = context.run(context.world.ask("notify", "r1"))
     assert reply.status == 200, reply
     assert reply.fields["connection"] == "close", reply.fields
+
+
+@behave.then('routes: the metric "{name}" with "{outcome}" of "{what}" is {value:d}')
+def metric_is(context, name, outcome, what, value):
+    found = context.run(context.world.ask_metrics())
+    label = {"answers": "by", "sendings": "what"}[name]
+    pairs = sorted([("outcome", outcome), (label, what)])
+    labels = ",".join(f'{key}="{value}"' for key, value in pairs)
+    key = f"pimentolatch_{name}_total{{{labels}}}"
+    assert found[key] == value, {k: v for k, v in found.items() if name in k}
+
+
+@behave.then("routes: 1 first event and 5 pauses were timed")
+def timed(context):
+    found = context.run(context.world.ask_metrics())
+    assert found["pimentolatch_first_event_seconds_count"] == 1
+    # The pause from the one engine to the other is one that the client sees.
+    assert found["pimentolatch_event_pause_seconds_count"] == 5, found
+
+
+@behave.then("routes: the gauges tell version 1 and 4 servers")
+def gauges(context):
+    found = context.run(context.world.ask_metrics())
+    assert found["pimentolatch_configuration_version"] == 1
+    assert found["pimentolatch_servers"] == 4
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -104,6 +104,7 @@
         self.instances = {}
         self.ports = {}
         self.readiness = {}
+        self.metrics = {}
         self.store_port = free_port()
         self._store = None
         self._store_task = None
@@ -155,6 +156,7 @@
                 "failure_domain": "here",
                 "clients": f"{host}:{self.ports[name]}",
                 "readiness": f"{host}:{self.readiness[name]}",
+                "metrics": f"{host}:{self.metrics[name]}",
                 "peers": {
                     "host": host,
                     "ports": [self.peer_port, self.peer_port + 1],
@@ -170,6 +172,7 @@
             self.peer_port = free_port()
         self.ports[name] = free_port()
         self.readiness[name] = free_port()
+        self.metrics[name] = free_port()
         chosen = self.settings(name, seeds, host)
         instance = process.GatewayInstance(chosen, clock.SystemClock())
         await instance.start()
@@ -190,6 +193,18 @@
         writer.close()
         return int(line.split()[1]) if line else 0
 
+    async def ask_metrics(self, name="one"):
+        """Return the metrics of an instance, by name with labels."""
+        host, _ = self.instances[name]
+        reader, writer = await asyncio.open_connection(host, self.metrics[name])
+        writer.write(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        text = (await reply(reader)).body.decode()
+        writer.close()
+        lines = [line for line in text.splitlines() if not line.startswith("#")]
+        return {
+            name: float(value) for name, value in (li.rsplit(" ", 1) for li in lines)
+        }
+
     async def connect(self, name="one"):
         host, _ = self.instances[name]
         return await asyncio.open_connection(host, self.ports[name])
