Keep prompts in their failure domain in a large fleet, and tell sums between domains

Cause: in a fleet of 85 an instance hears 16 others, and what it knew of an engine's queue was a fifth to a half of it; the planner took writing engines for idle. Change: sixteen neighbours or fewer hear everything as before. In a larger fleet the ten neighbours of the own domain do; one instance of each other domain is told by every second beacon, with the sums of the sender's domain; near engines are preferred by 60 ms, and shared parts have their first engines in the own domain. Ruled out: neighbours in other domains that are always the same (some instances would be told by nobody).

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -120,6 +120,7 @@
         self.avoid_until = datetime.timedelta()
         self.answered_at = datetime.timedelta()
         self._peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
+        self._total: tuple[PeerLoad, datetime.timedelta] | None = None
         self._sums: _Sums | None = None
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
@@ -134,6 +135,23 @@
         if self._peers.pop(peer, None) is not None:
             self._sums = None
 
+    def own(self) -> PeerLoad:
+        """Return what this instance has under way here."""
+        return PeerLoad(tuple(self.reading), self.writing, self.held)
+
+    def hear_total(self, load: PeerLoad, now: datetime.timedelta) -> None:
+        """Take the sums of all instances, from one that stands near the engine."""
+        self._total = load, now
+        self._sums = None
+
+    def total(self, now: datetime.timedelta) -> PeerLoad:
+        """Return the sums of all instances, for those that are far from the engine."""
+        up_to = [self.all_reading(now, level) for level in range(urgency.LEVELS)]
+        reading = (
+            after - before for before, after in itertools.pairwise([0.0, *up_to])
+        )
+        return PeerLoad(tuple(reading), self.all_writing(now), self.all_held(now))
+
     def all_reading(
         self, now: datetime.timedelta, level: int = urgency.LEVELS - 1
     ) -> float:
@@ -187,9 +205,8 @@
         return self._sums
 
     def _add_up(self, now: datetime.timedelta) -> _Sums:
-        heard = [
-            (load, at) for load, at in self._peers.values() if now - at <= _PEER_SILENCE
-        ]
+        told = self._peers.values() if self._total is None else [self._total]
+        heard = [(load, at) for load, at in told if now - at <= _PEER_SILENCE]
         by_level = [0.0] * urgency.LEVELS
         for load, _ in heard:
             for level, tokens in enumerate(load.reading):
@@ -207,6 +224,8 @@
     """The engines of one model service.
 
     Attributes:
+        partly_heard: The fleet is too large for everybody to hear everybody, so the
+            counts of engines in other failure domains are older and less exact.
         reading_rate: Prompt tokens that an engine reads in a millisecond, as learned.
         overhead_ms: Time that each prompt takes besides, as learned.
         prompts_timed: Prompts that were read.
@@ -214,6 +233,7 @@
 
     def __init__(self) -> None:
         self._engines: dict[str, EngineLoad] = {}
+        self.partly_heard = False
         self.reading_rate = _FIRST_READING_RATE
         self.overhead_ms = _FIRST_OVERHEAD_MS
         self.prompts_timed = 0
--- a/src/pimentolatch/decisions/neighbours.py
+++ b/src/pimentolatch/decisions/neighbours.py
@@ -5,12 +5,15 @@
 a few at random, nobody knows the queue of any engine.
 
 Instances of one failure domain send mostly to its own engines, so they hear of each
-other first; a few in every other domain carry news across. Ranking pairs by a hash
-gives both ends the same view, so that most neighbours hear each other.
+other first. Ranking pairs by a hash gives both ends the same view, so that most
+neighbours hear each other. What a neighbour says stands for those of its domain that
+are not heard: its work counts as many times as there are instances there for each that
+is heard. Without that factor an instance that hears half of its domain takes a queue
+for half as long as it is.
 
-What a neighbour says stands for those of its domain that are not heard: its work counts
-as many times as there are instances there for each that is heard. Without that factor
-an instance that hears half of its domain takes a queue for half as long as it is.
+Into each other domain goes one message at a time, to another instance each time, with
+the sums of the sender's domain: so each instance hears of all engines, of the far ones
+half a second later.
 """
 
 import collections
@@ -19,15 +22,13 @@
 
 from pimentolatch.decisions import subset
 
-__all__ = ["Place", "choose", "weights"]
+__all__ = ["Neighbours", "Place", "choose", "weights"]
 
 # Fleets of today have eight instances; up to this many everybody hears everybody.
 _WHOLE_FLEET = 16
 # Neighbours in the own domain. Ten of twenty make a queue known to about a third of
 # its length; four beacons a second of some 400 bytes to ten are 16 KB/s.
 _NEAR = 10
-# Neighbours in all other domains together, at least one in each.
-_FAR = 6
 # A single prompt of a neighbour that stands for more instances than this would look
 # like a queue of its own.
 _MOST_WEIGHT = 3.0
@@ -41,8 +42,21 @@
     failure_domain: str
 
 
-def choose(own: Place, known: abc.Collection[Place]) -> list[str]:
-    """Return the hosts to tell, out of those that are known.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Neighbours:
+    """Whom an instance tells.
+
+    Attributes:
+        near: Hosts that are told everything, always.
+        far: Hosts of each other domain, of which one at a time is told.
+    """
+
+    near: tuple[str, ...]
+    far: tuple[tuple[str, ...], ...] = ()
+
+
+def choose(own: Place, known: abc.Collection[Place]) -> Neighbours:
+    """Return the instances to tell, out of those that are known.
 
     Args:
         own: This instance.
@@ -54,13 +68,12 @@
         reverse=True,
     )
     if len(ranked) <= _WHOLE_FLEET:
-        return [place.host for place in ranked]
+        return Neighbours(tuple(place.host for place in ranked))
     by_domain: dict[str, list[str]] = {}
     for place in ranked:
         by_domain.setdefault(place.failure_domain, []).append(place.host)
     near = by_domain.pop(own.failure_domain, [])[:_NEAR]
-    each = max(1, _FAR // max(1, len(by_domain)))
-    return near + [host for hosts in by_domain.values() for host in hosts[:each]]
+    return Neighbours(tuple(near), tuple(map(tuple, by_domain.values())))
 
 
 def weights(known: abc.Iterable[Place], heard: abc.Iterable[Place]) -> dict[str, float]:
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -37,8 +37,13 @@
 _FAR_FACTOR = 3.0
 # Charge of an answer whose server stands in another failure domain.
 _FOREIGN_MS = 5.0
+# The same, and for a reading engine too, in a fleet where not everybody hears
+# everybody: what is known of far engines is half a second old, so that an engine that
+# looks idle is chosen by many at once.
+_FAR_MS = 60.0
 # Charge of an engine that is not first in the ranking for the prompt's shared part.
 _RANK_MS = 20.0
+_LOWEST_RANK = 2
 # A prompt that is read in place delays the streams there. This many unread tokens may
 # wait at an engine that writes, so that no pause grows past what callers accept. Room
 # that follows the pause which the streams leave let in half as many again and served
@@ -206,7 +211,9 @@
         each reader are enough. Which writer that is depends on the reader's failure
         domain only, since that alone changes the cost of what crosses the link.
         """
-        ranks = _ranks(asked.prompt, readers)
+        near = [r for r in readers if r.server.failure_domain == self._domain]
+        ranked = near if near and self._loads.partly_heard else readers
+        ranks = _ranks(asked.prompt, ranked)
         donors = _donors(asked.prompt, [*writers, *readers])
         costs = {w.server.server_id: self._writer_cost(w, traits, now) for w in writers}
         for writer in writers:
@@ -222,7 +229,10 @@
                 best[domain] = _best_writer(writers, costs, asked.prompt, domain)
             base, writer = best[domain]
             cost, place = self._apart(reader, writer, asked, now, donors)
-            yield base + cost + ranks[reader.server.server_id], place
+            if self._loads.partly_heard:
+                cost += self._foreign_cost(reader)
+            rank = ranks.get(reader.server.server_id, _LOWEST_RANK * _RANK_MS)
+            yield base + cost + rank, place
 
     def _writer_cost(
         self,
@@ -234,9 +244,12 @@
         cost = _BATCH_MS * full
         if full > _FULL:
             cost += _OVERFULL_MS * (full - _FULL)
-        if writer.server.failure_domain != self._domain:
-            cost += _FOREIGN_MS
-        return cost
+        return cost + self._foreign_cost(writer)
+
+    def _foreign_cost(self, engine: engine_loads.EngineLoad) -> float:
+        if engine.server.failure_domain == self._domain:
+            return 0.0
+        return _FAR_MS if self._loads.partly_heard else _FOREIGN_MS
 
     def _in_place(
         self,
@@ -371,4 +384,6 @@
         key=lambda name: subset.rank(name, shared),
         reverse=True,
     )
-    return {name: _RANK_MS * min(place, 2) for place, name in enumerate(names)}
+    return {
+        name: _RANK_MS * min(place, _LOWEST_RANK) for place, name in enumerate(names)
+    }
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -1,7 +1,9 @@
 """Tells peers several times a second what this instance knows and has under way."""
 
 import asyncio
+import dataclasses
 import datetime
+import random
 import typing
 from collections import abc
 
@@ -20,8 +22,10 @@
 # Counts of work are worth little after half a second; four beacons a second keep the
 # mean age at an eighth of one.
 _INTERVAL = datetime.timedelta(milliseconds=250)
-# Whom to tell is worked out anew once a second.
+# Whom to tell is worked out anew once a second; other failure domains are told by every
+# second beacon, since bytes between them are dear.
 _BEACONS_TO_SAME = 4
+_NEAR_FOR_ONE_FAR = 2
 # A datagram stays under what passes every link unfragmented.
 _LOADS_TOLD = 40
 _SIGHTINGS_TOLD = 24
@@ -62,6 +66,7 @@
         table: Takes what is heard.
         sightings: What was sent to engines.
         demands: Returns what clients ask through this instance.
+        chance: Draws whom to tell in other failure domains.
     """
 
     def __init__(
@@ -75,7 +80,9 @@
         sightings: Sightings,
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         time: clock.Clock,
+        chance: random.Random,
     ) -> None:
+        self._chance = chance
         self._chosen = chosen
         self._name = own_name
         self._place = neighbours.Place(chosen.host, own_domain)
@@ -88,7 +95,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
         self._busy: dict[str, set[str]] = {}
-        self._hosts: list[str] = []
+        self._neighbours = neighbours.Neighbours(())
         self._weights: dict[str, float] = {}
         self.stopping = False
 
@@ -103,8 +110,10 @@
         """Send beacons for ever."""
         while True:
             self._choose()
-            for _ in range(_BEACONS_TO_SAME):
+            for number in range(_BEACONS_TO_SAME):
                 self._tell()
+                if number % _NEAR_FOR_ONE_FAR == 0:
+                    self._tell_far()
                 await self._clock.sleep(_INTERVAL)
 
     def announce_stop(self) -> None:
@@ -151,6 +160,11 @@
                     load.reading, load.writing, load.held, weight
                 )
                 engine.hear(beacon.instance, told, now)
+        for load in beacon.totals:
+            engine = self._known.engine(load.server_id)
+            if engine is not None:
+                told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
+                engine.hear_total(told, now)
         for seen in beacon.sightings:
             engine = self._known.engine(seen.server_id)
             if engine is None:
@@ -166,14 +180,24 @@
         places = self._table.places()
         known = {place.host for place in places}
         unheard = [neighbours.Place(host, "") for host in self._seeds - known]
-        self._hosts = neighbours.choose(self._place, [*places, *unheard])
+        self._neighbours = neighbours.choose(self._place, [*places, *unheard])
+        for loads in self._known.all_loads().values():
+            loads.partly_heard = bool(self._neighbours.far)
         self._weights = self._table.weights()
         live = {peer.beacon.instance for peer in self._table.live()}
         self._busy = {name: ids for name, ids in self._busy.items() if name in live}
 
     def _tell(self) -> None:
         beacon = self._beacon(_MEMBERS_TOLD, self._sightings.take())
-        self._send(self._hosts, beacon)
+        self._send(self._neighbours.near, beacon)
+
+    def _tell_far(self) -> None:
+        """Tell one instance of each other domain of the engines of this one."""
+        hosts = [self._chance.choice(hosts) for hosts in self._neighbours.far]
+        if hosts:
+            beacon = self._beacon(_MEMBERS_TOLD, ())
+            totals = tuple(self._near_totals()[:_LOADS_TOLD])
+            self._send(hosts, dataclasses.replace(beacon, totals=totals))
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -212,12 +236,21 @@
             told.append(beacons.Reader(self._name, 0))
         return tuple(told)
 
+    def _near_totals(self) -> list[beacons.Load]:
+        now = self._clock.monotonic()
+        return [
+            _load(engine, engine.total(now))
+            for loads in self._known.all_loads().values()
+            for engine in loads.all()
+            if engine.server.failure_domain == self._place.failure_domain
+        ]
+
     def _own_loads(self) -> list[beacons.Load]:
         found = []
         for loads in self._known.all_loads().values():
             for engine in loads.all():
                 if engine.writing or any(engine.reading):
-                    found.append(_load(engine))
+                    found.append(_load(engine, engine.own()))
         return sorted(found, key=lambda load: sum(load.reading), reverse=True)
 
 
@@ -225,10 +258,10 @@
     return int(span / datetime.timedelta(milliseconds=1))
 
 
-def _load(engine: engine_loads.EngineLoad) -> beacons.Load:
-    reading = [max(0, int(tokens)) for tokens in engine.reading]
+def _load(engine: engine_loads.EngineLoad, work: engine_loads.PeerLoad) -> beacons.Load:
+    reading = [max(0, int(tokens)) for tokens in work.reading]
     while reading and not reading[-1]:
         reading.pop()
     return beacons.Load(
-        engine.server.server_id, tuple(reading), engine.writing, engine.held
+        engine.server.server_id, tuple(reading), work.writing, work.held
     )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -114,11 +114,12 @@
         chosen, known, time = self._settings, self._known, self._clock
         life = uuid.uuid4().hex
         domain = chosen.failure_domain
+        chance = random.Random()
         self._peer_table = peer_table.PeerTable(
             chosen.instance,
             neighbours.Place(chosen.peers.host, domain),
             time,
-            random.Random(),
+            chance,
         )
         self._peers = peers.Peers(
             chosen.peers,
@@ -130,6 +131,7 @@
             self._sightings,
             self._prompts.demands,
             time,
+            chance,
         )
         self._lapsed = lapsed.LapsedServers(known, time)
         self._source = spread.PeerSource(
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -24,8 +24,8 @@
     "encode",
 ]
 
-_VERSION = 2
-_FIELDS = 12
+_VERSION = 3
+_FIELDS = 13
 _UNREADABLE = (
     cbor2.CBORError,
     ValueError,
@@ -38,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """Work of the sender at one engine.
+    """Work at one engine, of the sender or of all instances.
 
     Attributes:
         reading: Prompt tokens that are not read yet, by urgency.
@@ -103,6 +103,9 @@
         stopping: The sender is about to end.
         readers: Who would read the store for the sender's domain, first by name.
         members: Some of the instances that the sender knows of.
+        loads: Work of the sender.
+        totals: Work of all instances at the engines of the sender's domain, for
+            instances of other ones.
     """
 
     instance: str
@@ -116,6 +119,7 @@
     loads: tuple[Load, ...] = ()
     sightings: tuple[Sighting, ...] = ()
     demands: tuple[Demand, ...] = ()
+    totals: tuple[Load, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,13 +141,22 @@
         beacon.stopping,
         [[reader.instance, reader.age_ms] for reader in beacon.readers],
         [[member.host, member.failure_domain] for member in beacon.members],
-        [[w.server_id, list(w.reading), w.writing, w.held] for w in beacon.loads],
+        [_load_row(load) for load in beacon.loads],
         [[seen.server_id, seen.part, seen.tokens] for seen in beacon.sightings],
         [[d.service, d.reading, d.writing] for d in beacon.demands],
+        [_load_row(load) for load in beacon.totals],
     ]
     return cbor2.dumps(rows)
 
 
+def _load_row(load: Load) -> list[typing.Any]:
+    return [load.server_id, list(load.reading), load.writing, load.held]
+
+
+def _load(row: typing.Any) -> Load:
+    return Load(_text(row[0]), tuple(_counts(row[1])), *_counts(row[2:4]))
+
+
 def decode(datagram: bytes) -> Beacon | Malformed:
     """Return the beacon of a datagram; anybody may have sent it."""
     try:
@@ -159,15 +172,13 @@
             bool(rows[6]),
             tuple(Reader(_text(row[0]), _count(row[1])) for row in rows[7]),
             tuple(Member(_text(row[0]), _text(row[1])) for row in rows[8]),
-            tuple(
-                Load(_text(row[0]), tuple(_counts(row[1])), *_counts(row[2:4]))
-                for row in rows[9]
-            ),
+            tuple(_load(row) for row in rows[9]),
             tuple(
                 Sighting(_text(row[0]), _text(row[1]), _count(row[2]))
                 for row in rows[10]
             ),
             tuple(Demand(_text(row[0]), *_counts(row[1:3])) for row in rows[11]),
+            tuple(_load(row) for row in rows[12]),
         )
     except _UNREADABLE as error:
         return Malformed(repr(error))
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -386,6 +386,7 @@
         loads=(beacons.Load("p1", (0, 5), 2, 900),),
         sightings=(beacons.Sighting("p1", "aa", 800),),
         demands=(beacons.Demand("lm", 1000, 50),),
+        totals=(beacons.Load("p2", (7,), 1, 20),),
     )
 
 
