Close idle connections before counting what a stop waits for; a fault soak of our own

The stop counted requests in flight before the idle connections were closed, found none, and went on to the end. Besides, the server library would have cut answers 5 s after that moment whatever the operator's grace. Change: the stop waits until the face has closed its idle connections and answered the rest, within the grace that is left. Nine safeguards can be switched off, to see it notice. Tests: a scenario that fails without the change, both in one turn of the event loop.

--- a/src/pimentolatch/entry/servers.py
+++ b/src/pimentolatch/entry/servers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import datetime
+import math
 import typing
 from collections import abc
 
@@ -13,8 +15,8 @@
 __all__ = ["HttpServer"]
 
 _IDLE_SECONDS = 75
-# Requests have ended before the servers stop; this bounds callers that don't read.
-_CLOSE_SECONDS = 5
+# Where requests have ended before a server stops, this bounds callers that don't read.
+_CLOSE_LIMIT = datetime.timedelta(seconds=5)
 _DATE_SECONDS = 1.0
 _START_POLL_SECONDS = 0.005
 
@@ -53,6 +55,7 @@
         application: The application.
         address: Where to listen.
         protocol: Makes the protocol of each connection.
+        close_limit: How long answers under way may take once the server stops.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         application: typing.Any,
         address: settings.Address,
         protocol: typing.Callable[..., typing.Any] = guard.GuardedProtocol,
+        close_limit: datetime.timedelta = _CLOSE_LIMIT,
     ) -> None:
         self._server = _Server(
             uvicorn.Config(
@@ -75,7 +79,7 @@
                 access_log=False,
                 server_header=False,
                 timeout_keep_alive=_IDLE_SECONDS,
-                timeout_graceful_shutdown=_CLOSE_SECONDS,
+                timeout_graceful_shutdown=math.ceil(close_limit.total_seconds()),
                 backlog=2048,
             )
         )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -81,7 +81,10 @@
             self._measured,
         )
         self._face = servers.HttpServer(
-            self._route_face(), chosen.clients, protocol.protocol_class(self._known)
+            self._route_face(),
+            chosen.clients,
+            protocol.protocol_class(self._known),
+            datetime.timedelta(seconds=chosen.bounds.stop_grace_s),
         )
         self._readiness = servers.HttpServer(self._ready, chosen.readiness)
         self._known.on_change(self._drop_unlisted)
@@ -249,10 +252,14 @@
         self._peers.announce_stop()
         await self._clock.sleep(_BALANCER_NOTICE)
         grace = datetime.timedelta(seconds=self._settings.bounds.stop_grace_s)
+        left = grace - _BALANCER_NOTICE - _END_MARGIN
+        # Idle connections are closed first and requests waited for then: counted before
+        # that, there may be none, and one that arrives meanwhile is cut.
         closing = asyncio.create_task(self._face.stop())
-        if not await self._gate.wait_empty(grace - _BALANCER_NOTICE - _END_MARGIN):
+        await asyncio.wait({closing}, timeout=left.total_seconds())
+        if not closing.done():
             _log.warn("requests cut at the end of the grace", n=self._gate.in_flight)
-        closing.cancel()
+            closing.cancel()
         await self.abort()
         _log.info("stopped")
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""TCP relays that can cut a link, in one direction or both, and heal it.
+"""TCP relays that can cut a link, in one direction or both, delay it or reset it.
 
 A cut link looks like a network partition: connections stay open, nothing gets through,
 and what was sent meanwhile arrives after the healing, as TCP sends it again.
@@ -32,6 +32,8 @@
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._cuts: set[_Cut] = set()
+        self._delays: dict[str, float] = {}
+        self._open: dict[str, set[asyncio.StreamWriter]] = {}
         self._changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
 
@@ -43,9 +45,20 @@
         """Hold back what goes through a relay in a direction, from a source or all."""
         self._call(self._change(self._cuts | {_Cut(name, source, direction)}))
 
-    def heal(self) -> None:
-        """End all cuts."""
-        self._call(self._change(set()))
+    def heal(self, name: str | None = None) -> None:
+        """End all cuts and delays, or those of one relay."""
+        for delayed in list(self._delays) if name is None else [name]:
+            self._delays.pop(delayed, None)
+        kept = {cut for cut in self._cuts if name is not None and cut.target != name}
+        self._call(self._change(kept))
+
+    def delay(self, name: str, seconds: float) -> None:
+        """Hold back each piece that goes through a relay for some time."""
+        self._delays[name] = seconds
+
+    def reset(self, name: str) -> None:
+        """Reset every connection that goes through a relay."""
+        self._call(self._reset(name))
 
     def stop(self) -> None:
         """End the relays and their connections."""
@@ -83,6 +96,9 @@
         except OSError:
             writer.close()
             return
+        ends = {writer, far_writer}
+        opened = self._open.setdefault(name, set())
+        opened |= ends
         pumps = (
             asyncio.create_task(self._pump(name, source, TOWARDS, reader, far_writer)),
             asyncio.create_task(self._pump(name, source, BACK, far_reader, writer)),
@@ -93,6 +109,7 @@
             for pump in pumps:
                 pump.cancel()
             await asyncio.gather(*pumps, return_exceptions=True)
+            opened -= ends
             writer.close()
             far_writer.close()
 
@@ -105,6 +122,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         while data := await reader.read(_CHUNK):
+            await asyncio.sleep(self._delays.get(name, 0.0))
             await self._wait_open(name, source, direction)
             writer.write(data)
             await writer.drain()
@@ -120,6 +138,10 @@
     def _is_cut(self, name: str, source: str, direction: str) -> bool:
         return any(_Cut(name, who, direction) in self._cuts for who in (source, None))
 
+    async def _reset(self, name: str) -> None:
+        for writer in list(self._open.get(name, ())):
+            writer.transport.abort()
+
     async def _change(self, cuts: set[_Cut]) -> None:
         async with self._changed:
             self._cuts = cuts
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -51,6 +51,8 @@
             `slow` and `late` (pauses before the answer), `from the start` (a resumed
             stream begins anew).
         received: What arrived, in order.
+        times: When each of these arrived, by the event loop's clock.
+        listed_at: Address of its entry, if that is not its own.
         cancelled: Ids of requests whose connection closed while they ran.
         freed: Handles that were freed.
         dark: It answers no report either.
@@ -71,6 +73,8 @@
         self.state = "ready"
         self.faults: collections.deque[str] = collections.deque()
         self.received: list[Received] = []
+        self.times: list[float] = []
+        self.listed_at = ""
         self.cancelled: list[str] = []
         self.freed: list[str] = []
         self.orders: list[dict[str, typing.Any]] = []
@@ -138,6 +142,7 @@
         """Answer a request; False if the connection is to be closed."""
         expected = received.fields.get("x-expect-instance", self.server_id)
         self.received.append(received)
+        self.times.append(asyncio.get_running_loop().time())
         if expected != self.server_id:
             await link.send(421, [], b"")
             return True
@@ -181,6 +186,7 @@
         own = [(b"x-request-id", request_id.encode())]
         if fault == "decline":
             self.received.pop()
+            self.times.pop()
             await link.send(503, [*own, (b"x-not-executed", b"1")], b"")
             return True
         if fault == "reset":
@@ -197,6 +203,7 @@
             if closed.done():
                 return False
             closed.cancel()
+            await asyncio.wait({closed})
         if fault == "fail":
             await link.send(500, [*own, (b"x-response-seal", b"f")], b"failed")
             return True
--- a/tests/features/routes_serving.feature
+++ b/tests/features/routes_serving.feature
@@ -203,3 +203,14 @@
     Given routes: a plain server "a1"
     When routes: the instance is told to stop
     Then routes: it is not ready any more and still serves
+
+  # Nothing is in flight when the balancer's notice is over, so the instance ends. At that
+  # moment a request arrives on a kept connection. It was passed on to a server and its
+  # connection cut: the client had no answer, the badge was printed.
+  Scenario: A request that arrives as a planned stop ends is answered
+    Given routes: a plain server "a1"
+    And routes: the next call of each plain server ends by "slow"
+    And routes: a client with an idle connection to an instance that is stopping
+    When routes: it asks for "print" as the time for the balancer is over
+    Then routes: the status is 200
+    And routes: "r1" ran 1 time
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -441,3 +441,34 @@
     found = context.run(context.world.ask_metrics())
     assert found["pimentolatch_configuration_version"] == 1
     assert found["pimentolatch_servers"] == 4
+
+
+@behave.given(
+    "routes: a client with an idle connection to an instance that is stopping"
+)
+def stopping_instance(context):
+    context.clock = route_world.HeldClock()
+
+    async def begin():
+        world = context.world
+        await world.add_instance("two", host="127.0.0.2", time=context.clock)
+        instance = world.instances["two"][1]
+        await world.until(lambda: instance.known.servers.get("a1") is not None)
+        context.link = await world.connect("two")
+        context.stop = asyncio.create_task(instance.stop())
+        await world.until(lambda: context.clock.held)
+
+    context.run(begin())
+
+
+@behave.when('routes: it asks for "{place}" as the time for the balancer is over')
+def ask_at_the_end(context, place):
+    async def ask():
+        reader, writer = context.link
+        # Both in one turn of the event loop: the bytes wait in the socket.
+        context.clock.release()
+        writer.write(route_world.request(place, "r1"))
+        context.reply = await route_world.reply(reader)
+        await context.stop
+
+    context.run(ask())
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import datetime
 import socket
 
 import uvicorn
@@ -80,6 +81,26 @@
 ]
 
 
+class HeldClock(clock.SystemClock):
+    """Holds the sleep of a stopping instance, the only long one, until released."""
+
+    LONG = datetime.timedelta(seconds=2)
+
+    def __init__(self):
+        self._released = asyncio.Event()
+        self.held = False
+
+    def release(self):
+        self._released.set()
+
+    async def sleep(self, duration):
+        if duration < self.LONG:
+            await super().sleep(duration)
+            return
+        self.held = True
+        await self._released.wait()
+
+
 @dataclasses.dataclass
 class Reply:
     """An answer as a client saw it; `whole` is False if it broke off."""
@@ -167,14 +188,16 @@
             }
         )
 
-    async def add_instance(self, name="one", seeds=(), host=HOST, ready=True):
+    async def add_instance(
+        self, name="one", seeds=(), host=HOST, ready=True, time=None
+    ):
         if not self.ports:
             self.peer_port = free_port()
         self.ports[name] = free_port()
         self.readiness[name] = free_port()
         self.metrics[name] = free_port()
         chosen = self.settings(name, seeds, host)
-        instance = process.GatewayInstance(chosen, clock.SystemClock())
+        instance = process.GatewayInstance(chosen, time or clock.SystemClock())
         await instance.start()
         self.instances[name] = (host, instance)
         if ready:
--- /dev/null
+++ b/tests/support/soak_world.py
@@ -0,0 +1,247 @@
+"""Gateways as processes, with a store, servers and clients around them.
+
+Everything that a gateway speaks to lies behind a relay, so that faults come from
+outside: the store of each gateway, each server, and the clients' way to each gateway.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import uvicorn
+
+from standins import platform, processes, relay, route_server
+from tests.support import route_world
+
+GRACE_S = 8.0
+CLIENTS_PORT = 8080
+READY_PORT = 8081
+PEERS_PORT = 8082
+RELAY_PORT = 8090
+STORE_PORT = 9000
+SERVER_PORT = 9100
+START_LIMIT_S = 30.0
+POLL_S = 0.05
+
+
+@dataclasses.dataclass
+class Gateway:
+    """One instance; `lives` counts its starts."""
+
+    name: str
+    host: str
+    settings: pathlib.Path
+    log: pathlib.Path
+    popen: subprocess.Popen
+    lives: int = 1
+
+    @property
+    def running(self):
+        return self.popen.poll() is None
+
+
+class SoakWorld:
+    """Everything that one run starts.
+
+    Args:
+        module: Started as each gateway's program.
+        arguments: Its arguments.
+    """
+
+    def __init__(self, module="pimentolatch.gateway", arguments=()):
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._network = processes.Network()
+        self._folder = tempfile.TemporaryDirectory(prefix="pimentolatch-soak-")
+        self._numbers = itertools.count(1)
+        self.relays = relay.Relays()
+        self.platform = platform.Platform()
+        self.gateways = {}
+        self.servers = {}
+        self.gone = []
+        self.version = 0
+        self.routes = list(route_world.ROUTES)
+        self._store = None
+        self._store_task = None
+        self.store_host = self._network.address()
+
+    async def start(self, gateways, writers=3, readers=2, plain=3):
+        """Start the store, the servers and the gateways, and wait until all serve."""
+        await self.start_store()
+        await self.configure()
+        for service, stage, count in (
+            ("lm", "prefill", readers),
+            ("lm", "decode", writers),
+            ("app", None, plain),
+        ):
+            for _ in range(count):
+                await self.add_server(service, stage)
+        names = [f"g{number}" for number in range(gateways)]
+        hosts = {name: self._network.address() for name in names}
+        seeds = [f"{host}:{PEERS_PORT}" for host in list(hosts.values())[:3]]
+        for name, host in hosts.items():
+            self._add_gateway(name, host, seeds)
+        for name in names:
+            await self.until_ready(name)
+
+    async def start_store(self):
+        """Start the store, with what it held."""
+        chosen = uvicorn.Config(
+            platform.build(self.platform),
+            host=self.store_host,
+            port=STORE_PORT,
+            log_config=None,
+            lifespan="off",
+        )
+        self._store = uvicorn.Server(chosen)
+        self._store.capture_signals = contextlib.nullcontext
+        self._store_task = asyncio.create_task(self._store.serve())
+        await self.until(lambda: self._store.started)
+
+    @property
+    def store_stands(self):
+        """Whether the store answers."""
+        return self._store is not None and not self._store.should_exit
+
+    async def stop_store(self):
+        """Stop the store at once; what it holds stays."""
+        self._store.should_exit = True
+        self._store.force_exit = True
+        for connection in list(self._store.server_state.connections):
+            connection.transport.abort()
+        await self._store_task
+
+    async def configure(self, added=None):
+        """Write a new version, with one more route if there is one to add."""
+        self.version += 1
+        if added is not None:
+            self.routes.append(added)
+        spec = route_world.configuration(self.version, self.routes)
+        await self._write("config", "main", spec)
+
+    async def add_server(self, service, stage):
+        """Start a server behind a relay and list it."""
+        name = f"{stage or service}-{next(self._numbers)}"
+        server = route_server.RouteServer(name, service, "here", stage)
+        await server.start()
+        front = (self._network.address(), SERVER_PORT)
+        self.relays.start(name, front, ("127.0.0.1", server.port))
+        server.listed_at = f"{front[0]}:{front[1]}"
+        self.servers[name] = server
+        await self.list_server(name)
+        return server
+
+    async def list_server(self, name):
+        """Write a server's entry as the server would."""
+        server = self.servers[name]
+        await self._write(
+            "servers", name, server.entry() | {"address": server.listed_at}
+        )
+
+    async def remove_server(self, name):
+        """Stop a server for good and take its entry away."""
+        server = self.servers.pop(name)
+        self.gone.append(server)
+        await server.stop()
+        current = self.platform.table.get("servers", name)
+        await self.platform.table.delete("servers", name, current.version)
+
+    def restart(self, name):
+        """Start a gateway again; its old process must have ended."""
+        gateway = self.gateways[name]
+        gateway.lives += 1
+        gateway.popen = self._spawn(gateway.settings, gateway.log)
+
+    async def until_ready(self, name):
+        """Wait until a gateway tells the balancer that it is ready."""
+        for _ in range(round(START_LIMIT_S / POLL_S)):
+            if await self.is_ready(name):
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"{name} is not ready")
+
+    async def is_ready(self, name):
+        """Ask a gateway as the balancer does."""
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(
+                    self.gateways[name].host, READY_PORT
+                )
+                writer.write(b"GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    async def until(self, condition):
+        """Wait until something holds."""
+        for _ in range(round(START_LIMIT_S / POLL_S)):
+            if condition():
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError
+
+    async def stop(self):
+        """End everything that was started, by id."""
+        for gateway in self.gateways.values():
+            if gateway.running:
+                gateway.popen.send_signal(signal.SIGCONT)
+                gateway.popen.kill()
+            gateway.popen.wait()
+        for server in self.servers.values():
+            await server.stop()
+        if self.store_stands:
+            await self.stop_store()
+        self.relays.stop()
+
+    def logs(self):
+        """Return the log of each gateway."""
+        return {
+            name: gateway.log.read_text(encoding="utf-8")
+            for name, gateway in self.gateways.items()
+        }
+
+    def _add_gateway(self, name, host, seeds):
+        store = (self._network.address(), STORE_PORT)
+        self.relays.start(f"store of {name}", store, (self.store_host, STORE_PORT))
+        self.relays.start(
+            f"clients of {name}", (host, RELAY_PORT), (host, CLIENTS_PORT)
+        )
+        settings = pathlib.Path(self._folder.name) / f"{name}.jsonc"
+        fields = {
+            "instance": name,
+            "failure_domain": "here",
+            "clients": f"{host}:{CLIENTS_PORT}",
+            "readiness": f"{host}:{READY_PORT}",
+            "peers": {
+                "host": host,
+                "ports": [PEERS_PORT, PEERS_PORT],
+                "seeds": seeds,
+            },
+            "store": {"address": f"{store[0]}:{store[1]}"},
+            "bounds": {"repeat_slack": 100, "stop_grace_s": GRACE_S},
+        }
+        settings.write_text(json.dumps(fields), encoding="utf-8")
+        log = settings.with_suffix(".log")
+        popen = self._spawn(settings, log)
+        self.gateways[name] = Gateway(name, host, settings, log, popen)
+
+    def _spawn(self, settings, log):
+        environment = os.environ | {"PIMENTOLATCH_BOOT": str(settings)}
+        with log.open("ab") as output:
+            return subprocess.Popen(
+                self._command, env=environment, stdout=output, stderr=output
+            )
+
+    async def _write(self, kind, name, spec):
+        current = self.platform.table.get(kind, name)
+        version = 0 if current is None else current.version
+        await self.platform.table.put(kind, name, spec, version)
--- /dev/null
+++ b/tests/support/unsafe.py
@@ -0,0 +1,120 @@
+"""Runs a gateway with one safeguard switched off, to see the soak notice it.
+
+`python -m tests.support.unsafe NAME` patches the safeguard away and runs the daemon.
+"""
+
+import sys
+
+from pimentolatch.gateway import (
+    daemon,
+    events,
+    knowledge,
+    plain,
+    process,
+    refusals,
+    sending,
+    writing,
+)
+from pimentolatch.platform import entries
+from pimentolatch.routes import table
+
+__all__ = ["SAFEGUARDS", "main"]
+
+
+def _repeat_everything():
+    """An unsafe request goes to a second server after a lost answer."""
+    table.Route.repeatable = property(lambda self: True)
+
+
+def _promise_not_run():
+    """A request whose fate is not known is refused as not run."""
+    refusals.outcome_unknown = lambda reason: refusals.no_server(reason)
+    refusals.deadline_passed = refusals.not_run_in_time
+
+
+def _take_any_answer():
+    """The id in an answer is not compared with the request's."""
+    read = sending.heads.read_answer
+
+    def nameless(fields):
+        head = read(fields)
+        object.__setattr__(head, "request_id", "")
+        return head
+
+    sending.heads.read_answer = nameless
+
+
+def _pass_every_event_on():
+    """Events that the client has already are passed on again."""
+    numbered = events.EventCutter.feed
+
+    def feed(self, data):
+        return [events.Event(None, event.data) for event in numbered(self, data)]
+
+    writing.events.EventCutter.feed = feed
+
+
+def _pass_half_events_on():
+    """The half of an event that a crash left is passed on."""
+
+    def feed(self, data):
+        return [events.Event(None, data)]
+
+    writing.events.EventCutter.feed = feed
+
+
+def _send_to_leaving():
+    """A server that leaves goes on getting requests."""
+    decode = entries.decode
+
+    def staying(name, spec):
+        return decode(name, {**spec, "state": "ready"})
+
+    entries.decode = staying
+
+
+def _take_no_configuration():
+    """A newer configuration is not put in force."""
+    configure = knowledge.Knowledge.configure
+
+    def first_only(self, configuration, spec):
+        return self.version == 0 and configure(self, configuration, spec)
+
+    knowledge.Knowledge.configure = first_only
+
+
+def _stop_at_once():
+    """SIGTERM ends the process without waiting for its requests."""
+
+    async def stop(self):
+        await self.abort()
+
+    process.GatewayInstance.stop = stop
+
+
+def _trust_without_proof():
+    """A success without the server's proof is passed on."""
+    plain._genuine = lambda whole: True
+
+
+SAFEGUARDS = {
+    "one run of what may not be repeated": _repeat_everything,
+    "truth of not run": _promise_not_run,
+    "answers matched to requests": _take_any_answer,
+    "no event twice": _pass_every_event_on,
+    "whole events only": _pass_half_events_on,
+    "nothing to leaving servers": _send_to_leaving,
+    "new configurations": _take_no_configuration,
+    "graceful stop": _stop_at_once,
+    "proof of origin": _trust_without_proof,
+}
+
+
+def main():
+    """Switch a safeguard off and run the daemon."""
+    SAFEGUARDS[sys.argv[1]]()
+    daemon.main()
+
+
+if __name__ == "__main__":
+    main()
