Serve the store's stand-in in one place for scenarios and soak

Cause: the soak's world had the scenarios' start and stop of the store written again. Change: tests/support/served_store.py serves it for both.

--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -1,16 +1,14 @@
 """Instances that serve routes, a store and servers, over sockets in one process."""
 
 import asyncio
-import contextlib
 import dataclasses
 import datetime
 import socket
 
-import uvicorn
-
 from pimentolatch import clock
 from pimentolatch.gateway import process, settings
 from standins import platform, route_server
+from tests.support import served_store
 
 HOST = "127.0.0.1"
 WAIT_S = 10.0
@@ -127,37 +125,20 @@
         self.readiness = {}
         self.metrics = {}
         self.store_port = free_port()
-        self._store = None
-        self._store_task = None
+        self.store = served_store.ServedStore(self.platform, HOST, self.store_port)
 
     async def start_store(self):
-        chosen = uvicorn.Config(
-            platform.build(self.platform),
-            host=HOST,
-            port=self.store_port,
-            log_config=None,
-            lifespan="off",
-        )
-        self._store = uvicorn.Server(chosen)
-        self._store.capture_signals = contextlib.nullcontext
-        self._store_task = asyncio.create_task(self._store.serve())
-        await self.until(lambda: self._store.started)
+        await self.store.start()
 
     async def stop_store(self):
-        self._store.should_exit = True
-        self._store.force_exit = True
-        for connection in list(self._store.server_state.connections):
-            connection.transport.abort()
-        await self._store_task
+        await self.store.stop()
 
     async def configure(self, version, routes=None):
         spec = configuration(version, ROUTES if routes is None else routes)
         await self.write("config", "main", spec)
 
     async def write(self, kind, name, spec):
-        current = self.platform.table.get(kind, name)
-        version = 0 if current is None else current.version
-        await self.platform.table.put(kind, name, spec, version)
+        await self.store.write(kind, name, spec)
 
     async def add_server(self, name, service, stage=None, domain="here"):
         server = route_server.RouteServer(name, service, domain, stage)
@@ -260,8 +241,7 @@
             await instance.abort()
         for server in self.servers.values():
             await server.stop()
-        if self._store is not None:
-            await self.stop_store()
+        await self.stop_store()
 
 
 def follows(instance):
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -171,11 +171,11 @@
         await self._cut(name, fault, relay.BACK)
 
     async def _store_down(self, fault, struck):
-        if not self._world.store_stands:
-            return
-        await self._world.stop_store()
-        await asyncio.sleep(fault.span)
-        await self._world.start_store()
+        store = self._world.store
+        if store.stands:
+            await store.stop()
+            await asyncio.sleep(fault.span)
+            await store.start()
 
     async def _store_forgets(self, fault, struck):
         self._world.platform.table.forget_history()
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import json
@@ -16,10 +15,8 @@
 import sys
 import tempfile
 
-import uvicorn
-
 from standins import platform, processes, relay, route_server
-from tests.support import route_world
+from tests.support import route_world, served_store
 
 GRACE_S = 8.0
 CLIENTS_PORT = 8080
@@ -68,13 +65,14 @@
         self.gone = []
         self.version = 0
         self.routes = list(route_world.ROUTES)
-        self._store = None
-        self._store_task = None
-        self.store_host = self._network.address()
+        self._store_host = self._network.address()
+        self.store = served_store.ServedStore(
+            self.platform, self._store_host, STORE_PORT
+        )
 
     async def start(self, gateways, writers=3, readers=2, plain=3):
         """Start the store, the servers and the gateways, and wait until all serve."""
-        await self.start_store()
+        await self.store.start()
         await self.configure()
         for service, stage, count in (
             ("lm", "prefill", readers),
@@ -91,40 +89,13 @@
         for name in names:
             await self.until_ready(name)
 
-    async def start_store(self):
-        """Start the store, with what it held."""
-        chosen = uvicorn.Config(
-            platform.build(self.platform),
-            host=self.store_host,
-            port=STORE_PORT,
-            log_config=None,
-            lifespan="off",
-        )
-        self._store = uvicorn.Server(chosen)
-        self._store.capture_signals = contextlib.nullcontext
-        self._store_task = asyncio.create_task(self._store.serve())
-        await self.until(lambda: self._store.started)
-
-    @property
-    def store_stands(self):
-        """Whether the store answers."""
-        return self._store is not None and not self._store.should_exit
-
-    async def stop_store(self):
-        """Stop the store at once; what it holds stays."""
-        self._store.should_exit = True
-        self._store.force_exit = True
-        for connection in list(self._store.server_state.connections):
-            connection.transport.abort()
-        await self._store_task
-
     async def configure(self, added=None):
         """Write a new version, with one more route if there is one to add."""
         self.version += 1
         if added is not None:
             self.routes.append(added)
         spec = route_world.configuration(self.version, self.routes)
-        await self._write("config", "main", spec)
+        await self.store.write("config", "main", spec)
 
     async def add_server(self, service, stage):
         """Start a server behind a relay and list it."""
@@ -141,7 +112,7 @@
     async def list_server(self, name):
         """Write a server's entry as the server would."""
         server = self.servers[name]
-        await self._write(
+        await self.store.write(
             "servers", name, server.entry() | {"address": server.listed_at}
         )
 
@@ -198,8 +169,7 @@
             gateway.popen.wait()
         for server in self.servers.values():
             await server.stop()
-        if self.store_stands:
-            await self.stop_store()
+        await self.store.stop()
         self.relays.stop()
 
     def logs(self):
@@ -211,7 +181,7 @@
 
     def _add_gateway(self, name, host, seeds):
         store = (self._network.address(), STORE_PORT)
-        self.relays.start(f"store of {name}", store, (self.store_host, STORE_PORT))
+        self.relays.start(f"store of {name}", store, (self._store_host, STORE_PORT))
         self.relays.start(
             f"clients of {name}", (host, RELAY_PORT), (host, CLIENTS_PORT)
         )
@@ -240,8 +210,3 @@
             return subprocess.Popen(
                 self._command, env=environment, stdout=output, stderr=output
             )
-
-    async def _write(self, kind, name, spec):
-        current = self.platform.table.get(kind, name)
-        version = 0 if current is None else current.version
-        await self.platform.table.put(kind, name, spec, version)
