--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -296,11 +296,11 @@
 
     def __init__(self, connect_limit: datetime.timedelta) -> None:
         self._connect_limit = connect_limit
-        self._kept: dict[str, list[_Kept]] = {}
+        self._kept: dict[abc.Hashable, list[_Kept]] = {}
 
     async def take(
         self,
-        server: str,
+        server: abc.Hashable,
         address: settings.Address,
         now: datetime.timedelta,
         *,
@@ -324,7 +324,9 @@
             entry.channel.close()
         return await connect(address, self._connect_limit)
 
-    def give_back(self, server: str, channel: Channel, now: datetime.timedelta) -> None:
+    def give_back(
+        self, server: abc.Hashable, channel: Channel, now: datetime.timedelta
+    ) -> None:
         """Keep a connection if another request may use it; else close it."""
         kept = self._kept.setdefault(server, [])
         if channel.reusable and len(kept) < _IDLE_PER_SERVER:
@@ -332,7 +334,7 @@
         else:
             channel.close()
 
-    def retain(self, servers: abc.Container[str]) -> None:
+    def retain(self, servers: abc.Container[abc.Hashable]) -> None:
         """Close the kept connections of all other servers."""
         for server in [name for name in self._kept if name not in servers]:
             for entry in self._kept.pop(server):
--- a/src/pimentolatch/decisions/doubt.py
+++ b/src/pimentolatch/decisions/doubt.py
@@ -8,7 +8,8 @@
 seldom sends to an engine can't tell by what the engine answers to others.
 
 So the engine is asked. One that does not answer has stopped. One that answers, has an
-empty queue and does not run the request has lost it. In all other cases the request
+empty queue and does not run the request has lost it, and so has one that has started
+again since, whatever it is busy with. In all other cases the request
 stays: nowhere else would it be done sooner.
 """
 
@@ -31,18 +32,24 @@
 
     HAS_IT = "the engine has it"
     LOST = "the engine has lost it"
+    REBORN = "the engine has started again"
     SILENT = "the engine answers nobody"
 
 
-def judge(report: reports.EngineReport | None, request_id: str) -> Verdict:
+def judge(
+    report: reports.EngineReport | None, request_id: str, born: int | None = None
+) -> Verdict:
     """Return what has become of a request that an engine has not answered.
 
     Args:
         report: The engine's report, asked for just now; None if it did not answer.
         request_id: The request; it was sent longer ago than reports are old.
+        born: Start of the engine's life to which the request was sent, if known.
     """
     if report is None:
         return Verdict.SILENT
+    if born is not None and report.born not in (None, born):
+        return Verdict.REBORN
     if report.queued or request_id in report.runs:
         return Verdict.HAS_IT
     # Prompts that are only read run without being listed.
--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -242,7 +242,9 @@
         engines = {}
         for server in listed:
             known = self._engines.get(server.server_id)
-            if known is None:
+            if known is None or known.server.incarnation != server.incarnation:
+                # After a new start nothing of before holds: no part is kept, nothing
+                # is under way, and the failures were those of the life that ended.
                 known = EngineLoad(server)
             known.server = server
             engines[server.server_id] = known
@@ -257,7 +259,10 @@
         return self._engines.values()
 
     def usable(
-        self, stage: servers.Stage, now: datetime.timedelta, without: abc.Container[str]
+        self,
+        stage: servers.Stage,
+        now: datetime.timedelta,
+        without: abc.Container[servers.Incarnation],
     ) -> list[EngineLoad]:
         """Return the engines of a stage that take requests.
 
@@ -268,7 +273,7 @@
             for engine in self._engines.values()
             if engine.server.stage is stage
             and not engine.server.leaving
-            and engine.server.server_id not in without
+            and engine.server.incarnation not in without
         ]
         sound = [engine for engine in found if now >= engine.avoid_until]
         return sound or found
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -158,7 +158,7 @@
         asked: Asked,
         traits: table.EngineTraits,
         now: datetime.timedelta,
-        without: frozenset[str] = frozenset(),
+        without: frozenset[servers.Incarnation] = frozenset(),
     ) -> Place:
         """Return where to send a prompt.
 
@@ -184,7 +184,7 @@
         reader: engine_loads.EngineLoad,
         traits: table.EngineTraits,
         now: datetime.timedelta,
-        without: frozenset[str] = frozenset(),
+        without: frozenset[servers.Incarnation] = frozenset(),
     ) -> engine_loads.EngineLoad | None:
         """Return where to write the answer to a prompt that was just read.
 
--- a/src/pimentolatch/decisions/server_choice.py
+++ b/src/pimentolatch/decisions/server_choice.py
@@ -41,28 +41,29 @@
 
     def __init__(self, own_domain: str) -> None:
         self._domain = own_domain
-        self._records: dict[str, _Record] = collections.defaultdict(_Record)
+        self._records: dict[servers.Incarnation, _Record]
+        self._records = collections.defaultdict(_Record)
 
     def choose(
         self,
         listed: abc.Sequence[servers.Server],
         now: datetime.timedelta,
-        without: abc.Container[str] = (),
+        without: abc.Container[servers.Incarnation] = (),
     ) -> servers.Server | None:
         """Return the server with the least cost, or None if there is none."""
-        found = [server for server in listed if server.server_id not in without]
-        sound = [s for s in found if now >= self._records[s.server_id].avoid_until]
+        found = [server for server in listed if server.incarnation not in without]
+        sound = [s for s in found if now >= self._records[s.incarnation].avoid_until]
         return min(sound or found, key=self._cost, default=None)
 
     def begin(self, server: servers.Server) -> None:
         """Count a call that is sent."""
-        self._records[server.server_id].outstanding += 1
+        self._records[server.incarnation].outstanding += 1
 
     def end(
         self, server: servers.Server, now: datetime.timedelta, *, failed: bool
     ) -> None:
         """Count a call that ended."""
-        record = self._records[server.server_id]
+        record = self._records[server.incarnation]
         record.outstanding -= 1
         if not failed:
             record.failures = max(0, record.failures - 1)
@@ -71,14 +72,14 @@
         record.failures += 1
         record.avoid_until = now + min(pause, _LONGEST_PAUSE)
 
-    def retain(self, listed: abc.Container[str]) -> None:
+    def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget servers that are no longer listed and have no call."""
         for name in list(self._records):
             if name not in listed and self._records[name].outstanding <= 0:
                 del self._records[name]
 
     def _cost(self, server: servers.Server) -> tuple[float, str]:
-        cost = self._records[server.server_id].outstanding / max(1, server.slots)
+        cost = self._records[server.incarnation].outstanding / max(1, server.slots)
         if server.failure_domain != self._domain:
             cost += _FOREIGN_COST
         return cost, server.server_id
--- a/src/pimentolatch/decisions/stage_plan.py
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -65,7 +65,7 @@
 class Change:
     """An engine that should change its stage, and the figures that say so."""
 
-    server_id: str
+    engine: servers.Incarnation
     stage: servers.Stage
     reading_share: float
     writing_share: float
@@ -77,15 +77,15 @@
 
     def __init__(self) -> None:
         self._crowded_since: dict[servers.Stage, datetime.timedelta] = {}
-        self._changed: dict[str, datetime.timedelta] = {}
-        self._told: dict[str, servers.Stage] = {}
+        self._changed: dict[servers.Incarnation, datetime.timedelta] = {}
+        self._told: dict[servers.Incarnation, servers.Stage] = {}
         self._last_to: dict[servers.Stage, datetime.timedelta] = {}
         self._mix = mix.MixMemory()
 
     def changed(self, change: Change, now: datetime.timedelta) -> None:
         """Note that an engine was told to change."""
-        self._changed[change.server_id] = now
-        self._told[change.server_id] = change.stage
+        self._changed[change.engine] = now
+        self._told[change.engine] = change.stage
         self._last_to[change.stage] = now
 
     def plan(
@@ -133,7 +133,7 @@
             engine = _cheapest(givers, readers, writers, moving, now)
             if engine is not None:
                 return Change(
-                    engine.server.server_id,
+                    engine.server.incarnation,
                     stage,
                     reading_share,
                     writing_share,
@@ -155,12 +155,14 @@
             stage: [] for stage in servers.Stage
         }
         for engine in (*readers, *writers):
-            stage = self._told.get(engine.server.server_id) or engine.server.stage
+            stage = self._told.get(engine.server.incarnation) or engine.server.stage
             if stage is not None:
                 ordered[stage].append(engine)
         return ordered[servers.Stage.PREFILL], ordered[servers.Stage.DECODE]
 
-    def _moving(self, traits: table.EngineTraits, now: datetime.timedelta) -> set[str]:
+    def _moving(
+        self, traits: table.EngineTraits, now: datetime.timedelta
+    ) -> set[servers.Incarnation]:
         away = traits.stage_change + _STREAMS_END
         self._changed = {
             name: at for name, at in self._changed.items() if now - at < 4 * away
@@ -250,7 +252,7 @@
     givers: abc.Sequence[engine_loads.EngineLoad],
     readers: abc.Sequence[engine_loads.EngineLoad],
     writers: abc.Sequence[engine_loads.EngineLoad],
-    moving: abc.Container[str],
+    moving: abc.Container[servers.Incarnation],
     now: datetime.timedelta,
 ) -> engine_loads.EngineLoad | None:
     """Return the engine that a stage can best spare.
@@ -268,5 +270,5 @@
         work = engine.all_writing(now) + engine.all_reading(now) / 1000
         return (others - own, work, engine.server.server_id)
 
-    found = [e for e in givers if e.server.server_id not in moving]
+    found = [e for e in givers if e.server.incarnation not in moving]
     return min(found, key=cost, default=None)
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -15,6 +15,7 @@
     sending,
     story,
 )
+from pimentolatch.routes import servers
 
 __all__ = [
     "Parts",
@@ -48,7 +49,7 @@
         """Note that an engine has read a request's prompt and keeps it."""
         assert asked.head.prompt is not None and asked.service.engine is not None
         engine.keep(asked.head.prompt.parts, asked.service.engine.kv_tokens)
-        self.sightings.add(engine.server.server_id, asked.head.prompt.parts)
+        self.sightings.add(engine.server.incarnation, asked.head.prompt.parts)
 
     def loads(self, asked: inbound.Inbound) -> engine_loads.EngineLoads:
         """Return the engines of a request's service."""
@@ -107,7 +108,7 @@
         counted: The request has been counted as demand.
     """
 
-    failed: set[str] = dataclasses.field(default_factory=set)
+    failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     ran: int = 0
     open: bool = False
     arrivals: int = 0
--- a/src/pimentolatch/gateway/doubting.py
+++ b/src/pimentolatch/gateway/doubting.py
@@ -29,14 +29,14 @@
         self._client = client
         self._story = told
         self._clock = time
-        self._asked: dict[str, tuple[datetime.timedelta, _Asked]] = {}
+        self._asked: dict[servers.Incarnation, tuple[datetime.timedelta, _Asked]] = {}
 
     async def verdict(
         self, engine: engine_loads.EngineLoad, request_id: str
     ) -> doubt.Verdict:
         """Ask an engine what has become of a request."""
         report = await self._report(engine.server)
-        verdict = doubt.judge(report, request_id)
+        verdict = doubt.judge(report, request_id, engine.server.born)
         self._story.tell(
             story.DOUBTED,
             request_id,
@@ -74,11 +74,11 @@
 
     async def _report(self, server: servers.Server) -> reports.EngineReport | None:
         now = self._clock.monotonic()
-        at, asked = self._asked.get(server.server_id, (now, None))
+        at, asked = self._asked.get(server.incarnation, (now, None))
         if asked is None or (asked.done() and now - at > doubt.FRESH):
             self._asked = {n: a for n, a in self._asked.items() if not a[1].done()}
             asked = asyncio.create_task(self._ask(server))
-            self._asked[server.server_id] = now, asked
+            self._asked[server.incarnation] = now, asked
         # One request that leaves must not end the question of the others.
         return await asyncio.shield(asked)
 
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -158,6 +158,9 @@
         changed their stage.
         """
         for _ in range(_MOST_HANDOVERS):
+            if self._parts.known.has_ended(source.reader.server.incarnation):
+                progress.reason = "the engine that read the prompt started again"
+                return False
             writer = self._choose_writer(asked, source, progress)
             if writer is None or not self._may_send(asked, progress):
                 return await self._give_up(answer, progress)
--- a/src/pimentolatch/gateway/knowledge.py
+++ b/src/pimentolatch/gateway/knowledge.py
@@ -19,7 +19,6 @@
     Attributes:
         configuration: None until one was read.
         configuration_spec: The same as the store holds it, for peers.
-        server_specs: The servers as the store holds them, for peers.
         servers_revision: Revision of the store up to which the servers are known.
         servers_listed: Whether the servers were ever read.
         reads_store: Whether this instance follows the store itself.
@@ -30,7 +29,6 @@
     def __init__(self) -> None:
         self.configuration: table.Configuration | None = None
         self.configuration_spec: typing.Any = None
-        self.server_specs: dict[str, typing.Any] = {}
         self.servers = servers.ServerTable()
         self.servers_revision = 0
         self.servers_listed = False
@@ -65,13 +63,11 @@
     def list_servers(
         self,
         revision: int,
-        specs: abc.Mapping[str, typing.Any],
         listed: abc.Iterable[servers.Server],
     ) -> bool:
         """Take a whole listing if it is newer; tells whether it was taken."""
         if self.servers_listed and revision < self.servers_revision:
             return False
-        self.server_specs = dict(specs)
         self.servers.replace(listed)
         self.servers_revision = revision
         self.servers_listed = True
@@ -81,7 +77,6 @@
     def change_servers(
         self,
         revision: int,
-        specs: abc.Mapping[str, typing.Any],
         changed: abc.Iterable[servers.Server],
         removed: abc.Iterable[str],
     ) -> None:
@@ -89,7 +84,6 @@
         if revision <= self.servers_revision:
             return
         self.servers_revision = revision
-        self.server_specs.update(specs)
         self._change(changed, removed)
 
     def drop_servers(self, removed: abc.Iterable[str]) -> None:
@@ -106,12 +100,24 @@
         """Return the engines of a model service."""
         return self._loads.setdefault(service, engine_loads.EngineLoads())
 
-    def engine(self, server_id: str) -> engine_loads.EngineLoad | None:
+    def engine(
+        self, incarnation: servers.Incarnation
+    ) -> engine_loads.EngineLoad | None:
         """Return the work of a listed engine, whatever its service."""
-        server = self.servers.get(server_id)
+        server = self.servers.get(incarnation.server_id)
         if server is None or server.service not in self._loads:
             return None
-        return self._loads[server.service].get(server_id)
+        if server.incarnation != incarnation:
+            return None
+        return self._loads[server.service].get(incarnation.server_id)
+
+    def has_ended(self, incarnation: servers.Incarnation) -> bool:
+        """Tell whether another life of a server is listed in place of this one.
+
+        One that is not listed at all may still serve what it has.
+        """
+        server = self.servers.get(incarnation.server_id)
+        return server is not None and server.incarnation != incarnation
 
     def all_loads(self) -> abc.Mapping[str, engine_loads.EngineLoads]:
         """Return the engines of every model service."""
@@ -120,10 +126,7 @@
     def _change(
         self, changed: abc.Iterable[servers.Server], removed: abc.Iterable[str]
     ) -> None:
-        gone = tuple(removed)
-        for name in gone:
-            self.server_specs.pop(name, None)
-        self.servers.change(changed, gone)
+        self.servers.change(changed, removed)
         self._share_servers()
 
     def _share_servers(self) -> None:
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -15,6 +15,7 @@
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
+from pimentolatch.routes import servers
 
 __all__ = ["Peers", "Sightings"]
 
@@ -45,10 +46,12 @@
     def __init__(self) -> None:
         self._waiting: list[beacons.Sighting] = []
 
-    def add(self, server_id: str, parts: abc.Sequence[prompts.Part]) -> None:
+    def add(
+        self, engine: servers.Incarnation, parts: abc.Sequence[prompts.Part]
+    ) -> None:
         """Note the parts that other requests may share: all but the last."""
         for part in parts[:-1]:
-            self._waiting.append(beacons.Sighting(server_id, part.name, part.tokens))
+            self._waiting.append(beacons.Sighting(engine, part.name, part.tokens))
 
     def take(self) -> tuple[beacons.Sighting, ...]:
         """Return what was noted, newest first, and forget it."""
@@ -97,7 +100,7 @@
         self._clock = time
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
-        self._busy: dict[str, set[str]] = {}
+        self._busy: dict[str, set[servers.Incarnation]] = {}
         self._neighbours = neighbours.Neighbours(())
         self._weights: dict[str, float] = {}
         self.stopping = False
@@ -149,27 +152,27 @@
 
     def _take(self, beacon: beacons.Beacon) -> None:
         now = self._clock.monotonic()
-        reported = {load.server_id for load in beacon.loads}
-        for server_id in self._busy.get(beacon.instance, set()) - reported:
-            engine = self._known.engine(server_id)
+        reported = {load.engine for load in beacon.loads}
+        for ended in self._busy.get(beacon.instance, set()) - reported:
+            engine = self._known.engine(ended)
             if engine is not None:
                 engine.forget(beacon.instance)
         self._busy[beacon.instance] = reported
         weight = self._weights.get(beacon.failure_domain, 1.0)
         for load in beacon.loads:
-            engine = self._known.engine(load.server_id)
+            engine = self._known.engine(load.engine)
             if engine is not None:
                 told = engine_loads.PeerLoad(
                     load.reading, load.writing, load.held, weight
                 )
                 engine.hear(beacon.instance, told, now)
         for load in beacon.totals:
-            engine = self._known.engine(load.server_id)
+            engine = self._known.engine(load.engine)
             if engine is not None:
                 told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
                 engine.hear_total(told, now)
         for seen in beacon.sightings:
-            engine = self._known.engine(seen.server_id)
+            engine = self._known.engine(seen.engine)
             if engine is None:
                 continue
             traits = self._known.engine_traits(engine.server.service)
@@ -271,5 +274,5 @@
     while reading and not reading[-1]:
         reading.pop()
     return beacons.Load(
-        engine.server.server_id, tuple(reading), work.writing, work.held
+        engine.server.incarnation, tuple(reading), work.writing, work.held
     )
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -48,7 +48,7 @@
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
         """Answer a request."""
         service = asked.service.name
-        tried: set[str] = set()
+        tried: set[servers.Incarnation] = set()
         ran = arrivals = 0
         last: _Outcome | None = None
         for _ in range(_MOST_TRIES):
@@ -61,7 +61,7 @@
             server = self._choice.choose(listed, now, tried)
             if server is None:
                 break
-            tried.add(server.server_id)
+            tried.add(server.incarnation)
             may_repeat = asked.route.repeatable and ran + 1 < asked.route.most_servers
             outcome = await self._send(server, asked, may_repeat)
             # A server's own failure says more than what came after it.
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -183,7 +183,7 @@
         )
 
     def _drop_unlisted(self) -> None:
-        listed = {server.server_id for server in self._known.servers.all()}
+        listed = {server.incarnation for server in self._known.servers.all()}
         self._client.retain(listed)
         self._choice.retain(listed)
 
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -51,7 +51,7 @@
         source = self._source(reader, outcome)
         now = self._parts.clock.monotonic()
         if source is None:
-            progress.failed.add(reader.server.server_id)
+            progress.failed.add(reader.server.incarnation)
             if not isinstance(outcome, sending.NotSent):
                 progress.arrivals += 1
             if isinstance(outcome, sending.Declined):
@@ -70,6 +70,9 @@
 
     def release(self, source: attempt.Source) -> None:
         """Free a prompt that nobody will take, so that others get its memory."""
+        if self._parts.known.has_ended(source.reader.server.incarnation):
+            # The handle may name another request's prompt in the engine's new life.
+            return
         task = asyncio.create_task(self._free(source))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
--- a/src/pimentolatch/gateway/sending.py
+++ b/src/pimentolatch/gateway/sending.py
@@ -123,8 +123,8 @@
         self._clock = time
         self._pool = channel.ChannelPool(_CONNECT_LIMIT)
 
-    def retain(self, listed: abc.Container[str]) -> None:
-        """Close the kept connections of servers that are no longer listed."""
+    def retain(self, listed: abc.Container[abc.Hashable]) -> None:
+        """Close the kept connections of incarnations that are no longer listed."""
         self._pool.retain(listed)
 
     def close(self) -> None:
@@ -145,7 +145,7 @@
         fresh = None if asked.route.repeatable or delivery.only_read else _FRESH
         try:
             link = await self._pool.take(
-                server.server_id,
+                server.incarnation,
                 server.address,
                 self._clock.monotonic(),
                 longest_idle=fresh,
@@ -190,7 +190,7 @@
         except BaseException:
             opened.link.close()
             raise
-        self._pool.give_back(server.server_id, opened.link, self._clock.monotonic())
+        self._pool.give_back(server.incarnation, opened.link, self._clock.monotonic())
 
     async def call(
         self,
@@ -203,26 +203,19 @@
         limit: datetime.timedelta,
     ) -> Whole | NotSent | Broken:
         """Make a call of the server's own interface."""
-        host = f"{server.address.host}:{server.address.port}".encode()
+        async with self.conversation(server) as calls:
+            return await calls.call(method, target, fields, body, limit=limit)
+
+    @contextlib.asynccontextmanager
+    async def conversation(
+        self, server: servers.Server
+    ) -> abc.AsyncGenerator["Conversation", None]:
+        """Make calls of a server's own interface over one connection."""
+        calls = Conversation(server, self._pool, self._clock)
         try:
-            link = await self._pool.take(
-                server.server_id, server.address, self._clock.monotonic()
-            )
-        except channel.ConnectError as error:
-            return NotSent(str(error), error.silent)
-        try:
-            async with asyncio.timeout(limit.total_seconds()):
-                link.send(method, target, [(b"host", host), *fields], body)
-                start = await link.start()
-                content = await link.read_whole(MOST_BODY_BYTES)
-        except (channel.BrokenError, TimeoutError) as error:
-            link.close()
-            return Broken(repr(error))
-        except BaseException:
-            link.close()
-            raise
-        self._pool.give_back(server.server_id, link, self._clock.monotonic())
-        return Whole(start.status, heads.read_answer(start.fields), content)
+            yield calls
+        finally:
+            calls.end()
 
     async def _opened(
         self, server: servers.Server, asked: inbound.Inbound, link: channel.Channel
@@ -248,3 +241,64 @@
             opened.link.close()
             return Broken("the body was recoded on the way")
         return opened
+
+
+class Conversation:
+    """Calls that all reach one incarnation of a server, or none.
+
+    A connection ends with the process that it leads to. So a call that rests on the
+    answer to one before it can't reach the server's next life, which would read the
+    same request as meant for itself.
+    """
+
+    def __init__(
+        self, server: servers.Server, pool: channel.ChannelPool, time: clock.Clock
+    ) -> None:
+        self._server = server
+        self._pool = pool
+        self._clock = time
+        self._link: channel.Channel | None = None
+
+    async def call(
+        self,
+        method: str,
+        target: bytes,
+        fields: abc.Sequence[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        *,
+        limit: datetime.timedelta,
+    ) -> Whole | NotSent | Broken:
+        """Make the next call; not sent if the connection of the last one has ended."""
+        try:
+            link = await self._connection()
+        except channel.ConnectError as error:
+            return NotSent(str(error), error.silent)
+        address = self._server.address
+        host = f"{address.host}:{address.port}".encode()
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                link.send(method, target, [(b"host", host), *fields], body)
+                start = await link.start()
+                content = await link.read_whole(MOST_BODY_BYTES)
+        except (channel.BrokenError, TimeoutError) as error:
+            link.close()
+            return Broken(repr(error))
+        except BaseException:
+            link.close()
+            raise
+        return Whole(start.status, heads.read_answer(start.fields), content)
+
+    def end(self) -> None:
+        """Keep the connection for others, or close it."""
+        if self._link is not None:
+            now = self._clock.monotonic()
+            self._pool.give_back(self._server.incarnation, self._link, now)
+
+    async def _connection(self) -> channel.Channel:
+        if self._link is None:
+            self._link = await self._pool.take(
+                self._server.incarnation, self._server.address, self._clock.monotonic()
+            )
+        elif not self._link.reusable:
+            raise channel.ConnectError("the connection of the last call has ended")
+        return self._link
--- a/src/pimentolatch/gateway/spread.py
+++ b/src/pimentolatch/gateway/spread.py
@@ -10,12 +10,12 @@
 import typing
 from collections import abc
 
-import cbor2
 import logbook
 
-from pimentolatch import clock, settings, store
+from pimentolatch import clock, settings
 from pimentolatch.backend import channel
 from pimentolatch.gateway import knowledge, lapsed, peer_table, watching
+from pimentolatch.protocol import snapshots
 
 __all__ = ["PeerSource", "SnapshotFace"]
 
@@ -28,7 +28,6 @@
 # works is at most this much behind.
 _BEHIND = datetime.timedelta(milliseconds=400)
 _LIMIT = datetime.timedelta(seconds=1)
-_MS = datetime.timedelta(milliseconds=1)
 
 
 class SnapshotFace:
@@ -44,24 +43,25 @@
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one request."""
-        known = self._known
-        content: dict[str, typing.Any] = {}
-        if scope["path"] == _CONFIGURATION:
-            content = {"configuration": known.configuration_spec}
-        elif scope["path"] == _SERVERS and known.servers_listed:
-            left = self._lapsed.left()
-            content = {
-                "revision": known.servers_revision,
-                "servers": known.server_specs,
-                "lapsed_ms": {name: span / _MS for name, span in left.items()},
-            }
-        body = cbor2.dumps(content)
+        body = self._body(scope["path"])
         length = (b"content-length", b"%d" % len(body))
-        status = 200 if content else 404
+        status = 200 if body else 404
         start = {"type": "http.response.start", "status": status, "headers": [length]}
         await send(start)
         await send({"type": "http.response.body", "body": body})
 
+    def _body(self, path: str) -> bytes:
+        known = self._known
+        if path == _CONFIGURATION:
+            told = snapshots.Configuration(known.configuration_spec)
+            return snapshots.encode_configuration(told)
+        if path == _SERVERS and known.servers_listed:
+            listed = tuple(known.servers.all())
+            return snapshots.encode_servers(
+                snapshots.Servers(known.servers_revision, listed, self._lapsed.left())
+            )
+        return b""
+
 
 class PeerSource:
     """Follows peers that are ahead of this instance.
@@ -128,7 +128,7 @@
         self,
         peer: peer_table.Peer,
         path: str,
-        take: abc.Callable[[str, typing.Any], None],
+        take: abc.Callable[[str, bytes], None],
     ) -> None:
         name = peer.beacon.instance
         address = settings.Address(host=peer.host, port=self._port)
@@ -139,16 +139,10 @@
             channel.ConnectError,
             channel.BrokenError,
             TimeoutError,
-            LookupError,
-            TypeError,
-            ValueError,
-            cbor2.CBORError,
         ) as error:
             _log.warn("peer gave nothing", peer=name, reason=repr(error))
 
-    async def _snapshot(
-        self, name: str, address: settings.Address, path: str
-    ) -> typing.Any:
+    async def _snapshot(self, name: str, address: settings.Address, path: str) -> bytes:
         link = await self._pool.take(name, address, self._clock.monotonic())
         try:
             host = f"{address.host}:{address.port}".encode()
@@ -159,18 +153,19 @@
             link.close()
             raise
         self._pool.give_back(name, link, self._clock.monotonic())
-        return cbor2.loads(content)
+        return content
 
-    def _take_configuration(self, name: str, snapshot: typing.Any) -> None:
-        if watching.take_configuration(self._known, snapshot["configuration"]):
+    def _take_configuration(self, name: str, body: bytes) -> None:
+        told = snapshots.decode_configuration(body)
+        if isinstance(told, snapshots.Malformed):
+            _log.warn("peer told nothing readable", peer=name, reason=told.reason)
+        elif watching.take_configuration(self._known, told.spec):
             _log.info("configuration from peer", peer=name, version=self._known.version)
 
-    def _take_servers(self, name: str, snapshot: typing.Any) -> None:
-        found = tuple(
-            store.Found(server_id, 0, entry)
-            for server_id, entry in snapshot["servers"].items()
-        )
-        left = {n: float(span) * _MS for n, span in snapshot["lapsed_ms"].items()}
-        if watching.take_listing(self._known, int(snapshot["revision"]), found):
-            self._lapsed.replace(left, left)
-            _log.info("servers from peer", peer=name, revision=snapshot["revision"])
+    def _take_servers(self, name: str, body: bytes) -> None:
+        told = snapshots.decode_servers(body)
+        if isinstance(told, snapshots.Malformed):
+            _log.warn("peer told nothing readable", peer=name, reason=told.reason)
+        elif self._known.list_servers(told.revision, told.listed):
+            self._lapsed.replace(told.lapsed, told.lapsed)
+            _log.info("servers from peer", peer=name, revision=told.revision)
--- a/src/pimentolatch/gateway/stages.py
+++ b/src/pimentolatch/gateway/stages.py
@@ -75,36 +75,56 @@
             max(loads.reading_rate, self._peers.reading_rate(service)),
             now,
         )
-        if change is None or self._is_unsettled(change.server_id, now):
-            return
-        server = self._known.servers.get(change.server_id)
-        if server is None or not await self._lease.acquire():
-            return
-        if await self._order(server, change):
+        if change is not None and await self.carry_out(change):
             planner.changed(change, self._clock.monotonic())
 
+    async def carry_out(self, change: stage_plan.Change) -> bool:
+        """Order a change; tells whether it was or may have been accepted."""
+        if self._is_unsettled(change.engine.server_id, self._clock.monotonic()):
+            return False
+        server = self._known.servers.get(change.engine.server_id)
+        if server is None or server.incarnation != change.engine:
+            return False
+        if not await self._lease.acquire():
+            return False
+        async with self._client.conversation(server) as calls:
+            return await self._order(calls, server, change)
+
     def _is_unsettled(self, server_id: str, now: datetime.timedelta) -> bool:
         until = self._unsettled.get(server_id)
         return until is not None and now < until
 
-    async def _order(self, server: servers.Server, change: stage_plan.Change) -> bool:
-        """Order a change; tells whether it was or may have been accepted."""
-        report = await self._client.call(
-            server, "GET", engines.REPORT_TARGET, limit=_CALL_LIMIT
-        )
+    async def _order(
+        self,
+        calls: sending.Conversation,
+        server: servers.Server,
+        change: stage_plan.Change,
+    ) -> bool:
+        """Send the order.
+
+        The order rests on the number of orders that the report gives, and goes out on
+        the report's connection. An engine that starts again in between counts from
+        nothing: its new life might carry out an order that was meant for the former.
+        """
+        report = await calls.call("GET", engines.REPORT_TARGET, limit=_CALL_LIMIT)
         if not isinstance(report, sending.Whole):
             _log.info("no report, no order", server=server.server_id)
             return False
         state = engines.decode_report(report.body)
         if state is None or state.changing or state.stage is change.stage:
             return False
+        if change.engine.born is not None and state.born not in (
+            None,
+            change.engine.born,
+        ):
+            _log.info("started again, no order", server=server.server_id)
+            return False
         if not self._lease.valid():
             return False
         order = engines.StageOrder(
             change.stage.value, self._name, self._lease.fence, state.orders
         )
-        answer = await self._client.call(
-            server,
+        answer = await calls.call(
             "POST",
             engines.ORDER_TARGET,
             engines.order_fields(server.server_id),
--- a/src/pimentolatch/gateway/watching.py
+++ b/src/pimentolatch/gateway/watching.py
@@ -15,7 +15,6 @@
     "ConfigurationWatch",
     "ServerWatch",
     "take_configuration",
-    "take_listing",
 ]
 
 _log = logbook.Logger("watch")
@@ -143,19 +142,19 @@
     ) -> None:
         super().__init__(source, known, time)
         self._lapsed = lapsed_servers
+        self._unusable: set[str] = set()
 
     def _listed(self, listing: store.Listing) -> None:
         away = self._clock.monotonic() - self._known.servers_heard
-        found = listing.objects
-        missing: set[str] = set()
+        self._unusable &= {item.name for item in listing.objects}
+        listed = self._usable(listing.objects)
+        missing: list[servers.Server] = []
         if away >= _LAPSING and self._known.servers_listed:
-            listed = {item.name for item in found}
-            missing = self._known.server_specs.keys() - listed
-            found += tuple(
-                store.Found(name, 0, self._known.server_specs[name]) for name in missing
-            )
-        self._lapsed.replace(missing)
-        take_listing(self._known, listing.revision, found)
+            named = {item.name for item in listing.objects}
+            known = self._known.servers.all()
+            missing = [server for server in known if server.server_id not in named]
+        self._lapsed.replace(server.server_id for server in missing)
+        self._known.list_servers(listing.revision, [*listed, *missing])
 
     def _heard(self) -> None:
         self._known.servers_heard = self._clock.monotonic()
@@ -163,40 +162,37 @@
     def _changed(self, changes: store.Changes) -> None:
         self._lapsed.settled(changes.removed)
         self._lapsed.settled(item.name for item in changes.changed)
+        self._unusable -= set(changes.removed)
+        usable = self._usable(changes.changed)
+        # An entry that can't be used replaces a good one: it names no server now.
+        named = {server.server_id for server in usable}
+        unusable = [item.name for item in changes.changed if item.name not in named]
         self._known.change_servers(
-            changes.revision,
-            {item.name: item.value for item in changes.changed},
-            _servers(changes.changed),
-            changes.removed,
+            changes.revision, usable, [*changes.removed, *unusable]
         )
 
+    def _usable(self, found: tuple[store.Found, ...]) -> list[servers.Server]:
+        """Return the servers that entries name; log each that becomes unusable."""
+        usable = []
+        for item in found:
+            decoded = entries.decode(item.name, item.value)
+            if isinstance(decoded, servers.Server):
+                usable.append(decoded)
+                self._unusable.discard(item.name)
+            elif item.name not in self._unusable:
+                self._unusable.add(item.name)
+                _log.warn("entry passed over", name=item.name, reason=decoded.reason)
+        return usable
+
 
 def take_configuration(known: knowledge.Knowledge, spec: typing.Any) -> bool:
     """Put a configuration in force if it is newer; tells whether it was."""
     try:
         decoded = configuration.decode(spec)
-    except (KeyError, TypeError, ValueError) as error:
+    except configuration.UNREADABLE as error:
         _log.error("configuration not understood", reason=repr(error))
         return False
     if not known.configure(decoded, spec):
         return False
     _log.info("configuration in force", version=decoded.version)
     return True
-
-
-def take_listing(
-    known: knowledge.Knowledge, revision: int, found: tuple[store.Found, ...]
-) -> bool:
-    """Take a whole listing of the servers if it is newer; tells whether it was."""
-    specs = {item.name: item.value for item in found}
-    return known.list_servers(revision, specs, _servers(found))
-
-
-def _servers(found: tuple[store.Found, ...]) -> list[servers.Server]:
-    listed = []
-    for item in found:
-        try:
-            listed.append(entries.decode(item.name, item.value))
-        except (KeyError, TypeError, ValueError) as error:
-            _log.error("entry not understood", name=item.name, reason=repr(error))
-    return listed
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -99,7 +99,7 @@
             progress.arrivals += 1
         loads = self._parts.loads(asked)
         now = self._parts.clock.monotonic()
-        progress.failed.add(engine.server.server_id)
+        progress.failed.add(engine.server.incarnation)
         if isinstance(outcome, sending.Declined):
             loads.declined(engine, now)
             return False
@@ -134,7 +134,7 @@
             progress.reason = str(error)
             broken = sending.Broken(progress.reason)
             self._parts.tell_sent(asked, engine, "stream", broken, asked.arrived)
-            progress.failed.add(engine.server.server_id)
+            progress.failed.add(engine.server.incarnation)
             loads.failed(engine, self._parts.clock.monotonic())
             if not asked.route.repeatable and writing.answer.started:
                 writing.answer.break_off(progress.reason)
@@ -153,7 +153,7 @@
         if opened.status < 500:
             await attempt.conclude(writing.answer, progress)
             return True
-        progress.failed.add(writing.place.engine.server.server_id)
+        progress.failed.add(writing.place.engine.server.incarnation)
         return False
 
     async def _relay(self, writing: attempt.Writing, opened: sending.Opened) -> None:
--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -6,11 +6,14 @@
 
 from pimentolatch.routes import table
 
-__all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode"]
+__all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "UNREADABLE", "decode"]
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 
+# What `decode` raises for what is not a configuration.
+UNREADABLE = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
+
 _Fields = abc.Mapping[str, typing.Any]
 
 
@@ -18,7 +21,7 @@
     """Return the configuration that a spec holds.
 
     Raises:
-        KeyError, TypeError, ValueError: The spec is not a configuration.
+        One of `UNREADABLE`: The spec is not a configuration.
     """
     services = (_service(fields) for fields in spec["services"])
     return table.Configuration(
--- a/src/pimentolatch/platform/engines.py
+++ b/src/pimentolatch/platform/engines.py
@@ -57,7 +57,7 @@
     try:
         fields = json.loads(body)
         return ReadPrompt(str(fields["kv_handle"]), int(fields["tokens"]))
-    except (KeyError, TypeError) as error:
+    except (LookupError, OverflowError, RecursionError, TypeError) as error:
         raise ValueError(f"not a handle: {body[:60]!r}") from error
 
 
@@ -97,12 +97,25 @@
             int(fields.get("running", 0)),
             # Each run is a row of id, tokens in memory, events made and priority.
             frozenset(str(row[0]) for row in fields.get("runs", ())),
+            _born(fields.get("born")),
         )
-    except (ValueError, LookupError, TypeError) as error:
+    except (
+        LookupError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         _log.error("report not understood", reason=repr(error))
         return None
 
 
+def _born(value: typing.Any) -> int | None:
+    if value is None or (isinstance(value, int) and not isinstance(value, bool)):
+        return value
+    raise ValueError(f"born {value!r:.60} is no whole number")
+
+
 def release_target(handle: str) -> bytes:
     """Return the target of the call that frees a kept prompt."""
     return f"/v1/kv-handle/{handle}".encode()
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -156,8 +156,15 @@
                 link.send(method, target.encode(), [(b"host", host), *_JSON], data)
                 start = await link.start()
                 content = await link.read_whole()
-            parsed = json.loads(content) if content else None
-        except (channel.BrokenError, TimeoutError, ValueError) as error:
+            # One object's bytes that are no UTF-8 must not hide all the others.
+            text = content.decode("utf-8", "replace")
+            parsed = json.loads(text) if text else None
+        except (
+            channel.BrokenError,
+            TimeoutError,
+            ValueError,
+            RecursionError,
+        ) as error:
             link.close()
             return store.Unavailable(repr(error), effect_unknown=write)
         except BaseException:
@@ -193,7 +200,8 @@
 
 def _object(item: typing.Any) -> store.Found:
     metadata = item["metadata"]
-    return store.Found(metadata["name"], int(metadata["revision"]), item["spec"])
+    # Another writer may have left the value out; whoever reads it finds no table then.
+    return store.Found(metadata["name"], int(metadata["revision"]), item.get("spec"))
 
 
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -12,6 +12,8 @@
 
 import cbor2
 
+from pimentolatch.routes import servers
+
 __all__ = [
     "Beacon",
     "Demand",
@@ -24,13 +26,15 @@
     "encode",
 ]
 
-_VERSION = 4
-_FIELDS = 13
+_VERSION = 5
+_FIELDS = 14
+# No count of ours comes near; above it sums of counts would no longer be exact.
+_MOST_COUNT = 2**53
 _UNREADABLE = (
     cbor2.CBORError,
     ValueError,
     TypeError,
-    IndexError,
+    LookupError,
     OverflowError,
     RecursionError,
 )
@@ -46,7 +50,7 @@
         held: Tokens that these streams keep in memory.
     """
 
-    server_id: str
+    engine: servers.Incarnation
     reading: tuple[int, ...]
     writing: int
     held: int
@@ -56,7 +60,7 @@
 class Sighting:
     """A shared part of a prompt that the sender has lately sent to an engine."""
 
-    server_id: str
+    engine: servers.Incarnation
     part: str
     tokens: int
 
@@ -136,6 +140,13 @@
 
 def encode(beacon: Beacon) -> bytes:
     """Return the datagram of a beacon."""
+    engines = _Engines()
+    loads = [_load_row(load, engines) for load in beacon.loads]
+    sightings = [
+        [engines.number(seen.engine), seen.part, seen.tokens]
+        for seen in beacon.sightings
+    ]
+    totals = [_load_row(load, engines) for load in beacon.totals]
     rows: list[typing.Any] = [
         _VERSION,
         beacon.instance,
@@ -146,20 +157,44 @@
         beacon.stopping,
         [[reader.instance, reader.age_ms] for reader in beacon.readers],
         [[member.host, member.failure_domain] for member in beacon.members],
-        [_load_row(load) for load in beacon.loads],
-        [[seen.server_id, seen.part, seen.tokens] for seen in beacon.sightings],
+        [[engine.server_id, engine.born] for engine in engines.numbered],
+        loads,
+        sightings,
         [[d.service, d.reading, d.writing, d.rate] for d in beacon.demands],
-        [_load_row(load) for load in beacon.totals],
+        totals,
     ]
     return cbor2.dumps(rows)
 
 
-def _load_row(load: Load) -> list[typing.Any]:
-    return [load.server_id, list(load.reading), load.writing, load.held]
+class _Engines:
+    """Numbers the engines of a beacon, most of which it names more than once.
+
+    Attributes:
+        numbered: The engines in the order of their numbers.
+    """
+
+    def __init__(self) -> None:
+        self.numbered: dict[servers.Incarnation, int] = {}
+
+    def number(self, engine: servers.Incarnation) -> int:
+        """Return the number of an engine."""
+        return self.numbered.setdefault(engine, len(self.numbered))
+
+
+def _load_row(load: Load, engines: _Engines) -> list[typing.Any]:
+    number = engines.number(load.engine)
+    return [number, list(load.reading), load.writing, load.held]
+
+
+def _load(row: typing.Any, engines: abc.Sequence[servers.Incarnation]) -> Load:
+    engine = engines[_count(row[0])]
+    return Load(engine, tuple(_counts(row[1])), *_counts(row[2:4]))
 
 
-def _load(row: typing.Any) -> Load:
-    return Load(_text(row[0]), tuple(_counts(row[1])), *_counts(row[2:4]))
+def _engine(row: typing.Any) -> servers.Incarnation:
+    return servers.Incarnation(
+        _text(row[0]), None if row[1] is None else _count(row[1])
+    )
 
 
 def decode(datagram: bytes) -> Beacon | Malformed:
@@ -168,6 +203,7 @@
         rows = cbor2.loads(datagram)
         if not isinstance(rows, list) or len(rows) != _FIELDS or rows[0] != _VERSION:
             return Malformed("not a beacon of this version")
+        engines = [_engine(row) for row in rows[9]]
         return Beacon(
             _text(rows[1]),
             _text(rows[2]),
@@ -177,13 +213,13 @@
             bool(rows[6]),
             tuple(Reader(_text(row[0]), _count(row[1])) for row in rows[7]),
             tuple(Member(_text(row[0]), _text(row[1])) for row in rows[8]),
-            tuple(_load(row) for row in rows[9]),
+            tuple(_load(row, engines) for row in rows[10]),
             tuple(
-                Sighting(_text(row[0]), _text(row[1]), _count(row[2]))
-                for row in rows[10]
+                Sighting(engines[_count(row[0])], _text(row[1]), _count(row[2]))
+                for row in rows[11]
             ),
-            tuple(Demand(_text(row[0]), *_counts(row[1:4])) for row in rows[11]),
-            tuple(_load(row) for row in rows[12]),
+            tuple(Demand(_text(row[0]), *_counts(row[1:4])) for row in rows[12]),
+            tuple(_load(row, engines) for row in rows[13]),
         )
     except _UNREADABLE as error:
         return Malformed(repr(error))
@@ -200,6 +236,6 @@
 
 
 def _count(value: typing.Any) -> int:
-    if not isinstance(value, int) or value < 0:
+    if not isinstance(value, int) or not 0 <= value < _MOST_COUNT:
         raise ValueError(f"not a count: {value!r}")
     return value
--- /dev/null
+++ b/src/pimentolatch/protocol/snapshots.py
@@ -0,0 +1,128 @@
+"""What an instance tells a peer that is behind: configuration and servers, whole."""
+
+import dataclasses
+import datetime
+import typing
+
+import cbor2
+
+from pimentolatch import settings
+from pimentolatch.routes import servers
+
+__all__ = [
+    "Configuration",
+    "Malformed",
+    "Servers",
+    "decode_configuration",
+    "decode_servers",
+    "encode_configuration",
+    "encode_servers",
+]
+
+_MS = datetime.timedelta(milliseconds=1)
+_UNREADABLE = (
+    cbor2.CBORError,
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """The operator's configuration as the store holds it; None before one is known."""
+
+    spec: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Servers:
+    """The servers that the sender knows.
+
+    Attributes:
+        revision: Revision of the store up to which they are known.
+        listed: The servers.
+        lapsed: How long those that the store lacks may still stay away.
+    """
+
+    revision: int
+    listed: tuple[servers.Server, ...]
+    lapsed: dict[str, datetime.timedelta]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """Bytes that are no snapshot."""
+
+    reason: str
+
+
+def encode_configuration(snapshot: Configuration) -> bytes:
+    """Return the body of a configuration."""
+    return cbor2.dumps(snapshot.spec)
+
+
+def decode_configuration(body: bytes) -> Configuration | Malformed:
+    """Return the configuration of a body; whether it is a valid one is not checked."""
+    try:
+        return Configuration(cbor2.loads(body))
+    except _UNREADABLE as error:
+        return Malformed(repr(error))
+
+
+def encode_servers(snapshot: Servers) -> bytes:
+    """Return the body of a list of servers."""
+    lapsed = {name: span / _MS for name, span in snapshot.lapsed.items()}
+    rows = [_server_row(server) for server in snapshot.listed]
+    return cbor2.dumps([snapshot.revision, rows, lapsed])
+
+
+def decode_servers(body: bytes) -> Servers | Malformed:
+    """Return the list of servers of a body."""
+    try:
+        revision, rows, lapsed = cbor2.loads(body)
+        return Servers(
+            int(revision),
+            tuple(_server(row) for row in rows),
+            {str(name): float(span) * _MS for name, span in lapsed.items()},
+        )
+    except _UNREADABLE as error:
+        return Malformed(repr(error))
+
+
+def _server_row(server: servers.Server) -> list[typing.Any]:
+    return [
+        server.server_id,
+        server.born,
+        server.service,
+        f"{server.address.host}:{server.address.port}",
+        server.failure_domain,
+        server.leaving,
+        None if server.stage is None else server.stage.value,
+        server.slots,
+        server.cold / _MS,
+    ]
+
+
+def _server(row: typing.Any) -> servers.Server:
+    name, born, service, address, domain, leaving, stage, slots, cold = row
+    return servers.Server(
+        server_id=_text(name),
+        service=_text(service),
+        address=settings.Address.from_text(address),
+        failure_domain=_text(domain),
+        leaving=bool(leaving),
+        stage=None if stage is None else servers.Stage(stage),
+        slots=int(slots),
+        cold=float(cold) * _MS,
+        born=None if born is None else int(born),
+    )
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r:.60}")
+    return value
--- a/src/pimentolatch/routes/reports.py
+++ b/src/pimentolatch/routes/reports.py
@@ -18,6 +18,7 @@
         queued: Requests that wait.
         running: Requests that it works on.
         runs: Ids of those of them that write an answer.
+        born: Unix time of its start in milliseconds; None if it does not say.
     """
 
     stage: servers.Stage
@@ -26,3 +27,4 @@
     queued: int = 0
     running: int = 0
     runs: frozenset[str] = frozenset()
+    born: int | None = None
--- a/src/pimentolatch/routes/servers.py
+++ b/src/pimentolatch/routes/servers.py
@@ -7,7 +7,7 @@
 
 from pimentolatch import settings
 
-__all__ = ["Server", "ServerTable", "Stage"]
+__all__ = ["Incarnation", "Server", "ServerTable", "Stage"]
 
 
 class Stage(enum.Enum):
@@ -17,15 +17,34 @@
     DECODE = "decode"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One life of a backend server.
+
+    A server may start again under its id. It then knows nothing of what it was sent
+    before, so whatever is remembered of a server is remembered of an incarnation: kept
+    prompts, counts of work, failures, connections. Remembered by the id alone, parts
+    of prompts would be expected where they are gone, and an order could rest on the
+    count of a life that has ended.
+
+    Attributes:
+        born: Unix time of its start in milliseconds; None if it does not say.
+    """
+
+    server_id: str
+    born: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
-    """One life of a backend server: a restart gives it another id.
+    """A backend server as its entry describes it.
 
     Attributes:
         leaving: It takes no new requests and ends what runs.
         stage: None for servers that are no engines.
         slots: Requests that it works on at once.
         cold: How much longer it is slow after its start.
+        born: Unix time of its start in milliseconds; None if it does not say.
     """
 
     server_id: str
@@ -36,6 +55,12 @@
     stage: Stage | None
     slots: int
     cold: datetime.timedelta = datetime.timedelta()
+    born: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which life of the server this is."""
+        return Incarnation(self.server_id, self.born)
 
 
 class ServerTable:
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -56,6 +56,8 @@
         cancelled: Ids of requests whose connection closed while they ran.
         freed: Handles that were freed.
         dark: It answers no report either.
+        born: Unix time of its start in milliseconds; None if it does not say.
+        reborn_before_order: It starts again when it has given its next report.
         queued, running: Ids of requests that it has, for its report.
     """
 
@@ -79,10 +81,13 @@
         self.freed: list[str] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.dark = False
+        self.born: int | None = None
+        self.reborn_before_order = False
         self.queued: set[str] = set()
         self.running: set[str] = set()
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._links: set[_Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -98,6 +103,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def start_again(self, born: int) -> None:
+        """Start a new life under the same id and address."""
+        self.born = born
+        self.orders = []
+        self.queued, self.running = set(), set()
+        for link in self._links:
+            link.reset()
+
     def entry(self) -> dict[str, typing.Any]:
         """Return what the server writes about itself into the store."""
         entry: dict[str, typing.Any] = {
@@ -112,6 +125,8 @@
         }
         if self.stage is not None:
             entry["stage"] = self.stage
+        if self.born is not None:
+            entry["born"] = self.born
         return entry
 
     def runs(self, request_id: str) -> int:
@@ -129,6 +144,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         link = _Link(reader, writer)
+        self._links.add(link)
         try:
             while (received := await link.request()) is not None:
                 if not await self._answer(link, received):
@@ -136,6 +152,7 @@
         except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
             pass
         finally:
+            self._links.discard(link)
             writer.close()
 
     async def _answer(self, link: "_Link", received: Received) -> bool:
@@ -151,6 +168,10 @@
                 await link.until_closed()
                 return False
             await link.send(200, [], json.dumps(self._report()).encode())
+            if self.reborn_before_order:
+                self.reborn_before_order = False
+                self.start_again((self.born or 0) + 1)
+                return False
             return True
         if received.target == "/v1/order":
             return await self._order(link, received)
@@ -161,7 +182,7 @@
         return await self._work(link, received)
 
     def _report(self) -> dict[str, typing.Any]:
-        return {
+        report: dict[str, typing.Any] = {
             "stage": self.stage,
             "busy": False,
             "sequence": len(self.orders),
@@ -169,6 +190,7 @@
             "running": len(self.running),
             "runs": [[name, 0, 0, 5] for name in self.running],
         }
+        return report if self.born is None else report | {"born": self.born}
 
     async def _order(self, link: "_Link", received: Received) -> bool:
         order = json.loads(received.body)
@@ -184,6 +206,7 @@
         fault = self.faults.popleft() if self.faults else ""
         request_id = received.fields.get("x-request-id", "")
         own = [(b"x-request-id", request_id.encode())]
+        born = "" if self.born is None else f"-{self.born}"
         if fault == "decline":
             self.received.pop()
             self.times.pop()
@@ -211,7 +234,7 @@
             others = [(b"x-request-id", b"other"), (b"x-response-seal", b"other")]
             await link.send(200, others, b"not yours", end=False)
         if received.what == "read":
-            handle = {"kv_handle": f"h-{request_id}", "tokens": 1, "version": 1}
+            handle = {"kv_handle": f"h-{request_id}{born}", "tokens": 1, "version": 1}
             await link.send(200, own, json.dumps(handle).encode())
             return True
         if fault != "no proof":
--- /dev/null
+++ b/tests/features/routes_entries.feature
@@ -0,0 +1,68 @@
+Feature: Entries from another writer, and other input that is not what it should be
+
+  Scenario Outline: An entry that is not wholly what the platform says names no server
+    Then entries: one <changed> is unusable
+
+    Examples:
+      | changed                     |
+      | without its service         |
+      | without its address         |
+      | without its state           |
+      | without its slots           |
+      | without its zone            |
+      | with state "sleeping"       |
+      | with state 7                |
+      | with service 7              |
+      | with slots -5               |
+      | with slots true             |
+      | with slots 1e400            |
+      | with zone null              |
+      | with address 8080           |
+      | with address "here"         |
+      | with address "10.0.0.1:0"   |
+      | with stage "sleep"          |
+      | with stage ["decode"]       |
+      | with born "1000"            |
+      | with born 1.5               |
+      | with cold_remaining_ms "x"  |
+      | with cold_remaining_ms NaN  |
+      | that is a list              |
+      | that is a text              |
+      | that is null                |
+
+  Scenario: An entry without a birth is one of a server that never starts again
+    Then entries: one without its born is usable
+
+  # A faulty writer replaces the entry of a server that is in use. Its old form must not
+  # stay in force: nobody knows any more what it was worth.
+  Scenario: An entry that can't be read any more names no server
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it
+    When entries: the entry of "a1" is replaced by a list
+    Then watch: the instance uses "a2" only
+    When entries: the entry of "a1" is written as it was
+    Then watch: the instance uses "a1" and "a2"
+
+  # The same entry changes ten times a second. One line says so; the log stays readable.
+  Scenario: An entry that stays unusable is logged once
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it
+    When entries: the entry of "a1" is replaced by 20 lists in turn
+    Then entries: one line tells of it
+    And watch: the instance uses "a2" only
+
+  # One object holds bytes that are no UTF-8. The whole page must not be lost with it.
+  Scenario: Bytes that can't be read hide no other entry
+    Then entries: a page with bytes that are no text gives the other server
+
+  Scenario Outline: Fuzzed <what> raise nothing and end nothing
+    Then entries: 300 fuzzed <what> give a value or a reason
+
+    Examples:
+      | what           |
+      | entries        |
+      | configurations |
+      | reports        |
+      | read prompts   |
+      | beacons        |
+      | snapshots      |
--- /dev/null
+++ b/tests/features/steps/routes_entries_steps.py
@@ -0,0 +1,265 @@
+import asyncio
+import dataclasses
+import datetime
+import json
+import math
+
+import behave
+import cbor2
+import hypothesis
+import hypothesis.strategies as st
+import logbook
+
+from pimentolatch import clock, store
+from pimentolatch.platform import configuration, engines, entries, objects
+from pimentolatch.protocol import beacons, snapshots
+from pimentolatch.routes import reports, servers, table
+from standins import route_server
+from tests.features.steps import routes_logic_steps, routes_store_steps
+from tests.support import raw_server, route_world
+
+WORDS = {
+    "true": True,
+    "null": None,
+    "1e400": math.inf,
+    "NaN": math.nan,
+}
+
+
+def an_entry():
+    entry = route_server.RouteServer("e1", "lm", "here", "decode").entry()
+    return entry | {"address": "127.0.0.1:80", "born": 1000}
+
+
+def changed_entry(change):
+    whole = an_entry()
+    kind, *words = change.split()
+    if kind == "without":
+        del whole[words[-1]]
+        return whole
+    if kind == "that":
+        return {"list": [whole], "text": "entry", "null": None}[words[-1]]
+    field, text = words[0], " ".join(words[1:])
+    value = WORDS[text] if text in WORDS else json.loads(text)
+    return whole | {field: value}
+
+
+@behave.then("entries: one {change} is unusable")
+def unusable(context, change):
+    assert isinstance(entries.decode("e1", an_entry()), servers.Server)
+    decoded = entries.decode("e1", changed_entry(change))
+    assert isinstance(decoded, entries.Unusable), decoded
+    assert decoded.reason and len(decoded.reason) < 200
+
+
+@behave.then("entries: one without its born is usable")
+def usable(context):
+    decoded = entries.decode("e1", changed_entry("without its born"))
+    assert decoded.incarnation == servers.Incarnation("e1", None)
+    again = entries.decode("e1", an_entry())
+    assert again.incarnation == servers.Incarnation("e1", 1000)
+
+
+def rewrite(context, value):
+    context.world.write("a1", value)
+    context.world.advance(0.3)
+
+
+@behave.when('entries: the entry of "a1" is replaced by a list')
+def replaced(context):
+    rewrite(context, ["no", "entry"])
+
+
+@behave.when('entries: the entry of "a1" is written as it was')
+def as_it_was(context):
+    rewrite(context, routes_store_steps.entry("a1"))
+
+
+@behave.when('entries: the entry of "a1" is replaced by {count:d} lists in turn')
+def replaced_often(context, count):
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        for number in range(count):
+            rewrite(context, [number])
+    context.lines = [r for r in handler.records if r.message == "entry passed over"]
+
+
+@behave.then("entries: one line tells of it")
+def one_line(context):
+    assert len(context.lines) == 1, context.lines
+
+
+@behave.then("entries: a page with bytes that are no text gives the other server")
+def unreadable_bytes(context):
+    good, bad = an_entry(), an_entry() | {"service": "BAD"}
+    items = [
+        {"metadata": {"name": name, "revision": 3}, "spec": spec}
+        for name, spec in (("e1", good), ("e2", bad))
+    ]
+    page = {"items": items, "has_more": False, "as_of": 3}
+    body = json.dumps(page).encode().replace(b"BAD", b"\xff\xfe")
+
+    async def listing():
+        server = raw_server.RawServer(raw_server.Answer(raw_server.http_answer(body)))
+        async with server.listening() as address:
+            limit = datetime.timedelta(seconds=5)
+            client = objects.ObjectStore(address, limit, clock.SystemClock())
+            found = await client.list_objects("servers")
+            client.close()
+            return found
+
+    found = asyncio.run(listing())
+    assert isinstance(found, store.Listing), found
+    decoded = [entries.decode(item.name, item.value) for item in found.objects]
+    assert [isinstance(item, servers.Server) for item in decoded] == [True, False]
+
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=12)
+    | st.sampled_from(["ready", "draining", "decode", "127.0.0.1:80", "1:2:3"])
+)
+ANYTHING = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=6), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+def mutated(whole):
+    """Return a strategy of values like `whole` with one place replaced or left out."""
+    if not isinstance(whole, dict | list) or not whole:
+        return st.just(whole) | ANYTHING
+    places = st.sampled_from(
+        list(whole) if isinstance(whole, dict) else range(len(whole))
+    )
+    changed = places.flatmap(
+        lambda place: mutated(whole[place]).map(
+            lambda new: replaced_at(whole, place, new)
+        )
+    )
+    left_out = places.map(lambda place: without_place(whole, place))
+    return st.one_of(changed, changed, changed, left_out, ANYTHING)
+
+
+def replaced_at(whole, place, new):
+    if isinstance(whole, dict):
+        return whole | {place: new}
+    return [*whole[:place], new, *whole[place + 1 :]]
+
+
+def without_place(whole, place):
+    if isinstance(whole, dict):
+        return {key: value for key, value in whole.items() if key != place}
+    return [*whole[:place], *whole[place + 1 :]]
+
+
+def report():
+    return {
+        "stage": "decode",
+        "busy": False,
+        "sequence": 2,
+        "queued": 1,
+        "running": 3,
+        "runs": [["r1", 10, 2, 5]],
+        "born": 1000,
+    }
+
+
+def as_json(value):
+    return json.dumps(value).encode()
+
+
+def snapshot():
+    listed = (entries.decode("e1", an_entry()),)
+    lapsed = {"e1": datetime.timedelta(seconds=1)}
+    return cbor2.loads(snapshots.encode_servers(snapshots.Servers(7, listed, lapsed)))
+
+
+def decode_configuration(spec):
+    try:
+        return configuration.decode(spec)
+    except configuration.UNREADABLE as error:
+        return error
+
+
+def decode_read_prompt(value):
+    try:
+        return engines.decode_read_prompt(as_json(value))
+    except ValueError as error:
+        return error
+
+
+def decode_cbor(decode):
+    return lambda value: decode(cbor2.dumps(value))
+
+
+@dataclasses.dataclass(frozen=True)
+class Fuzzed:
+    whole: object
+    decode: object
+    given: tuple
+
+
+TARGETS = {
+    "entries": Fuzzed(
+        an_entry(),
+        lambda spec: entries.decode("e1", spec),
+        (servers.Server, entries.Unusable),
+    ),
+    "configurations": Fuzzed(
+        route_world.configuration(3, route_world.ROUTES[:1]),
+        decode_configuration,
+        (table.Configuration, Exception),
+    ),
+    "reports": Fuzzed(
+        report(),
+        lambda value: engines.decode_report(as_json(value)),
+        (reports.EngineReport, type(None)),
+    ),
+    "read prompts": Fuzzed(
+        {"kv_handle": "h1", "tokens": 5, "version": 1},
+        decode_read_prompt,
+        (engines.ReadPrompt, ValueError),
+    ),
+    "beacons": Fuzzed(
+        cbor2.loads(beacons.encode(routes_logic_steps.a_beacon())),
+        decode_cbor(beacons.decode),
+        (beacons.Beacon, beacons.Malformed),
+    ),
+    "snapshots": Fuzzed(
+        snapshot(),
+        decode_cbor(snapshots.decode_servers),
+        (snapshots.Servers, snapshots.Malformed),
+    ),
+}
+
+
+@behave.then("entries: {count:d} fuzzed {what} give a value or a reason")
+def fuzzed(context, count, what):
+    target = TARGETS[what]
+    seen = set()
+
+    @hypothesis.seed(11)
+    @hypothesis.settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        derandomize=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(mutated(target.whole))
+    def check(value):
+        given = target.decode(value)
+        assert isinstance(given, target.given), given
+        seen.add(type(given).__name__)
+
+    with logbook.NullHandler():
+        check()
+    assert len(seen) > 1, f"only {seen}"
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -29,6 +29,7 @@
     r"|PIMENTOLATCH_BOOT",
     re.IGNORECASE,
 )
+P1 = servers.Incarnation("p1")
 SHARED = prompts.Part("shared", 5000)
 NOW = datetime.timedelta(seconds=100)
 SECOND = datetime.timedelta(seconds=1)
@@ -392,10 +393,10 @@
         stopping=False,
         readers=(beacons.Reader("one", 20),),
         members=(beacons.Member("127.0.0.2", "there"),),
-        loads=(beacons.Load("p1", (0, 5), 2, 900),),
-        sightings=(beacons.Sighting("p1", "aa", 800),),
+        loads=(beacons.Load(P1, (0, 5), 2, 900),),
+        sightings=(beacons.Sighting(P1, "aa", 800),),
         demands=(beacons.Demand("lm", 1000, 50, 45_000),),
-        totals=(beacons.Load("p2", (7,), 1, 20),),
+        totals=(beacons.Load(servers.Incarnation("p2", 5), (7,), 1, 20),),
     )
 
 
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -76,6 +76,7 @@
         "service": "app",
         "address": "127.0.0.1:80",
         "zone": "here",
+        "version": "v1",
         "slots": 4,
         "state": "ready",
         "cold_remaining_ms": 0,
