--- /dev/null
+++ b/benchmarks/variants.py
@@ -0,0 +1,110 @@
+"""Copies of the source tree in which some constants have other values.
+
+A mechanism is judged by playing the same load with it and without it. Most mechanisms
+hang on one constant; a copy in which that constant differs is the mechanism switched
+off, with no switch in the product that somebody might leave in the wrong place.
+"""
+
+import dataclasses
+import pathlib
+import re
+import shutil
+from collections import abc
+
+__all__ = ["Override", "Variant", "copy_tree", "parse"]
+
+# What a copy does not need: histories, results and other copies' work.
+_LEFT_OUT = (
+    ".git",
+    "journal",
+    "build",
+    ".venv",
+    "__pycache__",
+    "*.egg-info",
+    ".*_cache",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Override:
+    """Another value for a constant.
+
+    Attributes:
+        module: Dotted name below `pimentolatch`, such as `decisions.placement`.
+        name: The constant, as it is assigned at the beginning of a line.
+        value: Its new value, as source text.
+    """
+
+    module: str
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """A named set of overrides; `base` without any is the code as it stands.
+
+    Attributes:
+        source: Another tree to copy from; None for the one given to `copy_tree`.
+    """
+
+    name: str
+    overrides: tuple[Override, ...] = ()
+    source: pathlib.Path | None = None
+
+
+def parse(text: str) -> Variant:
+    """Return the variant that a text such as `far=decisions.placement._FAR_MS=5` names.
+
+    Several overrides are divided by semicolons. `name=@PATH` names another tree.
+
+    Raises:
+        ValueError: The text is of another form.
+    """
+    name, _, rest = text.partition("=")
+    if rest.startswith("@"):
+        return Variant(name, source=pathlib.Path(rest[1:]))
+    overrides = []
+    for part in filter(None, rest.split(";")):
+        place, _, value = part.partition("=")
+        module, _, constant = place.strip().rpartition(".")
+        if not (module and constant and value):
+            raise ValueError(f"{part!r} must read module.CONSTANT=value")
+        overrides.append(Override(module, constant, value.strip()))
+    return Variant(name, tuple(overrides))
+
+
+def copy_tree(
+    root: pathlib.Path, variant: Variant, place: pathlib.Path, *, built: bool = False
+) -> None:
+    """Copy a source tree to `place` and apply a variant's overrides there.
+
+    Args:
+        root: The tree to copy, if the variant names no other.
+        variant: What differs in the copy.
+        place: Where the copy goes; it must not exist.
+        built: Copy what the users' bench has built too, so that it does not install
+            the libraries again.
+
+    Raises:
+        ValueError: A constant is not assigned exactly once in its module.
+    """
+    shutil.copytree(
+        variant.source or root,
+        place,
+        ignore=shutil.ignore_patterns(*_LEFT_OUT, *([] if built else ["target"])),
+        symlinks=True,
+    )
+    for override in variant.overrides:
+        _apply(place, override)
+
+
+def _apply(place: pathlib.Path, override: Override) -> None:
+    below: abc.Sequence[str] = override.module.split(".")
+    path = place.joinpath("src", "pimentolatch", *below).with_suffix(".py")
+    text = path.read_text(encoding="utf-8")
+    assigned = re.compile(rf"^{re.escape(override.name)}(: [^=\n]+)? = .*$", re.M)
+    changed, count = assigned.subn(f"{override.name} = {override.value}", text)
+    if count != 1:
+        raise ValueError(f"{override.name} is assigned {count} times in {path.name}")
+    path.write_text(changed, encoding="utf-8")
