Know a demand from its first second, and spread the times to come back

Cause: two means that begin at nothing stood in line before the plan of stages, so a full load looked like a third of itself after two seconds, at the beginning and whenever the planning instance started again. Requests refused in one burst were told the same time to come back.

Times to come back are spread by half and at least 0.2 s.

--- a/src/pimentolatch/decisions/mix.py
+++ b/src/pimentolatch/decisions/mix.py
@@ -40,8 +40,10 @@
         self, reading: float, writing: float, wait_ms: float, now: datetime.timedelta
     ) -> None:
         """Take what is needed now; to be called several times a second."""
-        if self._at is None:
+        if self._at is None or not self.reading:
+            # What was before the first request says nothing of the load.
             self.reading = reading
+            self.wait_ms = wait_ms
             self._at = now
         passed = (now - self._at).total_seconds()
         self._at = now
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -72,6 +72,10 @@
 _HANDOVER_MS = 60.0
 # Fewer tokens are read sooner than fetched.
 _LEAST_FETCHED = 256
+# Requests that are refused in one burst are told different times to come back, or they
+# would meet again; sooner than the first figure no queue is shorter.
+_LEAST_RETRY = datetime.timedelta(milliseconds=200)
+_RETRY_SPREAD = 0.5
 # Above this share of its slots or memory an engine sets streams back or lets them wait;
 # the charge grows so fast that only an engine that is as full is chosen.
 _FULL = 0.85
@@ -190,7 +194,8 @@
             return NoEngine()
         _, place = min(found, key=lambda item: item[0])
         if place.expected > asked.patience:
-            return Hopeless(place.expected - asked.patience)
+            over = place.expected - asked.patience
+            return Hopeless(max(over, _LEAST_RETRY) * (1 + _RETRY_SPREAD * asked.lot))
         return place
 
     def choose_writer(
