Tell in log and explanation that a request waited for an engine

Cause: a request that waited in vain was refused with no line that says why; explain named it 'overloaded', which points on-call engineers at queues instead of at the stage that was empty. One line 'waited' with ms and in_vain; explain names it. Ruled out: a line at each look, which would be ten a second for each request. The scenario for a service without engines counts the pauses now instead of looking at the list that it had set up itself.

--- a/src/pimentolatch/cli/explaining.py
+++ b/src/pimentolatch/cli/explaining.py
@@ -75,6 +75,9 @@
         return "none: the answer was passed on whole" + _late(lines)
     if outcome == "passed on":
         return f"the server answered {status} itself" + _while(lines, bad)
+    waited = [line for line in lines if line.fields.get("in_vain")]
+    if waited and status == 503:
+        return f"no engine took requests for {waited[-1].fields['ms']} ms"
     refused = [line for line in lines if "refused_for_ms" in line.fields]
     if refused and status == 503:
         wait = refused[-1].fields["refused_for_ms"]
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -210,13 +210,29 @@
         self, asked: inbound.Inbound, progress: attempt.Progress
     ) -> placement.InPlace | placement.Apart | placement.Hopeless:
         """Choose engines, waiting for one if none takes requests."""
-        while True:
-            place = self._choose(asked, progress, self._parts.clock.monotonic())
-            if not isinstance(place, placement.NoEngine):
-                return place
-            listed = bool(self._parts.loads(asked).all())
+        since = self._parts.clock.monotonic()
+        place = self._choose(asked, progress, since)
+        if not isinstance(place, placement.NoEngine):
+            return place
+        listed = bool(self._parts.loads(asked).all())
+        while isinstance(place, placement.NoEngine):
             if not listed or not await self._wait(asked, progress):
+                self._tell_waited(asked, since, in_vain=True)
                 return placement.Hopeless(waiting.retry_after(_lot(asked)))
+            place = self._choose(asked, progress, self._parts.clock.monotonic())
+        self._tell_waited(asked, since, in_vain=False)
+        return place
+
+    def _tell_waited(
+        self, asked: inbound.Inbound, since: datetime.timedelta, *, in_vain: bool
+    ) -> None:
+        self._parts.story.tell(
+            story.WAITED,
+            asked.request_id,
+            wrong=in_vain,
+            ms=self._parts.story.elapsed_ms(since),
+            in_vain=in_vain,
+        )
 
     async def _wait(self, asked: inbound.Inbound, progress: attempt.Progress) -> bool:
         """Wait before looking for an engine again; False if there is no time left."""
--- a/src/pimentolatch/gateway/story.py
+++ b/src/pimentolatch/gateway/story.py
@@ -8,16 +8,27 @@
 from pimentolatch import clock
 from pimentolatch.decisions import log_budget
 
-__all__ = ["ANSWERED", "DOUBTED", "EVENTS", "Counted", "PLACED", "SENT", "Story"]
+__all__ = [
+    "ANSWERED",
+    "DOUBTED",
+    "EVENTS",
+    "Counted",
+    "PLACED",
+    "SENT",
+    "Story",
+    "WAITED",
+]
 
 _log = logbook.Logger("request")
 
+WAITED = "waited"
 PLACED = "placed"
 SENT = "sent"
 DOUBTED = "doubted"
 ANSWERED = "answered"
 # Every event with its fields; `explain` reads them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
+    WAITED: ("ms", "in_vain"),
     PLACED: ("reader", "writer", "donor", "tokens", "urgency", "expected_ms"),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
     SENT: ("server", "what", "outcome", "ms"),
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -23,6 +23,7 @@
     Examples:
       | happened                        | cause                          |
       | was refused in overload         | overload                       |
+      | waited in vain                  | no engine took requests for 1800 ms |
       | broke midway                    | server d1 broke off            |
       | was left by its client          | the client left                |
       | was answered by a failing server | the server answered 500       |
--- a/tests/features/routes_waiting.feature
+++ b/tests/features/routes_waiting.feature
@@ -25,9 +25,9 @@
   Scenario: A request is refused at once when its service has no engine at all
     Given routes: a store with a configuration
     And routes: an instance
-    When routes: a client asks for "digest" as "r1"
+    When waiting: a client asks for "digest" as "r1" and the pauses are counted
     Then routes: the status is 503
-    And waiting: no request has waited
+    And waiting: it did not wait
 
   # All that read prompts for others are gone. A prompt that is too long to be read beside
   # streams otherwise is read there all the same.
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -105,6 +105,10 @@
         line(1, "placed", refused_for_ms=700),
         line(1.001, "answered", status=503, outcome="overloaded"),
     ],
+    "waited in vain": [
+        line(1, "waited", ms=1800, in_vain=True),
+        line(2.8, "answered", status=503, outcome="overloaded"),
+    ],
     "broke midway": [
         line(1, "placed", reader="p1", writer="d1", expected_ms=200),
         line(1.2, "sent", server="d1", what="run", outcome="answered 200", ms=20),
--- a/tests/features/steps/routes_waiting_steps.py
+++ b/tests/features/steps/routes_waiting_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import datetime
+from unittest import mock
 
 import behave
 
@@ -53,10 +54,17 @@
     assert least <= seconds <= most, seconds
 
 
-@behave.then("waiting: no request has waited")
-def nobody_waited(context):
-    # A request that waits looks again, and is counted as placed only when it is.
-    assert not list(known(context).loads("lm").all())
+@behave.when('waiting: a client asks for "digest" as "r1" and the pauses are counted')
+def ask_counting_pauses(context):
+    whole = waiting.look_again
+    with mock.patch.object(waiting, "look_again", side_effect=whole) as looked:
+        context.reply = context.run(context.world.ask("digest", "r1"))
+    context.pauses = looked.call_count
+
+
+@behave.then("waiting: it did not wait")
+def did_not_wait(context):
+    assert context.pauses == 0, context.pauses
 
 
 @behave.when(
