--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -11,6 +11,7 @@
 """
 
 import concurrent.futures
+import functools
 import itertools
 import os
 import pathlib
@@ -112,7 +113,7 @@
             trees[variant.name] = place / str(number)
             built = bench is not None
             variants.copy_tree(ROOT, variant, trees[variant.name], built=built)
-        _warm_up(bench, trees.values())
+        _warm_up(bench, trees.values(), jobs)
         with (
             concurrent.futures.ThreadPoolExecutor(jobs) as pool,
             rich.progress.Progress(
@@ -137,12 +138,14 @@
     return found
 
 
-def _warm_up(bench: pathlib.Path | None, trees: abc.Iterable[pathlib.Path]) -> None:
+def _warm_up(
+    bench: pathlib.Path | None, trees: abc.Iterable[pathlib.Path], jobs: int
+) -> None:
     """Build each tree once, so that plays of it don't build it at the same time."""
     if bench is None:
         return
-    for tree in trees:
-        plays.build(bench, tree)
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        list(pool.map(functools.partial(plays.build, bench), trees))
 
 
 def _play(
