--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -96,9 +96,8 @@
     )
 
 
-@behave.when('incarnations: a peer tells of work and a part at "{name}" born {born:d}')
-def peer_tells(context, name, born):
-    engine = servers.Incarnation(name, born)
+def hear(context, **told):
+    """Have the instance receive a peer's beacon."""
     beacon = beacons.Beacon(
         instance="two",
         failure_domain="here",
@@ -108,10 +107,19 @@
         stopping=False,
         readers=(),
         members=(),
+        **told,
+    )
+    context.peers.datagram_received(beacons.encode(beacon), ("127.0.0.2", 7000))
+
+
+@behave.when('incarnations: a peer tells of work and a part at "{name}" born {born:d}')
+def peer_tells(context, name, born):
+    engine = servers.Incarnation(name, born)
+    hear(
+        context,
         loads=(beacons.Load(engine, (700,), 3, 40),),
         sightings=(beacons.Sighting(engine, PART.name, PART.tokens),),
     )
-    context.peers.datagram_received(beacons.encode(beacon), ("127.0.0.2", 7000))
 
 
 @behave.then('incarnations: "{name}" has no work and keeps nothing')
@@ -273,18 +281,7 @@
     changing = beacons.Changing(
         servers.Incarnation(name, born), servers.Stage.DECODE, 1000 * seconds
     )
-    beacon = beacons.Beacon(
-        instance="two",
-        failure_domain="here",
-        life="y",
-        configuration=1,
-        servers=1,
-        stopping=False,
-        readers=(),
-        members=(),
-        changing=(changing,),
-    )
-    context.peers.datagram_received(beacons.encode(beacon), ("127.0.0.2", 7000))
+    hear(context, changing=(changing,))
 
 
 def usable(context):
