Refill no stage before anything is asked for

Cause, found by reading: with readers registered 0.4 s before the first writer, the plan took the stage of writing for emptied and would have ordered a reader to write before the first request. Ruled out: waiting longer, which would delay the case that refilling is for. A scenario failed before the change.

--- a/src/pimentolatch/decisions/stage_plan.py
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -105,7 +105,8 @@
         writing = _writing_need(writers, traits, pause_target_ms, now)
         self._mix.note(reading, writing, _waiting_ms(readers, reading_rate, now), now)
         split = _Split(*self._as_ordered(readers, writers), moving, reading_rate)
-        rescue = self._rescue(split, now)
+        # Before the first request nothing is missing: engines only register one by one.
+        rescue = self._rescue(split, now) if reading_demand > 0 else ()
         if rescue:
             return rescue
         spare = 2 if len(engines) >= _SMALLEST_SPARED else 1
@@ -127,8 +128,9 @@
         move = stage_split.best_move(
             need, len(split.readers), len(split.writers), spare, at_once
         )
+        reading_waits = self._mix.wait_ms >= _LEAST_WAIT_MS
         if move is not None and move.stage is servers.Stage.PREFILL:
-            move = move if self._mix.wait_ms >= _LEAST_WAIT_MS else None
+            move = move if reading_waits else None
         for stage in servers.Stage:
             if move is None or stage is not move.stage:
                 self._relief[stage] = 0.0
--- a/tests/features/routes_stages.feature
+++ b/tests/features/routes_stages.feature
@@ -98,6 +98,13 @@
     Then the first is planned to write within 1 seconds
     And no second one is planned while the first is away
 
+  # Servers register one by one after a start of everything, those that read first. No
+  # request has come: nothing is missing yet.
+  Scenario: No stage is refilled before anything is asked for
+    Given 3 engine that reads and 0 that write with 5 streams each
+    When 0 tokens a second are to be read for 3 seconds
+    Then nothing is planned
+
   Scenario: One exchange that broke off does not make a stage empty
     Given 3 engine that reads and 2 that write with 5 streams each
     And 2 of those that write have broken off one exchange
