Reset connections that are closed under a request, and give tests ports of their own

Its trace: sent behind a partition, given up, answered by another server at 13.576 s, delivered at 17.722 s when the partition healed, by a connection that had been closed in order. Connections are reset now, which drops what is held; the scenario shows the reset.

Tests take ports below that range now, a hundred for each process. Ruled out: the scenario itself, which had sent nothing yet.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import socket
+import struct
 import typing
 from collections import abc
 
@@ -38,6 +39,8 @@
 _KEEP_MARGIN = datetime.timedelta(milliseconds=700)
 _KEEP_DEFAULT = datetime.timedelta(seconds=4)
 _IDLE_PER_SERVER = 128
+# SO_LINGER on with no time: closing drops what is unsent and resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Fields = abc.Sequence[tuple[bytes, bytes]]
 
@@ -221,9 +224,20 @@
             self._feed(rest)
 
     def close(self) -> None:
-        """Close the connection; a server then stops working on its request."""
-        if self._wire.transport is not None:
-            self._wire.transport.abort()
+        """Close the connection; a server then stops working on its request.
+
+        It is reset, not ended in order. What the kernel still holds of a request would
+        otherwise go on being sent after the close: behind a partition of six seconds a
+        request that had been given up and answered elsewhere reached its first server
+        when the partition healed, and that server had left meanwhile.
+        """
+        transport = self._wire.transport
+        if transport is None:
+            return
+        sock = transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
 
     def _note_keeping(self, fields: Fields) -> None:
         for name, value in fields:
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -95,3 +95,9 @@
     And watch: an instance that follows it
     When watch: "e1" is removed
     Then watch: no engine is left to choose from
+
+  # A server is behind a partition when it is sent a request. The request is given up and
+  # served elsewhere; the partition heals. Closed in order, the connection would deliver
+  # the request then, to a server that has left meanwhile.
+  Scenario: A request that was given up is not delivered by a connection that was closed
+    Then channel: a connection that is closed under a request is reset
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -3,7 +3,8 @@
 
 import behave
 
-from pimentolatch import clock
+from pimentolatch import clock, settings
+from pimentolatch.backend import channel
 from pimentolatch.gateway import knowledge, lapsed, lease, watching
 from standins import memory_store, objects
 from tests.support import route_world
@@ -218,3 +219,31 @@
     async def stop(self):
         for task in self.tasks:
             task.cancel()
+
+
+@behave.then("channel: a connection that is closed under a request is reset")
+def closed_with_reset(context):
+    async def seen_by_server():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            link.close()
+            try:
+                ended.set_result(await reader.read())
+            except ConnectionResetError as error:
+                ended.set_result(error)
+            writer.close()
+
+        server = await asyncio.start_server(serve, route_world.HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        address = settings.Address(host=route_world.HOST, port=port)
+        link = await channel.connect(address, datetime.timedelta(seconds=5))
+        link.send("GET", b"/", [(b"host", b"x")], b"")
+        try:
+            return await ended
+        finally:
+            server.close()
+
+    seen = asyncio.run(seen_by_server())
+    assert isinstance(seen, ConnectionResetError), seen
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import datetime
+import itertools
+import os
 import socket
 
 from pimentolatch import clock
@@ -15,11 +17,25 @@
 POLL_S = 0.01
 
 
+# Below the range from which the system takes ports for outgoing connections: one that
+# it gave out there was taken by a connection of another process before it was bound.
+FIRST_PORT = 10_000
+PORTS_OF_PROCESS = 100
+_ports = itertools.count()
+
+
 def free_port():
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that no other process of a test run is given."""
+    first = FIRST_PORT + os.getpid() % 200 * PORTS_OF_PROCESS
+    for _ in range(PORTS_OF_PROCESS):
+        port = first + next(_ports) % PORTS_OF_PROCESS
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError(f"no port is free from {first} on")
 
 
 def route(name, service, kind, **fields):
