--- a/src/pimentolatch/decisions/demand_rate.py
+++ b/src/pimentolatch/decisions/demand_rate.py
@@ -15,9 +15,6 @@
 # After one time constant, two thirds of a step in the load are seen. A change of stage
 # takes about as long, so a faster rate would only follow noise.
 _TIME_CONSTANT_S = 2.0
-# From the first request on a rate is divided by the part of it that can have been seen,
-# but by no less than this part: one long prompt alone is no rate.
-_LEAST_SEEN = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +32,6 @@
         self._reading = 0.0
         self._writing = 0.0
         self._at = datetime.timedelta()
-        self._first: datetime.timedelta | None = None
 
     def add(self, reading: float, writing: int, now: datetime.timedelta) -> None:
         """Count a request.
@@ -46,19 +42,13 @@
             now: The time.
         """
         self._fade(now)
-        if self._first is None:
-            self._first = now
         self._reading += reading / _TIME_CONSTANT_S
         self._writing += writing / _TIME_CONSTANT_S
 
     def rate(self, now: datetime.timedelta) -> ServiceDemand:
         """Return the rates of this moment."""
         self._fade(now)
-        if self._first is None:
-            return ServiceDemand(0.0, 0.0)
-        passed = (now - self._first).total_seconds()
-        seen = max(_LEAST_SEEN, 1 - math.exp(-passed / _TIME_CONSTANT_S))
-        return ServiceDemand(self._reading / seen, self._writing / seen)
+        return ServiceDemand(self._reading, self._writing)
 
     def _fade(self, now: datetime.timedelta) -> None:
         passed = (now - self._at).total_seconds()
