Take the engines' part of beacons out of the socket's owner

Cause: peers.py owned the socket, chose whom to tell and translated counts of work, 300 lines; what instances tell of engines could not be replayed without a socket. gateway/peer_work.py holds the translation now and knows no network.

--- /dev/null
+++ b/src/pimentolatch/gateway/peer_work.py
@@ -0,0 +1,129 @@
+"""What instances tell each other of the work at engines, and what each makes of it."""
+
+import datetime
+from collections import abc
+
+from pimentolatch.decisions import engine_loads
+from pimentolatch.gateway import knowledge
+from pimentolatch.protocol import beacons
+from pimentolatch.requests import prompts
+from pimentolatch.routes import servers
+
+__all__ = ["PeerWork"]
+
+# A datagram stays under what passes every link unfragmented.
+_LOADS_TOLD = 40
+
+
+class PeerWork:
+    """Keeps the engines' counts of an instance in step with its peers' beacons.
+
+    Args:
+        known: The engines, to which peers' work is added.
+        own_domain: Failure domain of this instance.
+    """
+
+    def __init__(self, known: knowledge.Knowledge, own_domain: str) -> None:
+        self._known = known
+        self._domain = own_domain
+        self._busy: dict[str, set[servers.Incarnation]] = {}
+
+    def take(
+        self, beacon: beacons.Beacon, weight: float, now: datetime.timedelta
+    ) -> None:
+        """Take what a beacon tells of engines.
+
+        Args:
+            beacon: The beacon.
+            weight: For how many instances its sender stands.
+            now: The time.
+        """
+        self._take_loads(beacon, weight, now)
+        for load in beacon.totals:
+            engine = self._known.engine(load.engine)
+            if engine is not None:
+                told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
+                engine.hear_total(told, now)
+        for told_change in beacon.changing:
+            engine = self._known.engine(told_change.engine)
+            if engine is not None:
+                left = datetime.timedelta(milliseconds=told_change.left_ms)
+                engine.begin_change(
+                    engine_loads.StageChange(told_change.stage, now + left)
+                )
+        for seen in beacon.sightings:
+            self._take_sighting(seen)
+
+    def retain(self, live: abc.Container[str]) -> None:
+        """Forget which engines the peers that have ended kept busy."""
+        self._busy = {name: ids for name, ids in self._busy.items() if name in live}
+
+    def own(self) -> tuple[beacons.Load, ...]:
+        """Return the work of this instance, the engines that read most first."""
+        found = [
+            _load(engine, engine.own())
+            for engine in self._engines()
+            if engine.writing or any(engine.reading)
+        ]
+        found.sort(key=lambda load: sum(load.reading), reverse=True)
+        return tuple(found[:_LOADS_TOLD])
+
+    def totals(self, now: datetime.timedelta) -> tuple[beacons.Load, ...]:
+        """Return the work of all instances at the engines of this domain."""
+        found = [
+            _load(engine, engine.total(now))
+            for engine in self._engines()
+            if engine.server.failure_domain == self._domain
+        ]
+        return tuple(found[:_LOADS_TOLD])
+
+    def changing(self, now: datetime.timedelta) -> tuple[beacons.Changing, ...]:
+        """Return the engines that are changing their stage, as far as is known."""
+        return tuple(
+            beacons.Changing(
+                engine.server.incarnation,
+                engine.change.stage,
+                int((engine.change.until - now) / datetime.timedelta(milliseconds=1)),
+            )
+            for engine in self._engines()
+            if engine.change is not None and engine.is_changing(now)
+        )
+
+    def _engines(self) -> abc.Iterator[engine_loads.EngineLoad]:
+        for loads in self._known.all_loads().values():
+            yield from loads.all()
+
+    def _take_loads(
+        self, beacon: beacons.Beacon, weight: float, now: datetime.timedelta
+    ) -> None:
+        reported = {load.engine for load in beacon.loads}
+        for ended in self._busy.get(beacon.instance, set()) - reported:
+            engine = self._known.engine(ended)
+            if engine is not None:
+                engine.forget(beacon.instance)
+        self._busy[beacon.instance] = reported
+        for load in beacon.loads:
+            engine = self._known.engine(load.engine)
+            if engine is not None:
+                told = engine_loads.PeerLoad(
+                    load.reading, load.writing, load.held, weight
+                )
+                engine.hear(beacon.instance, told, now)
+
+    def _take_sighting(self, seen: beacons.Sighting) -> None:
+        engine = self._known.engine(seen.engine)
+        if engine is None:
+            return
+        traits = self._known.engine_traits(engine.server.service)
+        if traits is not None:
+            part = prompts.Part(seen.part, seen.tokens)
+            engine.keep((part,), traits.kv_tokens)
+
+
+def _load(engine: engine_loads.EngineLoad, work: engine_loads.PeerLoad) -> beacons.Load:
+    reading = [max(0, int(tokens)) for tokens in work.reading]
+    while reading and not reading[-1]:
+        reading.pop()
+    return beacons.Load(
+        engine.server.incarnation, tuple(reading), work.writing, work.held
+    )
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -10,8 +10,8 @@
 import logbook
 
 from pimentolatch import clock
-from pimentolatch.decisions import demand_rate, engine_loads, neighbours
-from pimentolatch.gateway import knowledge, peer_table
+from pimentolatch.decisions import demand_rate, neighbours
+from pimentolatch.gateway import knowledge, peer_table, peer_work
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
@@ -31,7 +31,6 @@
 _BEACONS_TO_SAME = 4
 _NEAR_FOR_ONE_FAR = 2
 # A datagram stays under what passes every link unfragmented.
-_LOADS_TOLD = 40
 _SIGHTINGS_TOLD = 24
 # Instances told of in each beacon, and in the first answer to one that was not heard
 # before. Without that answer a fleet of 85 that starts at one moment knew itself after
@@ -100,7 +99,7 @@
         self._clock = time
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
-        self._busy: dict[str, set[servers.Incarnation]] = {}
+        self._work = peer_work.PeerWork(known, own_domain)
         self._neighbours = neighbours.Neighbours(())
         self._weights: dict[str, float] = {}
         self.stopping = False
@@ -148,44 +147,8 @@
         if self._table.heard(addr[0], beacon):
             _log.info("peer heard", peer=beacon.instance, host=addr[0])
             self._send([addr[0]], self.beacon(_MEMBERS_TOLD_FIRST))
-        self._take(beacon)
-
-    def _take(self, beacon: beacons.Beacon) -> None:
-        now = self._clock.monotonic()
-        reported = {load.engine for load in beacon.loads}
-        for ended in self._busy.get(beacon.instance, set()) - reported:
-            engine = self._known.engine(ended)
-            if engine is not None:
-                engine.forget(beacon.instance)
-        self._busy[beacon.instance] = reported
         weight = self._weights.get(beacon.failure_domain, 1.0)
-        for load in beacon.loads:
-            engine = self._known.engine(load.engine)
-            if engine is not None:
-                told = engine_loads.PeerLoad(
-                    load.reading, load.writing, load.held, weight
-                )
-                engine.hear(beacon.instance, told, now)
-        for load in beacon.totals:
-            engine = self._known.engine(load.engine)
-            if engine is not None:
-                told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
-                engine.hear_total(told, now)
-        for told_change in beacon.changing:
-            engine = self._known.engine(told_change.engine)
-            if engine is not None:
-                left = datetime.timedelta(milliseconds=told_change.left_ms)
-                engine.begin_change(
-                    engine_loads.StageChange(told_change.stage, now + left)
-                )
-        for seen in beacon.sightings:
-            engine = self._known.engine(seen.engine)
-            if engine is None:
-                continue
-            traits = self._known.engine_traits(engine.server.service)
-            if traits is not None:
-                part = prompts.Part(seen.part, seen.tokens)
-                engine.keep((part,), traits.kv_tokens)
+        self._work.take(beacon, weight, self._clock.monotonic())
 
     def _choose(self) -> None:
         """Choose whom to tell, and how much each one's word counts."""
@@ -197,8 +160,7 @@
         for loads in self._known.all_loads().values():
             loads.partly_heard = bool(self._neighbours.far)
         self._weights = self._table.weights()
-        live = {peer.beacon.instance for peer in self._table.live()}
-        self._busy = {name: ids for name, ids in self._busy.items() if name in live}
+        self._work.retain({peer.beacon.instance for peer in self._table.live()})
 
     def _tell(self) -> None:
         beacon = self.beacon(sightings=self._sightings.take())
@@ -209,7 +171,7 @@
         hosts = [self._chance.choice(hosts) for hosts in self._neighbours.far]
         if hosts:
             beacon = self.beacon()
-            totals = tuple(self._near_totals()[:_LOADS_TOLD])
+            totals = self._work.totals(self._clock.monotonic())
             self._send(hosts, dataclasses.replace(beacon, totals=totals))
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
@@ -234,9 +196,9 @@
             stopping=self.stopping,
             readers=self._readers(),
             members=self._table.some_members(members),
-            loads=tuple(self._own_loads()[:_LOADS_TOLD]),
+            loads=self._work.own(),
             sightings=sightings,
-            changing=tuple(self._changing()),
+            changing=self._work.changing(self._clock.monotonic()),
             demands=tuple(
                 beacons.Demand(
                     service,
@@ -248,17 +210,6 @@
             ),
         )
 
-    def _changing(self) -> abc.Iterator[beacons.Changing]:
-        now = self._clock.monotonic()
-        for loads in self._known.all_loads().values():
-            for engine in loads.all():
-                if engine.change is not None and engine.is_changing(now):
-                    yield beacons.Changing(
-                        engine.server.incarnation,
-                        engine.change.stage,
-                        _milliseconds(engine.change.until - now),
-                    )
-
     def _readers(self) -> tuple[beacons.Reader, ...]:
         now = self._clock.monotonic()
         told = [
@@ -269,32 +220,6 @@
             told.append(beacons.Reader(self._name, 0))
         return tuple(told)
 
-    def _near_totals(self) -> list[beacons.Load]:
-        now = self._clock.monotonic()
-        return [
-            _load(engine, engine.total(now))
-            for loads in self._known.all_loads().values()
-            for engine in loads.all()
-            if engine.server.failure_domain == self._place.failure_domain
-        ]
-
-    def _own_loads(self) -> list[beacons.Load]:
-        found = []
-        for loads in self._known.all_loads().values():
-            for engine in loads.all():
-                if engine.writing or any(engine.reading):
-                    found.append(_load(engine, engine.own()))
-        return sorted(found, key=lambda load: sum(load.reading), reverse=True)
-
 
 def _milliseconds(span: datetime.timedelta) -> int:
     return int(span / datetime.timedelta(milliseconds=1))
-
-
-def _load(engine: engine_loads.EngineLoad, work: engine_loads.PeerLoad) -> beacons.Load:
-    reading = [max(0, int(tokens)) for tokens in work.reading]
-    while reading and not reading[-1]:
-        reading.pop()
-    return beacons.Load(
-        engine.server.incarnation, tuple(reading), work.writing, work.held
-    )
