--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -18,6 +18,7 @@
 import dataclasses
 import datetime
 import itertools
+import operator
 from collections import abc
 
 from pimentolatch.decisions import urgency
@@ -145,7 +146,7 @@
         self.change: StageChange | None = None
         self.answered_at = datetime.timedelta()
         self._peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
-        self._total: tuple[PeerLoad, datetime.timedelta] | None = None
+        self._domains: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
         self._sums: _Sums | None = None
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
@@ -176,18 +177,25 @@
         """Return what this instance has under way here."""
         return PeerLoad(tuple(self.reading), self.writing, self.held)
 
-    def hear_total(self, load: PeerLoad, now: datetime.timedelta) -> None:
-        """Take the sums of all instances, from one that stands near the engine."""
-        self._total = load, now
+    def hear_domain(self, domain: str, load: PeerLoad, now: datetime.timedelta) -> None:
+        """Take what all instances of another failure domain have under way here."""
+        self._domains[domain] = load, now
         self._sums = None
 
-    def total(self, now: datetime.timedelta) -> PeerLoad:
-        """Return the sums of all instances, for those that are far from the engine."""
-        up_to = [self.all_reading(now, level) for level in range(urgency.LEVELS)]
-        reading = (
-            after - before for before, after in itertools.pairwise([0.0, *up_to])
-        )
-        return PeerLoad(tuple(reading), self.all_writing(now), self.all_held(now))
+    def forget_domain(self, domain: str) -> None:
+        """Drop what the instances of another failure domain had under way here."""
+        if self._domains.pop(domain, None) is not None:
+            self._sums = None
+
+    def domain_work(self, now: datetime.timedelta) -> PeerLoad:
+        """Return what the instances of this failure domain have under way here.
+
+        It goes to the other domains, so nothing of theirs is in it: told back, their
+        work would be counted twice, and then again.
+        """
+        sums = _sum(_heard(self._peers.values(), now))
+        reading = tuple(map(operator.add, self.reading, sums.reading))
+        return PeerLoad(reading, self.writing + sums.writing, self.held + sums.held)
 
     def all_reading(
         self, now: datetime.timedelta, level: int = urgency.LEVELS - 1
@@ -242,21 +250,35 @@
         return self._sums
 
     def _add_up(self, now: datetime.timedelta) -> _Sums:
-        told = self._peers.values() if self._total is None else [self._total]
-        heard = [(load, at) for load, at in told if now - at <= _PEER_SILENCE]
-        by_level = [0.0] * urgency.LEVELS
-        for load, _ in heard:
-            for level, tokens in enumerate(load.reading):
-                by_level[level] += load.weight * tokens
+        heard = _heard([*self._peers.values(), *self._domains.values()], now)
+        sums = _sum(heard)
         oldest = min((at for _, at in heard), default=datetime.timedelta.max / 2)
         return _Sums(
-            tuple(itertools.accumulate(by_level)),
-            round(sum(load.weight * load.writing for load, _ in heard)),
-            round(sum(load.weight * load.held for load, _ in heard)),
+            tuple(itertools.accumulate(sums.reading)),
+            sums.writing,
+            sums.held,
             oldest + _PEER_SILENCE,
         )
 
 
+def _heard(
+    told: abc.Iterable[tuple[PeerLoad, datetime.timedelta]], now: datetime.timedelta
+) -> list[tuple[PeerLoad, datetime.timedelta]]:
+    return [(load, at) for load, at in told if now - at <= _PEER_SILENCE]
+
+
+def _sum(heard: abc.Iterable[tuple[PeerLoad, datetime.timedelta]]) -> PeerLoad:
+    """Return the work of all peers that are heard, each by its weight."""
+    reading = [0.0] * urgency.LEVELS
+    writing = held = 0.0
+    for load, _ in heard:
+        for level, tokens in enumerate(load.reading):
+            reading[level] += load.weight * tokens
+        writing += load.weight * load.writing
+        held += load.weight * load.held
+    return PeerLoad(tuple(reading), round(writing), round(held))
+
+
 class EngineLoads:
     """The engines of one model service.
 
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -13,10 +13,9 @@
 that server go on within their pause.
 
 Shared parts come back to the engine that read them, which the charge for reading again
-sees to. When that engine has a queue, another one fetches them from it, which costs a
-few milliseconds of a link where reading takes a hundred of an engine. A part that
-nobody has read goes to the engine that ranks highest for it, so that instances which
-have not heard of one another's prompts meet on the same engine.
+sees to, and to their home (`homes`), where instances that have not heard of one
+another's prompts meet. When that engine has a queue, another one fetches them from it,
+which costs a few milliseconds of a link where reading takes a hundred of an engine.
 """
 
 import dataclasses
@@ -24,20 +23,11 @@
 import math
 from collections import abc
 
-from pimentolatch.decisions import engine_loads, subset, urgency
+from pimentolatch.decisions import engine_loads, homes, places, urgency
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers, table
 
-__all__ = [
-    "Apart",
-    "Asked",
-    "Hopeless",
-    "InPlace",
-    "NoEngine",
-    "Place",
-    "Placement",
-    "fullness",
-]
+__all__ = ["Placement", "fullness"]
 
 # Charge of a shared token that is read again, on top of the time it takes: reading
 # again what another engine keeps takes the time of others in the queue.
@@ -51,15 +41,16 @@
 # everybody: what is known of far engines is half a second old, so that an engine that
 # looks idle is chosen by many at once.
 _FAR_MS = 60.0
-# Charge of an engine that is not first in the ranking for the prompt's shared part.
-_RANK_MS = 20.0
-_LOWEST_RANK = 2
 # A prompt that is read in place delays the streams there. This many unread tokens may
 # wait at an engine that writes, so that no pause grows past what callers accept. Room
 # that follows the pause which the streams leave let in half as many again and served
 # less: mean worth of six days 0.636 against 0.647. With no engine left that reads for
 # others there is no bound: late answers are better than none.
 _IN_PLACE_TOKENS = 2000
+_IN_PLACE_FACTOR = 2.0
+_STEP_IN_COST = 0.0
+_IN_PLACE_OVERHEAD = 1.0
+_LOWER_SHARE = 0.0
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
 # A prompt is large if its reading alone takes this share of the time for a first event:
@@ -82,76 +73,6 @@
 _OVERFULL_MS = 4000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InPlace:
-    """Read and write on one engine.
-
-    Attributes:
-        tokens: Tokens that have to be read.
-        donor: Engine that keeps more of the prompt, to fetch it from; None if the
-            reading engine keeps as much itself.
-        level: Urgency to send it with.
-        expected: Time to the first event.
-    """
-
-    engine: engine_loads.EngineLoad
-    tokens: int
-    donor: engine_loads.EngineLoad | None
-    level: int
-    expected: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Apart:
-    """Read on one engine, write on another; see `InPlace`."""
-
-    reader: engine_loads.EngineLoad
-    engine: engine_loads.EngineLoad
-    tokens: int
-    donor: engine_loads.EngineLoad | None
-    level: int
-    expected: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hopeless:
-    """No engine can give a first event in time.
-
-    Attributes:
-        retry_after: When the queue is expected to have room.
-    """
-
-    retry_after: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoEngine:
-    """No engine that writes takes requests now; one may be back in a moment."""
-
-
-Place = InPlace | Apart | Hopeless | NoEngine
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Asked:
-    """A prompt to be placed.
-
-    Attributes:
-        rank: Rank of its route, 0 first.
-        target: The route's time for the first event.
-        due: What is left of that time.
-        patience: Its client waits this long for the first event.
-        lot: Drawn evenly from 0 to 1 for the request.
-    """
-
-    prompt: prompts.Prompt
-    rank: int
-    target: datetime.timedelta
-    due: datetime.timedelta
-    patience: datetime.timedelta
-    lot: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Donor:
     """An engine that keeps the first `tokens` tokens of a prompt."""
@@ -174,11 +95,11 @@
 
     def choose(
         self,
-        asked: Asked,
+        asked: places.Asked,
         traits: table.EngineTraits,
         now: datetime.timedelta,
         without: frozenset[servers.Incarnation] = frozenset(),
-    ) -> Place:
+    ) -> places.Place:
         """Return where to send a prompt.
 
         Args:
@@ -191,11 +112,13 @@
         readers = self._loads.usable(servers.Stage.PREFILL, now, without)
         found = list(self._places(asked, traits, now, writers, readers))
         if not found:
-            return NoEngine()
+            return places.NoEngine()
         _, place = min(found, key=lambda item: item[0])
         if place.expected > asked.patience:
             over = place.expected - asked.patience
-            return Hopeless(max(over, _LEAST_RETRY) * (1 + _RETRY_SPREAD * asked.lot))
+            return places.Hopeless(
+                max(over, _LEAST_RETRY) * (1 + _RETRY_SPREAD * asked.lot)
+            )
         return place
 
     def choose_writer(
@@ -219,21 +142,19 @@
 
     def _places(
         self,
-        asked: Asked,
+        asked: places.Asked,
         traits: table.EngineTraits,
         now: datetime.timedelta,
         writers: abc.Sequence[engine_loads.EngineLoad],
         readers: abc.Sequence[engine_loads.EngineLoad],
-    ) -> abc.Iterator[tuple[float, InPlace | Apart]]:
+    ) -> abc.Iterator[tuple[float, places.InPlace | places.Apart]]:
         """Yield the places worth comparing with their costs in milliseconds.
 
         Of the pairs of a reading and a writing engine, those with the best writer for
         each reader are enough. Which writer that is depends on the reader's failure
         domain only, since that alone changes the cost of what crosses the link.
         """
-        near = [r for r in readers if r.server.failure_domain == self._domain]
-        ranked = near if near and self._loads.partly_heard else readers
-        ranks = _ranks(asked.prompt, ranked)
+        ranking = homes.rank(asked.prompt, readers, self._loads.reading_rate)
         donors = _donors(asked.prompt, [*writers, *readers])
         costs = {w.server.server_id: self._writer_cost(w, traits, now) for w in writers}
         for writer in writers:
@@ -250,10 +171,11 @@
                 best[domain] = _best_writer(writers, costs, asked.prompt, domain)
             base, writer = best[domain]
             cost, place = self._apart(reader, writer, asked, now, donors)
+            if place.donor is None and ranking.donor is not reader:
+                place = dataclasses.replace(place, donor=ranking.donor)
             if self._loads.partly_heard:
                 cost += self._foreign_cost(reader)
-            rank = ranks.get(reader.server.server_id, _LOWEST_RANK * _RANK_MS)
-            yield base + cost + rank, place
+            yield base + cost + ranking.charges[reader.server.server_id], place
 
     def _writer_cost(
         self,
@@ -275,48 +197,54 @@
     def _in_place(
         self,
         writer: engine_loads.EngineLoad,
-        asked: Asked,
+        asked: places.Asked,
         now: datetime.timedelta,
         donors: abc.Sequence[_Donor],
         bound: float,
-    ) -> tuple[float, InPlace] | None:
+    ) -> tuple[float, places.InPlace] | None:
         tokens, donor, fetched = _to_read(writer, asked.prompt, donors)
         ahead = writer.all_reading(now)
         if ahead + tokens > bound:
             return None
         rate = self._loads.reading_rate / engine_loads.IN_PLACE_SLOWNESS
-        milliseconds = (ahead + self._loads.reading_cost(tokens)) / rate
+        overhead = _IN_PLACE_OVERHEAD * (self._loads.reading_cost(tokens) - tokens)
+        milliseconds = (ahead + tokens + overhead) / rate
         expected = datetime.timedelta(milliseconds=milliseconds + _FIRST_STEP_MS)
         late = expected > asked.due
         large = self._is_large(asked, tokens)
         # The streams there wait for it too.
-        cost = 2 * milliseconds + (_LATE_MS if late else 0)
+        cost = _IN_PLACE_FACTOR * milliseconds + (_LATE_MS if late else 0)
+        cost += _STEP_IN_COST * _FIRST_STEP_MS
         cost += fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
-        return cost, InPlace(writer, tokens, donor, level, expected)
+        return cost, places.InPlace(writer, tokens, donor, level, expected)
 
     def _apart(
         self,
         reader: engine_loads.EngineLoad,
         writer: engine_loads.EngineLoad,
-        asked: Asked,
+        asked: places.Asked,
         now: datetime.timedelta,
         donors: abc.Sequence[_Donor],
-    ) -> tuple[float, Apart]:
+    ) -> tuple[float, places.Apart]:
         tokens, donor, fetched = _to_read(reader, asked.prompt, donors)
         cost = fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
         large = self._is_large(asked, tokens)
         for late in (False, True):
             level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
+            work += _LOWER_SHARE * (
+                reader.all_reading(now) - reader.all_reading(now, level)
+            )
             milliseconds = work / self._loads.reading_rate
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
             if expected <= asked.due:
                 break
         cost += milliseconds + (_LATE_MS if late else 0)
-        return cost, Apart(reader, writer, tokens, donor, level, expected)
+        cost += _STEP_IN_COST * _HANDOVER_MS
+        return cost, places.Apart(reader, writer, tokens, donor, level, expected)
 
-    def _is_large(self, asked: Asked, tokens: int) -> bool:
+    def _is_large(self, asked: places.Asked, tokens: int) -> bool:
         milliseconds = tokens / self._loads.reading_rate
         target_ms = asked.target / datetime.timedelta(milliseconds=1)
         return milliseconds > _LARGE_SHARE * target_ms
@@ -394,18 +322,3 @@
     """Return how many of the tokens to be read belong to shared parts."""
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
     return max(0, tokens - own)
-
-
-def _ranks(
-    prompt: prompts.Prompt, readers: abc.Sequence[engine_loads.EngineLoad]
-) -> dict[str, float]:
-    """Return a small charge by how low an engine ranks for the shared part."""
-    shared = prompt.parts[-2].name if len(prompt.parts) > 1 else prompt.model
-    names = sorted(
-        (reader.server.server_id for reader in readers),
-        key=lambda name: subset.rank(name, shared),
-        reverse=True,
-    )
-    return {
-        name: _RANK_MS * min(place, _LOWEST_RANK) for place, name in enumerate(names)
-    }
--- /dev/null
+++ b/src/pimentolatch/decisions/places.py
@@ -0,0 +1,79 @@
+"""What is asked of placement, and the places that it answers with."""
+
+import dataclasses
+import datetime
+
+from pimentolatch.decisions import engine_loads
+from pimentolatch.requests import prompts
+
+__all__ = ["Apart", "Asked", "Hopeless", "InPlace", "NoEngine", "Place"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InPlace:
+    """Read and write on one engine.
+
+    Attributes:
+        tokens: Tokens that have to be read.
+        donor: Engine that keeps more of the prompt, to fetch it from; None if the
+            reading engine keeps as much itself.
+        level: Urgency to send it with.
+        expected: Time to the first event.
+    """
+
+    engine: engine_loads.EngineLoad
+    tokens: int
+    donor: engine_loads.EngineLoad | None
+    level: int
+    expected: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Apart:
+    """Read on one engine, write on another; see `InPlace`."""
+
+    reader: engine_loads.EngineLoad
+    engine: engine_loads.EngineLoad
+    tokens: int
+    donor: engine_loads.EngineLoad | None
+    level: int
+    expected: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hopeless:
+    """No engine can give a first event in time.
+
+    Attributes:
+        retry_after: When the queue is expected to have room.
+    """
+
+    retry_after: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoEngine:
+    """No engine that writes takes requests now; one may be back in a moment."""
+
+
+Place = InPlace | Apart | Hopeless | NoEngine
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A prompt to be placed.
+
+    Attributes:
+        rank: Rank of its route, 0 first.
+        target: The route's time for the first event.
+        due: What is left of that time.
+        patience: Its client waits this long for the first event.
+        lot: Drawn evenly from 0 to 1 for the request.
+    """
+
+    prompt: prompts.Prompt
+    rank: int
+    target: datetime.timedelta
+    due: datetime.timedelta
+    patience: datetime.timedelta
+    lot: float
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -4,7 +4,7 @@
 import datetime
 
 from pimentolatch import clock, settings
-from pimentolatch.decisions import engine_loads, placement
+from pimentolatch.decisions import engine_loads, places
 from pimentolatch.gateway import (
     doubting,
     inbound,
@@ -133,7 +133,7 @@
     asked: inbound.Inbound
     answer: inbound.Answer
     progress: Progress
-    place: placement.InPlace | placement.Apart
+    place: places.InPlace | places.Apart
     in_place: int
     unread: int = 0
     first_seen: bool = False
@@ -155,7 +155,7 @@
         await answer.refuse(refusals.overloaded(progress.wait))
 
 
-def first_event_limit(place: placement.InPlace | placement.Apart) -> datetime.timedelta:
+def first_event_limit(place: places.InPlace | places.Apart) -> datetime.timedelta:
     """Return how long a first event may take before its engine is asked for it."""
     return max(_LEAST_FIRST_EVENT, _FIRST_EVENT_FACTOR * place.expected)
 
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -9,6 +9,7 @@
     demand_rate,
     engine_loads,
     placement,
+    places,
     repeat_budget,
     subset,
     waiting,
@@ -81,14 +82,14 @@
     def _rate(self, service: str) -> demand_rate.DemandRate:
         return self._demands.setdefault(service, demand_rate.DemandRate())
 
-    def _count_demand(self, asked: inbound.Inbound, place: placement.Place) -> None:
+    def _count_demand(self, asked: inbound.Inbound, place: places.Place) -> None:
         """Count what the engines that read apart are asked for."""
         prompt = asked.head.prompt
         assert prompt is not None
         loads = self._parts.loads(asked)
-        if isinstance(place, placement.InPlace):
+        if isinstance(place, places.InPlace):
             cost = 0.0
-        elif isinstance(place, placement.Apart):
+        elif isinstance(place, places.Apart):
             cost = loads.reading_cost(place.tokens)
         else:
             unread = (engine.unread(prompt) for engine in loads.all())
@@ -128,12 +129,12 @@
         if progress.ran >= max(1, asked.route.most_servers):
             return await self._give_up(answer, progress)
         place = await self._place(asked, progress)
-        if isinstance(place, placement.Hopeless):
+        if isinstance(place, places.Hopeless):
             progress.wait = place.retry_after
             return await self._give_up(answer, progress)
         if not self._may_send(asked, progress):
             return await self._give_up(answer, progress)
-        if isinstance(place, placement.InPlace):
+        if isinstance(place, places.InPlace):
             return await self._writer.write(asked, answer, progress, place, None)
         source = await self._reader.read(asked, place, progress)
         if source is None:
@@ -149,7 +150,7 @@
         asked: inbound.Inbound,
         answer: inbound.Answer,
         progress: attempt.Progress,
-        place: placement.Apart,
+        place: places.Apart,
         source: attempt.Source,
     ) -> bool:
         """Have an engine go on with a prompt that was read; see `_try`.
@@ -208,17 +209,17 @@
 
     async def _place(
         self, asked: inbound.Inbound, progress: attempt.Progress
-    ) -> placement.InPlace | placement.Apart | placement.Hopeless:
+    ) -> places.InPlace | places.Apart | places.Hopeless:
         """Choose engines, waiting for one if none takes requests."""
         since = self._parts.clock.monotonic()
         place = self._choose(asked, progress, since)
-        if not isinstance(place, placement.NoEngine):
+        if not isinstance(place, places.NoEngine):
             return place
         listed = bool(self._parts.loads(asked).all())
-        while isinstance(place, placement.NoEngine):
+        while isinstance(place, places.NoEngine):
             if not listed or not await self._wait(asked, progress):
                 self._tell_waited(asked, since, in_vain=True)
-                return placement.Hopeless(waiting.retry_after(_lot(asked)))
+                return places.Hopeless(waiting.retry_after(_lot(asked)))
             place = self._choose(asked, progress, self._parts.clock.monotonic())
         self._tell_waited(asked, since, in_vain=False)
         return place
@@ -255,12 +256,12 @@
         asked: inbound.Inbound,
         progress: attempt.Progress,
         now: datetime.timedelta,
-    ) -> placement.Place:
+    ) -> places.Place:
         assert asked.head.prompt is not None and asked.service.engine is not None
         loads = self._parts.loads(asked)
         chooser = placement.Placement(loads, self._domain)
         place = chooser.choose(
-            placement.Asked(
+            places.Asked(
                 asked.head.prompt,
                 asked.route.rank,
                 asked.route.latency_target,
@@ -275,22 +276,22 @@
         if not progress.counted:
             progress.counted = True
             self._count_demand(asked, place)
-        if not isinstance(place, placement.NoEngine):
+        if not isinstance(place, places.NoEngine):
             self._tell_place(asked, place)
         return place
 
     def _tell_place(
         self,
         asked: inbound.Inbound,
-        place: placement.InPlace | placement.Apart | placement.Hopeless,
+        place: places.InPlace | places.Apart | places.Hopeless,
     ) -> None:
-        if isinstance(place, placement.Hopeless):
+        if isinstance(place, places.Hopeless):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
             self._parts.story.tell(
                 story.PLACED, asked.request_id, wrong=True, refused_for_ms=round(wait)
             )
             return
-        reader = place.reader if isinstance(place, placement.Apart) else place.engine
+        reader = place.reader if isinstance(place, places.Apart) else place.engine
         self._parts.story.tell(
             story.PLACED,
             asked.request_id,
--- a/src/pimentolatch/gateway/peer_work.py
+++ b/src/pimentolatch/gateway/peer_work.py
@@ -1,9 +1,10 @@
 """What instances tell each other of the work at engines, and what each makes of it."""
 
 import datetime
+import math
 from collections import abc
 
-from pimentolatch.decisions import engine_loads
+from pimentolatch.decisions import engine_loads, subset
 from pimentolatch.gateway import knowledge
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
@@ -13,20 +14,29 @@
 
 # A datagram stays under what passes every link unfragmented.
 _LOADS_TOLD = 40
+# The same for sums; an even spread over pieces leaves room for chance.
+_LOADS_IN_PIECE = 32
 
 
 class PeerWork:
     """Keeps the engines' counts of an instance in step with its peers' beacons.
 
+    In a fleet where not everybody hears everybody, the instances of another failure
+    domain count as one peer, which is told of by any of them.
+
     Args:
         known: The engines, to which peers' work is added.
         own_domain: Failure domain of this instance.
+
+    Attributes:
+        partly_heard: Not everybody hears everybody.
     """
 
     def __init__(self, known: knowledge.Knowledge, own_domain: str) -> None:
         self._known = known
         self._domain = own_domain
         self._busy: dict[str, set[servers.Incarnation]] = {}
+        self.partly_heard = False
 
     def take(
         self, beacon: beacons.Beacon, weight: float, now: datetime.timedelta
@@ -38,12 +48,10 @@
             weight: For how many instances its sender stands.
             now: The time.
         """
-        self._take_loads(beacon, weight, now)
-        for load in beacon.totals:
-            engine = self._known.engine(load.engine)
-            if engine is not None:
-                told = engine_loads.PeerLoad(load.reading, load.writing, load.held)
-                engine.hear_total(told, now)
+        if self.partly_heard and beacon.failure_domain != self._domain:
+            self._take_domain(beacon, now)
+        else:
+            self._take_loads(beacon, weight, now)
         for told_change in beacon.changing:
             engine = self._known.engine(told_change.engine)
             if engine is not None:
@@ -68,14 +76,25 @@
         found.sort(key=lambda load: sum(load.reading), reverse=True)
         return tuple(found[:_LOADS_TOLD])
 
-    def totals(self, now: datetime.timedelta) -> tuple[beacons.Load, ...]:
-        """Return the work of all instances at the engines of this domain."""
-        found = [
-            _load(engine, engine.total(now))
-            for engine in self._engines()
-            if engine.server.failure_domain == self._domain
+    def totals(
+        self, now: datetime.timedelta
+    ) -> list[tuple[beacons.Piece, tuple[beacons.Load, ...]]]:
+        """Return the work of this domain's instances, wherever its engines stand.
+
+        It comes in as many pieces as datagrams are needed. With what is over left out,
+        the idlest of the engines that write would look empty to the other domains, and
+        all of these would choose them.
+        """
+        works = [(engine, engine.domain_work(now)) for engine in self._engines()]
+        busy = [(e, work) for e, work in works if work.writing or any(work.reading)]
+        count = max(1, math.ceil(len(busy) / _LOADS_IN_PIECE))
+        pieces: list[list[beacons.Load]] = [[] for _ in range(count)]
+        for engine, work in busy:
+            pieces[_piece_of(engine, count)].append(_load(engine, work))
+        return [
+            (beacons.Piece(number, count), tuple(loads))
+            for number, loads in enumerate(pieces)
         ]
-        return tuple(found[:_LOADS_TOLD])
 
     def changing(self, now: datetime.timedelta) -> tuple[beacons.Changing, ...]:
         """Return the engines that are changing their stage, as far as is known."""
@@ -110,6 +129,20 @@
                 )
                 engine.hear(beacon.instance, told, now)
 
+    def _take_domain(self, beacon: beacons.Beacon, now: datetime.timedelta) -> None:
+        """Take a piece of what a domain has under way; see `totals`."""
+        domain = beacon.failure_domain
+        for load in beacon.totals:
+            engine = self._known.engine(load.engine)
+            if engine is not None:
+                work = engine_loads.PeerLoad(load.reading, load.writing, load.held)
+                engine.hear_domain(domain, work, now)
+        told = {load.engine for load in beacon.totals}
+        for engine in self._engines():
+            covered = _piece_of(engine, beacon.piece.count) == beacon.piece.number
+            if covered and engine.server.incarnation not in told:
+                engine.forget_domain(domain)
+
     def _take_sighting(self, seen: beacons.Sighting) -> None:
         engine = self._known.engine(seen.engine)
         if engine is None:
@@ -120,6 +153,11 @@
             engine.keep((part,), traits.kv_tokens)
 
 
+def _piece_of(engine: engine_loads.EngineLoad, count: int) -> int:
+    """Return the piece of the totals that an engine belongs to."""
+    return subset.rank(engine.server.server_id, "piece") % count
+
+
 def _load(engine: engine_loads.EngineLoad, work: engine_loads.PeerLoad) -> beacons.Load:
     reading = [max(0, int(tokens)) for tokens in work.reading]
     while reading and not reading[-1]:
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -157,8 +157,9 @@
         known = {place.host for place in places}
         unheard = [neighbours.Place(host, "") for host in self._seeds - known]
         self._neighbours = neighbours.choose(self._place, [*places, *unheard])
+        self._work.partly_heard = bool(self._neighbours.far)
         for loads in self._known.all_loads().values():
-            loads.partly_heard = bool(self._neighbours.far)
+            loads.partly_heard = self._work.partly_heard
         self._weights = self._table.weights()
         self._work.retain({peer.beacon.instance for peer in self._table.live()})
 
@@ -167,12 +168,13 @@
         self._send(self._neighbours.near, beacon)
 
     def _tell_far(self) -> None:
-        """Tell one instance of each other domain of the engines of this one."""
+        """Tell one instance of each other domain what this one has under way."""
         hosts = [self._chance.choice(hosts) for hosts in self._neighbours.far]
-        if hosts:
-            beacon = self.beacon()
-            totals = self._work.totals(self._clock.monotonic())
-            self._send(hosts, dataclasses.replace(beacon, totals=totals))
+        if not hosts:
+            return
+        beacon = dataclasses.replace(self.beacon(), loads=())
+        for piece, totals in self._work.totals(self._clock.monotonic()):
+            self._send(hosts, dataclasses.replace(beacon, totals=totals, piece=piece))
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from pimentolatch.decisions import engine_loads, placement
+from pimentolatch.decisions import engine_loads, places
 from pimentolatch.gateway import attempt, inbound, sending
 from pimentolatch.platform import engines, heads
 
@@ -23,7 +23,7 @@
         self._background: set[asyncio.Task[None]] = set()
 
     async def read(
-        self, asked: inbound.Inbound, place: placement.Apart, progress: attempt.Progress
+        self, asked: inbound.Inbound, place: places.Apart, progress: attempt.Progress
     ) -> attempt.Source | None:
         """Have a prompt read; None if the engine did not."""
         reader = place.reader
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -4,7 +4,7 @@
 import datetime
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import doubt, placement
+from pimentolatch.decisions import doubt, places
 from pimentolatch.gateway import attempt, events, inbound, sending
 from pimentolatch.platform import heads
 
@@ -31,7 +31,7 @@
         asked: inbound.Inbound,
         answer: inbound.Answer,
         progress: attempt.Progress,
-        place: placement.InPlace | placement.Apart,
+        place: places.InPlace | places.Apart,
         source: attempt.Source | None,
     ) -> bool:
         """Have an engine answer; True if the answer is finished."""
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -21,14 +21,15 @@
     "Load",
     "Malformed",
     "Member",
+    "Piece",
     "Reader",
     "Sighting",
     "decode",
     "encode",
 ]
 
-_VERSION = 6
-_FIELDS = 15
+_VERSION = 7
+_FIELDS = 16
 # No count of ours comes near; above it sums of counts would no longer be exact.
 _MOST_COUNT = 2**53
 _UNREADABLE = (
@@ -66,6 +67,14 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Piece:
+    """Which of the engines the totals of a beacon cover: one part of them by a hash."""
+
+    number: int = 0
+    count: int = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changing:
     """An engine that is changing its stage.
@@ -127,8 +136,8 @@
         readers: Who would read the store for the sender's domain, first by name.
         members: Some of the instances that the sender knows of.
         loads: Work of the sender.
-        totals: Work of all instances at the engines of the sender's domain, for
-            instances of other ones.
+        totals: Work of all instances of the sender's domain, for those of other ones.
+        piece: The engines that the totals cover; the others among these are idle.
         changing: Engines that are changing their stage, as the sender has heard.
     """
 
@@ -145,6 +154,7 @@
     demands: tuple[Demand, ...] = ()
     totals: tuple[Load, ...] = ()
     changing: tuple[Changing, ...] = ()
+    piece: Piece = Piece()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +193,7 @@
         [[d.service, d.reading, d.writing, d.rate] for d in beacon.demands],
         totals,
         changing,
+        [beacon.piece.number, beacon.piece.count],
     ]
     return cbor2.dumps(rows)
 
@@ -245,11 +256,19 @@
                 Changing(engines[_count(row[0])], servers.Stage(row[1]), _count(row[2]))
                 for row in rows[14]
             ),
+            _piece(rows[15]),
         )
     except _UNREADABLE as error:
         return Malformed(repr(error))
 
 
+def _piece(row: typing.Any) -> Piece:
+    piece = Piece(*_counts(row))
+    if not piece.number < piece.count:
+        raise ValueError(f"not a piece of several: {row!r}")
+    return piece
+
+
 def _counts(values: abc.Iterable[typing.Any]) -> list[int]:
     return [_count(value) for value in values]
 
--- a/tests/features/routes_fleet.feature
+++ b/tests/features/routes_fleet.feature
@@ -23,21 +23,50 @@
     Then each instance tells 10 others of its own domain and 3 of other ones
     And news of one instance reach its domain in 3 steps
 
-  # An engine of another domain has a queue. No sender of that domain is a neighbour, but
-  # one of them tells the sums; they grow old like all counts.
-  Scenario: The queue of a far engine is known by the sums of its domain
+  # Instances of two domains send to one engine. Each hears of its own domain by its
+  # neighbours, and of the other by the sums that any instance there tells; a sum that
+  # came back to its domain would be counted twice. Sums grow old like all counts.
+  Scenario: The queue of an engine is known by the sums of each domain
     Given an engine at which two near instances have 3000 and 4000 tokens to read
-    Then an instance that hears both counts 7000 tokens there
-    And a far one that hears the sums counts 7000 tokens there, for 2 seconds
+    And two instances of another domain have 500 and 600 tokens to read there
+    Then an instance of either domain that hears of the other counts 8100 tokens
+    And what each tells of its own domain stays 7000 and 1100 tokens
+    And after 3 seconds of silence each counts its own 3000 and 500 tokens
 
-  # Engines of the own domain are short by 50 ms. What is known of the far ones is old,
-  # so many would choose the same one at once.
-  Scenario: In a large fleet prompts stay in their domain until its queue is longer
+  # 70 engines, more than one datagram holds. Those left out would look idle, and every
+  # instance of another domain would choose the same ones.
+  Scenario: The sums of a domain leave out no engine that has work
+    Given 70 engines, 25 of which read, all with work from one domain
+    When an instance of another domain hears its sums
+    Then it counts the work of all 70
+    When the first domain's work at half of the engines ends and sums are heard again
+    Then it counts the work of the other 35
+
+  # What is known of far engines is old, and bytes between domains are dear: a prompt
+  # that shares little stays, unless the near queue is longer by more than 60 ms.
+  Scenario: In a large fleet short prompts stay in their domain until its queue is longer
     Given a large fleet with engines here and there
     When the near engines have 2000 tokens to read
-    Then a prompt is read and written here
+    Then a prompt that shares nothing is read and written here
     When the near engines have 20000 tokens to read
-    Then a prompt is read there
+    Then a prompt that shares nothing is read there
+
+  # A session's prompts arrive in every domain. Kept to each of these, its shared part
+  # would be read once in each: with six domains and two prompts a session hardly any
+  # second prompt found it.
+  Scenario: A session has one home in the whole fleet
+    Given a large fleet with engines here and there
+    Then prompts of 40 sessions are read at the same engine from here and from there
+    And homes stand in both domains
+    When an engine that reads leaves
+    Then only its own sessions have other homes
+
+  # A session's home has a queue of a second and a half. Another engine reads the prompt
+  # and fetches the part that is shared from the home, instead of reading it again.
+  Scenario: A prompt that can't wait for its home is fetched from there
+    Given a large fleet with engines here and there
+    When the home of a session has 80000 tokens to read
+    Then a prompt of the session is read elsewhere and fetched from its home
 
   Scenario: A neighbour stands for those of its domain that are not heard
     Given a fleet of 88 instances in 4 domains
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -9,11 +9,13 @@
     engine_loads,
     neighbours,
     placement,
+    places,
     store_readers,
 )
+from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import reports, servers, table
-from tests.support import route_world
+from tests.support import fleet_world, route_world
 
 NOW = datetime.timedelta(seconds=100)
 SECOND = datetime.timedelta(seconds=1)
@@ -88,31 +90,93 @@
     "an engine at which two near instances have {one:d} and {two:d} tokens to read"
 )
 def two_near(context, one, two):
-    context.near, context.far = (
-        engine_loads.EngineLoad(engine("p1", servers.Stage.PREFILL, "here"))
-        for _ in range(2)
-    )
-    context.near.reading[3] += one
-    told = engine_loads.PeerLoad((0.0, float(two)), 2, 9000)
-    context.near.hear("two", told, NOW)
+    context.here = two_instances("here", one, two)
+
+
+@behave.given(
+    "two instances of another domain have {one:d} and {two:d} tokens to read there"
+)
+def two_far(context, one, two):
+    context.there = two_instances("there", one, two)
 
 
-@behave.then("an instance that hears both counts {tokens:d} tokens there")
-def near_counts(context, tokens):
-    assert context.near.all_reading(NOW) == tokens
+def two_instances(domain, one, two):
+    found = engine_loads.EngineLoad(engine("p1", servers.Stage.PREFILL, domain))
+    found.reading[3] += one
+    found.hear("two", engine_loads.PeerLoad((0.0, float(two)), 2, 9000), NOW)
+    return found
 
 
 @behave.then(
-    "a far one that hears the sums counts {tokens:d} tokens there, for 2 seconds"
+    "an instance of either domain that hears of the other counts {tokens:d} tokens"
+)
+def each_counts(context, tokens):
+    told = context.here.domain_work(NOW), context.there.domain_work(NOW)
+    context.here.hear_domain("there", told[1], NOW)
+    context.there.hear_domain("here", told[0], NOW)
+    for found in (context.here, context.there):
+        assert found.all_reading(NOW) == tokens, found.all_reading(NOW)
+        assert found.all_writing(NOW) == 4
+
+
+@behave.then("what each tells of its own domain stays {here:d} and {there:d} tokens")
+def tells_own(context, here, there):
+    for found, tokens in ((context.here, here), (context.there, there)):
+        assert sum(found.domain_work(NOW).reading) == tokens
+
+
+@behave.then(
+    "after 3 seconds of silence each counts its own {here:d} and {there:d} tokens"
+)
+def silence(context, here, there):
+    for found, tokens in ((context.here, here), (context.there, there)):
+        assert found.all_reading(NOW + 3 * SECOND) == tokens
+
+
+@behave.given(
+    "{count:d} engines, {reading:d} of which read, all with work from one domain"
+)
+def many_engines(context, count, reading):
+    listed = [
+        engine(
+            f"e{n:02}",
+            servers.Stage.PREFILL if n < reading else servers.Stage.DECODE,
+            f"d{n % 3}",
+        )
+        for n in range(count)
+    ]
+    context.teller, context.hearer = (
+        fleet_world.Instance(f"{domain}-0", domain, listed) for domain in ("d0", "d1")
+    )
+    context.hearer.work.partly_heard = True
+    for load in context.teller.loads.all():
+        load.reading[0] = 1000.0
+        load.writing = 3
+        load.held = 9000
+
+
+@behave.when("an instance of another domain hears its sums")
+@behave.when(
+    "the first domain's work at half of the engines ends and sums are heard again"
 )
-def far_counts(context, tokens):
-    total = context.near.total(NOW)
-    context.far.hear("two", engine_loads.PeerLoad((0.0, 500.0), 2, 0), NOW)
-    context.far.hear_total(total, NOW)
-    assert context.far.all_reading(NOW) == tokens
-    assert context.far.all_reading(NOW, 1) == context.near.all_reading(NOW, 1)
-    assert context.far.all_writing(NOW) == 2
-    assert context.far.all_reading(NOW + 3 * SECOND) == 0
+def hear_sums(context):
+    if any(load.all_reading(NOW) for load in context.hearer.loads.all()):
+        for load in list(context.teller.loads.all())[::2]:
+            load.reading[0] = 0.0
+            load.writing = load.held = 0
+    for piece, totals in context.teller.work.totals(NOW):
+        told = context.teller.beacon(NOW, totals=totals, piece=piece)
+        sent = beacons.encode(told)
+        assert len(totals) <= 40
+        context.hearer.work.take(beacons.decode(sent), 1.0, NOW)
+
+
+@behave.then("it counts the work of all {count:d}")
+@behave.then("it counts the work of the other {count:d}")
+def counts_all(context, count):
+    busy = [load for load in context.hearer.loads.all() if load.all_reading(NOW)]
+    assert len(busy) == count, len(busy)
+    assert {load.all_writing(NOW) for load in busy} == {3}
 
 
 @behave.given("a large fleet with engines here and there")
@@ -135,27 +199,79 @@
             load.reading[6] = tokens
 
 
-def place(context):
-    parts = (prompts.Part("shared", 5000), prompts.Part("own", 4000))
-    prompt = prompts.Prompt("m", 9000, 50, 50, parts)
+def place(context, session=None, domain="here"):
+    shared = () if session is None else (prompts.Part(session, 5000),)
+    parts = (*shared, prompts.Part("own", 4000))
+    tokens = sum(part.tokens for part in parts)
+    prompt = prompts.Prompt("m", tokens, 50, 50, parts)
     target = datetime.timedelta(milliseconds=800)
-    asked = placement.Asked(prompt, 2, target, target, 4 * target, 0.9)
+    asked = places.Asked(prompt, 2, target, target, 4 * target, 0.9)
     traits = table.EngineTraits(8, 200_000, SECOND)
-    return placement.Placement(context.loads, "here").choose(asked, traits, NOW)
+    return placement.Placement(context.loads, domain).choose(asked, traits, NOW)
 
 
-@behave.then("a prompt is read and written here")
+@behave.then("a prompt that shares nothing is read and written here")
 def read_here(context):
     chosen = place(context)
     assert chosen.reader.server.failure_domain == "here"
     assert chosen.engine.server.failure_domain == "here"
 
 
-@behave.then("a prompt is read there")
+@behave.then("a prompt that shares nothing is read there")
 def read_there(context):
     assert place(context).reader.server.failure_domain == "there"
 
 
+def homes_of(context, domain):
+    return {
+        session: place(context, session, domain).reader.server
+        for session in (f"session-{n}" for n in range(40))
+    }
+
+
+@behave.then(
+    "prompts of 40 sessions are read at the same engine from here and from there"
+)
+def same_home(context):
+    context.homes = homes_of(context, "here")
+    assert homes_of(context, "there") == context.homes
+
+
+@behave.then("homes stand in both domains")
+def both_domains(context):
+    found = {server.failure_domain for server in context.homes.values()}
+    assert found == {"here", "there"}
+
+
+@behave.when("an engine that reads leaves")
+def reader_leaves(context):
+    left = [load.server for load in context.loads.all()]
+    context.left = next(s for s in left if s.stage is servers.Stage.PREFILL)
+    context.loads.update(server for server in left if server is not context.left)
+
+
+@behave.then("only its own sessions have other homes")
+def only_its_own(context):
+    after = homes_of(context, "here")
+    moved = {name for name, server in context.homes.items() if after[name] != server}
+    own = {name for name, home in context.homes.items() if home == context.left}
+    assert moved == own
+    assert own
+
+
+@behave.when("the home of a session has {tokens:d} tokens to read")
+def busy_home(context, tokens):
+    context.home = place(context, "session-1").reader
+    context.home.reading[0] = tokens
+
+
+@behave.then("a prompt of the session is read elsewhere and fetched from its home")
+def fetched_from_home(context):
+    chosen = place(context, "session-1")
+    assert chosen.reader is not context.home
+    assert chosen.donor is context.home
+
+
 @behave.when("{near:d} of the own domain are heard and {far:d} of another one")
 def heard(context, near, far):
     own = [place for place in context.fleet if place.failure_domain == "d0"]
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -10,6 +10,7 @@
 from pimentolatch.decisions import (
     engine_loads,
     placement,
+    places,
     repeat_budget,
     server_choice,
     urgency,
@@ -195,7 +196,7 @@
     prompt = prompts.Prompt("m", 5000 + own_tokens, 50, 50, parts)
     target = datetime.timedelta(milliseconds=800)
     patience = datetime.timedelta(milliseconds=3200)
-    asked = placement.Asked(prompt, rank, target, target, patience, lot)
+    asked = places.Asked(prompt, rank, target, target, patience, lot)
     return placement.Placement(context.loads, "here").choose(asked, TRAITS, NOW)
 
 
@@ -212,7 +213,7 @@
 @behave.then('"{name}" reads it and fetches the part from "{donor}"')
 def reads_with(context, name, donor):
     chosen = context.place
-    assert isinstance(chosen, placement.Apart), chosen
+    assert isinstance(chosen, places.Apart), chosen
     assert chosen.reader.server.server_id == name
     assert chosen.donor.server.server_id == donor
     assert chosen.tokens == 6000
@@ -227,13 +228,13 @@
 
 @behave.then("it is expected within {limit:d} milliseconds")
 def expected_within(context, limit):
-    assert not isinstance(context.place, placement.Hopeless)
+    assert not isinstance(context.place, places.Hopeless)
     assert context.place.expected <= datetime.timedelta(milliseconds=limit)
 
 
 @behave.then("it is refused with a time to come back")
 def refused(context):
-    assert isinstance(context.place, placement.Hopeless), context.place
+    assert isinstance(context.place, places.Hopeless), context.place
     assert context.place.retry_after > datetime.timedelta()
 
 
@@ -263,13 +264,13 @@
 def in_place(context, tokens):
     context.loads.get("d1").keep((SHARED,), TRAITS.kv_tokens)
     context.tokens = tokens
-    assert isinstance(place(context, tokens), placement.InPlace)
+    assert isinstance(place(context, tokens), places.InPlace)
 
 
 @behave.then("with {tokens:d} tokens being read there it is read apart")
 def then_apart(context, tokens):
     context.loads.get("d1").reading[0] += tokens
-    assert isinstance(place(context, context.tokens), placement.Apart)
+    assert isinstance(place(context, context.tokens), places.Apart)
 
 
 @behave.then('"{name}" writes the answer')
--- /dev/null
+++ b/tests/support/fleet_world.py
@@ -0,0 +1,458 @@
+"""Replays prompts through the decisions of a whole fleet, without a network.
+
+Every instance has its own counts and hears of the others by beacons that take their
+time, as in a fleet; engines are queues that read prompts at a fixed rate. What is
+decided is decided by the modules that serve.
+"""
+
+import collections
+import dataclasses
+import datetime
+import heapq
+import itertools
+import random
+from collections import abc
+
+from pimentolatch import settings
+from pimentolatch.decisions import (
+    demand_rate,
+    engine_loads,
+    neighbours,
+    placement,
+    places,
+    stage_plan,
+)
+from pimentolatch.gateway import knowledge, peer_work, peers
+from pimentolatch.protocol import beacons
+from pimentolatch.requests import prompts
+from pimentolatch.routes import servers, table
+
+SERVICE = "lm"
+MS = datetime.timedelta(milliseconds=1)
+# An engine that reads: tokens in a millisecond, the time that each prompt keeps it
+# busy besides, and how much later its answer comes. As engines of today do.
+READING_RATE = 56.6
+OVERHEAD_MS = 4.0
+ANSWER_MS = 16.0
+# From the end of reading to the first event, and one token after the other.
+HANDOVER_MS = 40.0
+TOKEN_MS = 6.0
+NEAR_WAY_MS = 1.0
+FAR_WAY_MS = 1.4
+NEAR_BEACON_MS = 400.0
+FAR_BEACONS = 2
+PATIENCE_S = 2.0
+PLAN_MS = 500.0
+LIST_LAG_MS = 600.0
+# Pauses between the events of a stream, and the longest that callers accept.
+EVENT_MS = 40.0
+PAUSE_TARGET_MS = 250.0
+TRAITS = table.EngineTraits(64, 497_579, datetime.timedelta(seconds=3))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Prompts of one route.
+
+    Attributes:
+        rate: Prompts a second in the whole fleet.
+        shared: Tokens of the part that a session shares; 0 for none.
+        sessions: Sessions that are asked for over and over.
+        own: Tokens of each prompt's own part, as a mean.
+    """
+
+    name: str
+    rate: float
+    shared: int
+    sessions: int
+    own: int
+    output: int
+    rank: int
+    target_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A prompt on its way through the fleet.
+
+    Attributes:
+        cost: Tokens that it counts for while it is read.
+        ahead: Tokens that were to be read before it, as far as was known.
+        declined: Engines that did not take it.
+    """
+
+    kind: Kind
+    prompt: prompts.Prompt
+    arrived: float
+    lot: float
+    place: places.Apart | None = None
+    cost: float = 0.0
+    ahead: float = 0.0
+    sent: float = 0.0
+    declined: set[servers.Incarnation] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """A time in which one kind of prompts comes more or less often."""
+
+    kind: str
+    begins_s: float
+    ends_s: float
+    factor: float
+
+
+class Engine:
+    """A queue that reads prompts, the most urgent first."""
+
+    def __init__(self, server: servers.Server) -> None:
+        self.server = server
+        self.queue: list[tuple[int, int, Instance, Job]] = []
+        self.kept: set[str] = set()
+        self.busy = False
+        self.changing = False
+        self.writing = 0
+        self.worked_ms = 0.0
+
+
+class Instance:
+    """One instance: its counts, and what it hears."""
+
+    def __init__(self, name: str, domain: str, listed: list[servers.Server]) -> None:
+        self.name = name
+        self.place = neighbours.Place(name, domain)
+        self.known = knowledge.Knowledge()
+        services = {SERVICE: table.Service(SERVICE, TRAITS)}
+        limits = table.ClientLimits(1, 1, MS, MS)
+        self.known.configure(table.Configuration(1, (), services, limits), None)
+        self.known.list_servers(1, listed)
+        self.loads = self.known.loads(SERVICE)
+        self.sightings = peers.Sightings()
+        self.work = peer_work.PeerWork(self.known, domain)
+        self.chooser = placement.Placement(self.loads, domain)
+        self.demand = demand_rate.DemandRate()
+        self.told = neighbours.Neighbours(())
+
+    def beacon(self, now: datetime.timedelta, **fields: object) -> beacons.Beacon:
+        """Return what this instance tells of engines."""
+        domain = self.place.failure_domain
+        head = (self.name, domain, "life", 1, 1, False, (), ())
+        changing = self.work.changing(now)
+        return beacons.Beacon(*head, loads=self.work.own(), changing=changing, **fields)
+
+
+class Fleet:
+    """Instances before engines, with prompts arriving.
+
+    Args:
+        domains: Failure domains.
+        instances: Instances in each.
+        engines: Engines in the fleet.
+        reading: Those that read; the others write.
+        seed: Draws arrivals and whom beacons reach.
+    """
+
+    def __init__(
+        self, domains: int, instances: int, engines: int, reading: int, seed: int
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self.names = [f"d{n}" for n in range(domains)]
+        listed = [self._server(n, n < reading) for n in range(engines)]
+        self.engines = {server.server_id: Engine(server) for server in listed}
+        self.instances = {
+            f"{domain}-{n}": Instance(f"{domain}-{n}", domain, listed)
+            for domain in self.names
+            for n in range(instances)
+        }
+        self._weight = 1.0
+        self._meet(instances)
+        self.late: collections.Counter[str] = collections.Counter()
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.done: collections.Counter[str] = collections.Counter()
+        self.errors: list[tuple[float, float]] = []
+        self.tokens_read = 0
+        self.tokens_again = 0
+        self.orders: list[tuple[float, stage_plan.Change]] = []
+        self._ever_read: set[str] = set()
+        self._planner = stage_plan.StagePlanner()
+        self._revision = 1
+        self._bursts: abc.Sequence[Burst] = ()
+
+    def _server(self, number: int, reads: bool) -> servers.Server:
+        stage = servers.Stage.PREFILL if reads else servers.Stage.DECODE
+        address = settings.Address.from_text(f"10.0.0.{number}:80")
+        domain = self.names[number % len(self.names)]
+        name = f"engine-{number:02}"
+        return servers.Server(name, SERVICE, address, domain, False, stage, 64)
+
+    def _meet(self, instances: int) -> None:
+        places = [instance.place for instance in self.instances.values()]
+        for instance in self.instances.values():
+            others = [place for place in places if place != instance.place]
+            instance.told = neighbours.choose(instance.place, others)
+            instance.work.partly_heard = bool(instance.told.far)
+            instance.loads.partly_heard = instance.work.partly_heard
+            heard = [neighbours.Place(h, "d") for h in instance.told.near]
+            known = [neighbours.Place(str(n), "d") for n in range(instances - 1)]
+            self._weight = neighbours.weights(known, heard).get("d", 1.0)
+
+    def at(self, when: float, call: abc.Callable[[], None]) -> None:
+        """Have something called at a moment, in milliseconds."""
+        heapq.heappush(self._events, (when, next(self._numbers), call))
+
+    def run(
+        self,
+        kinds: abc.Sequence[Kind],
+        seconds: float,
+        bursts: abc.Sequence[Burst] = (),
+        *,
+        plans: bool = False,
+    ) -> None:
+        """Have prompts arrive for some seconds, and wait for what is under way.
+
+        Args:
+            kinds: What arrives.
+            seconds: For how long.
+            bursts: When something arrives more or less often.
+            plans: Whether stages are planned, by the first instance.
+        """
+        self._bursts = bursts
+        until = 1000 * seconds
+        if plans:
+            self.at(PLAN_MS, lambda: self._plan(until))
+        for kind in kinds:
+            self._arrive(kind, until)
+        for instance in self.instances.values():
+            first = self.random.uniform(0, NEAR_BEACON_MS)
+            self.at(first, lambda i=instance: self._tell(i, 0, until))
+        while self._events:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+
+    @property
+    def time(self) -> datetime.timedelta:
+        """The time, as the decisions take it."""
+        return datetime.timedelta(seconds=100) + self.now * MS
+
+    def _arrive(self, kind: Kind, until: float) -> None:
+        rate = kind.rate
+        for burst in self._bursts:
+            now_s = self.now / 1000
+            if burst.kind == kind.name and burst.begins_s <= now_s < burst.ends_s:
+                rate *= burst.factor
+        when = self.now + self.random.expovariate(rate) * 1000
+        if when < until:
+            self.at(when, lambda: self._take(kind, until))
+
+    def _take(self, kind: Kind, until: float) -> None:
+        self._arrive(kind, until)
+        self._offer(self.random.choice(list(self.instances.values())), kind)
+
+    def _offer(self, instance: Instance, kind: Kind) -> None:
+        number = next(self._numbers)
+        session = self.random.randrange(max(1, kind.sessions))
+        own = max(1, round(kind.own * self.random.uniform(0.5, 1.5)))
+        parts = [prompts.Part(f"own-{number}", own)]
+        if kind.shared:
+            parts.insert(0, prompts.Part(f"{kind.name}-{session}", kind.shared))
+        total = sum(part.tokens for part in parts)
+        prompt = prompts.Prompt("m", total, kind.output, kind.output, tuple(parts))
+        self._place(instance, Job(kind, prompt, self.now, self.random.random()))
+
+    def _place(self, instance: Instance, job: Job) -> None:
+        kind, prompt = job.kind, job.prompt
+        target = kind.target_ms * MS
+        patience = max(datetime.timedelta(seconds=PATIENCE_S), 4 * target)
+        gone = (self.now - job.arrived) * MS
+        asked = places.Asked(
+            prompt, kind.rank, target, target - gone, patience - gone, job.lot
+        )
+        place = instance.chooser.choose(
+            asked, TRAITS, self.time, frozenset(job.declined)
+        )
+        apart = isinstance(place, places.Apart)
+        if not job.declined:
+            cost = instance.loads.reading_cost(place.tokens) if apart else 0.0
+            instance.demand.add(cost, kind.output, self.time)
+        if isinstance(place, places.Hopeless | places.NoEngine):
+            self.refused[kind.name] += 1
+            return
+        if isinstance(place, places.InPlace):
+            self._write(instance, job, place)
+            return
+        job.place = place
+        reader = place.reader
+        job.cost = instance.loads.reading_cost(place.tokens)
+        job.ahead = reader.all_reading(self.time, place.level)
+        reader.reading[place.level] += job.cost
+        job.sent = self.now
+        way = self._way(instance, reader.server)
+        self.at(self.now + way, lambda: self._queue(instance, job))
+
+    def _way(self, instance: Instance, server: servers.Server) -> float:
+        near = server.failure_domain == instance.place.failure_domain
+        return NEAR_WAY_MS if near else FAR_WAY_MS
+
+    def _queue(self, instance: Instance, job: Job) -> None:
+        engine = self.engines[job.place.reader.server.server_id]
+        if engine.changing:
+            self._decline(instance, job)
+            return
+        entry = (job.place.level, next(self._numbers), instance, job)
+        heapq.heappush(engine.queue, entry)
+        if not engine.busy:
+            self._read_next(engine)
+
+    def _decline(self, instance: Instance, job: Job) -> None:
+        reader, level = job.place.reader, job.place.level
+        reader.reading[level] -= job.cost
+        instance.loads.declined(reader, self.time)
+        job.declined.add(reader.server.incarnation)
+        self._place(instance, job)
+
+    def _plan(self, until: float) -> None:
+        """Have the first instance plan, and the engines do what it says."""
+        first = next(iter(self.instances.values()))
+        demand = sum(i.demand.rate(self.time).reading for i in self.instances.values())
+        rate = max(i.loads.reading_rate for i in self.instances.values())
+        planned = self._planner.plan(
+            first.loads, TRAITS, PAUSE_TARGET_MS, demand, rate, self.time
+        )
+        for change in planned:
+            self._planner.changed(change, self.time)
+            self.orders.append((self.now, change))
+            engine = self.engines[change.engine.server_id]
+            engine.changing = True
+            away = TRAITS.stage_change + stage_plan.STREAMS_END
+            first.known.engine(change.engine).begin_change(
+                engine_loads.StageChange(change.stage, self.time + away)
+            )
+            self._end_change(engine, change)
+        if self.now < until:
+            self.at(self.now + PLAN_MS, lambda: self._plan(until))
+
+    def _end_change(self, engine: Engine, change: stage_plan.Change) -> None:
+        if engine.busy or engine.writing:
+            self.at(self.now + 20, lambda: self._end_change(engine, change))
+            return
+
+        def back() -> None:
+            engine.changing = False
+            engine.server = dataclasses.replace(engine.server, stage=change.stage)
+
+        def listed() -> None:
+            self._revision += 1
+            for instance in self.instances.values():
+                instance.known.change_servers(self._revision, [engine.server], [])
+
+        away = TRAITS.stage_change / MS
+        self.at(self.now + away, back)
+        self.at(self.now + away + LIST_LAG_MS, listed)
+
+    def _read_next(self, engine: Engine) -> None:
+        engine.busy = bool(engine.queue)
+        if not engine.queue:
+            return
+        _, _, instance, job = heapq.heappop(engine.queue)
+        kept, donor = set(engine.kept), job.place.donor
+        if donor is not None:
+            kept |= self.engines[donor.server.server_id].kept
+        unread = 0
+        for part in job.prompt.parts:
+            if part.name in kept:
+                continue
+            unread += part.tokens
+            if part.name in self._ever_read:
+                self.tokens_again += part.tokens
+        self._ever_read.update(part.name for part in job.prompt.parts[:-1])
+        self.tokens_read += unread
+        took = OVERHEAD_MS + unread / READING_RATE
+        engine.worked_ms += took
+        self.at(self.now + took, lambda: self._read_next(engine))
+        done = self.now + took + ANSWER_MS
+        self.at(done, lambda: self._was_read(engine, instance, job))
+
+    def _was_read(self, engine: Engine, instance: Instance, job: Job) -> None:
+        engine.kept.update(part.name for part in job.prompt.parts[:-1])
+        place, loads = job.place, instance.loads
+        place.reader.reading[place.level] -= job.cost
+        loads.read_in(place.tokens, (self.now - job.sent) * MS, job.ahead)
+        place.reader.keep(job.prompt.parts, TRAITS.kv_tokens)
+        instance.sightings.add(place.reader.server.incarnation, job.prompt.parts)
+        self.errors.append((place.expected / MS, self.now - job.sent + HANDOVER_MS))
+        self._write(instance, job, place)
+
+    def _write(
+        self,
+        instance: Instance,
+        job: Job,
+        place: places.Apart | places.InPlace,
+    ) -> None:
+        writer = place.engine
+        unread = place.tokens if isinstance(place, places.InPlace) else 0
+        held = job.prompt.tokens + job.kind.output
+        at = self.engines[writer.server.server_id]
+        at.writing += 1
+        writer.writing += 1
+        writer.held += held
+        writer.reading[place.level] += unread
+        took = HANDOVER_MS + 2 * unread / READING_RATE
+
+        def first() -> None:
+            writer.reading[place.level] -= unread
+            self.done[job.kind.name] += 1
+            if self.now - job.arrived > job.kind.target_ms:
+                self.late[job.kind.name] += 1
+
+        def end() -> None:
+            at.writing -= 1
+            instance.loads.paused(writer, EVENT_MS * MS)
+            writer.writing -= 1
+            writer.held -= held
+
+        self.at(self.now + took, first)
+        self.at(self.now + took + TOKEN_MS * job.kind.output, end)
+
+    def _tell(self, instance: Instance, number: int, until: float) -> None:
+        near = instance.beacon(self.time, sightings=instance.sightings.take())
+        for host in instance.told.near:
+            self._deliver(self.instances[host], near, self._weight, NEAR_WAY_MS)
+        if number % FAR_BEACONS == 0:
+            totals = instance.work.totals(self.time)
+            far = [
+                instance.beacon(self.time, totals=loads, piece=piece)
+                for piece, loads in totals
+            ]
+            for hosts in instance.told.far:
+                receiver = self.instances[self.random.choice(hosts)]
+                for piece in far:
+                    self._deliver(receiver, piece, 1.0, FAR_WAY_MS)
+        if self.now < until:
+            later = self.now + NEAR_BEACON_MS
+            self.at(later, lambda: self._tell(instance, number + 1, until))
+
+    def _deliver(
+        self, receiver: Instance, beacon: beacons.Beacon, weight: float, way: float
+    ) -> None:
+        self.at(self.now + way, lambda: receiver.work.take(beacon, weight, self.time))
+
+    def busiest(self) -> float:
+        """Return the work of the busiest reading engine as a multiple of the mean."""
+        worked = [
+            engine.worked_ms
+            for engine in self.engines.values()
+            if engine.server.stage is servers.Stage.PREFILL
+        ]
+        return max(worked) * len(worked) / sum(worked)
+
+
+# The mix of a kiosk fleet of 195 instances before 39 engines: long briefings in
+# sessions that come back about twice, short drafts and checks.
+KIOSK = (
+    Kind("briefing", 51.5, 5382, 900, 6610, 42, 2, 823.0),
+    Kind("draft", 81.0, 198, 200, 628, 32, 0, 609.0),
+    Kind("check", 74.0, 568, 200, 1800, 3, 1, 1011.0),
+)
