--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -5,27 +5,23 @@
 idle engine at once and leave it to queue for a second. So work is counted when it is
 sent and taken off when it ends; peers tell their counts several times a second.
 
-The same holds for prompts: a part of a prompt that an engine has read is kept there
-until memory runs out, and reading it again elsewhere costs as much as a new prompt.
-What was sent where is known at once; the engines' own reports of it come late and with
-gaps.
+What peers tell is added up in `peer_loads`, what engines keep of prompts is remembered
+in `prefix_cache`.
 
 Speeds are learned from answers and start at figures that any engine of today exceeds,
 so that a cold start expects too long waits rather than too short ones.
 """
 
-import collections
 import dataclasses
 import datetime
-import itertools
 import operator
 from collections import abc
 
-from pimentolatch.decisions import urgency
+from pimentolatch.decisions import peer_loads, prefix_cache, urgency
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers
 
-__all__ = ["EngineLoad", "EngineLoads", "PeerLoad", "StageChange"]
+__all__ = ["EngineLoad", "EngineLoads", "StageChange"]
 
 # Prompt tokens that an engine reads in a millisecond, and the time that each prompt
 # takes besides, before any answer was seen.
@@ -44,11 +40,6 @@
 # Prompts above the first figure show the rate, those below the second the overhead.
 _LONG_PROMPT = 3000
 _SHORT_PROMPT = 1000
-# Part of an engine's memory that is taken to hold shared parts; running requests take
-# the rest first.
-_KEPT_SHARE = 0.75
-# A peer that is silent for longer has ended or is cut off; its work ends by itself.
-_PEER_SILENCE = datetime.timedelta(seconds=2)
 # A server that failed is passed over for this long while others can serve; it doubles
 # with each failure in a row up to the longest.
 _FIRST_PAUSE = datetime.timedelta(seconds=1)
@@ -62,38 +53,6 @@
 _DECLINED_PAUSE = datetime.timedelta(milliseconds=100)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """What one peer has under way at one engine.
-
-    Attributes:
-        reading: Prompt tokens that are not read yet, by urgency.
-        writing: Streams that run.
-        held: Tokens that these streams keep in memory.
-        weight: For how many instances the peer stands.
-    """
-
-    reading: tuple[float, ...]
-    writing: int
-    held: int
-    weight: float = 1.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Sums:
-    """What all peers that are heard have under way at one engine.
-
-    Attributes:
-        reading: Prompt tokens that are read before a prompt of each urgency.
-        until: When the first of these peers has been silent for too long.
-    """
-
-    reading: tuple[float, ...]
-    writing: int
-    held: int
-    until: datetime.timedelta
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageChange:
     """A change of an engine's stage that is under way.
@@ -115,10 +74,6 @@
 class EngineLoad:
     """Counts of one engine.
 
-    Peers' counts are added up once for all questions until the next beacon: choosing
-    among 45 engines with 16 peers took 13.4 ms of a core for one prompt, and takes
-    0.5 ms now (45 engines, 16 peers, mean of 50 choices).
-
     Attributes:
         reading: Prompt tokens that this instance has sent and that are not read yet,
             by urgency.
@@ -131,6 +86,8 @@
         avoid_until: Until when it is passed over while others are sound.
         probe_at: When it may be tried again if none is.
         change: The change of stage that it is carrying out, as far as is known.
+        peers: Work of other instances there.
+        cached: Parts of prompts that it keeps.
     """
 
     def __init__(self, server: servers.Server) -> None:
@@ -145,11 +102,8 @@
         self.probe_at = datetime.timedelta()
         self.change: StageChange | None = None
         self.answered_at = datetime.timedelta()
-        self._peers: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
-        self._domains: dict[str, tuple[PeerLoad, datetime.timedelta]] = {}
-        self._sums: _Sums | None = None
-        self._kept: collections.OrderedDict[int, int] = collections.OrderedDict()
-        self._kept_tokens = 0
+        self.peers = peer_loads.PeerLoads()
+        self.cached = prefix_cache.PrefixCache()
 
     def begin_change(self, change: StageChange) -> None:
         """Note a change of stage, told by whoever ordered it or by others."""
@@ -163,39 +117,21 @@
         """Tell whether the engine declines everything for a change of its stage."""
         return self.change is not None and now < self.change.until
 
-    def hear(self, peer: str, load: PeerLoad, now: datetime.timedelta) -> None:
-        """Take what a peer has under way here."""
-        self._peers[peer] = load, now
-        self._sums = None
-
-    def forget(self, peer: str) -> None:
-        """Drop what a peer had under way here."""
-        if self._peers.pop(peer, None) is not None:
-            self._sums = None
-
-    def own(self) -> PeerLoad:
+    def own(self) -> peer_loads.PeerLoad:
         """Return what this instance has under way here."""
-        return PeerLoad(tuple(self.reading), self.writing, self.held)
-
-    def hear_domain(self, domain: str, load: PeerLoad, now: datetime.timedelta) -> None:
-        """Take what all instances of another failure domain have under way here."""
-        self._domains[domain] = load, now
-        self._sums = None
-
-    def forget_domain(self, domain: str) -> None:
-        """Drop what the instances of another failure domain had under way here."""
-        if self._domains.pop(domain, None) is not None:
-            self._sums = None
+        return peer_loads.PeerLoad(tuple(self.reading), self.writing, self.held)
 
-    def domain_work(self, now: datetime.timedelta) -> PeerLoad:
+    def domain_work(self, now: datetime.timedelta) -> peer_loads.PeerLoad:
         """Return what the instances of this failure domain have under way here.
 
         It goes to the other domains, so nothing of theirs is in it: told back, their
         work would be counted twice, and then again.
         """
-        sums = _sum(_heard(self._peers.values(), now))
+        sums = self.peers.near(now)
         reading = tuple(map(operator.add, self.reading, sums.reading))
-        return PeerLoad(reading, self.writing + sums.writing, self.held + sums.held)
+        return peer_loads.PeerLoad(
+            reading, self.writing + sums.writing, self.held + sums.held
+        )
 
     def all_reading(
         self, now: datetime.timedelta, level: int = urgency.LEVELS - 1
@@ -206,92 +142,19 @@
             now: The time.
             level: Only count what is read before a prompt of this urgency.
         """
-        return sum(self.reading[: level + 1]) + self._heard(now).reading[level]
+        return sum(self.reading[: level + 1]) + self.peers.sums(now).reading[level]
 
     def all_writing(self, now: datetime.timedelta) -> int:
         """Streams from all instances that are heard."""
-        return self.writing + self._heard(now).writing
+        return self.writing + self.peers.sums(now).writing
 
     def all_held(self, now: datetime.timedelta) -> int:
         """Tokens in memory for streams from all instances that are heard."""
-        return self.held + self._heard(now).held
-
-    def kept(self, prompt: prompts.Prompt) -> int:
-        """Return the tokens at the beginning of a prompt that the engine keeps.
-
-        A kept part saves its tokens only if every part before it is kept too.
-        """
-        saved = 0
-        for part in prompt.parts:
-            if prompts.part_key(part.name) not in self._kept:
-                break
-            saved += part.tokens
-        return min(saved, prompt.tokens)
+        return self.held + self.peers.sums(now).held
 
     def unread(self, prompt: prompts.Prompt) -> int:
         """Return the tokens of a prompt that the engine would have to read."""
-        return prompt.tokens - self.kept(prompt)
-
-    def keep(self, part: int, tokens: int, most_tokens: int) -> bool:
-        """Note that the engine keeps a part; the least lately used ones yield.
-
-        Args:
-            part: Key of the part.
-            tokens: Its tokens.
-            most_tokens: Tokens that fit the engine's memory.
-
-        Returns:
-            Whether this was not known.
-        """
-        known = part in self._kept
-        if known:
-            self._kept.move_to_end(part)
-        else:
-            self._kept[part] = tokens
-            self._kept_tokens += tokens
-        while self._kept_tokens > most_tokens * _KEPT_SHARE and self._kept:
-            _, evicted = self._kept.popitem(last=False)
-            self._kept_tokens -= evicted
-        return not known
-
-    def keep_prompt(self, prompt: prompts.Prompt, most_tokens: int) -> None:
-        """Note that the engine keeps all parts of a prompt; see `keep`."""
-        for part in prompt.parts:
-            self.keep(prompts.part_key(part.name), part.tokens, most_tokens)
-
-    def _heard(self, now: datetime.timedelta) -> _Sums:
-        if self._sums is None or now > self._sums.until:
-            self._sums = self._add_up(now)
-        return self._sums
-
-    def _add_up(self, now: datetime.timedelta) -> _Sums:
-        heard = _heard([*self._peers.values(), *self._domains.values()], now)
-        sums = _sum(heard)
-        oldest = min((at for _, at in heard), default=datetime.timedelta.max / 2)
-        return _Sums(
-            tuple(itertools.accumulate(sums.reading)),
-            sums.writing,
-            sums.held,
-            oldest + _PEER_SILENCE,
-        )
-
-
-def _heard(
-    told: abc.Iterable[tuple[PeerLoad, datetime.timedelta]], now: datetime.timedelta
-) -> list[tuple[PeerLoad, datetime.timedelta]]:
-    return [(load, at) for load, at in told if now - at <= _PEER_SILENCE]
-
-
-def _sum(heard: abc.Iterable[tuple[PeerLoad, datetime.timedelta]]) -> PeerLoad:
-    """Return the work of all peers that are heard, each by its weight."""
-    reading = [0.0] * urgency.LEVELS
-    writing = held = 0.0
-    for load, _ in heard:
-        for level, tokens in enumerate(load.reading):
-            reading[level] += load.weight * tokens
-        writing += load.weight * load.writing
-        held += load.weight * load.held
-    return PeerLoad(tuple(reading), round(writing), round(held))
+        return prompt.tokens - self.cached.kept(prompt)
 
 
 class EngineLoads:
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -286,7 +286,7 @@
     prompt: prompts.Prompt, engines: abc.Iterable[engine_loads.EngineLoad]
 ) -> list[_Donor]:
     """Return the engines that keep some of a prompt, the most first."""
-    found = [_Donor(engine, engine.kept(prompt)) for engine in engines]
+    found = [_Donor(engine, engine.cached.kept(prompt)) for engine in engines]
     found = [donor for donor in found if donor.tokens >= _LEAST_FETCHED]
     return sorted(found, key=lambda donor: donor.tokens, reverse=True)
 
@@ -297,7 +297,7 @@
     donors: abc.Sequence[_Donor],
 ) -> tuple[int, engine_loads.EngineLoad | None, float]:
     """Return the tokens to read, who gives the others, and the charge of giving."""
-    kept = engine.kept(prompt)
+    kept = engine.cached.kept(prompt)
     best: tuple[float, _Donor] | None = None
     for donor in donors:
         fetched = donor.tokens - kept
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -48,7 +48,7 @@
     def keep(self, asked: inbound.Inbound, engine: engine_loads.EngineLoad) -> None:
         """Note that an engine has read a request's prompt and keeps it."""
         assert asked.head.prompt is not None and asked.service.engine is not None
-        engine.keep_prompt(asked.head.prompt, asked.service.engine.kv_tokens)
+        engine.cached.keep_prompt(asked.head.prompt, asked.service.engine.kv_tokens)
         self.updates.add(engine.server.incarnation, asked.head.prompt)
 
     def loads(self, asked: inbound.Inbound) -> engine_loads.EngineLoads:
--- a/src/pimentolatch/gateway/peer_work.py
+++ b/src/pimentolatch/gateway/peer_work.py
@@ -4,7 +4,7 @@
 import math
 from collections import abc
 
-from pimentolatch.decisions import engine_loads, subset
+from pimentolatch.decisions import engine_loads, peer_loads, subset
 from pimentolatch.gateway import cache_updates, knowledge
 from pimentolatch.protocol import beacons
 from pimentolatch.routes import servers
@@ -125,15 +125,15 @@
         for ended in self._busy.get(beacon.instance, set()) - reported:
             engine = self._known.engine(ended)
             if engine is not None:
-                engine.forget(beacon.instance)
+                engine.peers.forget(beacon.instance)
         self._busy[beacon.instance] = reported
         for load in beacon.loads:
             engine = self._known.engine(load.engine)
             if engine is not None:
-                told = engine_loads.PeerLoad(
+                told = peer_loads.PeerLoad(
                     load.reading, load.writing, load.held, weight
                 )
-                engine.hear(beacon.instance, told, now)
+                engine.peers.hear(beacon.instance, told, now)
 
     def _take_domain(self, beacon: beacons.Beacon, now: datetime.timedelta) -> None:
         """Take a piece of what a domain has under way; see `totals`."""
@@ -141,20 +141,22 @@
         for load in beacon.totals:
             engine = self._known.engine(load.engine)
             if engine is not None:
-                work = engine_loads.PeerLoad(load.reading, load.writing, load.held)
-                engine.hear_domain(domain, work, now)
+                work = peer_loads.PeerLoad(load.reading, load.writing, load.held)
+                engine.peers.hear_domain(domain, work, now)
         told = {load.engine for load in beacon.totals}
         for engine in self._engines():
             covered = _piece_of(engine, beacon.piece.count) == beacon.piece.number
             if covered and engine.server.incarnation not in told:
-                engine.forget_domain(domain)
+                engine.peers.forget_domain(domain)
 
     def _take_cached(self, part: beacons.CachedPart) -> None:
         engine = self._known.engine(part.engine)
         if engine is None:
             return
         traits = self._known.engine_traits(engine.server.service)
-        if traits is not None and engine.keep(part.key, part.tokens, traits.kv_tokens):
+        if traits is not None and engine.cached.keep(
+            part.key, part.tokens, traits.kv_tokens
+        ):
             self._updates.pass_on(part)
 
 
@@ -163,7 +165,7 @@
     return subset.rank(engine.server.server_id, "piece") % count
 
 
-def _load(engine: engine_loads.EngineLoad, work: engine_loads.PeerLoad) -> beacons.Load:
+def _load(engine: engine_loads.EngineLoad, work: peer_loads.PeerLoad) -> beacons.Load:
     reading = [max(0, int(tokens)) for tokens in work.reading]
     while reading and not reading[-1]:
         reading.pop()
--- a/tests/features/steps/fleet_replay_steps.py
+++ b/tests/features/steps/fleet_replay_steps.py
@@ -79,7 +79,7 @@
     )
     first = next(iter(context.fleet.instances.values()))
     engine = next(iter(first.loads.all()))
-    engine.keep_prompt(context.prompt, fleet_world.TRAITS.kv_tokens)
+    engine.cached.keep_prompt(context.prompt, fleet_world.TRAITS.kv_tokens)
     first.updates.add(engine.server.incarnation, context.prompt)
 
 
@@ -92,7 +92,7 @@
 def most_know(context):
     instances = context.fleet.instances.values()
     engines = [next(iter(instance.loads.all())) for instance in instances]
-    know = sum(engine.kept(context.prompt) == 5000 for engine in engines)
+    know = sum(engine.cached.kept(context.prompt) == 5000 for engine in engines)
     assert know >= 0.95 * len(instances), know
 
 
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -8,6 +8,7 @@
     doubt,
     engine_loads,
     neighbours,
+    peer_loads,
     placement,
     places,
     store_readers,
@@ -104,7 +105,7 @@
 def two_instances(domain, one, two):
     found = engine_loads.EngineLoad(engine("p1", servers.Stage.PREFILL, domain))
     found.reading[3] += one
-    found.hear("two", engine_loads.PeerLoad((0.0, float(two)), 2, 9000), NOW)
+    found.peers.hear("two", peer_loads.PeerLoad((0.0, float(two)), 2, 9000), NOW)
     return found
 
 
@@ -113,8 +114,8 @@
 )
 def each_counts(context, tokens):
     told = context.here.domain_work(NOW), context.there.domain_work(NOW)
-    context.here.hear_domain("there", told[1], NOW)
-    context.there.hear_domain("here", told[0], NOW)
+    context.here.peers.hear_domain("there", told[1], NOW)
+    context.there.peers.hear_domain("here", told[0], NOW)
     for found in (context.here, context.there):
         assert found.all_reading(NOW) == tokens, found.all_reading(NOW)
         assert found.all_writing(NOW) == 4
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -9,6 +9,7 @@
     doubt,
     engine_loads,
     neighbours,
+    peer_loads,
     server_choice,
     stage_plan,
 )
@@ -54,8 +55,8 @@
     context.loads = engine_loads.EngineLoads()
     context.loads.update([listed(name, born)])
     engine = context.loads.get(name)
-    engine.keep(prompts.part_key(PART.name), PART.tokens, 100_000)
-    engine.hear("peer", engine_loads.PeerLoad((3000.0,), 2, 500), NOW)
+    engine.cached.keep(prompts.part_key(PART.name), PART.tokens, 100_000)
+    engine.peers.hear("peer", peer_loads.PeerLoad((3000.0,), 2, 500), NOW)
     context.loads.failed(engine, NOW)
 
 
@@ -68,15 +69,15 @@
 @behave.then("incarnations: it keeps nothing, has no work and is not avoided")
 def without_past(context):
     engine = context.engine
-    assert engine.kept(PROMPT) == 0
+    assert engine.cached.kept(PROMPT) == 0
     assert engine.all_reading(NOW) == 0 and engine.all_writing(NOW) == 0
     assert engine.avoid_until <= NOW and engine.failures == 0
-    engine.keep(prompts.part_key(PART.name), PART.tokens, 100_000)
+    engine.cached.keep(prompts.part_key(PART.name), PART.tokens, 100_000)
 
 
 @behave.then("incarnations: nothing more is forgotten")
 def keeps_on(context):
-    assert context.engine.kept(PROMPT) == PART.tokens
+    assert context.engine.cached.kept(PROMPT) == PART.tokens
 
 
 @behave.given('incarnations: an instance that knows engine "{name}" born {born:d}')
@@ -134,14 +135,14 @@
 def has_nothing(context, name):
     engine = context.known.loads("lm").get(name)
     assert engine.all_writing(datetime.timedelta()) == 0
-    assert engine.kept(PROMPT) == 0
+    assert engine.cached.kept(PROMPT) == 0
 
 
 @behave.then('incarnations: "{name}" has that work and keeps that part')
 def has_work(context, name):
     engine = context.known.loads("lm").get(name)
     assert engine.all_writing(datetime.timedelta()) == 3
-    assert engine.kept(PROMPT) == PART.tokens
+    assert engine.cached.kept(PROMPT) == PART.tokens
 
 
 @behave.given('incarnations: plain servers "a1" and "a2" born {born:d}')
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -9,6 +9,7 @@
 from pimentolatch import settings
 from pimentolatch.decisions import (
     engine_loads,
+    peer_loads,
     placement,
     places,
     repeat_budget,
@@ -176,7 +177,7 @@
 @behave.given('"{name}" keeps the shared part and has {tokens:d} tokens to read')
 def keeps(context, name, tokens):
     engine = context.loads.get(name)
-    engine.keep(SHARED_KEY, SHARED.tokens, TRAITS.kv_tokens)
+    engine.cached.keep(SHARED_KEY, SHARED.tokens, TRAITS.kv_tokens)
     engine.reading[6] += tokens
 
 
@@ -263,7 +264,7 @@
 
 @behave.then("a prompt of {tokens:d} tokens is read in place")
 def in_place(context, tokens):
-    context.loads.get("d1").keep(SHARED_KEY, SHARED.tokens, TRAITS.kv_tokens)
+    context.loads.get("d1").cached.keep(SHARED_KEY, SHARED.tokens, TRAITS.kv_tokens)
     context.tokens = tokens
     assert isinstance(place(context, tokens), places.InPlace)
 
@@ -315,8 +316,8 @@
 @behave.given('a peer told of {tokens:d} tokens at "{name}"')
 def peer_told(context, tokens, name):
     context.engine = context.loads.get(name)
-    told = engine_loads.PeerLoad((float(tokens),), 1, tokens)
-    context.engine.hear("peer", told, NOW)
+    told = peer_loads.PeerLoad((float(tokens),), 1, tokens)
+    context.engine.peers.hear("peer", told, NOW)
 
 
 @behave.then("after {seconds:d} second they count")
--- a/tests/support/fleet_world.py
+++ b/tests/support/fleet_world.py
@@ -386,7 +386,7 @@
         place, loads = job.place, instance.loads
         place.reader.reading[place.level] -= job.cost
         loads.read_in(place.tokens, (self.now - job.sent) * MS, job.ahead)
-        place.reader.keep_prompt(job.prompt, TRAITS.kv_tokens)
+        place.reader.cached.keep_prompt(job.prompt, TRAITS.kv_tokens)
         instance.updates.add(place.reader.server.incarnation, job.prompt)
         self.errors.append((place.expected / MS, self.now - job.sent + HANDOVER_MS))
         self._write(instance, job, place)
