Refuse a prompt only if no engine can answer in time

Cause: the cheapest place was judged, not all. Since leaving a home may be charged more than clients wait, a prompt was refused for its home's queue while other engines were idle (scenario: a session that shares 60,000 tokens, all engines but its home idle: refused before). Change: of the places that are in time the cheapest is taken; refused is what none can answer, with the shortest time over.

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -109,13 +109,15 @@
         found = list(self._places(asked, traits, now, writers, readers))
         if not found:
             return places.NoEngine()
-        _, place = min(found, key=lambda item: item[0])
-        if place.expected > asked.patience:
-            over = place.expected - asked.patience
-            return places.Hopeless(
-                max(over, _LEAST_RETRY) * (1 + _RETRY_SPREAD * asked.lot)
-            )
-        return place
+        # The charge for leaving a home may be longer than clients wait: by cost alone a
+        # prompt would be refused for its home's queue while other engines are idle.
+        in_time = [item for item in found if item[1].expected <= asked.patience]
+        if in_time:
+            return min(in_time, key=lambda item: item[0])[1]
+        over = min(place.expected for _, place in found) - asked.patience
+        return places.Hopeless(
+            max(over, _LEAST_RETRY) * (1 + _RETRY_SPREAD * asked.lot)
+        )
 
     def choose_writer(
         self,
--- a/tests/features/routes_fleet.feature
+++ b/tests/features/routes_fleet.feature
@@ -68,6 +68,14 @@
     When the home of a session has 80000 tokens to read
     Then a prompt of the session is read elsewhere and fetched from its home
 
+  # The home of a session that shares 60,000 tokens has a queue longer than the client
+  # waits, and leaving it is charged more than that. All other engines are idle. Refused,
+  # the client would come back to the same queue.
+  Scenario: No prompt is refused for its home's queue while other engines are idle
+    Given a large fleet with engines here and there
+    When the home of a session of 60000 shared tokens has 165000 tokens to read
+    Then a prompt of that session is read elsewhere
+
   # A small fleet has no peers in other domains to tell. Kept for them, what engines cache
   # would fill the process's memory within days.
   Scenario: What nobody is told of engines' caches does not pile up
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -201,11 +201,10 @@
             load.reading[6] = tokens
 
 
-def place(context, session=None, domain="here"):
-    shared = () if session is None else (prompts.Part(session, 5000),)
+def place(context, session=None, domain="here", tokens=5000):
+    shared = () if session is None else (prompts.Part(session, tokens),)
     parts = (*shared, prompts.Part("own", 4000))
-    tokens = sum(part.tokens for part in parts)
-    prompt = prompts.Prompt("m", tokens, 50, 50, parts)
+    prompt = prompts.Prompt("m", sum(p.tokens for p in parts), 50, 50, parts)
     target = datetime.timedelta(milliseconds=800)
     asked = places.Asked(prompt, 2, target, target, 4 * target, 0.9)
     traits = table.EngineTraits(8, 200_000, SECOND)
@@ -267,6 +266,22 @@
     context.home.reading[0] = tokens
 
 
+@behave.when(
+    "the home of a session of {shared:d} shared tokens has {tokens:d} tokens to read"
+)
+def busy_home_of_long(context, shared, tokens):
+    context.shared = shared
+    context.home = place(context, "session-1", tokens=shared).reader
+    context.home.reading[0] = tokens
+
+
+@behave.then("a prompt of that session is read elsewhere")
+def read_elsewhere(context):
+    chosen = place(context, "session-1", tokens=context.shared)
+    assert isinstance(chosen, places.Apart), chosen
+    assert chosen.reader is not context.home
+
+
 @behave.then("a prompt of the session is read elsewhere and fetched from its home")
 def fetched_from_home(context):
     chosen = place(context, "session-1")
