--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -24,7 +24,6 @@
     "Member",
     "Piece",
     "Reader",
-    "CachedPart",
     "decode",
     "encode",
 ]
@@ -143,6 +142,7 @@
         loads: Work of the sender.
         totals: Work of all instances of the sender's domain, for those of other ones.
         piece: The engines that the totals cover; the others among these are idle.
+        cached: Parts that engines keep, as far as the sender has just learned.
         changing: Engines that are changing their stage, as the sender has heard.
     """
 
