--- a/tests/features/steps/fleet_replay_steps.py
+++ b/tests/features/steps/fleet_replay_steps.py
@@ -3,10 +3,10 @@
 import behave
 
 from pimentolatch.requests import prompts
-from tests.support import fleet_world
+from tests.support import fleet_parts, fleet_world
 
-LONG = fleet_world.Kind("briefing", 51.5, 5382, 150, 6610, 42, 2, 823.0)
-SHORT = fleet_world.Kind("draft", 81.0, 0, 0, 826, 32, 0, 609.0)
+LONG = fleet_parts.Kind("briefing", 51.5, 5382, 150, 6610, 42, 2, 823.0)
+SHORT = fleet_parts.Kind("draft", 81.0, 0, 0, 826, 32, 0, 609.0)
 FIRST_SEED = 1
 
 
@@ -24,7 +24,7 @@
 @behave.when("replay: sessions ask for {seconds:d} seconds, drawn by {seed:d}")
 def sessions_ask(context, seconds, seed):
     context.fleet = context.new_fleet(seed)
-    context.fleet.run((LONG, *fleet_world.KIOSK[1:]), seconds)
+    context.fleet.run((LONG, *fleet_parts.KIOSK[1:]), seconds)
 
 
 @behave.when("replay: each instance is asked for one prompt at the same moment")
@@ -79,7 +79,7 @@
     )
     first = next(iter(context.fleet.instances.values()))
     engine = next(iter(first.loads.all()))
-    engine.cached.keep_prompt(context.prompt, fleet_world.TRAITS.kv_tokens)
+    engine.cached.keep_prompt(context.prompt, fleet_parts.TRAITS.kv_tokens)
     first.updates.add(engine.server.incarnation, context.prompt)
 
 
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -17,7 +17,7 @@
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import reports, servers, table
-from tests.support import fleet_world, route_world
+from tests.support import fleet_parts, route_world
 
 NOW = datetime.timedelta(seconds=100)
 SECOND = datetime.timedelta(seconds=1)
@@ -148,7 +148,7 @@
         for n in range(count)
     ]
     context.teller, context.hearer = (
-        fleet_world.Instance(f"{domain}-0", domain, listed) for domain in ("d0", "d1")
+        fleet_parts.Instance(f"{domain}-0", domain, listed) for domain in ("d0", "d1")
     )
     context.hearer.work.partly_heard = True
     for load in context.teller.loads.all():
--- a/tests/support/fleet_world.py
+++ b/tests/support/fleet_world.py
@@ -14,21 +14,12 @@
 from collections import abc
 
 from pimentolatch import settings
-from pimentolatch.decisions import (
-    demand_rate,
-    engine_loads,
-    neighbours,
-    placement,
-    places,
-    stage_plan,
-)
-from pimentolatch.gateway import cache_updates, knowledge, peer_work
+from pimentolatch.decisions import engine_loads, neighbours, places, stage_plan
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
-from pimentolatch.routes import servers, table
+from pimentolatch.routes import servers
+from tests.support import fleet_parts
 
-SERVICE = "lm"
-MS = datetime.timedelta(milliseconds=1)
 # An engine that reads: tokens in a millisecond, the time that each prompt keeps it
 # busy besides, and how much later its answer comes. As engines of today do.
 READING_RATE = 56.6
@@ -47,103 +38,6 @@
 # Pauses between the events of a stream, and the longest that callers accept.
 EVENT_MS = 40.0
 PAUSE_TARGET_MS = 250.0
-TRAITS = table.EngineTraits(64, 497_579, datetime.timedelta(seconds=3))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """Prompts of one route.
-
-    Attributes:
-        rate: Prompts a second in the whole fleet.
-        shared: Tokens of the part that a session shares; 0 for none.
-        sessions: Sessions that are asked for over and over.
-        own: Tokens of each prompt's own part, as a mean.
-    """
-
-    name: str
-    rate: float
-    shared: int
-    sessions: int
-    own: int
-    output: int
-    rank: int
-    target_ms: float
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A prompt on its way through the fleet.
-
-    Attributes:
-        cost: Tokens that it counts for while it is read.
-        ahead: Tokens that were to be read before it, as far as was known.
-        declined: Engines that did not take it.
-    """
-
-    kind: Kind
-    prompt: prompts.Prompt
-    arrived: float
-    lot: float
-    place: places.Apart | None = None
-    cost: float = 0.0
-    ahead: float = 0.0
-    sent: float = 0.0
-    declined: set[servers.Incarnation] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Burst:
-    """A time in which one kind of prompts comes more or less often."""
-
-    kind: str
-    begins_s: float
-    ends_s: float
-    factor: float
-
-
-class Engine:
-    """A queue that reads prompts, the most urgent first."""
-
-    def __init__(self, server: servers.Server) -> None:
-        self.server = server
-        self.queue: list[tuple[int, int, Instance, Job]] = []
-        self.kept: set[str] = set()
-        self.busy = False
-        self.changing = False
-        self.writing = 0
-        self.worked_ms = 0.0
-
-    @property
-    def reads(self) -> bool:
-        """Whether the engine reads prompts for others."""
-        return self.server.stage is servers.Stage.PREFILL
-
-
-class Instance:
-    """One instance: its counts, and what it hears."""
-
-    def __init__(self, name: str, domain: str, listed: list[servers.Server]) -> None:
-        self.name = name
-        self.place = neighbours.Place(name, domain)
-        self.known = knowledge.Knowledge()
-        services = {SERVICE: table.Service(SERVICE, TRAITS)}
-        limits = table.ClientLimits(1, 1, MS, MS)
-        self.known.configure(table.Configuration(1, (), services, limits), None)
-        self.known.list_servers(1, listed)
-        self.loads = self.known.loads(SERVICE)
-        self.updates = cache_updates.CacheUpdates()
-        self.work = peer_work.PeerWork(self.known, domain, self.updates)
-        self.chooser = placement.Placement(self.loads, domain)
-        self.demand = demand_rate.DemandRate()
-        self.told = neighbours.Neighbours(())
-
-    def beacon(self, now: datetime.timedelta, **fields: object) -> beacons.Beacon:
-        """Return what this instance tells of engines."""
-        domain = self.place.failure_domain
-        head = (self.name, domain, "life", 1, 1, False, (), ())
-        changing = self.work.changing(now)
-        return beacons.Beacon(*head, loads=self.work.own(), changing=changing, **fields)
 
 
 class Fleet:
@@ -166,9 +60,11 @@
         self._numbers = itertools.count()
         self.names = [f"d{n}" for n in range(domains)]
         listed = [self._server(n, n < reading) for n in range(engines)]
-        self.engines = {server.server_id: Engine(server) for server in listed}
+        self.engines = {
+            server.server_id: fleet_parts.Engine(server) for server in listed
+        }
         self.instances = {
-            f"{domain}-{n}": Instance(f"{domain}-{n}", domain, listed)
+            f"{domain}-{n}": fleet_parts.Instance(f"{domain}-{n}", domain, listed)
             for domain in self.names
             for n in range(instances)
         }
@@ -184,14 +80,16 @@
         self._ever_read: set[str] = set()
         self._planner = stage_plan.StagePlanner()
         self._revision = 1
-        self._bursts: abc.Sequence[Burst] = ()
+        self._bursts: abc.Sequence[fleet_parts.Burst] = ()
 
     def _server(self, number: int, reads: bool) -> servers.Server:
         stage = servers.Stage.PREFILL if reads else servers.Stage.DECODE
         address = settings.Address.from_text(f"10.0.0.{number}:80")
         domain = self.names[number % len(self.names)]
         name = f"engine-{number:02}"
-        return servers.Server(name, SERVICE, address, domain, False, stage, 64)
+        return servers.Server(
+            name, fleet_parts.SERVICE, address, domain, False, stage, 64
+        )
 
     def _meet(self, instances: int) -> None:
         places = [instance.place for instance in self.instances.values()]
@@ -210,9 +108,9 @@
 
     def run(
         self,
-        kinds: abc.Sequence[Kind],
+        kinds: abc.Sequence[fleet_parts.Kind],
         seconds: float,
-        bursts: abc.Sequence[Burst] = (),
+        bursts: abc.Sequence[fleet_parts.Burst] = (),
         *,
         plans: bool = False,
     ) -> None:
@@ -240,9 +138,9 @@
     @property
     def time(self) -> datetime.timedelta:
         """The time, as the decisions take it."""
-        return datetime.timedelta(seconds=100) + self.now * MS
+        return datetime.timedelta(seconds=100) + self.now * fleet_parts.MS
 
-    def _arrive(self, kind: Kind, until: float) -> None:
+    def _arrive(self, kind: fleet_parts.Kind, until: float) -> None:
         rate = kind.rate
         for burst in self._bursts:
             now_s = self.now / 1000
@@ -252,11 +150,11 @@
         if when < until:
             self.at(when, lambda: self._take(kind, until))
 
-    def _take(self, kind: Kind, until: float) -> None:
+    def _take(self, kind: fleet_parts.Kind, until: float) -> None:
         self._arrive(kind, until)
         self.offer(self.random.choice(list(self.instances.values())), kind)
 
-    def offer(self, instance: Instance, kind: Kind) -> None:
+    def offer(self, instance: fleet_parts.Instance, kind: fleet_parts.Kind) -> None:
         """Have an instance asked for a prompt now."""
         number = next(self._numbers)
         session = self.random.randrange(max(1, kind.sessions))
@@ -266,18 +164,20 @@
             parts.insert(0, prompts.Part(f"{kind.name}-{session}", kind.shared))
         total = sum(part.tokens for part in parts)
         prompt = prompts.Prompt("m", total, kind.output, kind.output, tuple(parts))
-        self._place(instance, Job(kind, prompt, self.now, self.random.random()))
+        self._place(
+            instance, fleet_parts.Job(kind, prompt, self.now, self.random.random())
+        )
 
-    def _place(self, instance: Instance, job: Job) -> None:
+    def _place(self, instance: fleet_parts.Instance, job: fleet_parts.Job) -> None:
         kind, prompt = job.kind, job.prompt
-        target = kind.target_ms * MS
+        target = kind.target_ms * fleet_parts.MS
         patience = max(datetime.timedelta(seconds=PATIENCE_S), 4 * target)
-        gone = (self.now - job.arrived) * MS
+        gone = (self.now - job.arrived) * fleet_parts.MS
         asked = places.Asked(
             prompt, kind.rank, target, target - gone, patience - gone, job.lot
         )
         place = instance.chooser.choose(
-            asked, TRAITS, self.time, frozenset(job.declined)
+            asked, fleet_parts.TRAITS, self.time, frozenset(job.declined)
         )
         apart = isinstance(place, places.Apart)
         if not job.declined:
@@ -298,11 +198,11 @@
         way = self._way(instance, reader.server)
         self.at(self.now + way, lambda: self._queue(instance, job))
 
-    def _way(self, instance: Instance, server: servers.Server) -> float:
+    def _way(self, instance: fleet_parts.Instance, server: servers.Server) -> float:
         near = server.failure_domain == instance.place.failure_domain
         return NEAR_WAY_MS if near else FAR_WAY_MS
 
-    def _queue(self, instance: Instance, job: Job) -> None:
+    def _queue(self, instance: fleet_parts.Instance, job: fleet_parts.Job) -> None:
         engine = self.engines[job.place.reader.server.server_id]
         if engine.changing:
             self._decline(instance, job)
@@ -312,7 +212,7 @@
         if not engine.busy:
             self._read_next(engine)
 
-    def _decline(self, instance: Instance, job: Job) -> None:
+    def _decline(self, instance: fleet_parts.Instance, job: fleet_parts.Job) -> None:
         reader, level = job.place.reader, job.place.level
         reader.reading[level] -= job.cost
         instance.loads.declined(reader, self.time)
@@ -325,14 +225,14 @@
         demand = sum(i.demand.rate(self.time).reading for i in self.instances.values())
         rate = max(i.loads.reading_rate for i in self.instances.values())
         planned = self._planner.plan(
-            first.loads, TRAITS, PAUSE_TARGET_MS, demand, rate, self.time
+            first.loads, fleet_parts.TRAITS, PAUSE_TARGET_MS, demand, rate, self.time
         )
         for change in planned:
             self._planner.changed(change, self.time)
             self.orders.append((self.now, change))
             engine = self.engines[change.engine.server_id]
             engine.changing = True
-            away = TRAITS.stage_change + stage_plan.STREAMS_END
+            away = fleet_parts.TRAITS.stage_change + stage_plan.STREAMS_END
             first.known.engine(change.engine).begin_change(
                 engine_loads.StageChange(change.stage, self.time + away)
             )
@@ -340,7 +240,9 @@
         if self.now < until:
             self.at(self.now + PLAN_MS, lambda: self._plan(until))
 
-    def _end_change(self, engine: Engine, change: stage_plan.Change) -> None:
+    def _end_change(
+        self, engine: fleet_parts.Engine, change: stage_plan.Change
+    ) -> None:
         if engine.busy or engine.writing:
             self.at(self.now + 20, lambda: self._end_change(engine, change))
             return
@@ -354,11 +256,11 @@
             for instance in self.instances.values():
                 instance.known.change_servers(self._revision, [engine.server], [])
 
-        away = TRAITS.stage_change / MS
+        away = fleet_parts.TRAITS.stage_change / fleet_parts.MS
         self.at(self.now + away, back)
         self.at(self.now + away + LIST_LAG_MS, listed)
 
-    def _read_next(self, engine: Engine) -> None:
+    def _read_next(self, engine: fleet_parts.Engine) -> None:
         engine.busy = bool(engine.queue)
         if not engine.queue:
             return
@@ -381,20 +283,27 @@
         done = self.now + took + ANSWER_MS
         self.at(done, lambda: self._was_read(engine, instance, job))
 
-    def _was_read(self, engine: Engine, instance: Instance, job: Job) -> None:
+    def _was_read(
+        self,
+        engine: fleet_parts.Engine,
+        instance: fleet_parts.Instance,
+        job: fleet_parts.Job,
+    ) -> None:
         engine.kept.update(part.name for part in job.prompt.parts[:-1])
         place, loads = job.place, instance.loads
         place.reader.reading[place.level] -= job.cost
-        loads.read_in(place.tokens, (self.now - job.sent) * MS, job.ahead)
-        place.reader.cached.keep_prompt(job.prompt, TRAITS.kv_tokens)
+        loads.read_in(place.tokens, (self.now - job.sent) * fleet_parts.MS, job.ahead)
+        place.reader.cached.keep_prompt(job.prompt, fleet_parts.TRAITS.kv_tokens)
         instance.updates.add(place.reader.server.incarnation, job.prompt)
-        self.errors.append((place.expected / MS, self.now - job.sent + HANDOVER_MS))
+        self.errors.append(
+            (place.expected / fleet_parts.MS, self.now - job.sent + HANDOVER_MS)
+        )
         self._write(instance, job, place)
 
     def _write(
         self,
-        instance: Instance,
-        job: Job,
+        instance: fleet_parts.Instance,
+        job: fleet_parts.Job,
         place: places.Apart | places.InPlace,
     ) -> None:
         writer = place.engine
@@ -415,14 +324,14 @@
 
         def end() -> None:
             at.writing -= 1
-            instance.loads.paused(writer, EVENT_MS * MS)
+            instance.loads.paused(writer, EVENT_MS * fleet_parts.MS)
             writer.writing -= 1
             writer.held -= held
 
         self.at(self.now + took, first)
         self.at(self.now + took + TOKEN_MS * job.kind.output, end)
 
-    def _tell(self, instance: Instance, number: int, until: float) -> None:
+    def _tell(self, instance: fleet_parts.Instance, number: int, until: float) -> None:
         near = instance.beacon(self.time, cached=instance.updates.take_near())
         for host in instance.told.near:
             self._deliver(self.instances[host], near, self._weight, NEAR_WAY_MS)
@@ -447,7 +356,11 @@
             self.at(later, lambda: self._tell(instance, number + 1, until))
 
     def _deliver(
-        self, receiver: Instance, beacon: beacons.Beacon, weight: float, way: float
+        self,
+        receiver: fleet_parts.Instance,
+        beacon: beacons.Beacon,
+        weight: float,
+        way: float,
     ) -> None:
         self.at(self.now + way, lambda: receiver.work.take(beacon, weight, self.time))
 
@@ -455,12 +368,3 @@
         """Return the work of the busiest reading engine as a multiple of the mean."""
         worked = [engine.worked_ms for engine in self.engines.values() if engine.reads]
         return max(worked) * len(worked) / sum(worked)
-
-
-# The mix of a kiosk fleet of 195 instances before 39 engines: long briefings in
-# sessions that come back about twice, short drafts and checks.
-KIOSK = (
-    Kind("briefing", 51.5, 5382, 900, 6610, 42, 2, 823.0),
-    Kind("draft", 81.0, 198, 200, 628, 32, 0, 609.0),
-    Kind("check", 74.0, 568, 200, 1800, 3, 1, 1011.0),
-)
