Reset connections on every close, whoever begins it

The arrival fits the doubling of retransmission from the first sending (0.2, 0.6, 1.4, 3.0, 6.2 s): the bytes had stayed in the kernel. A connection that we close was reset; one that its server ends under a request is closed by the event loop, in order, so that what is held goes on being sent. Change: the reset is set when a connection is opened. A scenario failed before and passes. Ruled out: a request given up by time (0.9 s at least), a connection that was being opened (nothing is sent on it).

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -226,18 +226,10 @@
     def close(self) -> None:
         """Close the connection; a server then stops working on its request.
 
-        It is reset, not ended in order. What the kernel still holds of a request would
-        otherwise go on being sent after the close: behind a partition of six seconds a
-        request that had been given up and answered elsewhere reached its first server
-        when the partition healed, and that server had left meanwhile.
+        It is reset, not ended in order; see `_reset_on_close`.
         """
-        transport = self._wire.transport
-        if transport is None:
-            return
-        sock = transport.get_extra_info("socket")
-        if sock is not None and sock.fileno() >= 0:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        transport.abort()
+        if self._wire.transport is not None:
+            self._wire.transport.abort()
 
     def _note_keeping(self, fields: Fields) -> None:
         for name, value in fields:
@@ -280,10 +272,24 @@
     except (OSError, TimeoutError) as error:
         silent = isinstance(error, TimeoutError)
         raise ConnectError(repr(error), silent=silent) from error
-    _probe_silence(transport.get_extra_info("socket"))
+    sock = transport.get_extra_info("socket")
+    _probe_silence(sock)
+    _reset_on_close(sock)
     return Channel(wire)
 
 
+def _reset_on_close(sock: socket.socket) -> None:
+    """Have a connection reset whenever it is closed, by whomever.
+
+    What the kernel still holds of a request would otherwise go on being sent after the
+    close: behind a partition of six seconds a request that had been given up and
+    answered elsewhere reached its first server when the partition healed, and that
+    server had left meanwhile. It is set from the start, since a connection that its
+    server ends is closed by the event loop, which would end it in order.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def _probe_silence(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -109,3 +109,9 @@
   # the request then, to a server that has left meanwhile.
   Scenario: A request that was given up is not delivered by a connection that was closed
     Then channel: a connection that is closed under a request is reset
+
+  # A server ends a kept connection while a request on it is held up by a partition. The
+  # request is served elsewhere. Ended in order by this side too, the connection would go
+  # on delivering it: it reached a server 6 s later, which had left 3 s before.
+  Scenario: A request on a connection that its server ends is not delivered later
+    Then channel: a connection that the server ends under a request is reset
