--- a/src/pimentolatch/decisions/homes.py
+++ b/src/pimentolatch/decisions/homes.py
@@ -25,7 +25,7 @@
 from pimentolatch.decisions import engine_loads, subset
 from pimentolatch.requests import prompts
 
-__all__ = ["Ranking", "rank"]
+__all__ = ["LEAST_FETCHED", "Ranking", "rank"]
 
 # Charge of an engine that is no home of a prompt, in times of reading its shared part
 # again. Replayed for 30 s with 84 instances before 70 engines, and for 24 s with 192
@@ -39,7 +39,7 @@
 _HOMES = 2
 _NEXT_MS = 0.5
 # Fewer tokens are read sooner than fetched.
-_LEAST_FETCHED = 256
+LEAST_FETCHED = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +80,7 @@
         reader.server.server_id: away * min(place / _HOMES, 1.0) + _NEXT_MS * place
         for place, reader in enumerate(ranked)
     }
-    donor = ranked[0] if ranked and shared >= _LEAST_FETCHED else None
+    donor = ranked[0] if ranked and shared >= LEAST_FETCHED else None
     return Ranking(donor, charges)
 
 
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -57,8 +57,6 @@
 # From the end of reading to the first event: on the same engine, and on another one.
 _FIRST_STEP_MS = 30.0
 _HANDOVER_MS = 60.0
-# Fewer tokens are read sooner than fetched.
-_LEAST_FETCHED = 256
 # Requests that are refused in one burst are told different times to come back, or they
 # would meet again; sooner than the first figure no queue is shorter.
 _LEAST_RETRY = datetime.timedelta(milliseconds=200)
@@ -155,8 +153,8 @@
         ranking = homes.rank(asked.prompt, readers, self._loads.reading_rate)
         donors = _donors(asked.prompt, [*writers, *readers])
         costs = {w.server.server_id: self._writer_cost(w, traits, now) for w in writers}
+        bound = self._in_place_bound() if readers else math.inf
         for writer in writers:
-            bound = self._in_place_bound() if readers else math.inf
             in_place = self._in_place(writer, asked, now, donors, bound)
             if in_place is not None:
                 yield costs[writer.server.server_id] + in_place[0], in_place[1]
@@ -289,7 +287,7 @@
 ) -> list[_Donor]:
     """Return the engines that keep some of a prompt, the most first."""
     found = [_Donor(engine, engine.cached.kept(prompt)) for engine in engines]
-    found = [donor for donor in found if donor.tokens >= _LEAST_FETCHED]
+    found = [donor for donor in found if donor.tokens >= homes.LEAST_FETCHED]
     return sorted(found, key=lambda donor: donor.tokens, reverse=True)
 
 
@@ -303,7 +301,7 @@
     best: tuple[float, _Donor] | None = None
     for donor in donors:
         fetched = donor.tokens - kept
-        if donor.engine is engine or fetched < _LEAST_FETCHED:
+        if donor.engine is engine or fetched < homes.LEAST_FETCHED:
             continue
         charge = fetched * _MOVED_MS
         if donor.engine.server.failure_domain != engine.server.failure_domain:
