Show how prompts end by their size among those of their route

Cause: whether the largest prompts of a route are served least could not be seen. The log gave the tokens to be read, which prefixes change, and no metric knew of sizes. Nothing is decided otherwise. Ruled out: a label of tokens, whose values clients would choose.

--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -4,7 +4,7 @@
 import datetime
 
 from pimentolatch import clock, settings
-from pimentolatch.decisions import engine_loads, places
+from pimentolatch.decisions import engine_loads, places, prompt_sizes
 from pimentolatch.gateway import (
     cache_updates,
     doubting,
@@ -95,6 +95,7 @@
     """What has become of one request so far.
 
     Attributes:
+        size: How large its prompt is among those of its route.
         failed: Engines that failed or declined it.
         ran: Engines that may have begun to write.
         open: A sending is under way whose fate is not known yet.
@@ -108,6 +109,7 @@
         counted: The request has been counted as demand.
     """
 
+    size: prompt_sizes.SizeClass
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     ran: int = 0
     open: bool = False
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -180,7 +180,7 @@
         self._story.tell(
             story.ANSWERED,
             asked.request_id,
-            wrong=not 200 <= answer.status < 300 or answer.outcome != "passed on",
+            wrong=not 200 <= answer.status < 300 or answer.outcome != inbound.PASSED_ON,
             route=asked.route.name,
             service=asked.service.name,
             status=answer.status,
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -10,6 +10,7 @@
     engine_loads,
     placement,
     places,
+    prompt_sizes,
     repeat_budget,
     subset,
     waiting,
@@ -68,6 +69,7 @@
         self._writer = writing.StreamWriter(self._parts)
         self._waiting = 0
         self._demands: dict[str, demand_rate.DemandRate] = {}
+        self._sizes = prompt_sizes.PromptSizes()
         self._budget = budget
         self._domain = own_domain
 
@@ -99,7 +101,19 @@
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
         """Answer a request."""
-        progress = attempt.Progress(last_event=asked.head.last_event)
+        assert asked.head.prompt is not None
+        size = self._sizes.classify(asked.route.name, asked.head.prompt.tokens)
+        progress = attempt.Progress(size, last_event=asked.head.last_event)
+        try:
+            await self._run(asked, answer, progress)
+        finally:
+            self._parts.measured.prompt_ended(
+                size, answer.status, whole=answer.outcome == inbound.PASSED_ON
+            )
+
+    async def _run(
+        self, asked: inbound.Inbound, answer: inbound.Answer, progress: attempt.Progress
+    ) -> None:
         try:
             async with asyncio.timeout(
                 max(0.0, (asked.until - self._parts.clock.monotonic()).total_seconds())
@@ -277,18 +291,25 @@
             progress.counted = True
             self._count_demand(asked, place)
         if not isinstance(place, places.NoEngine):
-            self._tell_place(asked, place)
+            self._tell_place(asked, place, progress.size)
         return place
 
     def _tell_place(
         self,
         asked: inbound.Inbound,
         place: places.InPlace | places.Apart | places.Hopeless,
+        size: prompt_sizes.SizeClass,
     ) -> None:
+        assert asked.head.prompt is not None
         if isinstance(place, places.Hopeless):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
             self._parts.story.tell(
-                story.PLACED, asked.request_id, wrong=True, refused_for_ms=round(wait)
+                story.PLACED,
+                asked.request_id,
+                wrong=True,
+                refused_for_ms=round(wait),
+                prompt=asked.head.prompt.tokens,
+                size=size.value,
             )
             return
         reader = place.reader if isinstance(place, places.Apart) else place.engine
@@ -299,6 +320,8 @@
             writer=place.engine.server.server_id,
             donor=None if place.donor is None else place.donor.server.server_id,
             tokens=place.tokens,
+            prompt=asked.head.prompt.tokens,
+            size=size.value,
             urgency=place.level,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
         )
--- a/src/pimentolatch/gateway/inbound.py
+++ b/src/pimentolatch/gateway/inbound.py
@@ -11,10 +11,12 @@
 from pimentolatch.platform import heads
 from pimentolatch.routes import table
 
-__all__ = ["Answer", "Inbound"]
+__all__ = ["PASSED_ON", "Answer", "Inbound"]
 
 Scope = typing.MutableMapping[str, typing.Any]
 Send = typing.Callable[[typing.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
+# Outcome of an answer that a server gave and that was passed on whole.
+PASSED_ON = "passed on"
 Fields = abc.Sequence[tuple[bytes, bytes]]
 
 
@@ -60,7 +62,7 @@
         self._send = send
         self.status = 0
         self.finished = False
-        self.outcome = "passed on"
+        self.outcome = PASSED_ON
 
     @property
     def started(self) -> bool:
--- a/src/pimentolatch/gateway/measuring.py
+++ b/src/pimentolatch/gateway/measuring.py
@@ -9,8 +9,9 @@
 import prometheus_client
 from prometheus_client import core, registry
 
+from pimentolatch.decisions import prompt_sizes
 from pimentolatch.entry import gate
-from pimentolatch.gateway import knowledge, peer_table, story
+from pimentolatch.gateway import inbound, knowledge, peer_table, story
 
 __all__ = ["MetricsFace", "RouteMetrics", "StateCollector"]
 
@@ -20,6 +21,7 @@
 # Pauses between events: a quarter second is the longest that is on time today.
 _PAUSES = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5)
 _MS_PER_S = 1000.0
+_UNAVAILABLE = 503
 
 _Fields = typing.Mapping[str, typing.Any]
 
@@ -40,6 +42,11 @@
             "sendings", "Requests sent to servers, by what was asked.", "what"
         )
         self._placed = self._counter("prompts", "Prompts, by where they are read.")
+        self._ended = self._counter(
+            "prompts_ended",
+            "Prompts, by how they ended and by size among those of their route.",
+            "size",
+        )
         self._doubts = self._counter("doubts", "Silent engines asked, by verdict.")
         self._expected = self._histogram(
             "expected_first_event_seconds",
@@ -56,7 +63,7 @@
     def saw(self, event: str, fields: _Fields, *, wrong: bool) -> None:
         """Count an event of a request's story."""
         if event == story.ANSWERED:
-            by = "server" if fields["outcome"] == "passed on" else "instance"
+            by = "server" if fields["outcome"] == inbound.PASSED_ON else "instance"
             self._answers.labels(_status_class(int(fields["status"])), by).inc()
             if "ms" in fields:
                 self._answer_seconds.observe(fields["ms"] / _MS_PER_S)
@@ -68,6 +75,24 @@
         elif event == story.PLACED:
             self._placed_seen(fields)
 
+    def prompt_ended(
+        self, size: prompt_sizes.SizeClass, status: int, *, whole: bool
+    ) -> None:
+        """Count the end of a request with a prompt.
+
+        Args:
+            size: How large the prompt is among those of its route.
+            status: Status that the client got; 0 if it left before.
+            whole: A server's answer was passed on to its end.
+        """
+        if whole and 200 <= status < 300:
+            outcome = "served"
+        elif status == _UNAVAILABLE:
+            outcome = "refused"
+        else:
+            outcome = "failed" if status else "client left"
+        self._ended.labels(outcome, size.value).inc()
+
     def first_event(self, seconds: float) -> None:
         """Count the first event of a stream."""
         self._first_event.observe(seconds)
--- a/src/pimentolatch/gateway/story.py
+++ b/src/pimentolatch/gateway/story.py
@@ -29,7 +29,10 @@
 # Every event with its fields; `explain` reads them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
     WAITED: ("ms", "in_vain"),
-    PLACED: ("reader", "writer", "donor", "tokens", "urgency", "expected_ms"),
+    PLACED: (
+        *("reader", "writer", "donor", "tokens", "prompt", "size"),
+        *("urgency", "expected_ms"),
+    ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
     SENT: ("server", "what", "outcome", "ms"),
     ANSWERED: ("route", "service", "status", "outcome", "ms", "version", "servers"),
