Tell large prompts by the sizes of their own route

Callers with long case histories were served a third as often as those with short ones. Cause: what waits late in an engine's queue goes first by lot if it is large, and large was whatever takes a quarter of the time for a first event to prefill, of the tokens that the engine does not keep. With nothing kept that is nearly every history, with prefixes kept hardly one, so the lots fell on all alike and the largest, which are late soonest, were served least. Class: a bound on an absolute quantity stands for a place within a distribution, and turns over with a state that has nothing to do with it (the cache). Change: large is what is among the largest three tenths of the latest prompts of its route. Looked for elsewhere: the first face's queues take the cost of a request into fairness and have no such bound; the bound on reading in place is one on the streams that wait for it and is meant so.

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -49,9 +49,6 @@
 _IN_PLACE_TOKENS = 2000
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
-# A prompt is large if its reading alone takes this share of the time for a first event:
-# behind a queue that others bear it is late.
-_LARGE_SHARE = 0.25
 # Charge of a first event that comes too late to be on time.
 _LATE_MS = 300.0
 # From the end of reading to the first event: on the same engine, and on another one.
@@ -215,11 +212,12 @@
         milliseconds = (ahead + self._loads.reading_cost(tokens)) / rate
         expected = datetime.timedelta(milliseconds=milliseconds + _FIRST_STEP_MS)
         late = expected > asked.due
-        large = self._is_large(asked, tokens)
         # The streams there wait for it too.
         cost = 2 * milliseconds + (_LATE_MS if late else 0)
         cost += fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
-        level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
+        level = urgency.level_of(
+            asked.rank, late=late, large=asked.large, lot=asked.lot
+        )
         return cost, places.InPlace(writer, tokens, donor, level, expected)
 
     def _apart(
@@ -232,9 +230,10 @@
     ) -> tuple[float, places.Apart]:
         tokens, donor, fetched = _to_read(reader, asked.prompt, donors)
         cost = fetched + _READ_AGAIN_MS * _shared(asked.prompt, tokens)
-        large = self._is_large(asked, tokens)
         for late in (False, True):
-            level = urgency.level_of(asked.rank, late=late, large=large, lot=asked.lot)
+            level = urgency.level_of(
+                asked.rank, late=late, large=asked.large, lot=asked.lot
+            )
             work = reader.all_reading(now, level) + self._loads.reading_cost(tokens)
             milliseconds = work / self._loads.reading_rate
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
@@ -243,11 +242,6 @@
         cost += milliseconds + (_LATE_MS if late else 0)
         return cost, places.Apart(reader, writer, tokens, donor, level, expected)
 
-    def _is_large(self, asked: places.Asked, tokens: int) -> bool:
-        milliseconds = tokens / self._loads.reading_rate
-        target_ms = asked.target / datetime.timedelta(milliseconds=1)
-        return milliseconds > _LARGE_SHARE * target_ms
-
 
 def fullness(
     writer: engine_loads.EngineLoad,
--- a/src/pimentolatch/decisions/places.py
+++ b/src/pimentolatch/decisions/places.py
@@ -65,15 +65,15 @@
 
     Attributes:
         rank: Rank of its route, 0 first.
-        target: The route's time for the first event.
-        due: What is left of that time.
+        large: It is large among the prompts of its route.
+        due: What is left of the route's time for a first event.
         patience: Its client waits this long for the first event.
         lot: Drawn evenly from 0 to 1 for the request.
     """
 
     prompt: prompts.Prompt
     rank: int
-    target: datetime.timedelta
+    large: bool
     due: datetime.timedelta
     patience: datetime.timedelta
     lot: float
--- a/src/pimentolatch/decisions/prompt_sizes.py
+++ b/src/pimentolatch/decisions/prompt_sizes.py
@@ -4,8 +4,8 @@
 100,000 tokens. In overload the largest are the first that can't be on time, since their
 own prefill takes most of the time that they have; whoever wants to see or to prevent
 that they are served least has to know which they are. A fixed bound on the time of
-their prefill does not tell: it takes all prompts of one route for large, or none, and
-turns over with what the engines keep.
+their prefill does not tell: it takes all prompts of one route for large while engines
+keep nothing, and none when they keep the prefixes.
 
 So each instance keeps the sizes of the latest prompts of each route and compares.
 """
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -278,7 +278,7 @@
             places.Asked(
                 asked.head.prompt,
                 asked.route.rank,
-                asked.route.latency_target,
+                progress.size is not prompt_sizes.SizeClass.REST,
                 due=asked.arrived + asked.route.latency_target - now,
                 patience=_leaves_at(asked, progress) - now,
                 lot=_lot(asked),
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -206,7 +206,7 @@
     parts = (*shared, prompts.Part("own", 4000))
     prompt = prompts.Prompt("m", sum(p.tokens for p in parts), 50, 50, parts)
     target = datetime.timedelta(milliseconds=800)
-    asked = places.Asked(prompt, 2, target, target, 4 * target, 0.9)
+    asked = places.Asked(prompt, 2, False, target, 4 * target, 0.9)
     traits = table.EngineTraits(8, 200_000, SECOND)
     return placement.Placement(context.loads, domain).choose(asked, traits, NOW)
 
@@ -324,7 +324,7 @@
 def place_short(context, tokens):
     prompt = prompts.Prompt("m", tokens, 50, 50, (prompts.Part("own", tokens),))
     target = datetime.timedelta(milliseconds=800)
-    asked = places.Asked(prompt, 2, target, target, 4 * target, 0.9)
+    asked = places.Asked(prompt, 2, False, target, 4 * target, 0.9)
     traits = table.EngineTraits(8, 200_000, SECOND)
     return placement.Placement(context.loads, "here").choose(asked, traits, NOW)
 
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -198,7 +198,7 @@
     prompt = prompts.Prompt("m", 5000 + own_tokens, 50, 50, parts)
     target = datetime.timedelta(milliseconds=800)
     patience = datetime.timedelta(milliseconds=3200)
-    asked = places.Asked(prompt, rank, target, target, patience, lot)
+    asked = places.Asked(prompt, rank, False, target, patience, lot)
     return placement.Placement(context.loads, "here").choose(asked, TRAITS, NOW)
 
 
--- a/tests/support/fleet_parts.py
+++ b/tests/support/fleet_parts.py
@@ -6,7 +6,13 @@
 import math
 import random
 
-from pimentolatch.decisions import demand_rate, neighbours, placement, places
+from pimentolatch.decisions import (
+    demand_rate,
+    neighbours,
+    placement,
+    places,
+    prompt_sizes,
+)
 from pimentolatch.gateway import cache_updates, knowledge, peer_work
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
@@ -80,6 +86,7 @@
         ahead: Tokens that were to be read before it, as far as was known.
         declined: Engines that did not take it.
         first_asked: When its client asked first, if it has come back after a refusal.
+        large: It is large among the prompts of its kind that its instance has seen.
         over: Its client has its answer, or has left.
     """
 
@@ -93,6 +100,7 @@
     ahead: float = 0.0
     sent: float = 0.0
     declined: set[servers.Incarnation] = dataclasses.field(default_factory=set)
+    large: bool = False
     over: bool = False
 
     @property
@@ -174,6 +182,7 @@
         self.work = peer_work.PeerWork(self.known, domain, self.updates)
         self.chooser = placement.Placement(self.loads, domain)
         self.demand = demand_rate.DemandRate()
+        self.sizes = prompt_sizes.PromptSizes()
         self.told = neighbours.Neighbours(())
 
     def beacon(self, now: datetime.timedelta, **fields: object) -> beacons.Beacon:
--- a/tests/support/fleet_world.py
+++ b/tests/support/fleet_world.py
@@ -14,7 +14,13 @@
 from collections import abc
 
 from pimentolatch import settings
-from pimentolatch.decisions import engine_loads, neighbours, places, stage_plan
+from pimentolatch.decisions import (
+    engine_loads,
+    neighbours,
+    places,
+    prompt_sizes,
+    stage_plan,
+)
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers
@@ -174,6 +180,8 @@
         first_asked: float | None = None,
     ) -> None:
         job = fleet_parts.Job(kind, prompt, self.now, lot, first_asked)
+        size = instance.sizes.classify(kind.name, prompt.tokens)
+        job.large = size is not prompt_sizes.SizeClass.REST
         self.at(self.now + job.patience_ms, lambda: self._leave(job))
         self._place(instance, job)
 
@@ -220,7 +228,7 @@
         patience = job.patience_ms * fleet_parts.MS
         gone = (self.now - job.arrived) * fleet_parts.MS
         asked = places.Asked(
-            prompt, kind.rank, target, target - gone, patience - gone, job.lot
+            prompt, kind.rank, job.large, target - gone, patience - gone, job.lot
         )
         place = instance.chooser.choose(
             asked, fleet_parts.TRAITS, self.time, frozenset(job.declined)
