Take stories of tuning and their figures out of comments

The users want a comment to say what a figure is for; how it was found belongs here and on the pages.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -59,9 +59,8 @@
 
     Until it is over the engine declines whatever it is sent. Found out by each instance
     for itself, that costs a declined sending for each of them and engine, and requests
-    that meet several such engines are refused: 14 of 70 engines told to change at one
-    moment had 477 requests of the first rank refused by 84 instances; told of the
-    changes, these refused one (one load of 34 s each).
+    that meet several such engines are refused; told of the changes, instances pass such
+    engines over.
 
     Attributes:
         until: When it is over at the latest; the list of servers shows it sooner.
@@ -226,10 +225,9 @@
         """Learn the reading rate from a prompt that was read apart.
 
         Prompts that waited are not left out: at a busy fleet hardly any waits for
-        nobody, and by the others alone the rate stayed at 34 tokens in a millisecond
-        where idle engines read 45. What was known to be ahead counts as read too, if it
-        was no more than the prompt: behind a long queue, clients that leave take their
-        prompts with them, and the rate would be learned too high.
+        nobody, and the others alone teach too little. What was known to be ahead counts
+        as read too, if it was no more than the prompt: behind a long queue, clients
+        that leave take their prompts with them, and the rate would be learned too high.
 
         Args:
             tokens: Tokens of the prompt that had to be read.
--- a/src/pimentolatch/decisions/homes.py
+++ b/src/pimentolatch/decisions/homes.py
@@ -4,8 +4,8 @@
 hundreds of instances. An engine that has not read a session's part reads it anew:
 13,300 tokens instead of none. An instance hears of one in twenty of the others, so by
 what it has heard it finds the engine that keeps a part for few requests. Sent to the
-shortest queue, the others are read again there and lengthen it: with twice the prompts
-that the engines could read if nothing were kept, 45 of 100 tokens had been read before.
+shortest queue, the others are read again there and lengthen it: in overload half of all
+that is read had been read before.
 
 So every instance ranks the engines for a part alike, by rendezvous hashing over the
 whole fleet, and a prompt that leaves its home is charged for more than the time that
@@ -28,13 +28,12 @@
 __all__ = ["LEAST_FETCHED", "Ranking", "rank"]
 
 # Charge of an engine that is no home of a prompt, in times of reading its shared part
-# again. Replayed for 30 s with 84 instances before 70 engines, and for 24 s with 192
-# before 39: with no charge, 33 and 4.6 million tokens are read again, with 10 times 18
-# and 2.7.
+# again: reading it elsewhere takes the time of all that wait there, and draws the next
+# prompts of its session away too.
 _AWAY = 10.0
 # A prompt without a shared part has a home too, drawn for it alone, and below the homes
 # the ranking still counts: among engines that look alike, instances would all take the
-# first of the list. Of 198 prompts at one moment, six of 18 engines got 33 each.
+# first of the list.
 _LEAST_AWAY_MS = 10.0
 _HOMES = 2
 _NEXT_MS = 0.5
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -42,10 +42,9 @@
 # looks idle is chosen by many at once.
 _FAR_MS = 60.0
 # A prompt that is read in place delays the streams there. This many unread tokens may
-# wait at an engine that writes, so that no pause grows past what callers accept. Room
-# that follows the pause which the streams leave let in half as many again and served
-# less: mean worth of six days 0.636 against 0.647. With no engine left that reads for
-# others there is no bound: late answers are better than none.
+# wait at an engine that writes, so that no pause grows past what callers accept. With
+# no engine left that reads for others there is no bound: late answers are better than
+# none.
 _IN_PLACE_TOKENS = 2000
 # Charge for the streams that a server already writes, as a whole batch.
 _BATCH_MS = 150.0
@@ -173,9 +172,9 @@
     def _in_place_bound(self) -> float:
         """Return the tokens that may wait at an engine that writes.
 
-        In a large fleet none: each of 84 instances sees room for 2,000 tokens by counts
-        that are half a second old. Of 13,800 prompts in 26 s, 4,900 were read in place,
-        and 544 streams stopped until their clients' time was up.
+        In a large fleet none: each instance would see that room by counts that are half
+        a second old, and together they would stop the streams there until their clients
+        leave.
         """
         return 0.0 if self._loads.partly_heard else _IN_PLACE_TOKENS
 
--- a/src/pimentolatch/decisions/stage_plan.py
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -9,12 +9,11 @@
 A change is due when the pressure that it would have taken off by now, summed over time,
 has come to its price. A split that is far off is left within two seconds, one that is
 little off is left alone unless that lasts; a rule that waits for a fixed time does one
-of the two wrong. With two of five engines reading where three are needed: mean worth of
-six days 0.541, against 0.369 with a fixed wait of six seconds and four of evidence.
+of the two wrong.
 
 Each stage keeps an engine to spare: with one alone, its crash leaves the stage empty
-and every request waits until it is back (0.492 instead of 0.541). If a stage is emptied
-all the same, an engine is told to write at once, whatever the price.
+and every request waits until it is back. If a stage is emptied all the same, an engine
+is told to write at once, whatever the price.
 """
 
 import dataclasses
@@ -143,8 +142,8 @@
     def _rescue(self, split: "_Split", now: datetime.timedelta) -> tuple[Change, ...]:
         """Return the change that brings a writer back if none is left.
 
-        Both writers of five engines crashed at one moment and nothing brought one back:
-        for five seconds every request was refused beside three engines that read.
+        Where all that write crash at one moment, every request would be refused beside
+        engines that read.
         """
         empty = all(
             _is_down(writer, now) and writer.server.incarnation not in split.moving
--- a/src/pimentolatch/decisions/stage_split.py
+++ b/src/pimentolatch/decisions/stage_split.py
@@ -21,8 +21,8 @@
 # bursts take half as many again.
 _AT_EASE = {servers.Stage.PREFILL: 0.75, servers.Stage.DECODE: 0.6}
 # Below this pressure no split is changed, and no more engines move than it takes to get
-# there: moved on until both stages were equally at ease, 42 of 46 writing engines went
-# to reading in 30 s, and the next burst of answers found four.
+# there: moved on until both stages are equally at ease, nearly all would go to one, and
+# the next burst would find the other empty.
 _LEAST_PRESSURE = 0.8
 # The best split must lessen the greatest pressure by this part; one engine more beside
 # five lessens it by a sixth.
--- a/src/pimentolatch/decisions/store_readers.py
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -2,7 +2,7 @@
 
 Load pattern: the store counts and prices each call, a waiting watch as one, and its
 rates grow more slowly than the fleet. With a watch in each of 85 instances one entry
-that changes costs 85 calls: 4,431 calls in 60 s, 0.052 of the payoff.
+that changes costs 85 calls.
 
 Three instances of each domain read the store and the others learn from them. Everybody
 passes on the three first names by which instances say that they would read, and how
--- a/src/pimentolatch/decisions/waiting.py
+++ b/src/pimentolatch/decisions/waiting.py
@@ -3,8 +3,7 @@
 Load pattern: both engines that write crash within a second, or one crashes while the
 other changes its stage. For two to five seconds nothing can be answered, and then
 everything can. Refused at once, each request comes back after a second, finds the same
-and is gone: 135 of 230 requests of such five seconds were refused within 50 ms while
-three engines were idle.
+and is gone, while the engines of the other stage are idle.
 
 So a request waits, as long as its client does, and looks again and again. Those of a
 higher rank look more often, so that they are the first that a returning engine gets,
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -170,9 +170,8 @@
     ) -> bool:
         """Have an engine go on with a prompt that was read; see `_try`.
 
-        An engine that declines leaves the prompt where it is, and another one takes it.
-        Read again instead, it cost 2.2 of 28 million tokens on a day on which engines
-        changed their stage.
+        An engine that declines leaves the prompt where it is, and another one takes it,
+        so that a change of stage costs no second prefill.
         """
         for _ in range(_MOST_HANDOVERS):
             if self._parts.known.has_ended(source.reader.server.incarnation):
