Call the log of requests a log

"Story" and "told" are words of our own; the field says request log. The module gateway.story is gateway.request_log, its class RequestLog, tell is write.

--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -11,7 +11,7 @@
 import typing
 from collections import abc
 
-from pimentolatch.gateway import inbound, story
+from pimentolatch.gateway import inbound, request_log
 
 __all__ = ["Prompt", "main", "read_prompts", "table"]
 
@@ -50,12 +50,12 @@
         except ValueError:
             continue
         request = requests.setdefault(str(line.get("id")), {})
-        if line.get("message") == story.PLACED:
+        if line.get("message") == request_log.PLACED:
             request["tokens"] = line.get("prompt")
             request["expected_ms"] = line.get("expected_ms", 0)
-        elif line.get("message") == story.SENT and line.get("what") == "read":
+        elif line.get("message") == request_log.SENT and line.get("what") == "read":
             request["sent_ms"] = request.get("sent_ms", 0) + line["ms"]
-        elif line.get("message") == story.ANSWERED:
+        elif line.get("message") == request_log.ANSWERED:
             request["route"] = line.get("route")
             request["end"] = _end(line)
     whole = [r for r in requests.values() if r.get("tokens") and r.get("route")]
--- a/src/pimentolatch/cli/explaining.py
+++ b/src/pimentolatch/cli/explaining.py
@@ -1,11 +1,11 @@
-"""Tells the story of one request from the log lines of one or more instances."""
+"""Explains one request by the log lines of one or more instances."""
 
 import dataclasses
 import json
 import typing
 from collections import abc
 
-from pimentolatch.gateway import story
+from pimentolatch.gateway import request_log
 
 __all__ = ["Line", "explain", "read_lines"]
 
@@ -56,14 +56,14 @@
 
 
 def explain(lines: abc.Sequence[Line]) -> str:
-    """Return the story of a request with its likely cause as the last line."""
+    """Return the lines of a request with its likely cause as the last one."""
     if not lines:
         return _NOT_FOUND
     return "\n".join([*map(str, lines), f"likely cause: {_cause(lines)}"])
 
 
 def _cause(lines: abc.Sequence[Line]) -> str:
-    answers = [line for line in lines if line.event == story.ANSWERED]
+    answers = [line for line in lines if line.event == request_log.ANSWERED]
     if not answers:
         return "no answer was written: the instance ended while it held the request"
     answer = answers[-1].fields
@@ -91,7 +91,7 @@
 def _last_bad_sending(lines: abc.Sequence[Line]) -> Line | None:
     for line in reversed(lines):
         text = str(line.fields.get("outcome", ""))
-        if line.event == story.SENT and not text.startswith("answered 2"):
+        if line.event == request_log.SENT and not text.startswith("answered 2"):
             return line
     return None
 
@@ -99,8 +99,8 @@
 def _while(lines: abc.Sequence[Line], bad: Line | None) -> str:
     if bad is not None:
         return f", after server {bad.fields['server']} {bad.fields['outcome']}"
-    sent = [line for line in lines if line.event == story.SENT]
-    placed = [line for line in lines if line.event == story.PLACED]
+    sent = [line for line in lines if line.event == request_log.SENT]
+    placed = [line for line in lines if line.event == request_log.PLACED]
     if placed and not sent:
         expected = placed[-1].fields.get("expected_ms")
         return f", waiting for its prompt to be read (expected in {expected} ms)"
@@ -108,7 +108,7 @@
 
 
 def _late(lines: abc.Sequence[Line]) -> str:
-    slow = [line for line in lines if line.event == story.SENT]
+    slow = [line for line in lines if line.event == request_log.SENT]
     if not slow:
         return ""
     longest = max(slow, key=lambda line: int(line.fields.get("ms", 0)))
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -12,8 +12,8 @@
     knowledge,
     measuring,
     refusals,
+    request_log,
     sending,
-    story,
 )
 from pimentolatch.routes import servers
 
@@ -42,7 +42,7 @@
     client: sending.ServerClient
     doubts: doubting.EngineDoubts
     updates: cache_updates.CacheUpdates
-    story: story.Story
+    log: request_log.RequestLog
     measured: measuring.RouteMetrics
     clock: clock.Clock
 
@@ -56,7 +56,7 @@
         """Return the engines of a request's service."""
         return self.known.loads(asked.service.name)
 
-    def tell_sent(
+    def log_sent(
         self,
         asked: inbound.Inbound,
         engine: engine_loads.EngineLoad,
@@ -65,14 +65,14 @@
         since: datetime.timedelta,
     ) -> None:
         """Log one sending and what became of it."""
-        self.story.tell(
-            story.SENT,
+        self.log.write(
+            request_log.SENT,
             asked.request_id,
             wrong=not isinstance(outcome, sending.Whole | sending.Opened),
             server=engine.server.server_id,
             what=what,
             outcome=sending.text_of(outcome),
-            ms=self.story.elapsed_ms(since),
+            ms=self.log.elapsed_ms(since),
         )
 
 
--- a/src/pimentolatch/gateway/doubting.py
+++ b/src/pimentolatch/gateway/doubting.py
@@ -7,7 +7,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import doubt, engine_loads
-from pimentolatch.gateway import sending, story
+from pimentolatch.gateway import request_log, sending
 from pimentolatch.platform import engines
 from pimentolatch.routes import reports, servers
 
@@ -24,10 +24,13 @@
     """Engines' reports, asked for once for all requests that wait for an engine."""
 
     def __init__(
-        self, client: sending.ServerClient, told: story.Story, time: clock.Clock
+        self,
+        client: sending.ServerClient,
+        log: request_log.RequestLog,
+        time: clock.Clock,
     ) -> None:
         self._client = client
-        self._story = told
+        self._request_log = log
         self._clock = time
         self._asked: dict[servers.Incarnation, tuple[datetime.timedelta, _Asked]] = {}
 
@@ -37,8 +40,8 @@
         """Ask an engine what has become of a request."""
         report = await self._report(engine.server)
         verdict = doubt.judge(report, request_id, engine.server.born)
-        self._story.tell(
-            story.DOUBTED,
+        self._request_log.write(
+            request_log.DOUBTED,
             request_id,
             wrong=verdict is not doubt.Verdict.HAS_IT,
             server=engine.server.server_id,
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -10,7 +10,7 @@
 from pimentolatch import clock, results
 from pimentolatch.decisions import repeat_budget
 from pimentolatch.entry import gate, guard
-from pimentolatch.gateway import inbound, knowledge, refusals, story
+from pimentolatch.gateway import inbound, knowledge, refusals, request_log
 from pimentolatch.platform import heads
 from pimentolatch.routes import table
 
@@ -42,7 +42,7 @@
         forwarders: For plain requests and for those that carry a prompt.
         budget: Counts requests, which bound how many may be sent twice.
         door: Counts requests in flight for a graceful stop.
-        told: Log of what became of requests.
+        log: Log of what became of requests.
     """
 
     def __init__(
@@ -51,11 +51,11 @@
         forwarders: tuple[Forwarder, Forwarder],
         budget: repeat_budget.RepeatBudget,
         door: gate.Gate,
-        told: story.Story,
+        log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
         self._known = known
-        self._story = told
+        self._request_log = log
         self._plain, self._prompts = forwarders
         self._budget = budget
         self._door = door
@@ -85,8 +85,8 @@
             return
         asked = await self._read(scope, receive, configuration, arrived)
         if isinstance(asked, results.Refusal):
-            self._story.tell(
-                story.ANSWERED,
+            self._request_log.write(
+                request_log.ANSWERED,
                 _request_id(scope),
                 wrong=True,
                 status=asked.http_status,
@@ -174,18 +174,18 @@
         finally:
             leaving.cancel()
             work.cancel()
-            self._tell(asked, answer)
+            self._log_answer(asked, answer)
 
-    def _tell(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
-        self._story.tell(
-            story.ANSWERED,
+    def _log_answer(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
+        self._request_log.write(
+            request_log.ANSWERED,
             asked.request_id,
             wrong=not 200 <= answer.status < 300 or answer.outcome != inbound.PASSED_ON,
             route=asked.route.name,
             service=asked.service.name,
             status=answer.status,
             outcome=answer.outcome,
-            ms=self._story.elapsed_ms(asked.arrived),
+            ms=self._request_log.elapsed_ms(asked.arrived),
             version=self._known.version,
             servers=self._known.servers_revision,
         )
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -24,8 +24,8 @@
     measuring,
     reading,
     refusals,
+    request_log,
     sending,
-    story,
     writing,
 )
 
@@ -54,13 +54,11 @@
         time: clock.Clock,
         own_domain: str,
         updates: cache_updates.CacheUpdates,
-        told: story.Story,
+        log: request_log.RequestLog,
         measured: measuring.RouteMetrics,
     ) -> None:
-        doubts = doubting.EngineDoubts(client, told, time)
-        self._parts = attempt.Parts(
-            known, client, doubts, updates, told, measured, time
-        )
+        doubts = doubting.EngineDoubts(client, log, time)
+        self._parts = attempt.Parts(known, client, doubts, updates, log, measured, time)
         self._reader = reading.PromptReader(self._parts)
         self._writer = writing.StreamWriter(self._parts)
         self._waiting = 0
@@ -232,20 +230,20 @@
         listed = bool(self._parts.loads(asked).all())
         while isinstance(place, places.NoEngine):
             if not listed or not await self._wait(asked, progress):
-                self._tell_waited(asked, since, in_vain=True)
+                self._log_wait(asked, since, in_vain=True)
                 return places.Hopeless(waiting.retry_after(_lot(asked)))
             place = self._choose(asked, progress, self._parts.clock.monotonic())
-        self._tell_waited(asked, since, in_vain=False)
+        self._log_wait(asked, since, in_vain=False)
         return place
 
-    def _tell_waited(
+    def _log_wait(
         self, asked: inbound.Inbound, since: datetime.timedelta, *, in_vain: bool
     ) -> None:
-        self._parts.story.tell(
-            story.WAITED,
+        self._parts.log.write(
+            request_log.WAITED,
             asked.request_id,
             wrong=in_vain,
-            ms=self._parts.story.elapsed_ms(since),
+            ms=self._parts.log.elapsed_ms(since),
             in_vain=in_vain,
         )
 
@@ -291,10 +289,10 @@
             progress.counted = True
             self._count_demand(asked, place)
         if not isinstance(place, places.NoEngine):
-            self._tell_place(asked, place, progress.size)
+            self._log_place(asked, place, progress.size)
         return place
 
-    def _tell_place(
+    def _log_place(
         self,
         asked: inbound.Inbound,
         place: places.InPlace | places.Apart | places.Hopeless,
@@ -303,8 +301,8 @@
         assert asked.head.prompt is not None
         if isinstance(place, places.Hopeless):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
-            self._parts.story.tell(
-                story.PLACED,
+            self._parts.log.write(
+                request_log.PLACED,
                 asked.request_id,
                 wrong=True,
                 refused_for_ms=round(wait),
@@ -313,8 +311,8 @@
             )
             return
         reader = place.reader if isinstance(place, places.Apart) else place.engine
-        self._parts.story.tell(
-            story.PLACED,
+        self._parts.log.write(
+            request_log.PLACED,
             asked.request_id,
             reader=reader.server.server_id,
             writer=place.engine.server.server_id,
--- a/src/pimentolatch/gateway/measuring.py
+++ b/src/pimentolatch/gateway/measuring.py
@@ -11,7 +11,7 @@
 
 from pimentolatch.decisions import prompt_sizes
 from pimentolatch.entry import gate
-from pimentolatch.gateway import inbound, knowledge, peer_table, story
+from pimentolatch.gateway import inbound, knowledge, peer_table, request_log
 
 __all__ = ["MetricsFace", "RouteMetrics", "StateCollector"]
 
@@ -61,18 +61,18 @@
         )
 
     def saw(self, event: str, fields: _Fields, *, wrong: bool) -> None:
-        """Count an event of a request's story."""
-        if event == story.ANSWERED:
+        """Count an event of a request."""
+        if event == request_log.ANSWERED:
             by = "server" if fields["outcome"] == inbound.PASSED_ON else "instance"
             self._answers.labels(_status_class(int(fields["status"])), by).inc()
             if "ms" in fields:
                 self._answer_seconds.observe(fields["ms"] / _MS_PER_S)
-        elif event == story.SENT:
+        elif event == request_log.SENT:
             outcome = "failed" if wrong else "answered"
             self._sendings.labels(outcome, fields["what"]).inc()
-        elif event == story.DOUBTED:
+        elif event == request_log.DOUBTED:
             self._doubts.labels(fields["verdict"]).inc()
-        elif event == story.PLACED:
+        elif event == request_log.PLACED:
             self._placed_seen(fields)
 
     def prompt_ended(
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -5,7 +5,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import repeat_budget, server_choice
-from pimentolatch.gateway import inbound, knowledge, refusals, sending, story
+from pimentolatch.gateway import inbound, knowledge, refusals, request_log, sending
 from pimentolatch.platform import heads
 from pimentolatch.routes import servers
 
@@ -35,10 +35,10 @@
         client: sending.ServerClient,
         choice: server_choice.ServerChoice,
         budget: repeat_budget.RepeatBudget,
-        told: story.Story,
+        log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
-        self._story = told
+        self._request_log = log
         self._known = known
         self._client = client
         self._choice = choice
@@ -101,14 +101,14 @@
             self._choice.end(server, self._clock.monotonic(), failed=failed)
         if isinstance(outcome, sending.Whole) and not _genuine(outcome):
             outcome = sending.Broken("a success without the server's proof")
-        self._story.tell(
-            story.SENT,
+        self._request_log.write(
+            request_log.SENT,
             asked.request_id,
             wrong=not _final(outcome),
             server=server.server_id,
             what="run",
             outcome=sending.text_of(outcome),
-            ms=self._story.elapsed_ms(now),
+            ms=self._request_log.elapsed_ms(now),
         )
         return outcome
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -25,12 +25,12 @@
     peers,
     plain,
     protocol,
+    request_log,
     sending,
     settings,
     spread,
     stages,
     store_reading,
-    story,
     watching,
 )
 from pimentolatch.platform import objects
@@ -70,7 +70,7 @@
         )
         self._updates = cache_updates.CacheUpdates()
         self._measured = measuring.RouteMetrics()
-        self._story = story.Story(time, self._measured)
+        self._request_log = request_log.RequestLog(time, self._measured)
         self._prompts = generation.StreamForwarder(
             self._known,
             self._client,
@@ -78,7 +78,7 @@
             time,
             chosen.failure_domain,
             self._updates,
-            self._story,
+            self._request_log,
             self._measured,
         )
         self._face = servers.HttpServer(
@@ -171,7 +171,7 @@
             self._client,
             self._choice,
             self._budget,
-            self._story,
+            self._request_log,
             self._clock,
         )
         return face.RouteFace(
@@ -179,7 +179,7 @@
             (plain_requests, self._prompts),
             self._budget,
             self._gate,
-            self._story,
+            self._request_log,
             self._clock,
         )
 
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -47,7 +47,7 @@
             outcome = await self._outcome(asked, place, progress, delivery)
         finally:
             reader.reading[place.level] -= cost
-        self._parts.tell_sent(asked, reader, "read", outcome, begun)
+        self._parts.log_sent(asked, reader, "read", outcome, begun)
         if isinstance(outcome, sending.TakenBack):
             progress.reason = sending.text_of(outcome)
             return outcome
--- a/src/pimentolatch/gateway/story.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -15,7 +15,7 @@
     "Counted",
     "PLACED",
     "SENT",
-    "Story",
+    "RequestLog",
     "WAITED",
 ]
 
@@ -40,15 +40,15 @@
 
 
 class Counted(typing.Protocol):
-    """Counts what is told."""
+    """Counts events, also those whose line is dropped."""
 
     def saw(
         self, event: str, fields: typing.Mapping[str, typing.Any], *, wrong: bool
     ) -> None:
-        """Count an event of a request's story."""
+        """Count an event of a request."""
 
 
-class Story:
+class RequestLog:
     """Writes the lines of all requests of an instance, within a budget.
 
     Args:
@@ -61,7 +61,7 @@
         self._counted = counted
         self._budget = log_budget.LogBudget()
 
-    def tell(
+    def write(
         self, event: str, request_id: str, *, wrong: bool = False, **fields: typing.Any
     ) -> None:
         """Write one line if the budget has room for it."""
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -50,7 +50,7 @@
             progress.open = True
             opened = await self._open(writing, source)
             progress.open = False
-            self._parts.tell_sent(asked, engine, "run", opened, begun)
+            self._parts.log_sent(asked, engine, "run", opened, begun)
             if source is not None:
                 source.taken = isinstance(opened, sending.Opened)
                 source.doubtful = isinstance(opened, sending.Broken)
@@ -133,7 +133,7 @@
             opened.link.close()
             progress.reason = str(error)
             broken = sending.Broken(progress.reason)
-            self._parts.tell_sent(asked, engine, "stream", broken, asked.arrived)
+            self._parts.log_sent(asked, engine, "stream", broken, asked.arrived)
             progress.failed.add(engine.server.incarnation)
             loads.failed(engine, self._parts.clock.monotonic())
             if not asked.route.repeatable and writing.answer.started:
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -16,7 +16,7 @@
     Then more lines of the bad ones are written than of the good ones
     And the lines tell in all how many were dropped
 
-  Scenario Outline: The story of a failed request ends with its likely cause
+  Scenario Outline: The log lines of a failed request end with its likely cause
     Given the log lines of a request that <happened>
     Then its explanation names "<cause>"
 
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -10,7 +10,7 @@
 from pimentolatch import clock, logs
 from pimentolatch.cli import explaining
 from pimentolatch.decisions import engine_loads, log_budget, stage_plan
-from pimentolatch.gateway import process, settings, story
+from pimentolatch.gateway import process, request_log, settings
 from pimentolatch.routes import servers
 
 NOW = datetime.timedelta(seconds=100)
@@ -77,7 +77,7 @@
     for number in range(1000):
         at = NOW + number * SECOND / 1000
         for wrong in (False, True):
-            taken = context.budget.take(story.ANSWERED, at, wrong=wrong)
+            taken = context.budget.take(request_log.ANSWERED, at, wrong=wrong)
             context.written[wrong] += taken is not None
             context.told += taken or 0 if wrong else 0
 
@@ -89,7 +89,7 @@
 
 @behave.then("the lines tell in all how many were dropped")
 def told_next(context):
-    dropped = context.budget.take(story.ANSWERED, NOW + 2 * SECOND, wrong=True)
+    dropped = context.budget.take(request_log.ANSWERED, NOW + 2 * SECOND, wrong=True)
     assert dropped > 0
     assert context.told + dropped == 1000 - context.written[True], dropped
 
