Name what serves every request of the streams a context

attempt.Parts was a bag of collaborators whose name said prompt parts; _time_is_up is the deadline exceeded.

--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -18,7 +18,7 @@
 from pimentolatch.routes import servers
 
 __all__ = [
-    "Parts",
+    "Context",
     "Progress",
     "Source",
     "Writing",
@@ -35,8 +35,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
-    """What everything on the path of a stream uses."""
+class Context:
+    """What serves every request of the stream routes of an instance."""
 
     known: knowledge.Knowledge
     client: sending.ServerClient
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -58,9 +58,11 @@
         measured: measuring.RouteMetrics,
     ) -> None:
         doubts = doubting.EngineDoubts(client, log, time)
-        self._parts = attempt.Parts(known, client, doubts, updates, log, measured, time)
-        self._reader = reading.PromptReader(self._parts)
-        self._writer = writing.StreamWriter(self._parts)
+        self._context = attempt.Context(
+            known, client, doubts, updates, log, measured, time
+        )
+        self._reader = reading.PromptReader(self._context)
+        self._writer = writing.StreamWriter(self._context)
         self._waiting = 0
         self._demands: dict[str, demand_rate.DemandRate] = {}
         self._sizes = prompt_sizes.PromptSizes()
@@ -69,7 +71,7 @@
 
     def demand(self, service: str) -> demand_rate.ServiceDemand:
         """Return what clients ask of a service through this instance."""
-        return self._rate(service).rate(self._parts.clock.monotonic())
+        return self._rate(service).rate(self._context.clock.monotonic())
 
     def demands(self) -> dict[str, demand_rate.ServiceDemand]:
         """Return what clients ask of each service through this instance."""
@@ -82,7 +84,7 @@
         """Count what the engines that read apart are asked for."""
         prompt = asked.head.prompt
         assert prompt is not None
-        loads = self._parts.loads(asked)
+        loads = self._context.loads(asked)
         if isinstance(place, places.InPlace):
             cost = 0.0
         elif isinstance(place, places.Apart):
@@ -91,7 +93,7 @@
             unread = (engine.unread(prompt) for engine in loads.all())
             cost = loads.reading_cost(min(unread, default=prompt.tokens))
         rate = self._rate(asked.service.name)
-        rate.add(cost, prompt.expected_output, self._parts.clock.monotonic())
+        rate.add(cost, prompt.expected_output, self._context.clock.monotonic())
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
         """Answer a request."""
@@ -101,7 +103,7 @@
         try:
             await self._run(asked, answer, progress)
         finally:
-            self._parts.measured.prompt_ended(
+            self._context.measured.prompt_ended(
                 size, answer.status, whole=answer.outcome == inbound.PASSED_ON
             )
 
@@ -110,17 +112,19 @@
     ) -> None:
         try:
             async with asyncio.timeout(
-                max(0.0, (asked.until - self._parts.clock.monotonic()).total_seconds())
+                max(
+                    0.0, (asked.until - self._context.clock.monotonic()).total_seconds()
+                )
             ):
                 for _ in range(_MOST_TRIES):
                     if await self._try(asked, answer, progress):
                         return
         except TimeoutError:
-            await self._time_is_up(asked, answer, progress)
+            await self._deadline_exceeded(asked, answer, progress)
             return
         await attempt.conclude(answer, progress)
 
-    async def _time_is_up(
+    async def _deadline_exceeded(
         self, asked: inbound.Inbound, answer: inbound.Answer, progress: attempt.Progress
     ) -> None:
         if answer.started:
@@ -172,7 +176,7 @@
         so that a change of stage costs no second prefill.
         """
         for _ in range(_MOST_HANDOVERS):
-            if self._parts.known.has_ended(source.reader.server.incarnation):
+            if self._context.known.has_ended(source.reader.server.incarnation):
                 progress.reason = "the engine that read the prompt started again"
                 return False
             writer = self._choose_writer(asked, source, progress)
@@ -193,12 +197,12 @@
         self, asked: inbound.Inbound, source: attempt.Source, progress: attempt.Progress
     ) -> engine_loads.EngineLoad | None:
         assert asked.head.prompt is not None and asked.service.engine is not None
-        loads = self._parts.loads(asked)
+        loads = self._context.loads(asked)
         return placement.Placement(loads, self._domain).choose_writer(
             asked.head.prompt,
             source.reader,
             asked.service.engine,
-            self._parts.clock.monotonic(),
+            self._context.clock.monotonic(),
             without=frozenset(progress.failed),
         )
 
@@ -211,7 +215,7 @@
         """
         if not progress.arrivals:
             return True
-        return self._budget.spend(asked.service.name, self._parts.clock.monotonic())
+        return self._budget.spend(asked.service.name, self._context.clock.monotonic())
 
     async def _give_up(
         self, answer: inbound.Answer, progress: attempt.Progress
@@ -223,39 +227,39 @@
         self, asked: inbound.Inbound, progress: attempt.Progress
     ) -> places.InPlace | places.Apart | places.Hopeless:
         """Choose engines, waiting for one if none takes requests."""
-        since = self._parts.clock.monotonic()
+        since = self._context.clock.monotonic()
         place = self._choose(asked, progress, since)
         if not isinstance(place, places.NoEngine):
             return place
-        listed = bool(self._parts.loads(asked).all())
+        listed = bool(self._context.loads(asked).all())
         while isinstance(place, places.NoEngine):
             if not listed or not await self._wait(asked, progress):
                 self._log_wait(asked, since, in_vain=True)
                 return places.Hopeless(waiting.retry_after(_lot(asked)))
-            place = self._choose(asked, progress, self._parts.clock.monotonic())
+            place = self._choose(asked, progress, self._context.clock.monotonic())
         self._log_wait(asked, since, in_vain=False)
         return place
 
     def _log_wait(
         self, asked: inbound.Inbound, since: datetime.timedelta, *, in_vain: bool
     ) -> None:
-        self._parts.log.write(
+        self._context.log.write(
             request_log.WAITED,
             asked.request_id,
             wrong=in_vain,
-            ms=self._parts.log.elapsed_ms(since),
+            ms=self._context.log.elapsed_ms(since),
             in_vain=in_vain,
         )
 
     async def _wait(self, asked: inbound.Inbound, progress: attempt.Progress) -> bool:
         """Wait before looking for an engine again; False if there is no time left."""
-        left = attempt.leaves_at(asked, progress) - self._parts.clock.monotonic()
+        left = attempt.leaves_at(asked, progress) - self._context.clock.monotonic()
         if not waiting.may_wait(left, self._waiting):
             return False
         self._waiting += 1
         try:
             pause = waiting.look_again(asked.route.rank, _lot(asked))
-            await self._parts.clock.sleep(pause)
+            await self._context.clock.sleep(pause)
         finally:
             self._waiting -= 1
         # Whatever failed the request before may serve it now; engines that fail are
@@ -270,7 +274,7 @@
         now: datetime.timedelta,
     ) -> places.Place:
         assert asked.head.prompt is not None and asked.service.engine is not None
-        loads = self._parts.loads(asked)
+        loads = self._context.loads(asked)
         chooser = placement.Placement(loads, self._domain)
         place = chooser.choose(
             places.Asked(
@@ -301,7 +305,7 @@
         assert asked.head.prompt is not None
         if isinstance(place, places.Hopeless):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
-            self._parts.log.write(
+            self._context.log.write(
                 request_log.PLACED,
                 asked.request_id,
                 wrong=True,
@@ -311,7 +315,7 @@
             )
             return
         reader = place.reader if isinstance(place, places.Apart) else place.engine
-        self._parts.log.write(
+        self._context.log.write(
             request_log.PLACED,
             asked.request_id,
             reader=reader.server.server_id,
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -19,8 +19,8 @@
 class PromptReader:
     """Sends prompts to engines that read, and frees what nobody takes."""
 
-    def __init__(self, parts: attempt.Parts) -> None:
-        self._parts = parts
+    def __init__(self, context: attempt.Context) -> None:
+        self._context = context
         self._background: set[asyncio.Task[None]] = set()
 
     async def read(
@@ -31,8 +31,8 @@
         A prompt that still waits when its client is about to leave is taken back.
         """
         reader = place.reader
-        loads = self._parts.loads(asked)
-        begun = self._parts.clock.monotonic()
+        loads = self._context.loads(asked)
+        begun = self._context.clock.monotonic()
         cost = loads.reading_cost(place.tokens)
         delivery = heads.Delivery(
             reader.server.server_id,
@@ -47,12 +47,12 @@
             outcome = await self._outcome(asked, place, progress, delivery)
         finally:
             reader.reading[place.level] -= cost
-        self._parts.log_sent(asked, reader, "read", outcome, begun)
+        self._context.log_sent(asked, reader, "read", outcome, begun)
         if isinstance(outcome, sending.TakenBack):
             progress.reason = sending.text_of(outcome)
             return outcome
         source = self._source(reader, outcome)
-        now = self._parts.clock.monotonic()
+        now = self._context.clock.monotonic()
         if source is None:
             progress.failed.add(reader.server.incarnation)
             if not isinstance(outcome, sending.NotSent):
@@ -68,7 +68,7 @@
         progress.read_before = True
         loads.succeeded(reader, now)
         loads.read_in(place.tokens, now - begun, ahead)
-        self._parts.keep(asked, reader)
+        self._context.keep(asked, reader)
         return source
 
     async def _outcome(
@@ -85,13 +85,13 @@
         just before, the client has that promise and a time to come back.
         """
         leaves_at = attempt.leaves_at(asked, progress)
-        limit = waiting.refused_at(leaves_at) - self._parts.clock.monotonic()
+        limit = waiting.refused_at(leaves_at) - self._context.clock.monotonic()
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await self._parts.doubts.until_doubtful(
+                return await self._context.doubts.until_doubtful(
                     place.reader,
                     asked.request_id,
-                    self._parts.client.whole(place.reader.server, asked, delivery),
+                    self._context.client.whole(place.reader.server, asked, delivery),
                     attempt.first_event_limit(place),
                 )
         except TimeoutError:
@@ -99,7 +99,7 @@
 
     def release(self, source: attempt.Source) -> None:
         """Free a prompt that nobody will take, so that others get its memory."""
-        if self._parts.known.has_ended(source.reader.server.incarnation):
+        if self._context.known.has_ended(source.reader.server.incarnation):
             # The handle may name another request's prompt in the engine's new life.
             return
         task = asyncio.create_task(self._free(source))
@@ -122,6 +122,6 @@
 
     async def _free(self, source: attempt.Source) -> None:
         target = engines.release_target(source.handle)
-        await self._parts.client.call(
+        await self._context.client.call(
             source.reader.server, "DELETE", target, limit=_RELEASE_LIMIT
         )
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -20,11 +20,11 @@
     """Sends requests to engines that write.
 
     Args:
-        parts: What everything on the path uses.
+        context: What serves every request.
     """
 
-    def __init__(self, parts: attempt.Parts) -> None:
-        self._parts = parts
+    def __init__(self, context: attempt.Context) -> None:
+        self._context = context
 
     async def write(
         self,
@@ -44,19 +44,19 @@
         engine.reading[place.level] += in_place
         writing = attempt.Writing(asked, answer, progress, place, in_place)
         try:
-            begun = self._parts.clock.monotonic()
+            begun = self._context.clock.monotonic()
             # Set until an answer tells: if the time is up meanwhile, the engine may
             # be writing, and the client must not hear that nothing ran.
             progress.open = True
             opened = await self._open(writing, source)
             progress.open = False
-            self._parts.log_sent(asked, engine, "run", opened, begun)
+            self._context.log_sent(asked, engine, "run", opened, begun)
             if source is not None:
                 source.taken = isinstance(opened, sending.Opened)
                 source.doubtful = isinstance(opened, sending.Broken)
             if not isinstance(opened, sending.Opened):
                 return self._not_opened(writing, opened)
-            with self._parts.client.held(engine.server, opened):
+            with self._context.client.held(engine.server, opened):
                 return await self._pass_on(writing, opened)
         finally:
             engine.writing -= 1
@@ -67,7 +67,7 @@
         self, writing: attempt.Writing, source: attempt.Source | None
     ) -> sending.Opened | sending.NotSent | sending.Declined | sending.Broken:
         asked, place, progress = writing.asked, writing.place, writing.progress
-        now = self._parts.clock.monotonic()
+        now = self._context.clock.monotonic()
         resumed = progress.last_event > asked.head.last_event
         delivery = heads.Delivery(
             place.engine.server.server_id,
@@ -79,10 +79,10 @@
             last_event=progress.last_event if resumed else None,
             donor=attempt.address_of(place.donor) if source is None else None,
         )
-        call = self._parts.client.open(place.engine.server, asked, delivery)
+        call = self._context.client.open(place.engine.server, asked, delivery)
         if not asked.route.repeatable:
             return await call
-        return await self._parts.doubts.until_doubtful(
+        return await self._context.doubts.until_doubtful(
             place.engine, asked.request_id, call, attempt.first_event_limit(place)
         )
 
@@ -97,8 +97,8 @@
         progress.reason = sending.text_of(outcome)
         if not isinstance(outcome, sending.NotSent):
             progress.arrivals += 1
-        loads = self._parts.loads(asked)
-        now = self._parts.clock.monotonic()
+        loads = self._context.loads(asked)
+        now = self._context.clock.monotonic()
         progress.failed.add(engine.server.incarnation)
         if isinstance(outcome, sending.Declined):
             loads.declined(engine, now)
@@ -120,7 +120,7 @@
         """Pass an engine's events on; True if the answer is finished."""
         asked, progress = writing.asked, writing.progress
         engine = writing.place.engine
-        loads = self._parts.loads(asked)
+        loads = self._context.loads(asked)
         progress.arrivals += 1
         self._count_run(writing)
         try:
@@ -133,14 +133,14 @@
             opened.link.close()
             progress.reason = str(error)
             broken = sending.Broken(progress.reason)
-            self._parts.log_sent(asked, engine, "stream", broken, asked.arrived)
+            self._context.log_sent(asked, engine, "stream", broken, asked.arrived)
             progress.failed.add(engine.server.incarnation)
-            loads.failed(engine, self._parts.clock.monotonic())
+            loads.failed(engine, self._context.clock.monotonic())
             if not asked.route.repeatable and writing.answer.started:
                 writing.answer.break_off(progress.reason)
                 return True
             return False
-        loads.succeeded(engine, self._parts.clock.monotonic())
+        loads.succeeded(engine, self._context.clock.monotonic())
         return True
 
     async def _failed_answer(
@@ -160,7 +160,7 @@
         """Pass whole events on until the stream's end; raises `BrokenError`."""
         cutter = events.EventCutter()
         answer, progress = writing.answer, writing.progress
-        last = self._parts.clock.monotonic()
+        last = self._context.clock.monotonic()
         while data := await self._read(writing, opened):
             whole = cutter.feed(data)
             new = [
@@ -168,7 +168,7 @@
             ]
             if not new:
                 continue
-            now = self._parts.clock.monotonic()
+            now = self._context.clock.monotonic()
             self._learn(writing, now - last)
             self._measure(writing, now)
             last = now
@@ -195,7 +195,7 @@
                 async with asyncio.timeout(limit.total_seconds()):
                     return await opened.link.read()
             except TimeoutError:
-                verdict = await self._parts.doubts.verdict(
+                verdict = await self._context.doubts.verdict(
                     writing.place.engine, asked.request_id
                 )
             if verdict is not doubt.Verdict.HAS_IT:
@@ -209,13 +209,13 @@
             writing.first_seen = True
             engine.reading[writing.place.level] -= writing.unread
             writing.unread = 0
-            self._parts.keep(writing.asked, engine)
+            self._context.keep(writing.asked, engine)
             return
-        self._parts.loads(writing.asked).paused(engine, since)
+        self._context.loads(writing.asked).paused(engine, since)
 
     def _measure(self, writing: attempt.Writing, now: datetime.timedelta) -> None:
         """Count what the client sees, whichever engines its events come from."""
-        progress, measured = writing.progress, self._parts.measured
+        progress, measured = writing.progress, self._context.measured
         if progress.event_at is None:
             measured.first_event((now - writing.asked.arrived).total_seconds())
         else:
