--- a/src/pimentolatch/decisions/urgency.py
+++ b/src/pimentolatch/decisions/urgency.py
@@ -33,9 +33,9 @@
     Args:
         rank: Rank of its route, 0 first.
         late: Its first event can't be on time.
-        large: It is large among the prompts of its route. By the time of its own
-            prefill it was not told apart: with nothing kept all are large, and the
-            largest were served least, for their lots went to the others.
+        large: It is large among the prompts of its route. A bound on the time of its
+            own prefill would take all for large while engines keep nothing, and the
+            largest would be served least, since their lots went to the others.
         lot: Drawn evenly from 0 to 1 for the request.
     """
     place = _LATE_LARGE if large else _LATE
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -81,8 +81,8 @@
         """Send a prompt and wait for as long as its client does, but for a moment.
 
         The queue of an overloaded engine outlasts its clients. Left there, a request
-        ended in silence and its client could not know that it had not run; refused
-        just before, the client has that promise and a time to come back.
+        would end in silence and its client not know that nothing ran; refused just
+        before, the client has that promise and a time to come back.
         """
         leaves_at = attempt.leaves_at(asked, progress)
         limit = waiting.refused_at(leaves_at) - self._context.clock.monotonic()
--- a/src/pimentolatch/gateway/sending.py
+++ b/src/pimentolatch/gateway/sending.py
@@ -89,10 +89,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakenBack:
-    """The connection was closed because the client was about to leave.
-
-    What a prompt that is only read ends by; it does not run.
-    """
+    """A prompt that was only to be prefilled was withdrawn; nothing ran."""
 
 
 Outcome = Opened | Whole | NotSent | Declined | Broken | TakenBack
