Name a request by its digest in the log of sendings

Cause: each attempt has an id of its own, so no line tells whether the requests with 502 of the incident are one request (hypotheses 1 and 2 of docs/incidents/one-request-ends-many-servers.md).

The digest covers caller, method, host, path with query and body, keyed by a setting, so that the body is in no log. Nothing is decided by it yet.

--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -15,6 +15,7 @@
     request_log,
     sending,
 )
+from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -63,8 +64,18 @@
         what: str,
         outcome: sending.Outcome,
         since: datetime.timedelta,
+        events: int | None = None,
     ) -> None:
-        """Log one sending and what became of it."""
+        """Log one sending and what became of it.
+
+        Args:
+            asked: The request.
+            engine: Where it was sent.
+            what: What the engine was to do.
+            outcome: What became of it.
+            since: When it was sent.
+            events: Number of the last event that the client had, if it was a stream.
+        """
         self.log.write(
             request_log.SENT,
             asked.request_id,
@@ -73,6 +84,8 @@
             what=what,
             outcome=sending.text_of(outcome),
             ms=self.log.elapsed_ms(since),
+            digest=digests.digest_text(asked.digest),
+            events=events,
         )
 
 
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -12,6 +12,7 @@
 from pimentolatch.entry import gate, guard
 from pimentolatch.gateway import inbound, knowledge, refusals, request_log
 from pimentolatch.platform import heads
+from pimentolatch.requests import digests
 from pimentolatch.routes import table
 
 __all__ = ["Forwarder", "RouteFace"]
@@ -43,6 +44,7 @@
         budget: Counts requests, which bound how many may be sent twice.
         door: Counts requests in flight for a graceful stop.
         log: Log of what became of requests.
+        digest_key: Key of the digests of requests; the same in all instances.
     """
 
     def __init__(
@@ -52,9 +54,11 @@
         budget: repeat_budget.RepeatBudget,
         door: gate.Gate,
         log: request_log.RequestLog,
+        digest_key: bytes,
         time: clock.Clock,
     ) -> None:
         self._known = known
+        self._digest_key = digest_key
         self._request_log = log
         self._plain, self._prompts = forwarders
         self._budget = budget
@@ -127,8 +131,25 @@
         if not isinstance(body, bytes):
             return body
         method = scope["method"]
+        digest = digests.request_digest(
+            self._digest_key,
+            caller=head.caller,
+            method=method,
+            host=head.host,
+            target=target,
+            body=body,
+        )
         return inbound.Inbound(
-            method, target, scope["headers"], body, head, route, service, arrived, until
+            method=method,
+            target=target,
+            fields=scope["headers"],
+            body=body,
+            head=head,
+            route=route,
+            service=service,
+            arrived=arrived,
+            until=until,
+            digest=digest,
         )
 
     async def _body(
--- a/src/pimentolatch/gateway/inbound.py
+++ b/src/pimentolatch/gateway/inbound.py
@@ -9,6 +9,7 @@
 from pimentolatch import results
 from pimentolatch.entry import guard
 from pimentolatch.platform import heads
+from pimentolatch.requests import digests
 from pimentolatch.routes import table
 
 __all__ = ["PASSED_ON", "Answer", "Inbound"]
@@ -30,6 +31,7 @@
         arrived: When its header was read.
         until: When its final answer is due: the client's deadline or the route's
             timeout, whichever comes first.
+        digest: Names the request whichever attempt this is.
     """
 
     method: str
@@ -41,6 +43,7 @@
     service: table.Service
     arrived: datetime.timedelta
     until: datetime.timedelta
+    digest: digests.RequestDigest
 
     @property
     def request_id(self) -> str:
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -7,6 +7,7 @@
 from pimentolatch.decisions import repeat_budget, server_choice
 from pimentolatch.gateway import inbound, knowledge, refusals, request_log, sending
 from pimentolatch.platform import heads
+from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
 __all__ = ["PlainForwarder"]
@@ -109,6 +110,7 @@
             what="run",
             outcome=sending.text_of(outcome),
             ms=self._request_log.elapsed_ms(now),
+            digest=digests.digest_text(asked.digest),
         )
         return outcome
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -180,6 +180,7 @@
             self._budget,
             self._gate,
             self._request_log,
+            self._settings.digest_key.encode(),
             self._clock,
         )
 
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -34,7 +34,7 @@
         *("urgency", "expected_ms"),
     ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
-    SENT: ("server", "what", "outcome", "ms"),
+    SENT: ("server", "what", "outcome", "ms", "digest", "events"),
     ANSWERED: ("route", "service", "status", "outcome", "ms", "version", "servers"),
 }
 
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -64,6 +64,8 @@
         clients: Where requests on routes arrive.
         readiness: Where the balancer asks whether to send requests here.
         metrics: Where metrics are served; nowhere if it is not set.
+        digest_key: Key of the digests by which logs and peers name requests; the same
+            in all instances of the fleet.
     """
 
     instance: str = pydantic.Field(min_length=1)
@@ -75,3 +77,4 @@
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
     logs: settings.LogSettings = settings.LogSettings()
+    digest_key: str = pydantic.Field(default="", max_length=64)
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -133,7 +133,9 @@
             opened.link.close()
             progress.reason = str(error)
             broken = sending.Broken(progress.reason)
-            self._context.log_sent(asked, engine, "stream", broken, asked.arrived)
+            self._context.log_sent(
+                asked, engine, "stream", broken, asked.arrived, progress.last_event
+            )
             progress.failed.add(engine.server.incarnation)
             loads.failed(engine, self._context.clock.monotonic())
             if not asked.route.repeatable and writing.answer.started:
--- a/src/pimentolatch/platform/heads.py
+++ b/src/pimentolatch/platform/heads.py
@@ -23,6 +23,7 @@
 Fields = abc.Sequence[tuple[bytes, bytes]]
 
 _REQUEST_ID = b"x-request-id"
+_CALLER_KEY = b"api-key"
 _DEADLINE = b"x-deadline-ms"
 _MODEL = b"x-model"
 _TOKEN_COUNTS = b"x-token-counts"
@@ -80,12 +81,14 @@
     """What the header of a client's request says.
 
     Attributes:
+        caller: Key by which the caller is known; empty if the request bears none.
         time_left: How long the client will wait from now on; None if it does not say.
         last_event: Number of the last event that the client holds; 0 for none.
         prompt: What is to be read and written, for model requests.
     """
 
     host: str
+    caller: str
     request_id: str
     time_left: datetime.timedelta | None
     last_event: int
@@ -144,6 +147,7 @@
     time_left = found.get(_DEADLINE)
     return ClientHead(
         host=found.get(b"host", b"").decode("latin-1"),
+        caller=found.get(_CALLER_KEY, b"").decode("latin-1"),
         request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
         time_left=None if time_left is None else _milliseconds(time_left),
         last_event=int(found.get(_LAST_EVENT, b"0") or b"0"),
