Reproduce that one request ends server after server, failing

Four instances before 2 engines that prefill, 6 that decode and 6 plain servers, over sockets; a server that runs the body "fatal" ends 50 ms later and another one takes its place. A client repeats the body at one instance after the other until three servers have ended, waits the three seconds in which all are to know, and asks twice at each instance. At most three of these sendings may reach a server.

The runner strips the space that behave leaves after the names of examples, so that entries can name them.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -17,6 +17,7 @@
 __all__ = ["Received", "RouteServer"]
 
 _EVENTS = 6
+_FATAL_AFTER_S = 0.05
 _PAUSES_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
 
 
@@ -60,6 +61,9 @@
         born: Unix time of its start in milliseconds; None if it does not say.
         reborn_before_order: It starts again when it has given its next report.
         queued, running: Ids of requests that it has, for its report.
+        fatal_body: A request with this body ends the process soon after it begins to
+            run; None if there is none.
+        ended: The process has ended by such a request.
     """
 
     def __init__(
@@ -86,6 +90,8 @@
         self.reborn_before_order = False
         self.queued: set[str] = set()
         self.running: set[str] = set()
+        self.fatal_body: bytes | None = None
+        self.ended = False
         self.port = 0
         self._server: asyncio.Server | None = None
         self._links: set[_Link] = set()
@@ -104,6 +110,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def crash(self) -> None:
+        """End the process: every connection closes and none is accepted."""
+        self.ended = True
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links):
+            link.reset()
+
     def start_again(self, born: int) -> None:
         """Start a new life under the same id and address."""
         self.born = born
@@ -216,6 +230,10 @@
         if fault == "reset":
             link.reset()
             return False
+        if received.what == "run" and received.body == self.fatal_body:
+            await asyncio.sleep(_FATAL_AFTER_S)
+            self.crash()
+            return False
         if fault == "silent":
             await self._until_closed(link, request_id)
             return False
--- /dev/null
+++ b/tests/features/crashing_requests.feature
@@ -0,0 +1,17 @@
+Feature: Requests that end the servers that run them
+
+  # Guards against a request that ends server after server because every attempt, at
+  # whichever instance, is taken for a new request.
+  Scenario Outline: A request that has ended three servers is kept from the others
+    Given crashes: four instances and servers that "fatal" ends
+    When crashes: "<route>" is asked for "fatal" until three servers have ended
+    And crashes: the time passes in which every instance is to know
+    And crashes: "<route>" is asked for "fatal" twice at each instance
+    Then crashes: at most three of the last sendings reach a server
+
+    Examples:
+      | route  |
+      | digest |
+      | draft  |
+      | notify |
+      | print  |
--- /dev/null
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -0,0 +1,39 @@
+import asyncio
+
+import behave
+
+from tests.support import crash_world
+
+# Within this time after the third crash every instance in touch has to know.
+CONTACT_S = 3.0
+
+
+@behave.given('crashes: four instances and servers that "{body}" ends')
+def fleet(context, body):
+    context.route_runner = asyncio.Runner()
+    context.run = context.route_runner.run
+    context.world = crash_world.CrashWorld(body.encode())
+    context.run(context.world.begin())
+
+
+@behave.when('crashes: "{route}" is asked for "{body}" until three servers have ended')
+def until_three(context, route, body):
+    context.run(context.world.ask_until_ended(route, body.encode(), 3))
+
+
+@behave.when("crashes: the time passes in which every instance is to know")
+def time_passes(context):
+    context.run(asyncio.sleep(CONTACT_S))
+
+
+@behave.when('crashes: "{route}" is asked for "{body}" twice at each instance')
+def twice_each(context, route, body):
+    world = context.world
+    context.before = world.sendings(body.encode())
+    context.replies = context.run(world.ask_everywhere(route, body.encode(), 2))
+
+
+@behave.then("crashes: at most three of the last sendings reach a server")
+def at_most_three(context):
+    reached = context.world.sendings(context.world.fatal_body) - context.before
+    assert reached <= 3, reached
--- a/tests/run.py
+++ b/tests/run.py
@@ -44,7 +44,7 @@
     if not text.strip():
         return [(path.name, "failed")]
     return [
-        (element["name"], element["status"])
+        (element["name"].strip(), element["status"])
         for feature in json.loads(text)
         for element in feature["elements"]
         if element["type"] == "scenario"
--- /dev/null
+++ b/tests/support/crash_world.py
@@ -0,0 +1,106 @@
+"""A fleet over sockets whose servers end when they run one certain request."""
+
+import itertools
+
+from tests.support import route_world
+
+HOSTS = {name: f"127.0.0.{n}" for n, name in enumerate("abcd", 1)}
+READERS = 2
+WRITERS = 6
+PLAIN = 6
+# More attempts than any count of crashes needs; a loop that never ends would hide why.
+MOST_ATTEMPTS = 20
+
+
+class CrashWorld(route_world.RouteWorld):
+    """Four instances; a server that ends is replaced by one with another id.
+
+    Args:
+        fatal_body: The body of the request that ends servers.
+    """
+
+    def __init__(self, fatal_body):
+        super().__init__()
+        self.fatal_body = fatal_body
+        self._numbers = itertools.count()
+        self._names = itertools.cycle(HOSTS)
+
+    async def begin(self):
+        await self.start_store()
+        await self.configure(1)
+        for _ in range(READERS):
+            await self.add("lm", "prefill")
+        for _ in range(WRITERS):
+            await self.add("lm", "decode")
+        for _ in range(PLAIN):
+            await self.add("app")
+        for name, host in HOSTS.items():
+            seeds = [f"{HOSTS['a']}:{self.peer_port}"] if self.ports else []
+            await self.add_instance(name, seeds, host=host)
+        await self.until(self._all_heard)
+
+    async def add(self, service, stage=None):
+        number = next(self._numbers)
+        server = await self.add_server(f"s{number}", service, stage)
+        server.fatal_body = self.fatal_body
+
+    @property
+    def ended(self):
+        """Servers that have ended and are not replaced yet, or are."""
+        return [server for server in self.servers.values() if server.ended]
+
+    def sendings(self, body):
+        """Return how often a body has reached a server, prefill included."""
+        return sum(
+            received.body == body
+            for server in self.servers.values()
+            for received in server.received
+        )
+
+    async def replace_ended(self):
+        """Have new servers in place of those that ended, known to all instances."""
+        for server in self.ended:
+            if server.state == "draining":
+                continue
+            await self.drain(server.server_id)
+            await self.add(server.service, server.stage)
+        await self.until(self._all_know)
+
+    async def attempt(self, place, body, name):
+        """Ask once, as a client that knows nothing of earlier attempts."""
+        request_id = f"r{next(self._numbers)}"
+        reply = await self.ask(place, request_id, name=name, body=body)
+        await self.replace_ended()
+        return reply
+
+    async def ask_until_ended(self, place, body, count):
+        """Repeat a request, at one instance after the other, until servers ended."""
+        for _ in range(MOST_ATTEMPTS):
+            if len(self.ended) >= count:
+                return
+            await self.attempt(place, body, next(self._names))
+        raise AssertionError(f"only {len(self.ended)} servers ended")
+
+    async def ask_everywhere(self, place, body, times):
+        return [
+            await self.attempt(place, body, name)
+            for name in HOSTS
+            for _ in range(times)
+        ]
+
+    def _all_heard(self):
+        tables = [instance.peers for _, instance in self.instances.values()]
+        return all(table.instances == len(HOSTS) for table in tables)
+
+    def _all_know(self):
+        listed = {n for n, s in self.servers.items() if s.state == "ready"}
+        for _, instance in self.instances.values():
+            known = instance.known.servers
+            taking = {
+                server.server_id
+                for service in ("lm", "app")
+                for server in known.of_service(service)
+            }
+            if taking != listed:
+                return False
+        return True
