Keep requests from servers that have ended three of them

What callers saw: one badge-draft request, repeated under new ids through any instance, ended eight model servers; with each of them up to 24 streams of others broke off.

Cause: nothing remembered a request beyond one attempt. Class: state that ends with the attempt where the harm accumulates over attempts and instances.

Why this works: each end of a connection under a request is a pair of its digest and the server's incarnation. Pairs are a set that instances merge in any order, in their beacons: told three times, and those of requests with two pairs and more again and again, so an instance that has just started or was cut off hears of them. A pair is cleared when that incarnation answers something that was begun later or when the request runs to its end. With three pairs left a request is refused at once, before prefill, with a code of its own and the time that is left. No call to the store.

Weighed: a counter per request (counts a crash twice when two instances report it, and can't be taken back); waiting for the server's entry to go (seconds later than the bound); 4xx (it would tell the caller that the request is wrong in itself, which a refusal of ours can't know); a probation of one try an instance (eight tries at eight instances).

--- /dev/null
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -0,0 +1,231 @@
+"""Tells requests that end the servers that run them from those that run beside them.
+
+Load pattern: a request ends each server that begins to run it and comes back every
+second or two, under another id and at any instance. A dozen other requests lose their
+server with it each time. Forgotten between attempts, it ends servers for as long as it
+comes back. Counted alone, the requests beside it come into the same suspicion: sent
+again at once they meet it on the next server too.
+
+An instance sees only that its connection ended while a server ran a request, and that
+is also how a cut link looks. So a suspicion is a pair of a request's digest and a
+server's incarnation. Pairs are a set, which instances can merge in any order without
+counting a crash twice. A pair is cleared, for good, when that incarnation answers an
+exchange that began later, or when the request runs to its end anywhere; a prompt that
+is only prefilled has not run. A request with three pairs left is in quarantine.
+"""
+
+import dataclasses
+import datetime
+import math
+from collections import abc
+
+from pimentolatch.requests import digests
+from pimentolatch.routes import servers
+
+__all__ = ["CrashSuspects", "Policy", "Suspicion", "Verdict"]
+
+# A suspect that does not come back within this is forgotten.
+_SUSPECT_LIFETIME = datetime.timedelta(minutes=10)
+# Digests that are remembered; 600 bytes each.
+MOST_DIGESTS = 4000
+# Share of them that is dropped at once when there are too many.
+_DROPPED_SHARE = 0.1
+# Crashes from which on a request is told of again and again, since an instance that
+# has just started, or was cut off, has not heard of it.
+_SERIOUS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """When a request is kept from all servers.
+
+    Attributes:
+        crashes: Servers that must have ended under it.
+        quarantine: How long it is kept from servers after the last one.
+        exempt: Digests that are never kept from servers.
+    """
+
+    crashes: int = 3
+    quarantine: datetime.timedelta = datetime.timedelta(days=1)
+    exempt: frozenset[digests.RequestDigest] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A server's connection ended while it ran a request.
+
+    Attributes:
+        cleared: The server lives on, or the request has run to its end since.
+        at: When it ended, as far as this instance knows.
+    """
+
+    digest: digests.RequestDigest
+    server: servers.Incarnation
+    cleared: bool
+    at: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """A request is in quarantine.
+
+    Attributes:
+        ended: Servers that ended under it.
+        left: How much longer it is kept from servers.
+    """
+
+    ended: tuple[servers.Incarnation, ...]
+    left: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True)
+class _Suspect:
+    crashes: dict[servers.Incarnation, Suspicion] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def ended(self) -> list[Suspicion]:
+        return [crash for crash in self.crashes.values() if not crash.cleared]
+
+    def last(self) -> datetime.timedelta:
+        return max(crash.at for crash in self.crashes.values())
+
+
+class CrashSuspects:
+    """The requests under which servers have ended lately, over all instances.
+
+    Args:
+        policy: When a request is kept from servers.
+    """
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self._suspects: dict[digests.RequestDigest, _Suspect] = {}
+        self._by_server: dict[servers.Incarnation, set[digests.RequestDigest]] = {}
+
+    def add(self, heard: Suspicion, now: datetime.timedelta) -> Suspicion | None:
+        """Take a suspicion, seen here or told by a peer.
+
+        Returns:
+            What is known now if it differs from what was heard or known before, to be
+            told to peers; None if nobody needs to hear of it.
+        """
+        suspect = self._suspects.setdefault(heard.digest, _Suspect())
+        known = suspect.crashes.get(heard.server)
+        if known is not None and (known.cleared or not heard.cleared):
+            # A peer that missed the clearing is told of it again.
+            return known if known.cleared and not heard.cleared else None
+        suspect.crashes[heard.server] = heard
+        self._by_server.setdefault(heard.server, set()).add(heard.digest)
+        self._bound(now)
+        return heard
+
+    def merge(
+        self, told: abc.Iterable[Suspicion], now: datetime.timedelta
+    ) -> list[Suspicion]:
+        """Take what a peer tells; returns what is to be told to others.
+
+        All pairs of a request that is in quarantine come together. What has expired
+        by the clock of this instance is dropped again, or it would be told to and fro
+        for ever.
+        """
+        taken = [self.add(heard, now) for heard in told]
+        found = [known for known in taken if known is not None]
+        if found:
+            self.forget_old(now)
+        return [known for known in found if known.digest in self._suspects]
+
+    def crashes(self, digest: digests.RequestDigest) -> int:
+        """Return under how many servers' ends a request is suspected."""
+        suspect = self._suspects.get(digest)
+        return 0 if suspect is None else len(suspect.ended())
+
+    def verdict(
+        self, digest: digests.RequestDigest, now: datetime.timedelta
+    ) -> Verdict | None:
+        """Return whether a request is in quarantine; None if it may run."""
+        suspect = self._suspects.get(digest)
+        if suspect is None or digest in self.policy.exempt:
+            return None
+        ended = suspect.ended()
+        if len(ended) < self.policy.crashes:
+            return None
+        left = max(crash.at for crash in ended) + self.policy.quarantine - now
+        if left <= datetime.timedelta():
+            return None
+        return Verdict(tuple(crash.server for crash in ended), left)
+
+    def completed(self, digest: digests.RequestDigest) -> list[Suspicion]:
+        """Note that a request ran to its end; returns what that clears."""
+        suspect = self._suspects.get(digest)
+        return [] if suspect is None else self._clear(suspect.ended())
+
+    def answered(
+        self, server: servers.Incarnation, since: datetime.timedelta
+    ) -> list[Suspicion]:
+        """Note that a server answered an exchange; returns what that clears.
+
+        Args:
+            server: The incarnation that answered.
+            since: When the exchange began; ends that were seen later stand, since an
+                answer may have been on its way already.
+        """
+        suspected = [
+            self._suspects[digest].crashes[server]
+            for digest in self._by_server.get(server, ())
+        ]
+        return self._clear(
+            crash for crash in suspected if crash.at < since and not crash.cleared
+        )
+
+    def serious(self) -> list[list[Suspicion]]:
+        """Return the pairs of each request that is in or close to quarantine."""
+        least = min(_SERIOUS, self.policy.crashes)
+        found = (suspect.ended() for suspect in self._suspects.values())
+        return [ended for ended in found if len(ended) >= least]
+
+    def quarantined(self, now: datetime.timedelta) -> int:
+        """Return how many requests are in quarantine."""
+        return sum(self.verdict(digest, now) is not None for digest in self._suspects)
+
+    def forget_old(self, now: datetime.timedelta) -> None:
+        """Drop what has expired."""
+        for digest, suspect in list(self._suspects.items()):
+            if now - suspect.last() > self._lifetime(len(suspect.ended())):
+                self._drop(digest)
+
+    def _lifetime(self, crashes: int) -> datetime.timedelta:
+        if crashes >= self.policy.crashes:
+            return self.policy.quarantine
+        return _SUSPECT_LIFETIME
+
+    def _clear(self, crashes: abc.Iterable[Suspicion]) -> list[Suspicion]:
+        cleared = [dataclasses.replace(crash, cleared=True) for crash in crashes]
+        for crash in cleared:
+            self._suspects[crash.digest].crashes[crash.server] = crash
+        return cleared
+
+    def _bound(self, now: datetime.timedelta) -> None:
+        """Keep the memory bounded; the oldest of the least suspected leave first.
+
+        Otherwise whoever sends many requests that break off could have one forgotten
+        that has ended servers.
+        """
+        if len(self._suspects) <= MOST_DIGESTS:
+            return
+        self.forget_old(now)
+        suspects = self._suspects
+
+        def weight(digest: digests.RequestDigest) -> tuple[int, datetime.timedelta]:
+            return len(suspects[digest].ended()), suspects[digest].last()
+
+        over = len(suspects) - math.floor(MOST_DIGESTS * (1 - _DROPPED_SHARE))
+        for digest in sorted(suspects, key=weight)[: max(0, over)]:
+            self._drop(digest)
+
+    def _drop(self, digest: digests.RequestDigest) -> None:
+        for server in self._suspects.pop(digest).crashes:
+            digests_there = self._by_server[server]
+            digests_there.discard(digest)
+            if not digests_there:
+                del self._by_server[server]
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -11,6 +11,7 @@
     inbound,
     knowledge,
     measuring,
+    quarantine,
     refusals,
     request_log,
     sending,
@@ -25,6 +26,7 @@
     "Writing",
     "address_of",
     "conclude",
+    "conclude_quarantined",
     "first_event_limit",
     "leaves_at",
 ]
@@ -43,6 +45,7 @@
     client: sending.ServerClient
     doubts: doubting.EngineDoubts
     updates: cache_updates.CacheUpdates
+    suspects: quarantine.Quarantine
     log: request_log.RequestLog
     measured: measuring.RouteMetrics
     clock: clock.Clock
@@ -158,6 +161,24 @@
         self.unread = self.in_place
 
 
+async def conclude_quarantined(
+    answer: inbound.Answer, progress: Progress, left: datetime.timedelta
+) -> None:
+    """Write the final answer of a request that is kept from servers.
+
+    Args:
+        answer: Where to write.
+        progress: What has become of the request so far.
+        left: How much longer it is kept from them.
+    """
+    if answer.started or progress.ran:
+        progress.answered = None
+        progress.reason = "servers ended while they ran this request"
+        await conclude(answer, progress)
+    else:
+        await answer.refuse(refusals.quarantined(left))
+
+
 async def conclude(answer: inbound.Answer, progress: Progress) -> None:
     """Write the final answer of a request that no engine goes on with."""
     whole = progress.answered
--- a/src/pimentolatch/gateway/doubting.py
+++ b/src/pimentolatch/gateway/doubting.py
@@ -69,7 +69,9 @@
                     break
                 verdict = await self.verdict(engine, request_id)
                 if verdict is not doubt.Verdict.HAS_IT and not task.done():
-                    return sending.Broken(verdict.value)
+                    return sending.Broken(
+                        verdict.value, server_ended=verdict is not doubt.Verdict.LOST
+                    )
                 limit = doubt.ASK_AGAIN
             return task.result()
         finally:
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -10,7 +10,13 @@
 from pimentolatch import clock, results
 from pimentolatch.decisions import repeat_budget
 from pimentolatch.entry import gate, guard
-from pimentolatch.gateway import inbound, knowledge, refusals, request_log
+from pimentolatch.gateway import (
+    inbound,
+    knowledge,
+    quarantine,
+    refusals,
+    request_log,
+)
 from pimentolatch.platform import heads
 from pimentolatch.requests import digests
 from pimentolatch.routes import table
@@ -42,6 +48,7 @@
         known: What this instance knows.
         forwarders: For plain requests and for those that carry a prompt.
         budget: Counts requests, which bound how many may be sent twice.
+        suspects: Tells which requests are kept from servers.
         door: Counts requests in flight for a graceful stop.
         log: Log of what became of requests.
         digest_key: Key of the digests of requests; the same in all instances.
@@ -53,12 +60,14 @@
         forwarders: tuple[Forwarder, Forwarder],
         budget: repeat_budget.RepeatBudget,
         door: gate.Gate,
+        suspects: quarantine.Quarantine,
         log: request_log.RequestLog,
         digest_key: bytes,
         time: clock.Clock,
     ) -> None:
         self._known = known
         self._digest_key = digest_key
+        self._suspects = suspects
         self._request_log = log
         self._plain, self._prompts = forwarders
         self._budget = budget
@@ -102,6 +111,10 @@
         if asked is None:
             return
         self._budget.arrived(asked.service.name, arrived)
+        if (verdict := self._suspects.verdict(asked)) is not None:
+            await answer.refuse(refusals.quarantined(verdict.left))
+            self._log_answer(asked, answer)
+            return
         await self._answer(asked, answer, receive)
 
     async def _read(
@@ -209,6 +222,7 @@
             ms=self._request_log.elapsed_ms(asked.arrived),
             version=self._known.version,
             servers=self._known.servers_revision,
+            digest=digests.digest_text(asked.digest),
         )
 
     async def _failed(self, answer: inbound.Answer) -> None:
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -22,6 +22,7 @@
     inbound,
     knowledge,
     measuring,
+    quarantine,
     reading,
     refusals,
     request_log,
@@ -54,12 +55,13 @@
         time: clock.Clock,
         own_domain: str,
         updates: cache_updates.CacheUpdates,
+        suspects: quarantine.Quarantine,
         log: request_log.RequestLog,
         measured: measuring.RouteMetrics,
     ) -> None:
         doubts = doubting.EngineDoubts(client, log, time)
         self._context = attempt.Context(
-            known, client, doubts, updates, log, measured, time
+            known, client, doubts, updates, suspects, log, measured, time
         )
         self._reader = reading.PromptReader(self._context)
         self._writer = writing.StreamWriter(self._context)
@@ -146,6 +148,8 @@
         if isinstance(place, places.Hopeless):
             progress.wait = place.retry_after
             return await self._give_up(answer, progress)
+        if await self._quarantined(asked, answer, progress):
+            return True
         if not self._may_send(asked, progress):
             return await self._give_up(answer, progress)
         if isinstance(place, places.InPlace):
@@ -182,6 +186,8 @@
             writer = self._choose_writer(asked, source, progress)
             while writer is None and await self._wait(asked, progress):
                 writer = self._choose_writer(asked, source, progress)
+            if await self._quarantined(asked, answer, progress):
+                return True
             if writer is None:
                 progress.wait = waiting.retry_after(_lot(asked))
             if writer is None or not self._may_send(asked, progress):
@@ -198,11 +204,12 @@
     ) -> engine_loads.EngineLoad | None:
         assert asked.head.prompt is not None and asked.service.engine is not None
         loads = self._context.loads(asked)
+        now = self._context.clock.monotonic()
         return placement.Placement(loads, self._domain).choose_writer(
             asked.head.prompt,
             source.reader,
             asked.service.engine,
-            self._context.clock.monotonic(),
+            now,
             without=frozenset(progress.failed),
         )
 
@@ -217,6 +224,16 @@
             return True
         return self._budget.spend(asked.service.name, self._context.clock.monotonic())
 
+    async def _quarantined(
+        self, asked: inbound.Inbound, answer: inbound.Answer, progress: attempt.Progress
+    ) -> bool:
+        """End a request that has come into quarantine meanwhile."""
+        verdict = self._context.suspects.verdict(asked)
+        if verdict is None:
+            return False
+        await attempt.conclude_quarantined(answer, progress, verdict.left)
+        return True
+
     async def _give_up(
         self, answer: inbound.Answer, progress: attempt.Progress
     ) -> bool:
--- a/src/pimentolatch/gateway/measuring.py
+++ b/src/pimentolatch/gateway/measuring.py
@@ -9,9 +9,16 @@
 import prometheus_client
 from prometheus_client import core, registry
 
+from pimentolatch import results
 from pimentolatch.decisions import prompt_sizes
 from pimentolatch.entry import gate
-from pimentolatch.gateway import inbound, knowledge, peer_table, request_log
+from pimentolatch.gateway import (
+    inbound,
+    knowledge,
+    peer_table,
+    quarantine,
+    request_log,
+)
 
 __all__ = ["MetricsFace", "RouteMetrics", "StateCollector"]
 
@@ -41,6 +48,11 @@
         self._sendings = self._counter(
             "sendings", "Requests sent to servers, by what was asked.", "what"
         )
+        self._quarantined = prometheus_client.Counter(
+            _PREFIX + "quarantined_answers",
+            "Requests that were answered at once, since servers ended under them.",
+            registry=self.registry,
+        )
         self._placed = self._counter("prompts", "Prompts, by where they are read.")
         self._ended = self._counter(
             "prompts_ended",
@@ -65,6 +77,8 @@
         if event == request_log.ANSWERED:
             by = "server" if fields["outcome"] == inbound.PASSED_ON else "instance"
             self._answers.labels(_status_class(int(fields["status"])), by).inc()
+            if fields["outcome"] == results.ResultCode.QUARANTINED.name.lower():
+                self._quarantined.inc()
             if "ms" in fields:
                 self._answer_seconds.observe(fields["ms"] / _MS_PER_S)
         elif event == request_log.SENT:
@@ -134,10 +148,15 @@
     """What an instance holds at the moment it is asked."""
 
     def __init__(
-        self, known: knowledge.Knowledge, peers: peer_table.PeerTable, door: gate.Gate
+        self,
+        known: knowledge.Knowledge,
+        peers: peer_table.PeerTable,
+        suspects: quarantine.Quarantine,
+        door: gate.Gate,
     ) -> None:
         self._known = known
         self._peers = peers
+        self._suspects = suspects
         self._door = door
 
     def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
@@ -152,6 +171,7 @@
             ("store_lost", "Whether the store does not answer.", known.store_lost),
             ("peers_heard", "Peers that were heard lately.", len(self._peers.live())),
             ("fleet_instances", "Instances of the fleet.", self._peers.instances),
+            ("quarantined", "Requests kept from servers.", self._suspects.size),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
 
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -11,7 +11,13 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, neighbours
-from pimentolatch.gateway import cache_updates, knowledge, peer_table, peer_work
+from pimentolatch.gateway import (
+    cache_updates,
+    knowledge,
+    peer_table,
+    peer_work,
+    quarantine,
+)
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.protocol import beacons
 
@@ -46,6 +52,7 @@
         known: What this instance knows; peers' work is added to its engines.
         table: Takes what is heard.
         updates: What engines keep, for peers.
+        suspects: Requests under which servers have ended, for peers and from them.
         demands: Returns what clients ask through this instance.
         chance: Draws whom to tell in other failure domains.
     """
@@ -59,6 +66,7 @@
         known: knowledge.Knowledge,
         table: peer_table.PeerTable,
         updates: cache_updates.CacheUpdates,
+        suspects: quarantine.Quarantine,
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         time: clock.Clock,
         chance: random.Random,
@@ -71,6 +79,7 @@
         self._known = known
         self._table = table
         self._updates = updates
+        self._suspects = suspects
         self._demands = demands
         self._clock = time
         self._transport: asyncio.DatagramTransport | None = None
@@ -125,6 +134,7 @@
             self._send([addr[0]], self.beacon(_MEMBERS_TOLD_FIRST))
         weight = self._weights.get(beacon.failure_domain, 1.0)
         self._work.take(beacon, weight, self._clock.monotonic())
+        self._suspects.take(beacon.suspicions)
 
     def _choose(self) -> None:
         """Choose whom to tell, and how much each one's word counts."""
@@ -140,7 +150,9 @@
         self._work.retain({peer.beacon.instance for peer in self._table.live()})
 
     def _tell(self) -> None:
-        beacon = self.beacon(cached=self._updates.take_near())
+        beacon = self.beacon(
+            cached=self._updates.take_near(), suspicions=self._suspects.take_near()
+        )
         self._send(self._neighbours.near, beacon)
 
     def _tell_far(self) -> None:
@@ -148,7 +160,9 @@
         hosts = [self._chance.choice(hosts) for hosts in self._neighbours.far]
         if not hosts:
             return
-        beacon = self.beacon(cached=self._updates.take_far())
+        beacon = self.beacon(
+            cached=self._updates.take_far(), suspicions=self._suspects.take_far()
+        )
         beacon = dataclasses.replace(beacon, loads=())
         for piece, totals in self._work.totals(self._clock.monotonic()):
             self._send(hosts, dataclasses.replace(beacon, totals=totals, piece=piece))
@@ -164,6 +178,7 @@
         self,
         members: int = _MEMBERS_TOLD,
         cached: tuple[beacons.CachedPart, ...] = (),
+        suspicions: tuple[beacons.Suspicion, ...] = (),
     ) -> beacons.Beacon:
         """Return what this instance tells its peers now."""
         return beacons.Beacon(
@@ -187,6 +202,7 @@
                 )
                 for service, demand in self._demands().items()
             ),
+            suspicions=suspicions,
         )
 
     def _readers(self) -> tuple[beacons.Reader, ...]:
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -5,7 +5,14 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import repeat_budget, server_choice
-from pimentolatch.gateway import inbound, knowledge, refusals, request_log, sending
+from pimentolatch.gateway import (
+    inbound,
+    knowledge,
+    quarantine,
+    refusals,
+    request_log,
+    sending,
+)
 from pimentolatch.platform import heads
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
@@ -36,6 +43,7 @@
         client: sending.ServerClient,
         choice: server_choice.ServerChoice,
         budget: repeat_budget.RepeatBudget,
+        suspects: quarantine.Quarantine,
         log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
@@ -44,6 +52,7 @@
         self._client = client
         self._choice = choice
         self._budget = budget
+        self._suspects = suspects
         self._clock = time
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
@@ -56,6 +65,8 @@
             now = self._clock.monotonic()
             if now >= asked.until - sending.RETURN_TIME:
                 break
+            if ran and self._suspects.verdict(asked) is not None:
+                break
             if arrivals and not self._budget.spend(service, now):
                 break
             listed = self._known.servers.of_service(service)
@@ -65,6 +76,7 @@
             tried.add(server.incarnation)
             may_repeat = asked.route.repeatable and ran + 1 < asked.route.most_servers
             outcome = await self._send(server, asked, may_repeat)
+            self._note_end(server, asked, outcome, now)
             # A server's own failure says more than what came after it.
             if not isinstance(last, sending.Whole) or isinstance(
                 outcome, sending.Whole
@@ -80,6 +92,22 @@
                 break
         await _conclude(asked, answer, last, ran)
 
+    def _note_end(
+        self,
+        server: servers.Server,
+        asked: inbound.Inbound,
+        outcome: _Outcome,
+        begun: datetime.timedelta,
+    ) -> None:
+        """Note whether a server has ended under a request, or goes on."""
+        if isinstance(outcome, sending.Broken):
+            if outcome.server_ended:
+                self._suspects.server_ended(asked, server)
+        elif isinstance(outcome, sending.Whole | sending.Declined):
+            self._suspects.answered(server, begun)
+            if isinstance(outcome, sending.Whole):
+                self._suspects.completed(asked)
+
     async def _send(
         self, server: servers.Server, asked: inbound.Inbound, may_repeat: bool
     ) -> _Outcome:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -25,6 +25,7 @@
     peers,
     plain,
     protocol,
+    quarantine,
     request_log,
     sending,
     settings,
@@ -71,6 +72,7 @@
         self._updates = cache_updates.CacheUpdates()
         self._measured = measuring.RouteMetrics()
         self._request_log = request_log.RequestLog(time, self._measured)
+        self._quarantine = quarantine.Quarantine(chosen.quarantine.policy, time)
         self._prompts = generation.StreamForwarder(
             self._known,
             self._client,
@@ -78,6 +80,7 @@
             time,
             chosen.failure_domain,
             self._updates,
+            self._quarantine,
             self._request_log,
             self._measured,
         )
@@ -92,7 +95,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._link_peers()
         self._measured.registry.register(
-            measuring.StateCollector(self._known, self._peer_table, self._gate)
+            measuring.StateCollector(
+                self._known, self._peer_table, self._quarantine, self._gate
+            )
         )
         self._metrics_server: servers.HttpServer | None = None
         if chosen.metrics is not None:
@@ -133,6 +138,7 @@
             known,
             self._peer_table,
             self._updates,
+            self._quarantine,
             self._prompts.demands,
             time,
             chance,
@@ -171,6 +177,7 @@
             self._client,
             self._choice,
             self._budget,
+            self._quarantine,
             self._request_log,
             self._clock,
         )
@@ -179,6 +186,7 @@
             (plain_requests, self._prompts),
             self._budget,
             self._gate,
+            self._quarantine,
             self._request_log,
             self._settings.digest_key.encode(),
             self._clock,
@@ -213,6 +221,7 @@
             self._source.run,
             self._stages.run,
             self._share_budget,
+            self._quarantine.forget_old,
         ):
             kept = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(kept))
@@ -228,18 +237,27 @@
         Addresses and names stay as they were until the next start: closing a listening
         socket would cut the requests on their way to it.
         """
-        fixed = {"bounds", "logs"}
+        changeable = {"bounds", "quarantine", "logs"}
         before, after = self._settings, chosen
-        if before.model_dump(exclude=fixed) != after.model_dump(exclude=fixed):
+        if before.model_dump(exclude=changeable) != after.model_dump(
+            exclude=changeable
+        ):
             _log.warn("new addresses are used from the next start on")
-        self._settings = before.model_copy(update={"bounds": after.bounds})
+        self._settings = before.model_copy(
+            update={"bounds": after.bounds, "quarantine": after.quarantine}
+        )
+        self._quarantine.apply(after.quarantine.policy)
         bounds = after.bounds
         self._budget.allow(
             bounds.repeat_ratio,
             bounds.repeat_slack,
             datetime.timedelta(seconds=bounds.repeat_window_s),
         )
-        _log.info("settings in force", bounds=bounds.model_dump())
+        _log.info(
+            "settings in force",
+            bounds=bounds.model_dump(),
+            quarantine=after.quarantine.model_dump(),
+        )
 
     async def _share_budget(self) -> None:
         """Divide the common slack of repeats by the instances of the fleet."""
--- /dev/null
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -0,0 +1,173 @@
+"""Keeps requests under which servers have ended from the others, with the peers."""
+
+import datetime
+import math
+import typing
+
+import logbook
+
+from pimentolatch import clock
+from pimentolatch.decisions import crash_suspects
+from pimentolatch.gateway import inbound
+from pimentolatch.protocol import beacons
+from pimentolatch.requests import digests
+from pimentolatch.routes import servers
+
+__all__ = ["Quarantine"]
+
+_log = logbook.Logger("quarantine")
+# Pairs in one beacon, some twenty bytes each.
+_TOLD = 24
+# Requests in or close to quarantine of which one beacon tells besides, in turn.
+_SERIOUS_TOLD = 2
+# How often each pair is told: datagrams get lost.
+_TIMES_TOLD = 3
+# Pairs that wait to be told. After the loss of a failure domain there are thousands;
+# the newest are told, since those of a request that comes again are among them.
+_MOST_NEWS = 500
+
+_Key = tuple[digests.RequestDigest, servers.Incarnation]
+
+
+class _News:
+    """Pairs that some peers have not been told of yet."""
+
+    def __init__(self) -> None:
+        self._left: dict[_Key, tuple[crash_suspects.Suspicion, int]] = {}
+
+    def add(self, pair: crash_suspects.Suspicion) -> None:
+        """Note a pair to be told."""
+        key = pair.digest, pair.server
+        self._left.pop(key, None)
+        self._left[key] = pair, _TIMES_TOLD
+        if len(self._left) > _MOST_NEWS:
+            del self._left[next(iter(self._left))]
+
+    def take(self) -> list[crash_suspects.Suspicion]:
+        """Return the newest pairs; each is returned a few times in all."""
+        chosen = list(reversed(self._left))[:_TOLD]
+        taken = []
+        for key in chosen:
+            pair, left = self._left[key]
+            taken.append(pair)
+            if left > 1:
+                self._left[key] = pair, left - 1
+            else:
+                del self._left[key]
+        return taken
+
+
+class Quarantine:
+    """What one instance makes of the ends of servers, and tells its peers of them.
+
+    Args:
+        policy: When a request is kept from servers.
+        time: Clock of this instance.
+    """
+
+    def __init__(self, policy: crash_suspects.Policy, time: clock.Clock) -> None:
+        self._suspects = crash_suspects.CrashSuspects(policy)
+        self._clock = time
+        self._near = _News()
+        self._far = _News()
+        self._turn = 0
+
+    @property
+    def size(self) -> int:
+        """Requests that are kept from servers now."""
+        return self._suspects.quarantined(self._clock.monotonic())
+
+    def apply(self, policy: crash_suspects.Policy) -> None:
+        """Put another policy in force; what is known stays known."""
+        self._suspects.policy = policy
+
+    def verdict(self, asked: inbound.Inbound) -> crash_suspects.Verdict | None:
+        """Return whether a request is kept from servers; None if it may run."""
+        return self._suspects.verdict(asked.digest, self._clock.monotonic())
+
+    def server_ended(self, asked: inbound.Inbound, server: servers.Server) -> None:
+        """Note that a server's connection ended while it ran a request."""
+        now = self._clock.monotonic()
+        pair = crash_suspects.Suspicion(asked.digest, server.incarnation, False, now)
+        known = self._suspects.add(pair, now)
+        if known is not None:
+            self._tell([known])
+            self._report(asked.digest)
+
+    def answered(self, server: servers.Server, since: datetime.timedelta) -> None:
+        """Note that a server has answered an exchange that began at a moment."""
+        self._tell(self._suspects.answered(server.incarnation, since))
+
+    def completed(self, asked: inbound.Inbound) -> None:
+        """Note that a server has run a request to its end."""
+        self._tell(self._suspects.completed(asked.digest))
+
+    def take_near(self) -> tuple[beacons.Suspicion, ...]:
+        """Return what near peers are to be told."""
+        return self._rows(self._near.take() + self._in_turn())
+
+    def take_far(self) -> tuple[beacons.Suspicion, ...]:
+        """Return what peers of other failure domains are to be told."""
+        return self._rows(self._far.take() + self._in_turn())
+
+    def take(self, told: typing.Iterable[beacons.Suspicion]) -> None:
+        """Take what a peer tells."""
+        now = self._clock.monotonic()
+        pairs = [
+            crash_suspects.Suspicion(
+                row.digest,
+                row.server,
+                row.cleared,
+                now - datetime.timedelta(seconds=row.age_s),
+            )
+            for row in told
+        ]
+        fresh = self._suspects.merge(pairs, now)
+        self._tell(fresh)
+        for digest in {pair.digest for pair in fresh if not pair.cleared}:
+            self._report(digest)
+
+    async def forget_old(self) -> None:
+        """Drop what has expired, for ever."""
+        while True:
+            await self._clock.sleep(datetime.timedelta(seconds=1))
+            self._suspects.forget_old(self._clock.monotonic())
+
+    def _tell(self, pairs: typing.Iterable[crash_suspects.Suspicion]) -> None:
+        for pair in pairs:
+            self._near.add(pair)
+            self._far.add(pair)
+
+    def _in_turn(self) -> list[crash_suspects.Suspicion]:
+        """Return some requests with all their pairs, others each time."""
+        serious = self._suspects.serious()
+        if not serious:
+            return []
+        self._turn += _SERIOUS_TOLD
+        chosen = {(self._turn + n) % len(serious) for n in range(_SERIOUS_TOLD)}
+        return [pair for number in chosen for pair in serious[number]]
+
+    def _rows(
+        self, pairs: typing.Iterable[crash_suspects.Suspicion]
+    ) -> tuple[beacons.Suspicion, ...]:
+        now = self._clock.monotonic()
+        # Rounded up: an age that shrank on each way would never expire.
+        return tuple(
+            beacons.Suspicion(
+                pair.digest,
+                pair.server,
+                pair.cleared,
+                max(0, math.ceil((now - pair.at).total_seconds())),
+            )
+            for pair in pairs
+        )
+
+    def _report(self, digest: digests.RequestDigest) -> None:
+        verdict = self._suspects.verdict(digest, self._clock.monotonic())
+        if verdict is not None:
+            _log.warn(
+                "request quarantined",
+                digest=digests.digest_text(digest),
+                servers=[server.server_id for server in verdict.ended],
+                for_s=round(verdict.left.total_seconds()),
+            )
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -61,12 +61,15 @@
                 loads.declined(reader, now)
             else:
                 loads.failed(reader, now)
+            if isinstance(outcome, sending.Broken) and outcome.server_ended:
+                self._context.suspects.server_ended(asked, reader.server)
             progress.reason = f"prompt not read: {sending.text_of(outcome)}"
             return None
         if progress.read_before:
             progress.arrivals += 1
         progress.read_before = True
         loads.succeeded(reader, now)
+        self._context.suspects.answered(reader.server, begun)
         loads.read_in(place.tokens, now - begun, ahead)
         self._context.keep(asked, reader)
         return source
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -35,7 +35,10 @@
     ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
     SENT: ("server", "what", "outcome", "ms", "digest", "events"),
-    ANSWERED: ("route", "service", "status", "outcome", "ms", "version", "servers"),
+    ANSWERED: (
+        *("route", "service", "status", "outcome", "ms", "version", "servers"),
+        "digest",
+    ),
 }
 
 
--- a/src/pimentolatch/gateway/sending.py
+++ b/src/pimentolatch/gateway/sending.py
@@ -64,9 +64,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """No usable answer came; the request may have run."""
+    """No usable answer came; the request may have run.
+
+    Attributes:
+        server_ended: The connection ended, or the server answers nobody any more, as
+            after a crash.
+    """
 
     reason: str
+    server_ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,7 +175,7 @@
             return await self._opened(server, asked, link)
         except channel.BrokenError as error:
             link.close()
-            return Broken(str(error))
+            return Broken(str(error), server_ended=True)
         except BaseException:
             link.close()
             raise
@@ -188,7 +194,7 @@
             try:
                 body = await opened.link.read_whole(MOST_BODY_BYTES)
             except channel.BrokenError as error:
-                return Broken(str(error))
+                return Broken(str(error), server_ended=True)
         return Whole(opened.status, opened.head, body)
 
     @contextlib.contextmanager
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -1,10 +1,23 @@
 """Settings of one instance that serves the operator's routes."""
 
+import datetime
+import typing
+
 import pydantic
 
 from pimentolatch import checks, settings
+from pimentolatch.decisions import crash_suspects
+
+__all__ = [
+    "BoundSettings",
+    "GatewaySettings",
+    "PeerSettings",
+    "QuarantineSettings",
+    "StoreSettings",
+]
+
 
-__all__ = ["BoundSettings", "GatewaySettings", "PeerSettings", "StoreSettings"]
+DigestText = typing.Annotated[str, pydantic.Field(pattern="^[0-9a-f]{12}$")]
 
 
 class PeerSettings(checks.CheckedModel):
@@ -55,6 +68,29 @@
     lease_ms: float = pydantic.Field(default=3000.0, gt=0)
 
 
+class QuarantineSettings(checks.CheckedModel):
+    """When a request is kept from all servers, since it ends those that run it.
+
+    Attributes:
+        crashes: Servers that must have ended under it.
+        hours: How long it is kept from servers after the last one.
+        exempt: Digests, as the log writes them, that are never kept from servers.
+    """
+
+    crashes: int = pydantic.Field(default=3, ge=1)
+    hours: float = pydantic.Field(default=24.0, gt=0)
+    exempt: tuple[DigestText, ...] = ()
+
+    @property
+    def policy(self) -> crash_suspects.Policy:
+        """The same in the types of the decision."""
+        return crash_suspects.Policy(
+            self.crashes,
+            datetime.timedelta(hours=self.hours),
+            frozenset(int(digest, 16) for digest in self.exempt),
+        )
+
+
 class GatewaySettings(checks.CheckedModel):
     """Settings of one instance.
 
@@ -76,5 +112,6 @@
     peers: PeerSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
     digest_key: str = pydantic.Field(default="", max_length=64)
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -57,7 +57,7 @@
             if not isinstance(opened, sending.Opened):
                 return self._not_opened(writing, opened)
             with self._context.client.held(engine.server, opened):
-                return await self._pass_on(writing, opened)
+                return await self._pass_on(writing, opened, begun)
         finally:
             engine.writing -= 1
             engine.held -= held
@@ -106,6 +106,8 @@
         loads.failed(engine, now)
         if isinstance(outcome, sending.Broken):
             self._count_run(writing)
+            if outcome.server_ended:
+                self._context.suspects.server_ended(asked, engine.server)
         return False
 
     def _count_run(self, writing: attempt.Writing) -> None:
@@ -116,7 +118,12 @@
                 writing.progress.ran, writing.asked.route.most_servers
             )
 
-    async def _pass_on(self, writing: attempt.Writing, opened: sending.Opened) -> bool:
+    async def _pass_on(
+        self,
+        writing: attempt.Writing,
+        opened: sending.Opened,
+        begun: datetime.timedelta,
+    ) -> bool:
         """Pass an engine's events on; True if the answer is finished."""
         asked, progress = writing.asked, writing.progress
         engine = writing.place.engine
@@ -132,7 +139,8 @@
         except channel.BrokenError as error:
             opened.link.close()
             progress.reason = str(error)
-            broken = sending.Broken(progress.reason)
+            broken = sending.Broken(progress.reason, server_ended=True)
+            self._context.suspects.server_ended(asked, engine.server)
             self._context.log_sent(
                 asked, engine, "stream", broken, asked.arrived, progress.last_event
             )
@@ -143,12 +151,15 @@
                 return True
             return False
         loads.succeeded(engine, self._context.clock.monotonic())
+        self._context.suspects.answered(engine.server, begun)
+        self._context.suspects.completed(asked)
         return True
 
     async def _failed_answer(
         self, writing: attempt.Writing, opened: sending.Opened
     ) -> bool:
         body = await opened.link.read_whole(sending.MOST_BODY_BYTES)
+        self._context.suspects.completed(writing.asked)
         progress = writing.progress
         progress.answered = sending.Whole(opened.status, opened.head, body)
         progress.reason = f"status {opened.status}"
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -24,12 +24,13 @@
     "Member",
     "Piece",
     "Reader",
+    "Suspicion",
     "decode",
     "encode",
 ]
 
-_VERSION = 7
-_FIELDS = 16
+_VERSION = 8
+_FIELDS = 17
 # No count of ours comes near; above it sums of counts would no longer be exact.
 _MOST_COUNT = 2**53
 _UNREADABLE = (
@@ -126,6 +127,22 @@
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A server's connection ended while it ran a request.
+
+    Attributes:
+        digest: `digests.request_digest` of the request.
+        cleared: The server lives on, or the request has run to its end since.
+        age_s: How long ago it ended at the most.
+    """
+
+    digest: int
+    server: servers.Incarnation
+    cleared: bool
+    age_s: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Beacon:
     """What one instance tells its peers several times a second.
@@ -144,6 +161,7 @@
         piece: The engines that the totals cover; the others among these are idle.
         cached: Parts that engines keep, as far as the sender has just learned.
         changing: Engines that are changing their stage, as the sender has heard.
+        suspicions: Requests under which servers have ended.
     """
 
     instance: str
@@ -160,6 +178,7 @@
     totals: tuple[Load, ...] = ()
     changing: tuple[Changing, ...] = ()
     piece: Piece = Piece()
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,6 +200,10 @@
         [engines.number(item.engine), item.stage.value, item.left_ms]
         for item in beacon.changing
     ]
+    suspicions = [
+        [item.digest, engines.number(item.server), item.cleared, item.age_s]
+        for item in beacon.suspicions
+    ]
     rows: list[typing.Any] = [
         _VERSION,
         beacon.instance,
@@ -198,6 +221,7 @@
         totals,
         changing,
         [beacon.piece.number, beacon.piece.count],
+        suspicions,
     ]
     return cbor2.dumps(rows)
 
@@ -261,6 +285,15 @@
                 for row in rows[14]
             ),
             _piece(rows[15]),
+            tuple(
+                Suspicion(
+                    _count(row[0]),
+                    engines[_count(row[1])],
+                    bool(row[2]),
+                    _count(row[3]),
+                )
+                for row in rows[16]
+            ),
         )
     except _UNREADABLE as error:
         return Malformed(repr(error))
--- a/src/pimentolatch/results.py
+++ b/src/pimentolatch/results.py
@@ -42,6 +42,7 @@
     STOPPING = 204
     NO_CONFIGURATION = 205
     STORE_UNAVAILABLE = 206
+    QUARANTINED = 207
     DEADLINE_PASSED = 300
     STREAM_BROKEN = 301
     OUTCOME_UNKNOWN = 302
@@ -71,6 +72,7 @@
     ResultCode.STOPPING: 503,
     ResultCode.NO_CONFIGURATION: 503,
     ResultCode.STORE_UNAVAILABLE: 503,
+    ResultCode.QUARANTINED: 503,
     ResultCode.DEADLINE_PASSED: 504,
     ResultCode.STREAM_BROKEN: 502,
     ResultCode.OUTCOME_UNKNOWN: 502,
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -6,6 +6,7 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import (
+    crash_suspects,
     doubt,
     engine_loads,
     neighbours,
@@ -19,6 +20,7 @@
     lease,
     peer_table,
     peers,
+    quarantine,
     sending,
     stages,
 )
@@ -99,6 +101,7 @@
         context.known,
         table,
         cache_updates.CacheUpdates(),
+        quarantine.Quarantine(crash_suspects.Policy(), time),
         dict,
         time,
         chance,
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -398,6 +398,7 @@
         members=(beacons.Member("127.0.0.2", "there"),),
         loads=(beacons.Load(P1, (0, 5), 2, 900),),
         cached=(beacons.CachedPart(P1, 17, 800),),
+        suspicions=(beacons.Suspicion(99, P1, False, 3),),
         demands=(beacons.Demand("lm", 1000, 50, 45_000),),
         totals=(beacons.Load(servers.Incarnation("p2", 5), (7,), 1, 20),),
         changing=(beacons.Changing(P1, servers.Stage.DECODE, 900),),
