Spare the requests beside one that ends servers

What callers saw: a request that lost its server beside the guilty one was sent again at once, met it on the next server, and came into the same quarantine. Class: guilt by association.

Two measures, both in decisions/crash_suspects. A suspect uses a quarter of the servers, drawn by its digest and the number of its crashes, so that two suspects of one crash seldom meet again. And a request is judged only 1.5 s after its last crash, until when it is refused with that time to come back: then peers' pairs are known, and where two others or more beside it have as many pairs, the servers seem to have ended by something else and it may run (for two further crashes at the most). In a small fleet pairs are not passed on any more, and those of requests with most crashes are told first: relayed by everybody, they had filled the beacons.

The part costs second servers when many are lost one after the other; noted, not mended.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -11,7 +11,12 @@
 server's incarnation. Pairs are a set, which instances can merge in any order without
 counting a crash twice. A pair is cleared, for good, when that incarnation answers an
 exchange that began later, or when the request runs to its end anywhere; a prompt that
-is only prefilled has not run. A request with three pairs left is in quarantine.
+is only prefilled has not run. A request with three pairs left is in quarantine, unless
+many others beside it have as many.
+
+Until then a suspect uses only a part of the servers, drawn by its digest and the number
+of its crashes. Two suspects of one crash seldom draw the same part twice, so the ones
+that are innocent run to their end away from the one that is not.
 """
 
 import dataclasses
@@ -19,10 +24,11 @@
 import math
 from collections import abc
 
+from pimentolatch.decisions import subset
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
-__all__ = ["CrashSuspects", "Policy", "Suspicion", "Verdict"]
+__all__ = ["CrashSuspects", "Policy", "Suspicion", "Verdict", "own_part"]
 
 # A suspect that does not come back within this is forgotten.
 _SUSPECT_LIFETIME = datetime.timedelta(minutes=10)
@@ -33,6 +39,15 @@
 # Crashes from which on a request is told of again and again, since an instance that
 # has just started, or was cut off, has not heard of it.
 _SERIOUS = 2
+# News of servers' ends reach a fleet of hundreds within two seconds and most of it in
+# half of that. Until then a request that seems guilty is held off, not judged.
+_SETTLING = datetime.timedelta(milliseconds=1500)
+# So many other requests with as many crashes on the same servers put it in doubt that
+# one of them is the cause, for so many further crashes at the most.
+_MANY = 2
+_MOST_DOUBTED = 2
+# Share of the servers that a suspect may use.
+_OWN_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,15 +82,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
-    """A request is in quarantine.
+    """A request is kept from servers.
 
     Attributes:
         ended: Servers that ended under it.
         left: How much longer it is kept from servers.
+        settled: It is in quarantine; else what peers have seen may clear it yet.
     """
 
     ended: tuple[servers.Incarnation, ...]
     left: datetime.timedelta
+    settled: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,10 +167,13 @@
         ended = suspect.ended()
         if len(ended) < self.policy.crashes:
             return None
-        left = max(crash.at for crash in ended) + self.policy.quarantine - now
-        if left <= datetime.timedelta():
+        passed = now - max(crash.at for crash in ended)
+        names = tuple(crash.server for crash in ended)
+        if passed < _SETTLING:
+            return Verdict(names, _SETTLING - passed, settled=False)
+        if passed >= self.policy.quarantine or self._is_one_of_many(digest, ended):
             return None
-        return Verdict(tuple(crash.server for crash in ended), left)
+        return Verdict(names, self.policy.quarantine - passed, settled=True)
 
     def completed(self, digest: digests.RequestDigest) -> list[Suspicion]:
         """Note that a request ran to its end; returns what that clears."""
@@ -184,9 +204,16 @@
         found = (suspect.ended() for suspect in self._suspects.values())
         return [ended for ended in found if len(ended) >= least]
 
-    def quarantined(self, now: datetime.timedelta) -> int:
-        """Return how many requests are in quarantine."""
-        return sum(self.verdict(digest, now) is not None for digest in self._suspects)
+    def quarantined(
+        self, now: datetime.timedelta
+    ) -> dict[digests.RequestDigest, Verdict]:
+        """Return the requests that are in quarantine."""
+        found = {digest: self.verdict(digest, now) for digest in self._suspects}
+        return {
+            digest: verdict
+            for digest, verdict in found.items()
+            if verdict is not None and verdict.settled
+        }
 
     def forget_old(self, now: datetime.timedelta) -> None:
         """Drop what has expired."""
@@ -194,6 +221,21 @@
             if now - suspect.last() > self._lifetime(len(suspect.ended())):
                 self._drop(digest)
 
+    def _is_one_of_many(
+        self, digest: digests.RequestDigest, ended: abc.Sequence[Suspicion]
+    ) -> bool:
+        """Tell whether the servers seem to have ended by something else.
+
+        When a failure domain goes down bit by bit, many requests lose one server after
+        the other, and each would look guilty. They run to their end as soon as they
+        come back; one that does end servers soon has more crashes than all others.
+        """
+        if len(ended) >= self.policy.crashes + _MOST_DOUBTED:
+            return False
+        beside = set().union(*(self._by_server[crash.server] for crash in ended))
+        alike = sum(self.crashes(other) >= len(ended) for other in beside - {digest})
+        return alike >= _MANY
+
     def _lifetime(self, crashes: int) -> datetime.timedelta:
         if crashes >= self.policy.crashes:
             return self.policy.quarantine
@@ -229,3 +271,20 @@
             digests_there.discard(digest)
             if not digests_there:
                 del self._by_server[server]
+
+
+def own_part(
+    digest: digests.RequestDigest,
+    crashes: int,
+    candidates: abc.Collection[servers.Incarnation],
+) -> frozenset[servers.Incarnation]:
+    """Return the servers that a suspect may use, alike at every instance.
+
+    Args:
+        digest: The suspect.
+        crashes: Under how many servers' ends it is suspected; another part each time.
+        candidates: Servers that take requests.
+    """
+    lot = f"{digests.digest_text(digest)}/{crashes}"
+    ranked = sorted(candidates, key=lambda server: subset.rank(lot, server.server_id))
+    return frozenset(ranked[: math.ceil(_OWN_SHARE * len(ranked))])
--- a/src/pimentolatch/decisions/server_choice.py
+++ b/src/pimentolatch/decisions/server_choice.py
@@ -51,9 +51,18 @@
         without: abc.Container[servers.Incarnation] = (),
     ) -> servers.Server | None:
         """Return the server with the least cost, or None if there is none."""
+        return min(self.usable(listed, now, without), key=self._cost, default=None)
+
+    def usable(
+        self,
+        listed: abc.Sequence[servers.Server],
+        now: datetime.timedelta,
+        without: abc.Container[servers.Incarnation] = (),
+    ) -> list[servers.Server]:
+        """Return the servers that have not failed lately; all of them if all have."""
         found = [server for server in listed if server.incarnation not in without]
         sound = [s for s in found if now >= self._records[s.incarnation].avoid_until]
-        return min(sound or found, key=self._cost, default=None)
+        return sound or found
 
     def begin(self, server: servers.Server) -> None:
         """Count a call that is sent."""
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -29,6 +29,7 @@
     sending,
     writing,
 )
+from pimentolatch.routes import servers
 
 __all__ = ["StreamForwarder"]
 
@@ -210,7 +211,7 @@
             source.reader,
             asked.service.engine,
             now,
-            without=frozenset(progress.failed),
+            without=self._without(asked, progress, now),
         )
 
     def _may_send(self, asked: inbound.Inbound, progress: attempt.Progress) -> bool:
@@ -234,6 +235,20 @@
         await attempt.conclude_quarantined(answer, progress, verdict.left)
         return True
 
+    def _without(
+        self,
+        asked: inbound.Inbound,
+        progress: attempt.Progress,
+        now: datetime.timedelta,
+    ) -> frozenset[servers.Incarnation]:
+        """Return the engines that a request does not use."""
+        failed = frozenset(progress.failed)
+        loads = self._context.loads(asked)
+        writers = loads.usable(servers.Stage.DECODE, now, failed)
+        return failed | self._context.suspects.avoided(
+            asked, (writer.server for writer in writers)
+        )
+
     async def _give_up(
         self, answer: inbound.Answer, progress: attempt.Progress
     ) -> bool:
@@ -304,7 +319,7 @@
             ),
             asked.service.engine,
             now,
-            without=frozenset(progress.failed),
+            without=self._without(asked, progress, now),
         )
         if not progress.counted:
             progress.counted = True
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -144,6 +144,7 @@
         unheard = [neighbours.Place(host, "") for host in self._seeds - known]
         self._neighbours = neighbours.choose(self._place, [*places, *unheard])
         self._work.partly_heard = bool(self._neighbours.far)
+        self._suspects.partly_heard = self._work.partly_heard
         for loads in self._known.all_loads().values():
             loads.partly_heard = self._work.partly_heard
         self._weights = self._table.weights()
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -70,7 +70,9 @@
             if arrivals and not self._budget.spend(service, now):
                 break
             listed = self._known.servers.of_service(service)
-            server = self._choice.choose(listed, now, tried)
+            usable = self._choice.usable(listed, now, tried)
+            avoided = self._suspects.avoided(asked, usable)
+            server = self._choice.choose(usable, now, avoided)
             if server is None:
                 break
             tried.add(server.incarnation)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -221,7 +221,7 @@
             self._source.run,
             self._stages.run,
             self._share_budget,
-            self._quarantine.forget_old,
+            self._quarantine.review,
         ):
             kept = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(kept))
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -3,6 +3,7 @@
 import datetime
 import math
 import typing
+from collections import abc
 
 import logbook
 
@@ -26,6 +27,9 @@
 # the newest are told, since those of a request that comes again are among them.
 _MOST_NEWS = 500
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_REVIEW_INTERVAL = datetime.timedelta(seconds=1)
+
 _Key = tuple[digests.RequestDigest, servers.Incarnation]
 
 
@@ -43,15 +47,26 @@
         if len(self._left) > _MOST_NEWS:
             del self._left[next(iter(self._left))]
 
-    def take(self) -> list[crash_suspects.Suspicion]:
-        """Return the newest pairs; each is returned a few times in all."""
-        chosen = list(reversed(self._left))[:_TOLD]
-        taken = []
-        for key in chosen:
-            pair, left = self._left[key]
-            taken.append(pair)
-            if left > 1:
-                self._left[key] = pair, left - 1
+    def take(
+        self, crashes: abc.Callable[[digests.RequestDigest], int]
+    ) -> list[crash_suspects.Suspicion]:
+        """Return some pairs; each is returned a few times in all.
+
+        Those of requests with the most crashes come first, then the newest: after the
+        loss of a whole failure domain the others are too many to be told in time.
+
+        Args:
+            crashes: Under how many servers' ends a request is suspected.
+        """
+        newest = reversed(self._left.values())
+        pairs = [pair for pair, _ in newest]
+        pairs.sort(key=lambda pair: 0 if pair.cleared else -crashes(pair.digest))
+        taken = pairs[:_TOLD]
+        for pair in taken:
+            key = pair.digest, pair.server
+            left = self._left[key][1] - 1
+            if left:
+                self._left[key] = pair, left
             else:
                 del self._left[key]
         return taken
@@ -63,6 +78,9 @@
     Args:
         policy: When a request is kept from servers.
         time: Clock of this instance.
+
+    Attributes:
+        partly_heard: Not everybody hears everybody, so what peers tell is passed on.
     """
 
     def __init__(self, policy: crash_suspects.Policy, time: clock.Clock) -> None:
@@ -71,11 +89,13 @@
         self._near = _News()
         self._far = _News()
         self._turn = 0
+        self._logged: set[digests.RequestDigest] = set()
+        self.partly_heard = False
 
     @property
     def size(self) -> int:
         """Requests that are kept from servers now."""
-        return self._suspects.quarantined(self._clock.monotonic())
+        return len(self._suspects.quarantined(self._clock.monotonic()))
 
     def apply(self, policy: crash_suspects.Policy) -> None:
         """Put another policy in force; what is known stays known."""
@@ -85,6 +105,16 @@
         """Return whether a request is kept from servers; None if it may run."""
         return self._suspects.verdict(asked.digest, self._clock.monotonic())
 
+    def avoided(
+        self, asked: inbound.Inbound, candidates: typing.Iterable[servers.Server]
+    ) -> frozenset[servers.Incarnation]:
+        """Return the servers that a request leaves to others while it is a suspect."""
+        crashes = self._suspects.crashes(asked.digest)
+        if not crashes:
+            return frozenset()
+        found = {server.incarnation for server in candidates}
+        return frozenset(found) - crash_suspects.own_part(asked.digest, crashes, found)
+
     def server_ended(self, asked: inbound.Inbound, server: servers.Server) -> None:
         """Note that a server's connection ended while it ran a request."""
         now = self._clock.monotonic()
@@ -92,7 +122,6 @@
         known = self._suspects.add(pair, now)
         if known is not None:
             self._tell([known])
-            self._report(asked.digest)
 
     def answered(self, server: servers.Server, since: datetime.timedelta) -> None:
         """Note that a server has answered an exchange that began at a moment."""
@@ -104,11 +133,11 @@
 
     def take_near(self) -> tuple[beacons.Suspicion, ...]:
         """Return what near peers are to be told."""
-        return self._rows(self._near.take() + self._in_turn())
+        return self._rows(self._near.take(self._suspects.crashes) + self._in_turn())
 
     def take_far(self) -> tuple[beacons.Suspicion, ...]:
         """Return what peers of other failure domains are to be told."""
-        return self._rows(self._far.take() + self._in_turn())
+        return self._rows(self._far.take(self._suspects.crashes) + self._in_turn())
 
     def take(self, told: typing.Iterable[beacons.Suspicion]) -> None:
         """Take what a peer tells."""
@@ -118,20 +147,21 @@
                 row.digest,
                 row.server,
                 row.cleared,
-                now - datetime.timedelta(seconds=row.age_s),
+                now - datetime.timedelta(milliseconds=row.age_ms),
             )
             for row in told
         ]
         fresh = self._suspects.merge(pairs, now)
-        self._tell(fresh)
-        for digest in {pair.digest for pair in fresh if not pair.cleared}:
-            self._report(digest)
+        if self.partly_heard:
+            self._tell(fresh)
 
-    async def forget_old(self) -> None:
-        """Drop what has expired, for ever."""
+    async def review(self) -> None:
+        """Drop what has expired and log what has changed, for ever."""
         while True:
-            await self._clock.sleep(datetime.timedelta(seconds=1))
-            self._suspects.forget_old(self._clock.monotonic())
+            await self._clock.sleep(_REVIEW_INTERVAL)
+            now = self._clock.monotonic()
+            self._suspects.forget_old(now)
+            self._log_changes(self._suspects.quarantined(now))
 
     def _tell(self, pairs: typing.Iterable[crash_suspects.Suspicion]) -> None:
         for pair in pairs:
@@ -157,17 +187,22 @@
                 pair.digest,
                 pair.server,
                 pair.cleared,
-                max(0, math.ceil((now - pair.at).total_seconds())),
+                max(0, math.ceil((now - pair.at) / _MILLISECOND)),
             )
             for pair in pairs
         )
 
-    def _report(self, digest: digests.RequestDigest) -> None:
-        verdict = self._suspects.verdict(digest, self._clock.monotonic())
-        if verdict is not None:
+    def _log_changes(
+        self, found: abc.Mapping[digests.RequestDigest, crash_suspects.Verdict]
+    ) -> None:
+        for digest in self._logged - found.keys():
+            _log.warn("quarantine ended", digest=digests.digest_text(digest))
+        for digest in found.keys() - self._logged:
+            verdict = found[digest]
             _log.warn(
                 "request quarantined",
                 digest=digests.digest_text(digest),
                 servers=[server.server_id for server in verdict.ended],
                 for_s=round(verdict.left.total_seconds()),
             )
+        self._logged = set(found)
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -134,13 +134,13 @@
     Attributes:
         digest: `digests.request_digest` of the request.
         cleared: The server lives on, or the request has run to its end since.
-        age_s: How long ago it ended at the most.
+        age_ms: How long ago it ended at the most.
     """
 
     digest: int
     server: servers.Incarnation
     cleared: bool
-    age_s: int
+    age_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,7 +201,7 @@
         for item in beacon.changing
     ]
     suspicions = [
-        [item.digest, engines.number(item.server), item.cleared, item.age_s]
+        [item.digest, engines.number(item.server), item.cleared, item.age_ms]
         for item in beacon.suspicions
     ]
     rows: list[typing.Any] = [
