Prove the quarantine in pairs, in the soak, and on a request sent too late

Cause of the change of logic: the soak's first run with a fatal request showed a request that was sent to a server which had ended 30 ms before, and was suspected of it. One that goes out after a server is known to have ended is not blamed any more. A peer that missed a clearing is now told of it in small fleets too; a scenario failed before.

Placement looks for a suspect's part of the engines only if the request is a suspect.

--- a/src/pimentolatch/cli/explaining.py
+++ b/src/pimentolatch/cli/explaining.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+from pimentolatch import results
 from pimentolatch.gateway import request_log
 
 __all__ = ["Line", "explain", "read_lines"]
@@ -75,6 +76,9 @@
         return "none: the answer was passed on whole" + _late(lines)
     if outcome == "passed on":
         return f"the server answered {status} itself" + _while(lines, bad)
+    if outcome == results.ResultCode.QUARANTINED.name.lower():
+        digest = answer.get("digest")
+        return f"quarantine: servers ended under earlier attempts, digest {digest}"
     waited = [line for line in lines if line.fields.get("in_vain")]
     if waited and status == 503:
         return f"no engine took requests for {waited[-1].fields['ms']} ms"
--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -137,6 +137,16 @@
         self._bound(now)
         return heard
 
+    def has_ended(
+        self, server: servers.Incarnation, before: datetime.timedelta
+    ) -> bool:
+        """Tell whether a server seems to have ended before a moment."""
+        return any(
+            not crash.cleared and crash.at < before
+            for digest in self._by_server.get(server, ())
+            for crash in (self._suspects[digest].crashes[server],)
+        )
+
     def merge(
         self, told: abc.Iterable[Suspicion], now: datetime.timedelta
     ) -> list[Suspicion]:
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -243,6 +243,8 @@
     ) -> frozenset[servers.Incarnation]:
         """Return the engines that a request does not use."""
         failed = frozenset(progress.failed)
+        if not self._context.suspects.is_suspect(asked):
+            return failed
         loads = self._context.loads(asked)
         writers = loads.usable(servers.Stage.DECODE, now, failed)
         return failed | self._context.suspects.avoided(
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -104,7 +104,7 @@
         """Note whether a server has ended under a request, or goes on."""
         if isinstance(outcome, sending.Broken):
             if outcome.server_ended:
-                self._suspects.server_ended(asked, server)
+                self._suspects.server_ended(asked, server, begun)
         elif isinstance(outcome, sending.Whole | sending.Declined):
             self._suspects.answered(server, begun)
             if isinstance(outcome, sending.Whole):
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -105,6 +105,10 @@
         """Return whether a request is kept from servers; None if it may run."""
         return self._suspects.verdict(asked.digest, self._clock.monotonic())
 
+    def is_suspect(self, asked: inbound.Inbound) -> bool:
+        """Tell whether servers have ended under a request."""
+        return self._suspects.crashes(asked.digest) > 0
+
     def avoided(
         self, asked: inbound.Inbound, candidates: typing.Iterable[servers.Server]
     ) -> frozenset[servers.Incarnation]:
@@ -115,8 +119,22 @@
         found = {server.incarnation for server in candidates}
         return frozenset(found) - crash_suspects.own_part(asked.digest, crashes, found)
 
-    def server_ended(self, asked: inbound.Inbound, server: servers.Server) -> None:
-        """Note that a server's connection ended while it ran a request."""
+    def server_ended(
+        self,
+        asked: inbound.Inbound,
+        server: servers.Server,
+        begun: datetime.timedelta,
+    ) -> None:
+        """Note that a server's connection ended while it ran a request.
+
+        Args:
+            asked: The request.
+            server: The server.
+            begun: When the request was sent there. One that was sent to a server which
+                had ended already, over a kept connection, has not ended it.
+        """
+        if self._suspects.has_ended(server.incarnation, begun):
+            return
         now = self._clock.monotonic()
         pair = crash_suspects.Suspicion(asked.digest, server.incarnation, False, now)
         known = self._suspects.add(pair, now)
@@ -152,16 +170,20 @@
             for row in told
         ]
         fresh = self._suspects.merge(pairs, now)
-        if self.partly_heard:
-            self._tell(fresh)
+        # A peer that missed a clearing is told of it in any fleet.
+        self._tell(fresh if self.partly_heard else set(fresh).difference(pairs))
 
     async def review(self) -> None:
         """Drop what has expired and log what has changed, for ever."""
         while True:
             await self._clock.sleep(_REVIEW_INTERVAL)
-            now = self._clock.monotonic()
-            self._suspects.forget_old(now)
-            self._log_changes(self._suspects.quarantined(now))
+            self.review_once()
+
+    def review_once(self) -> None:
+        """Drop what has expired and log what has changed."""
+        now = self._clock.monotonic()
+        self._suspects.forget_old(now)
+        self._log_changes(self._suspects.quarantined(now))
 
     def _tell(self, pairs: typing.Iterable[crash_suspects.Suspicion]) -> None:
         for pair in pairs:
--- a/src/pimentolatch/gateway/reading.py
+++ b/src/pimentolatch/gateway/reading.py
@@ -62,7 +62,7 @@
             else:
                 loads.failed(reader, now)
             if isinstance(outcome, sending.Broken) and outcome.server_ended:
-                self._context.suspects.server_ended(asked, reader.server)
+                self._context.suspects.server_ended(asked, reader.server, begun)
             progress.reason = f"prompt not read: {sending.text_of(outcome)}"
             return None
         if progress.read_before:
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -55,7 +55,7 @@
                 source.taken = isinstance(opened, sending.Opened)
                 source.doubtful = isinstance(opened, sending.Broken)
             if not isinstance(opened, sending.Opened):
-                return self._not_opened(writing, opened)
+                return self._not_opened(writing, opened, begun)
             with self._context.client.held(engine.server, opened):
                 return await self._pass_on(writing, opened, begun)
         finally:
@@ -90,6 +90,7 @@
         self,
         writing: attempt.Writing,
         outcome: sending.NotSent | sending.Declined | sending.Broken,
+        begun: datetime.timedelta,
     ) -> bool:
         """Note why an engine gave no answer; returns False: the request goes on."""
         asked, progress = writing.asked, writing.progress
@@ -107,7 +108,7 @@
         if isinstance(outcome, sending.Broken):
             self._count_run(writing)
             if outcome.server_ended:
-                self._context.suspects.server_ended(asked, engine.server)
+                self._context.suspects.server_ended(asked, engine.server, begun)
         return False
 
     def _count_run(self, writing: attempt.Writing) -> None:
@@ -140,7 +141,7 @@
             opened.link.close()
             progress.reason = str(error)
             broken = sending.Broken(progress.reason, server_ended=True)
-            self._context.suspects.server_ended(asked, engine.server)
+            self._context.suspects.server_ended(asked, engine.server, begun)
             self._context.log_sent(
                 asked, engine, "stream", broken, asked.arrived, progress.last_event
             )
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -64,6 +64,7 @@
         fatal_body: A request with this body ends the process soon after it begins to
             run; None if there is none.
         ended: The process has ended by such a request.
+        ended_at: When, by the event loop's clock.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.running: set[str] = set()
         self.fatal_body: bytes | None = None
         self.ended = False
+        self.ended_at = 0.0
         self.port = 0
         self._server: asyncio.Server | None = None
         self._links: set[_Link] = set()
@@ -113,6 +115,7 @@
     def crash(self) -> None:
         """End the process: every connection closes and none is accepted."""
         self.ended = True
+        self.ended_at = asyncio.get_running_loop().time()
         if self._server is not None:
             self._server.close()
         for link in list(self._links):
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -6,3 +6,9 @@
   Scenario: No promise is broken under drawn faults
     When the soak plays seed 1 for 8 seconds
     Then no promise was broken and most requests were served
+
+  # Guards against a request that goes on ending servers while instances are killed and
+  # cut off, which is when they forget it.
+  Scenario: No promise is broken while a request ends the servers that run it
+    When the soak plays seed 301 for 8 seconds with a request that ends servers
+    Then no promise was broken and most requests were served
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -109,6 +109,9 @@
         line(1, "waited", ms=1800, in_vain=True),
         line(2.8, "answered", status=503, outcome="overloaded"),
     ],
+    "is in quarantine": [
+        line(1, "answered", status=503, outcome="quarantined", digest="00a1b2c3d4e5"),
+    ],
     "broke midway": [
         line(1, "placed", reader="p1", writer="d1", expected_ms=200),
         line(1.2, "sent", server="d1", what="run", outcome="answered 200", ms=20),
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -13,6 +13,15 @@
     context.result = asyncio.run(soak.play(seed, float(seconds), MARGIN_S))
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds"
+    " with a request that ends servers"
+)
+def play_fatal(context, seed, seconds):
+    played = soak.play(seed, float(seconds), MARGIN_S, fatal=True)
+    context.result = asyncio.run(played)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -36,8 +36,16 @@
     violations: list
 
 
-async def play(seed, seconds, margin_s, without=None):
-    """Play one run and return what it showed."""
+async def play(seed, seconds, margin_s, without=None, fatal=False):
+    """Play one run and return what it showed.
+
+    Args:
+        seed: Draws the faults and what clients ask.
+        seconds: How long faults come.
+        margin_s: Added to bounds on time.
+        without: A safeguard to be switched off.
+        fatal: One client repeats a request that ends the servers which run it.
+    """
     world = _world(without)
     clock = asyncio.get_running_loop().time
     striker = soak_faults.Striker(world, clock)
@@ -47,9 +55,14 @@
         for number in range(CLIENTS)
     ]
     stop = asyncio.Event()
+    if fatal:
+        world.fatal_body = soak_clients.FATAL_BODY
+        clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
     try:
         await world.start(GATEWAYS)
         running = [asyncio.create_task(client.run(stop)) for client in clients]
+        if fatal:
+            running.append(asyncio.create_task(world.replace_ended(stop)))
         await _strike(striker, faults, clients, clock)
         await asyncio.sleep(SETTLE_S)
         calm_from = clock()
@@ -61,8 +74,18 @@
         await world.stop()
     seen = [item for client in clients for item in client.seen]
     servers = [*world.servers.values(), *world.gone]
+    striker.struck += [
+        soak_faults.Struck(soak_faults.SERVER_ENDS, "", s.ended_at, s.ended_at)
+        for s in servers
+        if s.ended
+    ]
     found = list(soak_checks.violations(seen, servers, striker, logs, margin_s))
-    calm = [item for item in seen if item.sent >= calm_from]
+    found += soak_checks.fatal_requests(seen, servers, striker, margin_s)
+    calm = [
+        item
+        for item in seen
+        if item.sent >= calm_from and item.body != soak_clients.FATAL_BODY
+    ]
     good = sum(item.status == 200 and item.whole for item in calm)
     if not calm or good < SERVED_AGAIN * len(calm):
         found.append(f"only {good} of {len(calm)} were served after the faults")
@@ -110,6 +133,7 @@
     parser.add_argument("--seeds", type=_seeds, default=_seeds("1-3"))
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--margin", type=float, default=1.0)
+    parser.add_argument("--fatal", action="store_true")
     parser.add_argument("--without", choices=sorted(unsafe.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     chosen = parser.parse_args()
@@ -121,7 +145,8 @@
     broken = 0
     for seed in chosen.seeds:
         began = time.monotonic()
-        result = asyncio.run(play(seed, chosen.seconds, chosen.margin, chosen.without))
+        played = play(seed, chosen.seconds, chosen.margin, chosen.without, chosen.fatal)
+        result = asyncio.run(played)
         broken += bool(result.violations)
         print(
             f"seed {seed}: {result.requests} requests, {result.served} served, "
--- a/tests/support/crash_replay.py
+++ b/tests/support/crash_replay.py
@@ -251,7 +251,8 @@
         self._at(self._now() + BACK_AFTER_S, self._start_server)
         for sending in lost:
             request = sending.request
-            request.instance.quarantine.server_ended(request, server)
+            known = request.instance.quarantine
+            known.server_ended(request, server, sending.begun)
             request.servers_lost += 1
             self.result.lost_more_than_one += (
                 not request.fatal and request.servers_lost == 2
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -11,6 +11,9 @@
 DRAIN_S = 2.0
 CONFIGURED_S = 2.0
 IN_TOUCH_S = 3.0
+# A request that has ended so many servers may be sent so many times more.
+MOST_ENDED = 3
+MOST_RETRIES = 3
 # Faults that keep a gateway from hearing of a change, and those that may cut an answer.
 OUT_OF_TOUCH = frozenset(
     {
@@ -23,7 +26,10 @@
         "store forgets",
     }
 )
-CUTTING = frozenset(soak_faults.KINDS) - soak_faults.PLANNED - {"store forgets"}
+CUTTING = frozenset({*soak_faults.KINDS, soak_faults.SERVER_ENDS}) - {
+    *soak_faults.PLANNED,
+    "store forgets",
+}
 # Lines that tell of a fault of ours.
 OWN_FAULTS = re.compile(r'"(request failed|task failed[^"]*)"|Traceback')
 
@@ -43,6 +49,35 @@
                 yield f"{name} logged a fault of its own: {line[:300]}"
 
 
+def fatal_requests(seen, servers, striker, margin_s):
+    """Return whether a request that ended three servers went on being sent."""
+    ends = sorted(server.ended_at for server in servers if server.ended)
+    if len(ends) < MOST_ENDED:
+        return []
+    known_at = ends[MOST_ENDED - 1] + IN_TOUCH_S + margin_s
+    senders = {
+        item.request_id: item
+        for item in seen
+        if item.body == soak_clients.FATAL_BODY and item.sent > known_at
+    }
+    sent_on = {
+        item.fields.get("x-request-id", "")
+        for server in servers
+        for item in server.received
+    }
+    late = [
+        item
+        for request_id, item in senders.items()
+        if request_id in sent_on
+        and not _disturbed(
+            striker.struck, item.sent, item.until, item.gateway, OUT_OF_TOUCH
+        )
+    ]
+    if len(late) <= MOST_RETRIES:
+        return []
+    return [f"a request that ended {len(ends)} servers was sent {len(late)} times more"]
+
+
 def _runs(servers):
     """Return which servers ran each request, once for each run."""
     runs = {}
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -12,6 +12,9 @@
 # A connection is used until it ends, as clients of the balancer do.
 NO_ANSWER = 0
 STREAMS = ("digest", "draft")
+# A request with this body ends each server that runs it.
+FATAL_BODY = b"fatal"
+FATAL_PAUSE_S = (0.3, 1.5)
 PLACES = ("digest", "digest", "draft", "print", "notify")
 
 
@@ -72,7 +75,7 @@
             await asyncio.sleep(4 * PAUSE_S)
             return
         gateway = self._world.gateways[self._gateway]
-        body = request_id.encode()
+        body = self._body(request_id)
         seen = Seen(request_id, place, gateway.name, gateway.lives, self._clock(), body)
         self.seen.append(seen)
         reader, writer = self._link
@@ -90,6 +93,9 @@
             writer.transport.abort()
             self._link = None
 
+    def _body(self, request_id):
+        return request_id.encode()
+
     async def _read(self, reader, seen):
         """Read an answer as it comes; True if the connection may be used again."""
         seen.status = int((await reader.readline()).split()[1])
@@ -116,3 +122,22 @@
         except (OSError, TimeoutError):
             return False
         return True
+
+
+class FatalClient(Client):
+    """Repeats one request, each time under a new id and at any gateway."""
+
+    async def run(self, stop):
+        """Ask for the same again and again until told to stop."""
+        place = self._chance.choice(PLACES)
+        for count in range(1_000_000):
+            if stop.is_set():
+                break
+            await self.ask(place, f"fatal{count:06x}")
+            if self._link is not None:
+                self._link[1].close()
+                self._link = None
+            await asyncio.sleep(self._chance.uniform(*FATAL_PAUSE_S))
+
+    def _body(self, request_id):
+        return FATAL_BODY
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -23,6 +23,8 @@
     "late",
     "from the start",
 )
+# What a request does that ends the servers which run it.
+SERVER_ENDS = "server ends"
 # Planned work; a gateway that meets nothing else cuts no request.
 PLANNED = frozenset({"term", "drain", "configure", "hup"})
 # Requests of one server that go wrong one after the other.
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -27,6 +27,7 @@
 SERVER_PORT = 9100
 START_LIMIT_S = 30.0
 POLL_S = 0.05
+REPLACED_AFTER_S = 1.0
 
 
 @dataclasses.dataclass
@@ -63,6 +64,7 @@
         self.gateways = {}
         self.servers = {}
         self.gone = []
+        self.fatal_body = None
         self.version = 0
         self.routes = list(route_world.ROUTES)
         self._store_host = self._network.address()
@@ -101,6 +103,7 @@
         """Start a server behind a relay and list it."""
         name = f"{stage or service}-{next(self._numbers)}"
         server = route_server.RouteServer(name, service, "here", stage)
+        server.fatal_body = self.fatal_body
         await server.start()
         front = (self._network.address(), SERVER_PORT)
         self.relays.start(name, front, ("127.0.0.1", server.port))
@@ -117,13 +120,23 @@
         )
 
     async def remove_server(self, name):
-        """Stop a server for good and take its entry away."""
-        server = self.servers.pop(name)
+        """Stop a server for good and take its entry away, if that is not done yet."""
+        server = self.servers.pop(name, None)
+        if server is None:
+            return
         self.gone.append(server)
         await server.stop()
         current = self.platform.table.get("servers", name)
         await self.platform.table.delete("servers", name, current.version)
 
+    async def replace_ended(self, stop):
+        """Have new servers in place of those that a request has ended."""
+        while not stop.is_set():
+            await asyncio.sleep(REPLACED_AFTER_S)
+            for server in [s for s in self.servers.values() if s.ended]:
+                await self.add_server(server.service, server.stage)
+                await self.remove_server(server.server_id)
+
     def restart(self, name):
         """Start a gateway again; its old process must have ended."""
         gateway = self.gateways[name]
--- a/tests/support/unsafe.py
+++ b/tests/support/unsafe.py
@@ -11,6 +11,7 @@
     knowledge,
     plain,
     process,
+    quarantine,
     refusals,
     sending,
     writing,
@@ -103,6 +104,11 @@
     plain._genuine = lambda whole: True
 
 
+def _forget_ended_servers():
+    """A request that has ended servers is taken for a new one."""
+    quarantine.Quarantine.verdict = lambda self, asked: None
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _repeat_everything,
     "truth of not run": _promise_not_run,
@@ -112,6 +118,7 @@
     "nothing to leaving servers": _send_to_leaving,
     "new configurations": _take_no_configuration,
     "graceful stop": _stop_at_once,
+    "quarantine of fatal requests": _forget_ended_servers,
     "proof of origin": _trust_without_proof,
 }
 
