Reproduce the same fault in completions, failing

The class of the incident (state that ends with the attempt) looked for elsewhere: the first face sends a completion to four engines an attempt and forgets it. Not mended: its engines are known by name only, so an end can't be told from a cut that healed, and what clears a suspicion behind routes would clear it wrongly here.

--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -15,3 +15,10 @@
       | draft  |
       | notify |
       | print  |
+
+  # Guards against the same in completions: what ends each engine that runs it is sent to
+  # four engines an attempt, for as many attempts as its caller makes.
+  Scenario: A completion that has ended three engines is kept from the others
+    Given crashes: a completion that ends each engine that runs it
+    When crashes: its caller sends it five times
+    Then crashes: at most six engines have ended
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from tests.support import crash_world
+from tests.support import completion_crashes, crash_world
 
 # Within this time after the third crash every instance in touch has to know.
 CONTACT_S = 3.0
@@ -37,3 +37,19 @@
 def at_most_three(context):
     reached = context.world.sendings(context.world.fatal_body) - context.before
     assert reached <= 3, reached
+
+
+@behave.given("crashes: a completion that ends each engine that runs it")
+def fatal_completion(context):
+    context.engines = completion_crashes.Engines()
+
+
+@behave.when("crashes: its caller sends it five times")
+def sent_five_times(context):
+    for _ in range(5):
+        asyncio.run(completion_crashes.ask(context.engines))
+
+
+@behave.then("crashes: at most six engines have ended")
+def at_most_six(context):
+    assert 3 <= context.engines.ended <= 6, context.engines.ended
