--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed-$(LOCK)
 PYTHON := PYTHONPATH=src:. $(VENV)/bin/python
 
-.PHONY: demo test format lint types features overhead bench slopes faults soak clean
+.PHONY: demo test format lint types features overhead cost bench slopes faults soak clean
 
 $(STAMP):
 	python3 -m venv $(VENV)
@@ -34,6 +34,9 @@
 overhead: $(STAMP)
 	$(PYTHON) -m benchmarks.overhead
 
+cost: $(STAMP)
+	$(PYTHON) -m benchmarks.gateway_cost
+
 bench: $(STAMP)
 	$(PYTHON) -m benchmarks.mix
 
--- /dev/null
+++ b/benchmarks/gateway_cost.py
@@ -0,0 +1,278 @@
+"""Processor time of one instance that serves routes, by cause.
+
+The instance runs in this process; engines, clients and peers run in another one. Of
+processor time the benchmark prints milliseconds a request and the share of a core that
+beacons take while nothing is asked, from two plays without a profiler; then the shares
+of the causes, from a third one with it, which add up to the whole of that play.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import dataclasses
+import json
+import os
+import pstats
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import logbook
+
+from benchmarks import rows
+from pimentolatch import clock
+from pimentolatch.gateway import process, settings
+from pimentolatch.platform import configuration, entries
+from pimentolatch.protocol import beacons
+from pimentolatch.routes import servers
+from standins import route_server
+
+__all__ = ["main"]
+
+HOST = "127.0.0.1"
+# What an instance of a fleet of 84 has before it.
+READERS = 24
+WRITERS = 46
+REQUESTS_A_SECOND = 12.0
+BEACONS_A_SECOND = 40.0
+LOADS_TOLD = 40
+PARTS_TOLD = 24
+PROMPT_TOKENS = 4000
+BODY_BYTES = 4000
+PLAY_S = 12.0
+IDLE_S = 6.0
+START_S = 1.0
+
+# Causes by where a function stands; the first one that fits counts.
+CAUSES = (
+    ("choice of engines", ("decisions/", "gateway/placing", "requests/prompts")),
+    ("beacons", ("protocol/beacons", "gateway/peer", "cbor2", "gateway/quarantine")),
+    ("connections to servers", ("h11/", "backend/", "gateway/sending")),
+    ("requests and streams", ("gateway/", "platform/", "requests/", "routes/")),
+    ("clients' connections", ("uvicorn/", "httptools", "entry/")),
+    ("log and metrics", ("logbook", "prometheus", "logs.py", "json/")),
+    ("event loop", ("asyncio/", "selectors", "select.", "socket", "contextlib")),
+)
+OTHER = "all else"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Play:
+    """What one play took."""
+
+    requests: int
+    processor_s: float
+    wall_s: float
+
+
+def _port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def _spec() -> dict[str, typing.Any]:
+    engine = {
+        "slots": 64,
+        "kv_tokens": 500_000,
+        "kv_bytes": 1000,
+        "link_mbps": 1000.0,
+        "stride": 1,
+        "handle_ttl_s": 5.0,
+        "switch_s": 1.0,
+        "models": [{"name": "m"}],
+    }
+    service = {"name": "lm", "health_path": "/h", "max_conns": 800, "engine": engine}
+    route = {
+        "name": "draft",
+        "host": "site.example",
+        "path_prefix": "/draft/",
+        "kind": "stream",
+        "timeout_ms": 8000,
+        "latency_target_ms": 600,
+        "priority": 1,
+        "service": "lm",
+        "max_attempts": 2,
+        "sticky": True,
+        "resumable": True,
+        "gap_target_ms": 250,
+    }
+    limits = {
+        "max_header_bytes": 8192,
+        "max_body_bytes": 100_000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15_000,
+    }
+    return {"version": 1, "routes": [route], "services": [service], "limits": limits}
+
+
+async def _start_engines() -> list[route_server.RouteServer]:
+    stages = ["prefill"] * READERS + ["decode"] * WRITERS
+    found = [
+        route_server.RouteServer(f"i-{number:010x}", "lm", "here", stage)
+        for number, stage in enumerate(stages)
+    ]
+    for engine in found:
+        await engine.start()
+    return found
+
+
+async def _ask(port: int, number: int) -> bool:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    session = f"{number % 40:08x}:3000,{number:08x}:{PROMPT_TOKENS - 3000}"
+    head = (
+        "POST /draft/x HTTP/1.1\r\nhost: site.example\r\n"
+        f"x-request-id: {number:016x}\r\nx-deadline-ms: 6000\r\nx-model: m\r\n"
+        f"x-token-counts: {PROMPT_TOKENS},20\r\nx-prompt-prefix: {session}\r\n"
+        f"content-length: {BODY_BYTES}\r\nconnection: close\r\n\r\n"
+    )
+    writer.write(head.encode() + number.to_bytes(8, "big") * (BODY_BYTES // 8))
+    answer = await reader.read(-1)
+    writer.close()
+    return answer.startswith(b"HTTP/1.1 200")
+
+
+def _beacon(number: int, engines: list[str]) -> bytes:
+    names = [servers.Incarnation(name) for name in engines]
+    loads = tuple(
+        beacons.Load(engine, (number % 7, 400, 0, 900), 3, 9000 + number)
+        for engine in names[:LOADS_TOLD]
+    )
+    parts = tuple(
+        beacons.CachedPart(names[n], (number * PARTS_TOLD + n) % 2**32, 3000)
+        for n in range(PARTS_TOLD)
+    )
+    peer = f"peer-{number % 13}"
+    told = beacons.Beacon(
+        peer, "here", "life", 1, 1, False, (), (), loads=loads, cached=parts
+    )
+    return beacons.encode(told)
+
+
+async def _surround(port: int, peers_port: int) -> None:
+    """Be the engines, the clients and the peers of an instance; told by lines."""
+    engines = await _start_engines()
+    print(json.dumps({e.server_id: e.entry() for e in engines}), flush=True)
+    loop = asyncio.get_running_loop()
+    line = await loop.run_in_executor(None, sys.stdin.readline)
+    rate, seconds = json.loads(line)
+    names = [engine.server_id for engine in engines]
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    begun = loop.time()
+    asked: list[asyncio.Task[bool]] = []
+    told = 0
+    while (passed := loop.time() - begun) < seconds:
+        while told < passed * BEACONS_A_SECOND:
+            sender.sendto(_beacon(told, names), (HOST, peers_port))
+            told += 1
+        while len(asked) < passed * rate:
+            asked.append(asyncio.create_task(_ask(port, len(asked))))
+        await asyncio.sleep(0.005)
+    print(sum(await asyncio.gather(*asked)), flush=True)
+    for engine in engines:
+        await engine.stop()
+
+
+def _settings(port: int, peers_port: int) -> settings.GatewaySettings:
+    return settings.GatewaySettings.model_validate(
+        {
+            "instance": "one",
+            "failure_domain": "here",
+            "clients": f"{HOST}:{port}",
+            "readiness": f"{HOST}:{_port()}",
+            "peers": {"host": HOST, "ports": [peers_port, peers_port + 1]},
+            "store": {"address": f"{HOST}:{_port()}"},
+            "bounds": {"repeat_slack": 100},
+        }
+    )
+
+
+def _start_around(port: int, peers_port: int) -> subprocess.Popen[str]:
+    command = [sys.executable, "-m", "benchmarks.gateway_cost", "--surround"]
+    return subprocess.Popen(
+        [*command, str(port), str(peers_port)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+        env=dict(os.environ),
+    )
+
+
+async def _play(rate: float, seconds: float, profile: cProfile.Profile | None) -> Play:
+    port, peers_port = _port(), _port()
+    around = _start_around(port, peers_port)
+    assert around.stdin is not None and around.stdout is not None
+    loop = asyncio.get_running_loop()
+    listed = json.loads(await loop.run_in_executor(None, around.stdout.readline))
+    instance = process.GatewayInstance(_settings(port, peers_port), clock.SystemClock())
+    spec = _spec()
+    instance.known.configure(configuration.decode(spec), spec)
+    found = [entries.decode(name, entry) for name, entry in listed.items()]
+    instance.known.list_servers(1, [s for s in found if isinstance(s, servers.Server)])
+    await instance.start()
+    await asyncio.sleep(START_S)
+    around.stdin.write(json.dumps([rate, seconds]) + "\n")
+    around.stdin.flush()
+    wall, used = time.monotonic(), time.process_time()
+    if profile is not None:
+        profile.enable()
+    answered = int(await loop.run_in_executor(None, around.stdout.readline))
+    if profile is not None:
+        profile.disable()
+    play = Play(answered, time.process_time() - used, time.monotonic() - wall)
+    await instance.abort()
+    around.wait()
+    return play
+
+
+def _cause(file: str, function: str) -> str:
+    where = f"{file}:{function}".replace("\\", "/")
+    for cause, places in CAUSES:
+        if any(place in where for place in places):
+            return cause
+    return OTHER
+
+
+def _shares(profile: cProfile.Profile) -> dict[str, float]:
+    """Return the share of each cause in the profiled time; waiting is left out."""
+    spent: dict[str, float] = {}
+    stats: typing.Any = pstats.Stats(profile)
+    for (file, _, function), (_, _, own, _, _) in stats.stats.items():
+        if "poll" in function and "select" in function:
+            continue
+        cause = _cause(file, function)
+        spent[cause] = spent.get(cause, 0.0) + own
+    whole = sum(spent.values())
+    return {cause: own / whole for cause, own in spent.items()}
+
+
+def main() -> None:
+    """Print the figures and write them to `build/gateway-cost.json`."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--surround", nargs=2, type=int)
+    chosen = parser.parse_args()
+    if chosen.surround is not None:
+        asyncio.run(_surround(*chosen.surround))
+        return
+    with logbook.NullHandler().applicationbound():
+        idle = asyncio.run(_play(0.0, IDLE_S, None))
+        busy = asyncio.run(_play(REQUESTS_A_SECOND, PLAY_S, None))
+        profile = cProfile.Profile()
+        asyncio.run(_play(REQUESTS_A_SECOND, PLAY_S, profile))
+    share = idle.processor_s / idle.wall_s
+    extra = busy.processor_s - share * busy.wall_s
+    found = [
+        rows.Row("requests answered", busy.requests, ""),
+        rows.Row("processor time of a request", 1000 * extra / busy.requests, "ms"),
+        rows.Row("40 beacons a second, nothing asked", 100 * share, "%"),
+    ]
+    shares = sorted(_shares(profile).items(), key=lambda item: item[1], reverse=True)
+    found += [rows.Row(f"of it: {cause}", 100 * part, "%") for cause, part in shares]
+    rows.print_table(found)
+    rows.write_rows("gateway-cost", found)
+
+
+if __name__ == "__main__":
+    main()
