Look only at requests with several crashes when telling of them

After the loss of a failure domain thousands of requests have one crash each; going over all of them for each beacon took milliseconds. The setting for crashes starts at two, since with one everybody beside a crash would be kept from servers.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -55,7 +55,7 @@
     """When a request is kept from all servers.
 
     Attributes:
-        crashes: Servers that must have ended under it.
+        crashes: Servers that must have ended under it, two or more.
         quarantine: How long it is kept from servers after the last one.
         exempt: Digests that are never kept from servers.
     """
@@ -119,6 +119,8 @@
         self.policy = policy
         self._suspects: dict[digests.RequestDigest, _Suspect] = {}
         self._by_server: dict[servers.Incarnation, set[digests.RequestDigest]] = {}
+        # The few with more than one pair, which alone can be near quarantine.
+        self._repeated: set[digests.RequestDigest] = set()
 
     def add(self, heard: Suspicion, now: datetime.timedelta) -> Suspicion | None:
         """Take a suspicion, seen here or told by a peer.
@@ -134,6 +136,8 @@
             return known if known.cleared and not heard.cleared else None
         suspect.crashes[heard.server] = heard
         self._by_server.setdefault(heard.server, set()).add(heard.digest)
+        if len(suspect.crashes) >= _SERIOUS:
+            self._repeated.add(heard.digest)
         self._bound(now)
         return heard
 
@@ -210,15 +214,14 @@
 
     def serious(self) -> list[list[Suspicion]]:
         """Return the pairs of each request that is in or close to quarantine."""
-        least = min(_SERIOUS, self.policy.crashes)
-        found = (suspect.ended() for suspect in self._suspects.values())
-        return [ended for ended in found if len(ended) >= least]
+        found = (self._suspects[digest].ended() for digest in self._repeated)
+        return [ended for ended in found if len(ended) >= _SERIOUS]
 
     def quarantined(
         self, now: datetime.timedelta
     ) -> dict[digests.RequestDigest, Verdict]:
         """Return the requests that are in quarantine."""
-        found = {digest: self.verdict(digest, now) for digest in self._suspects}
+        found = {digest: self.verdict(digest, now) for digest in self._repeated}
         return {
             digest: verdict
             for digest, verdict in found.items()
@@ -276,6 +279,7 @@
             self._drop(digest)
 
     def _drop(self, digest: digests.RequestDigest) -> None:
+        self._repeated.discard(digest)
         for server in self._suspects.pop(digest).crashes:
             digests_there = self._by_server[server]
             digests_there.discard(digest)
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -72,12 +72,12 @@
     """When a request is kept from all servers, since it ends those that run it.
 
     Attributes:
-        crashes: Servers that must have ended under it.
+        crashes: Servers that must have ended under it, two or more.
         hours: How long it is kept from servers after the last one.
         exempt: Digests, as the log writes them, that are never kept from servers.
     """
 
-    crashes: int = pydantic.Field(default=3, ge=1)
+    crashes: int = pydantic.Field(default=3, ge=2)
     hours: float = pydantic.Field(default=24.0, gt=0)
     exempt: tuple[DigestText, ...] = ()
 
