--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -114,6 +114,11 @@
         """What the instance knows."""
         return self._known
 
+    @property
+    def quarantine(self) -> quarantine.Quarantine:
+        """Tells which requests are kept from servers."""
+        return self._quarantine
+
     @property
     def peers(self) -> peer_table.PeerTable:
         """The other instances that it knows of."""
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -54,3 +54,12 @@
     When the emptiest of them declines 3 request
     Then it is passed over for 0.5 seconds
     And it is used again after 1.0 seconds
+
+  # Guards against an operator who can let a request run again only by restarting all.
+  Scenario: A request in quarantine runs again once the settings exempt it
+    Given an instance that keeps a request from servers
+    When its settings file exempts the request
+    Then the request may run at that instance
+
+  Scenario: A digest that is none is refused, with what is wrong
+    Then settings that exempt "xyz" are refused and name the field
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -4,19 +4,23 @@
 import pathlib
 import tempfile
 import time
+import types
 
 import behave
 
-from pimentolatch import clock, logs
+from pimentolatch import checks, clock, logs
 from pimentolatch.cli import explaining
 from pimentolatch.decisions import engine_loads, log_budget, stage_plan
 from pimentolatch.gateway import process, request_log, settings
+from pimentolatch.protocol import beacons
+from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
 NOW = datetime.timedelta(seconds=100)
 SECOND = datetime.timedelta(seconds=1)
 # Far above what a write to memory takes and far below a wait for a reader.
 AT_ONCE_S = 5.0
+EXEMPT_DIGEST = 0xA1B2C3D4E5
 
 
 @behave.given("a log whose reader has stopped")
@@ -196,6 +200,42 @@
     process.reload(context.instance, context.file)
 
 
+@behave.given("an instance that keeps a request from servers")
+def instance_with_quarantine(context):
+    instance_with_slack(context)
+    context.asked = types.SimpleNamespace(digest=EXEMPT_DIGEST)
+    rows = [
+        beacons.Suspicion(EXEMPT_DIGEST, servers.Incarnation(f"s{n}"), False, 5000)
+        for n in range(3)
+    ]
+    context.instance.quarantine.take(rows)
+    assert context.instance.quarantine.verdict(context.asked) is not None
+
+
+@behave.when("its settings file exempts the request")
+def exempt_in_settings(context):
+    fields = json.loads(settings_text(100, 0.2))
+    fields["quarantine"] = {"exempt": [digests.digest_text(EXEMPT_DIGEST)]}
+    context.file.write_text(json.dumps(fields), encoding="utf-8")
+    process.reload(context.instance, context.file)
+
+
+@behave.then("the request may run at that instance")
+def may_run_there(context):
+    assert context.instance.quarantine.verdict(context.asked) is None
+
+
+@behave.then('settings that exempt "{text}" are refused and name the field')
+def refused_digest(context, text):
+    fields = json.loads(settings_text(100, 0.2))
+    fields["quarantine"] = {"exempt": [text]}
+    file = pathlib.Path(tempfile.mkdtemp()) / "settings.jsonc"
+    file.write_text(json.dumps(fields), encoding="utf-8")
+    problems = checks.read_file(settings.GatewaySettings, file)
+    assert isinstance(problems, checks.Problems)
+    assert "quarantine.exempt" in str(problems), str(problems)
+
+
 @behave.when("its settings file is changed to nonsense")
 def change_to_nonsense(context):
     context.file.write_text('{"instance": 7', encoding="utf-8")
