Let only a success clear a request that ends servers

Cause: a failure that a server answered itself counted as a run to the end. Servers that fail part of what they get, without running it, would have cleared a request again and again, and each time it could end three more. Found by reading the change, then brought about: two servers ended, one attempt while all servers answer 500, then attempts at all instances. Five servers ended before, four at most now (the last attempt may end two).

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -10,9 +10,10 @@
 is also how a cut link looks. So a suspicion is a pair of a request's digest and a
 server's incarnation. Pairs are a set, which instances can merge in any order without
 counting a crash twice. A pair is cleared, for good, when that incarnation answers an
-exchange that began later, or when the request runs to its end anywhere; a prompt that
-is only prefilled has not run. A request with three pairs left is in quarantine, unless
-many others beside it have as many.
+exchange that began later, or when the request runs to its end anywhere: with success,
+since a failure may be answered before it begins, and not for a prompt that was only
+prefilled. A request with three pairs left is in quarantine, unless many others beside
+it have as many.
 
 Until then a suspect uses only a part of the servers, drawn by its digest and the number
 of its crashes. Two suspects of one crash seldom draw the same part twice, so the ones
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -107,7 +107,7 @@
                 self._suspects.server_ended(asked, server, begun)
         elif isinstance(outcome, sending.Whole | sending.Declined):
             self._suspects.answered(server, begun)
-            if isinstance(outcome, sending.Whole):
+            if isinstance(outcome, sending.Whole) and _successful(outcome):
                 self._suspects.completed(asked)
 
     async def _send(
@@ -146,7 +146,11 @@
 
 
 def _genuine(whole: sending.Whole) -> bool:
-    return whole.head.sealed or not 200 <= whole.status < 300
+    return whole.head.sealed or not _successful(whole)
+
+
+def _successful(whole: sending.Whole) -> bool:
+    return 200 <= whole.status < 300
 
 
 def _final(outcome: _Outcome) -> bool:
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -146,7 +146,7 @@
         self._tell(self._suspects.answered(server.incarnation, since))
 
     def completed(self, asked: inbound.Inbound) -> None:
-        """Note that a server has run a request to its end."""
+        """Note that a server has run a request to its end, with success."""
         self._tell(self._suspects.completed(asked.digest))
 
     def take_near(self) -> tuple[beacons.Suspicion, ...]:
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -160,7 +160,6 @@
         self, writing: attempt.Writing, opened: sending.Opened
     ) -> bool:
         body = await opened.link.read_whole(sending.MOST_BODY_BYTES)
-        self._context.suspects.completed(writing.asked)
         progress = writing.progress
         progress.answered = sending.Whole(opened.status, opened.head, body)
         progress.reason = f"status {opened.status}"
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -233,10 +233,6 @@
         if fault == "reset":
             link.reset()
             return False
-        if received.what == "run" and received.body == self.fatal_body:
-            await asyncio.sleep(_FATAL_AFTER_S)
-            self.crash()
-            return False
         if fault == "silent":
             await self._until_closed(link, request_id)
             return False
@@ -252,6 +248,10 @@
         if fault == "fail":
             await link.send(500, [*own, (b"x-response-seal", b"f")], b"failed")
             return True
+        if received.what == "run" and received.body == self.fatal_body:
+            await asyncio.sleep(_FATAL_AFTER_S)
+            self.crash()
+            return False
         if fault == "other first":
             others = [(b"x-request-id", b"other"), (b"x-response-seal", b"other")]
             await link.send(200, others, b"not yours", end=False)
--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -16,6 +16,16 @@
       | notify |
       | print  |
 
+  # Guards against a server that fails everything and so seems to prove a request sound.
+  Scenario: A failure that a server answers clears no request
+    Given crashes: four instances and servers that "fatal" ends
+    When crashes: "notify" is asked for "fatal" until two servers have ended
+    And crashes: "notify" is asked for "fatal" once while all servers fail
+    And crashes: "notify" is asked for "fatal" until three servers have ended
+    And crashes: the time passes in which every instance is to know
+    And crashes: "notify" is asked for "fatal" twice at each instance
+    Then crashes: at most four servers have ended
+
   # Guards against the same in completions: what ends each engine that runs it is sent to
   # four engines an attempt, for as many attempts as its caller makes.
   Scenario: A completion that has ended three engines is kept from the others
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -16,9 +16,23 @@
     context.run(context.world.begin())
 
 
-@behave.when('crashes: "{route}" is asked for "{body}" until three servers have ended')
-def until_three(context, route, body):
-    context.run(context.world.ask_until_ended(route, body.encode(), 3))
+@behave.when(
+    'crashes: "{route}" is asked for "{body}" until {count} servers have ended'
+)
+def until_ended(context, route, body, count):
+    number = {"two": 2, "three": 3}[count]
+    context.run(context.world.ask_until_ended(route, body.encode(), number))
+
+
+@behave.when('crashes: "{route}" is asked for "{body}" once while all servers fail')
+def while_all_fail(context, route, body):
+    reply = context.run(context.world.ask_failing(route, body.encode()))
+    assert reply.status == 500, reply.status
+
+
+@behave.then("crashes: at most four servers have ended")
+def at_most_four(context):
+    assert 3 <= len(context.world.ended) <= 4, len(context.world.ended)
 
 
 @behave.when("crashes: the time passes in which every instance is to know")
--- a/tests/support/crash_world.py
+++ b/tests/support/crash_world.py
@@ -81,6 +81,15 @@
             await self.attempt(place, body, next(self._names))
         raise AssertionError(f"only {len(self.ended)} servers ended")
 
+    async def ask_failing(self, place, body):
+        """Ask once while every server answers a failure of its own."""
+        for server in self.servers.values():
+            server.faults.append("fail")
+        reply = await self.attempt(place, body, next(self._names))
+        for server in self.servers.values():
+            server.faults.clear()
+        return reply
+
     async def ask_everywhere(self, place, body, times):
         return [
             await self.attempt(place, body, name)
