Forget old suspects once a second, not with every beacon

Cause, found by reading the change once more: merging what a peer tells went over all remembered requests to drop expired ones, although the review does so each second.

Now a merge looks only at the requests it has just heard of, which is what keeps expired ones from being told to and fro. Two walks over a server's pairs are one.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -146,11 +146,7 @@
         self, server: servers.Incarnation, before: datetime.timedelta
     ) -> bool:
         """Tell whether a server seems to have ended before a moment."""
-        return any(
-            not crash.cleared and crash.at < before
-            for digest in self._by_server.get(server, ())
-            for crash in (self._suspects[digest].crashes[server],)
-        )
+        return any(crash.at < before for crash in self._ends_of(server))
 
     def merge(
         self, told: abc.Iterable[Suspicion], now: datetime.timedelta
@@ -163,8 +159,7 @@
         """
         taken = [self.add(heard, now) for heard in told]
         found = [known for known in taken if known is not None]
-        if found:
-            self.forget_old(now)
+        self._forget_expired({known.digest for known in found}, now)
         return [known for known in found if known.digest in self._suspects]
 
     def crashes(self, digest: digests.RequestDigest) -> int:
@@ -205,13 +200,7 @@
             since: When the exchange began; ends that were seen later stand, since an
                 answer may have been on its way already.
         """
-        suspected = [
-            self._suspects[digest].crashes[server]
-            for digest in self._by_server.get(server, ())
-        ]
-        return self._clear(
-            crash for crash in suspected if crash.at < since and not crash.cleared
-        )
+        return self._clear(crash for crash in self._ends_of(server) if crash.at < since)
 
     def serious(self) -> list[list[Suspicion]]:
         """Return the pairs of each request that is in or close to quarantine."""
@@ -231,10 +220,26 @@
 
     def forget_old(self, now: datetime.timedelta) -> None:
         """Drop what has expired."""
-        for digest, suspect in list(self._suspects.items()):
+        self._forget_expired(list(self._suspects), now)
+
+    def _forget_expired(
+        self, among: abc.Iterable[digests.RequestDigest], now: datetime.timedelta
+    ) -> None:
+        for digest in among:
+            suspect = self._suspects.get(digest)
+            if suspect is None:
+                continue
             if now - suspect.last() > self._lifetime(len(suspect.ended())):
                 self._drop(digest)
 
+    def _ends_of(self, server: servers.Incarnation) -> list[Suspicion]:
+        """Return the pairs of a server that are not cleared."""
+        pairs = (
+            self._suspects[digest].crashes[server]
+            for digest in self._by_server.get(server, ())
+        )
+        return [pair for pair in pairs if not pair.cleared]
+
     def _is_one_of_many(
         self, digest: digests.RequestDigest, ended: abc.Sequence[Suspicion]
     ) -> bool:
