Let one suspect beside another put both in doubt

Cause: a request that shares all three servers of the one that ends them has as many crashes and the same servers.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -12,8 +12,8 @@
 counting a crash twice. A pair is cleared, for good, when that incarnation answers an
 exchange that began later, or when the request runs to its end anywhere: with success,
 since a failure may be answered before it begins, and not for a prompt that was only
-prefilled. A request with three pairs left is in quarantine, unless many others beside
-it have as many.
+prefilled. A request with three pairs left is in quarantine, unless another one beside
+it has as many.
 
 Until then a suspect uses only a part of the servers, drawn by its digest and the number
 of its crashes. Two suspects of one crash seldom draw the same part twice, so the ones
@@ -43,9 +43,9 @@
 # News of servers' ends reach a fleet of hundreds within two seconds and most of it in
 # half of that. Until then a request that seems guilty is held off, not judged.
 _SETTLING = datetime.timedelta(milliseconds=1500)
-# So many other requests with as many crashes on the same servers put it in doubt that
-# one of them is the cause, for so many further crashes at the most.
-_MANY = 2
+# Another request with as many crashes on the same servers puts it in doubt which of
+# them is the cause, for so many further crashes at the most: run apart, the one that is
+# innocent runs to its end.
 _MOST_DOUBTED = 2
 # Share of the servers that a suspect may use.
 _OWN_SHARE = 0.25
@@ -181,7 +181,7 @@
         names = tuple(crash.server for crash in ended)
         if passed < _SETTLING:
             return Verdict(names, _SETTLING - passed, settled=False)
-        if passed >= self.policy.quarantine or self._is_one_of_many(digest, ended):
+        if passed >= self.policy.quarantine or self._is_in_doubt(digest, ended):
             return None
         return Verdict(names, self.policy.quarantine - passed, settled=True)
 
@@ -240,10 +240,10 @@
         )
         return [pair for pair in pairs if not pair.cleared]
 
-    def _is_one_of_many(
+    def _is_in_doubt(
         self, digest: digests.RequestDigest, ended: abc.Sequence[Suspicion]
     ) -> bool:
-        """Tell whether the servers seem to have ended by something else.
+        """Tell whether the servers may have ended by something else.
 
         When a failure domain goes down bit by bit, many requests lose one server after
         the other, and each would look guilty. They run to their end as soon as they
@@ -252,8 +252,7 @@
         if len(ended) >= self.policy.crashes + _MOST_DOUBTED:
             return False
         beside = set().union(*(self._by_server[crash.server] for crash in ended))
-        alike = sum(self.crashes(other) >= len(ended) for other in beside - {digest})
-        return alike >= _MANY
+        return any(self.crashes(other) >= len(ended) for other in beside - {digest})
 
     def _lifetime(self, crashes: int) -> datetime.timedelta:
         if crashes >= self.policy.crashes:
--- a/tests/features/crash_replay.feature
+++ b/tests/features/crash_replay.feature
@@ -31,3 +31,4 @@
       | 8         | 3       | 6       | 90   | 2    |
       | 8         | 3       | 6       | 90   | 3    |
       | 8         | 3       | 6       | 90   | 4    |
+      | 8         | 3       | 6       | 90   | 6    |
