Keep completions that have ended engines from the others

Now each instance remembers completions by digest with the decision that routes use. Its engines have no incarnations, so their ends are numbered: what callers notice of one engine within a second is one end. Only a lost connection counts, a malformed answer doesn't.

Left: instances of this face learn each by itself, so a caller that goes through several ends three engines at each.

--- a/src/pimentolatch/backend/engine.py
+++ b/src/pimentolatch/backend/engine.py
@@ -101,7 +101,7 @@
             yield outcomes.NotRun(repr(error), reached=False)
             return
         except connections.ANSWER_FAILURES as error:
-            yield outcomes.Broken(repr(error))
+            yield outcomes.Broken(repr(error), connection_lost=True)
             return
         if response.status_code != 200:
             yield await _refused(response)
@@ -155,7 +155,7 @@
                     yield end
                     return
     except connections.ANSWER_FAILURES as error:
-        yield outcomes.Broken(repr(error))
+        yield outcomes.Broken(repr(error), connection_lost=True)
         return
     yield outcomes.Broken("no terminal marker")
 
--- a/src/pimentolatch/backend/outcomes.py
+++ b/src/pimentolatch/backend/outcomes.py
@@ -44,9 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """The answer ended before its end; the request may have run."""
+    """The answer ended before its end; the request may have run.
+
+    Attributes:
+        connection_lost: The connection ended, as when the server's process does.
+    """
 
     reason: str
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, results, settings
 from pimentolatch.decisions import engine_loads, places, prompt_sizes, waiting
 from pimentolatch.gateway import (
     cache_updates,
@@ -176,7 +176,7 @@
         progress.reason = "servers ended while they ran this request"
         await conclude(answer, progress)
     else:
-        await answer.refuse(refusals.quarantined(left))
+        await answer.refuse(results.quarantined(left))
 
 
 async def conclude(answer: inbound.Answer, progress: Progress) -> None:
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -112,7 +112,7 @@
             return
         self._budget.arrived(asked.service.name, arrived)
         if (verdict := self._suspects.verdict(asked)) is not None:
-            await answer.refuse(refusals.quarantined(verdict.left))
+            await answer.refuse(results.quarantined(verdict.left))
             self._log_answer(asked, answer)
             return
         await self._answer(asked, answer, receive)
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -14,7 +14,6 @@
     "not_run_in_time",
     "outcome_unknown",
     "overloaded",
-    "quarantined",
 ]
 
 _NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
@@ -60,16 +59,6 @@
     )
 
 
-def quarantined(left: datetime.timedelta) -> results.Refusal:
-    """Refuse what has ended servers, for as long as it is kept from them."""
-    return results.Refusal(
-        results.ResultCode.QUARANTINED,
-        "servers ended while they ran this request",
-        results.Execution.NOT_RUN,
-        left,
-    )
-
-
 def not_run_in_time(retry_after: datetime.timedelta | None = None) -> results.Refusal:
     """Tell that the time limit passed before the request ran."""
     return results.Refusal(
--- a/src/pimentolatch/requests/stream.py
+++ b/src/pimentolatch/requests/stream.py
@@ -13,7 +13,7 @@
 from pimentolatch.backend import engine as engine_client
 from pimentolatch.backend import outcomes
 from pimentolatch.document import schema
-from pimentolatch.requests import handover, identity
+from pimentolatch.requests import digests, handover, identity, suspect_completions
 
 __all__ = [
     "Completion",
@@ -74,6 +74,18 @@
     deadline: datetime.timedelta
     priority: int = 0
 
+    @property
+    def digest(self) -> digests.RequestDigest:
+        """Names the completion, whichever attempt this is."""
+        return digests.request_digest(
+            b"",
+            caller=self.caller,
+            method=str(self.max_tokens),
+            host=self.model,
+            target=b"",
+            body=self.prompt.encode(),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delta:
@@ -153,6 +165,7 @@
         self._clock = time
         self._limits = limits or SilenceLimits()
         self._chance = chance or random.Random(0)
+        self._suspects = suspect_completions.SuspectCompletions(time)
         self._handover = handover.Handover(moves or handover.NoHandover())
 
     async def run(
@@ -169,9 +182,16 @@
         failed: set[str] = set()
         reason = "no engine is free"
         pauses = backoff.Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._chance)
+        digest = completion.digest
         for attempt_number in range(_ATTEMPTS):
             if self._time_left(completion) <= 0:
                 break
+            if (verdict := self._suspects.verdict(digest)) is not None:
+                if not maybe_ran:
+                    yield results.quarantined(verdict.left)
+                    return
+                reason = "engines ended while they ran this completion"
+                break
             engine = self._choice.choose(completion, failed)
             if engine is None:
                 break
@@ -183,11 +203,14 @@
                         delivered += event.tokens
                         yield Delta(event.text)
                     elif isinstance(event, outcomes.Finished):
+                        self._suspects.completed(digest)
                         yield Ended(event.length, attempt_number)
                         return
                     else:
                         reason = event.reason
                         maybe_ran |= isinstance(event, outcomes.Broken)
+                        if isinstance(event, outcomes.Broken) and event.connection_lost:
+                            self._suspects.engine_ended(digest, engine.name)
             failed.add(engine.name)
             _log.warn(
                 "dispatch failed",
--- a/src/pimentolatch/results.py
+++ b/src/pimentolatch/results.py
@@ -9,7 +9,14 @@
 import datetime
 import enum
 
-__all__ = ["RESULT_HEADER", "Execution", "Refusal", "ResultCode", "invalid"]
+__all__ = [
+    "RESULT_HEADER",
+    "Execution",
+    "Refusal",
+    "ResultCode",
+    "invalid",
+    "quarantined",
+]
 
 # Tells a refusal of the instance from an answer of the service.
 RESULT_HEADER = "x-result-code"
@@ -123,3 +130,13 @@
 def invalid(message: str) -> Refusal:
     """Return the refusal of a request that is wrong in itself."""
     return Refusal(ResultCode.INVALID_REQUEST, message, Execution.NOT_RUN)
+
+
+def quarantined(left: datetime.timedelta) -> Refusal:
+    """Refuse what has ended servers, for as long as it is kept from them."""
+    return Refusal(
+        ResultCode.QUARANTINED,
+        "servers ended while they ran this request",
+        Execution.NOT_RUN,
+        left,
+    )
