Serve requests by their customers' keys

Cause: the configuration's customers were not read. Keys went on to servers, every request ran whoever sent it, and a route's rank held for every customer.

Now the adapter decodes customers and keys, a decision without a network says whose a request is, whether it may run and with which rank, and 401 is answered before the body is read. A key that was taken away starts no further sending of a request that was let in, neither the first after a queue nor a resumed stream. An instance that has lost the store asks a client with an unknown key to come back: it may have been added since. The digest of requests that end servers goes by customer. A wrong entry leaves the last configuration in force and names the customer in the log.

Ruled out: 401 while the store is away (clients never come back after it); letting a stream that broke go on after its key went.

The store's stand-in no longer prints tracebacks of watches that its end cancels.

--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -11,6 +11,7 @@
     inbound,
     knowledge,
     measuring,
+    permission,
     quarantine,
     refusals,
     request_log,
@@ -26,7 +27,7 @@
     "Writing",
     "address_of",
     "conclude",
-    "conclude_quarantined",
+    "conclude_refused",
     "first_event_limit",
     "leaves_at",
 ]
@@ -46,6 +47,7 @@
     doubts: doubting.EngineDoubts
     updates: cache_updates.CacheUpdates
     suspects: quarantine.Quarantine
+    permission: permission.Permission
     log: request_log.RequestLog
     measured: measuring.RouteMetrics
     clock: clock.Clock
@@ -161,22 +163,22 @@
         self.unread = self.in_place
 
 
-async def conclude_quarantined(
-    answer: inbound.Answer, progress: Progress, left: datetime.timedelta
+async def conclude_refused(
+    answer: inbound.Answer, progress: Progress, refusal: results.Refusal
 ) -> None:
-    """Write the final answer of a request that is kept from servers.
+    """Write the final answer of a request that may go to no further server.
 
     Args:
         answer: Where to write.
         progress: What has become of the request so far.
-        left: How much longer it is kept from them.
+        refusal: Why it may not, in words that hold if it has not run.
     """
     if answer.started or progress.ran:
         progress.answered = None
-        progress.reason = "servers ended while they ran this request"
+        progress.reason = refusal.message
         await conclude(answer, progress)
     else:
-        await answer.refuse(results.quarantined(left))
+        await answer.refuse(refusal)
 
 
 async def conclude(answer: inbound.Answer, progress: Progress) -> None:
--- a/src/pimentolatch/gateway/face.py
+++ b/src/pimentolatch/gateway/face.py
@@ -8,12 +8,12 @@
 import logbook
 
 from pimentolatch import clock, results
-from pimentolatch.decisions import repeat_budget
+from pimentolatch.decisions import access, repeat_budget
 from pimentolatch.entry import gate, guard
 from pimentolatch.gateway import (
     inbound,
     knowledge,
-    quarantine,
+    permission,
     refusals,
     request_log,
 )
@@ -48,7 +48,7 @@
         known: What this instance knows.
         forwarders: For plain requests and for those that carry a prompt.
         budget: Counts requests, which bound how many may be sent twice.
-        suspects: Tells which requests are kept from servers.
+        allowed: Tells which requests may go to servers.
         door: Counts requests in flight for a graceful stop.
         log: Log of what became of requests.
         digest_key: Key of the digests of requests; the same in all instances.
@@ -60,14 +60,14 @@
         forwarders: tuple[Forwarder, Forwarder],
         budget: repeat_budget.RepeatBudget,
         door: gate.Gate,
-        suspects: quarantine.Quarantine,
+        allowed: permission.Permission,
         log: request_log.RequestLog,
         digest_key: bytes,
         time: clock.Clock,
     ) -> None:
         self._known = known
         self._digest_key = digest_key
-        self._suspects = suspects
+        self._permission = allowed
         self._request_log = log
         self._plain, self._prompts = forwarders
         self._budget = budget
@@ -111,8 +111,8 @@
         if asked is None:
             return
         self._budget.arrived(asked.service.name, arrived)
-        if (verdict := self._suspects.verdict(asked)) is not None:
-            await answer.refuse(results.quarantined(verdict.left))
+        if (refusal := self._permission.refusal(asked)) is not None:
+            await answer.refuse(refusal)
             self._log_answer(asked, answer)
             return
         await self._answer(asked, answer, receive)
@@ -134,6 +134,11 @@
         route = configuration.select(head.host, path)
         if route is None:
             return refusals.no_route(head.host, path)
+        allowed = access.decide(
+            configuration, route, head.keys, current=not self._known.store_lost
+        )
+        if isinstance(allowed, access.Denial):
+            return _denied(allowed)
         service = configuration.services.get(route.service_of(head.request_id))
         if service is None:
             return refusals.no_server(route.name)
@@ -146,7 +151,7 @@
         method = scope["method"]
         digest = digests.request_digest(
             self._digest_key,
-            caller=head.caller,
+            caller=_caller(head, allowed),
             method=method,
             host=head.host,
             target=target,
@@ -155,7 +160,7 @@
         return inbound.Inbound(
             method=method,
             target=target,
-            fields=scope["headers"],
+            fields=_passed_on(scope["headers"], configuration),
             body=body,
             head=head,
             route=route,
@@ -163,6 +168,7 @@
             arrived=arrived,
             until=until,
             digest=digest,
+            access=allowed,
         )
 
     async def _body(
@@ -241,6 +247,34 @@
         return ""
 
 
+def _denied(denial: access.Denial) -> results.Refusal:
+    if denial is access.Denial.OUT_OF_DATE:
+        return refusals.key_not_heard_of()
+    return refusals.unknown_key()
+
+
+def _caller(head: heads.ClientHead, allowed: access.Access) -> str:
+    """Return by what requests of the same caller are known.
+
+    A customer stays the same whichever of its keys it uses.
+    """
+    if allowed.customer is not None:
+        return allowed.customer.name
+    return b"".join(head.keys).decode("latin-1")
+
+
+def _passed_on(
+    fields: inbound.Fields, configuration: table.Configuration
+) -> inbound.Fields:
+    """Return the client's fields that concern servers.
+
+    Where customers have keys, no server ever needs one.
+    """
+    if configuration.customers is None:
+        return fields
+    return heads.without_keys(fields)
+
+
 async def _until_gone(receive: Receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -18,6 +18,7 @@
     inbound,
     knowledge,
     measuring,
+    permission,
     placing,
     quarantine,
     reading,
@@ -53,12 +54,13 @@
         own_domain: str,
         updates: cache_updates.CacheUpdates,
         suspects: quarantine.Quarantine,
+        allowed: permission.Permission,
         log: request_log.RequestLog,
         measured: measuring.RouteMetrics,
     ) -> None:
         doubts = doubting.EngineDoubts(client, log, time)
         self._context = attempt.Context(
-            known, client, doubts, updates, suspects, log, measured, time
+            known, client, doubts, updates, suspects, allowed, log, measured, time
         )
         self._reader = reading.PromptReader(self._context)
         self._writer = writing.StreamWriter(self._context)
@@ -125,7 +127,7 @@
         if isinstance(place, places.Hopeless):
             progress.wait = place.retry_after
             return await self._give_up(answer, progress)
-        if await self._quarantined(asked, answer, progress):
+        if await self._refused(asked, answer, progress):
             return True
         if not self._may_send(asked, progress):
             return await self._give_up(answer, progress)
@@ -163,7 +165,7 @@
             writer = self._placer.choose_writer(asked, source, progress)
             while writer is None and await self._placer.wait(asked, progress):
                 writer = self._placer.choose_writer(asked, source, progress)
-            if await self._quarantined(asked, answer, progress):
+            if await self._refused(asked, answer, progress):
                 return True
             if writer is None:
                 progress.wait = waiting.retry_after(placing.lot(asked))
@@ -187,14 +189,14 @@
             return True
         return self._budget.spend(asked.service.name, self._context.clock.monotonic())
 
-    async def _quarantined(
+    async def _refused(
         self, asked: inbound.Inbound, answer: inbound.Answer, progress: attempt.Progress
     ) -> bool:
-        """End a request that has come into quarantine meanwhile."""
-        verdict = self._context.suspects.verdict(asked)
-        if verdict is None:
+        """End a request that may go to no further server since it was let in."""
+        refusal = self._context.permission.refusal(asked)
+        if refusal is None:
             return False
-        await attempt.conclude_quarantined(answer, progress, verdict.left)
+        await attempt.conclude_refused(answer, progress, refusal)
         return True
 
     async def _give_up(
--- a/src/pimentolatch/gateway/inbound.py
+++ b/src/pimentolatch/gateway/inbound.py
@@ -7,12 +7,13 @@
 from collections import abc
 
 from pimentolatch import results
+from pimentolatch.decisions import access
 from pimentolatch.entry import guard
 from pimentolatch.platform import heads
 from pimentolatch.requests import digests
 from pimentolatch.routes import table
 
-__all__ = ["PASSED_ON", "Answer", "Inbound"]
+__all__ = ["PASSED_ON", "Answer", "Fields", "Inbound"]
 
 Scope = typing.MutableMapping[str, typing.Any]
 Send = typing.Callable[[typing.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
@@ -27,11 +28,12 @@
 
     Attributes:
         target: Path and query, byte for byte.
-        fields: The header, byte for byte.
+        fields: The header, byte for byte, but for the customer's key.
         arrived: When its header was read.
         until: When its final answer is due: the client's deadline or the route's
             timeout, whichever comes first.
         digest: Names the request whichever attempt this is.
+        access: Whose request it is, and how urgent.
     """
 
     method: str
@@ -44,6 +46,18 @@
     arrived: datetime.timedelta
     until: datetime.timedelta
     digest: digests.RequestDigest
+    access: access.Access
+
+    @property
+    def rank(self) -> int:
+        """How urgent it is, 0 first."""
+        return self.access.rank
+
+    @property
+    def customer_name(self) -> str | None:
+        """Whose request it is; None if it bears no key."""
+        customer = self.access.customer
+        return None if customer is None else customer.name
 
     @property
     def request_id(self) -> str:
--- a/src/pimentolatch/gateway/placing.py
+++ b/src/pimentolatch/gateway/placing.py
@@ -78,7 +78,7 @@
             return False
         self._waiting += 1
         try:
-            pause = waiting.look_again(asked.route.rank, lot(asked))
+            pause = waiting.look_again(asked.rank, lot(asked))
             await self._context.clock.sleep(pause)
         finally:
             self._waiting -= 1
@@ -99,7 +99,7 @@
         place = chooser.choose(
             places.Asked(
                 asked.head.prompt,
-                asked.route.rank,
+                asked.rank,
                 progress.size is not prompt_sizes.SizeClass.REST,
                 due=asked.arrived + asked.route.latency_target - now,
                 patience=attempt.leaves_at(asked, progress) - now,
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -8,6 +8,7 @@
 from pimentolatch.gateway import (
     inbound,
     knowledge,
+    permission,
     quarantine,
     refusals,
     request_log,
@@ -44,6 +45,7 @@
         choice: server_choice.ServerChoice,
         budget: repeat_budget.RepeatBudget,
         suspects: quarantine.Quarantine,
+        allowed: permission.Permission,
         log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
@@ -53,6 +55,7 @@
         self._choice = choice
         self._budget = budget
         self._suspects = suspects
+        self._permission = allowed
         self._clock = time
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
@@ -65,8 +68,11 @@
             now = self._clock.monotonic()
             if now >= asked.until - sending.RETURN_TIME:
                 break
-            if ran and self._suspects.verdict(asked) is not None:
-                break
+            if (refusal := self._permission.refusal(asked)) is not None:
+                if ran:
+                    break
+                await answer.refuse(refusal)
+                return
             if arrivals and not self._budget.spend(service, now):
                 break
             listed = self._known.servers.of_service(service)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -23,6 +23,7 @@
     measuring,
     peer_table,
     peers,
+    permission,
     plain,
     protocol,
     quarantine,
@@ -73,6 +74,7 @@
         self._measured = measuring.RouteMetrics()
         self._request_log = request_log.RequestLog(time, self._measured)
         self._quarantine = quarantine.Quarantine(chosen.quarantine.policy, time)
+        self._permission = permission.Permission(self._known, self._quarantine)
         self._prompts = generation.StreamForwarder(
             self._known,
             self._client,
@@ -81,6 +83,7 @@
             chosen.failure_domain,
             self._updates,
             self._quarantine,
+            self._permission,
             self._request_log,
             self._measured,
         )
@@ -183,6 +186,7 @@
             self._choice,
             self._budget,
             self._quarantine,
+            self._permission,
             self._request_log,
             self._clock,
         )
@@ -191,7 +195,7 @@
             (plain_requests, self._prompts),
             self._budget,
             self._gate,
-            self._quarantine,
+            self._permission,
             self._request_log,
             self._settings.digest_key.encode(),
             self._clock,
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -7,6 +7,7 @@
 __all__ = [
     "body_too_large",
     "body_too_slow",
+    "key_not_heard_of",
     "deadline_passed",
     "no_configuration",
     "no_route",
@@ -14,6 +15,7 @@
     "not_run_in_time",
     "outcome_unknown",
     "overloaded",
+    "unknown_key",
 ]
 
 _NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
@@ -39,6 +41,25 @@
     )
 
 
+def unknown_key() -> results.Refusal:
+    """Refuse a request that bears no customer's key."""
+    return results.Refusal(
+        results.ResultCode.UNKNOWN_CALLER,
+        "the request bears no key of a customer",
+        results.Execution.NOT_RUN,
+    )
+
+
+def key_not_heard_of() -> results.Refusal:
+    """Refuse a key that may have been added since the store was last heard."""
+    return results.Refusal(
+        results.ResultCode.NO_CONFIGURATION,
+        "this instance may not know the newest keys",
+        results.Execution.NOT_RUN,
+        _NO_CONFIGURATION_RETRY,
+    )
+
+
 def no_server(service: str) -> results.Refusal:
     """Refuse for want of a server that takes requests."""
     return results.Refusal(
--- a/src/pimentolatch/gateway/sending.py
+++ b/src/pimentolatch/gateway/sending.py
@@ -170,7 +170,8 @@
         except channel.ConnectError as error:
             return NotSent(str(error), error.silent)
         try:
-            fields = heads.request_fields(asked.fields, delivery)
+            whose = dataclasses.replace(delivery, customer=asked.customer_name)
+            fields = heads.request_fields(asked.fields, whose)
             link.send(asked.method, asked.target, fields, asked.body)
             return await self._opened(server, asked, link)
         except channel.BrokenError as error:
--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from pimentolatch.routes import table
+from pimentolatch.routes import customers, table
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "UNREADABLE", "decode"]
 
@@ -29,6 +29,7 @@
         [_route(fields) for fields in spec["routes"]],
         {service.name: service for service in services},
         _limits(spec["limits"]),
+        _customers(spec.get("tenants")),
     )
 
 
@@ -48,6 +49,7 @@
         # name the parts of a prompt.
         carries_prompt=bool(fields.get("sticky", False)),
         resumable=bool(fields.get("resumable", False)),
+        public=bool(fields.get("public", False)),
     )
 
 
@@ -76,6 +78,29 @@
     )
 
 
+def _customers(
+    listed: abc.Iterable[_Fields] | None,
+) -> customers.Customers | None:
+    # The platform calls customers tenants. A configuration without the list asks for
+    # no keys; one with an empty list lets nobody in.
+    if listed is None:
+        return None
+    return customers.Customers(_keyed_customer(fields) for fields in listed)
+
+
+def _keyed_customer(fields: _Fields) -> customers.KeyedCustomer:
+    name, keys, rank = fields["name"], fields["api_keys"], fields.get("priority")
+    if not isinstance(name, str):
+        raise ValueError("a customer's name is no text")
+    # The errors name the customer and never the key: they are logged.
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise ValueError(f"the keys of customer {name!r} are no list of texts")
+    if rank is not None and (not isinstance(rank, int) or rank < 0):
+        raise ValueError(f"the priority of customer {name!r} is no number from 0 on")
+    encoded = tuple(key.encode() for key in keys)
+    return customers.KeyedCustomer(customers.Customer(name, rank), encoded)
+
+
 def _limits(fields: _Fields) -> table.ClientLimits:
     return table.ClientLimits(
         head_bytes=int(fields["max_header_bytes"]),
--- a/src/pimentolatch/platform/heads.py
+++ b/src/pimentolatch/platform/heads.py
@@ -15,6 +15,7 @@
     "read_answer",
     "read_client",
     "request_fields",
+    "without_keys",
 ]
 
 # Environment variable with the path of a process's settings file.
@@ -31,6 +32,7 @@
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT = b"last-event-id"
 _EXPECTED_SERVER = b"x-expect-instance"
+_CUSTOMER = b"x-tenant"
 _URGENCY = b"x-request-urgency"
 _STAGE = b"x-stage"
 _CACHE_SOURCE = b"x-kv-source"
@@ -40,7 +42,7 @@
 _READ_ONLY = b"prefill"
 
 # Only we set these: a client that sends one would claim memory, another request's
-# prompt or another place in the queue for itself.
+# prompt, another place in the queue or another customer's name for itself.
 _OURS = frozenset(
     {
         _DEADLINE,
@@ -49,6 +51,7 @@
         _STAGE,
         _CACHE_SOURCE,
         _CACHE_FETCH,
+        _CUSTOMER,
         b"x-expect-version",
         b"x-pin-ms",
         b"x-kv-hold",
@@ -81,14 +84,14 @@
     """What the header of a client's request says.
 
     Attributes:
-        caller: Key by which the caller is known; empty if the request bears none.
+        keys: Every key that the header holds, an empty one included.
         time_left: How long the client will wait from now on; None if it does not say.
         last_event: Number of the last event that the client holds; 0 for none.
         prompt: What is to be read and written, for model requests.
     """
 
     host: str
-    caller: str
+    keys: tuple[bytes, ...] = dataclasses.field(repr=False)
     request_id: str
     time_left: datetime.timedelta | None
     last_event: int
@@ -107,6 +110,7 @@
         source: Server and handle of a prompt that was read there.
         last_event: Go on after this event; None leaves the client's own field.
         donor: Server that keeps parts of the prompt, to be fetched from there.
+        customer: Whose request it is.
     """
 
     server_id: str
@@ -116,6 +120,7 @@
     source: tuple[settings.Address, str] | None = None
     last_event: int | None = None
     donor: settings.Address | None = None
+    customer: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,7 +152,7 @@
     time_left = found.get(_DEADLINE)
     return ClientHead(
         host=found.get(b"host", b"").decode("latin-1"),
-        caller=found.get(_CALLER_KEY, b"").decode("latin-1"),
+        keys=tuple(v.strip() for name, v in fields if name.lower() == _CALLER_KEY),
         request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
         time_left=None if time_left is None else _milliseconds(time_left),
         last_event=int(found.get(_LAST_EVENT, b"0") or b"0"),
@@ -183,6 +188,11 @@
     return tuple(parts)
 
 
+def without_keys(fields: Fields) -> Fields:
+    """Return a header without what proves whose request it is."""
+    return [(name, value) for name, value in fields if name.lower() != _CALLER_KEY]
+
+
 def request_fields(fields: Fields, delivery: Delivery) -> list[tuple[bytes, bytes]]:
     """Return the header that a server receives, without its body's length."""
     dropped = _CONNECTION_FIELDS | _OURS | _named_by_connection(fields)
@@ -192,6 +202,8 @@
     left = max(1, int(delivery.time_left / datetime.timedelta(milliseconds=1)))
     kept.append((_DEADLINE, b"%d" % left))
     kept.append((_EXPECTED_SERVER, delivery.server_id.encode("latin-1")))
+    if delivery.customer is not None:
+        kept.append((_CUSTOMER, delivery.customer.encode()))
     if delivery.urgency is not None:
         kept.append((_URGENCY, b"%d" % delivery.urgency))
     if delivery.only_read:
--- a/src/pimentolatch/routes/table.py
+++ b/src/pimentolatch/routes/table.py
@@ -6,6 +6,8 @@
 import hashlib
 from collections import abc
 
+from pimentolatch.routes import customers as customer_table
+
 __all__ = [
     "ClientLimits",
     "Configuration",
@@ -52,6 +54,7 @@
         most_servers: Servers that one request may be sent to.
         carries_prompt: Whether requests name the parts of a prompt.
         resumable: Whether a broken stream may be continued on another server.
+        public: Whether requests need no key.
     """
 
     name: str
@@ -66,6 +69,7 @@
     most_servers: int
     carries_prompt: bool
     resumable: bool
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -133,6 +137,7 @@
         routes: All routes; host and path prefix together are unique.
         services: All services by name.
         limits: Bounds on clients.
+        customers: Who may send requests; None if requests bear no keys.
     """
 
     def __init__(
@@ -141,11 +146,13 @@
         routes: abc.Iterable[Route],
         services: abc.Mapping[str, Service],
         limits: ClientLimits,
+        customers: customer_table.Customers | None = None,
     ) -> None:
         self._by_place = {(r.host, r.path_prefix): r for r in routes}
         self.version = version
         self.services = services
         self.limits = limits
+        self.customers = customers
 
     @property
     def routes(self) -> abc.Collection[Route]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import json
 import pathlib
 import typing
@@ -151,11 +152,14 @@
         end = asyncio.get_running_loop().time() + wait
         after = max(after, self.table.history_from)
         rows = self.table.changes(kind, after)
-        # In slices, so that a watch whose caller went away ends soon.
-        while not rows and (left := end - asyncio.get_running_loop().time()) > 0:
-            rows = await self.table.wait(kind, after, min(left, _WATCH_SLICE_S))
-            if await request.is_disconnected():
-                break
+        # In slices, so that a watch whose caller went away ends soon. One that is cut
+        # off by the end of the store answers nobody; raised, its cancellation would be
+        # reported as a fault of the store.
+        with contextlib.suppress(asyncio.CancelledError):
+            while not rows and (left := end - asyncio.get_running_loop().time()) > 0:
+                rows = await self.table.wait(kind, after, min(left, _WATCH_SLICE_S))
+                if await request.is_disconnected():
+                    break
         events = [{"object": _shown(r), "deleted": r.value is None} for r in rows]
         return JsonResponse({"events": events, "as_of": self.table.revision})
 
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -57,8 +57,8 @@
     return chosen | fields
 
 
-def configuration(version, routes):
-    """Return a configuration as the operator writes it."""
+def configuration(version, routes, customers=None):
+    """Return a configuration as the operator writes it; no customers, no keys."""
     engine = {
         "slots": 8,
         "kv_tokens": 100_000,
@@ -79,12 +79,13 @@
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15_000,
     }
-    return {
+    spec = {
         "version": version,
         "routes": routes,
         "services": services,
         "limits": limits,
     }
+    return spec if customers is None else spec | {"tenants": customers}
 
 
 ROUTES = [
@@ -149,9 +150,9 @@
     async def stop_store(self):
         await self.store.stop()
 
-    async def configure(self, version, routes=None):
-        spec = configuration(version, ROUTES if routes is None else routes)
-        await self.write("config", "main", spec)
+    async def configure(self, version, routes=None, customers=None):
+        chosen = ROUTES if routes is None else routes
+        await self.write("config", "main", configuration(version, chosen, customers))
 
     async def write(self, kind, name, spec):
         await self.store.write(kind, name, spec)
