--- /dev/null
+++ b/src/pimentolatch/decisions/usage.py
@@ -0,0 +1,194 @@
+"""Counts what customers' requests began to run, window by window, over a fleet.
+
+Load pattern: thousands of requests a second begin at hundreds of instances, of which
+any may end at any moment, while the platform takes one report a window and never a
+second one that differs. Asked one by one when a window has ended, the instances that
+ended since would be missing with all that they began.
+
+So each instance tells its counts of a window again and again while it lasts, as sums
+from its beginning: a lost or repeated message changes nothing, and the larger of two
+sums is the later one. Besides whoever reports, two neighbours hear them, which pass
+them on once the instance is no longer heard. A window is complete when every instance
+that is expected has told its last count of it; what is still missing when the report is
+due is named, and nothing is put in its place.
+"""
+
+import collections
+import dataclasses
+import datetime
+from collections import abc
+
+__all__ = [
+    "KEPT_WINDOWS",
+    "Origin",
+    "Row",
+    "Total",
+    "UsageBook",
+    "window_end",
+    "window_of",
+]
+
+# Windows that are remembered: the running one and those whose report may be due yet.
+KEPT_WINDOWS = 4
+# A request is counted in the window in which it began, which is known when its server
+# has answered. Nearly all that are answered whole are within this time.
+_SETTLED_AFTER = datetime.timedelta(milliseconds=1800)
+# How long after its end a window waits for instances that are not heard. Reports are
+# due five seconds after the next window's end; two of them are left to whoever takes
+# over from a reporter that ends.
+_LONGEST_WAIT = datetime.timedelta(seconds=7)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """One life of an instance."""
+
+    instance: str
+    life: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """What one life of an instance has counted in a window, or a part of it.
+
+    Attributes:
+        window: Number of the window.
+        final: Nothing will be added.
+        total: Sum over all customers, those in other parts included.
+        counts: Requests that began, by customer.
+    """
+
+    origin: Origin
+    window: int
+    final: bool
+    total: int
+    counts: tuple[tuple[str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Total:
+    """What is to be reported of a window.
+
+    Attributes:
+        counts: Requests that began, by customer; customers without one are left out.
+        missing: Instances whose last count was not heard.
+    """
+
+    counts: tuple[tuple[str, int], ...]
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    final: bool = False
+    total: int = 0
+    counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def merge(self, row: Row) -> None:
+        self.final = self.final or row.final
+        self.total = max(self.total, row.total)
+        for customer, count in row.counts:
+            self.counts[customer] = max(self.counts[customer], count)
+
+    @property
+    def complete(self) -> bool:
+        return self.final and self.counts.total() >= self.total
+
+
+def window_of(moment: datetime.datetime, length: datetime.timedelta) -> int:
+    """Return the number of the window that a moment is in, counted from 1970."""
+    return int(moment.timestamp() // length.total_seconds())
+
+
+def window_end(window: int, length: datetime.timedelta) -> datetime.datetime:
+    """Return when a window ends."""
+    seconds = (window + 1) * length.total_seconds()
+    return datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+
+
+class UsageBook:
+    """What one instance has counted, and what it has heard of others.
+
+    Args:
+        own: This life of this instance.
+        length: Length of a window.
+    """
+
+    def __init__(self, own: Origin, length: datetime.timedelta) -> None:
+        self._own = own
+        self._length = length
+        self._windows: dict[int, dict[Origin, _Heard]] = {}
+
+    def began(self, customer: str, moment: datetime.datetime) -> bool:
+        """Count a request that began; False if its window has settled already."""
+        own = self._heard(window_of(moment, self._length), self._own)
+        if own.final:
+            return False
+        own.counts[customer] += 1
+        own.total += 1
+        return True
+
+    def own_rows(self, now: datetime.datetime) -> list[Row]:
+        """Return what is to be told of this instance, the newest window first."""
+        newest = window_of(now, self._length)
+        self._forget_before(newest - KEPT_WINDOWS + 1)
+        rows = []
+        for window in (newest, newest - 1, newest - 2):
+            heard = self._heard(window, self._own)
+            settled = window_end(window, self._length) + _SETTLED_AFTER
+            heard.final = heard.final or now >= settled
+            rows.append(_row(self._own, window, heard))
+        return rows
+
+    def take(self, row: Row) -> None:
+        """Take what an instance tells, of itself or of one that is gone."""
+        if row.origin != self._own:
+            self._heard(row.window, row.origin).merge(row)
+
+    def rows_of_ended(self, live: abc.Container[str]) -> list[Row]:
+        """Return what was heard of instances that are no longer."""
+        return [
+            _row(origin, window, heard)
+            for window, found in self._windows.items()
+            for origin, heard in found.items()
+            if origin != self._own and origin.instance not in live
+        ]
+
+    def total(
+        self, window: int, live: abc.Iterable[str], now: datetime.datetime
+    ) -> Total | None:
+        """Return what is to be reported of a window; None while it is not complete.
+
+        Args:
+            window: Its number.
+            live: Other instances that are expected to tell of it.
+            now: The time.
+        """
+        end = window_end(window, self._length)
+        if now < end + _SETTLED_AFTER:
+            return None
+        found = self._windows.get(window, {})
+        before = self._windows.get(window - 1, {})
+        complete = {o.instance for o, heard in found.items() if heard.complete}
+        expected = {origin.instance for origin in (*found, *before)} | set(live)
+        missing = tuple(sorted(expected - complete))
+        if missing and now < end + _LONGEST_WAIT:
+            return None
+        counts: collections.Counter[str] = collections.Counter()
+        for heard in found.values():
+            counts.update(heard.counts)
+        return Total(tuple(sorted((+counts).items())), missing)
+
+    def _heard(self, window: int, origin: Origin) -> _Heard:
+        return self._windows.setdefault(window, {}).setdefault(origin, _Heard())
+
+    def _forget_before(self, window: int) -> None:
+        for number in [n for n in self._windows if n < window]:
+            del self._windows[number]
+
+
+def _row(origin: Origin, window: int, heard: _Heard) -> Row:
+    counts = tuple(sorted(heard.counts.items()))
+    return Row(origin, window, heard.final, heard.total, counts)
--- a/src/pimentolatch/gateway/attempt.py
+++ b/src/pimentolatch/gateway/attempt.py
@@ -16,6 +16,7 @@
     refusals,
     request_log,
     sending,
+    usage_exchange,
 )
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
@@ -48,6 +49,7 @@
     updates: cache_updates.CacheUpdates
     suspects: quarantine.Quarantine
     permission: permission.Permission
+    usage: usage_exchange.UsageCounter
     log: request_log.RequestLog
     measured: measuring.RouteMetrics
     clock: clock.Clock
@@ -126,6 +128,7 @@
             comes.
         wait: When to come back, if no engine took the request.
         counted: The request has been counted as demand.
+        begun: It has been counted as begun for its customer.
     """
 
     size: prompt_sizes.SizeClass
@@ -140,6 +143,7 @@
     reason: str = ""
     wait: datetime.timedelta = _NO_MORE_TRIES_RETRY
     counted: bool = False
+    begun: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/pimentolatch/gateway/generation.py
+++ b/src/pimentolatch/gateway/generation.py
@@ -25,6 +25,7 @@
     refusals,
     request_log,
     sending,
+    usage_exchange,
     writing,
 )
 
@@ -55,12 +56,22 @@
         updates: cache_updates.CacheUpdates,
         suspects: quarantine.Quarantine,
         allowed: permission.Permission,
+        usage: usage_exchange.UsageCounter,
         log: request_log.RequestLog,
         measured: measuring.RouteMetrics,
     ) -> None:
         doubts = doubting.EngineDoubts(client, log, time)
         self._context = attempt.Context(
-            known, client, doubts, updates, suspects, allowed, log, measured, time
+            known,
+            client,
+            doubts,
+            updates,
+            suspects,
+            allowed,
+            usage,
+            log,
+            measured,
+            time,
         )
         self._reader = reading.PromptReader(self._context)
         self._writer = writing.StreamWriter(self._context)
--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -17,6 +17,7 @@
     peer_table,
     peer_work,
     quarantine,
+    tenure,
 )
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.protocol import beacons
@@ -53,6 +54,7 @@
         table: Takes what is heard.
         updates: What engines keep, for peers.
         suspects: Requests under which servers have ended, for peers and from them.
+        held: Who does the duties of one holder, for peers and from them.
         demands: Returns what clients ask through this instance.
         chance: Draws whom to tell in other failure domains.
     """
@@ -67,6 +69,7 @@
         table: peer_table.PeerTable,
         updates: cache_updates.CacheUpdates,
         suspects: quarantine.Quarantine,
+        held: tenure.Tenure,
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         time: clock.Clock,
         chance: random.Random,
@@ -80,6 +83,7 @@
         self._table = table
         self._updates = updates
         self._suspects = suspects
+        self._tenure = held
         self._demands = demands
         self._clock = time
         self._transport: asyncio.DatagramTransport | None = None
@@ -135,6 +139,7 @@
         weight = self._weights.get(beacon.failure_domain, 1.0)
         self._work.take(beacon, weight, self._clock.monotonic())
         self._suspects.take(beacon.suspicions)
+        self._tenure.hear(beacon.holder)
 
     def _choose(self) -> None:
         """Choose whom to tell, and how much each one's word counts."""
@@ -204,6 +209,7 @@
                 for service, demand in self._demands().items()
             ),
             suspicions=suspicions,
+            holder=self._tenure.announcement(),
         )
 
     def _readers(self) -> tuple[beacons.Reader, ...]:
--- a/src/pimentolatch/gateway/plain.py
+++ b/src/pimentolatch/gateway/plain.py
@@ -13,6 +13,7 @@
     refusals,
     request_log,
     sending,
+    usage_exchange,
 )
 from pimentolatch.platform import heads
 from pimentolatch.requests import digests
@@ -46,6 +47,7 @@
         budget: repeat_budget.RepeatBudget,
         suspects: quarantine.Quarantine,
         allowed: permission.Permission,
+        usage: usage_exchange.UsageCounter,
         log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
@@ -56,6 +58,7 @@
         self._budget = budget
         self._suspects = suspects
         self._permission = allowed
+        self._usage = usage
         self._clock = time
 
     async def run(self, asked: inbound.Inbound, answer: inbound.Answer) -> None:
@@ -83,6 +86,7 @@
                 break
             tried.add(server.incarnation)
             may_repeat = asked.route.repeatable and ran + 1 < asked.route.most_servers
+            sent_at = self._clock.now()
             outcome = await self._send(server, asked, may_repeat)
             self._note_end(server, asked, outcome, now)
             # A server's own failure says more than what came after it.
@@ -96,6 +100,8 @@
             if isinstance(outcome, sending.Declined):
                 continue
             ran += 1
+            if ran == 1:
+                self._usage.began(asked.customer_name, sent_at)
             if not may_repeat or _final(outcome):
                 break
         await _conclude(asked, answer, last, ran)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -15,11 +15,11 @@
 from pimentolatch.entry import gate, servers
 from pimentolatch.gateway import (
     cache_updates,
+    duties,
     expired,
     face,
     generation,
     knowledge,
-    lease,
     measuring,
     peer_table,
     peers,
@@ -75,6 +75,16 @@
         self._request_log = request_log.RequestLog(time, self._measured)
         self._quarantine = quarantine.Quarantine(chosen.quarantine.policy, time)
         self._permission = permission.Permission(self._known, self._quarantine)
+        self._life = uuid.uuid4().hex
+        self._peer_table = peer_table.PeerTable(
+            chosen.instance,
+            neighbours.Place(chosen.peers.host, chosen.failure_domain),
+            time,
+            random.Random(),
+        )
+        self._duties = duties.Duties(
+            chosen, self._life, self._peer_table, self._store, time
+        )
         self._prompts = generation.StreamForwarder(
             self._known,
             self._client,
@@ -84,6 +94,7 @@
             self._updates,
             self._quarantine,
             self._permission,
+            self._duties.usage,
             self._request_log,
             self._measured,
         )
@@ -129,27 +140,20 @@
 
     def _link_peers(self) -> None:
         chosen, known, time = self._settings, self._known, self._clock
-        life = uuid.uuid4().hex
         domain = chosen.failure_domain
-        chance = random.Random()
-        self._peer_table = peer_table.PeerTable(
-            chosen.instance,
-            neighbours.Place(chosen.peers.host, domain),
-            time,
-            chance,
-        )
         self._peers = peers.Peers(
             chosen.peers,
             chosen.instance,
             domain,
-            life,
+            self._life,
             known,
             self._peer_table,
             self._updates,
             self._quarantine,
+            self._duties.tenure,
             self._prompts.demands,
             time,
-            chance,
+            random.Random(),
         )
         self._expired = expired.ExpiredServers(known, time)
         self._source = spread.PeerSource(
@@ -168,12 +172,11 @@
             ),
             time,
         )
-        between = datetime.timedelta(milliseconds=chosen.bounds.lease_ms)
         self._stages = stages.StageKeeper(
             chosen.instance,
             known,
             self._peer_table,
-            lease.OrderLease(self._store, f"{chosen.instance}/{life}", between, time),
+            self._duties.tenure,
             self._client,
             self._prompts.demand,
             time,
@@ -187,6 +190,7 @@
             self._budget,
             self._quarantine,
             self._permission,
+            self._duties.usage,
             self._request_log,
             self._clock,
         )
@@ -223,6 +227,7 @@
         """Start the parts; raises `OSError` if an address can't be had."""
         await self._snapshots.start()
         await self._peers.start()
+        await self._duties.start()
         for work in (
             self._store_reading.run,
             self._expired.run,
@@ -231,6 +236,7 @@
             self._stages.run,
             self._share_budget,
             self._quarantine.review,
+            *self._duties.work,
         ):
             kept = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(kept))
@@ -278,6 +284,7 @@
         """Stop without cutting a request that ends within the grace."""
         _log.info("stopping", in_flight=self._gate.in_flight)
         self._gate.announce_stop()
+        self._duties.tenure.announce_stop()
         self._peers.announce_stop()
         await self._clock.sleep(_BALANCER_NOTICE)
         grace = datetime.timedelta(seconds=self._settings.bounds.stop_grace_s)
@@ -306,6 +313,7 @@
             if server is not None:
                 server.abort()
         self._peers.close()
+        self._duties.close()
         self._source.close()
         self._client.close()
         self._store.close()
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "BoundSettings",
+    "ControlSettings",
     "GatewaySettings",
     "PeerSettings",
     "QuarantineSettings",
@@ -38,6 +39,11 @@
         """Where this instance hears its peers, by datagrams and by HTTP."""
         return settings.Address(host=self.host, port=self.ports[0])
 
+    @property
+    def usage_address(self) -> settings.Address:
+        """Where this instance hears what customers' requests began at others."""
+        return settings.Address(host=self.host, port=self.ports[0] + 1)
+
 
 class StoreSettings(checks.CheckedModel):
     """The platform's store.
@@ -68,6 +74,19 @@
     lease_ms: float = pydantic.Field(default=3000.0, gt=0)
 
 
+class ControlSettings(checks.CheckedModel):
+    """The platform's interface for reports and orders of one holder.
+
+    Attributes:
+        duties: What it takes: `usage` reports, orders to `scale` services.
+        usage_window_s: Length of the windows that usage reports cover.
+    """
+
+    address: settings.AddressText
+    duties: tuple[str, ...] = ()
+    usage_window_s: float = pydantic.Field(default=5.0, gt=0)
+
+
 class QuarantineSettings(checks.CheckedModel):
     """When a request is kept from all servers, since it ends those that run it.
 
@@ -100,6 +119,7 @@
         clients: Where requests on routes arrive.
         readiness: Where the balancer asks whether to send requests here.
         metrics: Where metrics are served; nowhere if it is not set.
+        control: Takes reports and orders; nobody does if it is not set.
         digest_key: Key of the digests by which logs and peers name requests; the same
             in all instances of the fleet.
     """
@@ -111,6 +131,7 @@
     metrics: settings.AddressText | None = None
     peers: PeerSettings
     store: StoreSettings
+    control: ControlSettings | None = None
     bounds: BoundSettings = BoundSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
--- a/src/pimentolatch/gateway/stages.py
+++ b/src/pimentolatch/gateway/stages.py
@@ -7,7 +7,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, engine_loads, stage_plan
-from pimentolatch.gateway import knowledge, lease, peer_table, sending
+from pimentolatch.gateway import knowledge, peer_table, sending, tenure
 from pimentolatch.platform import engines
 from pimentolatch.routes import servers, table
 
@@ -23,18 +23,14 @@
 
 
 class StageKeeper:
-    """Plans stages while this instance is first among those that are heard.
-
-    That choice only saves double work; what keeps two instances from ordering at once
-    is the lease.
-    """
+    """Plans stages while this instance does the duties of one holder."""
 
     def __init__(
         self,
         own_name: str,
         known: knowledge.Knowledge,
         table_of_peers: peer_table.PeerTable,
-        order_lease: lease.OrderLease,
+        held: tenure.Tenure,
         client: sending.ServerClient,
         own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
         time: clock.Clock,
@@ -42,7 +38,7 @@
         self._name = own_name
         self._known = known
         self._peers = table_of_peers
-        self._lease = order_lease
+        self._tenure = held
         self._client = client
         self._own_demand = own_demand
         self._clock = time
@@ -53,8 +49,7 @@
         """Look for changes that are worth their price, for ever."""
         while True:
             await self._clock.sleep(_INTERVAL)
-            names = [peer.beacon.instance for peer in self._peers.live()]
-            if any(name < self._name for name in names):
+            if not self._tenure.leads():
                 continue
             for service in list(self._known.all_loads()):
                 await self._look(service)
@@ -86,7 +81,7 @@
         server = self._known.servers.get(change.engine.server_id)
         if server is None or server.incarnation != change.engine:
             return False
-        if not await self._lease.acquire():
+        if not await self._tenure.acquire():
             return False
         async with self._client.conversation(server) as calls:
             ordered = await self._order(calls, server, change)
@@ -136,10 +131,10 @@
         ):
             _log.info("started again, no order", server=server.server_id)
             return False
-        if not self._lease.valid():
+        if not self._tenure.valid():
             return False
         order = engines.StageOrder(
-            change.stage.value, self._name, self._lease.fence, state.orders
+            change.stage.value, self._name, self._tenure.fence, state.orders
         )
         answer = await calls.call(
             "POST",
@@ -152,7 +147,7 @@
             "stage ordered",
             server=server.server_id,
             stage=change.stage.value,
-            fence=self._lease.fence,
+            fence=self._tenure.fence,
             reading_share=round(change.reading_share, 2),
             writing_share=round(change.writing_share, 2),
             reading_rate=round(change.reading_rate, 1),
@@ -164,7 +159,7 @@
             self._unsettled[server.server_id] = self._clock.monotonic() + _UNSETTLED
             return True
         if answer.status == _FENCED_OFF:
-            self._lease.fenced_off()
+            self._tenure.fenced_off()
         return answer.status in _ACCEPTED
 
 
--- /dev/null
+++ b/src/pimentolatch/gateway/tenure.py
@@ -0,0 +1,155 @@
+"""Which instance does what only one may do, and how the others hear of it."""
+
+import datetime
+
+import logbook
+
+from pimentolatch import clock
+from pimentolatch.decisions import succession
+from pimentolatch.gateway import lease, peer_table
+from pimentolatch.protocol import beacons
+
+__all__ = ["Tenure"]
+
+_log = logbook.Logger("tenure")
+_INTERVAL = datetime.timedelta(milliseconds=500)
+# A holder that can't write the lease for this long leaves it to others.
+_LONGEST_LOST = datetime.timedelta(milliseconds=4000)
+# So many times the shortest time between two holders it does not try again, since the
+# others may reach what it does not.
+_ABSTAINS = 3
+
+
+class Tenure:
+    """Holds the lease for as long as this instance does the duties.
+
+    Args:
+        own_name: Name of this instance.
+        own_host: Where it is reached.
+        peers: Tells who else is there.
+        held: The lease.
+        time: Clock of this instance.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        own_host: str,
+        peers: peer_table.PeerTable,
+        held: lease.DutyLease,
+        time: clock.Clock,
+    ) -> None:
+        self._name = own_name
+        self._host = own_host
+        self._peers = peers
+        self._lease = held
+        self._clock = time
+        self._news = succession.HolderNews()
+        self._held_at: datetime.timedelta | None = None
+        self._abstains_until = datetime.timedelta()
+
+    @property
+    def active(self) -> bool:
+        """Whether this instance does the duties."""
+        return self._held_at is not None
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of the tenure."""
+        return self._lease.fence
+
+    @property
+    def host(self) -> str | None:
+        """Where the holder is reached; None if none is known."""
+        if self.active:
+            return self._host
+        return self._news.host(self._clock.monotonic())
+
+    def valid(self) -> bool:
+        """Tell whether a call may go out now."""
+        return self.active and self._lease.valid()
+
+    def leads(self) -> bool:
+        """Tell whether this instance does the duties, or is to try for them."""
+        if self.active:
+            return True
+        now = self._clock.monotonic()
+        if now < self._abstains_until:
+            return False
+        if self._news.host(now) == self._host:
+            # A former life of this instance held the lease, and peers still say so.
+            return True
+        names = [peer.beacon.instance for peer in self._peers.live()]
+        return self._news.is_turn_of(self._name, names, now)
+
+    async def acquire(self) -> bool:
+        """Have the lease for the next calls; False if another may still act."""
+        if not self.leads():
+            return False
+        now = self._clock.monotonic()
+        if await self._lease.acquire(self._news.released_fence):
+            if self._held_at is None:
+                _log.info("tenure begun", fence=self._lease.fence)
+            self._held_at = self._clock.monotonic()
+            return True
+        if self._held_at is not None and now - self._held_at > _LONGEST_LOST:
+            self._release("the lease can't be renewed")
+        return False
+
+    def fenced_off(self) -> None:
+        """Give the tenure up: somebody has acted with a higher fence."""
+        self._end("fenced off")
+
+    def out_of_reach(self) -> None:
+        """Give the tenure up: this instance can't reach whom it has to call."""
+        self._release("the receiver is out of reach")
+
+    def announce_stop(self) -> None:
+        """Give the tenure up: this instance is about to end."""
+        self._release("stopping")
+
+    def hear(self, told: beacons.Holder | None) -> None:
+        """Take what a peer has heard of the holder."""
+        if told is None:
+            return
+        now = self._clock.monotonic()
+        self._news.hear(
+            succession.Claim(told.host, told.fence, told.released),
+            now - datetime.timedelta(milliseconds=told.age_ms),
+        )
+        if self.active and told.fence > self._lease.fence:
+            self._end("another instance has a higher fence")
+
+    def announcement(self) -> beacons.Holder | None:
+        """Return what is known of the holder, for peers; None if nothing fresh."""
+        now = self._clock.monotonic()
+        if self.active:
+            return beacons.Holder(self._host, self._lease.fence, False, 0)
+        claim = self._news.fresh(now)
+        if claim is None:
+            return None
+        # Rounded up: an age that shrank on each way would never grow old.
+        age = (now - self._news.at) // datetime.timedelta(milliseconds=1) + 1
+        return beacons.Holder(claim.host, claim.fence, claim.released, age)
+
+    async def run(self) -> None:
+        """Hold the lease while nobody else does, for ever."""
+        while True:
+            await self._clock.sleep(_INTERVAL)
+            await self.acquire()
+
+    def _release(self, reason: str) -> None:
+        """End the tenure and have peers know that nothing more is sent in it."""
+        if not self.active:
+            return
+        now = self._clock.monotonic()
+        self._abstains_until = now + _ABSTAINS * self._lease.between
+        claim = succession.Claim(self._host, self._lease.fence, released=True)
+        self._news.hear(claim, now)
+        self._end(reason)
+
+    def _end(self, reason: str) -> None:
+        self._lease.give_up()
+        if self.active:
+            _log.info("tenure ended", fence=self._lease.fence, reason=reason)
+        self._held_at = None
--- a/src/pimentolatch/gateway/writing.py
+++ b/src/pimentolatch/gateway/writing.py
@@ -223,9 +223,17 @@
             engine.reading[writing.place.level] -= writing.unread
             writing.unread = 0
             self._context.keep(writing.asked, engine)
+            self._count_begun(writing)
             return
         self._context.loads(writing.asked).paused(engine, since)
 
+    def _count_begun(self, writing: attempt.Writing) -> None:
+        """Count a request for its customer, however many engines go on with it."""
+        if not writing.progress.begun:
+            writing.progress.begun = True
+            name = writing.asked.customer_name
+            self._context.usage.began(name, self._context.clock.now())
+
     def _measure(self, writing: attempt.Writing, now: datetime.timedelta) -> None:
         """Count what the client sees, whichever engines its events come from."""
         progress, measured = writing.progress, self._context.measured
--- /dev/null
+++ b/src/pimentolatch/platform/control_api.py
@@ -0,0 +1,168 @@
+"""Client of the platform's interface for reports and orders of one holder.
+
+The platform calls them duties of the `cloud`.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import typing
+from collections import abc
+
+from pimentolatch import clock, settings
+from pimentolatch.backend import channel
+
+__all__ = [
+    "Accepted",
+    "ControlApi",
+    "FencedOff",
+    "Holder",
+    "NotNow",
+    "Outcome",
+    "ServerOrder",
+    "Unanswered",
+]
+
+_CALL_LIMIT = datetime.timedelta(seconds=1)
+_USAGE = b"/usage"
+_SCALE = b"/scale"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Who calls, and by which tenure."""
+
+    name: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerOrder:
+    """How many servers of a service a failure domain is to have.
+
+    Attributes:
+        spot: Servers that cost less and may be taken back.
+    """
+
+    service: str
+    failure_domain: str
+    count: int
+    spot: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The call was carried out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FencedOff:
+    """Refused: a higher fence was seen, or what is ordered can't be had."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotNow:
+    """Refused, and nothing was done."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """It may have been carried out, or may be yet.
+
+    Attributes:
+        reached: The platform was connected to.
+    """
+
+    reason: str
+    reached: bool
+
+
+Outcome = Accepted | FencedOff | NotNow | Unanswered
+
+
+class ControlApi:
+    """Each call is made once and never repeated by itself.
+
+    Args:
+        address: Address of the interface.
+    """
+
+    def __init__(self, address: settings.Address, time: clock.Clock) -> None:
+        self._address = address
+        self._clock = time
+        self._pool = channel.ChannelPool(_CALL_LIMIT)
+
+    async def report_usage(
+        self, holder: Holder, window: int, counts: abc.Mapping[str, int]
+    ) -> Outcome:
+        """Report what began in a window, by customer."""
+        body = {"window": window, "counts": dict(counts)}
+        return await self._call(_USAGE, holder, body)
+
+    async def order_servers(self, holder: Holder, order: ServerOrder) -> Outcome:
+        """Order a number of servers."""
+        body: dict[str, typing.Any] = {
+            "service": order.service,
+            "zone": order.failure_domain,
+            "desired": order.count,
+        }
+        if order.spot:
+            body["spot"] = True
+        return await self._call(_SCALE, holder, body)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pool.close()
+
+    async def _call(
+        self, target: bytes, holder: Holder, body: dict[str, typing.Any]
+    ) -> Outcome:
+        # A call never goes out on a connection that may have died unseen.
+        try:
+            link = await self._pool.take(
+                "control",
+                self._address,
+                self._clock.monotonic(),
+                longest_idle=datetime.timedelta(0),
+            )
+        except channel.ConnectError as error:
+            return Unanswered(str(error), reached=False)
+        try:
+            async with asyncio.timeout(_CALL_LIMIT.total_seconds()):
+                link.send(
+                    "POST", target, self._fields(holder), json.dumps(body).encode()
+                )
+                start = await link.start()
+                content = await link.read_whole()
+        except (channel.BrokenError, TimeoutError) as error:
+            link.close()
+            return Unanswered(repr(error), reached=True)
+        except BaseException:
+            link.close()
+            raise
+        self._pool.give_back("control", link, self._clock.monotonic())
+        return _outcome(start.status, content)
+
+    def _fields(self, holder: Holder) -> list[tuple[bytes, bytes]]:
+        return [
+            (b"host", f"{self._address.host}:{self._address.port}".encode()),
+            (b"content-type", b"application/json"),
+            (b"x-duty-holder", holder.name.encode()),
+            (b"x-fence-token", b"%d" % holder.fence),
+        ]
+
+
+def _outcome(status: int, content: bytes) -> Outcome:
+    reason = f"status {status}: {content[:200].decode('utf-8', 'replace')}"
+    if 200 <= status < 300:
+        return Accepted()
+    if status == 409:
+        return FencedOff(reason)
+    if status in (429, 503):
+        return NotNow(reason)
+    return Unanswered(reason, reached=True)
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -19,6 +19,7 @@
     "CachedPart",
     "Changing",
     "Demand",
+    "Holder",
     "Load",
     "Malformed",
     "Member",
@@ -29,8 +30,8 @@
     "encode",
 ]
 
-_VERSION = 8
-_FIELDS = 17
+_VERSION = 9
+_FIELDS = 18
 # No count of ours comes near; above it sums of counts would no longer be exact.
 _MOST_COUNT = 2**53
 _UNREADABLE = (
@@ -143,6 +144,22 @@
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """The instance that does the duties of one holder, or did so last.
+
+    Attributes:
+        fence: Fencing token of its tenure; a higher one is a later holder.
+        released: It sends nothing more in that tenure.
+        age_ms: How long ago it said so at the most.
+    """
+
+    host: str
+    fence: int
+    released: bool
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Beacon:
     """What one instance tells its peers several times a second.
@@ -162,6 +179,7 @@
         cached: Parts that engines keep, as far as the sender has just learned.
         changing: Engines that are changing their stage, as the sender has heard.
         suspicions: Requests under which servers have ended.
+        holder: Who does the duties of one holder, as the sender has heard.
     """
 
     instance: str
@@ -179,6 +197,7 @@
     changing: tuple[Changing, ...] = ()
     piece: Piece = Piece()
     suspicions: tuple[Suspicion, ...] = ()
+    holder: Holder | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +241,7 @@
         changing,
         [beacon.piece.number, beacon.piece.count],
         suspicions,
+        _holder_row(beacon.holder),
     ]
     return cbor2.dumps(rows)
 
@@ -294,11 +314,24 @@
                 )
                 for row in rows[16]
             ),
+            _holder(rows[17]),
         )
     except _UNREADABLE as error:
         return Malformed(repr(error))
 
 
+def _holder_row(holder: Holder | None) -> list[typing.Any] | None:
+    if holder is None:
+        return None
+    return [holder.host, holder.fence, holder.released, holder.age_ms]
+
+
+def _holder(row: typing.Any) -> Holder | None:
+    if row is None:
+        return None
+    return Holder(_text(row[0]), _count(row[1]), bool(row[2]), _count(row[3]))
+
+
 def _piece(row: typing.Any) -> Piece:
     piece = Piece(*_counts(row))
     if not piece.number < piece.count:
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -23,6 +23,7 @@
     quarantine,
     sending,
     stages,
+    tenure,
 )
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.platform import configuration
@@ -102,6 +103,7 @@
         table,
         cache_updates.CacheUpdates(),
         quarantine.Quarantine(crash_suspects.Policy(), time),
+        tenure.Tenure("one", "127.0.0.1", table, None, time),
         dict,
         time,
         chance,
@@ -208,7 +210,7 @@
     context.known.configure(configuration.decode(spec), spec)
     store = memory_store.MemoryStore(objects.ObjectTable(), time=time, link="one")
     minute = datetime.timedelta(minutes=1)
-    context.lease = lease.OrderLease(store, "one", minute, time)
+    context.lease = lease.DutyLease(store, "one", "life", minute, time)
 
 
 def new_keeper(context):
@@ -216,9 +218,8 @@
     place = neighbours.Place("127.0.0.1", "here")
     table = peer_table.PeerTable("one", place, time, random.Random(1))
     client = sending.ServerClient(time)
-    return stages.StageKeeper(
-        "one", context.known, table, context.lease, client, None, time
-    )
+    held = tenure.Tenure("one", "127.0.0.1", table, context.lease, time)
+    return stages.StageKeeper("one", context.known, table, held, client, None, time)
 
 
 @behave.given('incarnations: "{name}" starts again once it has given its report')
--- a/tests/features/steps/routes_orders_steps.py
+++ b/tests/features/steps/routes_orders_steps.py
@@ -25,7 +25,7 @@
     count: int
 
 
-class HastyLease(lease.OrderLease):
+class HastyLease(lease.DutyLease):
     """A lease that is taken over without watching it for long enough."""
 
     def _quiet(self, version):
@@ -45,7 +45,7 @@
             link = memory_store.MemoryStore(
                 table, time=self.clock, link=name, faults=self.faults
             )
-            self.leases[name] = kind(link, name, LEASE, self.clock)
+            self.leases[name] = kind(link, name, "life", LEASE, self.clock)
         self.life = self.count = 0
         self.sent = []
         self.late = []
@@ -132,7 +132,7 @@
 
 @behave.when("orders: {count:d} schedules are played")
 def played(context, count):
-    play(context, count, lease.OrderLease)
+    play(context, count, lease.DutyLease)
 
 
 @behave.when("orders: {count:d} schedules are played without the wait")
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -23,7 +23,9 @@
         link = memory_store.MemoryStore(
             table, time=context.clock, link=name, faults=context.faults
         )
-        context.leases[name] = lease.OrderLease(link, name, BETWEEN, context.clock)
+        context.leases[name] = lease.DutyLease(
+            link, name, "life", BETWEEN, context.clock
+        )
 
 
 @behave.given("lease: the answer to the next write is lost")
--- /dev/null
+++ b/tests/features/steps/usage_steps.py
@@ -0,0 +1,357 @@
+import asyncio
+import collections
+import datetime
+
+import behave
+import cbor2
+import logbook
+
+from pimentolatch.decisions import succession, usage
+from pimentolatch.protocol import usage_rows
+from standins import control_api
+from tests.features.steps import customers_steps, routes_serving_steps
+from tests.support import route_world, served_store, usage_world
+
+WINDOW = usage_world.WINDOW
+SECOND = datetime.timedelta(seconds=1)
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+NUMBER = usage.window_of(START, WINDOW)
+END = usage.window_end(NUMBER, WINDOW)
+SETTLED = END + 2 * SECOND
+GIVEN_UP = END + 8 * SECOND
+# Windows over sockets: long enough for a window to settle in the next but one.
+SHORT_S = 2.0
+
+
+def play(context, seeds, **chosen):
+    with logbook.NullHandler().applicationbound():
+        context.worlds = [usage_world.play(seed, **chosen) for seed in seeds]
+
+
+@behave.when("usage: {count:d} schedules are played")
+def played(context, count):
+    play(context, range(count))
+
+
+@behave.when(
+    "usage: {count:d} schedules are played in which nothing is fixed before it is sent"
+)
+def played_unfixed(context, count):
+    play(context, range(count), kind=usage_world.Unfixed)
+
+
+@behave.when("usage: a schedule without faults is played")
+def played_calmly(context):
+    play(context, [1], faulty=False)
+
+
+def doubled(world):
+    return [window for window, found in world.contents().items() if len(found) > 1]
+
+
+@behave.then("usage: no window has two contents")
+def one_content(context):
+    for seed, world in enumerate(context.worlds):
+        assert not doubled(world), (seed, doubled(world))
+
+
+@behave.then("usage: some window has two contents")
+def two_contents(context):
+    assert any(doubled(world) for world in context.worlds)
+
+
+@behave.then("usage: no fence is shared and none is followed by a lower one")
+def fences(context):
+    for seed, world in enumerate(context.worlds):
+        assert all(len(found) == 1 for found in world.holders_by_fence().values()), seed
+        sent = [call.fence for call in world.receiver.sent]
+        assert sent == sorted(sent), (seed, sent)
+
+
+@behave.then(
+    "usage: no holder calls, is followed by another and calls again within a lease"
+)
+def no_turns(context):
+    for seed, world in enumerate(context.worlds):
+        assert world.turns() >= usage_world.BETWEEN, (seed, world.turns())
+
+
+@behave.then("usage: most of what was due was reported")
+def mostly_reported(context):
+    due = reported = 0
+    for world in context.worlds:
+        contents = world.contents()
+        due += len(world.truth)
+        reported += sum(window in contents for window in world.truth)
+    assert reported > 0.7 * due, (reported, due)
+
+
+@behave.then("usage: every window has the true counts")
+def true_counts(context):
+    (world,) = context.worlds
+    contents = world.contents()
+    assert len(world.truth) > 10
+    for window, truth in world.truth.items():
+        assert [dict(counts) for counts in contents[window]] == [dict(truth)], window
+
+
+def book(name="one"):
+    return usage.UsageBook(usage.Origin(name, f"{name}-life"), WINDOW)
+
+
+@behave.given("usage: an instance that began {count:d} requests of as many customers")
+def many_customers(context, count):
+    context.book = book("two")
+    for number in range(count):
+        assert context.book.began(f"customer-{number}", START)
+
+
+@behave.when("usage: its rows come twice, the older ones last")
+def rows_twice(context):
+    context.holder = book()
+    older = context.book.own_rows(START)
+    final = context.book.own_rows(SETTLED)
+    for row in [*final, *final, *older]:
+        for datagram in usage_rows.encode(row):
+            context.holder.take(usage_rows.decode(datagram))
+    context.holder.own_rows(SETTLED)
+
+
+@behave.then("usage: the window's total is complete with {count:d} requests")
+def complete(context, count):
+    total = context.holder.total(NUMBER, ["two"], SETTLED)
+    assert total.missing == ()
+    assert sum(found for _, found in total.counts) == count
+
+
+@behave.when("usage: one part of its rows is lost")
+def part_lost(context):
+    context.holder = book()
+    for row in context.book.own_rows(SETTLED):
+        datagrams = usage_rows.encode(row)
+        if row.window == NUMBER:
+            assert len(datagrams) > 1
+            datagrams = datagrams[1:]
+        for datagram in datagrams:
+            context.holder.take(usage_rows.decode(datagram))
+    context.holder.own_rows(SETTLED)
+
+
+@behave.then("usage: the window is not complete before its longest wait")
+def not_complete(context):
+    assert context.holder.total(NUMBER, ["two"], SETTLED) is None
+
+
+@behave.then("usage: after that the instance is named as missing")
+def named_missing(context):
+    total = context.holder.total(NUMBER, ["two"], GIVEN_UP)
+    assert total.missing == ("two",)
+    assert 0 < sum(found for _, found in total.counts) < 120
+
+
+@behave.given(
+    "usage: an instance that told a neighbour of {count:d} requests and ended"
+)
+def told_neighbour(context, count):
+    ended = book("three")
+    for _ in range(count):
+        ended.began("north", START)
+    context.neighbour = book("two")
+    for row in ended.own_rows(START):
+        context.neighbour.take(row)
+
+
+@behave.when("usage: the neighbour tells the holder")
+def neighbour_tells(context):
+    context.holder = book()
+    assert context.neighbour.rows_of_ended({"one", "three"}) == []
+    for row in context.neighbour.rows_of_ended({"one"}):
+        context.holder.take(row)
+
+
+@behave.then("usage: the holder's total has the {count:d} requests")
+def has_requests(context, count):
+    total = context.holder.total(NUMBER, [], GIVEN_UP)
+    assert total.counts == (("north", count),)
+    # It has not told its last count, which nobody makes up.
+    assert "three" in total.missing
+
+
+@behave.when("usage: a request of a settled window becomes known")
+def known_late(context):
+    context.book = book()
+    context.book.own_rows(SETTLED)
+    assert not context.book.began("north", START)
+
+
+@behave.then("usage: it is in no window's rows")
+def in_no_row(context):
+    rows = context.book.own_rows(SETTLED)
+    assert len(rows) == 3 and not any(row.counts or row.total for row in rows)
+
+
+@behave.then("usage: each of these is malformed")
+def malformed(context):
+    whole = [1, "one", "life", 7, False, 2, [["north", 2]]]
+    datagrams = {
+        "nothing": b"",
+        "another type": cbor2.dumps({"a": 1}),
+        "a later version": cbor2.dumps([2, *whole[1:]]),
+        "a negative count": cbor2.dumps([*whole[:6], [["north", -2]]]),
+        "a count that is a text": cbor2.dumps([*whole[:6], [["north", "2"]]]),
+    }
+    assert isinstance(usage_rows.decode(cbor2.dumps(whole)), usage.Row)
+    for row in context.table:
+        found = usage_rows.decode(datagrams[row["datagram"]])
+        assert isinstance(found, usage_rows.Malformed) and found.reason, row
+
+
+def news(released=False):
+    heard = succession.HolderNews()
+    heard.hear(succession.Claim("h", 4, released), 100 * SECOND)
+    return heard
+
+
+@behave.then("usage: while a holder is heard nobody tries")
+def nobody_tries(context):
+    assert not news().is_turn_of("a", [], 102 * SECOND)
+
+
+@behave.then("usage: when it is silent the first tries and a second later the next one")
+def first_tries(context):
+    silent = news()
+    moments = [103.2, 104.2, 105.2]
+    turns = [
+        [silent.is_turn_of(own, others, moment * SECOND) for moment in moments]
+        for own, others in (("a", "bc"), ("b", "ac"), ("c", "ab"))
+    ]
+    assert turns == [[True] * 3, [False, True, True], [False, False, True]], turns
+
+
+@behave.then("usage: when it says that it is through the first tries at once")
+def through(context):
+    released = news(released=True)
+    assert released.released_fence == 4
+    assert released.is_turn_of("a", "bc", 100.1 * SECOND)
+    assert not released.is_turn_of("b", "ac", 100.1 * SECOND)
+
+
+@behave.then("usage: an older claim does not undo that")
+def not_undone(context):
+    released = news(released=True)
+    released.hear(succession.Claim("h", 4, released=False), 101 * SECOND)
+    assert released.host(101 * SECOND) is None
+    released.hear(succession.Claim("g", 5, released=False), 101 * SECOND)
+    assert released.host(101 * SECOND) == "g"
+
+
+@behave.given('usage: a receiver, customers "north" and "south" and an instance')
+def receiver(context):
+    customers_steps.store(context)
+    world = context.world
+    context.receiver = control_api.ControlApi()
+    port = route_world.free_port()
+    served = served_store.ServedStore(
+        context.receiver, route_world.HOST, port, control_api.build
+    )
+    context.run(served.start())
+    world.also_served.append(served)
+    world.control = {
+        "address": f"{route_world.HOST}:{port}",
+        "duties": ["usage"],
+        "usage_window_s": SHORT_S,
+    }
+    routes_serving_steps.add_instance(context)
+    routes_serving_steps.add_plain(context, "a1")
+
+
+def make(context, name, count):
+    key = None if name is None else customers_steps.KEYS[name][0]
+    for number in range(count):
+        asked = customers_steps.ask(context, "notify", key, f"{name}-{number}")
+        context.run(asked)
+
+
+@behave.when(
+    'usage: "north" makes {north:d} requests, "south" {south:d},'
+    " somebody without a key {none:d} and one is public"
+)
+def make_all(context, north, south, none):
+    make(context, "north", north)
+    make(context, "south", south)
+    make(context, None, none)
+    context.run(customers_steps.ask(context, "open", None))
+
+
+@behave.when('usage: "{name}" makes {count:d} requests')
+def make_some(context, name, count):
+    make(context, name, count)
+
+
+def reports(context):
+    """Return the reports that count anything."""
+    return [c for c in context.receiver.received if c.body["counts"]]
+
+
+@behave.then(
+    'usage: the receiver gets one report that counts {north:d} of "north" and'
+    ' {south:d} of "south"'
+)
+def one_report(context, north, south):
+    def counted():
+        found = collections.Counter()
+        for call in reports(context):
+            found.update(call.body["counts"])
+        return found
+
+    wanted = {"north": north, "south": south}
+    context.run(context.world.until(lambda: counted() == wanted))
+    windows = [call.body["window"] for call in context.receiver.received]
+    assert len(windows) == len(set(windows)), windows
+
+
+@behave.then("usage: each call names the holder and its fence")
+def names_holder(context):
+    for call in context.receiver.received:
+        assert (call.holder, call.fence) == ("one", 1), call
+
+
+@behave.given('usage: the next call at the receiver ends by "{fault}"')
+def next_ends_by(context, fault):
+    context.receiver.received.clear()
+    context.receiver.faults.append(fault)
+    context.run(context.world.until(lambda: context.receiver.received))
+
+
+@behave.then("usage: that window is reported again with the same content")
+def again_as_it_was(context):
+    first = context.receiver.received[0]
+
+    def again():
+        found = [c for c in context.receiver.received if c.body == first.body]
+        return len(found) > 1 and found[-1].done
+
+    context.run(context.world.until(again))
+    same = [
+        call.body
+        for call in context.receiver.received
+        if call.body["window"] == first.body["window"]
+    ]
+    assert all(body == first.body for body in same), same
+
+
+@behave.when("usage: another holder has called with a higher fence")
+def other_holder(context):
+    context.run(context.world.until(lambda: context.receiver.received))
+    context.receiver.fences["/usage", "/"] = 10
+    context.before = len(context.receiver.received)
+
+
+@behave.then("usage: that fence is used once more at most")
+def fence_once_more(context):
+    context.run(
+        context.world.until(lambda: len(context.receiver.received) > context.before)
+    )
+    context.run(asyncio.sleep(3 * SHORT_S))
+    with_old = [c for c in context.receiver.received[context.before :] if c.fence == 1]
+    assert len(with_old) <= 1, with_old
--- /dev/null
+++ b/tests/features/usage.feature
@@ -0,0 +1,85 @@
+Feature: What customers' requests began is reported once a window
+
+  # Guards against two contents of one window, two holders with one fence, and holders
+  # that call by turns: while they are frozen, cut off and killed, and the store and the
+  # receiver lose answers and carry calls out late.
+  Scenario: In drawn schedules no window is reported in two ways
+    When usage: 60 schedules are played
+    Then usage: no window has two contents
+    And usage: no fence is shared and none is followed by a lower one
+    And usage: no holder calls, is followed by another and calls again within a lease
+    And usage: most of what was due was reported
+
+  Scenario: Without fixing what is sent, some window is reported in two ways
+    When usage: 20 schedules are played in which nothing is fixed before it is sent
+    Then usage: some window has two contents
+
+  Scenario: With nothing failing every window is right
+    When usage: a schedule without faults is played
+    Then usage: every window has the true counts
+
+  # Guards against sums that grow or shrink with repeated, late or missing messages.
+  Scenario: Rows that come twice, late and in parts are counted once
+    Given usage: an instance that began 120 requests of as many customers
+    When usage: its rows come twice, the older ones last
+    Then usage: the window's total is complete with 120 requests
+
+  Scenario: A row whose parts are not all there is not complete
+    Given usage: an instance that began 120 requests of as many customers
+    When usage: one part of its rows is lost
+    Then usage: the window is not complete before its longest wait
+    And usage: after that the instance is named as missing
+
+  # Guards against the loss of what an instance began before it ended.
+  Scenario: A neighbour passes on the counts of an instance that has ended
+    Given usage: an instance that told a neighbour of 7 requests and ended
+    When usage: the neighbour tells the holder
+    Then usage: the holder's total has the 7 requests
+
+  # Guards against counts of one window that turn up in another.
+  Scenario: A request that is known too late for its window is in none
+    When usage: a request of a settled window becomes known
+    Then usage: it is in no window's rows
+
+  Scenario: What is no row is dropped with the reason
+    Then usage: each of these is malformed
+      | datagram      |
+      | nothing       |
+      | another type  |
+      | a later version |
+      | a negative count |
+      | a count that is a text |
+
+  # Guards against a fleet that asks the store at once, or that waits for the one instance
+  # which can't have the lease.
+  Scenario: Instances try for the lease one after the other
+    Then usage: while a holder is heard nobody tries
+    And usage: when it is silent the first tries and a second later the next one
+    And usage: when it says that it is through the first tries at once
+    And usage: an older claim does not undo that
+
+  # Guards against reports of requests that did not run, or that belong to nobody.
+  Scenario: A window's report has what began, by customer
+    Given usage: a receiver, customers "north" and "south" and an instance
+    When usage: "north" makes 3 requests, "south" 1, somebody without a key 1 and one is public
+    Then usage: the receiver gets one report that counts 3 of "north" and 1 of "south"
+    And usage: each call names the holder and its fence
+
+  # Guards against another content after an answer that was lost.
+  Scenario Outline: A report that is not accepted goes out again as it was
+    Given usage: a receiver, customers "north" and "south" and an instance
+    And usage: the next call at the receiver ends by "<fault>"
+    When usage: "north" makes 3 requests
+    Then usage: that window is reported again with the same content
+
+    Examples:
+      | fault  |
+      | busy   |
+      | silent |
+
+  # Guards against a holder that goes on after another one has begun.
+  Scenario: A holder that is fenced off sends nothing more with its fence
+    Given usage: a receiver, customers "north" and "south" and an instance
+    When usage: another holder has called with a higher fence
+    And usage: "north" makes 3 requests
+    Then usage: that fence is used once more at most
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -136,6 +136,8 @@
 
     def __init__(self):
         self.platform = platform.Platform()
+        self.control = None
+        self.also_served = []
         self.servers = {}
         self.instances = {}
         self.ports = {}
@@ -182,6 +184,7 @@
                     "seeds": list(seeds),
                 },
                 "store": {"address": f"{HOST}:{self.store_port}"},
+                "control": self.control,
                 "bounds": {"repeat_slack": 100},
             }
         )
@@ -258,6 +261,8 @@
             await instance.abort()
         for server in self.servers.values():
             await server.stop()
+        for served in self.also_served:
+            await served.stop()
         await self.stop_store()
 
 
--- a/tests/support/served_store.py
+++ b/tests/support/served_store.py
@@ -1,4 +1,4 @@
-"""The store's stand-in, served in this process so that it can stop and start again."""
+"""A stand-in that is served in this process so that it can stop and start again."""
 
 import asyncio
 import contextlib
@@ -17,10 +17,12 @@
     Args:
         held: What it holds.
         host, port: Where it is served.
+        build: Returns the application that serves it.
     """
 
-    def __init__(self, held, host, port):
+    def __init__(self, held, host, port, build=platform.build):
         self._held = held
+        self._build = build
         self._host = host
         self._port = port
         self._server = None
@@ -34,7 +36,7 @@
     async def start(self):
         """Serve the store."""
         chosen = uvicorn.Config(
-            platform.build(self._held),
+            self._build(self._held),
             host=self._host,
             port=self._port,
             log_config=None,
--- /dev/null
+++ b/tests/support/usage_world.py
@@ -0,0 +1,321 @@
+"""Instances that count and report usage, without a network, in drawn schedules."""
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import random
+import types
+
+from pimentolatch import clock
+from pimentolatch.decisions import usage
+from pimentolatch.gateway import lease, tenure, usage_reports
+from pimentolatch.platform import control_api
+from standins import memory_store, objects
+
+WINDOW = datetime.timedelta(seconds=5)
+BETWEEN = datetime.timedelta(seconds=3)
+STEP = datetime.timedelta(milliseconds=500)
+NAMES = ("one", "two", "three")
+CUSTOMERS = ("north", "south", "east")
+LATE_S = (2.0, 9.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A report as the receiver carried it out."""
+
+    at: datetime.timedelta
+    host: str
+    fence: int
+    window: int
+    counts: tuple
+
+
+class Receiver:
+    """Takes reports; drawn ones are lost, refused, or carried out late."""
+
+    def __init__(self, world, faulty):
+        self._world = world
+        self._faulty = faulty
+        self.highest = 0
+        self.accepted = []
+        self.sent = []
+        self.late = []
+        self.silent = False
+
+    def of(self, host):
+        """Return the receiver as one instance reaches it."""
+
+        async def report(holder, window, counts):
+            return await self._report(host, holder, window, counts)
+
+        return types.SimpleNamespace(report_usage=report)
+
+    async def _report(self, host, holder, window, counts):
+        now = self._world.time.monotonic()
+        call = Call(now, host, holder.fence, window, tuple(sorted(counts.items())))
+        if host in self._world.cut_off:
+            return control_api.Unanswered("no connection", reached=False)
+        self.sent.append(call)
+        chance = self._world.chance
+        fate = chance.random() if self._faulty else 1.0
+        if self.silent or fate < 0.1:
+            return control_api.Unanswered("nothing done", reached=True)
+        if fate < 0.2:
+            self.late.append(
+                (now + datetime.timedelta(seconds=chance.uniform(*LATE_S)), call)
+            )
+            return control_api.Unanswered("carried out late", reached=True)
+        if fate < 0.3:
+            return control_api.NotNow("too many calls")
+        outcome = self._carry_out(call)
+        if fate < 0.4:
+            return control_api.Unanswered("carried out", reached=True)
+        return outcome
+
+    def carry_out_late(self):
+        now = self._world.time.monotonic()
+        due = [call for at, call in self.late if at <= now]
+        self.late = [(at, call) for at, call in self.late if at > now]
+        for call in due:
+            self._carry_out(call)
+
+    def _carry_out(self, call):
+        if call.fence < self.highest:
+            return control_api.FencedOff("a higher fence was seen")
+        self.highest = call.fence
+        self.accepted.append(call)
+        return control_api.Accepted()
+
+
+class Unfixed(usage_reports.UsageReporter):
+    """Sends what it has counted, without having it fixed in the store."""
+
+    async def _read_record(self):
+        if not await self._tenure.acquire():
+            return False
+        self._record = self._record or usage_reports._Record(0, {})
+        return True
+
+    async def _fix(self, window, counts):
+        self._record.windows[window] = counts
+        return True
+
+
+class Instance:
+    """One life of an instance."""
+
+    def __init__(self, world, name, kind):
+        self.world = world
+        self.name = name
+        self.host = f"host-{name}"
+        self.life = f"{name}-{next(world.lives)}"
+        origin = usage.Origin(name, self.life)
+        self.book = usage.UsageBook(origin, WINDOW)
+        link = memory_store.MemoryStore(
+            world.table, time=world.time, link=name, faults=world.faults
+        )
+        held = lease.DutyLease(link, name, self.life, BETWEEN, world.time)
+        self.peers = types.SimpleNamespace(live=self.live)
+        self.tenure = tenure.Tenure(name, self.host, self.peers, held, world.time)
+        self.reporter = kind(
+            name,
+            WINDOW,
+            self.book,
+            self.peers,
+            self.tenure,
+            link,
+            world.receiver.of(self.host),
+            world.time,
+        )
+
+    def live(self):
+        """Return the peers that it hears."""
+        return [
+            types.SimpleNamespace(
+                host=other.host, beacon=types.SimpleNamespace(instance=other.name)
+            )
+            for other in self.world.running()
+            if other is not self and self.world.hear_each_other(self, other)
+        ]
+
+
+class UsageWorld:
+    """Three instances, the store and the receiver of reports.
+
+    Args:
+        seed: Draws all.
+        faulty: Whether anything fails.
+        kind: What reports.
+    """
+
+    def __init__(self, seed, faulty=True, kind=usage_reports.UsageReporter):
+        self.chance = random.Random(seed)
+        self.time = clock.ManualClock()
+        self.faults = memory_store.StoreFaults()
+        self.table = objects.ObjectTable()
+        self.lives = iter(range(1_000_000))
+        self.receiver = Receiver(self, faulty)
+        self.cut_off = set()
+        self.frozen = {}
+        self._faulty = faulty
+        self._kind = kind
+        self.truth = collections.defaultdict(collections.Counter)
+        self.instances = {name: Instance(self, name, kind) for name in NAMES}
+
+    def running(self):
+        """Return the instances that are neither frozen nor gone."""
+        now = self.time.monotonic()
+        return [
+            instance
+            for instance in self.instances.values()
+            if self.frozen.get(instance.host, datetime.timedelta()) <= now
+        ]
+
+    def hear_each_other(self, one, two):
+        return (one.host in self.cut_off) == (two.host in self.cut_off)
+
+    async def play(self, seconds):
+        """Play some seconds, then five windows without faults."""
+        for number in range(round(seconds / STEP.total_seconds())):
+            if self._faulty and self.chance.random() < 0.15:
+                self._fault()
+            await self._step(number)
+        self._heal()
+
+    async def settle(self):
+        """Play on without faults until everything that is due was sent."""
+        for number in range(60):
+            await self._step(number, begin=False)
+
+    async def _step(self, number, begin=True):
+        self.time.advance(STEP)
+        self.receiver.carry_out_late()
+        running = self.running()
+        for instance in running:
+            if begin:
+                self._begin_requests(instance)
+        if number % 2 == 0:
+            self._tell(running)
+        for instance in running:
+            self._announce(instance, running)
+        for instance in running:
+            await self._act(instance)
+
+    async def _act(self, instance):
+        await instance.tenure.acquire()
+        if self._faulty and self.chance.random() < 0.03:
+            # Between two steps of a report: it goes on with what it knew.
+            self.frozen[instance.host] = self.time.monotonic() + datetime.timedelta(
+                seconds=self.chance.uniform(1, 9)
+            )
+            return
+        if instance.tenure.active:
+            await instance.reporter.look()
+
+    def _begin_requests(self, instance):
+        now = self.time.now()
+        for customer in CUSTOMERS:
+            for _ in range(self.chance.randrange(4)):
+                if instance.book.began(customer, now):
+                    self.truth[usage.window_of(now, WINDOW)][customer] += 1
+
+    def _tell(self, running):
+        for instance in running:
+            others = [
+                other
+                for other in running
+                if other is not instance and self.hear_each_other(instance, other)
+            ]
+            live = {other.name for other in others}
+            rows = [
+                *instance.book.own_rows(self.time.now()),
+                *instance.book.rows_of_ended(live),
+            ]
+            for other in others:
+                for row in rows:
+                    if not self._faulty or self.chance.random() < 0.9:
+                        other.book.take(row)
+
+    def _announce(self, instance, running):
+        for other in running:
+            if other is not instance and self.hear_each_other(instance, other):
+                other.tenure.hear(instance.tenure.announcement())
+
+    def _fault(self):
+        name = self.chance.choice(NAMES)
+        instance = self.instances[name]
+        what = self.chance.choice(
+            ("lose", "late", "store cut", "store out", "kill", "cut off", "silent")
+            + 3 * ("heal",)
+        )
+        if what == "lose":
+            self.faults.lost_replies = 1
+        elif what == "late":
+            self.faults.late_writes = 1
+        elif what == "store cut":
+            self.faults.cut.add(name)
+        elif what == "store out":
+            self.faults.outage = True
+        elif what == "kill":
+            self.instances[name] = Instance(self, name, self._kind)
+        elif what == "cut off":
+            self.cut_off.add(instance.host)
+            self.faults.cut.add(name)
+        elif what == "silent":
+            self.receiver.silent = True
+        else:
+            self._heal()
+
+    def _heal(self):
+        self.faults.end()
+        self.cut_off.clear()
+        self.receiver.silent = False
+
+    def contents(self):
+        """Return the contents that were accepted of each window."""
+        found = collections.defaultdict(set)
+        for call in self.receiver.accepted:
+            found[call.window].add(call.counts)
+        return found
+
+    def holders_by_fence(self):
+        """Return which hosts have sent each fence."""
+        found = collections.defaultdict(set)
+        for call in self.receiver.sent:
+            found[call.fence].add(call.host)
+        return found
+
+    def closest(self):
+        """Return the shortest time between calls of two holders."""
+        pairs = zip(self.receiver.sent, self.receiver.sent[1:], strict=False)
+        gaps = [b.at - a.at for a, b in pairs if a.host != b.host]
+        return min(gaps, default=datetime.timedelta.max)
+
+    def turns(self):
+        """Return the shortest time in which a holder, another and it again called."""
+        runs = []
+        for call in self.receiver.sent:
+            if not runs or runs[-1][0] != call.host:
+                runs.append((call.host, call.at, call.at))
+            else:
+                runs[-1] = (call.host, runs[-1][1], call.at)
+        spans = [
+            c[1] - a[2]
+            for a, _, c in zip(runs, runs[1:], runs[2:], strict=False)
+            if a[0] == c[0]
+        ]
+        return min(spans, default=datetime.timedelta.max)
+
+
+def play(seed, faulty=True, kind=usage_reports.UsageReporter, seconds=60):
+    """Play one world to its end."""
+    world = UsageWorld(seed, faulty, kind)
+
+    async def whole():
+        await world.play(seconds)
+        await world.settle()
+
+    asyncio.run(whole())
+    return world
