Order servers that may be taken back, a failure domain to spare

Now the holder takes what stood at first for the need, written to the store once so that a later holder does not count spare ones, and orders as many cheap servers as suffice when any one domain has lost all of its own. Dear ones are given back as cheap ones serve, and stand in for those that can't be had.

An order for more that is refused is now repeated under a renewed lease only.

--- /dev/null
+++ b/src/pimentolatch/decisions/server_plan.py
@@ -0,0 +1,220 @@
+"""Plans how many servers of a service stand in each failure domain, and of which kind.
+
+Load pattern: a service is paid by the second, while its load swings within seconds and
+the mix of prompts and answers turns over, faster than a server boots. Servers that the
+platform may take back cost a fraction of the others, and all of them in a failure
+domain go at once, seconds after a notice.
+
+Ordering by the load of the moment comes too late for a swing and costs prefix caches
+each time. So the plan is about what a failure takes: as many servers that may be taken
+back as suffice when any one failure domain has lost all of its own, spread evenly. The
+difference in price pays for the domain to spare several times over. What is missing
+nevertheless, since they are not to be had, is ordered of the dear kind and given back
+once the cheap ones stand.
+
+The dear ones that stand at first are given back only as far as cheap ones serve in
+their place.
+"""
+
+import dataclasses
+import datetime
+import math
+from collections import abc
+
+__all__ = ["Order", "Policy", "Scaling", "ServerPlanner", "Sizing", "Standing"]
+
+# How long nothing more is ordered where nothing was to be had. It is longer than a
+# lease holds without being renewed: the refusal of a holder that has been followed by
+# another one looks the same, and such a holder must not repeat itself.
+_REFUSED_PAUSE = datetime.timedelta(seconds=3)
+# Servers that stand at a start have all registered when no more come for so long.
+_SETTLED_AFTER = datetime.timedelta(seconds=2)
+# An order is sent again so long after its servers should stand, if they do not: it may
+# have got lost, or what was taken back can be had again.
+_REPEAT = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaling:
+    """What the operator says of a service whose servers are ordered.
+
+    Attributes:
+        least: Servers of both kinds together in each failure domain, at least.
+        most: The same, at most.
+        boot: Time until an ordered server serves.
+        spot_price: Price of a server that may be taken back, as a share of the other
+            kind's.
+        prices: Price of a server by failure domain.
+    """
+
+    least: int
+    most: int
+    boot: datetime.timedelta
+    spot_price: float
+    prices: abc.Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Servers that serve in a failure domain, by kind."""
+
+    firm: int
+    spot: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """The number of servers of one kind that a failure domain is to have."""
+
+    failure_domain: str
+    spot: bool
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How an operator wants servers to be ordered.
+
+    Attributes:
+        servers: Servers that suffice; None takes those that stood at first for enough.
+        spot: Whether servers may be ordered that can be taken back.
+        spare_domains: Failure domains whose loss the cheap ones must cover.
+    """
+
+    servers: int | None = None
+    spot: bool = True
+    spare_domains: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    count: int
+    at: datetime.timedelta
+
+
+class Sizing:
+    """Learns how many servers stood before any were ordered.
+
+    Servers register one by one, so the most that stood while the number still grew is
+    taken.
+    """
+
+    def __init__(self) -> None:
+        self._most = 0
+        self._grown_at = datetime.timedelta()
+
+    def note(self, total: int, now: datetime.timedelta) -> int | None:
+        """Take how many stand; returns the size once it has settled."""
+        if total > self._most:
+            self._most = total
+            self._grown_at = now
+        if not self._most or now - self._grown_at < _SETTLED_AFTER:
+            return None
+        return self._most
+
+
+class ServerPlanner:
+    """Plans the servers of one service.
+
+    Args:
+        policy: How servers are to be ordered.
+        need: Servers that suffice.
+    """
+
+    def __init__(self, policy: Policy, need: int) -> None:
+        self._policy = policy
+        self._need = need
+        self._sent: dict[tuple[str, bool], _Sent] = {}
+        self._refused: dict[tuple[str, bool], datetime.timedelta] = {}
+
+    def sent(self, order: Order, now: datetime.timedelta) -> None:
+        """Note an order that was or may have been accepted."""
+        self._sent[order.failure_domain, order.spot] = _Sent(order.count, now)
+
+    def refused(self, order: Order, now: datetime.timedelta) -> None:
+        """Note that what was ordered is not to be had now."""
+        self._refused[order.failure_domain, order.spot] = now
+
+    def plan(
+        self,
+        scaling: Scaling,
+        standing: abc.Mapping[str, Standing],
+        now: datetime.timedelta,
+    ) -> tuple[Order, ...]:
+        """Return the orders that are to go out now.
+
+        Args:
+            scaling: What the operator says.
+            standing: Servers that serve, by failure domain.
+            now: The time.
+        """
+        wanted = self._wanted(scaling, standing)
+        return tuple(
+            Order(domain, spot, count)
+            for (domain, spot), count in sorted(wanted.items())
+            if self._is_due((domain, spot), count, standing.get(domain), now, scaling)
+        )
+
+    def _wanted(
+        self, scaling: Scaling, standing: abc.Mapping[str, Standing]
+    ) -> dict[tuple[str, bool], int]:
+        domains = sorted(scaling.prices, key=lambda name: (scaling.prices[name], name))
+        nothing = Standing(0, 0)
+        found = {domain: standing.get(domain, nothing) for domain in domains}
+        spots = dict.fromkeys(domains, 0)
+        if self._policy.spot:
+            kept = max(1, len(domains) - self._policy.spare_domains)
+            each = min(scaling.most, math.ceil(self._need / kept))
+            for domain in domains:
+                room = max(0, scaling.most - found[domain].firm)
+                spots[domain] = min(each, room)
+        cheap = sum(min(found[d].spot, spots[d]) for d in domains)
+        firms = self._firms(scaling, found, max(0, self._need - cheap), spots)
+        wanted = {(domain, False): count for domain, count in firms.items()}
+        if self._policy.spot:
+            wanted |= {(domain, True): count for domain, count in spots.items()}
+        return wanted
+
+    def _firms(
+        self,
+        scaling: Scaling,
+        found: abc.Mapping[str, Standing],
+        missing: int,
+        spots: abc.Mapping[str, int],
+    ) -> dict[str, int]:
+        """Return how many dear servers each domain keeps or gets.
+
+        Those that stand are kept first, in the cheapest domains; a change of place
+        would cost a boot and their prefix caches.
+        """
+        least = {d: max(0, scaling.least - spots[d]) for d in found}
+        firms = {domain: min(least[domain], scaling.most) for domain in found}
+        missing -= sum(firms.values())
+        for room_of in (
+            lambda d: found[d].firm,
+            lambda d: scaling.most - spots[d],
+        ):
+            for domain in found:
+                more = max(0, min(missing, room_of(domain) - firms[domain]))
+                firms[domain] += more
+                missing -= more
+        return firms
+
+    def _is_due(
+        self,
+        key: tuple[str, bool],
+        count: int,
+        found: Standing | None,
+        now: datetime.timedelta,
+        scaling: Scaling,
+    ) -> bool:
+        refused = self._refused.get(key)
+        if refused is not None and now - refused < _REFUSED_PAUSE:
+            return False
+        sent = self._sent.get(key)
+        stands = 0 if found is None else found.spot if key[1] else found.firm
+        if sent is None:
+            return stands != count
+        if sent.count != count:
+            return True
+        return stands != count and now - sent.at >= scaling.boot + _REPEAT
--- /dev/null
+++ b/src/pimentolatch/gateway/capacity.py
@@ -0,0 +1,166 @@
+"""Orders servers of services that are paid by the second."""
+
+import collections
+import datetime
+
+import logbook
+
+from pimentolatch import clock, store
+from pimentolatch.decisions import server_plan
+from pimentolatch.gateway import knowledge, tenure
+from pimentolatch.platform import control_api, objects
+
+__all__ = ["CapacityKeeper"]
+
+_log = logbook.Logger("capacity")
+_KIND = "pimentolatch-capacity"
+_INTERVAL = datetime.timedelta(milliseconds=500)
+
+
+class CapacityKeeper:
+    """Carries the plan out while this instance does the duties of one holder.
+
+    Args:
+        own_name: Name of this instance.
+        known: Services and servers.
+        held: The tenure.
+        source: The platform's store.
+        receiver: Takes the orders.
+        policy: How servers are to be ordered.
+        time: Clock of this instance.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        known: knowledge.Knowledge,
+        held: tenure.Tenure,
+        source: objects.ObjectStore,
+        receiver: control_api.ControlApi,
+        policy: server_plan.Policy,
+        time: clock.Clock,
+    ) -> None:
+        self._name = own_name
+        self._known = known
+        self._tenure = held
+        self._store = source
+        self._receiver = receiver
+        self._policy = policy
+        self._clock = time
+        self._sizings: dict[str, server_plan.Sizing] = {}
+        self._planners: dict[str, server_plan.ServerPlanner] = {}
+
+    async def run(self) -> None:
+        """Order what is missing and give back what is too much, for ever."""
+        while True:
+            await self._clock.sleep(_INTERVAL)
+            if self._tenure.active:
+                await self.look()
+            else:
+                self._planners.clear()
+                self._sizings.clear()
+
+    async def look(self) -> None:
+        """Send the orders that are due."""
+        configuration = self._known.configuration
+        if configuration is None or not self._known.servers_listed:
+            return
+        for service in configuration.services.values():
+            if service.scaling is not None:
+                await self._look(service.name, service.scaling)
+
+    async def _look(self, service: str, scaling: server_plan.Scaling) -> None:
+        planner = await self._planner(service)
+        if planner is None:
+            return
+        standing = self._standing(service)
+        for order in planner.plan(scaling, standing, self._clock.monotonic()):
+            if not await self._tenure.acquire() or not self._tenure.valid():
+                return
+            outcome = await self._send(service, order)
+            self._note(planner, order, outcome)
+            if not self._tenure.active:
+                return
+
+    def _note(
+        self,
+        planner: server_plan.ServerPlanner,
+        order: server_plan.Order,
+        outcome: control_api.Outcome,
+    ) -> None:
+        now = self._clock.monotonic()
+        if isinstance(outcome, control_api.Accepted | control_api.Unanswered):
+            planner.sent(order, now)
+        elif isinstance(outcome, control_api.FencedOff):
+            self._tenure.fenced_off()
+        else:
+            planner.refused(order, now)
+
+    async def _planner(self, service: str) -> server_plan.ServerPlanner | None:
+        """Return the planner of a service; None before it is known what suffices."""
+        found = self._planners.get(service)
+        if found is not None:
+            return found
+        need = self._policy.servers or await self._size(service)
+        if need is None:
+            return None
+        planner = server_plan.ServerPlanner(self._policy, need)
+        self._planners[service] = planner
+        return planner
+
+    async def _size(self, service: str) -> int | None:
+        """Return how many servers suffice, as the first holder has found.
+
+        A later holder finds what was ordered, spare ones included, and would take that
+        for the need.
+        """
+        sizing = self._sizings.setdefault(service, server_plan.Sizing())
+        total = len(self._known.servers.of_service(service))
+        size = sizing.note(total, self._clock.monotonic())
+        if size is None or not await self._tenure.acquire():
+            return None
+        found = await self._store.get(_KIND, service)
+        if isinstance(found, store.Found):
+            return int(found.value["servers"])
+        if isinstance(found, store.Unavailable):
+            return None
+        value = {"servers": size}
+        outcome = await self._store.put(_KIND, service, value, if_version=0)
+        return size if isinstance(outcome, store.Written) else None
+
+    async def _send(
+        self, service: str, order: server_plan.Order
+    ) -> control_api.Outcome:
+        holder = control_api.Holder(self._name, self._tenure.fence)
+        told = control_api.ServerOrder(
+            service, order.failure_domain, order.count, order.spot
+        )
+        outcome = await self._receiver.order_servers(holder, told)
+        _log.info(
+            "servers ordered",
+            service=service,
+            failure_domain=order.failure_domain,
+            spot=order.spot,
+            count=order.count,
+            fence=holder.fence,
+            stages=self._stages(service),
+            outcome=repr(outcome),
+        )
+        return outcome
+
+    def _standing(self, service: str) -> dict[str, server_plan.Standing]:
+        counts: dict[str, list[int]] = {}
+        for server in self._known.servers.of_service(service):
+            counts.setdefault(server.failure_domain, [0, 0])[server.spot] += 1
+        return {
+            domain: server_plan.Standing(firm, spot)
+            for domain, (firm, spot) in counts.items()
+        }
+
+    def _stages(self, service: str) -> dict[str, int]:
+        stages = (
+            server.stage.value
+            for server in self._known.servers.of_service(service)
+            if server.stage is not None
+        )
+        return dict(collections.Counter(stages))
--- a/src/pimentolatch/gateway/duties.py
+++ b/src/pimentolatch/gateway/duties.py
@@ -7,6 +7,8 @@
 from pimentolatch import clock
 from pimentolatch.decisions import usage
 from pimentolatch.gateway import (
+    capacity,
+    knowledge,
     lease,
     peer_table,
     settings,
@@ -21,6 +23,7 @@
 Work = typing.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]]
 
 _USAGE = "usage"
+_SCALE = "scale"
 
 
 class Duties:
@@ -29,6 +32,7 @@
     Args:
         chosen: Settings of this instance.
         life: Differs for each start of this instance.
+        known: Services and servers.
         peers: Tells who else is there.
         source: The platform's store.
         time: Clock of this instance.
@@ -42,11 +46,13 @@
         self,
         chosen: settings.GatewaySettings,
         life: str,
+        known: knowledge.Knowledge,
         peers: peer_table.PeerTable,
         source: objects.ObjectStore,
         time: clock.Clock,
     ) -> None:
         self._settings = chosen
+        self._known = known
         self._peers = peers
         self._store = source
         self._clock = time
@@ -70,6 +76,17 @@
             self._work.append(self.tenure.run)
             if _USAGE in chosen.control.duties:
                 self._link_usage(chosen.control, self._receiver, life)
+            if _SCALE in chosen.control.duties and chosen.capacity.order:
+                keeper = capacity.CapacityKeeper(
+                    chosen.instance,
+                    known,
+                    self.tenure,
+                    source,
+                    self._receiver,
+                    chosen.capacity.policy,
+                    time,
+                )
+                self._work.append(keeper.run)
 
     def _link_usage(
         self,
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -83,7 +83,7 @@
             random.Random(),
         )
         self._duties = duties.Duties(
-            chosen, self._life, self._peer_table, self._store, time
+            chosen, self._life, self._known, self._peer_table, self._store, time
         )
         self._prompts = generation.StreamForwarder(
             self._known,
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -6,10 +6,11 @@
 import pydantic
 
 from pimentolatch import checks, settings
-from pimentolatch.decisions import crash_suspects
+from pimentolatch.decisions import crash_suspects, server_plan
 
 __all__ = [
     "BoundSettings",
+    "CapacitySettings",
     "ControlSettings",
     "GatewaySettings",
     "PeerSettings",
@@ -87,6 +88,28 @@
     usage_window_s: float = pydantic.Field(default=5.0, gt=0)
 
 
+class CapacitySettings(checks.CheckedModel):
+    """How servers that are paid by the second are ordered.
+
+    Attributes:
+        order: Whether they are ordered at all; else what stands is left as it is.
+        servers: Servers of each service that suffice; if it is not set, as many as
+            stood at first.
+        spot: Whether servers may be ordered that can be taken back.
+        spare_domains: Failure domains whose loss these must cover.
+    """
+
+    order: bool = True
+    servers: int | None = pydantic.Field(default=None, ge=1)
+    spot: bool = True
+    spare_domains: int = pydantic.Field(default=1, ge=0)
+
+    @property
+    def policy(self) -> server_plan.Policy:
+        """The same in the types of the decision."""
+        return server_plan.Policy(self.servers, self.spot, self.spare_domains)
+
+
 class QuarantineSettings(checks.CheckedModel):
     """When a request is kept from all servers, since it ends those that run it.
 
@@ -120,6 +143,7 @@
         readiness: Where the balancer asks whether to send requests here.
         metrics: Where metrics are served; nowhere if it is not set.
         control: Takes reports and orders; nobody does if it is not set.
+        capacity: How servers are ordered there.
         digest_key: Key of the digests by which logs and peers name requests; the same
             in all instances of the fleet.
     """
@@ -132,6 +156,7 @@
     peers: PeerSettings
     store: StoreSettings
     control: ControlSettings | None = None
+    capacity: CapacitySettings = CapacitySettings()
     bounds: BoundSettings = BoundSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -4,6 +4,7 @@
 import typing
 from collections import abc
 
+from pimentolatch.decisions import server_plan
 from pimentolatch.routes import customers, table
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "UNREADABLE", "decode"]
@@ -63,10 +64,11 @@
 
 
 def _service(fields: _Fields) -> table.Service:
-    engine = fields.get("engine")
+    engine, scaling = fields.get("engine"), fields.get("scaling")
     return table.Service(
         name=fields["name"],
         engine=None if engine is None else _engine(engine),
+        scaling=None if scaling is None else _scaling(scaling),
     )
 
 
@@ -101,6 +103,16 @@
     return customers.KeyedCustomer(customers.Customer(name, rank), encoded)
 
 
+def _scaling(fields: _Fields) -> server_plan.Scaling:
+    return server_plan.Scaling(
+        least=int(fields["min"]),
+        most=int(fields["max"]),
+        boot=datetime.timedelta(seconds=fields["boot_s"]),
+        spot_price=float(fields.get("spot_price", 1.0)),
+        prices={zone: float(price) for zone, price in fields["zone_prices"].items()},
+    )
+
+
 def _limits(fields: _Fields) -> table.ClientLimits:
     return table.ClientLimits(
         head_bytes=int(fields["max_header_bytes"]),
--- a/src/pimentolatch/platform/control_api.py
+++ b/src/pimentolatch/platform/control_api.py
@@ -20,6 +20,7 @@
     "Holder",
     "NotNow",
     "Outcome",
+    "Refused",
     "ServerOrder",
     "Unanswered",
 ]
@@ -58,7 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FencedOff:
-    """Refused: a higher fence was seen, or what is ordered can't be had."""
+    """Refused: a higher fence was seen."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Refused: what is ordered is not to be had at the moment."""
 
     reason: str
 
@@ -82,7 +90,7 @@
     reached: bool
 
 
-Outcome = Accepted | FencedOff | NotNow | Unanswered
+Outcome = Accepted | FencedOff | Refused | NotNow | Unanswered
 
 
 class ControlApi:
@@ -102,10 +110,14 @@
     ) -> Outcome:
         """Report what began in a window, by customer."""
         body = {"window": window, "counts": dict(counts)}
-        return await self._call(_USAGE, holder, body)
+        return await self._call(_USAGE, holder, body, FencedOff)
 
     async def order_servers(self, holder: Holder, order: ServerOrder) -> Outcome:
-        """Order a number of servers."""
+        """Order a number of servers.
+
+        The platform answers alike if they are not to be had and if the holder has been
+        followed by another one.
+        """
         body: dict[str, typing.Any] = {
             "service": order.service,
             "zone": order.failure_domain,
@@ -113,14 +125,18 @@
         }
         if order.spot:
             body["spot"] = True
-        return await self._call(_SCALE, holder, body)
+        return await self._call(_SCALE, holder, body, Refused)
 
     def close(self) -> None:
         """Close the kept connections."""
         self._pool.close()
 
     async def _call(
-        self, target: bytes, holder: Holder, body: dict[str, typing.Any]
+        self,
+        target: bytes,
+        holder: Holder,
+        body: dict[str, typing.Any],
+        conflict: type[FencedOff] | type[Refused],
     ) -> Outcome:
         # A call never goes out on a connection that may have died unseen.
         try:
@@ -146,7 +162,7 @@
             link.close()
             raise
         self._pool.give_back("control", link, self._clock.monotonic())
-        return _outcome(start.status, content)
+        return _outcome(start.status, content, conflict)
 
     def _fields(self, holder: Holder) -> list[tuple[bytes, bytes]]:
         return [
@@ -157,12 +173,14 @@
         ]
 
 
-def _outcome(status: int, content: bytes) -> Outcome:
+def _outcome(
+    status: int, content: bytes, conflict: type[FencedOff] | type[Refused]
+) -> Outcome:
     reason = f"status {status}: {content[:200].decode('utf-8', 'replace')}"
     if 200 <= status < 300:
         return Accepted()
     if status == 409:
-        return FencedOff(reason)
+        return conflict(reason)
     if status in (429, 503):
         return NotNow(reason)
     return Unanswered(reason, reached=True)
--- a/src/pimentolatch/platform/entries.py
+++ b/src/pimentolatch/platform/entries.py
@@ -66,6 +66,7 @@
         cold=datetime.timedelta(milliseconds=_milliseconds(spec)),
         # Absent where servers never start again under their id.
         born=_whole(spec, "born", 0, _MOST_NUMBER) if "born" in spec else None,
+        spot=spec.get("spot") is True,
     )
 
 
--- a/src/pimentolatch/protocol/snapshots.py
+++ b/src/pimentolatch/protocol/snapshots.py
@@ -104,11 +104,12 @@
         None if server.stage is None else server.stage.value,
         server.slots,
         server.cold / _MS,
+        server.spot,
     ]
 
 
 def _server(row: typing.Any) -> servers.Server:
-    name, born, service, address, domain, leaving, stage, slots, cold = row
+    name, born, service, address, domain, leaving, stage, slots, cold, spot = row
     return servers.Server(
         server_id=_text(name),
         service=_text(service),
@@ -119,6 +120,7 @@
         slots=int(slots),
         cold=float(cold) * _MS,
         born=None if born is None else int(born),
+        spot=bool(spot),
     )
 
 
--- a/src/pimentolatch/routes/servers.py
+++ b/src/pimentolatch/routes/servers.py
@@ -45,6 +45,7 @@
         slots: Requests that it works on at once.
         cold: How much longer it is slow after its start.
         born: Unix time of its start in milliseconds; None if it does not say.
+        spot: It costs less and may be taken back.
     """
 
     server_id: str
@@ -56,6 +57,7 @@
     slots: int
     cold: datetime.timedelta = datetime.timedelta()
     born: int | None = None
+    spot: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/pimentolatch/routes/table.py
+++ b/src/pimentolatch/routes/table.py
@@ -6,6 +6,7 @@
 import hashlib
 from collections import abc
 
+from pimentolatch.decisions import server_plan
 from pimentolatch.routes import customers as customer_table
 
 __all__ = [
@@ -113,10 +114,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A group of equal backend servers; `engine` is set for model engines."""
+    """A group of equal backend servers.
+
+    Attributes:
+        engine: Set for model engines.
+        scaling: Set where the number of servers is ordered.
+    """
 
     name: str
     engine: EngineTraits | None
+    scaling: server_plan.Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
