Keep a second failure domain of cheap servers to spare where it costs little

The price decides now: two where cheap servers cost less than half of the dear ones that they replace, one above that, none where they save nothing.

--- a/src/pimentolatch/decisions/server_plan.py
+++ b/src/pimentolatch/decisions/server_plan.py
@@ -7,8 +7,10 @@
 
 Ordering by the load of the moment comes too late for a swing and costs prefix caches
 each time. So the plan is about what a failure takes: as many servers that may be taken
-back as suffice when any one failure domain has lost all of its own, spread evenly. The
-difference in price pays for the domain to spare several times over. What is missing
+back as suffice when some failure domains have lost all of their own, spread evenly. One
+domain is reclaimed at a time, but prefix caches go with it, others crash meanwhile, and
+the load swings on: a second one to spare is kept where cheap servers still cost less
+than half of the dear ones that they replace. What is missing
 nevertheless, since they are not to be had, is ordered of the dear kind and given back
 once the cheap ones stand.
 
@@ -27,6 +29,10 @@
 # lease holds without being renewed: the refusal of a holder that has been followed by
 # another one looks the same, and such a holder must not repeat itself.
 _REFUSED_PAUSE = datetime.timedelta(seconds=3)
+# Failure domains to spare at most, and the cost up to which there is more than one, as
+# a share of what the dear servers would cost.
+_MOST_SPARE = 2
+_MOST_COST = 0.5
 # Servers that stand at a start have all registered when no more come for so long.
 _SETTLED_AFTER = datetime.timedelta(seconds=2)
 # An order is sent again so long after its servers should stand, if they do not: it may
@@ -78,12 +84,13 @@
     Attributes:
         servers: Servers that suffice; None takes those that stood at first for enough.
         spot: Whether servers may be ordered that can be taken back.
-        spare_domains: Failure domains whose loss the cheap ones must cover.
+        spare_domains: Failure domains whose loss the cheap ones must cover; None lets
+            their price decide.
     """
 
     servers: int | None = None
     spot: bool = True
-    spare_domains: int = 1
+    spare_domains: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -162,8 +169,9 @@
         nothing = Standing(0, 0)
         found = {domain: standing.get(domain, nothing) for domain in domains}
         spots = dict.fromkeys(domains, 0)
-        if self._policy.spot:
-            kept = max(1, len(domains) - self._policy.spare_domains)
+        cheap_ones = self._policy.spot and _saves(scaling)
+        if cheap_ones:
+            kept = max(1, len(domains) - self._spare(scaling))
             each = min(scaling.most, math.ceil(self._need / kept))
             for domain in domains:
                 room = max(0, scaling.most - found[domain].firm)
@@ -171,10 +179,22 @@
         cheap = sum(min(found[d].spot, spots[d]) for d in domains)
         firms = self._firms(scaling, found, max(0, self._need - cheap), spots)
         wanted = {(domain, False): count for domain, count in firms.items()}
-        if self._policy.spot:
+        if cheap_ones:
             wanted |= {(domain, True): count for domain, count in spots.items()}
         return wanted
 
+    def _spare(self, scaling: Scaling) -> int:
+        """Return the failure domains whose loss the cheap servers cover."""
+        if self._policy.spare_domains is not None:
+            return self._policy.spare_domains
+        domains = len(scaling.prices)
+        affordable = [
+            spare
+            for spare in range(1, _MOST_SPARE + 1)
+            if scaling.spot_price * domains < _MOST_COST * (domains - spare)
+        ]
+        return max(affordable, default=1)
+
     def _firms(
         self,
         scaling: Scaling,
@@ -218,3 +238,9 @@
         if sent.count != count:
             return True
         return stands != count and now - sent.at >= scaling.boot + _REPEAT
+
+
+def _saves(scaling: Scaling) -> bool:
+    """Tell whether cheap servers with a failure domain to spare cost less."""
+    domains = len(scaling.prices)
+    return scaling.spot_price * domains < domains - 1
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -96,13 +96,14 @@
         servers: Servers of each service that suffice; if it is not set, as many as
             stood at first.
         spot: Whether servers may be ordered that can be taken back.
-        spare_domains: Failure domains whose loss these must cover.
+        spare_domains: Failure domains whose loss these must cover; if it is not set,
+            two where they are cheap enough, else one.
     """
 
     order: bool = True
     servers: int | None = pydantic.Field(default=None, ge=1)
     spot: bool = True
-    spare_domains: int = pydantic.Field(default=1, ge=0)
+    spare_domains: int | None = pydantic.Field(default=None, ge=0)
 
     @property
     def policy(self) -> server_plan.Policy:
--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -19,6 +19,19 @@
       | 1     | 30      | 0.30  |
       | 2     | 30      | 0.40  |
 
+  # Guards against a second spare domain that costs more than it saves.
+  Scenario Outline: The price of cheap servers decides how many domains are to spare
+    Given capacity: 30 dear servers in four domains, cheap ones at <price> of their price
+    When capacity: 30 seconds pass
+    Then capacity: <servers> servers serve
+
+    Examples:
+      | price | servers |
+      | 0.18  | 60      |
+      | 0.30  | 40      |
+      | 0.60  | 40      |
+      | 0.80  | 30      |
+
   # Guards against a reclaim that leaves too few where no domain is to spare.
   Scenario: Dear servers stand in for cheap ones that can't be had
     Given capacity: 30 dear servers in four domains, 0 domains to spare
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import datetime
 import itertools
 import random
@@ -60,6 +61,26 @@
     context.scaling = scaling_world.ScalingWorld(policy, FIRST, SCALING)
 
 
+@behave.given(
+    "capacity: {count:d} dear servers in four domains, cheap ones at {price:f} of their"
+    " price"
+)
+def cheap_at(context, count, price):
+    scaling = dataclasses.replace(SCALING, spot_price=price)
+    policy = server_plan.Policy()
+    context.scaling = scaling_world.ScalingWorld(policy, FIRST, scaling)
+
+
+@behave.when("capacity: {seconds:d} seconds pass")
+def pass_seconds(context, seconds):
+    context.scaling.play(seconds)
+
+
+@behave.then("capacity: {count:d} servers serve")
+def count_serve(context, count):
+    assert context.scaling.serving[-1] == count, context.scaling.serving[-1]
+
+
 @behave.when(
     'capacity: {seconds:d} seconds pass in which "{domain}" is reclaimed at'
     " {at:d} seconds"
@@ -247,7 +268,7 @@
 def holds(context):
     context.fleet.play(context.kept, 20)
     context.ordered = dict(context.fleet.counts)
-    assert sum(context.ordered.values()) == 12, context.ordered
+    assert sum(context.ordered.values()) == 16, context.ordered
 
 
 @behave.when("capacity: another keeper holds them for 20 seconds")
