Report only windows that somebody counted, and have one instance plan where no duty is kept

Three faults found by reading and by a scenario that failed: - With no holder ever announced every instance thought it was its turn, at first at once and later a second after the other. After a start nobody tries for three seconds now, and where no report or order of servers is due, only the first by name plans stages, as before. - A holder that had just started reported windows of before with no request at all. An instance tells nothing of windows before its start, and a window of which nobody has told anything is not reported. - A report that was not accepted was dropped once four windows had passed, also while the receiver was away; it is now repeated while the store keeps its content.

--- a/src/pimentolatch/decisions/succession.py
+++ b/src/pimentolatch/decisions/succession.py
@@ -41,13 +41,17 @@
 class HolderNews:
     """What one instance has heard of the holder.
 
+    Args:
+        now: When this instance began to listen. An instance that has just started has
+            heard of nobody yet, and so has every other one after a start of all.
+
     Attributes:
         at: When the newest claim was made.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: datetime.timedelta) -> None:
         self._claim: Claim | None = None
-        self.at = datetime.timedelta()
+        self.at = now
 
     @property
     def released_fence(self) -> int | None:
@@ -90,8 +94,6 @@
         if self.host(now) is not None:
             return False
         before = sum(name < own for name in others)
-        claim = self._claim
-        free_since = self.at
-        if claim is not None and not claim.released:
-            free_since += _FRESH
+        released = self._claim is not None and self._claim.released
+        free_since = self.at if released else self.at + _FRESH
         return now - free_since >= before * _TURN
--- a/src/pimentolatch/decisions/usage.py
+++ b/src/pimentolatch/decisions/usage.py
@@ -114,11 +114,15 @@
     Args:
         own: This life of this instance.
         length: Length of a window.
+        now: When this instance began to count; of windows before it knows nothing.
     """
 
-    def __init__(self, own: Origin, length: datetime.timedelta) -> None:
+    def __init__(
+        self, own: Origin, length: datetime.timedelta, now: datetime.datetime
+    ) -> None:
         self._own = own
         self._length = length
+        self._first = window_of(now, length)
         self._windows: dict[int, dict[Origin, _Heard]] = {}
 
     def began(self, customer: str, moment: datetime.datetime) -> bool:
@@ -135,7 +139,7 @@
         newest = window_of(now, self._length)
         self._forget_before(newest - KEPT_WINDOWS + 1)
         rows = []
-        for window in (newest, newest - 1, newest - 2):
+        for window in range(newest, max(newest - 3, self._first - 1), -1):
             heard = self._heard(window, self._own)
             settled = window_end(window, self._length) + _SETTLED_AFTER
             heard.final = heard.final or now >= settled
@@ -159,7 +163,9 @@
     def total(
         self, window: int, live: abc.Iterable[str], now: datetime.datetime
     ) -> Total | None:
-        """Return what is to be reported of a window; None while it is not complete.
+        """Return what is to be reported of a window.
+
+        None while it is not complete, and where nobody has told anything of it.
 
         Args:
             window: Its number.
@@ -169,7 +175,9 @@
         end = window_end(window, self._length)
         if now < end + _SETTLED_AFTER:
             return None
-        found = self._windows.get(window, {})
+        found = self._windows.get(window)
+        if not found:
+            return None
         before = self._windows.get(window - 1, {})
         complete = {o.instance for o, heard in found.items() if heard.complete}
         expected = {origin.instance for origin in (*found, *before)} | set(live)
--- a/src/pimentolatch/gateway/duties.py
+++ b/src/pimentolatch/gateway/duties.py
@@ -65,7 +65,12 @@
             time,
         )
         self.tenure = tenure.Tenure(
-            chosen.instance, chosen.peers.host, peers, held, time
+            chosen.instance,
+            chosen.peers.host,
+            peers,
+            held,
+            time,
+            kept=chosen.control is not None,
         )
         self.usage: usage_exchange.UsageCounter = usage_exchange.NoUsage()
         self._work: list[Work] = []
@@ -96,7 +101,7 @@
     ) -> None:
         name, own = self._settings.instance, self._settings.peers
         length = datetime.timedelta(seconds=chosen.usage_window_s)
-        book = usage.UsageBook(usage.Origin(name, life), length)
+        book = usage.UsageBook(usage.Origin(name, life), length, self._clock.now())
         self._exchange = usage_exchange.UsageExchange(
             own.usage_address, book, self._peers, self.tenure, self._clock
         )
--- a/src/pimentolatch/gateway/tenure.py
+++ b/src/pimentolatch/gateway/tenure.py
@@ -29,6 +29,8 @@
         peers: Tells who else is there.
         held: The lease.
         time: Clock of this instance.
+        kept: Some instance is to hold the lease all the time; else it is taken for an
+            order now and then, and only the first by name plans whether one is due.
     """
 
     def __init__(
@@ -38,13 +40,16 @@
         peers: peer_table.PeerTable,
         held: lease.DutyLease,
         time: clock.Clock,
+        *,
+        kept: bool = False,
     ) -> None:
+        self._kept = kept
         self._name = own_name
         self._host = own_host
         self._peers = peers
         self._lease = held
         self._clock = time
-        self._news = succession.HolderNews()
+        self._news = succession.HolderNews(time.monotonic())
         self._held_at: datetime.timedelta | None = None
         self._abstains_until = datetime.timedelta()
 
@@ -80,7 +85,10 @@
             # A former life of this instance held the lease, and peers still say so.
             return True
         names = [peer.beacon.instance for peer in self._peers.live()]
-        return self._news.is_turn_of(self._name, names, now)
+        if self._kept:
+            return self._news.is_turn_of(self._name, names, now)
+        is_first = all(name > self._name for name in names)
+        return is_first and self._news.host(now) is None
 
     async def acquire(self) -> bool:
         """Have the lease for the next calls; False if another may still act."""
--- a/src/pimentolatch/gateway/usage_reports.py
+++ b/src/pimentolatch/gateway/usage_reports.py
@@ -75,6 +75,7 @@
         self._record: _Record | None = None
         self._record_fence = 0
         self._accepted: set[int] = set()
+        self._unanswered: set[int] = set()
         self._out_of_reach = 0
 
     async def run(self) -> None:
@@ -87,11 +88,11 @@
     async def look(self) -> bool:
         """Report what is complete; False if a call was not accepted."""
         newest = usage.window_of(self._clock.now(), self._length)
-        oldest = newest - usage.KEPT_WINDOWS + 1
+        counted = range(newest - usage.KEPT_WINDOWS + 1, newest)
+        oldest = newest - _KEPT + 1
         self._accepted = {window for window in self._accepted if window >= oldest}
-        for window in range(oldest, newest):
-            if window in self._accepted:
-                continue
+        self._unanswered = {window for window in self._unanswered if window >= oldest}
+        for window in sorted({*self._unanswered, *counted} - self._accepted):
             counts = await self._fixed(window)
             if counts is None:
                 continue
@@ -171,8 +172,10 @@
         """Note what became of a report; False if it was not accepted."""
         if isinstance(outcome, control_api.Accepted):
             self._accepted.add(window)
+            self._unanswered.discard(window)
             self._out_of_reach = 0
             return True
+        self._unanswered.add(window)
         if isinstance(outcome, control_api.FencedOff):
             self._tenure.fenced_off()
         elif isinstance(outcome, control_api.Unanswered):
--- a/tests/features/usage.feature
+++ b/tests/features/usage.feature
@@ -41,6 +41,11 @@
     When usage: a request of a settled window becomes known
     Then usage: it is in no window's rows
 
+  # Guards against reports that say nothing began where nobody was there to count.
+  Scenario: Of windows before the first instance started nothing is reported
+    Given usage: an instance that has just started
+    Then usage: it has a total of no window before
+
   Scenario: What is no row is dropped with the reason
     Then usage: each of these is malformed
       | datagram      |
@@ -57,6 +62,7 @@
     And usage: when it is silent the first tries and a second later the next one
     And usage: when it says that it is through the first tries at once
     And usage: an older claim does not undo that
+    And usage: after a start nobody tries before the others can have been heard
 
   # Guards against reports of requests that did not run, or that belong to nobody.
   Scenario: A window's report has what began, by customer
