Share a datagram socket and the checks of its fields

Cause: the new exchange of usage counts wrote again what beacons and peers had: opening and closing a socket, sending to hosts, checks of texts and counts from anybody. One base class and one module serve both now. No behaviour changes; the scenarios on routes, usage and customers pass.

--- a/src/pimentolatch/gateway/peers.py
+++ b/src/pimentolatch/gateway/peers.py
@@ -1,10 +1,8 @@
 """Tells peers several times a second what this instance knows and has under way."""
 
-import asyncio
 import dataclasses
 import datetime
 import random
-import typing
 from collections import abc
 
 import logbook
@@ -13,6 +11,7 @@
 from pimentolatch.decisions import demand_rate, neighbours
 from pimentolatch.gateway import (
     cache_updates,
+    datagrams,
     knowledge,
     peer_table,
     peer_work,
@@ -42,8 +41,8 @@
 _MEMBERS_TOLD_FIRST = 30
 
 
-class Peers(asyncio.DatagramProtocol):
-    """Owns the socket between instances.
+class Peers(datagrams.DatagramSocket):
+    """The socket by which instances tell each other their state.
 
     Args:
         chosen: Addresses of this instance and of some others.
@@ -74,8 +73,8 @@
         time: clock.Clock,
         chance: random.Random,
     ) -> None:
+        super().__init__(chosen.address)
         self._chance = chance
-        self._chosen = chosen
         self._name = own_name
         self._place = neighbours.Place(chosen.host, own_domain)
         self._life = life
@@ -86,20 +85,12 @@
         self._tenure = held
         self._demands = demands
         self._clock = time
-        self._transport: asyncio.DatagramTransport | None = None
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
         self._work = peer_work.PeerWork(known, own_domain, updates)
         self._neighbours = neighbours.Neighbours(())
         self._weights: dict[str, float] = {}
         self.stopping = False
 
-    async def start(self) -> None:
-        """Open the socket; raises `OSError` if the address can't be had."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._chosen.host, self._chosen.address.port)
-        )
-
     async def run(self) -> None:
         """Send beacons for ever."""
         while True:
@@ -116,15 +107,6 @@
         self.stopping = True
         self._tell()
 
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the socket."""
-        self._transport = typing.cast(asyncio.DatagramTransport, transport)
-
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a beacon."""
         beacon = beacons.decode(data)
@@ -174,11 +156,7 @@
             self._send(hosts, dataclasses.replace(beacon, totals=totals, piece=piece))
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        data = beacons.encode(beacon)
-        for host in hosts:
-            self._transport.sendto(data, (host, self._chosen.address.port))
+        self.send(hosts, [beacons.encode(beacon)])
 
     def beacon(
         self,
--- a/src/pimentolatch/gateway/tenure.py
+++ b/src/pimentolatch/gateway/tenure.py
@@ -49,7 +49,7 @@
         self._peers = peers
         self._lease = held
         self._clock = time
-        self._news = succession.HolderNews(time.monotonic())
+        self._news = succession.HolderNews(self._clock.monotonic())
         self._held_at: datetime.timedelta | None = None
         self._abstains_until = datetime.timedelta()
 
--- a/src/pimentolatch/gateway/usage_exchange.py
+++ b/src/pimentolatch/gateway/usage_exchange.py
@@ -1,6 +1,5 @@
 """Counts what customers' requests begin to run here, and tells it to the holder."""
 
-import asyncio
 import datetime
 import typing
 from collections import abc
@@ -9,7 +8,7 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import subset, usage
-from pimentolatch.gateway import peer_table, tenure
+from pimentolatch.gateway import datagrams, peer_table, tenure
 from pimentolatch.protocol import usage_rows
 
 __all__ = ["NoUsage", "UsageCounter", "UsageExchange"]
@@ -35,8 +34,8 @@
         """See `UsageCounter.began`."""
 
 
-class UsageExchange(asyncio.DatagramProtocol):
-    """Owns the socket by which instances tell each other their counts.
+class UsageExchange(datagrams.DatagramSocket):
+    """The socket by which instances tell each other their counts.
 
     Args:
         address: Where this instance hears the others; they use the same port.
@@ -54,25 +53,17 @@
         held: tenure.Tenure,
         time: clock.Clock,
     ) -> None:
-        self._address = address
+        super().__init__(address)
         self._book = book
         self._peers = peers
         self._tenure = held
         self._clock = time
-        self._transport: asyncio.DatagramTransport | None = None
 
     def began(self, customer: str | None, moment: datetime.datetime) -> None:
         """See `UsageCounter.began`."""
         if customer is not None and not self._book.began(customer, moment):
             _log.warn("began in a window that has settled", customer=customer)
 
-    async def start(self) -> None:
-        """Open the socket; raises `OSError` if the address can't be had."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._address.host, self._address.port)
-        )
-
     async def run(self) -> None:
         """Tell the counts again and again, for ever."""
         while True:
@@ -87,17 +78,9 @@
         told = set(self._keepers(live))
         if holder is not None and holder != self._address.host:
             told.add(holder)
-            self._send({holder}, self._book.rows_of_ended(_names(live)))
-        self._send(told, own)
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the socket."""
-        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+            ended = self._book.rows_of_ended(_names(live))
+            self.send({holder}, _datagrams(ended))
+        self.send(told, _datagrams(own))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a row."""
@@ -114,13 +97,9 @@
             :_KEEPERS
         ]
 
-    def _send(self, hosts: abc.Iterable[str], rows: abc.Iterable[usage.Row]) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        datagrams = [part for row in rows for part in usage_rows.encode(row)]
-        for host in hosts:
-            for datagram in datagrams:
-                self._transport.sendto(datagram, (host, self._address.port))
+
+def _datagrams(rows: abc.Iterable[usage.Row]) -> list[bytes]:
+    return [part for row in rows for part in usage_rows.encode(row)]
 
 
 def _names(live: abc.Iterable[peer_table.Peer]) -> set[str]:
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -12,6 +12,7 @@
 
 import cbor2
 
+from pimentolatch.protocol import fields
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -32,16 +33,6 @@
 
 _VERSION = 9
 _FIELDS = 18
-# No count of ours comes near; above it sums of counts would no longer be exact.
-_MOST_COUNT = 2**53
-_UNREADABLE = (
-    cbor2.CBORError,
-    ValueError,
-    TypeError,
-    LookupError,
-    OverflowError,
-    RecursionError,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,13 +258,13 @@
 
 
 def _load(row: typing.Any, engines: abc.Sequence[servers.Incarnation]) -> Load:
-    engine = engines[_count(row[0])]
+    engine = engines[fields.count(row[0])]
     return Load(engine, tuple(_counts(row[1])), *_counts(row[2:4]))
 
 
 def _engine(row: typing.Any) -> servers.Incarnation:
     return servers.Incarnation(
-        _text(row[0]), None if row[1] is None else _count(row[1])
+        fields.text(row[0]), None if row[1] is None else fields.count(row[1])
     )
 
 
@@ -285,38 +276,42 @@
             return Malformed("not a beacon of this version")
         engines = [_engine(row) for row in rows[9]]
         return Beacon(
-            _text(rows[1]),
-            _text(rows[2]),
-            _text(rows[3]),
-            _count(rows[4]),
-            _count(rows[5]),
+            fields.text(rows[1]),
+            fields.text(rows[2]),
+            fields.text(rows[3]),
+            fields.count(rows[4]),
+            fields.count(rows[5]),
             bool(rows[6]),
-            tuple(Reader(_text(row[0]), _count(row[1])) for row in rows[7]),
-            tuple(Member(_text(row[0]), _text(row[1])) for row in rows[8]),
+            tuple(Reader(fields.text(row[0]), fields.count(row[1])) for row in rows[7]),
+            tuple(Member(fields.text(row[0]), fields.text(row[1])) for row in rows[8]),
             tuple(_load(row, engines) for row in rows[10]),
             tuple(
-                CachedPart(engines[_count(row[0])], *_counts(row[1:3]))
+                CachedPart(engines[fields.count(row[0])], *_counts(row[1:3]))
                 for row in rows[11]
             ),
-            tuple(Demand(_text(row[0]), *_counts(row[1:4])) for row in rows[12]),
+            tuple(Demand(fields.text(row[0]), *_counts(row[1:4])) for row in rows[12]),
             tuple(_load(row, engines) for row in rows[13]),
             tuple(
-                Changing(engines[_count(row[0])], servers.Stage(row[1]), _count(row[2]))
+                Changing(
+                    engines[fields.count(row[0])],
+                    servers.Stage(row[1]),
+                    fields.count(row[2]),
+                )
                 for row in rows[14]
             ),
             _piece(rows[15]),
             tuple(
                 Suspicion(
-                    _count(row[0]),
-                    engines[_count(row[1])],
+                    fields.count(row[0]),
+                    engines[fields.count(row[1])],
                     bool(row[2]),
-                    _count(row[3]),
+                    fields.count(row[3]),
                 )
                 for row in rows[16]
             ),
             _holder(rows[17]),
         )
-    except _UNREADABLE as error:
+    except fields.UNREADABLE as error:
         return Malformed(repr(error))
 
 
@@ -329,7 +324,9 @@
 def _holder(row: typing.Any) -> Holder | None:
     if row is None:
         return None
-    return Holder(_text(row[0]), _count(row[1]), bool(row[2]), _count(row[3]))
+    return Holder(
+        fields.text(row[0]), fields.count(row[1]), bool(row[2]), fields.count(row[3])
+    )
 
 
 def _piece(row: typing.Any) -> Piece:
@@ -340,16 +337,4 @@
 
 
 def _counts(values: abc.Iterable[typing.Any]) -> list[int]:
-    return [_count(value) for value in values]
-
-
-def _text(value: typing.Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"not a text: {value!r}")
-    return value
-
-
-def _count(value: typing.Any) -> int:
-    if not isinstance(value, int) or not 0 <= value < _MOST_COUNT:
-        raise ValueError(f"not a count: {value!r}")
-    return value
+    return [fields.count(value) for value in values]
--- /dev/null
+++ b/src/pimentolatch/protocol/fields.py
@@ -0,0 +1,33 @@
+"""Checks of single fields of datagrams, which anybody may have sent."""
+
+import typing
+
+import cbor2
+
+__all__ = ["UNREADABLE", "count", "text"]
+
+# No count of ours comes near; above it sums of counts would no longer be exact.
+_MOST_COUNT = 2**53
+# What decoding raises for what is not a message of ours.
+UNREADABLE = (
+    cbor2.CBORError,
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+)
+
+
+def text(value: typing.Any) -> str:
+    """Return a text; raises `ValueError` for anything else."""
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r:.60}")
+    return value
+
+
+def count(value: typing.Any) -> int:
+    """Return a whole number from 0 on; raises `ValueError` for anything else."""
+    if not isinstance(value, int) or not 0 <= value < _MOST_COUNT:
+        raise ValueError(f"not a count: {value!r:.60}")
+    return value
