--- a/src/pimentolatch/decisions/server_plan.py
+++ b/src/pimentolatch/decisions/server_plan.py
@@ -23,7 +23,9 @@
 import math
 from collections import abc
 
-__all__ = ["Order", "Policy", "Scaling", "ServerPlanner", "Sizing", "Standing"]
+from pimentolatch.routes import table
+
+__all__ = ["Order", "Policy", "ServerPlanner", "Sizing", "Standing"]
 
 # How long nothing more is ordered where nothing was to be had. It is longer than a
 # lease holds without being renewed: the refusal of a holder that has been followed by
@@ -40,26 +42,6 @@
 _REPEAT = datetime.timedelta(seconds=2)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Scaling:
-    """What the operator says of a service whose servers are ordered.
-
-    Attributes:
-        least: Servers of both kinds together in each failure domain, at least.
-        most: The same, at most.
-        boot: Time until an ordered server serves.
-        spot_price: Price of a server that may be taken back, as a share of the other
-            kind's.
-        prices: Price of a server by failure domain.
-    """
-
-    least: int
-    most: int
-    boot: datetime.timedelta
-    spot_price: float
-    prices: abc.Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
     """Servers that serve in a failure domain, by kind."""
@@ -144,7 +126,7 @@
 
     def plan(
         self,
-        scaling: Scaling,
+        scaling: table.Scaling,
         standing: abc.Mapping[str, Standing],
         now: datetime.timedelta,
     ) -> tuple[Order, ...]:
@@ -163,7 +145,7 @@
         )
 
     def _wanted(
-        self, scaling: Scaling, standing: abc.Mapping[str, Standing]
+        self, scaling: table.Scaling, standing: abc.Mapping[str, Standing]
     ) -> dict[tuple[str, bool], int]:
         domains = sorted(scaling.prices, key=lambda name: (scaling.prices[name], name))
         nothing = Standing(0, 0)
@@ -183,7 +165,7 @@
             wanted |= {(domain, True): count for domain, count in spots.items()}
         return wanted
 
-    def _spare(self, scaling: Scaling) -> int:
+    def _spare(self, scaling: table.Scaling) -> int:
         """Return the failure domains whose loss the cheap servers cover."""
         if self._policy.spare_domains is not None:
             return self._policy.spare_domains
@@ -197,7 +179,7 @@
 
     def _firms(
         self,
-        scaling: Scaling,
+        scaling: table.Scaling,
         found: abc.Mapping[str, Standing],
         missing: int,
         spots: abc.Mapping[str, int],
@@ -226,7 +208,7 @@
         count: int,
         found: Standing | None,
         now: datetime.timedelta,
-        scaling: Scaling,
+        scaling: table.Scaling,
     ) -> bool:
         refused = self._refused.get(key)
         if refused is not None and now - refused < _REFUSED_PAUSE:
@@ -240,7 +222,7 @@
         return stands != count and now - sent.at >= scaling.boot + _REPEAT
 
 
-def _saves(scaling: Scaling) -> bool:
+def _saves(scaling: table.Scaling) -> bool:
     """Tell whether cheap servers with a failure domain to spare cost less."""
     domains = len(scaling.prices)
     return scaling.spot_price * domains < domains - 1
--- a/src/pimentolatch/gateway/capacity.py
+++ b/src/pimentolatch/gateway/capacity.py
@@ -9,6 +9,7 @@
 from pimentolatch.decisions import server_plan
 from pimentolatch.gateway import knowledge, tenure
 from pimentolatch.platform import control_api, objects
+from pimentolatch.routes import table
 
 __all__ = ["CapacityKeeper"]
 
@@ -69,7 +70,7 @@
             if service.scaling is not None:
                 await self._look(service.name, service.scaling)
 
-    async def _look(self, service: str, scaling: server_plan.Scaling) -> None:
+    async def _look(self, service: str, scaling: table.Scaling) -> None:
         planner = await self._planner(service)
         if planner is None:
             return
--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -4,7 +4,6 @@
 import typing
 from collections import abc
 
-from pimentolatch.decisions import server_plan
 from pimentolatch.routes import customers, table
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "UNREADABLE", "decode"]
@@ -103,8 +102,8 @@
     return customers.KeyedCustomer(customers.Customer(name, rank), encoded)
 
 
-def _scaling(fields: _Fields) -> server_plan.Scaling:
-    return server_plan.Scaling(
+def _scaling(fields: _Fields) -> table.Scaling:
+    return table.Scaling(
         least=int(fields["min"]),
         most=int(fields["max"]),
         boot=datetime.timedelta(seconds=fields["boot_s"]),
--- a/src/pimentolatch/routes/table.py
+++ b/src/pimentolatch/routes/table.py
@@ -6,7 +6,6 @@
 import hashlib
 from collections import abc
 
-from pimentolatch.decisions import server_plan
 from pimentolatch.routes import customers as customer_table
 
 __all__ = [
@@ -15,6 +14,7 @@
     "EngineTraits",
     "Kind",
     "Route",
+    "Scaling",
     "Service",
     "ServiceShare",
 ]
@@ -112,6 +112,26 @@
     stage_change: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaling:
+    """What the operator says of a service whose servers are ordered.
+
+    Attributes:
+        least: Servers of both kinds together in each failure domain, at least.
+        most: The same, at most.
+        boot: Time until an ordered server serves.
+        spot_price: Price of a server that may be taken back, as a share of the other
+            kind's.
+        prices: Price of a server by failure domain.
+    """
+
+    least: int
+    most: int
+    boot: datetime.timedelta
+    spot_price: float
+    prices: abc.Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of equal backend servers.
@@ -123,7 +143,7 @@
 
     name: str
     engine: EngineTraits | None
-    scaling: server_plan.Scaling | None = None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -12,13 +12,13 @@
 from pimentolatch.decisions import server_plan
 from pimentolatch.gateway import capacity, knowledge
 from pimentolatch.platform import configuration, control_api
-from pimentolatch.routes import servers
+from pimentolatch.routes import servers, table
 from standins import memory_store, objects
 from tests.support import route_world, scaling_world
 
 SECOND = datetime.timedelta(seconds=1)
 PRICES = {"north": 1.0, "east": 0.8, "south": 1.25, "west": 0.9}
-SCALING = server_plan.Scaling(1, 15, scaling_world.BOOT, 0.18, PRICES)
+SCALING = table.Scaling(1, 15, scaling_world.BOOT, 0.18, PRICES)
 FIRST = {"north": 8, "east": 8, "south": 7, "west": 7}
 NEED = sum(FIRST.values())
 DAYS = 40
