--- a/src/pimentolatch/gateway/measuring.py
+++ b/src/pimentolatch/gateway/measuring.py
@@ -18,6 +18,7 @@
     peer_table,
     quarantine,
     request_log,
+    tenure,
 )
 
 __all__ = ["MetricsFace", "RouteMetrics", "StateCollector"]
@@ -152,11 +153,13 @@
         known: knowledge.Knowledge,
         peers: peer_table.PeerTable,
         suspects: quarantine.Quarantine,
+        held: tenure.Tenure,
         door: gate.Gate,
     ) -> None:
         self._known = known
         self._peers = peers
         self._suspects = suspects
+        self._tenure = held
         self._door = door
 
     def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
@@ -172,6 +175,7 @@
             ("peers_heard", "Peers that were heard lately.", len(self._peers.live())),
             ("fleet_instances", "Instances of the fleet.", self._peers.instances),
             ("quarantined", "Requests kept from servers.", self._suspects.size),
+            ("holds_duties", "Whether it reports and orders.", self._tenure.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -110,7 +110,11 @@
         self._link_peers()
         self._measured.registry.register(
             measuring.StateCollector(
-                self._known, self._peer_table, self._quarantine, self._gate
+                self._known,
+                self._peer_table,
+                self._quarantine,
+                self._duties.tenure,
+                self._gate,
             )
         )
         self._metrics_server: servers.HttpServer | None = None
--- a/tests/features/steps/usage_steps.py
+++ b/tests/features/steps/usage_steps.py
@@ -336,6 +336,12 @@
         assert (call.holder, call.fence) == ("one", 1), call
 
 
+@behave.then("usage: the instance's metrics say that it holds the duties")
+def metrics_say(context):
+    metrics = context.run(context.world.ask_metrics())
+    assert metrics["pimentolatch_holds_duties"] == 1.0, metrics
+
+
 @behave.given('usage: the next call at the receiver ends by "{fault}"')
 def next_ends_by(context, fault):
     context.receiver.received.clear()
--- a/tests/features/usage.feature
+++ b/tests/features/usage.feature
@@ -70,6 +70,7 @@
     When usage: "north" makes 3 requests, "south" 1, somebody without a key 1 and one is public
     Then usage: the receiver gets one report that counts 3 of "north" and 1 of "south"
     And usage: each call names the holder and its fence
+    And usage: the instance's metrics say that it holds the duties
 
   # Guards against another content after an answer that was lost.
   Scenario Outline: A report that is not accepted goes out again as it was
