Have the tasks of one holder renew its lease one after the other

Cause: tenure, usage reports, orders of servers and stages each renew the lease.

Mended in the lease, which all share.

--- a/src/pimentolatch/gateway/lease.py
+++ b/src/pimentolatch/gateway/lease.py
@@ -1,5 +1,6 @@
 """The lease in the platform's store that lets one instance do all duties of one."""
 
+import asyncio
 import datetime
 
 import logbook
@@ -50,6 +51,9 @@
         self._life = life
         self._validity = between
         self._clock = time
+        # Each duty has a task that renews the lease. Two writes at once conflict, and
+        # the one that lost would take the lease anew with a higher fence.
+        self._turn = asyncio.Lock()
         self._until = datetime.timedelta()
         self._version = 0
         self._fence = 0
@@ -81,6 +85,10 @@
         Args:
             released_fence: Fence of a tenure whose holder has said that it is through.
         """
+        async with self._turn:
+            return await self._acquire(released_fence)
+
+    async def _acquire(self, released_fence: int | None) -> bool:
         if self.valid():
             return True
         if self._version and await self._write(
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -34,6 +34,13 @@
     When lease: "two" asks for the lease
     Then lease: "two" does not hold it
 
+  # Guards against a fence that rises each time two duties of one holder renew at once.
+  Scenario: Two tasks of a holder that renew at once keep its fence
+    Given lease: instances "one" and "two" on one store
+    When lease: "one" asks for the lease
+    And lease: two tasks of "one" ask at once when it has run out
+    Then lease: "one" holds it with fence 1
+
   # Two free instances ask at one moment. The conditional write decides.
   Scenario: Of two instances that ask at once one gets the lease
     Given lease: instances "one" and "two" on one store
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -50,6 +50,24 @@
     context.clock.advance(datetime.timedelta(seconds=count))
 
 
+@behave.when('lease: two tasks of "{name}" ask at once when it has run out')
+def two_tasks(context, name):
+    held = context.leases[name]
+    context.clock.advance(BETWEEN)
+    assert not held.valid()
+
+    async def both():
+        context.faults.delay = datetime.timedelta(milliseconds=1)
+        asked = asyncio.gather(held.acquire(), held.acquire())
+        while not asked.done():
+            await asyncio.sleep(0)
+            context.clock.advance(datetime.timedelta(milliseconds=1))
+        context.faults.end()
+        assert await asked == [True, True]
+
+    asyncio.run(both())
+
+
 @behave.when("lease: both ask at once")
 def both_ask(context):
     async def both():
