Weigh how long servers had a request before it is blamed for their ends

Cause: a request was judged by the number of its ends and by who beside it had as many left. What the ends themselves show was thrown away. Evidence: in the refused cases (traced in the replay) the request had run 350, 90 and 30 ms on its three servers, or a dozen other servers ended within the same second, or two requests that did end servers explained all of its ends; a fatal one had run about as long each time.

Now a pair says how long the server had had the request, and `crash_evidence` decides: times that are unlike, several requests with the same three ends, as many ends elsewhere at the time, or a likelier request that explains the ends, each put it in doubt, and it may run once more, up to five ends as before. Of two with the same ends, the one that had run clearly shorter is the cause, which also spares servers where the case is plain.

Peers' news now come in one order, so a seed repeats a play; beacons are version 10, so instances of both versions don't hear each other during a rollout.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -25,11 +25,11 @@
 import math
 from collections import abc
 
-from pimentolatch.decisions import subset
+from pimentolatch.decisions import crash_evidence, subset
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
-__all__ = ["CrashSuspects", "Policy", "Suspicion", "Verdict", "own_part"]
+__all__ = ["CrashSuspects", "Policy", "Verdict", "own_part"]
 
 # A suspect that does not come back within this is forgotten.
 _SUSPECT_LIFETIME = datetime.timedelta(minutes=10)
@@ -43,10 +43,6 @@
 # News of servers' ends reach a fleet of hundreds within two seconds and most of it in
 # half of that. Until then a request that seems guilty is held off, not judged.
 _SETTLING = datetime.timedelta(milliseconds=1500)
-# Another request with as many crashes on the same servers puts it in doubt which of
-# them is the cause, for so many further crashes at the most: run apart, the one that is
-# innocent runs to its end.
-_MOST_DOUBTED = 2
 # Share of the servers that a suspect may use.
 _OWN_SHARE = 0.25
 
@@ -66,21 +62,6 @@
     exempt: frozenset[digests.RequestDigest] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspicion:
-    """A server's connection ended while it ran a request.
-
-    Attributes:
-        cleared: The server lives on, or the request has run to its end since.
-        at: When it ended, as far as this instance knows.
-    """
-
-    digest: digests.RequestDigest
-    server: servers.Incarnation
-    cleared: bool
-    at: datetime.timedelta
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
     """A request is kept from servers.
@@ -98,11 +79,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    crashes: dict[servers.Incarnation, Suspicion] = dataclasses.field(
+    crashes: dict[servers.Incarnation, crash_evidence.Suspicion] = dataclasses.field(
         default_factory=dict
     )
 
-    def ended(self) -> list[Suspicion]:
+    def ended(self) -> list[crash_evidence.Suspicion]:
         return [crash for crash in self.crashes.values() if not crash.cleared]
 
     def last(self) -> datetime.timedelta:
@@ -123,7 +104,9 @@
         # The few with more than one pair, which alone can be near quarantine.
         self._repeated: set[digests.RequestDigest] = set()
 
-    def add(self, heard: Suspicion, now: datetime.timedelta) -> Suspicion | None:
+    def add(
+        self, heard: crash_evidence.Suspicion, now: datetime.timedelta
+    ) -> crash_evidence.Suspicion | None:
         """Take a suspicion, seen here or told by a peer.
 
         Returns:
@@ -149,8 +132,8 @@
         return any(crash.at < before for crash in self._ends_of(server))
 
     def merge(
-        self, told: abc.Iterable[Suspicion], now: datetime.timedelta
-    ) -> list[Suspicion]:
+        self, told: abc.Iterable[crash_evidence.Suspicion], now: datetime.timedelta
+    ) -> list[crash_evidence.Suspicion]:
         """Take what a peer tells; returns what is to be told to others.
 
         All pairs of a request that is in quarantine come together. What has expired
@@ -181,18 +164,22 @@
         names = tuple(crash.server for crash in ended)
         if passed < _SETTLING:
             return Verdict(names, _SETTLING - passed, settled=False)
-        if passed >= self.policy.quarantine or self._is_in_doubt(digest, ended):
+        if passed >= self.policy.quarantine:
+            return None
+        if not crash_evidence.is_cause(ended, self, self.policy.crashes):
             return None
         return Verdict(names, self.policy.quarantine - passed, settled=True)
 
-    def completed(self, digest: digests.RequestDigest) -> list[Suspicion]:
+    def completed(
+        self, digest: digests.RequestDigest
+    ) -> list[crash_evidence.Suspicion]:
         """Note that a request ran to its end; returns what that clears."""
         suspect = self._suspects.get(digest)
         return [] if suspect is None else self._clear(suspect.ended())
 
     def answered(
         self, server: servers.Incarnation, since: datetime.timedelta
-    ) -> list[Suspicion]:
+    ) -> list[crash_evidence.Suspicion]:
         """Note that a server answered an exchange; returns what that clears.
 
         Args:
@@ -200,9 +187,29 @@
             since: When the exchange began; ends that were seen later stand, since an
                 answer may have been on its way already.
         """
-        return self._clear(crash for crash in self._ends_of(server) if crash.at < since)
+        found = [crash for crash in self._ends_of(server) if crash.at < since]
+        return self._clear(found, server_lives=True)
+
+    def ended_under(
+        self, digest: digests.RequestDigest
+    ) -> list[crash_evidence.Suspicion]:
+        """Return the pairs of a request that are not cleared."""
+        suspect = self._suspects.get(digest)
+        return [] if suspect is None else suspect.ended()
 
-    def serious(self) -> list[list[Suspicion]]:
+    def victims(self, server: servers.Incarnation) -> list[crash_evidence.Suspicion]:
+        """Return the pairs of all requests that a server's end broke off."""
+        pairs = (
+            self._suspects[digest].crashes[server]
+            for digest in self._by_server.get(server, ())
+        )
+        return [pair for pair in pairs if not pair.server_lives]
+
+    def ended_servers(self) -> abc.Iterable[servers.Incarnation]:
+        """Return the servers under whose ends any request is or was suspected."""
+        return self._by_server.keys()
+
+    def serious(self) -> list[list[crash_evidence.Suspicion]]:
         """Return the pairs of each request that is in or close to quarantine."""
         found = (self._suspects[digest].ended() for digest in self._repeated)
         return [ended for ended in found if len(ended) >= _SERIOUS]
@@ -232,7 +239,7 @@
             if now - suspect.last() > self._lifetime(len(suspect.ended())):
                 self._drop(digest)
 
-    def _ends_of(self, server: servers.Incarnation) -> list[Suspicion]:
+    def _ends_of(self, server: servers.Incarnation) -> list[crash_evidence.Suspicion]:
         """Return the pairs of a server that are not cleared."""
         pairs = (
             self._suspects[digest].crashes[server]
@@ -240,27 +247,21 @@
         )
         return [pair for pair in pairs if not pair.cleared]
 
-    def _is_in_doubt(
-        self, digest: digests.RequestDigest, ended: abc.Sequence[Suspicion]
-    ) -> bool:
-        """Tell whether the servers may have ended by something else.
-
-        When a failure domain goes down bit by bit, many requests lose one server after
-        the other, and each would look guilty. They run to their end as soon as they
-        come back; one that does end servers soon has more crashes than all others.
-        """
-        if len(ended) >= self.policy.crashes + _MOST_DOUBTED:
-            return False
-        beside = set().union(*(self._by_server[crash.server] for crash in ended))
-        return any(self.crashes(other) >= len(ended) for other in beside - {digest})
-
     def _lifetime(self, crashes: int) -> datetime.timedelta:
         if crashes >= self.policy.crashes:
             return self.policy.quarantine
         return _SUSPECT_LIFETIME
 
-    def _clear(self, crashes: abc.Iterable[Suspicion]) -> list[Suspicion]:
-        cleared = [dataclasses.replace(crash, cleared=True) for crash in crashes]
+    def _clear(
+        self,
+        crashes: abc.Iterable[crash_evidence.Suspicion],
+        *,
+        server_lives: bool = False,
+    ) -> list[crash_evidence.Suspicion]:
+        cleared = [
+            dataclasses.replace(crash, cleared=True, server_lives=server_lives)
+            for crash in crashes
+        ]
         for crash in cleared:
             self._suspects[crash.digest].crashes[crash.server] = crash
         return cleared
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -8,7 +8,7 @@
 import logbook
 
 from pimentolatch import clock
-from pimentolatch.decisions import crash_suspects
+from pimentolatch.decisions import crash_evidence, crash_suspects
 from pimentolatch.gateway import inbound
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import digests
@@ -37,9 +37,9 @@
     """Pairs that some peers have not been told of yet."""
 
     def __init__(self) -> None:
-        self._left: dict[_Key, tuple[crash_suspects.Suspicion, int]] = {}
+        self._left: dict[_Key, tuple[crash_evidence.Suspicion, int]] = {}
 
-    def add(self, pair: crash_suspects.Suspicion) -> None:
+    def add(self, pair: crash_evidence.Suspicion) -> None:
         """Note a pair to be told."""
         key = pair.digest, pair.server
         self._left.pop(key, None)
@@ -49,7 +49,7 @@
 
     def take(
         self, crashes: abc.Callable[[digests.RequestDigest], int]
-    ) -> list[crash_suspects.Suspicion]:
+    ) -> list[crash_evidence.Suspicion]:
         """Return some pairs; each is returned a few times in all.
 
         Those of requests with the most crashes come first, then the newest: after the
@@ -136,7 +136,9 @@
         if self._suspects.has_ended(server.incarnation, begun):
             return
         now = self._clock.monotonic()
-        pair = crash_suspects.Suspicion(asked.digest, server.incarnation, False, now)
+        pair = crash_evidence.Suspicion(
+            asked.digest, server.incarnation, False, now, now - begun
+        )
         known = self._suspects.add(pair, now)
         if known is not None:
             self._tell([known])
@@ -161,17 +163,21 @@
         """Take what a peer tells."""
         now = self._clock.monotonic()
         pairs = [
-            crash_suspects.Suspicion(
+            crash_evidence.Suspicion(
                 row.digest,
                 row.server,
                 row.cleared,
-                now - datetime.timedelta(milliseconds=row.age_ms),
+                now - row.age_ms * _MILLISECOND,
+                row.lasted_ms * _MILLISECOND,
+                row.server_lives,
             )
             for row in told
         ]
         fresh = self._suspects.merge(pairs, now)
         # A peer that missed a clearing is told of it in any fleet.
-        self._tell(fresh if self.partly_heard else set(fresh).difference(pairs))
+        if not self.partly_heard:
+            fresh = [pair for pair in fresh if pair not in pairs]
+        self._tell(fresh)
 
     async def review(self) -> None:
         """Drop what has expired and log what has changed, for ever."""
@@ -185,12 +191,12 @@
         self._suspects.forget_old(now)
         self._log_changes(self._suspects.quarantined(now))
 
-    def _tell(self, pairs: typing.Iterable[crash_suspects.Suspicion]) -> None:
+    def _tell(self, pairs: typing.Iterable[crash_evidence.Suspicion]) -> None:
         for pair in pairs:
             self._near.add(pair)
             self._far.add(pair)
 
-    def _in_turn(self) -> list[crash_suspects.Suspicion]:
+    def _in_turn(self) -> list[crash_evidence.Suspicion]:
         """Return some requests with all their pairs, others each time."""
         serious = self._suspects.serious()
         if not serious:
@@ -200,7 +206,7 @@
         return [pair for number in chosen for pair in serious[number]]
 
     def _rows(
-        self, pairs: typing.Iterable[crash_suspects.Suspicion]
+        self, pairs: typing.Iterable[crash_evidence.Suspicion]
     ) -> tuple[beacons.Suspicion, ...]:
         now = self._clock.monotonic()
         # Rounded up: an age that shrank on each way would never expire.
@@ -210,6 +216,8 @@
                 pair.server,
                 pair.cleared,
                 max(0, math.ceil((now - pair.at) / _MILLISECOND)),
+                math.ceil(pair.lasted / _MILLISECOND),
+                pair.server_lives,
             )
             for pair in pairs
         )
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -31,7 +31,7 @@
     "encode",
 ]
 
-_VERSION = 9
+_VERSION = 10
 _FIELDS = 18
 
 
@@ -127,12 +127,16 @@
         digest: `digests.request_digest` of the request.
         cleared: The server lives on, or the request has run to its end since.
         age_ms: How long ago it ended at the most.
+        lasted_ms: How long the server had had the request by then; 0 if not known.
+        server_lives: The server has answered since, so that it has not ended.
     """
 
     digest: int
     server: servers.Incarnation
     cleared: bool
     age_ms: int
+    lasted_ms: int = 0
+    server_lives: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,10 +214,7 @@
         [engines.number(item.engine), item.stage.value, item.left_ms]
         for item in beacon.changing
     ]
-    suspicions = [
-        [item.digest, engines.number(item.server), item.cleared, item.age_ms]
-        for item in beacon.suspicions
-    ]
+    suspicions = [_suspicion_row(item, engines) for item in beacon.suspicions]
     rows: list[typing.Any] = [
         _VERSION,
         beacon.instance,
@@ -300,21 +301,37 @@
                 for row in rows[14]
             ),
             _piece(rows[15]),
-            tuple(
-                Suspicion(
-                    fields.count(row[0]),
-                    engines[fields.count(row[1])],
-                    bool(row[2]),
-                    fields.count(row[3]),
-                )
-                for row in rows[16]
-            ),
+            tuple(_suspicion(row, engines) for row in rows[16]),
             _holder(rows[17]),
         )
     except fields.UNREADABLE as error:
         return Malformed(repr(error))
 
 
+def _suspicion_row(suspicion: Suspicion, engines: _Engines) -> list[typing.Any]:
+    return [
+        suspicion.digest,
+        engines.number(suspicion.server),
+        suspicion.cleared,
+        suspicion.age_ms,
+        suspicion.lasted_ms,
+        suspicion.server_lives,
+    ]
+
+
+def _suspicion(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> Suspicion:
+    return Suspicion(
+        fields.count(row[0]),
+        engines[fields.count(row[1])],
+        bool(row[2]),
+        fields.count(row[3]),
+        fields.count(row[4]),
+        bool(row[5]),
+    )
+
+
 def _holder_row(holder: Holder | None) -> list[typing.Any] | None:
     if holder is None:
         return None
--- a/src/pimentolatch/requests/stream.py
+++ b/src/pimentolatch/requests/stream.py
@@ -196,6 +196,7 @@
             if engine is None:
                 break
             before = delivered
+            begun = self._clock.monotonic()
             attempt = self._attempt(completion, engine, delivered)
             async with contextlib.aclosing(attempt):
                 async for event in attempt:
@@ -210,7 +211,7 @@
                         reason = event.reason
                         maybe_ran |= isinstance(event, outcomes.Broken)
                         if isinstance(event, outcomes.Broken) and event.connection_lost:
-                            self._suspects.engine_ended(digest, engine.name)
+                            self._suspects.engine_ended(digest, engine.name, begun)
             failed.add(engine.name)
             _log.warn(
                 "dispatch failed",
--- a/src/pimentolatch/requests/suspect_completions.py
+++ b/src/pimentolatch/requests/suspect_completions.py
@@ -3,7 +3,7 @@
 import datetime
 
 from pimentolatch import clock
-from pimentolatch.decisions import crash_suspects
+from pimentolatch.decisions import crash_evidence, crash_suspects
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
@@ -32,15 +32,23 @@
         """Return whether a completion is kept from engines; None if it may run."""
         return self._suspects.verdict(digest, self._clock.monotonic())
 
-    def engine_ended(self, digest: digests.RequestDigest, engine: str) -> None:
-        """Note that an engine's connection ended while it ran a completion."""
+    def engine_ended(
+        self, digest: digests.RequestDigest, engine: str, begun: datetime.timedelta
+    ) -> None:
+        """Note that an engine's connection ended while it ran a completion.
+
+        Args:
+            digest: The completion.
+            engine: The engine's name.
+            begun: When the completion was sent there.
+        """
         now = self._clock.monotonic()
         number, last = self._ends.get(engine, (0, now - 2 * _ONE_END))
         if now - last > _ONE_END:
             number += 1
         self._ends[engine] = number, now
         ended = servers.Incarnation(engine, number)
-        pair = crash_suspects.Suspicion(digest, ended, False, now)
+        pair = crash_evidence.Suspicion(digest, ended, False, now, now - begun)
         self._suspects.add(pair, now)
 
     def completed(self, digest: digests.RequestDigest) -> None:
--- a/tests/features/crash_suspects.feature
+++ b/tests/features/crash_suspects.feature
@@ -64,3 +64,31 @@
     Given suspects: a request under which servers "s1", "s2" and "s3" ended before
     When suspects: its digest is exempt in the settings
     Then suspects: the request may run
+
+  # Guards against a request that is refused since it lost three servers to other causes.
+  Scenario: A request that servers had run for any time is not taken for their cause
+    Given suspects: servers end 100, 900 and 50 ms after they were sent a request
+    Then suspects: the request may run
+
+  Scenario: A request that ends servers soon after each sending is taken for the cause
+    Given suspects: servers end 100, 190 and 70 ms after they were sent a request
+    Then suspects: the request is in quarantine
+
+  # Guards against doubts that let a request end servers for ever.
+  Scenario: A request that five servers ended under is in quarantine whatever the doubts
+    Given suspects: servers end 100, 900, 50, 700 and 20 ms after they were sent a request
+    Then suspects: the request is in quarantine
+
+  # Guards against a request that shares each server with the one that ends them.
+  Scenario: Of two requests under which the same servers ended the newer one is the cause
+    Given suspects: servers end 50, 50 and 50 ms after they were sent a request
+    And suspects: the same servers had been sent another request 30 ms earlier
+    Then suspects: the request is in quarantine
+    And suspects: the other request may run
+
+  # Guards against the last request to come back after the loss of many servers: all
+  # others beside it have run to their end by then and are no suspects any more.
+  Scenario: Ends of as many other servers put a request in doubt
+    Given suspects: servers end 100, 110 and 90 ms after they were sent a request
+    And suspects: three other servers end at the same time
+    Then suspects: the request may run
--- a/tests/features/steps/crash_replay_steps.py
+++ b/tests/features/steps/crash_replay_steps.py
@@ -31,6 +31,34 @@
     context.result = played.run(REPLAY_S, kills=((3, 0.5), (6, 0.5)))
 
 
+@behave.when(
+    "crashes: two of {rate:d} requests a second end each server that runs them,"
+    " drawn by {seed:d}"
+)
+def two_are_fatal(context, rate, seed):
+    played = crash_replay.CrashReplay(*context.sizes, seed, rate)
+    context.result = played.run(REPLAY_S, fatal=2)
+
+
+@behave.when(
+    "crashes: a third of the servers end thrice under {rate:d} requests a second,"
+    " drawn by {seed:d}"
+)
+def third_ends(context, rate, seed):
+    played = crash_replay.CrashReplay(*context.sizes, seed, rate)
+    kills = ((3, 0.33), (6, 0.33), (9, 0.33))
+    context.result = played.run(REPLAY_S, kills=kills)
+
+
+@behave.when(
+    "crashes: half of the servers end beside one of {rate:d} requests a second"
+    " that ends each, drawn by {seed:d}"
+)
+def half_end_beside_fatal(context, rate, seed):
+    played = crash_replay.CrashReplay(*context.sizes, seed, rate)
+    context.result = played.run(REPLAY_S, fatal=1, kills=((5, 0.5),))
+
+
 @behave.then("crashes: at most three sendings of it go out later than all must know")
 def few_late(context):
     # It has come so far that the bound says something.
--- a/tests/features/steps/crash_suspects_steps.py
+++ b/tests/features/steps/crash_suspects_steps.py
@@ -26,6 +26,7 @@
 
 
 REQUEST = Asked(DIGEST)
+OTHER = Asked(0xD4E5F6)
 
 
 def server(name):
@@ -59,6 +60,48 @@
         context.kept.server_ended(REQUEST, server(name), begun)
 
 
+@behave.given("suspects: servers end {times} ms after they were sent a request")
+def ended_after(context, times):
+    context.time = clock.ManualClock()
+    context.time.advance(SETTLED)
+    context.kept = quarantine.Quarantine(crash_suspects.Policy(), context.time)
+    context.ends = {}
+    for number, lasted in enumerate(re.findall(r"\d+", times)):
+        context.time.advance(SECOND)
+        begun = context.time.monotonic()
+        context.time.advance(int(lasted) * SECOND / 1000)
+        context.kept.server_ended(REQUEST, server(f"s{number}"), begun)
+        context.ends[f"s{number}"] = begun
+    context.time.advance(SETTLED)
+
+
+@behave.given(
+    "suspects: the same servers had been sent another request {lead:d} ms earlier"
+)
+def another_beside(context, lead):
+    for name, begun in context.ends.items():
+        row = beacons.Suspicion(
+            OTHER.digest,
+            servers.Incarnation(name),
+            cleared=False,
+            age_ms=(context.time.monotonic() - begun) // (SECOND / 1000),
+            lasted_ms=50 + lead,
+        )
+        context.kept.take([row])
+
+
+@behave.given("suspects: three other servers end at the same time")
+def others_end(context):
+    for number, begun in enumerate(context.ends.values()):
+        age_ms = (context.time.monotonic() - begun) // (SECOND / 1000)
+        tell(context.kept, f"o{number}", digest=number, age_ms=age_ms)
+
+
+@behave.then("suspects: the other request may run")
+def other_may_run(context):
+    assert context.kept.verdict(OTHER) is None
+
+
 @behave.when("suspects: peers report {names}")
 def reported(context, names):
     drain(context.kept)
--- a/tests/support/crash_replay.py
+++ b/tests/support/crash_replay.py
@@ -88,10 +88,23 @@
         instances, domains, engines: Sizes.
         seed: Draws all.
         rate: Requests a second.
+        fatal_after_s: Bounds of the time after which a server ends that runs a
+            request which ends it.
     """
 
-    def __init__(self, instances, domains, engines, seed, rate):
+    def __init__(
+        self,
+        instances,
+        domains,
+        engines,
+        seed,
+        rate,
+        fatal_after_s=(FATAL_AFTER_S, FATAL_AFTER_S),
+    ):
         self._draw = random.Random(seed)
+        # Drawn apart, so that the other draws are the same whatever the bounds.
+        self._draw_fatal = random.Random(seed)
+        self._fatal_after_s = fatal_after_s
         self._time = clock.ManualClock()
         self._numbers = itertools.count()
         self._events = []
@@ -201,7 +214,8 @@
             ended = self.result.ends[request.digest]
             if len(ended) >= 3 and self._now() > ended[2] + CONTACT_S:
                 self.result.late_sendings[request.digest] += 1
-            self._at(self._now() + FATAL_AFTER_S, self._end_by, sending)
+            after = self._draw_fatal.uniform(*self._fatal_after_s)
+            self._at(self._now() + after, self._end_by, sending)
         else:
             took = self._draw.uniform(*RUN_S)
             self._at(self._now() + took, self._complete, sending)
