Tell peers which completions have ended engines

What callers saw: a completion that ends each engine which runs it ended three engines at each instance its caller came through, and broke off all completions on them.

Cause: each instance remembered ended engines by itself. The scenario with one instance stays beside it.

An instance that has just started knows, too, and a completion that has run to its end is no suspect anywhere.

Now links carry crash notices: at once, bounded between heartbeats, on to other failure domains, everything serious on a new link. Ends are known by engine and time, since engines of the document have no incarnations. The choice of news is shared by both faces (decisions.crash_news).

Left: attempts under way at several instances at the same moment end an engine each; calls of plain services have no such memory.

--- a/src/pimentolatch/entry/control_plane.py
+++ b/src/pimentolatch/entry/control_plane.py
@@ -19,6 +19,7 @@
     views,
 )
 from pimentolatch.platform import objects
+from pimentolatch.requests import suspect_completions
 
 __all__ = ["ControlPlane", "NoShares"]
 
@@ -43,6 +44,7 @@
     Args:
         source: Returns the work of this instance, for peers.
         table: Takes the peers' work.
+        crashes: Completions that have ended engines, for peers.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         *,
         time: clock.Clock,
         measured: metrics.Metrics,
+        crashes: suspect_completions.SuspectCompletions | None = None,
         source: typing.Callable[[], shares.Shares] = shares.Shares,
         table: share_spread.ShareTable | None = None,
     ) -> None:
@@ -85,6 +88,7 @@
         self._leaving = leaving.LeavingServers(
             time, _LEAVING_HOLD, own_fleet.set_leaving
         )
+        crashes = crashes or suspect_completions.SuspectCompletions(time)
         self._peering = peering.Peering(
             self._own,
             chosen.peers,
@@ -95,10 +99,12 @@
                 source, table or NoShares(), time, interval
             ),
             leaving_servers=self._leaving,
+            crashes=crashes,
             time=time,
             chance=chance,
             peer_links=self._links,
         )
+        crashes.on_news(self._peering.node.tell_crashes)
         self._keeper.on_adopted(self._peering.node.configuration_changed)
         self._collector = collector.PartCollector(self._store, self._documents)
         self._followers = (
--- a/src/pimentolatch/entry/process.py
+++ b/src/pimentolatch/entry/process.py
@@ -72,6 +72,7 @@
             self._fleet,
             time=time,
             measured=self._metrics,
+            crashes=self._completions.suspects,
             source=self._peer_table.own,
             table=self._senders,
         )
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -8,7 +8,7 @@
 import logbook
 
 from pimentolatch import clock
-from pimentolatch.decisions import crash_evidence, crash_suspects
+from pimentolatch.decisions import crash_evidence, crash_news, crash_suspects
 from pimentolatch.gateway import inbound
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import digests
@@ -23,54 +23,10 @@
 _SERIOUS_TOLD = 2
 # How often each pair is told: datagrams get lost.
 _TIMES_TOLD = 3
-# Pairs that wait to be told. After the loss of a failure domain there are thousands;
-# the newest are told, since those of a request that comes again are among them.
-_MOST_NEWS = 500
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _REVIEW_INTERVAL = datetime.timedelta(seconds=1)
 
-_Key = tuple[digests.RequestDigest, servers.Incarnation]
-
-
-class _News:
-    """Pairs that some peers have not been told of yet."""
-
-    def __init__(self) -> None:
-        self._left: dict[_Key, tuple[crash_evidence.Suspicion, int]] = {}
-
-    def add(self, pair: crash_evidence.Suspicion) -> None:
-        """Note a pair to be told."""
-        key = pair.digest, pair.server
-        self._left.pop(key, None)
-        self._left[key] = pair, _TIMES_TOLD
-        if len(self._left) > _MOST_NEWS:
-            del self._left[next(iter(self._left))]
-
-    def take(
-        self, crashes: abc.Callable[[digests.RequestDigest], int]
-    ) -> list[crash_evidence.Suspicion]:
-        """Return some pairs; each is returned a few times in all.
-
-        Those of requests with the most crashes come first, then the newest: after the
-        loss of a whole failure domain the others are too many to be told in time.
-
-        Args:
-            crashes: Under how many servers' ends a request is suspected.
-        """
-        newest = reversed(self._left.values())
-        pairs = [pair for pair, _ in newest]
-        pairs.sort(key=lambda pair: 0 if pair.cleared else -crashes(pair.digest))
-        taken = pairs[:_TOLD]
-        for pair in taken:
-            key = pair.digest, pair.server
-            left = self._left[key][1] - 1
-            if left:
-                self._left[key] = pair, left
-            else:
-                del self._left[key]
-        return taken
-
 
 class Quarantine:
     """What one instance makes of the ends of servers, and tells its peers of them.
@@ -86,8 +42,8 @@
     def __init__(self, policy: crash_suspects.Policy, time: clock.Clock) -> None:
         self._suspects = crash_suspects.CrashSuspects(policy)
         self._clock = time
-        self._near = _News()
-        self._far = _News()
+        self._near = crash_news.CrashNews(_TIMES_TOLD)
+        self._far = crash_news.CrashNews(_TIMES_TOLD)
         self._turn = 0
         self._logged: set[digests.RequestDigest] = set()
         self.partly_heard = False
@@ -153,11 +109,13 @@
 
     def take_near(self) -> tuple[beacons.Suspicion, ...]:
         """Return what near peers are to be told."""
-        return self._rows(self._near.take(self._suspects.crashes) + self._in_turn())
+        news = self._near.take(_TOLD, self._suspects.crashes)
+        return self._rows(news + self._in_turn())
 
     def take_far(self) -> tuple[beacons.Suspicion, ...]:
         """Return what peers of other failure domains are to be told."""
-        return self._rows(self._far.take(self._suspects.crashes) + self._in_turn())
+        news = self._far.take(_TOLD, self._suspects.crashes)
+        return self._rows(news + self._in_turn())
 
     def take(self, told: typing.Iterable[beacons.Suspicion]) -> None:
         """Take what a peer tells."""
--- a/src/pimentolatch/membership/interfaces.py
+++ b/src/pimentolatch/membership/interfaces.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import typing
+from collections import abc
 
 from pimentolatch.protocol import messages
 
-__all__ = ["ConfigurationPeer", "Network"]
+__all__ = ["ConfigurationPeer", "CrashTable", "Network"]
 
 
 class Network(typing.Protocol):
@@ -42,3 +43,19 @@
 
     def closed(self, link: int) -> None:
         """Take note that a link is gone."""
+
+
+class CrashTable(typing.Protocol):
+    """Holds which completions have ended engines, as this instance knows."""
+
+    def take(self, told: abc.Iterable[messages.EngineEnd], *, near: bool) -> None:
+        """Take what a peer tells, which may be of the own failure domain."""
+
+    def take_near(self, most: int) -> tuple[messages.EngineEnd, ...]:
+        """Return what peers of the own failure domain are to be told."""
+
+    def take_far(self, most: int) -> tuple[messages.EngineEnd, ...]:
+        """Return what peers of other failure domains are to be told."""
+
+    def serious(self) -> tuple[messages.EngineEnd, ...]:
+        """Return what an instance that has just started has to know."""
--- a/src/pimentolatch/membership/links.py
+++ b/src/pimentolatch/membership/links.py
@@ -330,6 +330,8 @@
             return len(message.servers) + len(message.callers) > _SMALL_ENTRIES
         case messages.LeavingNotice():
             return len(message.servers) > _SMALL_ENTRIES
+        case messages.CrashNotice():
+            return len(message.ends) > _SMALL_ENTRIES
         case messages.Acknowledged():
             return len(message.rows) > _SMALL_ENTRIES
         case _:
--- a/src/pimentolatch/membership/node.py
+++ b/src/pimentolatch/membership/node.py
@@ -35,6 +35,9 @@
 # A peer asked about is one of a few; more would make each outage of a failure domain
 # a burst of questions. The rest is asked about in later heartbeats.
 _ASKED_AT_ONCE = 8
+# Ends of engines that are told between two heartbeats, at once as they are noticed.
+# After the loss of many engines the rest follows with later heartbeats.
+_ENDS_PER_HEARTBEAT = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +60,7 @@
         list_lag: Bound on how late the platform's instance list may be.
         spread: Tells peers of the work carried here, and holds theirs.
         leaving_servers: Backend servers that the platform's list shows as leaving.
+        crashes: Completions that have ended engines.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         *,
         network: interfaces.Network,
         documents: interfaces.ConfigurationPeer,
+        crashes: interfaces.CrashTable,
         table: view_table.ViewTable,
         spread: share_spread.ShareSpread,
         leaving_servers: leaving.LeavingServers,
@@ -78,6 +83,8 @@
         self._table = table
         self._spread = spread
         self._leaving = leaving_servers
+        self._crashes = crashes
+        self._ends_left = _ENDS_PER_HEARTBEAT
         self._clock = time
         self.members = members.Members(time, suspect_after)
         self.acknowledged = acknowledgements.AcknowledgementTable(
@@ -129,6 +136,9 @@
             if self._holds:
                 notice = messages.HolderNotice(self._own.failure_domain)
                 self._network.send(number, notice)
+        serious = self._crashes.serious()
+        if serious:
+            self._network.send(number, messages.CrashNotice(serious))
         self._changed()
 
     def closed(self, number: int) -> None:
@@ -174,6 +184,9 @@
                 self._spread.received(link.peer.incarnation, message)
             case messages.LeavingNotice():
                 self._leaving.noticed(message.servers)
+            case messages.CrashNotice():
+                near = link.peer.failure_domain == self._own.failure_domain
+                self._crashes.take(message.ends, near=near)
             case messages.Hello():
                 self._network.close(number, "second hello")
             case _:
@@ -183,6 +196,8 @@
         """Send a heartbeat on every link; called at the heartbeat interval."""
         self._views.acknowledge()
         self._views.ask_again()
+        self._ends_left = _ENDS_PER_HEARTBEAT
+        self.tell_crashes()
         for number, link in list(self._links.items()):
             self._beat(number)
             self._pass_on(number, link)
@@ -212,6 +227,16 @@
             self._views.acknowledge()
             self._changed()
 
+    def tell_crashes(self) -> None:
+        """Tell the peers at once which completions have ended engines."""
+        near = self._crashes.take_near(self._ends_left)
+        far = self._crashes.take_far(self._ends_left)
+        self._ends_left -= max(len(near), len(far))
+        for number, link in self._links.items():
+            own_domain = link.peer.failure_domain == self._own.failure_domain
+            if ends := near if own_domain else far:
+                self._network.send(number, messages.CrashNotice(ends))
+
     def configuration_changed(self) -> None:
         """Tell the peers at once that another document is in force here."""
         self._changed()
--- a/src/pimentolatch/membership/peering.py
+++ b/src/pimentolatch/membership/peering.py
@@ -48,6 +48,7 @@
         table: The domain views routed by here.
         spread: Tells peers of the work carried here.
         leaving_servers: Backend servers that the platform's list shows as leaving.
+        crashes: Completions that have ended engines.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         table: view_table.ViewTable,
         spread: share_spread.ShareSpread,
         leaving_servers: leaving.LeavingServers,
+        crashes: interfaces.CrashTable,
         time: clock.Clock,
         chance: random.Random,
         peer_links: links.Links,
@@ -79,6 +81,7 @@
             table=table,
             spread=spread,
             leaving_servers=leaving_servers,
+            crashes=crashes,
             time=time,
             suspect_after=datetime.timedelta(seconds=chosen.suspect_after_s),
             list_lag=datetime.timedelta(seconds=chosen.list_lag_bound_s),
--- a/src/pimentolatch/protocol/codec.py
+++ b/src/pimentolatch/protocol/codec.py
@@ -40,6 +40,7 @@
     messages.PartMissing: 13,
     messages.SharesDelta: 14,
     messages.LeavingNotice: 15,
+    messages.CrashNotice: 16,
 }
 _TYPES = {number: kind for kind, number in _NUMBERS.items()}
 
--- a/src/pimentolatch/protocol/messages.py
+++ b/src/pimentolatch/protocol/messages.py
@@ -13,7 +13,9 @@
     "Acknowledged",
     "Acknowledgement",
     "ConfigurationHead",
+    "CrashNotice",
     "DomainViews",
+    "EngineEnd",
     "Evidence",
     "Farewell",
     "Heartbeat",
@@ -212,6 +214,31 @@
     servers: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineEnd:
+    """An engine's connection ended while it ran a completion.
+
+    Attributes:
+        digest: `stream.Completion.digest` of the completion.
+        cleared: The completion has run to its end since.
+        age_ms: How long ago it ended.
+        lasted_ms: How long the engine had had the completion by then.
+    """
+
+    digest: int
+    engine: str
+    cleared: bool
+    age_ms: int
+    lasted_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """Completions under which engines have ended lately."""
+
+    ends: tuple[EngineEnd, ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -228,4 +255,5 @@
     | PartMissing
     | SharesDelta
     | LeavingNotice
+    | CrashNotice
 )
--- a/src/pimentolatch/requests/completion.py
+++ b/src/pimentolatch/requests/completion.py
@@ -7,7 +7,7 @@
 
 from pimentolatch import clock, fleet, results
 from pimentolatch.decisions import dispatcher, outstanding
-from pimentolatch.requests import handover, schedule, stream
+from pimentolatch.requests import handover, schedule, stream, suspect_completions
 
 __all__ = ["CompletionRunner"]
 
@@ -31,15 +31,22 @@
         self._fleet = own_fleet
         decisions = dispatcher.Dispatcher(own_instance, own_domain, work)
         self._scheduler = schedule.Scheduler(decisions, own_fleet, time)
+        self._suspects = suspect_completions.SuspectCompletions(time)
         self._stream = stream.ResumingStream(
             engines,
             self._scheduler,
             time,
+            suspects=self._suspects,
             moves=moves,
             # Instances must not draw the same pauses.
             chance=random.Random(own_instance),
         )
 
+    @property
+    def suspects(self) -> suspect_completions.SuspectCompletions:
+        """The completions that have ended engines."""
+        return self._suspects
+
     @property
     def scheduler(self) -> schedule.Scheduler:
         """The queue of completions; its `run` has to run beside the requests."""
--- a/src/pimentolatch/requests/stream.py
+++ b/src/pimentolatch/requests/stream.py
@@ -159,13 +159,14 @@
         limits: SilenceLimits | None = None,
         moves: handover.KvMoves | None = None,
         chance: random.Random | None = None,
+        suspects: suspect_completions.SuspectCompletions | None = None,
     ) -> None:
         self._engines = engines
         self._choice = choice
         self._clock = time
         self._limits = limits or SilenceLimits()
         self._chance = chance or random.Random(0)
-        self._suspects = suspect_completions.SuspectCompletions(time)
+        self._suspects = suspects or suspect_completions.SuspectCompletions(time)
         self._handover = handover.Handover(moves or handover.NoHandover())
 
     async def run(
--- a/src/pimentolatch/requests/suspect_completions.py
+++ b/src/pimentolatch/requests/suspect_completions.py
@@ -1,9 +1,13 @@
 """Remembers completions under which engines have ended, beyond one attempt."""
 
+import collections
 import datetime
+import math
+from collections import abc
 
 from pimentolatch import clock
-from pimentolatch.decisions import crash_evidence, crash_suspects
+from pimentolatch.decisions import crash_evidence, crash_news, crash_suspects
+from pimentolatch.protocol import messages
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
@@ -12,12 +16,17 @@
 # Ends that are seen within this time are the end of one process: an engine takes longer
 # to start again, and its callers notice at different moments.
 _ONE_END = datetime.timedelta(seconds=1)
+# Ends of one engine that are remembered. One that ends more often than this within a
+# day is hardly ended by completions.
+_MOST_ENDS = 64
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class SuspectCompletions:
     """What one instance knows of completions that end engines.
 
-    Engines of the fleet document have no incarnations, so their ends are numbered.
+    Engines of the fleet document have no incarnations, so each instance numbers their
+    ends, and tells peers when they were.
 
     Args:
         time: Clock of this instance.
@@ -26,7 +35,14 @@
     def __init__(self, time: clock.Clock) -> None:
         self._suspects = crash_suspects.CrashSuspects(crash_suspects.Policy())
         self._clock = time
-        self._ends: dict[str, tuple[int, datetime.timedelta]] = {}
+        self._ends: dict[str, collections.deque[tuple[int, datetime.timedelta]]] = {}
+        self._near = crash_news.CrashNews()
+        self._far = crash_news.CrashNews()
+        self._notify: abc.Callable[[], None] | None = None
+
+    def on_news(self, notify: abc.Callable[[], None]) -> None:
+        """Have something called whenever there is something to tell."""
+        self._notify = notify
 
     def verdict(self, digest: digests.RequestDigest) -> crash_suspects.Verdict | None:
         """Return whether a completion is kept from engines; None if it may run."""
@@ -43,14 +59,79 @@
             begun: When the completion was sent there.
         """
         now = self._clock.monotonic()
-        number, last = self._ends.get(engine, (0, now - 2 * _ONE_END))
-        if now - last > _ONE_END:
-            number += 1
-        self._ends[engine] = number, now
-        ended = servers.Incarnation(engine, number)
+        ended = self._end_of(engine, now)
         pair = crash_evidence.Suspicion(digest, ended, False, now, now - begun)
-        self._suspects.add(pair, now)
+        known = self._suspects.add(pair, now)
+        if known is not None:
+            self._tell([known])
 
     def completed(self, digest: digests.RequestDigest) -> None:
         """Note that an engine has run a completion to its end."""
-        self._suspects.completed(digest)
+        self._tell(self._suspects.completed(digest))
+
+    def take(self, told: abc.Iterable[messages.EngineEnd], *, near: bool) -> None:
+        """Take what a peer tells.
+
+        Args:
+            told: The ends.
+            near: The peer is of the own failure domain, all of which it tells itself.
+        """
+        now = self._clock.monotonic()
+        pairs = [self._pair(end, now) for end in told]
+        fresh = self._suspects.merge(pairs, now)
+        self._tell(fresh, near=not near)
+
+    def take_near(self, most: int) -> tuple[messages.EngineEnd, ...]:
+        """Return what peers of the own failure domain are to be told."""
+        return self._rows(self._near.take(most, self._suspects.crashes))
+
+    def take_far(self, most: int) -> tuple[messages.EngineEnd, ...]:
+        """Return what peers of other failure domains are to be told."""
+        return self._rows(self._far.take(most, self._suspects.crashes))
+
+    def serious(self) -> tuple[messages.EngineEnd, ...]:
+        """Return the ends that an instance which has just started has to know."""
+        return self._rows(pair for pairs in self._suspects.serious() for pair in pairs)
+
+    def _tell(
+        self, pairs: abc.Collection[crash_evidence.Suspicion], *, near: bool = True
+    ) -> None:
+        for pair in pairs:
+            self._far.add(pair)
+            if near:
+                self._near.add(pair)
+        if pairs and self._notify is not None:
+            self._notify()
+
+    def _pair(
+        self, end: messages.EngineEnd, now: datetime.timedelta
+    ) -> crash_evidence.Suspicion:
+        at = now - end.age_ms * _MILLISECOND
+        ended = self._end_of(end.engine, at)
+        lasted = end.lasted_ms * _MILLISECOND
+        return crash_evidence.Suspicion(end.digest, ended, end.cleared, at, lasted)
+
+    def _end_of(self, engine: str, at: datetime.timedelta) -> servers.Incarnation:
+        """Return the end of an engine at a moment, numbered anew if it is not known."""
+        ends = self._ends.setdefault(engine, collections.deque(maxlen=_MOST_ENDS))
+        for number, known in ends:
+            if abs(at - known) <= _ONE_END:
+                return servers.Incarnation(engine, number)
+        number = ends[-1][0] + 1 if ends else 0
+        ends.append((number, at))
+        return servers.Incarnation(engine, number)
+
+    def _rows(
+        self, pairs: abc.Iterable[crash_evidence.Suspicion]
+    ) -> tuple[messages.EngineEnd, ...]:
+        now = self._clock.monotonic()
+        return tuple(
+            messages.EngineEnd(
+                pair.digest,
+                pair.server.server_id,
+                pair.cleared,
+                max(0, math.ceil((now - pair.at) / _MILLISECOND)),
+                math.ceil(pair.lasted / _MILLISECOND),
+            )
+            for pair in pairs
+        )
--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -32,3 +32,20 @@
     Given crashes: a completion that ends each engine that runs it
     When crashes: its caller sends it five times
     Then crashes: at most six engines have ended
+
+  # Guards against the same at each instance of a fleet: a caller reaches another one with
+  # each attempt.
+  Scenario: A completion that has ended three engines is kept from those of all instances
+    Given crashes: a completion that ends each engine that runs it
+    And crashes: a fleet of five instances in two failure domains
+    When crashes: its caller sends it five times, to another instance each time
+    Then crashes: at most six engines have ended
+    When crashes: its caller sends it to an instance that has just started
+    Then crashes: at most six engines have ended
+
+  Scenario: A completion that runs to its end at one instance is no suspect at any
+    Given crashes: a completion that ends each engine that runs it
+    And crashes: a fleet of five instances in two failure domains
+    When crashes: its caller sends it five times, to another instance each time
+    And crashes: an engine answers it after all
+    Then crashes: no instance keeps it from engines
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -65,6 +65,40 @@
         asyncio.run(completion_crashes.ask(tries))
 
 
+@behave.given("crashes: a fleet of five instances in two failure domains")
+def fleet_of_five(context):
+    context.fleet = completion_crashes.Fleet(context.engines, "aaabb")
+
+
+@behave.when("crashes: its caller sends it five times, to another instance each time")
+def sent_to_each(context):
+    for instance in context.fleet.instances:
+        asyncio.run(completion_crashes.ask(instance.tries))
+        context.fleet.deliver()
+
+
+@behave.when("crashes: its caller sends it to an instance that has just started")
+def sent_to_a_new_one(context):
+    started = context.fleet.start("b")
+    asyncio.run(completion_crashes.ask(started.tries))
+
+
+@behave.when("crashes: an engine answers it after all")
+def answered_by_one(context):
+    first = context.fleet.instances[0]
+    first.suspects.completed(completion_crashes.DIGEST)
+    context.fleet.deliver()
+    context.verdicts = [
+        instance.suspects.verdict(completion_crashes.DIGEST)
+        for instance in context.fleet.instances
+    ]
+
+
+@behave.then("crashes: no instance keeps it from engines")
+def kept_by_none(context):
+    assert context.verdicts == [None] * 5, context.verdicts
+
+
 @behave.then("crashes: at most six engines have ended")
 def at_most_six(context):
     assert 3 <= context.engines.ended <= 6, context.engines.ended
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -21,6 +21,7 @@
     views,
 )
 from pimentolatch.protocol import codec, messages
+from pimentolatch.requests import suspect_completions
 
 LAG = datetime.timedelta(seconds=30)
 DOMAIN = "north"
@@ -74,6 +75,7 @@
             incarnations.Identity(name_of(instance), domain, instance, 1),
             network=self.wire,
             documents=documents,
+            crashes=suspect_completions.SuspectCompletions(self.time),
             table=self.table,
             spread=share_spread.ShareSpread(
                 lambda: self.work, table, self.time, seconds(1)
--- a/tests/support/completion_crashes.py
+++ b/tests/support/completion_crashes.py
@@ -1,12 +1,22 @@
 """Engines of the first face that all end under one completion, without a network."""
 
+import collections
 import datetime
 import itertools
 import random
 
 from pimentolatch import clock
 from pimentolatch.backend import outcomes
-from pimentolatch.requests import stream
+from pimentolatch.decisions import shares
+from pimentolatch.membership import (
+    incarnations,
+    leaving,
+    node,
+    share_spread,
+    view_table,
+)
+from pimentolatch.protocol import codec, messages
+from pimentolatch.requests import stream, suspect_completions
 
 
 class Engines:
@@ -23,11 +33,12 @@
 class Choice:
     """Returns a fresh engine each time."""
 
-    def __init__(self):
+    def __init__(self, prefix="e"):
+        self._prefix = prefix
         self._numbers = itertools.count()
 
     def choose(self, asked, failed):
-        return _Engine(f"e{next(self._numbers)}")
+        return _Engine(f"{self._prefix}{next(self._numbers)}")
 
     def reader(self, asked):
         return None
@@ -63,9 +74,130 @@
     return stream.ResumingStream(engines, Choice(), time, chance=random.Random(1))
 
 
+def _completion(deadline):
+    return stream.Completion("r", "caller", "m", "fatal", 10, deadline)
+
+
+DIGEST = _completion(datetime.timedelta()).digest
+
+
 async def ask(tries):
     """Send the completion once, as its caller would."""
     time = _ClockWithoutPauses()
-    deadline = time.monotonic() + datetime.timedelta(seconds=30)
-    asked = stream.Completion("r", "caller", "m", "fatal", 10, deadline)
+    asked = _completion(time.monotonic() + datetime.timedelta(seconds=30))
     return [event async for event in tries.run(asked)]
+
+
+class Documents:
+    """Stands for the part that moves documents, which nothing here does."""
+
+    number = 0
+
+    def offered(self, link, number):
+        pass
+
+    def closed(self, link):
+        pass
+
+
+class NoWork:
+    """Stands for the table of peers' work."""
+
+    def update(self, peer, work):
+        pass
+
+    def forget(self, peer):
+        pass
+
+
+class Instance:
+    """One instance: what answers completions, and what tells its peers."""
+
+    def __init__(self, fleet, number, domain):
+        self.time = _ClockWithoutPauses()
+        self.suspects = suspect_completions.SuspectCompletions(self.time)
+        self.tries = stream.ResumingStream(
+            fleet.engines,
+            Choice(f"i{number}"),
+            self.time,
+            chance=random.Random(1),
+            suspects=self.suspects,
+        )
+        self.peers = {}
+        self.own = incarnations.Identity(f"i{number}/1-0", domain, f"i{number}", 1)
+        self.node = node.Node(
+            self.own,
+            network=Wire(fleet, self),
+            documents=Documents(),
+            crashes=self.suspects,
+            table=view_table.ViewTable(),
+            spread=share_spread.ShareSpread(
+                shares.Shares, NoWork(), self.time, datetime.timedelta(seconds=1)
+            ),
+            leaving_servers=leaving.LeavingServers(
+                self.time, datetime.timedelta(seconds=1), lambda servers: None
+            ),
+            time=self.time,
+            suspect_after=datetime.timedelta(seconds=4),
+            list_lag=datetime.timedelta(seconds=4),
+        )
+        self.suspects.on_news(self.node.tell_crashes)
+
+    @property
+    def hello(self):
+        own = self.own
+        return messages.Hello(1, own.incarnation, own.failure_domain, own.host, 1)
+
+
+class Wire:
+    """An instance's links; messages travel as bytes."""
+
+    def __init__(self, fleet, instance):
+        self._fleet = fleet
+        self._instance = instance
+
+    def send(self, link, message):
+        frame = codec.encode([message])
+        self._fleet.under_way.append((self._instance.peers[link], link, frame))
+
+    def close(self, link, reason):
+        raise AssertionError(reason)
+
+
+class Fleet:
+    """Instances of two failure domains, linked as the topology has it."""
+
+    def __init__(self, engines, domains):
+        self.engines = engines
+        self.under_way = collections.deque()
+        self.instances = []
+        for domain in domains:
+            self.start(domain)
+
+    def start(self, domain):
+        """Start one more instance; returns it."""
+        started = Instance(self, len(self.instances), domain)
+        self.instances.append(started)
+        for other in self.instances[:-1]:
+            same = other.own.failure_domain == domain
+            first = not any(
+                peer.own.failure_domain == domain for peer in other.peers.values()
+            )
+            if same or first and not started.peers:
+                self._link(started, other)
+        self.deliver()
+        return started
+
+    def _link(self, one, other):
+        # The same number on both sides, which no other link of either has.
+        number = sum(len(instance.peers) for instance in self.instances)
+        one.peers[number], other.peers[number] = other, one
+        one.node.opened(number, other.hello)
+        other.node.opened(number, one.hello)
+
+    def deliver(self):
+        """Carry all messages that are under way, and those that follow from them."""
+        while self.under_way:
+            receiver, link, frame = self.under_way.popleft()
+            for message in codec.decode(frame):
+                receiver.node.handle(link, message)
--- a/tests/support/config_world.py
+++ b/tests/support/config_world.py
@@ -26,6 +26,7 @@
     views,
 )
 from pimentolatch.protocol import codec, messages
+from pimentolatch.requests import suspect_completions
 from standins import memory_store, objects
 from tests.support import config_history, schedule
 
@@ -207,6 +208,7 @@
             self.own,
             network=self,
             documents=self.spread,
+            crashes=suspect_completions.SuspectCompletions(self.time),
             table=self.table,
             spread=share_spread.ShareSpread(
                 shares.Shares, _NoTable(), self.time, _BEAT
