--- a/src/pimentolatch/decisions/crash_evidence.py
+++ b/src/pimentolatch/decisions/crash_evidence.py
@@ -26,7 +26,7 @@
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
-__all__ = ["Known", "Suspicion", "is_cause"]
+__all__ = ["MOST_DOUBTED", "Known", "Suspicion", "is_cause"]
 
 # Ends this close together may have one cause.
 _SAME_CAUSE = datetime.timedelta(seconds=1)
@@ -38,7 +38,7 @@
 # Other requests with as many ends from which on none of them is taken for the cause.
 _SHARED_BY = 2
 # Servers that may end after the first doubt. The next end is taken for proof.
-_MOST_DOUBTED = 2
+MOST_DOUBTED = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +87,7 @@
     others = _beside(ended, known)
     if len(_unexplained(ended, others)) < enough:
         return False
-    if len(ended) >= enough + _MOST_DOUBTED:
+    if len(ended) >= enough + MOST_DOUBTED:
         return True
     return not _is_in_doubt(ended, others, known, enough)
 
--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -43,6 +43,8 @@
 # News of servers' ends reach a fleet of hundreds within two seconds and most of it in
 # half of that. Until then a request that seems guilty is held off, not judged.
 _SETTLING = datetime.timedelta(milliseconds=1500)
+# Each end after a quarantine makes the next one so many times longer.
+_GROWTH = 6
 # Share of the servers that a suspect may use.
 _OWN_SHARE = 0.25
 
@@ -53,14 +55,27 @@
 
     Attributes:
         crashes: Servers that must have ended under it, two or more.
-        quarantine: How long it is kept from servers after the last one.
+        first: How long it is kept from servers when it has just been found guilty.
+        quarantine: The same after further servers have ended under it.
         exempt: Digests that are never kept from servers.
     """
 
     crashes: int = 3
+    first: datetime.timedelta = datetime.timedelta(minutes=10)
     quarantine: datetime.timedelta = datetime.timedelta(days=1)
     exempt: frozenset[digests.RequestDigest] = frozenset()
 
+    def duration(self, ends: int) -> datetime.timedelta:
+        """Return how long a request is kept from servers after its last end.
+
+        An innocent request with three ends by coincidence is found out when it may run
+        again. One that ends a server each time must soon stop to do so.
+        """
+        further = ends - self.crashes
+        if further >= crash_evidence.MOST_DOUBTED:
+            return self.quarantine
+        return min(self.quarantine, self.first * math.pow(_GROWTH, further))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
@@ -164,11 +179,12 @@
         names = tuple(crash.server for crash in ended)
         if passed < _SETTLING:
             return Verdict(names, _SETTLING - passed, settled=False)
-        if passed >= self.policy.quarantine:
+        left = self.policy.duration(len(ended)) - passed
+        if left <= datetime.timedelta():
             return None
         if not crash_evidence.is_cause(ended, self, self.policy.crashes):
             return None
-        return Verdict(names, self.policy.quarantine - passed, settled=True)
+        return Verdict(names, left, settled=True)
 
     def completed(
         self, digest: digests.RequestDigest
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -116,11 +116,14 @@
 
     Attributes:
         crashes: Servers that must have ended under it, two or more.
-        hours: How long it is kept from servers after the last one.
+        first_minutes: How long it is kept from servers when three have ended; six times
+            as long after the next one.
+        hours: How long it is kept from them after a fifth one, and at the most.
         exempt: Digests, as the log writes them, that are never kept from servers.
     """
 
     crashes: int = pydantic.Field(default=3, ge=2)
+    first_minutes: float = pydantic.Field(default=10.0, gt=0)
     hours: float = pydantic.Field(default=24.0, gt=0)
     exempt: tuple[DigestText, ...] = ()
 
@@ -129,6 +132,7 @@
         """The same in the types of the decision."""
         return crash_suspects.Policy(
             self.crashes,
+            datetime.timedelta(minutes=self.first_minutes),
             datetime.timedelta(hours=self.hours),
             frozenset(int(digest, 16) for digest in self.exempt),
         )
--- a/tests/features/crash_suspects.feature
+++ b/tests/features/crash_suspects.feature
@@ -92,3 +92,16 @@
     Given suspects: servers end 100, 110 and 90 ms after they were sent a request
     And suspects: three other servers end at the same time
     Then suspects: the request may run
+
+  # Guards against a request that is refused for a day since it lost three servers to
+  # other causes and nothing shows it.
+  Scenario: A quarantine is short at first and longer with each further end
+    Given suspects: servers end 100, 110 and 90 ms after they were sent a request
+    Then suspects: the request is in quarantine for 10 minutes
+    When suspects: that time passes
+    Then suspects: the request may run
+    When suspects: one more server ends 100 ms after it was sent the request
+    Then suspects: the request is in quarantine for 60 minutes
+    When suspects: that time passes
+    And suspects: one more server ends 100 ms after it was sent the request
+    Then suspects: the request is in quarantine for 1440 minutes
--- a/tests/features/steps/crash_suspects_steps.py
+++ b/tests/features/steps/crash_suspects_steps.py
@@ -75,6 +75,31 @@
     context.time.advance(SETTLED)
 
 
+@behave.when("suspects: that time passes")
+def quarantine_passes(context):
+    context.time.advance(context.kept.verdict(REQUEST).left)
+    context.kept.review_once()
+
+
+@behave.when(
+    "suspects: one more server ends {lasted:d} ms after it was sent the request"
+)
+def one_more_ends(context, lasted):
+    name = f"s{len(context.ends)}"
+    context.ends[name] = context.time.monotonic()
+    context.time.advance(lasted * SECOND / 1000)
+    context.kept.server_ended(REQUEST, server(name), context.ends[name])
+    context.time.advance(SETTLED)
+
+
+@behave.then("suspects: the request is in quarantine for {minutes:d} minutes")
+def in_quarantine_for(context, minutes):
+    verdict = context.kept.verdict(REQUEST)
+    assert verdict.settled
+    whole = datetime.timedelta(minutes=minutes)
+    assert whole - 2 * SETTLED < verdict.left < whole, verdict.left
+
+
 @behave.given(
     "suspects: the same servers had been sent another request {lead:d} ms earlier"
 )
