Blame one of two requests only if it was the newer one on each server

Cause: of two requests with the same ends, the one with the shorter longest run was taken for the cause. Sent again together after a shared loss, the two had run equally long on two of the servers, and chance on the third decided.

--- a/src/pimentolatch/decisions/crash_evidence.py
+++ b/src/pimentolatch/decisions/crash_evidence.py
@@ -121,14 +121,13 @@
 def _is_in_doubt(
     ended: _Ends, others: abc.Sequence[_Ends], known: Known, enough: int
 ) -> bool:
-    if len(ended) == enough and len(others) >= _SHARED_BY:
+    if not _are_alike(ended):
         return True
-    rivals = (ends for ends in others if _are_alike(ends) or not _are_alike(ended))
-    if any(not _is_likelier(ended, ends) for ends in rivals):
+    if len(ended) == enough and len(others) >= _SHARED_BY:
         return True
-    if _ended_elsewhere(ended, known, enough) >= len(ended):
+    if any(_are_alike(ends) and not _is_newer(ended, ends) for ends in others):
         return True
-    return not _are_alike(ended)
+    return _ended_elsewhere(ended, known, enough) >= len(ended)
 
 
 def _ended_elsewhere(ended: _Ends, known: Known, enough: int) -> int:
@@ -159,6 +158,16 @@
     return _longest(ends) < _longest(than) - _SAME_MOMENT
 
 
+def _is_newer(ends: _Ends, than: _Ends) -> bool:
+    """Tell whether each server that both lost had had a request clearly shorter."""
+    lasted = {pair.server: pair.lasted for pair in than}
+    return len(ends) >= len(than) and all(
+        pair.lasted < lasted[pair.server] - _SAME_MOMENT
+        for pair in ends
+        if pair.server in lasted
+    )
+
+
 def _are_alike(ends: _Ends) -> bool:
     """Tell whether servers ended at about the same time after they had a request."""
     lasted = [pair.lasted for pair in ends if pair.lasted]
--- a/tests/features/crash_suspects.feature
+++ b/tests/features/crash_suspects.feature
@@ -86,6 +86,13 @@
     Then suspects: the request is in quarantine
     And suspects: the other request may run
 
+  # Guards against a request that is judged in place of the one it was sent again with.
+  Scenario: Two requests that the same servers had had equally long may both run
+    Given suspects: servers end 50, 50 and 50 ms after they were sent a request
+    And suspects: the same servers had been sent another request 0 ms earlier
+    Then suspects: the request may run
+    And suspects: the other request may run
+
   # Guards against the last request to come back after the loss of many servers: all
   # others beside it have run to their end by then and are no suspects any more.
   Scenario: Ends of as many other servers put a request in doubt
