--- a/src/pimentolatch/decisions/peer_loads.py
+++ b/src/pimentolatch/decisions/peer_loads.py
@@ -117,8 +117,12 @@
     reading = [0.0] * urgency.LEVELS
     writing = held = 0.0
     for load, _ in heard:
+        weight = load.weight
         for level, tokens in enumerate(load.reading):
-            reading[level] += load.weight * tokens
-        writing += load.weight * load.writing
-        held += load.weight * load.held
+            # Most levels are empty, at most engines.
+            if tokens:
+                reading[level] += weight * tokens
+        if load.writing or load.held:
+            writing += weight * load.writing
+            held += weight * load.held
     return PeerLoad(tuple(reading), round(writing), round(held))
--- a/src/pimentolatch/gateway/knowledge.py
+++ b/src/pimentolatch/gateway/knowledge.py
@@ -36,6 +36,7 @@
         self.store_lost = False
         self.servers_heard = datetime.timedelta()
         self._loads: dict[str, engine_loads.EngineLoads] = {}
+        self._engines: dict[servers.Incarnation, engine_loads.EngineLoad] = {}
         self._on_change: list[abc.Callable[[], None]] = []
 
     @property
@@ -104,12 +105,7 @@
         self, incarnation: servers.Incarnation
     ) -> engine_loads.EngineLoad | None:
         """Return the work of a listed engine, whatever its service."""
-        server = self.servers.get(incarnation.server_id)
-        if server is None or server.service not in self._loads:
-            return None
-        if server.incarnation != incarnation:
-            return None
-        return self._loads[server.service].get(incarnation.server_id)
+        return self._engines.get(incarnation)
 
     def has_ended(self, incarnation: servers.Incarnation) -> bool:
         """Tell whether another life of a server is listed in place of this one.
@@ -137,5 +133,10 @@
                 engines.setdefault(server.service, []).append(server)
         for service, listed in engines.items():
             self.loads(service).update(listed)
+        self._engines = {
+            engine.server.incarnation: engine
+            for loads in self._loads.values()
+            for engine in loads.all()
+        }
         for call in self._on_change:
             call()
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -259,16 +259,25 @@
 
 
 def _load(row: typing.Any, engines: abc.Sequence[servers.Incarnation]) -> Load:
-    engine = engines[fields.count(row[0])]
-    return Load(engine, tuple(_counts(row[1])), *_counts(row[2:4]))
+    engine, reading, writing, held = row
+    number, writing, held = fields.counts((engine, writing, held))
+    return Load(engines[number], fields.counts(reading), writing, held)
 
 
 def _engine(row: typing.Any) -> servers.Incarnation:
-    return servers.Incarnation(
-        fields.text(row[0]), None if row[1] is None else fields.count(row[1])
+    server_id, born = row
+    return servers.shared_incarnation(
+        fields.text(server_id), None if born is None else fields.count(born)
     )
 
 
+def _cached_part(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> CachedPart:
+    number, key, tokens = fields.counts(row)
+    return CachedPart(engines[number], key, tokens)
+
+
 def decode(datagram: bytes) -> Beacon | Malformed:
     """Return the beacon of a datagram; anybody may have sent it."""
     try:
@@ -286,11 +295,11 @@
             tuple(Reader(fields.text(row[0]), fields.count(row[1])) for row in rows[7]),
             tuple(Member(fields.text(row[0]), fields.text(row[1])) for row in rows[8]),
             tuple(_load(row, engines) for row in rows[10]),
+            tuple(_cached_part(row, engines) for row in rows[11]),
             tuple(
-                CachedPart(engines[fields.count(row[0])], *_counts(row[1:3]))
-                for row in rows[11]
+                Demand(fields.text(row[0]), *fields.counts(row[1:4]))
+                for row in rows[12]
             ),
-            tuple(Demand(fields.text(row[0]), *_counts(row[1:4])) for row in rows[12]),
             tuple(_load(row, engines) for row in rows[13]),
             tuple(
                 Changing(
@@ -347,11 +356,7 @@
 
 
 def _piece(row: typing.Any) -> Piece:
-    piece = Piece(*_counts(row))
+    piece = Piece(*fields.counts(row))
     if not piece.number < piece.count:
         raise ValueError(f"not a piece of several: {row!r}")
     return piece
-
-
-def _counts(values: abc.Iterable[typing.Any]) -> list[int]:
-    return [fields.count(value) for value in values]
--- a/src/pimentolatch/protocol/fields.py
+++ b/src/pimentolatch/protocol/fields.py
@@ -1,10 +1,11 @@
 """Checks of single fields of datagrams, which anybody may have sent."""
 
 import typing
+from collections import abc
 
 import cbor2
 
-__all__ = ["UNREADABLE", "count", "text"]
+__all__ = ["UNREADABLE", "count", "counts", "text"]
 
 # No count of ours comes near; above it sums of counts would no longer be exact.
 _MOST_COUNT = 2**53
@@ -31,3 +32,11 @@
     if not isinstance(value, int) or not 0 <= value < _MOST_COUNT:
         raise ValueError(f"not a count: {value!r:.60}")
     return value
+
+
+def counts(values: abc.Collection[typing.Any]) -> tuple[int, ...]:
+    """Return whole numbers from 0 on; raises `ValueError` for anything else."""
+    for value in values:
+        if not isinstance(value, int) or not 0 <= value < _MOST_COUNT:
+            raise ValueError(f"not a count: {value!r:.60}")
+    return tuple(values)
--- a/src/pimentolatch/routes/servers.py
+++ b/src/pimentolatch/routes/servers.py
@@ -3,11 +3,14 @@
 import dataclasses
 import datetime
 import enum
+import functools
 from collections import abc
 
 from pimentolatch import settings
 
-__all__ = ["Incarnation", "Server", "ServerTable", "Stage"]
+__all__ = ["Incarnation", "Server", "ServerTable", "Stage", "shared_incarnation"]
+
+_MOST_SHARED = 8192
 
 
 class Stage(enum.Enum):
@@ -35,6 +38,16 @@
     born: int | None = None
 
 
+@functools.lru_cache(maxsize=_MOST_SHARED)
+def shared_incarnation(server_id: str, born: int | None) -> Incarnation:
+    """Return the one object that stands for a life of a server.
+
+    Every beacon names the same lives; to look up an object that is the key itself is
+    several times faster than to compare two alike.
+    """
+    return Incarnation(server_id, born)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
     """A backend server as its entry describes it.
@@ -46,6 +59,7 @@
         cold: How much longer it is slow after its start.
         born: Unix time of its start in milliseconds; None if it does not say.
         spot: It costs less and may be taken back.
+        incarnation: Which life of the server this is.
     """
 
     server_id: str
@@ -58,11 +72,11 @@
     cold: datetime.timedelta = datetime.timedelta()
     born: int | None = None
     spot: bool = False
+    incarnation: Incarnation = dataclasses.field(init=False, repr=False, compare=False)
 
-    @property
-    def incarnation(self) -> Incarnation:
-        """Which life of the server this is."""
-        return Incarnation(self.server_id, self.born)
+    def __post_init__(self) -> None:
+        incarnation = shared_incarnation(self.server_id, self.born)
+        object.__setattr__(self, "incarnation", incarnation)
 
 
 class ServerTable:
