Bound what a new link is told of ended engines

What callers would see: after very many losses each new link between instances ended with its first frame, and configuration and acknowledgements went around it.

Now the 1,000 ends of those with the most are told, and old ones are forgotten first. Between heartbeats nothing is sorted any more once the rows of this heartbeat have been told.

--- a/src/pimentolatch/membership/node.py
+++ b/src/pimentolatch/membership/node.py
@@ -229,6 +229,8 @@
 
     def tell_crashes(self) -> None:
         """Tell the peers at once which completions have ended engines."""
+        if not self._ends_left:
+            return
         near = self._crashes.take_near(self._ends_left)
         far = self._crashes.take_far(self._ends_left)
         self._ends_left -= max(len(near), len(far))
--- a/src/pimentolatch/requests/suspect_completions.py
+++ b/src/pimentolatch/requests/suspect_completions.py
@@ -19,6 +19,8 @@
 # Ends of one engine that are remembered. One that ends more often than this within a
 # day is hardly ended by completions.
 _MOST_ENDS = 64
+# Ends that an instance which has just started is told at once.
+_MOST_SERIOUS = 1000
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -90,8 +92,15 @@
         return self._rows(self._far.take(most, self._suspects.crashes))
 
     def serious(self) -> tuple[messages.EngineEnd, ...]:
-        """Return the ends that an instance which has just started has to know."""
-        return self._rows(pair for pairs in self._suspects.serious() for pair in pairs)
+        """Return the ends that an instance which has just started has to know.
+
+        Of very many, those of the completions with the most ends: a notice that is
+        larger than a frame would end the link.
+        """
+        self._suspects.forget_old(self._clock.monotonic())
+        found = sorted(self._suspects.serious(), key=len, reverse=True)
+        pairs = [pair for pairs in found for pair in pairs]
+        return self._rows(pairs[:_MOST_SERIOUS])
 
     def _tell(
         self, pairs: abc.Collection[crash_evidence.Suspicion], *, near: bool = True
--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -49,3 +49,10 @@
     When crashes: its caller sends it five times, to another instance each time
     And crashes: an engine answers it after all
     Then crashes: no instance keeps it from engines
+
+  # Guards against a notice larger than a frame, which would end each new link.
+  Scenario: An instance that starts after thousands of losses is told the worst of them
+    Given crashes: a completion that ends each engine that runs it
+    And crashes: a fleet of five instances in two failure domains
+    When crashes: 3900 completions have lost five engines each, and one has lost six
+    Then crashes: an instance that starts is told of the one in a notice of one frame
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -2,10 +2,12 @@
 
 import behave
 
+from pimentolatch.protocol import codec, messages
 from tests.support import completion_crashes, crash_world
 
 # Within this time after the third crash every instance in touch has to know.
 CONTACT_S = 3.0
+LOST_ENGINES = tuple(f"sapporo-north-engine-{number}" for number in range(6))
 
 
 @behave.given('crashes: four instances and servers that "{body}" ends')
@@ -94,6 +96,31 @@
     ]
 
 
+@behave.when(
+    "crashes: {count:d} completions have lost five engines each, and one has lost six"
+)
+def many_lost(context, count):
+    suspects = context.fleet.instances[0].suspects
+    now = context.fleet.instances[0].time.monotonic()
+    for number in range(count):
+        for engine in LOST_ENGINES[:-1]:
+            suspects.engine_ended(2**47 + number, engine, now)
+    for engine in LOST_ENGINES:
+        suspects.engine_ended(completion_crashes.DIGEST, engine, now)
+
+
+@behave.then(
+    "crashes: an instance that starts is told of the one in a notice of one frame"
+)
+def told_the_worst(context):
+    told = context.fleet.instances[0].suspects.serious()
+    assert sum(end.digest == completion_crashes.DIGEST for end in told) == 6
+    frame = codec.encode([messages.CrashNotice(told)])
+    assert len(frame) < codec.FRAME_LIMIT_BYTES, len(frame)
+    started = context.fleet.start("a")
+    assert started.suspects.verdict(completion_crashes.DIGEST) is not None
+
+
 @behave.then("crashes: no instance keeps it from engines")
 def kept_by_none(context):
     assert context.verdicts == [None] * 5, context.verdicts
