--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -9,7 +9,7 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.gateway import client_request
+from pimentolatch.gateway import client_request, flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
 
@@ -135,10 +135,16 @@
 
 
 class ServerClient:
-    """Sends requests to servers over pooled connections."""
+    """Sends requests to servers over pooled connections.
 
-    def __init__(self, time: clock.Clock) -> None:
+    Args:
+        time: Clock of this instance.
+        flow: Records what servers ask for in their responses.
+    """
+
+    def __init__(self, time: clock.Clock, flow: flow_control.FlowControl) -> None:
         self._clock = time
+        self._flow = flow
         self._pool = channel.ChannelPool(_CONNECT_TIMEOUT)
 
     def retain(self, incarnations: abc.Container[abc.Hashable]) -> None:
@@ -177,8 +183,9 @@
         try:
             labelled = dataclasses.replace(options, customer=request.customer_name)
             fields = http_headers.request_fields(request.fields, labelled)
+            sent_at = self._clock.monotonic()
             link.send(request.method, request.target, fields, request.body)
-            return await self._opened(server, request, link)
+            return await self._opened(server, request, link, sent_at)
         except channel.BrokenError as error:
             link.close()
             return OutcomeUnknown(str(error), server_crashed=True)
@@ -234,7 +241,7 @@
         self, server: servers.Server
     ) -> abc.AsyncGenerator["Session", None]:
         """Make several calls to a server's own interface over one connection."""
-        calls = Session(server, self._pool, self._clock)
+        calls = Session(server, self._pool, self._flow, self._clock)
         try:
             yield calls
         finally:
@@ -245,11 +252,15 @@
         server: servers.Server,
         request: client_request.ClientRequest,
         link: channel.Channel,
+        sent_at: datetime.timedelta,
     ) -> OpenResponse | Declined | OutcomeUnknown:
         for _ in range(_MAX_STALE_RESPONSES):
             start = await link.read_head()
             head = http_headers.parse_response_headers(start.fields)
             if head.request_id in ("", request.request_id):
+                # A misdirected request is answered by another server.
+                if start.status != _MISDIRECTED:
+                    self._flow.observe(server, head.notice, sent_at, "request")
                 return await self._classified(
                     server, OpenResponse(start.status, head, link)
                 )
@@ -283,10 +294,15 @@
     """
 
     def __init__(
-        self, server: servers.Server, pool: channel.ChannelPool, time: clock.Clock
+        self,
+        server: servers.Server,
+        pool: channel.ChannelPool,
+        flow: flow_control.FlowControl,
+        time: clock.Clock,
     ) -> None:
         self._server = server
         self._pool = pool
+        self._flow = flow
         self._clock = time
         self._link: channel.Channel | None = None
 
@@ -308,8 +324,12 @@
         host = f"{address.host}:{address.port}".encode()
         try:
             async with asyncio.timeout(limit.total_seconds()):
+                sent_at = self._clock.monotonic()
                 link.send(method, target, [(b"host", host), *fields], body)
                 start = await link.read_head()
+                head = http_headers.parse_response_headers(start.fields)
+                if start.status != _MISDIRECTED:
+                    self._flow.observe(self._server, head.notice, sent_at, "call")
                 content = await link.read_body(MAX_BODY_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
@@ -317,9 +337,7 @@
         except BaseException:
             link.close()
             raise
-        return FullResponse(
-            start.status, http_headers.parse_response_headers(start.fields), content
-        )
+        return FullResponse(start.status, head, content)
 
     def end(self) -> None:
         """Return the connection to the pool, or close it if it can't be reused."""
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -20,6 +20,7 @@
     dispatch_check,
     expired_entries,
     fleet_state,
+    flow_control,
     front_end,
     http_protocol,
     leader_tasks,
@@ -62,7 +63,8 @@
         self._clock = time
         self._shutdown = graceful_shutdown.GracefulShutdown()
         self._fleet = fleet_state.FleetState()
-        self._client = dispatch.ServerClient(time)
+        self._flow = flow_control.FlowControl(time)
+        self._client = dispatch.ServerClient(time, self._flow)
         self._server_choice = server_choice.ServerChoice(chosen.failure_domain)
         bounds = chosen.bounds
         self._budget = repeat_budget.RepeatBudget(
@@ -120,6 +122,7 @@
                 self._quarantine,
                 self._leader_tasks.leadership,
                 self._shutdown,
+                self._flow,
             )
         )
         self._metrics_server: http_server.HttpServer | None = None
@@ -225,6 +228,7 @@
         listed = {server.incarnation for server in self._fleet.servers.all()}
         self._client.retain(listed)
         self._server_choice.retain(listed)
+        self._flow.retain(listed)
 
     async def _ready(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -15,6 +15,7 @@
 from pimentolatch.gateway import (
     client_request,
     fleet_state,
+    flow_control,
     leadership,
     peer_table,
     quarantine,
@@ -170,6 +171,7 @@
         suspects: Requests in quarantine.
         own_leadership: Tells whether this instance is the leader.
         shutdown: Counts the requests in flight.
+        flow: What servers have asked for.
     """
 
     def __init__(
@@ -179,12 +181,14 @@
         suspects: quarantine.Quarantine,
         own_leadership: leadership.Leadership,
         shutdown: graceful_shutdown.GracefulShutdown,
+        flow: flow_control.FlowControl,
     ) -> None:
         self._fleet = fleet
         self._peers = peers
         self._suspects = suspects
         self._leadership = own_leadership
         self._shutdown = shutdown
+        self._flow = flow
 
     def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
         """Yield the gauges."""
@@ -211,6 +215,7 @@
             ),
             ("fleet_instances", "Instances of the fleet.", self._peers.instances),
             ("quarantined", "Requests kept from servers.", self._suspects.size),
+            ("limited_servers", "Servers that named a limit.", self._flow.limited),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import datetime
+import re
 from collections import abc
 
 from pimentolatch import settings
 from pimentolatch.requests import prompts
+from pimentolatch.routes import notices
 
 __all__ = [
     "ResponseHeaders",
@@ -39,8 +41,14 @@
 _KV_FETCH = b"kv-fetch"
 _NOT_RUN = b"x-not-executed"
 _SEAL = b"x-response-seal"
+_LIMIT = b"server-limit"
 _PREFILL_ONLY = b"prefill"
 
+# Characters of an invalid value that are quoted in the log.
+_MAX_QUOTED = 60
+# Decimal numbers up to the largest that is plausible; longer ones are not parsed.
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+
 # Only instances may set these fields. A client that sets one could claim KV cache
 # memory, another request's prompt, another priority or another customer's name.
 _RESERVED_FIELDS = frozenset(
@@ -134,6 +142,7 @@
         sealed: Whether the response carries the server's proof of origin.
         encoded: Whether the body has a content encoding. Servers send none, so the body
             was changed on the way.
+        notice: What the server states about itself.
         fields: Header fields to forward to the client.
     """
 
@@ -141,6 +150,7 @@
     not_run: bool
     sealed: bool
     encoded: bool
+    notice: notices.Notice
     fields: tuple[tuple[bytes, bytes], ...]
 
 
@@ -245,7 +255,19 @@
         not_run=_NOT_RUN in found,
         sealed=_SEAL in found,
         encoded=found.get(b"content-encoding", b"identity").lower() != b"identity",
+        notice=notices.Notice(limit=_limit(fields)),
         fields=tuple(
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
     )
+
+
+def _limit(fields: Fields) -> notices.Limit:
+    """Return the limit that a response names; the lowest if it names several."""
+    values = [value.strip() for name, value in fields if name.lower() == _LIMIT]
+    if not values:
+        return notices.NoLimit()
+    rates = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    if len(rates) < len(values):
+        return notices.UnreadableLimit(repr(values)[:_MAX_QUOTED])
+    return notices.RateLimit(min(rates))
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -69,6 +69,7 @@
             run; None for no such request.
         crashed: Whether the server has crashed.
         crashed_at: Time of the crash, by the event loop's clock.
+        notices: Header fields that it adds to all its responses.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.fatal_body: bytes | None = None
         self.crashed = False
         self.crashed_at = 0.0
+        self.notices: list[tuple[bytes, bytes]] = []
         self.port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -165,7 +167,7 @@
         assert task is not None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection = _Connection(reader, writer)
+        connection = _Connection(reader, writer, self.notices)
         self._connections.add(connection)
         try:
             while (request := await connection.read_request()) is not None:
@@ -313,11 +315,21 @@
 
 
 class _Connection:
-    """A server connection."""
+    """A server connection.
+
+    Args:
+        reader: Bytes from the client.
+        writer: Bytes to the client.
+        notices: The server's header fields for all responses; they may change.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        notices: list[tuple[bytes, bytes]],
     ) -> None:
+        self._notices = notices
         self._reader = reader
         self._writer = writer
         self._parser = h11.Connection(h11.SERVER)
@@ -373,7 +385,8 @@
 
     async def send_head(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         """Send the status line and header fields."""
-        response = h11.Response(status_code=status, headers=fields)
+        headers = [*fields, *self._notices]
+        response = h11.Response(status_code=status, headers=headers)
         self._writer.write(self._parser.send(response) or b"")
         await self._writer.drain()
 
--- /dev/null
+++ b/tests/features/server_limits.feature
@@ -0,0 +1,63 @@
+Feature: Servers that name a limit get no more than that
+
+  # Guards against a belief about a server that no log line and no metric shows.
+  Scenario: What is believed of a server's limit is logged and counted
+    Given routes: a store with a configuration
+    And routes: an engine "p1" that reads
+    And routes: an engine "d1" that writes
+    And routes: an instance
+    And limits: the log is recorded
+    When limits: "d1" names a limit of "2.5"
+    And routes: a client asks for "digest" as "r1"
+    Then limits: 1 limited server is counted
+    And limits: the log tells of "d1" "limit" "2.5" in an answer to a request
+
+  # Guards against values that are no decimal number: none may raise or set a limit.
+  Scenario Outline: A limit that is not a decimal number sets none
+    Then limits: the header fields "<fields>" name <limit>
+
+    Examples:
+      | fields                           | limit      |
+      | Server-Limit: 2.5                | 2.5        |
+      | server-limit: 3                  | 3.0        |
+      | SERVER-LIMIT: 0                  | 0.0        |
+      | Server-Limit: 3, Server-Limit: 2 | 2.0        |
+      | x-other: 3                       | none       |
+      | Server-Limit:                    | unreadable |
+      | Server-Limit: -1                 | unreadable |
+      | Server-Limit: nan                | unreadable |
+      | Server-Limit: inf                | unreadable |
+      | Server-Limit: 1e3                | unreadable |
+      | Server-Limit: 3;q=1              | unreadable |
+      | Server-Limit: 400 digits         | unreadable |
+      | Server-Limit: ٣                  | unreadable |
+      | Server-Limit: 3, Server-Limit: x | unreadable |
+
+  # Guards against answers that overtake each other: an older one must not lift a limit,
+  # nor bring one back.
+  Scenario Outline: Of answers that cross the newer one counts
+    Given limits: a server that was sent "<first>" at 0 s, answered with <one> at <t1> s
+    When limits: it was sent "<second>" at <sent> s, answered with <two> at <t2> s
+    Then limits: it is under <limit>
+
+    Examples:
+      | first | one  | t1  | second | sent | two  | t2  | limit |
+      | a     | 3    | 1.0 | b      | 0.5  | none | 1.1 | 3     |
+      | a     | 3    | 1.0 | b      | 1.0  | none | 1.1 | none  |
+      | a     | 3    | 1.0 | b      | 0.5  | 2    | 1.1 | 2     |
+      | a     | none | 1.0 | b      | 0.5  | 2    | 1.1 | 2     |
+
+  # Guards against an answer that names a limit and arrives after its end.
+  Scenario: An answer that was under way does not bring a limit back
+    Given limits: a server that was sent "a" at 0 s, answered with 3 at 1.0 s
+    And limits: it was sent "b" at 1.1 s, answered with none at 1.2 s
+    When limits: it was sent "c" at 0.9 s, answered with 3 at 1.3 s
+    Then limits: it is under none
+    When limits: it was sent "d" at 1.4 s, answered with 3 at 1.5 s
+    Then limits: it is under 3
+
+  # Guards against a limit that a restarted server never named.
+  Scenario: A new incarnation begins without a limit
+    Given limits: a server that was sent "a" at 0 s, answered with 3 at 1.0 s
+    When limits: it starts again
+    Then limits: it is under none
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -19,6 +19,7 @@
     cache_updates,
     dispatch,
     fleet_state,
+    flow_control,
     leadership,
     lease,
     peer_table,
@@ -219,7 +220,7 @@
     time = clock.SystemClock()
     place = neighbours.Place("127.0.0.1", "here")
     table = peer_table.PeerTable("one", place, time, random.Random(1))
-    client = dispatch.ServerClient(time)
+    client = dispatch.ServerClient(time, flow_control.FlowControl(time))
     held = leadership.Leadership("one", "127.0.0.1", table, context.lease, time)
     return stage_controller.StageController(
         "one", context.known, table, held, client, None, time
