--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -12,6 +12,20 @@
     Then limits: 1 limited server is counted
     And limits: the log tells of "d1" "limit" "2.5" in an answer to a request
 
+  # Guards against a limited server that gets the load of an unlimited one, from one
+  # instance or from several that each take the whole limit.
+  Scenario Outline: Servers that name a limit get no more than it from all instances
+    Given limits: <count> instances before 2 readers, 3 writers and 3 plain servers
+    When limits: a reader, a writer and a plain server name a limit of 2 a second
+    And limits: clients ask for 40 answers a second for 8 seconds
+    Then limits: none of these gets over 17 requests in 4 s
+    And limits: at least 95 in 100 are served
+
+    Examples:
+      | count |
+      | 1     |
+      | 3     |
+
   # Guards against values that are no decimal number: none may raise or set a limit.
   Scenario Outline: A limit that is not a decimal number sets none
     Then limits: the header fields "<fields>" name <limit>
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -1,4 +1,6 @@
+import asyncio
 import datetime
+import itertools
 
 import behave
 import logbook
@@ -6,9 +8,14 @@
 from pimentolatch.decisions import server_notices
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import notices, servers
+from tests.support import route_world
 
 SECOND = datetime.timedelta(seconds=1)
 SERVER = servers.Incarnation("s1", 1)
+# The bound on a limit holds from then on, counted from its first answer.
+NOTICE_S = 3.0
+WINDOW_S = 4.0
+ROUTES = ("digest", "notify", "draft", "print")
 
 
 def named(text):
@@ -88,3 +95,94 @@
 def under(context, limit):
     expected = None if limit == "none" else float(limit)
     assert context.notices.limit(SERVER) == expected, context.notices.limit(SERVER)
+
+
+@behave.given(
+    "limits: {count:d} instances before {p:d} readers, {d:d} writers "
+    "and {a:d} plain servers"
+)
+def fleet(context, count, p, d, a):
+    context.route_runner = asyncio.Runner()
+    context.world = route_world.RouteWorld()
+    context.run = context.route_runner.run
+
+    async def begin():
+        world = context.world
+        await world.start_store()
+        await world.configure(1)
+        for kind, service, stage, number in (
+            ("p", "lm", "prefill", p),
+            ("d", "lm", "decode", d),
+            ("a", "app", None, a),
+        ):
+            for n in range(1, number + 1):
+                await world.add_server(f"{kind}{n}", service, stage)
+        for n in range(1, count + 1):
+            seeds = [f"{route_world.HOST}:{world.peer_port}"] if world.ports else []
+            await world.add_instance(f"i{n}", seeds, host=f"127.0.0.{n}")
+
+    context.run(begin())
+
+
+@behave.when(
+    "limits: a reader, a writer and a plain server name a limit of {rate:d} a second"
+)
+def some_name_limits(context, rate):
+    context.limited = [context.world.servers[name] for name in ("p1", "d1", "a1")]
+    for server in context.limited:
+        server.notices[:] = [(b"server-limit", str(rate).encode())]
+
+
+@behave.when(
+    "limits: clients ask for {rate:d} answers a second for {seconds:d} seconds"
+)
+def ask_many(context, rate, seconds):
+    async def load():
+        world = context.world
+        loop = asyncio.get_running_loop()
+        names = itertools.cycle(sorted(world.instances))
+        tasks = []
+        begun = loop.time()
+        for number in range(rate * seconds):
+            await asyncio.sleep(max(0.0, begun + number / rate - loop.time()))
+            name = next(names)
+            route = ROUTES[number // len(world.instances) % len(ROUTES)]
+            asked = world.ask(route, f"r{number}", name=name, body=b"text")
+            tasks.append(asyncio.create_task(asked))
+        return await asyncio.gather(*tasks)
+
+    context.replies = context.run(load())
+
+
+def arrivals(server):
+    """Return the times at which a server got requests, other calls left out."""
+    return [
+        at
+        for item, at in zip(server.received, server.arrival_times, strict=True)
+        if item.kind in ("prefill", "run")
+    ]
+
+
+def most_in_window(server):
+    """Return the most requests in a window, from some time after the first one.
+
+    The first answer tells the limit, which binds from `NOTICE_S` later on.
+    """
+    times = arrivals(server)
+    late = [at for at in times if at >= times[0] + NOTICE_S]
+    return max((sum(at <= t < at + WINDOW_S for t in late) for at in late), default=0)
+
+
+@behave.then("limits: none of these gets over {most:d} requests in 4 s")
+def limited(context, most):
+    assert all(map(arrivals, context.limited))
+    found = {server.server_id: most_in_window(server) for server in context.limited}
+    assert max(found.values()) <= most, found
+
+
+@behave.then("limits: at least {least:d} in 100 are served")
+def served(context, least):
+    whole = [r for r in context.replies if r.status == 200 and r.complete]
+    assert 100 * len(whole) >= least * len(context.replies), [
+        r.status for r in context.replies
+    ]
