Tell peers which limits servers name, and when they end

Most instances of a large fleet are no senders of a limited server: they would learn of a limit only by sending to it once, and of its end only by a rare probe (at 195 instances and 3 requests a second, one in 260 s). Beacons now carry up to eight limits each, with the age of the evidence, rounded up and 250 ms older at each hop, so that what no answer confirms expires instead of being told for ever. An instance that is told is bound before it has sent anything.

Two scenarios, over sockets and without: peers learn a limit and its end; a limit that no answer confirms for 30 s is told by nobody. The version of the beacons is 11.

--- a/src/pimentolatch/decisions/server_limits.py
+++ b/src/pimentolatch/decisions/server_limits.py
@@ -95,16 +95,27 @@
                 bucket.members = 0
 
     def set_limit(
-        self, server: servers.Server, limit: float, now: datetime.timedelta
+        self,
+        server: servers.Server,
+        limit: float,
+        named_at: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> None:
-        """Record that a server names a limit."""
+        """Record that a server named a limit.
+
+        Args:
+            server: The server.
+            limit: Requests per second that it accepts.
+            named_at: When the answer that said so arrived, here or at a peer.
+            now: The current time.
+        """
         bucket = self._buckets.get(server.incarnation)
         if bucket is None:
-            bucket = _Bucket(limit, 0.0, 0.0, 0, now, now)
+            bucket = _Bucket(limit, 0.0, 0.0, 0, now, named_at)
             self._buckets[server.incarnation] = bucket
         elif bucket.limit != limit:
             bucket.limit, bucket.members = limit, 0
-        bucket.confirmed_at = now
+        bucket.confirmed_at = max(bucket.confirmed_at, named_at)
 
     def lift(self, server: servers.Incarnation) -> None:
         """Record that a server names no limit any more."""
--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -18,7 +18,10 @@
 
 from pimentolatch.routes import notices, servers
 
-__all__ = ["Change", "ServerNotices"]
+__all__ = ["Change", "Evidence", "ServerNotices"]
+
+# Evidence that is older is not worth telling: the answers since then count.
+_MAX_EVIDENCE_AGE = datetime.timedelta(seconds=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +41,20 @@
     known_for: datetime.timedelta = datetime.timedelta()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What the latest answer told of a server's limit.
+
+    Attributes:
+        rate: Requests per second that it accepts; None for no limit.
+        at: Time of the answer, on the clock of this instance.
+    """
+
+    server: servers.Incarnation
+    rate: float | None
+    at: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True)
 class _Record:
     rate: float | None = None
@@ -92,14 +109,26 @@
                 return None
         elif rate is None:
             return None
-        changed = rate != record.rate
-        known_for, record.evidence_at = now - record.since, now
-        if not changed:
+        record.evidence_at = now
+        return self._changed(server, record, rate, now)
+
+    def merge(self, evidence: Evidence, now: datetime.timedelta) -> Change | None:
+        """Record a peer's evidence unless it is older; return what it changes."""
+        record = self._records.get(evidence.server)
+        if record is None:
+            record = self._records[evidence.server] = _Record(since=now)
+        elif evidence.at <= record.evidence_at:
             return None
-        record.rate, record.since = rate, now
-        if rate is None:
-            return Change(server, "limit lifted", "", known_for)
-        return Change(server, "limit", str(rate), known_for)
+        record.evidence_at = evidence.at
+        return self._changed(evidence.server, record, evidence.rate, now)
+
+    def recent(self, now: datetime.timedelta) -> list[Evidence]:
+        """Return the evidence that peers should know."""
+        return [
+            Evidence(server, record.rate, record.evidence_at)
+            for server, record in self._records.items()
+            if now - record.evidence_at < _MAX_EVIDENCE_AGE
+        ]
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget the servers that are no longer listed."""
@@ -109,6 +138,20 @@
             if server in listed
         }
 
+    def _changed(
+        self,
+        server: servers.Incarnation,
+        record: _Record,
+        rate: float | None,
+        now: datetime.timedelta,
+    ) -> Change | None:
+        if rate == record.rate:
+            return None
+        known_for, record.rate, record.since = now - record.since, rate, now
+        if rate is None:
+            return Change(server, "limit lifted", "", known_for)
+        return Change(server, "limit", str(rate), known_for)
+
     def _unreadable(self, server: servers.Incarnation, text: str) -> Change | None:
         """Return a change for the log, once for each incarnation."""
         record = self._records.setdefault(server, _Record())
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -13,6 +13,7 @@
     cache_updates,
     datagrams,
     fleet_state,
+    flow_control,
     leadership,
     load_exchange,
     peer_table,
@@ -56,6 +57,7 @@
         updates: Prefix-cache updates to send to peers and received from them.
         suspects: Crash evidence to send to peers and received from them.
         own_leadership: Leadership claims to send to peers and received from them.
+        flow: Limits of servers to send to peers and received from them.
         demands: Returns the demand of clients at this instance, by service.
         time: Clock of this instance.
         rng: Picks the receivers in other failure domains.
@@ -75,6 +77,7 @@
         updates: cache_updates.CacheUpdates,
         suspects: quarantine.Quarantine,
         own_leadership: leadership.Leadership,
+        flow: flow_control.FlowControl,
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         time: clock.Clock,
         rng: random.Random,
@@ -89,6 +92,7 @@
         self._updates = updates
         self._suspects = suspects
         self._leadership = own_leadership
+        self._flow = flow
         self._demands = demands
         self._clock = time
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
@@ -128,6 +132,7 @@
         self._load_exchange.receive(beacon, weight, self._clock.monotonic())
         self._suspects.receive(beacon.crash_reports)
         self._leadership.receive(beacon.leader)
+        self._flow.receive(beacon.server_limits, self._fleet.servers)
 
     def _choose_receivers(self) -> None:
         """Select the receivers of beacons and the weight of each peer's load."""
@@ -202,6 +207,7 @@
             ),
             crash_reports=crash_reports,
             leader=self._leadership.announcement(),
+            server_limits=self._flow.reports(),
         )
 
     def _readers(self) -> tuple[beacons.Reader, ...]:
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -1,6 +1,7 @@
 """Applies what servers ask for in their responses, and logs it."""
 
 import datetime
+import math
 from collections import abc
 
 import logbook
@@ -12,12 +13,19 @@
     server_limits,
     server_notices,
 )
+from pimentolatch.protocol import beacons
 from pimentolatch.routes import notices, servers
 
 __all__ = ["FlowControl"]
 
 _log = logbook.Logger("flow")
 _CHANGED = "server notice"
+# Limits that a beacon tells; the others follow in the next ones.
+_MAX_REPORTED = 8
+# Evidence ages by this much on its way to a peer, more than any beacon takes. It would
+# otherwise look newer at each instance that passes it on, and never expire.
+_TRANSIT = datetime.timedelta(milliseconds=250)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class FlowControl:
@@ -33,6 +41,7 @@
         self._notices = server_notices.ServerNotices()
         self._limits = server_limits.ServerLimits(own)
         self._log_budget = log_budget.LogBudget()
+        self._turn = 0
 
     @property
     def limited(self) -> int:
@@ -43,6 +52,10 @@
         """Set the other instances of the fleet, which share the servers' limits."""
         self._limits.set_members(others)
 
+    def limit(self, server: servers.Server) -> float | None:
+        """Return the requests per second that a server accepts; None for no limit."""
+        return self._notices.limit(server.incarnation)
+
     def withheld(
         self, listed: abc.Iterable[servers.Server]
     ) -> frozenset[servers.Incarnation]:
@@ -88,19 +101,71 @@
         """
         now = self._clock.monotonic()
         change = self._notices.observe(server.incarnation, notice, sent_at, now)
-        limit = self._notices.limit(server.incarnation)
-        if limit is None:
-            self._limits.lift(server.incarnation)
-        elif isinstance(notice.limit, notices.RateLimit):
-            self._limits.set_limit(server, limit, now)
-        if change is not None:
-            self._log_change(change, source, now)
+        if isinstance(notice.limit, notices.RateLimit):
+            self._apply(server, now, now)
+        self._apply_change(server, change, source, now)
+
+    def reports(self) -> tuple[beacons.ServerLimit, ...]:
+        """Return the limits to tell peers, some at a time."""
+        now = self._clock.monotonic()
+        recent = self._notices.recent(now)
+        self._turn += _MAX_REPORTED
+        if not recent:
+            return ()
+        chosen = sorted({(self._turn + n) % len(recent) for n in range(_MAX_REPORTED)})
+        return tuple(
+            beacons.ServerLimit(
+                recent[n].server,
+                _millihertz(recent[n].rate),
+                math.ceil((now - recent[n].at + _TRANSIT) / _MILLISECOND),
+            )
+            for n in chosen
+        )
+
+    def receive(
+        self, reported: abc.Iterable[beacons.ServerLimit], table: servers.ServerTable
+    ) -> None:
+        """Apply the limits that a peer tells; those of unlisted servers are dropped."""
+        now = self._clock.monotonic()
+        for item in reported:
+            server = table.get(item.server.server_id)
+            if server is None or server.incarnation != item.server:
+                continue
+            rate = None if item.millihertz is None else item.millihertz / 1000
+            named_at = now - item.age_ms * _MILLISECOND
+            evidence = server_notices.Evidence(item.server, rate, named_at)
+            change = self._notices.merge(evidence, now)
+            self._apply(server, named_at, now)
+            self._apply_change(server, change, "peer", now)
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget the servers that are no longer listed."""
         self._notices.retain(listed)
         self._limits.retain(listed)
 
+    def _apply(
+        self,
+        server: servers.Server,
+        named_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        limit = self._notices.limit(server.incarnation)
+        if limit is not None:
+            self._limits.set_limit(server, limit, named_at, now)
+
+    def _apply_change(
+        self,
+        server: servers.Server,
+        change: server_notices.Change | None,
+        source: str,
+        now: datetime.timedelta,
+    ) -> None:
+        if change is None:
+            return
+        if self._notices.limit(server.incarnation) is None:
+            self._limits.lift(server.incarnation)
+        self._log_change(change, source, now)
+
     def _log_change(
         self, change: server_notices.Change, source: str, now: datetime.timedelta
     ) -> None:
@@ -117,3 +182,7 @@
             known_for_ms=round(change.known_for / datetime.timedelta(milliseconds=1)),
             dropped_before=dropped,
         )
+
+
+def _millihertz(rate: float | None) -> int | None:
+    return None if rate is None else math.floor(1000 * rate)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -142,6 +142,11 @@
         """Local fleet state: configuration, servers and engine loads."""
         return self._fleet
 
+    @property
+    def flow(self) -> flow_control.FlowControl:
+        """What the servers have asked for."""
+        return self._flow
+
     @property
     def quarantine(self) -> quarantine.Quarantine:
         """Quarantine of requests that crash servers."""
@@ -165,6 +170,7 @@
             self._cache_updates,
             self._quarantine,
             self._leader_tasks.leadership,
+            self._flow,
             self._stream_forwarder.demands,
             time,
             random.Random(),
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -25,14 +25,15 @@
     "Malformed",
     "Member",
     "Reader",
+    "ServerLimit",
     "StageChange",
     "TotalsChunk",
     "decode",
     "encode",
 ]
 
-_VERSION = 10
-_FIELDS = 18
+_VERSION = 11
+_FIELDS = 19
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +143,21 @@
     server_alive: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """The limit that a server named in its answers.
+
+    Attributes:
+        millihertz: Requests that it accepts in 1,000 s; None if it names no limit any
+            more.
+        age_ms: Maximum time since the latest answer that says so.
+    """
+
+    server: servers.Incarnation
+    millihertz: int | None
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leader:
     """The current or last leader.
@@ -180,6 +196,7 @@
         chunk: The engines that the totals cover; those of them not listed are idle.
         crash_reports: Requests during which servers crashed.
         leader: The newest leader that the sender knows.
+        server_limits: Some of the limits that servers have named lately.
     """
 
     instance: str
@@ -198,6 +215,7 @@
     chunk: TotalsChunk = TotalsChunk()
     crash_reports: tuple[CrashReport, ...] = ()
     leader: Leader | None = None
+    server_limits: tuple[ServerLimit, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,6 +238,10 @@
         for item in beacon.stage_changes
     ]
     crash_reports = [_crash_report_row(item, engines) for item in beacon.crash_reports]
+    server_limits = [
+        [engines.number(item.server), item.millihertz, item.age_ms]
+        for item in beacon.server_limits
+    ]
     rows: list[typing.Any] = [
         _VERSION,
         beacon.instance,
@@ -239,6 +261,7 @@
         [beacon.chunk.number, beacon.chunk.count],
         crash_reports,
         _leader_row(beacon.leader),
+        server_limits,
     ]
     return cbor2.dumps(rows)
 
@@ -317,6 +340,7 @@
             _chunk(rows[15]),
             tuple(_crash_report(row, engines) for row in rows[16]),
             _leader(rows[17]),
+            tuple(_server_limit(row, engines) for row in rows[18]),
         )
     except fields.DECODE_ERRORS as error:
         return Malformed(repr(error))
@@ -348,6 +372,17 @@
     )
 
 
+def _server_limit(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> ServerLimit:
+    number, millihertz, age_ms = row
+    return ServerLimit(
+        engines[fields.count(number)],
+        None if millihertz is None else fields.count(millihertz),
+        fields.count(age_ms),
+    )
+
+
 def _leader_row(leader: Leader | None) -> list[typing.Any] | None:
     if leader is None:
         return None
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -26,6 +26,24 @@
       | 1     |
       | 3     |
 
+  # Guards against instances that learn of a limit, or of its end, only by sending to the
+  # server themselves: most are not among its senders.
+  Scenario: Peers are told of a limit and of its end
+    Given limits: 2 instances before 1 readers, 1 writers and 1 plain servers
+    When limits: "a1" names a limit of "4"
+    And limits: a client asks "i1" for "notify"
+    Then limits: "i2" knows that "a1" accepts 4.0 a second
+    When limits: "a1" names no limit
+    And limits: clients ask "i1" for "notify" until it knows
+    Then limits: "i2" knows that "a1" has no limit
+
+  # Guards against evidence that looks newer whenever an instance passes it on: a limit
+  # that no server names any more would be told for ever.
+  Scenario: A limit that no answer confirms is not told for ever
+    Given limits: two instances that tell each other what they know
+    When limits: one of them hears of a limit and no answer follows for 30 seconds
+    Then limits: neither tells of it any more
+
   # Guards against a sum over all instances that exceeds the limit: by permits saved in a
   # quiet time, by instances that have just started, and by ones that hear of no others.
   Scenario Outline: All instances together keep a limit without a shared state
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -105,6 +105,7 @@
         cache_updates.CacheUpdates(),
         quarantine.Quarantine(crash_suspects.Policy(), time),
         leadership.Leadership("one", "127.0.0.1", table, None, time),
+        flow_control.FlowControl(place, time),
         dict,
         time,
         chance,
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -5,7 +5,9 @@
 import behave
 import logbook
 
-from pimentolatch.decisions import server_notices
+from pimentolatch import clock
+from pimentolatch.decisions import neighbours, server_notices
+from pimentolatch.gateway import flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import notices, servers
 from tests.support import limit_world, route_world
@@ -216,3 +218,73 @@
         world.run()
         rate = world.rate_between(25.0, 55.0)
         assert rate >= limit / 2, (limit, rate)
+
+
+def believed(context, instance, name):
+    """Return the limit that an instance believes a server to have."""
+    _, process = context.world.instances[instance]
+    server = process.fleet.servers.get(name)
+    return process.flow.limit(server)
+
+
+@behave.when('limits: "{name}" names no limit')
+def names_none(context, name):
+    context.world.servers[name].notices.clear()
+
+
+@behave.when('limits: a client asks "{instance}" for "{route}"')
+def ask_one(context, instance, route):
+    reply = context.run(context.world.ask(route, "r1", name=instance, body=b"text"))
+    assert reply.status == 200, reply
+
+
+@behave.when('limits: clients ask "{instance}" for "{route}" until it knows')
+def ask_until_lifted(context, instance, route):
+    async def ask():
+        await context.world.ask(route, "r2", name=instance, body=b"text")
+        return believed(context, instance, "a1")
+
+    context.run(context.world.until_returns(ask, None))
+
+
+@behave.then('limits: "{instance}" knows that "{name}" accepts {rate:g} a second')
+def knows(context, instance, name, rate):
+    context.run(context.world.until(lambda: believed(context, instance, name) == rate))
+
+
+@behave.then('limits: "{instance}" knows that "{name}" has no limit')
+def knows_none(context, instance, name):
+    context.run(context.world.until(lambda: believed(context, instance, name) is None))
+
+
+@behave.given("limits: two instances that tell each other what they know")
+def two_tell(context):
+    context.time = clock.ManualClock()
+    context.pair = [
+        flow_control.FlowControl(neighbours.Place(f"10.0.0.{n}", "here"), context.time)
+        for n in range(2)
+    ]
+    world = limit_world.LimitWorld(1, 3.0, 1.0, 1)
+    context.listed = servers.ServerTable()
+    context.listed.replace([world.server])
+
+
+@behave.when(
+    "limits: one of them hears of a limit and no answer follows for {seconds:d} seconds"
+)
+def no_answer(context, seconds):
+    one, two = context.pair
+    notice = notices.Notice(notices.RateLimit(3.0))
+    server = context.listed.get("s1")
+    one.observe(server, notice, context.time.monotonic(), "request")
+    two.receive(one.reports(), context.listed)
+    assert two.limit(server) == 3.0
+    for _ in range(4 * seconds):
+        context.time.advance(SECOND / 4)
+        two.receive(one.reports(), context.listed)
+        one.receive(two.reports(), context.listed)
+
+
+@behave.then("limits: neither tells of it any more")
+def neither_tells(context):
+    assert [flow.reports() for flow in context.pair] == [(), ()]
--- a/tests/support/limit_world.py
+++ b/tests/support/limit_world.py
@@ -172,4 +172,4 @@
         instance.notices.observe(self.server.incarnation, notice, sent_at, now)
         if isinstance(notice.limit, notices.RateLimit):
             instance.told_s = min(instance.told_s, at)
-            instance.limits.set_limit(self.server, notice.limit.rate, now)
+            instance.limits.set_limit(self.server, notice.limit.rate, now, now)
