Play servers that limit their rate in the soak

The soak's servers name limits of 0, 1, 2.5 and 4 requests a second for 8 s, drawn apart from the other faults so that listed seeds draw what they drew. The check counts, as the users' rule does, what the gateways send that were told half a second before, from 3 s after the first answer; killed, stopped, paused and cut gateways are excused.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -70,6 +70,8 @@
         crashed: Whether the server has crashed.
         crashed_at: Time of the crash, by the event loop's clock.
         notices: Header fields that it adds to all its responses.
+        notified: Request ids of the responses with such fields, and when they began,
+            by the event loop's clock.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         self.crashed = False
         self.crashed_at = 0.0
         self.notices: list[tuple[bytes, bytes]] = []
+        self.notified: list[tuple[str, float]] = []
         self.port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -167,7 +170,7 @@
         assert task is not None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection = _Connection(reader, writer, self.notices)
+        connection = _Connection(reader, writer, self.notices, self.notified)
         self._connections.add(connection)
         try:
             while (request := await connection.read_request()) is not None:
@@ -321,6 +324,7 @@
         reader: Bytes from the client.
         writer: Bytes to the client.
         notices: The server's header fields for all responses; they may change.
+        notified: The server's record of the responses with such fields.
     """
 
     def __init__(
@@ -328,8 +332,10 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         notices: list[tuple[bytes, bytes]],
+        notified: list[tuple[str, float]],
     ) -> None:
         self._notices = notices
+        self._notified = notified
         self._reader = reader
         self._writer = writer
         self._parser = h11.Connection(h11.SERVER)
@@ -386,6 +392,10 @@
     async def send_head(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         """Send the status line and header fields."""
         headers = [*fields, *self._notices]
+        if self._notices:
+            request_id = dict(fields).get(b"x-request-id", b"").decode()
+            now = asyncio.get_running_loop().time()
+            self._notified.append((request_id, now))
         response = h11.Response(status_code=status, headers=headers)
         self._writer.write(self._parser.send(response) or b"")
         await self._writer.drain()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,6 +57,8 @@
     clock = asyncio.get_running_loop().time
     injector = soak_faults.FaultInjector(world, clock)
     faults = soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
+    faults += soak_faults.draw_notices(seed, seconds)
+    faults.sort(key=lambda fault: fault.at)
     clients = [
         soak_clients.Client(world, number, seed * 1000 + number, clock)
         for number in range(CLIENTS)
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -11,6 +11,7 @@
     decode_client,
     dispatch,
     fleet_state,
+    flow_control,
     plain_forwarder,
     process,
     quarantine,
@@ -110,6 +111,12 @@
     quarantine.Quarantine.verdict = lambda self, request: None
 
 
+def _ignore_notices():
+    """Sends to servers whatever they ask for in their answers."""
+    flow_control.FlowControl.take = lambda self, server: True
+    flow_control.FlowControl.withheld = lambda self, listed: frozenset()
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -121,6 +128,7 @@
     "graceful stop": _stop_immediately,
     "quarantine of fatal requests": _never_quarantine,
     "proof of origin": _accept_without_proof,
+    "notices of servers": _ignore_notices,
 }
 
 
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -18,6 +18,17 @@
 # MAX_LATE_DISPATCHES times more.
 MAX_CRASHES = 3
 MAX_LATE_DISPATCHES = 3
+# A limit binds from so long after the first answer that names it, for the gateways that
+# were told so long before; in a window a server tolerates so much above it.
+LIMIT_NOTICE_S = 3.0
+LIMIT_TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# Faults of a gateway, or of its way to a server, that excuse it from a limit.
+EXCUSES_NOTICES = frozenset(
+    {"kill", "term", "pause", "server cut", "server cut one way"}
+)
 # Faults during which a gateway may receive updates late.
 DELAYS_UPDATES = frozenset(
     {
@@ -46,6 +57,7 @@
         yield from _run_violations(attempt, runs.get(attempt.request_id, ()))
         yield from _response_violations(attempt)
     yield from _drain_violations(attempts, servers, injector, margin_s)
+    yield from _limit_violations(attempts, servers, injector, margin_s)
     yield from _route_violations(attempts, injector, margin_s)
     yield from _stop_violations(attempts, injector)
     for name, log in logs.items():
@@ -163,6 +175,48 @@
                 )
 
 
+def _told_at(server, begin, senders):
+    """Return when each gateway's incarnation was first told a notice, in a span."""
+    told = {}
+    for request_id, at in server.notified:
+        sender = senders.get(request_id)
+        if sender is not None and at >= begin:
+            told.setdefault(sender, at)
+    return told
+
+
+def _limit_violations(attempts, servers, injector, margin_s):
+    senders = {a.request_id: (a.gateway, a.incarnation) for a in attempts}
+    by_id = {server.server_id: server for server in servers}
+    for limit in injector.limits:
+        server = by_id[limit.server_id]
+        told = _told_at(server, limit.begin, senders)
+        if not told:
+            continue
+        binding_at = min(told.values()) + LIMIT_NOTICE_S + margin_s
+        counted = []
+        for request, at in zip(server.received, server.arrival_times, strict=True):
+            sender = senders.get(request.fields.get("x-request-id", ""))
+            if request.kind not in ("prefill", "run") or sender not in told:
+                continue
+            if not max(binding_at, told[sender] + LIMIT_TOLD_S + margin_s) <= at:
+                continue
+            if at <= limit.end and not _affected(
+                injector.injected, limit.begin, at, sender[0], EXCUSES_NOTICES
+            ):
+                counted.append(at)
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (sum(at <= t < at + LIMIT_WINDOW_S for t in counted) for at in counted),
+            default=0,
+        )
+        if most > allowed:
+            yield (
+                f"{server.server_id} got {most} requests in {LIMIT_WINDOW_S} s at a "
+                f"limit of {limit.rate} a second"
+            )
+
+
 def _route_violations(attempts, injector, margin_s):
     """Check that a new route is served in time and not lost again.
 
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -31,6 +31,11 @@
 CONSECUTIVE_FAULTS = 12
 # A drained server runs on this long, so that requests sent too late are detected.
 REMOVAL_DELAY_S = 5.0
+# How long a server names a limit, and the limits that are drawn, in requests a second.
+LIMIT_S = 8.0
+LIMITS = (0.0, 1.0, 2.5, 4.0)
+# Mean time between two faults that servers announce in their answers.
+NOTICE_INTERVAL_S = 2.5
 MAX_DURATION_S = 3.0
 
 
@@ -101,6 +106,34 @@
     return faults
 
 
+NOTICE_KINDS = ("server limits",)
+
+
+def draw_notices(seed, seconds):
+    """Return the faults of a run that servers announce in their answers.
+
+    They are drawn apart from the others, whose seeds go on drawing what they drew.
+    """
+    rng = random.Random(f"notices of {seed}")
+    faults = []
+    at = 0.2
+    while at < seconds:
+        kind = rng.choice(NOTICE_KINDS)
+        faults.append(Fault(at, kind, rng.random(), rng.uniform(0.3, MAX_DURATION_S)))
+        at += rng.uniform(0.2, 2 * NOTICE_INTERVAL_S)
+    return faults
+
+
+@dataclasses.dataclass
+class NamedLimit:
+    """A limit that a server named, with the span of time."""
+
+    server_id: str
+    rate: float
+    begin: float
+    end: float
+
+
 class FaultInjector:
     """Injects faults and records their effect.
 
@@ -108,6 +141,7 @@
         injected: The faults injected so far.
         drains_started_at: Time at which each drain began, by server id.
         routes_added_at: Time at which each route was added, by route name.
+        limits: Limits that servers named.
     """
 
     def __init__(self, world, clock):
@@ -116,6 +150,7 @@
         self.injected = []
         self.drains_started_at = {}
         self.routes_added_at = {}
+        self.limits = []
 
     async def inject(self, fault):
         """Inject one fault and return once it has ended."""
@@ -232,6 +267,17 @@
         await asyncio.sleep(REMOVAL_DELAY_S)
         await self._world.remove_server(server.server_id)
 
+    async def _server_limits(self, fault, injected):
+        server = self._server(fault)
+        if server.notices or not self._has_alternative(server):
+            return
+        rate = LIMITS[int(fault.selector * 1000) % len(LIMITS)]
+        server.notices[:] = [(b"server-limit", str(rate).encode())]
+        begin = self._clock()
+        await asyncio.sleep(LIMIT_S)
+        server.notices.clear()
+        self.limits.append(NamedLimit(server.server_id, rate, begin, self._clock()))
+
     async def _configure(self, fault, injected):
         name = f"added{self._world.version}"
         await self._world.configure(route_world.route(name, "app", "safe"))
@@ -253,5 +299,6 @@
             for other in self._world.servers.values()
             if (other.service, other.stage) == (server.service, server.stage)
             and other.state == "ready"
+            and not other.notices
         ]
         return len(same_kind) > 1
