Log and count servers that leave or ask for a rest

Both are decoded with the limit into one value, kept by incarnation (a minute longer than it is listed, since entries expire while the store is away), logged and counted. Each value has one meaning: a date, a negative number, nan, 400 digits or a word is ignored and logged once for each incarnation. No request is sent elsewhere yet.

The stand-in can decline all requests with a Retry-After.

--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -1,14 +1,18 @@
 """What backend servers state about themselves in their responses.
 
-Load pattern: a server that is short of capacity goes on answering, and asks in its
-answers for less. Without a record of these requests it gets as much as before, until
-it fails.
+Load pattern: a server that is short of capacity, or about to leave, goes on answering,
+and asks in its answers for less. Without a record of these requests it gets as much as
+before, until it fails or is gone.
 
 Responses overtake each other on their way. A response that no longer names a limit
 lifts the limit only if its request was sent after the last response that named it had
 arrived; and one that names a limit again counts under the same condition after a lift.
 So no response that left the server earlier overrules a later one.
 
+A server that leaves says so until it ends, so nothing lifts that. One that declines a
+request may ask this instance for a rest, a time without requests; of several rests the
+latest end counts.
+
 Notices belong to an incarnation: a server that starts again has asked for nothing.
 """
 
@@ -22,6 +26,11 @@
 
 # Evidence that is older is not worth telling: the answers since then count.
 _MAX_EVIDENCE_AGE = datetime.timedelta(seconds=10)
+# Longer rests are cut: an erroneous value would exclude a server for ever.
+_MAX_REST = datetime.timedelta(minutes=10)
+# What a server stated is kept for so long after it is no longer listed: an entry may
+# expire while the store is away, and come back.
+_RETENTION = datetime.timedelta(minutes=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +39,8 @@
 
     Attributes:
         server: The server's incarnation.
-        what: Kind of the change: `limit`, `limit lifted` or `limit unreadable`.
+        what: Kind of the change: `limit`, `limit lifted`, `leaving`, `rest`, or one of
+            these with `unreadable`.
         value: The new value, for the log.
         known_for: For how long the previous value was known; zero without one.
     """
@@ -57,23 +67,52 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
+    """What is known of one incarnation.
+
+    Attributes:
+        rate: The limit that it named last; None for no limit.
+        rate_since: When that became known; None if it never named a limit.
+        evidence_at: Time of the latest answer that told of a limit or of its end.
+        leaving: Whether it has said that it leaves.
+        rest_until: End of the rest that it has asked for.
+        unreadable: Fields whose value had no meaning, each logged once.
+        unlisted_at: Since when it is not listed; None while it is.
+    """
+
     rate: float | None = None
-    evidence_at: datetime.timedelta = datetime.timedelta()
-    since: datetime.timedelta = datetime.timedelta()
-    unreadable: bool = False
+    rate_since: datetime.timedelta | None = None
+    evidence_at: datetime.timedelta | None = None
+    leaving: bool = False
+    rest_until: datetime.timedelta = datetime.timedelta()
+    unreadable: set[str] = dataclasses.field(default_factory=set)
+    unlisted_at: datetime.timedelta | None = None
 
 
 class ServerNotices:
-    """The newest notice of each server, by incarnation."""
+    """The newest notices of each server, by incarnation."""
 
     def __init__(self) -> None:
         self._records: dict[servers.Incarnation, _Record] = {}
 
+    @property
+    def known(self) -> abc.Set[servers.Incarnation]:
+        """The servers of which something is known."""
+        return self._records.keys()
+
     @property
     def limited(self) -> int:
         """Number of servers that are under a limit."""
         return sum(record.rate is not None for record in self._records.values())
 
+    @property
+    def leaving(self) -> int:
+        """Number of servers that are about to leave."""
+        return sum(record.leaving for record in self._records.values())
+
+    def resting(self, now: datetime.timedelta) -> int:
+        """Return the number of servers that have asked for a rest."""
+        return sum(now < record.rest_until for record in self._records.values())
+
     def limit(self, server: servers.Incarnation) -> float | None:
         """Return the requests per second that a server accepts; None for no limit."""
         record = self._records.get(server)
@@ -85,7 +124,7 @@
         notice: notices.Notice,
         sent_at: datetime.timedelta,
         now: datetime.timedelta,
-    ) -> Change | None:
+    ) -> tuple[Change, ...]:
         """Record the notice of a response; return what it changes.
 
         Args:
@@ -94,51 +133,69 @@
             sent_at: When the request was sent.
             now: When the header of the response arrived.
         """
-        if isinstance(notice.limit, notices.UnreadableLimit):
-            return self._unreadable(server, notice.limit.text)
-        record = self._records.get(server)
-        rate = (
-            notice.limit.rate if isinstance(notice.limit, notices.RateLimit) else None
-        )
-        if record is None:
-            if rate is None:
-                return None
-            record = self._records[server] = _Record(since=now)
-        elif (rate is None) is not (record.rate is None):
-            if sent_at < record.evidence_at:
-                return None
-        elif rate is None:
-            return None
-        record.evidence_at = now
-        return self._changed(server, record, rate, now)
+        if notice == notices.Notice() and server not in self._records:
+            return ()
+        record = self._record(server)
+        changes = [
+            self._observe_limit(server, record, notice.limit, sent_at, now),
+            self._observe_leaving(server, record, notice.leaving),
+            self._observe_rest(server, record, notice.rest, now),
+            *(self._unreadable(server, record, field) for field in notice.unreadable),
+        ]
+        return tuple(change for change in changes if change is not None)
 
     def merge(self, evidence: Evidence, now: datetime.timedelta) -> Change | None:
         """Record a peer's evidence unless it is older; return what it changes."""
-        record = self._records.get(evidence.server)
-        if record is None:
-            record = self._records[evidence.server] = _Record(since=now)
-        elif evidence.at <= record.evidence_at:
+        record = self._record(evidence.server)
+        if record.evidence_at is not None and evidence.at <= record.evidence_at:
             return None
         record.evidence_at = evidence.at
-        return self._changed(evidence.server, record, evidence.rate, now)
+        return self._set_rate(evidence.server, record, evidence.rate, now)
 
     def recent(self, now: datetime.timedelta) -> list[Evidence]:
         """Return the evidence that peers should know."""
         return [
             Evidence(server, record.rate, record.evidence_at)
             for server, record in self._records.items()
-            if now - record.evidence_at < _MAX_EVIDENCE_AGE
+            if record.evidence_at is not None
+            and now - record.evidence_at < _MAX_EVIDENCE_AGE
         ]
 
-    def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
-        """Forget the servers that are no longer listed."""
-        self._records = {
-            server: record
-            for server, record in self._records.items()
-            if server in listed
-        }
+    def retain(
+        self, listed: abc.Container[servers.Incarnation], now: datetime.timedelta
+    ) -> None:
+        """Forget the servers that have not been listed for some time."""
+        for server, record in list(self._records.items()):
+            if server in listed:
+                record.unlisted_at = None
+            elif record.unlisted_at is None:
+                record.unlisted_at = now
+            elif now - record.unlisted_at >= _RETENTION:
+                del self._records[server]
+
+    def _record(self, server: servers.Incarnation) -> _Record:
+        return self._records.setdefault(server, _Record())
+
+    def _observe_limit(
+        self,
+        server: servers.Incarnation,
+        record: _Record,
+        limit: notices.Limit,
+        sent_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> Change | None:
+        if isinstance(limit, notices.UnreadableLimit):
+            return self._unreadable(server, record, "limit", limit.text)
+        rate = limit.rate if isinstance(limit, notices.RateLimit) else None
+        if rate is None and record.rate is None:
+            return None
+        contradicts = (rate is None) is not (record.rate is None)
+        if contradicts and _crossed(sent_at, record.evidence_at):
+            return None
+        record.evidence_at = now
+        return self._set_rate(server, record, rate, now)
 
-    def _changed(
+    def _set_rate(
         self,
         server: servers.Incarnation,
         record: _Record,
@@ -147,15 +204,51 @@
     ) -> Change | None:
         if rate == record.rate:
             return None
-        known_for, record.rate, record.since = now - record.since, rate, now
+        since = now if record.rate_since is None else record.rate_since
+        record.rate, record.rate_since = rate, now
         if rate is None:
-            return Change(server, "limit lifted", "", known_for)
-        return Change(server, "limit", str(rate), known_for)
+            return Change(server, "limit lifted", "", now - since)
+        return Change(server, "limit", str(rate), now - since)
 
-    def _unreadable(self, server: servers.Incarnation, text: str) -> Change | None:
-        """Return a change for the log, once for each incarnation."""
-        record = self._records.setdefault(server, _Record())
-        if record.unreadable:
+    def _observe_leaving(
+        self, server: servers.Incarnation, record: _Record, leaving: bool
+    ) -> Change | None:
+        if not leaving or record.leaving:
             return None
-        record.unreadable = True
-        return Change(server, "limit unreadable", text)
+        record.leaving = True
+        return Change(server, "leaving", "1")
+
+    def _observe_rest(
+        self,
+        server: servers.Incarnation,
+        record: _Record,
+        rest: datetime.timedelta | None,
+        now: datetime.timedelta,
+    ) -> Change | None:
+        if rest is None:
+            return None
+        until = now + min(rest, _MAX_REST)
+        if until <= record.rest_until:
+            return None
+        record.rest_until = until
+        return Change(server, "rest", str(rest.total_seconds()))
+
+    def _unreadable(
+        self,
+        server: servers.Incarnation,
+        record: _Record,
+        field: str,
+        text: str = "",
+    ) -> Change | None:
+        """Return a change for the log, once for each incarnation and field."""
+        if field in record.unreadable:
+            return None
+        record.unreadable.add(field)
+        return Change(server, f"{field} unreadable", text)
+
+
+def _crossed(
+    sent_at: datetime.timedelta, evidence_at: datetime.timedelta | None
+) -> bool:
+    """Tell whether a request was sent before some evidence had arrived."""
+    return evidence_at is not None and sent_at < evidence_at
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -281,7 +281,7 @@
     ) -> OpenResponse | Declined | OutcomeUnknown:
         for _ in range(_MAX_STALE_RESPONSES):
             start = await link.read_head()
-            head = http_headers.parse_response_headers(start.fields)
+            head = http_headers.parse_response_headers(start.fields, start.status)
             if head.request_id in ("", request.request_id):
                 # A misdirected request is answered by another server.
                 if start.status != _MISDIRECTED:
@@ -352,7 +352,7 @@
                 sent_at = self._clock.monotonic()
                 link.send(method, target, [(b"host", host), *fields], body)
                 start = await link.read_head()
-                head = http_headers.parse_response_headers(start.fields)
+                head = http_headers.parse_response_headers(start.fields, start.status)
                 if start.status != _MISDIRECTED:
                     self._flow.observe(self._server, head.notice, sent_at, "call")
                 content = await link.read_body(MAX_BODY_BYTES)
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -52,6 +52,16 @@
         """Set the other instances of the fleet, which share the servers' limits."""
         self._limits.set_members(others)
 
+    @property
+    def leaving(self) -> int:
+        """Number of servers that said in an answer that they leave."""
+        return self._notices.leaving
+
+    @property
+    def resting(self) -> int:
+        """Number of servers that have asked for a rest."""
+        return self._notices.resting(self._clock.monotonic())
+
     def limit(self, server: servers.Server) -> float | None:
         """Return the requests per second that a server accepts; None for no limit."""
         return self._notices.limit(server.incarnation)
@@ -100,10 +110,11 @@
             source: Kind of the response, for the log.
         """
         now = self._clock.monotonic()
-        change = self._notices.observe(server.incarnation, notice, sent_at, now)
+        changes = self._notices.observe(server.incarnation, notice, sent_at, now)
         if isinstance(notice.limit, notices.RateLimit):
             self._apply(server, now, now)
-        self._apply_change(server, change, source, now)
+        for change in changes:
+            self._apply_change(server, change, source, now)
 
     def reports(self) -> tuple[beacons.ServerLimit, ...]:
         """Return the limits to tell peers, some at a time."""
@@ -136,12 +147,13 @@
             evidence = server_notices.Evidence(item.server, rate, named_at)
             change = self._notices.merge(evidence, now)
             self._apply(server, named_at, now)
-            self._apply_change(server, change, "peer", now)
+            if change is not None:
+                self._apply_change(server, change, "peer", now)
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget the servers that are no longer listed."""
-        self._notices.retain(listed)
-        self._limits.retain(listed)
+        self._notices.retain(listed, self._clock.monotonic())
+        self._limits.retain(self._notices.known)
 
     def _apply(
         self,
@@ -156,12 +168,10 @@
     def _apply_change(
         self,
         server: servers.Server,
-        change: server_notices.Change | None,
+        change: server_notices.Change,
         source: str,
         now: datetime.timedelta,
     ) -> None:
-        if change is None:
-            return
         if self._notices.limit(server.incarnation) is None:
             self._limits.lift(server.incarnation)
         self._log_change(change, source, now)
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -42,6 +42,10 @@
 _NOT_RUN = b"x-not-executed"
 _SEAL = b"x-response-seal"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+_LEAVING_VALUES = {b"1": True, b"0": False}
+_UNAVAILABLE = 503
 _PREFILL_ONLY = b"prefill"
 
 # Characters of an invalid value that are quoted in the log.
@@ -245,8 +249,13 @@
     )
 
 
-def parse_response_headers(fields: Fields) -> ResponseHeaders:
-    """Parse the header of a server's response."""
+def parse_response_headers(fields: Fields, status: int) -> ResponseHeaders:
+    """Parse the header of a server's response.
+
+    Args:
+        fields: Header fields of the response.
+        status: Status of the response, on which the meaning of some fields depends.
+    """
     found = {name.lower(): value for name, value in fields}
     dropped = (_CONNECTION_FIELDS - {b"content-length"}) | _named_by_connection(fields)
     dropped |= {_NOT_RUN, b"x-instance-id"}
@@ -255,19 +264,51 @@
         not_run=_NOT_RUN in found,
         sealed=_SEAL in found,
         encoded=found.get(b"content-encoding", b"identity").lower() != b"identity",
-        notice=notices.Notice(limit=_limit(fields)),
+        notice=_notice(fields, status),
         fields=tuple(
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
     )
 
 
+def _notice(fields: Fields, status: int) -> notices.Notice:
+    """Parse what a response states about its server."""
+    leaving, bad_leaving = _leaving(fields)
+    rest, bad_rest = None, False
+    if status == _UNAVAILABLE:
+        rest, bad_rest = _rest(fields)
+    unreadable = ("leaving",) * bad_leaving + ("rest",) * bad_rest
+    return notices.Notice(_limit(fields), leaving, rest, unreadable)
+
+
+def _values(fields: Fields, wanted: bytes) -> list[bytes]:
+    return [value.strip() for name, value in fields if name.lower() == wanted]
+
+
 def _limit(fields: Fields) -> notices.Limit:
     """Return the limit that a response names; the lowest if it names several."""
-    values = [value.strip() for name, value in fields if name.lower() == _LIMIT]
+    values = _values(fields, _LIMIT)
     if not values:
         return notices.NoLimit()
     rates = [float(value) for value in values if _DECIMAL.fullmatch(value)]
     if len(rates) < len(values):
         return notices.UnreadableLimit(repr(values)[:_MAX_QUOTED])
     return notices.RateLimit(min(rates))
+
+
+def _leaving(fields: Fields) -> tuple[bool, bool]:
+    """Return whether the server leaves, and whether a value has no meaning."""
+    values = _values(fields, _LEAVING)
+    known = [_LEAVING_VALUES[value] for value in values if value in _LEAVING_VALUES]
+    return any(known), len(known) < len(values)
+
+
+def _rest(fields: Fields) -> tuple[datetime.timedelta | None, bool]:
+    """Return the longest rest in seconds, and whether a value has no meaning.
+
+    A date, which HTTP allows as well, depends on two clocks and is not used.
+    """
+    values = _values(fields, _RETRY_AFTER)
+    known = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    longest = datetime.timedelta(seconds=max(known)) if known else None
+    return longest, len(known) < len(values)
--- a/src/pimentolatch/routes/notices.py
+++ b/src/pimentolatch/routes/notices.py
@@ -1,6 +1,7 @@
 """What a backend server states about itself in the header of a response."""
 
 import dataclasses
+import datetime
 
 __all__ = ["Limit", "NoLimit", "Notice", "RateLimit", "UnreadableLimit"]
 
@@ -32,6 +33,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
-    """What one response states about its server."""
+    """What one response states about its server.
+
+    Attributes:
+        limit: The request rate that it accepts.
+        leaving: Whether it is about to leave.
+        rest: For how long it wants no request from this instance; None if it asked for
+            no rest.
+        unreadable: Other fields whose value has no meaning; they are ignored.
+    """
 
     limit: Limit = NoLimit()
+    leaving: bool = False
+    rest: datetime.timedelta | None = None
+    unreadable: tuple[str, ...] = ()
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -70,6 +70,9 @@
         crashed: Whether the server has crashed.
         crashed_at: Time of the crash, by the event loop's clock.
         notices: Header fields that it adds to all its responses.
+        retry_after: Value of Retry-After with which it declines all requests; None to
+            accept them.
+        declined: Request ids that it declined so, and when they arrived.
         notified: Request ids of the responses with such fields, and when they began,
             by the event loop's clock.
     """
@@ -103,6 +106,8 @@
         self.crashed_at = 0.0
         self.notices: list[tuple[bytes, bytes]] = []
         self.notified: list[tuple[str, float]] = []
+        self.retry_after: str | None = None
+        self.declined: list[tuple[str, float]] = []
         self.port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -239,6 +244,12 @@
         fault = self.faults.popleft() if self.faults else ""
         request_id = request.fields.get("x-request-id", "")
         headers = [(b"x-request-id", request_id.encode())]
+        if self.retry_after is not None:
+            self.received.pop()
+            self.declined.append((request_id, self.arrival_times.pop()))
+            rest = (b"retry-after", self.retry_after.encode())
+            await connection.send(503, [*headers, (b"x-not-executed", b"1"), rest], b"")
+            return True
         handle_suffix = "" if self.started_ms is None else f"-{self.started_ms}"
         if fault == "decline":
             self.received.pop()
--- /dev/null
+++ b/tests/features/server_notices.feature
@@ -0,0 +1,36 @@
+Feature: Servers that leave or ask for a rest get no more requests
+
+  # Guards against a belief about a server that no log line and no metric shows.
+  Scenario: What is believed of leaving and resting servers is logged and counted
+    Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
+    And limits: the log is recorded
+    When notices: "d1" says that it leaves
+    And notices: "a1" declines and asks for "3" seconds of rest
+    And limits: clients ask for 20 answers a second for 1 seconds
+    Then notices: 1 leaving and 1 resting servers are counted
+    And notices: the log tells of "d1" "leaving" "1" and of "a1" "rest" "3.0"
+
+  # Guards against values without a meaning: none may raise, or exclude a server for ever.
+  Scenario Outline: Each value of the fields has one meaning
+    Then notices: with status <status> the header fields "<fields>" tell <what>
+
+    Examples:
+      | status | fields                                 | what              |
+      | 200    | Server-Leaving: 1                      | leaving           |
+      | 200    | SERVER-LEAVING: 1                      | leaving           |
+      | 200    | Server-Leaving: 0                      | nothing           |
+      | 200    | Server-Leaving: 0, Server-Leaving: 1   | leaving           |
+      | 200    | Server-Leaving: yes                    | unreadable leaving |
+      | 200    | Server-Leaving:                        | unreadable leaving |
+      | 503    | Retry-After: 3                         | rest 3.0          |
+      | 503    | retry-after: 0.25                      | rest 0.25         |
+      | 503    | Retry-After: 2, Retry-After: 5         | rest 5.0          |
+      | 503    | Retry-After: -1                        | unreadable rest   |
+      | 503    | Retry-After: nan                       | unreadable rest   |
+      | 503    | Retry-After: inf                       | unreadable rest   |
+      | 503    | Retry-After: 400 digits                | unreadable rest   |
+      | 503    | Retry-After: Wed; 21 Oct               | unreadable rest   |
+      | 503    | Retry-After:                           | unreadable rest   |
+      | 503    | x-other: 1                             | nothing           |
+      | 200    | Retry-After: 3                         | nothing           |
+      | 429    | Retry-After: 3                         | nothing           |
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -64,7 +64,7 @@
     text = fields.replace("400 digits", "9" * 400)
     pairs = [field.strip().split(":") for field in text.split(", ")]
     raw = [(name.encode(), value.strip().encode()) for name, value in pairs]
-    found = http_headers.parse_response_headers(raw).notice.limit
+    found = http_headers.parse_response_headers(raw, 200).notice.limit
     if limit == "none":
         assert found == notices.NoLimit()
     elif limit == "unreadable":
@@ -90,12 +90,15 @@
 
 @behave.when("limits: it starts again")
 def starts_again(context):
-    context.notices.retain({servers.Incarnation("s1", 2)})
+    restarted = {servers.Incarnation("s1", 2)}
+    context.notices.retain(restarted, 10 * SECOND)
+    context.notices.retain(restarted, 80 * SECOND)
 
 
 @behave.then("limits: it is under {limit}")
 def under(context, limit):
     expected = None if limit == "none" else float(limit)
+    assert context.notices.limit(servers.Incarnation("s1", 2)) is None
     assert context.notices.limit(SERVER) == expected, context.notices.limit(SERVER)
 
 
@@ -143,11 +146,12 @@
         world = context.world
         loop = asyncio.get_running_loop()
         names = itertools.cycle(sorted(world.instances))
+        context.senders = {}
         tasks = []
         begun = loop.time()
         for number in range(rate * seconds):
             await asyncio.sleep(max(0.0, begun + number / rate - loop.time()))
-            name = next(names)
+            name = context.senders[f"r{number}"] = next(names)
             route = ROUTES[number // len(world.instances) % len(ROUTES)]
             asked = world.ask(route, f"r{number}", name=name, body=b"text")
             tasks.append(asyncio.create_task(asked))
--- /dev/null
+++ b/tests/features/steps/server_notices_steps.py
@@ -0,0 +1,112 @@
+import behave
+
+from pimentolatch.platform import http_headers
+
+DRAIN_S = 2.0
+REST_S = 3.0
+# What was under way when the server asked for the rest may still arrive.
+UNDER_WAY_S = 0.5
+CHOSEN = ("p1", "d1", "a1")
+
+
+@behave.when('notices: "{name}" says that it leaves')
+def says_leaving(context, name):
+    context.world.servers[name].notices[:] = [(b"Server-Leaving", b"1")]
+
+
+@behave.when('notices: "{name}" declines and asks for "{seconds}" seconds of rest')
+def asks_for_rest(context, name, seconds):
+    context.world.servers[name].retry_after = seconds
+
+
+@behave.when("notices: the store is away")
+def store_away(context):
+    context.run(context.world.stop_store())
+
+
+@behave.when("notices: a reader, a writer and a plain server say that they leave")
+def some_leave(context):
+    for name in CHOSEN:
+        says_leaving(context, name)
+
+
+@behave.when(
+    "notices: a reader, a writer and a plain server decline and ask for 3 s of rest"
+)
+def some_rest(context):
+    for name in CHOSEN:
+        asks_for_rest(context, name, str(REST_S))
+
+
+@behave.then("notices: {leaving:d} leaving and {resting:d} resting servers are counted")
+def counted(context, leaving, resting):
+    found = context.run(context.world.ask_metrics("i1"))
+    assert found["pimentolatch_leaving_servers"] == leaving, found
+    assert found["pimentolatch_resting_servers"] == resting, found
+
+
+@behave.then(
+    'notices: the log tells of "{one}" "{what}" "{value}" and of "{two}" "{w}" "{v}"'
+)
+def logged(context, one, what, value, two, w, v):
+    lines = {
+        (record.kwargs["server"], record.kwargs["what"], record.kwargs["value"])
+        for record in context.log.records
+        if record.message == "server notice"
+    }
+    assert {(one, what, value), (two, w, v)} <= lines, lines
+
+
+def by_sender(context, pairs):
+    """Return the times of some requests by the instance that sent them."""
+    found = {}
+    for request_id, at in pairs:
+        found.setdefault(context.senders[request_id], []).append(at)
+    return found
+
+
+@behave.then("notices: none of these gets a request 2 s after an answer said so")
+def none_late(context):
+    late = {}
+    for name in CHOSEN:
+        server = context.world.servers[name]
+        told = by_sender(context, [(i, at) for i, at in server.notified if i])
+        assert told, name
+        requests = [
+            (item.fields["x-request-id"], at)
+            for item, at in zip(server.received, server.arrival_times, strict=True)
+            if item.kind in ("prefill", "run")
+        ]
+        for sender, times in by_sender(context, requests).items():
+            first = min(told.get(sender, [float("inf")]))
+            late[name] = late.get(name, 0) + sum(at > first + DRAIN_S for at in times)
+    assert not any(late.values()), late
+
+
+@behave.then(
+    "notices: none of these gets over {most:d} requests of an instance "
+    "in its rest of 3 s"
+)
+def rests(context, most):
+    found = {}
+    for name in CHOSEN:
+        server = context.world.servers[name]
+        assert server.declined, name
+        for times in by_sender(context, server.declined).values():
+            for asked in times:
+                n = sum(asked + UNDER_WAY_S < at < asked + REST_S for at in times)
+                found[name] = max(found.get(name, 0), n)
+    assert max(found.values()) <= most, found
+
+
+@behave.then('notices: with status {status:d} the header fields "{fields}" tell {what}')
+def tells(context, status, fields, what):
+    text = fields.replace("400 digits", "9" * 400)
+    pairs = [field.strip().split(":") for field in text.split(", ")]
+    raw = [(name.encode(), value.strip().encode()) for name, value in pairs]
+    notice = http_headers.parse_response_headers(raw, status).notice
+    found = ["leaving"] * notice.leaving
+    if notice.rest is not None:
+        found.append(f"rest {notice.rest.total_seconds()}")
+    found += [f"unreadable {field}" for field in notice.unreadable]
+    assert (found or ["nothing"]) == [what], found
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -45,8 +45,8 @@
     """Doesn't compare the request id of a response with that of the request."""
     parse = dispatch.http_headers.parse_response_headers
 
-    def without_request_id(fields):
-        head = parse(fields)
+    def without_request_id(fields, status):
+        head = parse(fields, status)
         object.__setattr__(head, "request_id", "")
         return head
 
