--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -10,6 +10,25 @@
     Then notices: 1 leaving and 1 resting servers are counted
     And notices: the log tells of "d1" "leaving" "1" and of "a1" "rest" "3.0"
 
+  # Guards against a leaving server that is used on while the store, whose list is the
+  # only other source, is away.
+  Scenario: Leaving servers that say so in their answers get nothing two seconds later
+    Given limits: 3 instances before 2 readers, 3 writers and 3 plain servers
+    When notices: the store is away
+    And notices: a reader, a writer and a plain server say that they leave
+    And limits: clients ask for 40 answers a second for 6 seconds
+    Then notices: none of these gets a request 2 s after an answer said so
+    And limits: at least 95 in 100 are served
+
+  # Guards against a server that is asked again and again in the time that it asked to be
+  # left alone, while clients are refused although other servers have room.
+  Scenario: Servers that ask for a rest get no request until its end
+    Given limits: 3 instances before 2 readers, 3 writers and 3 plain servers
+    When notices: a reader, a writer and a plain server decline and ask for 3 s of rest
+    And limits: clients ask for 40 answers a second for 6 seconds
+    Then notices: none of these gets over 2 requests of an instance in its rest of 3 s
+    And limits: at least 95 in 100 are served
+
   # Guards against values without a meaning: none may raise, or exclude a server for ever.
   Scenario Outline: Each value of the fields has one meaning
     Then notices: with status <status> the header fields "<fields>" tell <what>
