Send nothing to a server that says in an answer that it leaves

What callers saw: nothing, the leaving server still answered; requests reached it 2,287 and 3,881 ms after an answer had told the sender (2,000 allowed). Cause: only the store's list told of leaving servers, and the store was away for 12 s; the answers said so all the while and nothing that sends asked.

An incarnation that has said in an answer that it leaves now counts as draining wherever the list would say so: routing, stage planning, waiting, orders of servers. The list can't take it back; a new incarnation begins anew. The permit at the moment of sending asks as well, since a prompt is prefilled between placement and decode; it then goes to another decode engine without a second prefill.

--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -22,7 +22,10 @@
 
 from pimentolatch.routes import notices, servers
 
-__all__ = ["Change", "Evidence", "ServerNotices"]
+__all__ = ["LEAVING", "Change", "Evidence", "ServerNotices"]
+
+# Kind of the change of a server that says that it leaves.
+LEAVING = "leaving"
 
 # Evidence that is older is not worth telling: the answers since then count.
 _MAX_EVIDENCE_AGE = datetime.timedelta(seconds=10)
@@ -113,6 +116,11 @@
         """Return the number of servers that have asked for a rest."""
         return sum(now < record.rest_until for record in self._records.values())
 
+    def is_leaving(self, server: servers.Incarnation) -> bool:
+        """Tell whether a server has said that it leaves."""
+        record = self._records.get(server)
+        return record is not None and record.leaving
+
     def limit(self, server: servers.Incarnation) -> float | None:
         """Return the requests per second that a server accepts; None for no limit."""
         record = self._records.get(server)
@@ -216,7 +224,7 @@
         if not leaving or record.leaving:
             return None
         record.leaving = True
-        return Change(server, "leaving", "1")
+        return Change(server, LEAVING, "1")
 
     def _observe_rest(
         self,
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -1,5 +1,6 @@
 """Local copy of the fleet's state: configuration, servers and load of the engines."""
 
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -16,6 +17,11 @@
     Versions only increase: an older version or revision that arrives late, from the
     store or from a peer, is dropped.
 
+    Args:
+        is_leaving: Tells whether an incarnation has said in an answer that it leaves.
+            It counts as draining then, whatever the store's list says: the list is
+            late, and does not change at all while the store is away.
+
     Attributes:
         configuration: None until a configuration has been received.
         configuration_spec: The configuration as the store holds it, sent to peers.
@@ -27,7 +33,11 @@
         servers_confirmed_at: Time at which the server table last matched the store.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_leaving: abc.Callable[[servers.Incarnation], bool] = lambda server: False,
+    ) -> None:
+        self._is_leaving = is_leaving
         self.configuration: route_table.Configuration | None = None
         self.configuration_spec: typing.Any = None
         self.servers = servers.ServerTable()
@@ -72,7 +82,7 @@
         """Apply a full server list unless it is older; return whether it was used."""
         if self.servers_listed and revision < self.servers_revision:
             return False
-        self.servers.replace(listed)
+        self.servers.replace(map(self._as_known, listed))
         self.servers_revision = revision
         self.servers_listed = True
         self._update_loads()
@@ -90,6 +100,12 @@
         self.servers_revision = revision
         self._change(changed, removed)
 
+    def mark_leaving(self, server: servers.Server) -> None:
+        """Apply that a listed server has said that it leaves."""
+        listed = self.servers.get(server.server_id)
+        if listed is not None and listed.incarnation == server.incarnation:
+            self._change([listed], ())
+
     def remove_servers(self, removed: abc.Iterable[str]) -> None:
         """Remove servers whose entries have expired."""
         self._change((), removed)
@@ -125,9 +141,15 @@
     def _change(
         self, changed: abc.Iterable[servers.Server], removed: abc.Iterable[str]
     ) -> None:
-        self.servers.update(changed, removed)
+        self.servers.update(map(self._as_known, changed), removed)
         self._update_loads()
 
+    def _as_known(self, server: servers.Server) -> servers.Server:
+        """Return a listed server with what it has said itself."""
+        if server.draining or not self._is_leaving(server.incarnation):
+            return server
+        return dataclasses.replace(server, draining=True)
+
     def _update_loads(self) -> None:
         # Services that had engines before are updated too: the last engine of such a
         # service may just have been removed.
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -42,6 +42,7 @@
         self._limits = server_limits.ServerLimits(own)
         self._log_budget = log_budget.LogBudget()
         self._turn = 0
+        self._on_leaving: list[abc.Callable[[servers.Server], None]] = []
 
     @property
     def limited(self) -> int:
@@ -62,6 +63,14 @@
         """Number of servers that have asked for a rest."""
         return self._notices.resting(self._clock.monotonic())
 
+    def on_leaving(self, call: abc.Callable[[servers.Server], None]) -> None:
+        """Register a callback for a server that says that it leaves."""
+        self._on_leaving.append(call)
+
+    def is_leaving(self, server: servers.Incarnation) -> bool:
+        """Tell whether a server has said that it leaves."""
+        return self._notices.is_leaving(server)
+
     def limit(self, server: servers.Server) -> float | None:
         """Return the requests per second that a server accepts; None for no limit."""
         return self._notices.limit(server.incarnation)
@@ -70,17 +79,20 @@
         self, listed: abc.Iterable[servers.Server]
     ) -> frozenset[servers.Incarnation]:
         """Return those of some servers that must not be sent a request now."""
-        if not self._notices.limited:
+        if not self._notices.known:
             return frozenset()
         now = self._clock.monotonic()
         return frozenset(
             server.incarnation
             for server in listed
-            if not self._limits.may_send(server, now)
+            if self.is_leaving(server.incarnation)
+            or not self._limits.may_send(server, now)
         )
 
     def take(self, server: servers.Server) -> bool:
         """Use a permit to send a request to a server now; False if there is none."""
+        if self.is_leaving(server.incarnation):
+            return False
         return self._limits.take(server, self._clock.monotonic())
 
     def wait(
@@ -174,6 +186,9 @@
     ) -> None:
         if self._notices.limit(server.incarnation) is None:
             self._limits.lift(server.incarnation)
+        if change.what == server_notices.LEAVING:
+            for call in self._on_leaving:
+                call(server)
         self._log_change(change, source, now)
 
     def _log_change(
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -62,9 +62,10 @@
         self._settings = chosen
         self._clock = time
         self._shutdown = graceful_shutdown.GracefulShutdown()
-        self._fleet = fleet_state.FleetState()
         own_place = neighbours.Place(chosen.peers.host, chosen.failure_domain)
         self._flow = flow_control.FlowControl(own_place, time)
+        self._fleet = fleet_state.FleetState(self._flow.is_leaving)
+        self._flow.on_leaving(self._fleet.mark_leaving)
         self._client = dispatch.ServerClient(time, self._flow)
         self._server_choice = server_choice.ServerChoice(chosen.failure_domain)
         bounds = chosen.bounds
