Leave a server alone for as long as it asks in a 503

Callers got 503 while other engines had room: an engine that turned a request away with Retry-After: 3 got up to eight more of the same instance within these 3 s, each one a prompt prefilled elsewhere, and each used up an attempt and the repeat budget. Cause: no code read a server's Retry-After; a declined dispatch was followed by a pause of 100 to 800 ms, a plain server's by none.

An instance sends nothing to a server in its rest; of several rests the latest end holds, and at the end each instance returns within half a second at a time of its own, by rendezvous hashing. The permit at the moment of sending asks as well. A decode engine that rests, or has no permit left, does not count among the two that a prefilled prompt is offered to, since that says nothing about its KV cache. If no server accepts a request before the client leaves, it is refused at once with a Retry-After not before the first rest's end; so it is after a prefill too (a scenario found that it waited there until the client left, and was told 0.9 s).

--- a/src/pimentolatch/decisions/server_limits.py
+++ b/src/pimentolatch/decisions/server_limits.py
@@ -46,8 +46,8 @@
 _STALE_AFTER = datetime.timedelta(seconds=10)
 _PROBED_SHARE = 0.25
 _PROBE_WINDOW_S = 1.0
-# Wait that is reported if this instance has no part of the rate.
-_NO_PERMIT = datetime.timedelta(minutes=1)
+# Longest wait that is reported: an instance without a part of the rate may probe then.
+_MAX_WAIT = _STALE_AFTER
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,8 +167,8 @@
         if missing <= 0:
             return datetime.timedelta()
         if rate <= 0:
-            return _NO_PERMIT
-        return min(datetime.timedelta(seconds=missing / rate), _NO_PERMIT)
+            return _MAX_WAIT
+        return min(datetime.timedelta(seconds=missing / rate), _MAX_WAIT)
 
     def _refilled(
         self, server: servers.Server, now: datetime.timedelta
--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -116,6 +116,11 @@
         """Return the number of servers that have asked for a rest."""
         return sum(now < record.rest_until for record in self._records.values())
 
+    def rest_until(self, server: servers.Incarnation) -> datetime.timedelta:
+        """Return the end of the rest that a server has asked for; zero for none."""
+        record = self._records.get(server)
+        return datetime.timedelta() if record is None else record.rest_until
+
     def is_leaving(self, server: servers.Incarnation) -> bool:
         """Tell whether a server has said that it leaves."""
         record = self._records.get(server)
--- a/src/pimentolatch/decisions/wait_policy.py
+++ b/src/pimentolatch/decisions/wait_policy.py
@@ -50,8 +50,8 @@
 # most of that soon finds one. The spread keeps retries from arriving at once.
 _MIN_RETRY_MS = 300.0
 _RETRY_SPREAD_MS = 700.0
-# Longest wait for a permit that a client is told: another instance may have one sooner.
-_MAX_PERMIT_WAIT = datetime.timedelta(seconds=5)
+# Over how much longer the retries spread that have to wait for a permit, at most.
+_MAX_PERMIT_SPREAD = datetime.timedelta(seconds=5)
 
 
 def recheck_interval(rank: int, jitter: float) -> datetime.timedelta:
@@ -106,7 +106,7 @@
 
     Args:
         jitter: Uniform random number from 0 to 1 of the request.
-        permit_wait: When a server accepts a request again, if all limit their rate.
+        permit_wait: When a server accepts a request again, if none does now.
     """
     spread = datetime.timedelta(milliseconds=_MIN_RETRY_MS + _RETRY_SPREAD_MS * jitter)
-    return spread + min(permit_wait, _MAX_PERMIT_WAIT) * (1 + jitter)
+    return spread + permit_wait + min(permit_wait, _MAX_PERMIT_SPREAD) * jitter
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -131,7 +131,6 @@
         engine = generation.place.engine
         progress.reason = dispatch.describe(outcome)
         if isinstance(outcome, dispatch.Withheld):
-            progress.withheld += 1
             return False
         if not isinstance(outcome, dispatch.NotSent):
             progress.dispatches += 1
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -10,6 +10,7 @@
 from pimentolatch.decisions import (
     log_budget,
     neighbours,
+    rendezvous,
     server_limits,
     server_notices,
 )
@@ -25,6 +26,8 @@
 # Evidence ages by this much on its way to a peer, more than any beacon takes. It would
 # otherwise look newer at each instance that passes it on, and never expire.
 _TRANSIT = datetime.timedelta(milliseconds=250)
+# After a rest the instances return within this time, each at a time of its own.
+_RETURN_SPREAD = datetime.timedelta(milliseconds=500)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -37,6 +40,7 @@
     """
 
     def __init__(self, own: neighbours.Place, time: clock.Clock) -> None:
+        self._own = own
         self._clock = time
         self._notices = server_notices.ServerNotices()
         self._limits = server_limits.ServerLimits(own)
@@ -85,15 +89,15 @@
         return frozenset(
             server.incarnation
             for server in listed
-            if self.is_leaving(server.incarnation)
-            or not self._limits.may_send(server, now)
+            if self._is_closed(server, now) or not self._limits.may_send(server, now)
         )
 
     def take(self, server: servers.Server) -> bool:
         """Use a permit to send a request to a server now; False if there is none."""
-        if self.is_leaving(server.incarnation):
+        now = self._clock.monotonic()
+        if self._is_closed(server, now):
             return False
-        return self._limits.take(server, self._clock.monotonic())
+        return self._limits.take(server, now)
 
     def wait(
         self, listed: abc.Iterable[servers.Server], ahead: int
@@ -104,7 +108,18 @@
             listed: The servers.
             ahead: Waiting requests that are sent before it.
         """
-        return self._limits.wait(listed, ahead, self._clock.monotonic())
+        now = self._clock.monotonic()
+        rests = [
+            (server, max(self._rest_ends_at(server) - now, datetime.timedelta()))
+            for server in listed
+            if not self.is_leaving(server.incarnation)
+        ]
+        if not rests:
+            return datetime.timedelta()
+        open_servers = [server for server, rest in rests if not rest]
+        if not open_servers:
+            return min(rest for _, rest in rests)
+        return self._limits.wait(open_servers, ahead, now)
 
     def observe(
         self,
@@ -167,6 +182,18 @@
         self._notices.retain(listed, self._clock.monotonic())
         self._limits.retain(self._notices.known)
 
+    def _is_closed(self, server: servers.Server, now: datetime.timedelta) -> bool:
+        """Tell whether a server wants no request at all from this instance now."""
+        return self.is_leaving(server.incarnation) or now < self._rest_ends_at(server)
+
+    def _rest_ends_at(self, server: servers.Server) -> datetime.timedelta:
+        """Return when this instance may use a server again that asked for a rest."""
+        until = self._notices.rest_until(server.incarnation)
+        if not until:
+            return until
+        rank = rendezvous.rank(self._own.host, server.server_id) / 2**64
+        return until + rank * _RETURN_SPREAD
+
     def _apply(
         self,
         server: servers.Server,
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -54,16 +54,9 @@
             return place
         listed = bool(self._context.loads(request).all())
         while isinstance(place, placement_types.NoEngine):
-            permit_wait = self._permit_wait(request)
-            if (
-                not listed
-                or permit_wait > self._time_left(request, progress)
-                or not await self.wait(request, progress)
-            ):
+            if not listed or not await self.wait(request, progress):
                 self._log_wait(request, since, in_vain=True)
-                return placement_types.Infeasible(
-                    wait_policy.retry_after(jitter(request), permit_wait)
-                )
+                return placement_types.Infeasible(self.retry_after(request))
             place = self._choose(request, progress, self._context.clock.monotonic())
         self._log_wait(request, since, in_vain=False)
         return place
@@ -89,8 +82,10 @@
     async def wait(
         self, request: client_request.ClientRequest, progress: request_progress.Progress
     ) -> bool:
-        """Wait before choosing again; False if the client has no time left."""
+        """Wait before choosing again; False if no engine accepts it in time."""
         left = self._time_left(request, progress)
+        if self._permit_wait(request) > left:
+            return False
         if not wait_policy.may_wait(left, self._waiting.total()):
             return False
         self._waiting[request.rank] += 1
@@ -104,6 +99,10 @@
         progress.failed.clear()
         return True
 
+    def retry_after(self, request: client_request.ClientRequest) -> datetime.timedelta:
+        """Return when a request that got no engine in time should be retried."""
+        return wait_policy.retry_after(jitter(request), self._permit_wait(request))
+
     def _time_left(
         self, request: client_request.ClientRequest, progress: request_progress.Progress
     ) -> datetime.timedelta:
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -138,8 +138,6 @@
         possible_runs: Engines that may have started to decode.
         outcome_pending: A dispatch is in flight whose outcome is not known yet.
         dispatches: Dispatches that reached an engine, as the retry budget counts them.
-        withheld: Decode dispatches that were not sent since their server had asked for
-            no more requests.
         prefilled_before: The prompt has been prefilled on a separate engine before.
         last_event: Number of the last event that the client received.
         last_event_at: When the client was sent its last event.
@@ -156,7 +154,6 @@
     possible_runs: int = 0
     outcome_pending: bool = False
     dispatches: int = 0
-    withheld: int = 0
     prefilled_before: bool = False
     last_event: int = 0
     last_event_at: datetime.timedelta | None = None
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -9,7 +9,6 @@
     placement_types,
     prompt_sizes,
     repeat_budget,
-    wait_policy,
 )
 from pimentolatch.gateway import (
     cache_updates,
@@ -143,9 +142,7 @@
             await response.refuse(refusals.deadline_passed())
         else:
             await response.refuse(
-                refusals.not_run_in_time(
-                    wait_policy.retry_after(prompt_placer.jitter(request))
-                )
+                refusals.not_run_in_time(self._placer.retry_after(request))
             )
 
     async def _attempt(
@@ -173,9 +170,7 @@
         if prefilled is None:
             return False
         if isinstance(prefilled, dispatch.Withdrawn):
-            progress.retry_after = wait_policy.retry_after(
-                prompt_placer.jitter(request)
-            )
+            progress.retry_after = self._placer.retry_after(request)
             return await self._give_up(response, progress)
         try:
             return await self._transfer_to_decode(
@@ -214,20 +209,19 @@
             if await self._refused(request, response, progress):
                 return True
             if decode_engine is None:
-                progress.retry_after = wait_policy.retry_after(
-                    prompt_placer.jitter(request)
-                )
+                progress.retry_after = self._placer.retry_after(request)
             if decode_engine is None or not self._may_send(request, progress):
                 return await self._give_up(response, progress)
             chosen = dataclasses.replace(place, engine=decode_engine)
-            withheld_before = progress.withheld
             if await self._decode_client.generate(
                 request, response, progress, chosen, prefilled
             ):
                 return True
             if prefilled.transferred or prefilled.possibly_transferred:
                 break
-            offers += progress.withheld == withheld_before
+            # A server that accepts nothing now says nothing about the KV cache.
+            server = decode_engine.server
+            offers += server.incarnation not in self._context.flow.withheld([server])
         return False
 
     def _may_send(
--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -29,6 +29,20 @@
     Then notices: none of these gets over 2 requests of an instance in its rest of 3 s
     And limits: at least 95 in 100 are served
 
+  # Guards against clients that wait until they leave, or come back too early, while
+  # every server has asked to be left alone.
+  Scenario Outline: If all servers rest, clients hear at once when to come back
+    Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
+    When notices: "<server>" declines and asks for "30" seconds of rest
+    And limits: clients ask for 10 answers a second for 1 seconds
+    Then notices: "<server>" declined 1 request
+    And notices: each "<route>" was refused and may come back after 29 to 36 s
+
+    Examples:
+      | server | route  |
+      | d1     | digest |
+      | a1     | notify |
+
   # Guards against values without a meaning: none may raise, or exclude a server for ever.
   Scenario Outline: Each value of the fields has one meaning
     Then notices: with status <status> the header fields "<fields>" tell <what>
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -147,12 +147,14 @@
         loop = asyncio.get_running_loop()
         names = itertools.cycle(sorted(world.instances))
         context.senders = {}
+        context.routes = []
         tasks = []
         begun = loop.time()
         for number in range(rate * seconds):
             await asyncio.sleep(max(0.0, begun + number / rate - loop.time()))
             name = context.senders[f"r{number}"] = next(names)
             route = ROUTES[number // len(world.instances) % len(ROUTES)]
+            context.routes.append(route)
             asked = world.ask(route, f"r{number}", name=name, body=b"text")
             tasks.append(asyncio.create_task(asked))
         return await asyncio.gather(*tasks)
--- a/tests/features/steps/server_notices_steps.py
+++ b/tests/features/steps/server_notices_steps.py
@@ -110,3 +110,24 @@
         found.append(f"rest {notice.rest.total_seconds()}")
     found += [f"unreadable {field}" for field in notice.unreadable]
     assert (found or ["nothing"]) == [what], found
+
+
+@behave.then('notices: "{name}" declined {count:d} request')
+def declined(context, name, count):
+    assert len(context.world.servers[name].declined) == count
+
+
+@behave.then(
+    'notices: each "{route}" was refused and may come back after {least:d} to '
+    "{most:d} s"
+)
+def come_back(context, route, least, most):
+    replies = [
+        r
+        for r, asked in zip(context.replies, context.routes, strict=True)
+        if asked == route
+    ]
+    assert replies
+    for reply in replies:
+        assert reply.status == 503, reply
+        assert least <= float(reply.fields["retry-after"]) <= most, reply.fields
