Play servers that leave or rest in the soak

Servers say for 3.5 s in their answers that they leave before the store's list does, or decline for 4 s with a rest of 0.8, 2 or 3.5 s. The checks count, as the users' rules do, what a gateway sends two seconds after it was told, and within a rest but for the first half second; a paused gateway is excused, for rests a killed, stopped or cut one as well.

--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -25,7 +25,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
-# Faults of a gateway, or of its way to a server, that excuse it from a limit.
+# Within a rest, but for what was under way, a server gets at most so many requests.
+REST_UNDER_WAY_S = 0.5
+MAX_IN_REST = 2
+# Faults of a gateway, or of its way to a server, that excuse it from a limit or a rest.
 EXCUSES_NOTICES = frozenset(
     {"kill", "term", "pause", "server cut", "server cut one way"}
 )
@@ -58,6 +61,8 @@
         yield from _response_violations(attempt)
     yield from _drain_violations(attempts, servers, injector, margin_s)
     yield from _limit_violations(attempts, servers, injector, margin_s)
+    yield from _leaving_violations(attempts, servers, injector, margin_s)
+    yield from _rest_violations(attempts, servers, injector, margin_s)
     yield from _route_violations(attempts, injector, margin_s)
     yield from _stop_violations(attempts, injector)
     for name, log in logs.items():
@@ -185,6 +190,56 @@
     return told
 
 
+def _arrivals(server, senders):
+    """Yield sender and time of each request that a server got, declined ones too."""
+    for request, at in zip(server.received, server.arrival_times, strict=True):
+        sender = senders.get(request.fields.get("x-request-id", ""))
+        if request.kind in ("prefill", "run") and sender is not None:
+            yield sender, at
+    for request_id, at in server.declined:
+        if request_id in senders:
+            yield senders[request_id], at
+
+
+def _leaving_violations(attempts, servers, injector, margin_s):
+    senders = {a.request_id: (a.gateway, a.incarnation) for a in attempts}
+    for server in servers:
+        begin = injector.leaves_said_at.get(server.server_id)
+        if begin is None:
+            continue
+        told = _told_at(server, begin, senders)
+        for sender, at in _arrivals(server, senders):
+            late = at - told.get(sender, at) - MAX_DRAIN_DELAY_S - margin_s
+            if late > 0 and not _affected(
+                injector.injected, told[sender], at, sender[0], {"pause"}
+            ):
+                yield (
+                    f"{server.server_id} got a request {late:.2f} s too late from "
+                    f"{sender[0]}, which it had told that it leaves"
+                )
+
+
+def _rest_violations(attempts, servers, injector, margin_s):
+    senders = {a.request_id: (a.gateway, a.incarnation) for a in attempts}
+    for server in servers:
+        if server.server_id not in injector.rests:
+            continue
+        rest = float(injector.rests[server.server_id])
+        arrivals = list(_arrivals(server, senders))
+        for request_id, declined_at in server.declined:
+            sender = senders.get(request_id)
+            begin = declined_at + REST_UNDER_WAY_S + margin_s
+            end = declined_at + rest
+            count = sum(by == sender and begin < at < end for by, at in arrivals)
+            if count > MAX_IN_REST and not _affected(
+                injector.injected, declined_at, end, sender[0], EXCUSES_NOTICES
+            ):
+                yield (
+                    f"{server.server_id} got {count} requests from {sender[0]} within "
+                    f"a rest of {rest} s"
+                )
+
+
 def _limit_violations(attempts, servers, injector, margin_s):
     senders = {a.request_id: (a.gateway, a.incarnation) for a in attempts}
     by_id = {server.server_id: server for server in servers}
@@ -195,9 +250,8 @@
             continue
         binding_at = min(told.values()) + LIMIT_NOTICE_S + margin_s
         counted = []
-        for request, at in zip(server.received, server.arrival_times, strict=True):
-            sender = senders.get(request.fields.get("x-request-id", ""))
-            if request.kind not in ("prefill", "run") or sender not in told:
+        for sender, at in _arrivals(server, senders):
+            if sender not in told:
                 continue
             if not max(binding_at, told[sender] + LIMIT_TOLD_S + margin_s) <= at:
                 continue
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -34,6 +34,11 @@
 # How long a server names a limit, and the limits that are drawn, in requests a second.
 LIMIT_S = 8.0
 LIMITS = (0.0, 1.0, 2.5, 4.0)
+# How long a server says in its answers that it leaves before the store's list does.
+LEAVE_UNLISTED_S = 3.5
+# How long a server declines, and the rests that it asks for, in seconds.
+DECLINE_S = 4.0
+RESTS = ("0.8", "2", "3.5")
 # Mean time between two faults that servers announce in their answers.
 NOTICE_INTERVAL_S = 2.5
 MAX_DURATION_S = 3.0
@@ -106,7 +111,7 @@
     return faults
 
 
-NOTICE_KINDS = ("server limits",)
+NOTICE_KINDS = ("server limits", "server leaves", "server rests")
 
 
 def draw_notices(seed, seconds):
@@ -142,6 +147,8 @@
         drains_started_at: Time at which each drain began, by server id.
         routes_added_at: Time at which each route was added, by route name.
         limits: Limits that servers named.
+        leaves_said_at: Time from which a server says that it leaves, by server id.
+        rests: Rest that a server asks for in seconds, by server id.
     """
 
     def __init__(self, world, clock):
@@ -151,6 +158,8 @@
         self.drains_started_at = {}
         self.routes_added_at = {}
         self.limits = []
+        self.leaves_said_at = {}
+        self.rests = {}
 
     async def inject(self, fault):
         """Inject one fault and return once it has ended."""
@@ -278,6 +287,31 @@
         server.notices.clear()
         self.limits.append(NamedLimit(server.server_id, rate, begin, self._clock()))
 
+    async def _server_leaves(self, fault, injected):
+        server = self._server(fault)
+        if server.notices or not self._has_alternative(server):
+            return
+        server.notices[:] = [(b"server-leaving", b"1")]
+        self.leaves_said_at[server.server_id] = self._clock()
+        await self._world.add_server(server.service, server.stage)
+        await asyncio.sleep(LEAVE_UNLISTED_S)
+        # Another fault may have ended it meanwhile.
+        if server.server_id in self._world.servers:
+            server.state = "draining"
+            await self._world.list_server(server.server_id)
+        await asyncio.sleep(REMOVAL_DELAY_S)
+        await self._world.remove_server(server.server_id)
+
+    async def _server_rests(self, fault, injected):
+        server = self._server(fault)
+        if server.retry_after is not None or not self._has_alternative(server):
+            return
+        rest = RESTS[int(fault.selector * 1000) % len(RESTS)]
+        # One rest for a server, so that its declined requests tell which rest they got.
+        server.retry_after = self.rests.setdefault(server.server_id, rest)
+        await asyncio.sleep(DECLINE_S)
+        server.retry_after = None
+
     async def _configure(self, fault, injected):
         name = f"added{self._world.version}"
         await self._world.configure(route_world.route(name, "app", "safe"))
@@ -300,5 +334,6 @@
             if (other.service, other.stage) == (server.service, server.stage)
             and other.state == "ready"
             and not other.notices
+            and other.retry_after is None
         ]
         return len(same_kind) > 1
