Read the store's Retry-After as numbers only

A date, nan or 1e400 in the store's Retry-After raised out of the store's client, past the outcomes that its callers handle, and a negative number became a negative pause; callers of the first daemon would have got an internal error, and its watch of the store would have ended. The adapter now reads the field by the one rule for servers' answers: decimal seconds, else no time.

--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -16,6 +16,7 @@
     "SETTINGS_VARIABLE",
     "parse_response_headers",
     "parse_client_headers",
+    "parse_retry_after",
     "request_fields",
     "without_api_keys",
 ]
@@ -304,11 +305,17 @@
 
 
 def _rest(fields: Fields) -> tuple[datetime.timedelta | None, bool]:
-    """Return the longest rest in seconds, and whether a value has no meaning.
+    """Return the longest rest, and whether a value has no meaning."""
+    delays = [parse_retry_after(value) for value in _values(fields, _RETRY_AFTER)]
+    known = [delay for delay in delays if delay is not None]
+    return max(known, default=None), len(known) < len(delays)
+
+
+def parse_retry_after(value: bytes) -> datetime.timedelta | None:
+    """Return the time that a Retry-After field names in seconds; None without meaning.
 
     A date, which HTTP allows as well, depends on two clocks and is not used.
     """
-    values = _values(fields, _RETRY_AFTER)
-    known = [float(value) for value in values if _DECIMAL.fullmatch(value)]
-    longest = datetime.timedelta(seconds=max(known)) if known else None
-    return longest, len(known) < len(values)
+    if not _DECIMAL.fullmatch(value):
+        return None
+    return datetime.timedelta(seconds=float(value))
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -9,6 +9,7 @@
 
 from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
+from pimentolatch.platform import http_headers
 
 __all__ = ["ObjectStore"]
 
@@ -195,7 +196,7 @@
     retry_after = None
     for name, value in start.fields:
         if name == b"retry-after":
-            retry_after = datetime.timedelta(seconds=float(value))
+            retry_after = http_headers.parse_retry_after(value)
     # Statuses 429 and 503 guarantee that the call had no effect.
     unknown = is_write and start.status not in (429, 503)
     return store.Unavailable(f"status {start.status}", unknown, retry_after)
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -74,3 +74,17 @@
     assert found["a"] == store.Found("a", 1, "a"), found
     assert isinstance(found["b"], store.Unavailable), found
     assert found["c"] == store.Found("c", 1, "c"), found
+
+
+@behave.given('a store that rejects reads of "{name}" with Retry-After "{value}"')
+def rejecting_store(context, name, value):
+    context.slow_store = slow_store.SlowStore(delayed=name, retry_after=value)
+
+
+@behave.then("it asks to come back after {delay}")
+def come_back(context, delay):
+    found = context.found["b"].retry_after
+    if delay == "no time":
+        assert found is None, found
+    else:
+        assert found == datetime.timedelta(seconds=float(delay.split()[0])), found
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -23,3 +23,18 @@
     Given a store that cuts its answer for the object "b" short
     When an instance reads the objects "a", "b" and "c"
     Then "a" and "c" come with their own values and "b" is unavailable
+
+  # Guards against a value without a meaning that ends the task which reads the store.
+  Scenario Outline: A store that names no valid time to come back is unavailable
+    Given a store that rejects reads of "b" with Retry-After "<value>"
+    When an instance reads the objects "a", "b" and "c"
+    Then "a" and "c" come with their own values and "b" is unavailable
+    And it asks to come back after <delay>
+
+    Examples:
+      | value         | delay   |
+      | 1.5           | 1.5 s   |
+      | Wed, 21 Oct   | no time |
+      | nan           | no time |
+      | -1            | no time |
+      | 1e400         | no time |
--- a/tests/support/slow_store.py
+++ b/tests/support/slow_store.py
@@ -16,11 +16,13 @@
     Attributes:
         delayed: Name whose response is delayed by `DELAY_S`.
         truncated: Name whose response ends within its headers.
+        retry_after: Value of Retry-After with which it rejects reads of `delayed`.
         writes: Number of writes received; each closes its connection without response.
     """
 
     delayed: str = ""
     truncated: str = ""
+    retry_after: str | None = None
     writes: int = 0
 
     async def handle(
@@ -43,6 +45,13 @@
         body = json.dumps(
             {"metadata": {"name": name, "revision": 1}, "spec": name}
         ).encode()
+        if name == self.delayed and self.retry_after is not None:
+            status = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n"
+            writer.write(
+                status + b"retry-after: %s\r\n\r\n" % self.retry_after.encode()
+            )
+            await writer.drain()
+            return
         if name == self.delayed:
             await asyncio.sleep(DELAY_S)
         head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
