Leave limited engines out of a stage's size when stages are planned

Limited engines now neither tell nor meet the need of their stage; a stage that has only such engines is not taken for empty.

--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -103,9 +103,13 @@
         return self._records.keys()
 
     @property
-    def limited(self) -> int:
-        """Number of servers that are under a limit."""
-        return sum(record.rate is not None for record in self._records.values())
+    def limited(self) -> frozenset[servers.Incarnation]:
+        """Servers that are under a limit."""
+        return frozenset(
+            server
+            for server, record in self._records.items()
+            if record.rate is not None
+        )
 
     @property
     def leaving(self) -> int:
--- a/src/pimentolatch/decisions/stage_plan.py
+++ b/src/pimentolatch/decisions/stage_plan.py
@@ -95,6 +95,7 @@
         prefill_demand: float,
         prefill_rate: float,
         now: datetime.timedelta,
+        limited: abc.Container[servers.Incarnation] = frozenset(),
     ) -> tuple[Change, ...]:
         """Return the changes that are worth their cost now.
 
@@ -105,14 +106,16 @@
             prefill_demand: Prompt tokens per second requested from all instances.
             prefill_rate: Prompt tokens that an engine prefills per millisecond.
             now: The current time.
+            limited: Engines that accept few requests. Their stage is not empty, but
+                they are left out of its need and its size: nearly idle, they would make
+                the others look half as full as they are.
         """
-        engines = [e for e in loads.all() if not e.server.draining]
-        prefill_engines = [
-            e for e in engines if e.server.stage is servers.Stage.PREFILL
-        ]
-        decode_engines = [e for e in engines if e.server.stage is servers.Stage.DECODE]
-        self._adopt_changes(engines, now)
+        listed = [e for e in loads.all() if not e.server.draining]
+        self._adopt_changes(listed, now)
         changing = self._changing(traits, now)
+        engines = [e for e in listed if e.server.incarnation not in limited]
+        prefill_engines = _of_stage(engines, servers.Stage.PREFILL)
+        decode_engines = _of_stage(engines, servers.Stage.DECODE)
         prefill_need = prefill_demand / 1000 / prefill_rate
         decode_need = _decode_need(decode_engines, traits, pause_target_ms, now)
         self._demand.observe(
@@ -121,15 +124,12 @@
             _prefill_wait_ms(prefill_engines, prefill_rate, now),
             now,
         )
-        split = _Split(
-            *self._by_target_stage(prefill_engines, decode_engines),
-            changing,
-            prefill_rate,
-        )
         # Before the first request no stage is empty: engines are still registering.
-        rescue = self._rescue(split, now) if prefill_demand > 0 else ()
-        if rescue:
-            return rescue
+        if prefill_demand > 0:
+            rescue = self._rescue(self._split(listed, changing, prefill_rate), now)
+            if rescue:
+                return rescue
+        split = self._split(engines, changing, prefill_rate)
         min_per_stage = 2 if len(engines) >= _MIN_ENGINES_FOR_SPARE else 1
         max_changing = max(1, int(_MAX_CHANGING_SHARE * len(engines)))
         move = self._due_move(split, min_per_stage, max_changing, now)
@@ -221,12 +221,13 @@
             )
         return tuple(changes)
 
-    def _by_target_stage(
+    def _split(
         self,
-        prefill_engines: list[engine_loads.EngineLoad],
-        decode_engines: list[engine_loads.EngineLoad],
-    ) -> tuple[list[engine_loads.EngineLoad], list[engine_loads.EngineLoad]]:
-        """Return the engines by the stage that they were ordered to take.
+        engines: abc.Iterable[engine_loads.EngineLoad],
+        changing: abc.Container[servers.Incarnation],
+        prefill_rate: float,
+    ) -> "_Split":
+        """Return some engines by the stage that they were ordered to take.
 
         The server list shows a change only when it is complete. If engines counted for
         their old stage until then, the same need would be met twice.
@@ -234,14 +235,19 @@
         by_stage: dict[servers.Stage, list[engine_loads.EngineLoad]] = {
             stage: [] for stage in servers.Stage
         }
-        for engine in (*prefill_engines, *decode_engines):
+        for engine in engines:
             stage = (
                 self._target_stages.get(engine.server.incarnation)
                 or engine.server.stage
             )
             if stage is not None:
                 by_stage[stage].append(engine)
-        return by_stage[servers.Stage.PREFILL], by_stage[servers.Stage.DECODE]
+        return _Split(
+            by_stage[servers.Stage.PREFILL],
+            by_stage[servers.Stage.DECODE],
+            changing,
+            prefill_rate,
+        )
 
     def _adopt_changes(
         self, engines: abc.Iterable[engine_loads.EngineLoad], now: datetime.timedelta
@@ -308,6 +314,12 @@
     return now < engine.avoid_until and engine.failures > 1
 
 
+def _of_stage(
+    engines: abc.Iterable[engine_loads.EngineLoad], stage: servers.Stage
+) -> list[engine_loads.EngineLoad]:
+    return [engine for engine in engines if engine.server.stage is stage]
+
+
 def _other(stage: servers.Stage) -> servers.Stage:
     return next(other for other in servers.Stage if other is not stage)
 
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -49,8 +49,8 @@
         self._on_leaving: list[abc.Callable[[servers.Server], None]] = []
 
     @property
-    def limited(self) -> int:
-        """Number of servers that are under a limit."""
+    def limited_servers(self) -> frozenset[servers.Incarnation]:
+        """Servers that are under a limit."""
         return self._notices.limited
 
     def set_members(self, others: abc.Iterable[neighbours.Place]) -> None:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -206,6 +206,7 @@
             self._peer_table,
             self._leader_tasks.leadership,
             self._client,
+            self._flow,
             self._stream_forwarder.demand,
             time,
         )
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -215,7 +215,11 @@
             ),
             ("fleet_instances", "Instances of the fleet.", self._peers.instances),
             ("quarantined", "Requests kept from servers.", self._suspects.size),
-            ("limited_servers", "Servers that named a limit.", self._flow.limited),
+            (
+                "limited_servers",
+                "Servers that named a limit.",
+                len(self._flow.limited_servers),
+            ),
             ("leaving_servers", "Servers that said they leave.", self._flow.leaving),
             ("resting_servers", "Servers that asked for a rest.", self._flow.resting),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
--- a/src/pimentolatch/gateway/stage_controller.py
+++ b/src/pimentolatch/gateway/stage_controller.py
@@ -7,7 +7,13 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, engine_loads, stage_plan
-from pimentolatch.gateway import dispatch, fleet_state, leadership, peer_table
+from pimentolatch.gateway import (
+    dispatch,
+    fleet_state,
+    flow_control,
+    leadership,
+    peer_table,
+)
 from pimentolatch.platform import engines
 from pimentolatch.routes import route_table, servers
 
@@ -32,6 +38,7 @@
         table_of_peers: peer_table.PeerTable,
         own_leadership: leadership.Leadership,
         client: dispatch.ServerClient,
+        flow: flow_control.FlowControl,
         own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
         time: clock.Clock,
     ) -> None:
@@ -40,6 +47,7 @@
         self._peers = table_of_peers
         self._leadership = own_leadership
         self._client = client
+        self._flow = flow
         self._own_demand = own_demand
         self._clock = time
         self._planners: dict[str, stage_plan.StagePlanner] = {}
@@ -69,6 +77,7 @@
             own.prefill + others.prefill,
             max(loads.prefill_rate, self._peers.prefill_rate(service)),
             now,
+            self._flow.limited_servers,
         )
         for change in changes:
             if await self.carry_out(change):
--- a/tests/features/routes_stages.feature
+++ b/tests/features/routes_stages.feature
@@ -34,6 +34,14 @@
     When 10000 tokens a second are to be read for 20 seconds
     Then one of them is planned to write within 10 seconds
 
+  # Guards against limited engines that are counted as whole ones: nearly idle at a few
+  # requests a second, they make the full ones look like half of a stage at rest.
+  Scenario: An engine goes to writing if most of those that write limit their rate
+    Given 4 engine that reads and 4 that write with 62 streams each
+    And 2 of those that write accept few requests and are nearly idle
+    When 10000 tokens a second are to be read for 20 seconds
+    Then one of them is planned to write within 10 seconds
+
   # Engines have left and the domain is cut off: five read and two write, and forty
   # requests wait for a slot at each of these. Reading has little to spare, but less need.
   Scenario: An engine goes to writing if that is worse off than reading will be
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -221,11 +221,11 @@
     time = clock.SystemClock()
     place = neighbours.Place("127.0.0.1", "here")
     table = peer_table.PeerTable("one", place, time, random.Random(1))
-    flow = flow_control.FlowControl(neighbours.Place("127.0.0.1", "here"), time)
+    flow = flow_control.FlowControl(place, time)
     client = dispatch.ServerClient(time, flow)
     held = leadership.Leadership("one", "127.0.0.1", table, context.lease, time)
     return stage_controller.StageController(
-        "one", context.known, table, held, client, None, time
+        "one", context.known, table, held, client, flow, None, time
     )
 
 
--- a/tests/features/steps/routes_stages_steps.py
+++ b/tests/features/steps/routes_stages_steps.py
@@ -25,8 +25,9 @@
     context.planned = []
     for tick in range(seconds * 2):
         at = NOW + tick * SECOND / 2
+        limited = getattr(context, "limited_engines", frozenset())
         for change in context.planner.plan(
-            context.loads, traits, 250.0, rate, 50.0, at
+            context.loads, traits, 250.0, rate, 50.0, at, limited
         ):
             context.planned.append((at - NOW, change))
             context.planner.changed(change, at)
@@ -90,6 +91,14 @@
         context.loads.failed(engine, NOW)
 
 
+@behave.given("{count:d} of those that write accept few requests and are nearly idle")
+def writers_limited(context, count):
+    limited = writers(context)[:count]
+    for engine in limited:
+        engine.streams = 1
+    context.limited_engines = frozenset(e.server.incarnation for e in limited)
+
+
 class Fleet:
     """Engines under a load, with the planner that moves them.
 
