Name in the log the engines that were left out of a placement

A request that went elsewhere, or waited, because engines limit their rate, rest or leave could not be told from one that was placed by load. The lines placed and waited now name up to five of them, and explain gives them as the cause of a wait in vain.

--- a/src/pimentolatch/cli/explanation.py
+++ b/src/pimentolatch/cli/explanation.py
@@ -81,7 +81,8 @@
         return f"quarantine: servers crashed under earlier attempts, digest {digest}"
     waited = [line for line in lines if line.fields.get("in_vain")]
     if waited and status == 503:
-        return f"no engine took requests for {waited[-1].fields['ms']} ms"
+        text = f"no engine took requests for {waited[-1].fields['ms']} ms"
+        return text + _withheld(waited[-1])
     refused = [line for line in lines if "refused_for_ms" in line.fields]
     if refused and status == 503:
         wait = refused[-1].fields["refused_for_ms"]
@@ -92,6 +93,13 @@
     return outcome
 
 
+def _withheld(line: Line) -> str:
+    withheld = line.fields.get("withheld")
+    if not withheld:
+        return ""
+    return f"; under a limit, at rest or leaving: {', '.join(withheld)}"
+
+
 def _last_bad_sending(lines: abc.Sequence[Line]) -> Line | None:
     for line in reversed(lines):
         text = str(line.fields.get("outcome", ""))
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -17,6 +17,9 @@
 
 __all__ = ["PromptPlacer", "jitter"]
 
+# Engines that a log line names as accepting no request at the moment.
+_MAX_LOGGED = 5
+
 
 class PromptPlacer:
     """Places the prompts of an instance and counts their demand.
@@ -143,6 +146,7 @@
     ) -> placement_types.PlacementResult:
         assert request.head.prompt is not None and request.service.engine is not None
         loads = self._context.loads(request)
+        withheld = self._withheld(request)
         chooser = placement.Placement(loads, self._domain)
         place = chooser.choose(
             placement_types.PlacementRequest(
@@ -157,13 +161,13 @@
             request.service.engine,
             now,
             without=self._excluded(request, progress, now),
-            withheld=self._withheld(request),
+            withheld=withheld,
         )
         if not progress.demand_counted:
             progress.demand_counted = True
             self._count_demand(request, place)
         if not isinstance(place, placement_types.NoEngine):
-            self._log_place(request, place, progress.size)
+            self._log_place(request, place, progress.size, withheld)
         return place
 
     def _excluded(
@@ -211,6 +215,7 @@
         | placement_types.Disaggregated
         | placement_types.Infeasible,
         size: prompt_sizes.SizeClass,
+        withheld: frozenset[servers.Incarnation],
     ) -> None:
         assert request.head.prompt is not None
         if isinstance(place, placement_types.Infeasible):
@@ -240,6 +245,7 @@
             size=size.value,
             urgency=place.level,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
+            withheld=_logged_ids(withheld),
         )
 
     def _log_wait(
@@ -255,9 +261,15 @@
             wrong=in_vain,
             ms=self._context.log.elapsed_ms(since),
             in_vain=in_vain,
+            withheld=_logged_ids(self._withheld(request)),
         )
 
 
+def _logged_ids(withheld: frozenset[servers.Incarnation]) -> list[str] | None:
+    """Return the engines that a log line names; None for none."""
+    return sorted(engine.server_id for engine in withheld)[:_MAX_LOGGED] or None
+
+
 def jitter(request: client_request.ClientRequest) -> float:
     """Return a uniform number from 0 to 1, the same for a request on all instances."""
     return rendezvous.rank(request.request_id, "lot") / 2**64
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -28,10 +28,10 @@
 ANSWERED = "answered"
 # Every event with its fields; `explain` parses them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
-    WAITED: ("ms", "in_vain"),
+    WAITED: ("ms", "in_vain", "withheld"),
     PLACED: (
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
-        *("urgency", "expected_ms"),
+        *("urgency", "expected_ms", "withheld"),
     ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
     SENT: ("server", "what", "outcome", "ms", "digest", "events"),
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -24,6 +24,7 @@
       | happened                        | cause                          |
       | was refused in overload         | overload                       |
       | waited in vain                  | no engine took requests for 1800 ms |
+      | waited for servers that limit their rate | at rest or leaving: d1, d2 |
       | is in quarantine                | quarantine: servers crashed under earlier attempts, digest 00a1b2c3d4e5 |
       | broke midway                    | server d1 broke off            |
       | was left by its client          | the client left                |
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -113,6 +113,10 @@
         line(1, "waited", ms=1800, in_vain=True),
         line(2.8, "answered", status=503, outcome="overloaded"),
     ],
+    "waited for servers that limit their rate": [
+        line(1, "waited", ms=900, in_vain=True, withheld=["d1", "d2"]),
+        line(1.9, "answered", status=503, outcome="overloaded"),
+    ],
     "is in quarantine": [
         line(1, "answered", status=503, outcome="quarantined", digest="00a1b2c3d4e5"),
     ],
