Wait for a permit only if every server left withholds it

A plain request whose other servers were avoided for another reason (a suspect keeps away from most) waited until its deadline for a permit that was not what it lacked. It is answered at once, as before limits were kept.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -173,7 +173,7 @@
     ) -> bool:
         """Wait while all servers limit their rate; False if that takes too long."""
         listed = self._untried(request, tried)
-        if not self._flow.withheld(listed):
+        if len(self._flow.withheld(listed)) < len(listed) or not listed:
             return False
         left = request.deadline - self._clock.monotonic()
         wait = self._flow.wait(listed, self._ahead(request))
