Forget instances that nobody has heard, whoever names them

Found while dividing limits by the members of the fleet: each beacon names two members, and whoever received it took the name for news, so an instance that was replaced at another address counted for ever. Its part of the slack for repeats was lost, beacons went on being sent to it, and it would be a sender of limited servers that never sends. Beacons now tell how long ago a member was heard, rounded up and 250 ms older at each hop, so a name that only others repeat ages out after ten minutes as was meant.

--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import math
 import random
 
 from pimentolatch import clock
@@ -12,11 +13,16 @@
 
 # An instance that has missed eight beacons has terminated or is partitioned.
 _LIVENESS_TIMEOUT = datetime.timedelta(seconds=2)
-# Instances that no beacon has listed for this long are removed. Until then beacons are
+# Instances that nobody has heard for this long are removed. Until then beacons are
 # still sent to them, so that the end of a partition is noticed without the store. They
 # also still count as members of the fleet, since a partitioned instance goes on using
 # its share of shared limits. Partitions between failure domains last for minutes.
 _RETENTION = datetime.timedelta(minutes=10)
+# A report that an instance was heard ages by this much on its way, more than any beacon
+# takes. It would otherwise look newer at each instance that passes it on, and never
+# expire.
+_TRANSIT = datetime.timedelta(milliseconds=250)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +36,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Mention:
+    """An instance, and when it was last heard here or by another instance."""
+
     place: neighbours.Place
     at: datetime.timedelta
 
@@ -74,13 +82,16 @@
         self._peers[beacon.instance] = Peer(host, beacon, now)
         self._mention(neighbours.Place(host, beacon.failure_domain), now)
         for member in beacon.members:
-            self._mention(neighbours.Place(member.host, member.failure_domain), now)
+            heard_at = now - member.age_ms * _MILLISECOND
+            self._mention(
+                neighbours.Place(member.host, member.failure_domain), heard_at
+            )
         if beacon.failure_domain == self._place.failure_domain:
             self._update_readers(beacon, now)
         return known is None or known.beacon.incarnation != beacon.incarnation
 
     def forget_old(self) -> None:
-        """Remove instances that no beacon has listed within the retention time."""
+        """Remove instances that nobody has heard within the retention time."""
         now = self._clock.monotonic()
         for host in [h for h, m in self._mentions.items() if _is_old(m.at, now)]:
             del self._mentions[host]
@@ -103,10 +114,15 @@
 
     def sample_members(self, most: int) -> tuple[beacons.Member, ...]:
         """Return a random sample of the known instances, `most` of them at most."""
-        known = self.places()
-        sample = self._rng.sample(known, min(most, len(known)))
+        now = self._clock.monotonic()
+        known = list(self._mentions.values())
         return tuple(
-            beacons.Member(place.host, place.failure_domain) for place in sample
+            beacons.Member(
+                mention.place.host,
+                mention.place.failure_domain,
+                math.ceil((now - mention.at + _TRANSIT) / _MILLISECOND),
+            )
+            for mention in self._rng.sample(known, min(most, len(known)))
         )
 
     def weights(self) -> dict[str, float]:
@@ -153,9 +169,10 @@
         ]
         return max(rates, default=0.0)
 
-    def _mention(self, place: neighbours.Place, now: datetime.timedelta) -> None:
-        if place.host != self._place.host:
-            self._mentions[place.host] = _Mention(place, now)
+    def _mention(self, place: neighbours.Place, at: datetime.timedelta) -> None:
+        known = self._mentions.get(place.host)
+        if place.host != self._place.host and (known is None or at > known.at):
+            self._mentions[place.host] = _Mention(place, at)
 
     def _update_readers(self, beacon: beacons.Beacon, now: datetime.timedelta) -> None:
         self._readers.pop(beacon.instance, None)
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -32,7 +32,7 @@
     "encode",
 ]
 
-_VERSION = 11
+_VERSION = 12
 _FIELDS = 19
 
 
@@ -105,10 +105,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """An instance that the sender knows; its domain is empty if not known."""
+    """An instance that the sender knows.
+
+    Attributes:
+        host: Its host.
+        failure_domain: Its failure domain; empty if not known.
+        age_ms: Maximum time since an instance heard it.
+    """
 
     host: str
     failure_domain: str
+    age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,7 +258,7 @@
         beacon.servers,
         beacon.stopping,
         [[reader.instance, reader.age_ms] for reader in beacon.readers],
-        [[member.host, member.failure_domain] for member in beacon.members],
+        [[m.host, m.failure_domain, m.age_ms] for m in beacon.members],
         [[engine.server_id, engine.started_ms] for engine in engines.numbered],
         loads,
         cached,
@@ -281,6 +288,11 @@
         return self.numbered.setdefault(engine, len(self.numbered))
 
 
+def _member(row: typing.Any) -> Member:
+    host, failure_domain, age_ms = row
+    return Member(fields.text(host), fields.text(failure_domain), fields.count(age_ms))
+
+
 def _load_row(load: Load, engines: _EngineNumbering) -> list[typing.Any]:
     number = engines.number(load.engine)
     return [number, list(load.prefill_tokens), load.streams, load.kv_tokens]
@@ -321,7 +333,7 @@
             fields.count(rows[5]),
             bool(rows[6]),
             tuple(Reader(fields.text(row[0]), fields.count(row[1])) for row in rows[7]),
-            tuple(Member(fields.text(row[0]), fields.text(row[1])) for row in rows[8]),
+            tuple(_member(row) for row in rows[8]),
             tuple(_load(row, engines) for row in rows[10]),
             tuple(_cached_prefix(row, engines) for row in rows[11]),
             tuple(
--- a/tests/features/routes_fleet.feature
+++ b/tests/features/routes_fleet.feature
@@ -16,6 +16,13 @@
     Given a fleet of 8 instances in 4 domains
     Then each instance tells 7 others
 
+  # Guards against an instance that was replaced at another address and counts for ever:
+  # whoever hears it named names it again. Its parts of the shared bounds are lost.
+  Scenario: An instance that is gone is forgotten though others have named it
+    Given 3 peers of which the last one stops after its first beacon
+    When the others exchange beacons for 30 minutes
+    Then each of the others counts 2 instances
+
   # 85 instances: told to all, the beacons of a second would be 28,000. The own domain
   # comes first, and news still reach the other domains.
   Scenario: In a large fleet each instance tells a bounded number of others
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -1,9 +1,10 @@
 import asyncio
 import datetime
+import random
 
 import behave
 
-from pimentolatch import settings
+from pimentolatch import clock, settings
 from pimentolatch.decisions import (
     engine_loads,
     neighbours,
@@ -13,7 +14,7 @@
     stall_check,
     store_readers,
 )
-from pimentolatch.gateway import cache_updates
+from pimentolatch.gateway import cache_updates, peer_table
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import engine_reports, route_table, servers
@@ -55,6 +56,51 @@
     }
 
 
+def tell(context, sender):
+    """Have the other peers receive a beacon of one of them."""
+    own, table = context.tables[sender]
+    beacon = beacons.Beacon(
+        instance=own.host,
+        failure_domain=own.failure_domain,
+        incarnation="x",
+        configuration=1,
+        servers=1,
+        stopping=False,
+        readers=(),
+        members=table.sample_members(2),
+    )
+    for other, receiver in context.tables:
+        if other is not own:
+            receiver.receive(own.host, beacons.decode(beacons.encode(beacon)))
+
+
+@behave.given("{count:d} peers of which the last one stops after its first beacon")
+def last_one_stops(context, count):
+    context.time = clock.ManualClock()
+    places = [neighbours.Place(f"10.0.0.{n}", "d") for n in range(count)]
+    context.tables = [
+        (own, peer_table.PeerTable(own.host, own, context.time, random.Random(1)))
+        for own in places
+    ]
+    for sender in range(count):
+        tell(context, sender)
+    context.tables.pop()
+
+
+@behave.when("the others exchange beacons for {minutes:d} minutes")
+def exchange(context, minutes):
+    for _ in range(minutes * 60 * 4):
+        context.time.advance(SECOND / 4)
+        for sender, (_, table) in enumerate(context.tables):
+            table.forget_old()
+            tell(context, sender)
+
+
+@behave.then("each of the others counts {count:d} instances")
+def counts_instances(context, count):
+    assert {table.instances for _, table in context.tables} == {count}
+
+
 @behave.then("each instance tells {count:d} others")
 def tells(context, count):
     assert {len(chosen.near) for chosen in context.told.values()} == {count}
