Check that a prompt is not prefilled again when its decode engine closes

The users' records show the leaving or resting engine getting its request milliseconds after another one had prefilled it. Three examples: while the prompt is prefilled, the decode engine that placement chose leaves, rests or names a limit; the other one runs it and the prompt is read once.

--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -43,6 +43,20 @@
       | d1     | digest |
       | a1     | notify |
 
+  # Guards against a decode engine that was chosen before the prompt was prefilled and has
+  # asked for no more requests since; prefilling again would take as long once more.
+  Scenario Outline: A prompt whose decode engine <does> meanwhile goes to another one
+    Given limits: 1 instances before 1 readers, 2 writers and 1 plain servers
+    And notices: "d1" is the writer with the fewest streams
+    When notices: a client asks for "digest" and "d1" <does> while the prompt is read
+    Then notices: the prompt was read once and only "d2" ran the request
+
+    Examples:
+      | does                 |
+      | says that it leaves  |
+      | asks for a rest      |
+      | names a limit of 0   |
+
   # Guards against values without a meaning: none may raise, or exclude a server for ever.
   Scenario Outline: Each value of the fields has one meaning
     Then notices: with status <status> the header fields "<fields>" tell <what>
--- a/tests/features/steps/server_notices_steps.py
+++ b/tests/features/steps/server_notices_steps.py
@@ -1,12 +1,21 @@
+import asyncio
+import datetime
+
 import behave
 
 from pimentolatch.platform import http_headers
+from pimentolatch.routes import notices
 
 DRAIN_S = 2.0
 REST_S = 3.0
 # What was under way when the server asked for the rest may still arrive.
 UNDER_WAY_S = 0.5
 CHOSEN = ("p1", "d1", "a1")
+NOTICES = {
+    "says that it leaves": notices.Notice(leaving=True),
+    "asks for a rest": notices.Notice(rest=datetime.timedelta(seconds=30)),
+    "names a limit of 0": notices.Notice(notices.RateLimit(0.0)),
+}
 
 
 @behave.when('notices: "{name}" says that it leaves')
@@ -131,3 +140,39 @@
     for reply in replies:
         assert reply.status == 503, reply
         assert least <= float(reply.fields["retry-after"]) <= most, reply.fields
+
+
+@behave.given('notices: "{name}" is the writer with the fewest streams')
+def fewest_streams(context, name):
+    _, instance = context.world.instances["i1"]
+    for engine in instance.fleet.loads("lm").all():
+        engine.streams += engine.server.server_id != name
+        # So much is queued that no prompt is prefilled there.
+        engine.prefill_tokens[0] += 5000 * (engine.server.stage.value == "decode")
+
+
+@behave.when(
+    'notices: a client asks for "digest" and "{name}" {does} while the prompt is read'
+)
+def notice_while_read(context, name, does):
+    async def ask():
+        world = context.world
+        _, instance = world.instances["i1"]
+        world.servers["p1"].faults.append("slow")
+        asked = asyncio.create_task(world.ask("digest", "r1", name="i1"))
+        await world.until(lambda: world.servers["p1"].received)
+        server = instance.fleet.servers.get(name)
+        now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
+        instance.flow.observe(server, NOTICES[does], now, "request")
+        return await asked
+
+    context.reply = context.run(ask())
+
+
+@behave.then('notices: the prompt was read once and only "{name}" ran the request')
+def read_once(context, name):
+    assert context.reply.status == 200 and context.reply.complete, context.reply
+    servers = context.world.servers
+    assert [item.kind for item in servers["p1"].received] == ["prefill"]
+    runs = {key: server.count_runs("r1") for key, server in servers.items()}
+    assert {key for key, count in runs.items() if count} == {name}, runs
