Have the stand-in's watch tell every change up to its revision

Two drains and two new servers had been written within 10 ms; three gateways learned of the new servers and never of that drain, the one that had listed meanwhile knew. The stand-in waited for a change, then for whether its caller had left, and then named the revision of that moment: what was written between was covered by the revision and not among the events.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -169,6 +169,9 @@
                 )
                 if await request.is_disconnected():
                     break
+        # Read together with the revision: a change written since the wait ended would
+        # be covered by the revision without being among the events.
+        rows = self.table.changes(kind, after)
         events = [
             {"object": _encode_object(r), "deleted": r.value is None} for r in rows
         ]
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -1,10 +1,13 @@
 import asyncio
 import datetime
+import json
+import types
 
 import behave
 
 from pimentolatch import clock, settings, store
 from pimentolatch.platform import objects
+from standins import platform
 from tests.support import slow_store
 
 CALL_LIMIT = datetime.timedelta(seconds=0.2)
@@ -88,3 +91,36 @@
         assert found is None, found
     else:
         assert found == datetime.timedelta(seconds=float(delay.split()[0])), found
+
+
+@behave.given("a stand-in of the store with one object")
+def stand_in(context):
+    context.platform = platform.Platform()
+
+
+@behave.when("another object is written while a watch is answered")
+def written_meanwhile(context):
+    async def watch():
+        table = context.platform.table
+
+        async def is_disconnected():
+            await table.put("things", "b", "second", 0)
+            return False
+
+        request = types.SimpleNamespace(
+            query_params={"watch": "0", "wait_ms": "5000"},
+            path_params={"kind": "things"},
+            is_disconnected=is_disconnected,
+        )
+        answer = asyncio.create_task(context.platform.list_objects(request))
+        await asyncio.sleep(0.05)
+        await table.put("things", "a", "first", 0)
+        return json.loads((await answer).body)
+
+    context.answer = asyncio.run(watch())
+
+
+@behave.then("the answer has both objects or its revision is before the second one")
+def loses_none(context):
+    names = [event["object"]["metadata"]["name"] for event in context.answer["events"]]
+    assert len(names) == context.answer["as_of"], context.answer
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -38,3 +38,10 @@
       | nan           | no time |
       | -1            | no time |
       | 1e400         | no time |
+
+  # Guards against a stand-in that loses a change which is written while it answers a
+  # watch: the answer's revision would cover a change that is not in it.
+  Scenario: A watch of the stand-in loses no change that is written as it answers
+    Given a stand-in of the store with one object
+    When another object is written while a watch is answered
+    Then the answer has both objects or its revision is before the second one
