--- a/src/pimentolatch/decisions/server_limits.py
+++ b/src/pimentolatch/decisions/server_limits.py
@@ -147,7 +147,7 @@
         bucket.probed = window
         return True
 
-    def wait(
+    def permit_wait(
         self, listed: abc.Iterable[servers.Server], ahead: int, now: datetime.timedelta
     ) -> datetime.timedelta:
         """Return when a request gets a permit for one of several servers.
--- a/src/pimentolatch/decisions/server_notices.py
+++ b/src/pimentolatch/decisions/server_notices.py
@@ -18,14 +18,13 @@
 
 import dataclasses
 import datetime
+import enum
 from collections import abc
 
 from pimentolatch.routes import notices, servers
 
-__all__ = ["LEAVING", "Change", "Evidence", "ServerNotices"]
+__all__ = ["Change", "Evidence", "Kind", "ServerNotices"]
 
-# Kind of the change of a server that says that it leaves.
-LEAVING = "leaving"
 
 # Evidence that is older is not worth telling: the answers since then count.
 _MAX_EVIDENCE_AGE = datetime.timedelta(seconds=10)
@@ -36,20 +35,36 @@
 _RETENTION = datetime.timedelta(minutes=1)
 
 
+class Kind(enum.Enum):
+    """Kinds of changes, as the log names them."""
+
+    LIMIT = "limit"
+    LIMIT_LIFTED = "limit lifted"
+    LIMIT_UNREADABLE = "limit unreadable"
+    LEAVING = "leaving"
+    LEAVING_UNREADABLE = "leaving unreadable"
+    REST = "rest"
+    REST_UNREADABLE = "rest unreadable"
+
+
+_UNREADABLE = {
+    notices.Field.LEAVING: Kind.LEAVING_UNREADABLE,
+    notices.Field.REST: Kind.REST_UNREADABLE,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """A change of what is known of a server.
 
     Attributes:
         server: The server's incarnation.
-        what: Kind of the change: `limit`, `limit lifted`, `leaving`, `rest`, or one of
-            these with `unreadable`.
         value: The new value, for the log.
         known_for: For how long the previous value was known; zero without one.
     """
 
     server: servers.Incarnation
-    what: str
+    kind: Kind
     value: str
     known_for: datetime.timedelta = datetime.timedelta()
 
@@ -78,7 +93,7 @@
         evidence_at: Time of the latest answer that told of a limit or of its end.
         leaving: Whether it has said that it leaves.
         rest_until: End of the rest that it has asked for.
-        unreadable: Fields whose value had no meaning, each logged once.
+        unreadable: What had a value without meaning, each logged once.
         unlisted_at: Since when it is not listed; None while it is.
     """
 
@@ -87,7 +102,7 @@
     evidence_at: datetime.timedelta | None = None
     leaving: bool = False
     rest_until: datetime.timedelta = datetime.timedelta()
-    unreadable: set[str] = dataclasses.field(default_factory=set)
+    unreadable: set[Kind] = dataclasses.field(default_factory=set)
     unlisted_at: datetime.timedelta | None = None
 
 
@@ -112,11 +127,11 @@
         )
 
     @property
-    def leaving(self) -> int:
+    def leaving_count(self) -> int:
         """Number of servers that are about to leave."""
         return sum(record.leaving for record in self._records.values())
 
-    def resting(self, now: datetime.timedelta) -> int:
+    def resting_count(self, now: datetime.timedelta) -> int:
         """Return the number of servers that have asked for a rest."""
         return sum(now < record.rest_until for record in self._records.values())
 
@@ -157,7 +172,10 @@
             self._observe_limit(server, record, notice.limit, sent_at, now),
             self._observe_leaving(server, record, notice.leaving),
             self._observe_rest(server, record, notice.rest, now),
-            *(self._unreadable(server, record, field) for field in notice.unreadable),
+            *(
+                self._unreadable(server, record, _UNREADABLE[field])
+                for field in notice.unreadable
+            ),
         ]
         return tuple(change for change in changes if change is not None)
 
@@ -202,7 +220,7 @@
         now: datetime.timedelta,
     ) -> Change | None:
         if isinstance(limit, notices.UnreadableLimit):
-            return self._unreadable(server, record, "limit", limit.text)
+            return self._unreadable(server, record, Kind.LIMIT_UNREADABLE, limit.text)
         rate = limit.rate if isinstance(limit, notices.RateLimit) else None
         if rate is None and record.rate is None:
             return None
@@ -224,8 +242,8 @@
         since = now if record.rate_since is None else record.rate_since
         record.rate, record.rate_since = rate, now
         if rate is None:
-            return Change(server, "limit lifted", "", now - since)
-        return Change(server, "limit", str(rate), now - since)
+            return Change(server, Kind.LIMIT_LIFTED, "", now - since)
+        return Change(server, Kind.LIMIT, str(rate), now - since)
 
     def _observe_leaving(
         self, server: servers.Incarnation, record: _Record, leaving: bool
@@ -233,7 +251,7 @@
         if not leaving or record.leaving:
             return None
         record.leaving = True
-        return Change(server, LEAVING, "1")
+        return Change(server, Kind.LEAVING, "1")
 
     def _observe_rest(
         self,
@@ -248,20 +266,20 @@
         if until <= record.rest_until:
             return None
         record.rest_until = until
-        return Change(server, "rest", str(rest.total_seconds()))
+        return Change(server, Kind.REST, str(rest.total_seconds()))
 
     def _unreadable(
         self,
         server: servers.Incarnation,
         record: _Record,
-        field: str,
+        kind: Kind,
         text: str = "",
     ) -> Change | None:
-        """Return a change for the log, once for each incarnation and field."""
-        if field in record.unreadable:
+        """Return a change for the log, once for each incarnation and kind."""
+        if kind in record.unreadable:
             return None
-        record.unreadable.add(field)
-        return Change(server, f"{field} unreadable", text)
+        record.unreadable.add(kind)
+        return Change(server, kind, text)
 
 
 def _crossed(
--- a/src/pimentolatch/decisions/wait_policy.py
+++ b/src/pimentolatch/decisions/wait_policy.py
@@ -19,10 +19,14 @@
 serve before their clients time out would only make all of them late.
 """
 
+import collections
+import contextlib
 import datetime
+from collections import abc
 
 __all__ = [
     "MAX_WAITING",
+    "Waiting",
     "client_timeout",
     "recheck_interval",
     "may_wait",
@@ -54,6 +58,31 @@
 _MAX_PERMIT_SPREAD = datetime.timedelta(seconds=5)
 
 
+class Waiting:
+    """Requests that wait in one instance, by the rank of their routes."""
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[int] = collections.Counter()
+
+    @property
+    def total(self) -> int:
+        """Number of waiting requests."""
+        return self._counts.total()
+
+    def ahead(self, rank: int) -> int:
+        """Return how many waiting requests are sent before one of a rank."""
+        return sum(count for other, count in self._counts.items() if other <= rank)
+
+    @contextlib.contextmanager
+    def counted(self, rank: int) -> abc.Generator[None, None, None]:
+        """Count a request of a rank as waiting."""
+        self._counts[rank] += 1
+        try:
+            yield
+        finally:
+            self._counts[rank] -= 1
+
+
 def recheck_interval(rank: int, jitter: float) -> datetime.timedelta:
     """Return the pause before a waiting request checks for an engine again.
 
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -7,7 +7,7 @@
 from collections import abc
 
 from pimentolatch import results
-from pimentolatch.decisions import access
+from pimentolatch.decisions import access, rendezvous
 from pimentolatch.entry import bounded_http
 from pimentolatch.platform import http_headers
 from pimentolatch.requests import digests
@@ -48,6 +48,11 @@
     digest: digests.RequestDigest
     access: access.Access
 
+    @property
+    def jitter(self) -> float:
+        """Uniform random number from 0 to 1, the same on all instances."""
+        return rendezvous.rank(self.request_id, "lot") / 2**64
+
     @property
     def rank(self) -> int:
         """Priority of the request; 0 is served first."""
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -53,19 +53,19 @@
         """Servers that are under a limit."""
         return self._notices.limited
 
-    def set_members(self, others: abc.Iterable[neighbours.Place]) -> None:
-        """Set the other instances of the fleet, which share the servers' limits."""
-        self._limits.set_members(others)
-
     @property
-    def leaving(self) -> int:
+    def leaving_count(self) -> int:
         """Number of servers that said in an answer that they leave."""
-        return self._notices.leaving
+        return self._notices.leaving_count
 
     @property
-    def resting(self) -> int:
+    def resting_count(self) -> int:
         """Number of servers that have asked for a rest."""
-        return self._notices.resting(self._clock.monotonic())
+        return self._notices.resting_count(self._clock.monotonic())
+
+    def set_members(self, others: abc.Iterable[neighbours.Place]) -> None:
+        """Set the other instances of the fleet, which share the servers' limits."""
+        self._limits.set_members(others)
 
     def on_leaving(self, call: abc.Callable[[servers.Server], None]) -> None:
         """Register a callback for a server that says that it leaves."""
@@ -99,7 +99,7 @@
             return False
         return self._limits.take(server, now)
 
-    def wait(
+    def permit_wait(
         self, listed: abc.Iterable[servers.Server], ahead: int
     ) -> datetime.timedelta:
         """Return when a request may be sent to one of several servers.
@@ -119,7 +119,7 @@
         open_servers = [server for server, rest in rests if not rest]
         if not open_servers:
             return min(rest for _, rest in rests)
-        return self._limits.wait(open_servers, ahead, now)
+        return self._limits.permit_wait(open_servers, ahead, now)
 
     def observe(
         self,
@@ -139,9 +139,9 @@
         now = self._clock.monotonic()
         changes = self._notices.observe(server.incarnation, notice, sent_at, now)
         if isinstance(notice.limit, notices.RateLimit):
-            self._apply(server, now, now)
+            self._set_limit(server, now, now)
         for change in changes:
-            self._apply_change(server, change, source, now)
+            self._on_change(server, change, source, now)
 
     def reports(self) -> tuple[beacons.ServerLimit, ...]:
         """Return the limits to tell peers, some at a time."""
@@ -173,9 +173,9 @@
             named_at = now - item.age_ms * _MILLISECOND
             evidence = server_notices.Evidence(item.server, rate, named_at)
             change = self._notices.merge(evidence, now)
-            self._apply(server, named_at, now)
+            self._set_limit(server, named_at, now)
             if change is not None:
-                self._apply_change(server, change, "peer", now)
+                self._on_change(server, change, "peer", now)
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget the servers that are no longer listed."""
@@ -194,7 +194,7 @@
         rank = rendezvous.rank(self._own.host, server.server_id) / 2**64
         return until + rank * _RETURN_SPREAD
 
-    def _apply(
+    def _set_limit(
         self,
         server: servers.Server,
         named_at: datetime.timedelta,
@@ -204,7 +204,7 @@
         if limit is not None:
             self._limits.set_limit(server, limit, named_at, now)
 
-    def _apply_change(
+    def _on_change(
         self,
         server: servers.Server,
         change: server_notices.Change,
@@ -213,7 +213,7 @@
     ) -> None:
         if self._notices.limit(server.incarnation) is None:
             self._limits.lift(server.incarnation)
-        if change.what == server_notices.LEAVING:
+        if change.kind is server_notices.Kind.LEAVING:
             for call in self._on_leaving:
                 call(server)
         self._log_change(change, source, now)
@@ -228,7 +228,7 @@
             _CHANGED,
             server=change.server.server_id,
             started_ms=change.server.started_ms,
-            what=change.what,
+            what=change.kind.value,
             value=change.value,
             source=source,
             known_for_ms=round(change.known_for / datetime.timedelta(milliseconds=1)),
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -1,7 +1,6 @@
 """Forwards requests whose response is returned complete by one server."""
 
 import asyncio
-import collections
 import datetime
 
 from pimentolatch import clock
@@ -12,7 +11,6 @@
     dispatch_check,
     fleet_state,
     flow_control,
-    prompt_placer,
     quarantine,
     refusals,
     request_log,
@@ -71,7 +69,7 @@
         self._dispatch_check = check
         self._usage = usage
         self._clock = time
-        self._waiting: collections.Counter[int] = collections.Counter()
+        self._waiting = wait_policy.Waiting()
 
     async def run(
         self,
@@ -139,8 +137,8 @@
         if not self._flow.withheld(listed):
             return False
         retry_after = wait_policy.retry_after(
-            prompt_placer.jitter(request),
-            self._flow.wait(listed, self._ahead(request)),
+            request.jitter,
+            self._flow.permit_wait(listed, self._waiting.ahead(request.rank)),
         )
         await response.refuse(refusals.overloaded(retry_after))
         return True
@@ -162,12 +160,6 @@
         avoided = self._crash_quarantine.avoided(request, usable)
         return self._choice.choose(usable, now, avoided)
 
-    def _ahead(self, request: client_request.ClientRequest) -> int:
-        """Return how many waiting requests are sent before one."""
-        return sum(
-            count for rank, count in self._waiting.items() if rank <= request.rank
-        )
-
     async def _wait_for_permit(
         self, request: client_request.ClientRequest, tried: set[servers.Incarnation]
     ) -> bool:
@@ -176,15 +168,12 @@
         if len(self._flow.withheld(listed)) < len(listed) or not listed:
             return False
         left = request.deadline - self._clock.monotonic()
-        wait = self._flow.wait(listed, self._ahead(request))
-        if wait > left or not wait_policy.may_wait(left, self._waiting.total()):
+        wait = self._flow.permit_wait(listed, self._waiting.ahead(request.rank))
+        if wait > left or not wait_policy.may_wait(left, self._waiting.total):
             return False
-        self._waiting[request.rank] += 1
-        try:
-            jitter = prompt_placer.jitter(request)
-            await self._clock.sleep(wait_policy.recheck_interval(request.rank, jitter))
-        finally:
-            self._waiting[request.rank] -= 1
+        with self._waiting.counted(request.rank):
+            pause = wait_policy.recheck_interval(request.rank, request.jitter)
+            await self._clock.sleep(pause)
         return self._dispatch_check.refusal(request) is None
 
     def _report_outcome(
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -1,6 +1,5 @@
 """Chooses engines for prompts; prompts wait while no engine is available."""
 
-import collections
 import datetime
 
 from pimentolatch.decisions import (
@@ -9,13 +8,12 @@
     placement,
     placement_types,
     prompt_sizes,
-    rendezvous,
     wait_policy,
 )
 from pimentolatch.gateway import client_request, request_log, request_progress
 from pimentolatch.routes import servers
 
-__all__ = ["PromptPlacer", "jitter"]
+__all__ = ["PromptPlacer"]
 
 # Engines that a log line names as accepting no request at the moment.
 _MAX_LOGGED = 5
@@ -32,7 +30,7 @@
     def __init__(self, context: request_progress.Context, own_domain: str) -> None:
         self._context = context
         self._domain = own_domain
-        self._waiting: collections.Counter[int] = collections.Counter()
+        self._waiting = wait_policy.Waiting()
         self._demands: dict[str, demand_rate.DemandRate] = {}
 
     def demand(self, service: str) -> demand_rate.ServiceDemand:
@@ -89,14 +87,11 @@
         left = self._time_left(request, progress)
         if self._permit_wait(request) > left:
             return False
-        if not wait_policy.may_wait(left, self._waiting.total()):
+        if not wait_policy.may_wait(left, self._waiting.total):
             return False
-        self._waiting[request.rank] += 1
-        try:
-            pause = wait_policy.recheck_interval(request.rank, jitter(request))
+        with self._waiting.counted(request.rank):
+            pause = wait_policy.recheck_interval(request.rank, request.jitter)
             await self._context.clock.sleep(pause)
-        finally:
-            self._waiting[request.rank] -= 1
         # An engine that failed this request before may serve it now; engines that keep
         # failing are excluded for a while for all requests.
         progress.failed.clear()
@@ -104,7 +99,7 @@
 
     def retry_after(self, request: client_request.ClientRequest) -> datetime.timedelta:
         """Return when a request that got no engine in time should be retried."""
-        return wait_policy.retry_after(jitter(request), self._permit_wait(request))
+        return wait_policy.retry_after(request.jitter, self._permit_wait(request))
 
     def _time_left(
         self, request: client_request.ClientRequest, progress: request_progress.Progress
@@ -133,10 +128,8 @@
         ]
         if not decode_engines:
             return datetime.timedelta()
-        ahead = sum(
-            count for rank, count in self._waiting.items() if rank <= request.rank
-        )
-        return self._context.flow.wait(decode_engines, ahead)
+        ahead = self._waiting.ahead(request.rank)
+        return self._context.flow.permit_wait(decode_engines, ahead)
 
     def _choose(
         self,
@@ -156,7 +149,7 @@
                 time_to_target=request.arrived_at + request.route.latency_target - now,
                 time_to_deadline=request_progress.client_gives_up_at(request, progress)
                 - now,
-                jitter=jitter(request),
+                jitter=request.jitter,
             ),
             request.service.engine,
             now,
@@ -268,8 +261,3 @@
 def _logged_ids(withheld: frozenset[servers.Incarnation]) -> list[str] | None:
     """Return the engines that a log line names; None for none."""
     return sorted(engine.server_id for engine in withheld)[:_MAX_LOGGED] or None
-
-
-def jitter(request: client_request.ClientRequest) -> float:
-    """Return a uniform number from 0 to 1, the same for a request on all instances."""
-    return rendezvous.rank(request.request_id, "lot") / 2**64
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -220,8 +220,16 @@
                 "Servers that named a limit.",
                 len(self._flow.limited_servers),
             ),
-            ("leaving_servers", "Servers that said they leave.", self._flow.leaving),
-            ("resting_servers", "Servers that asked for a rest.", self._flow.resting),
+            (
+                "leaving_servers",
+                "Servers that said they leave.",
+                self._flow.leaving_count,
+            ),
+            (
+                "resting_servers",
+                "Servers that asked for a rest.",
+                self._flow.resting_count,
+            ),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -274,12 +274,21 @@
 
 def _notice(fields: Fields, status: int) -> notices.Notice:
     """Parse what a response states about its server."""
-    leaving, bad_leaving = _leaving(fields)
-    rest, bad_rest = None, False
+    leaving = _values(fields, _LEAVING)
+    unreadable = []
+    if not _LEAVING_VALUES.keys() >= set(leaving):
+        unreadable.append(notices.Field.LEAVING)
+    rests = []
     if status == _UNAVAILABLE:
-        rest, bad_rest = _rest(fields)
-    unreadable = ("leaving",) * bad_leaving + ("rest",) * bad_rest
-    return notices.Notice(_limit(fields), leaving, rest, unreadable)
+        rests = [parse_retry_after(value) for value in _values(fields, _RETRY_AFTER)]
+    if None in rests:
+        unreadable.append(notices.Field.REST)
+    return notices.Notice(
+        _limit(fields),
+        any(_LEAVING_VALUES.get(value, False) for value in leaving),
+        max((rest for rest in rests if rest is not None), default=None),
+        tuple(unreadable),
+    )
 
 
 def _values(fields: Fields, wanted: bytes) -> list[bytes]:
@@ -297,20 +306,6 @@
     return notices.RateLimit(min(rates))
 
 
-def _leaving(fields: Fields) -> tuple[bool, bool]:
-    """Return whether the server leaves, and whether a value has no meaning."""
-    values = _values(fields, _LEAVING)
-    known = [_LEAVING_VALUES[value] for value in values if value in _LEAVING_VALUES]
-    return any(known), len(known) < len(values)
-
-
-def _rest(fields: Fields) -> tuple[datetime.timedelta | None, bool]:
-    """Return the longest rest, and whether a value has no meaning."""
-    delays = [parse_retry_after(value) for value in _values(fields, _RETRY_AFTER)]
-    known = [delay for delay in delays if delay is not None]
-    return max(known, default=None), len(known) < len(delays)
-
-
 def parse_retry_after(value: bytes) -> datetime.timedelta | None:
     """Return the time that a Retry-After field names in seconds; None without meaning.
 
--- a/src/pimentolatch/routes/notices.py
+++ b/src/pimentolatch/routes/notices.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import datetime
+import enum
 
-__all__ = ["Limit", "NoLimit", "Notice", "RateLimit", "UnreadableLimit"]
+__all__ = ["Field", "Limit", "NoLimit", "Notice", "RateLimit", "UnreadableLimit"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +32,13 @@
 Limit = NoLimit | RateLimit | UnreadableLimit
 
 
+class Field(enum.Enum):
+    """Fields of a notice besides the limit."""
+
+    LEAVING = "leaving"
+    REST = "rest"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """What one response states about its server.
@@ -40,10 +48,10 @@
         leaving: Whether it is about to leave.
         rest: For how long it wants no request from this instance; None if it asked for
             no rest.
-        unreadable: Other fields whose value has no meaning; they are ignored.
+        unreadable: Fields with a value that has no meaning; it is ignored.
     """
 
     limit: Limit = NoLimit()
     leaving: bool = False
     rest: datetime.timedelta | None = None
-    unreadable: tuple[str, ...] = ()
+    unreadable: tuple[Field, ...] = ()
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -10,6 +10,7 @@
 from pimentolatch.gateway import flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import notices, servers
+from tests.features.steps import routes_serving_steps
 from tests.support import limit_world, route_world
 
 SECOND = datetime.timedelta(seconds=1)
@@ -107,9 +108,7 @@
     "and {a:d} plain servers"
 )
 def fleet(context, count, p, d, a):
-    context.route_runner = asyncio.Runner()
-    context.world = route_world.RouteWorld()
-    context.run = context.route_runner.run
+    routes_serving_steps.start(context)
 
     async def begin():
         world = context.world
--- a/tests/features/steps/server_notices_steps.py
+++ b/tests/features/steps/server_notices_steps.py
@@ -117,7 +117,7 @@
     found = ["leaving"] * notice.leaving
     if notice.rest is not None:
         found.append(f"rest {notice.rest.total_seconds()}")
-    found += [f"unreadable {field}" for field in notice.unreadable]
+    found += [f"unreadable {field.value}" for field in notice.unreadable]
     assert (found or ["nothing"]) == [what], found
 
 
