--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -25,7 +25,7 @@
 from pimentolatch import clock
 from pimentolatch.gateway import process, settings
 from pimentolatch.platform import configuration, server_entries
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.routes import servers
 from standins import route_server
 
@@ -158,7 +158,7 @@
     beacon = beacons.Beacon(
         peer, "here", "life", 1, 1, False, (), (), loads=loads, cached=parts
     )
-    return beacons.encode(beacon)
+    return beacon_codec.encode(beacon)
 
 
 async def _run_environment(port: int, peers_port: int) -> None:
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -20,7 +20,7 @@
     quarantine,
 )
 from pimentolatch.gateway import settings as gateway_settings
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 
 __all__ = ["BeaconExchange"]
 
@@ -119,8 +119,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a beacon."""
-        beacon = beacons.decode(data)
-        if isinstance(beacon, beacons.Malformed):
+        beacon = beacon_codec.decode(data)
+        if isinstance(beacon, beacon_codec.Malformed):
             _log.warn("malformed beacon dropped", sender=addr[0], reason=beacon.reason)
             return
         if beacon.instance == self._name:
@@ -169,7 +169,7 @@
             self._send(hosts, dataclasses.replace(beacon, totals=totals, chunk=chunk))
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
-        self.send(hosts, [beacons.encode(beacon)])
+        self.send(hosts, [beacon_codec.encode(beacon)])
 
     def beacon(
         self,
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -7,12 +7,7 @@
 """
 
 import dataclasses
-import typing
-from collections import abc
 
-import cbor2
-
-from pimentolatch.protocol import fields
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -22,19 +17,13 @@
     "Demand",
     "Leader",
     "Load",
-    "Malformed",
     "Member",
     "Reader",
     "ServerLimit",
     "StageChange",
     "TotalsChunk",
-    "decode",
-    "encode",
 ]
 
-_VERSION = 12
-_FIELDS = 19
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
@@ -223,194 +212,3 @@
     crash_reports: tuple[CrashReport, ...] = ()
     leader: Leader | None = None
     server_limits: tuple[ServerLimit, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Malformed:
-    """A datagram that is not a beacon of this version."""
-
-    reason: str
-
-
-def encode(beacon: Beacon) -> bytes:
-    """Return the datagram of a beacon."""
-    engines = _EngineNumbering()
-    loads = [_load_row(load, engines) for load in beacon.loads]
-    cached = [
-        [engines.number(part.engine), part.key, part.tokens] for part in beacon.cached
-    ]
-    totals = [_load_row(load, engines) for load in beacon.totals]
-    stage_changes = [
-        [engines.number(item.engine), item.stage.value, item.remaining_ms]
-        for item in beacon.stage_changes
-    ]
-    crash_reports = [_crash_report_row(item, engines) for item in beacon.crash_reports]
-    server_limits = [
-        [engines.number(item.server), item.millihertz, item.age_ms]
-        for item in beacon.server_limits
-    ]
-    rows: list[typing.Any] = [
-        _VERSION,
-        beacon.instance,
-        beacon.failure_domain,
-        beacon.incarnation,
-        beacon.configuration,
-        beacon.servers,
-        beacon.stopping,
-        [[reader.instance, reader.age_ms] for reader in beacon.readers],
-        [[m.host, m.failure_domain, m.age_ms] for m in beacon.members],
-        [[engine.server_id, engine.started_ms] for engine in engines.numbered],
-        loads,
-        cached,
-        [[d.service, d.prefill, d.decode, d.prefill_rate] for d in beacon.demands],
-        totals,
-        stage_changes,
-        [beacon.chunk.number, beacon.chunk.count],
-        crash_reports,
-        _leader_row(beacon.leader),
-        server_limits,
-    ]
-    return cbor2.dumps(rows)
-
-
-class _EngineNumbering:
-    """Numbers the engines of a beacon, since it refers to most of them repeatedly.
-
-    Attributes:
-        numbered: The engines in the order of their numbers.
-    """
-
-    def __init__(self) -> None:
-        self.numbered: dict[servers.Incarnation, int] = {}
-
-    def number(self, engine: servers.Incarnation) -> int:
-        """Return the number of an engine."""
-        return self.numbered.setdefault(engine, len(self.numbered))
-
-
-def _member(row: typing.Any) -> Member:
-    host, failure_domain, age_ms = row
-    return Member(fields.text(host), fields.text(failure_domain), fields.count(age_ms))
-
-
-def _load_row(load: Load, engines: _EngineNumbering) -> list[typing.Any]:
-    number = engines.number(load.engine)
-    return [number, list(load.prefill_tokens), load.streams, load.kv_tokens]
-
-
-def _load(row: typing.Any, engines: abc.Sequence[servers.Incarnation]) -> Load:
-    engine, prefill_tokens, streams, kv_tokens = row
-    number, streams, kv_tokens = fields.counts((engine, streams, kv_tokens))
-    return Load(engines[number], fields.counts(prefill_tokens), streams, kv_tokens)
-
-
-def _engine(row: typing.Any) -> servers.Incarnation:
-    server_id, started_ms = row
-    return servers.shared_incarnation(
-        fields.text(server_id), None if started_ms is None else fields.count(started_ms)
-    )
-
-
-def _cached_prefix(
-    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
-) -> CachedPrefix:
-    number, key, tokens = fields.counts(row)
-    return CachedPrefix(engines[number], key, tokens)
-
-
-def decode(datagram: bytes) -> Beacon | Malformed:
-    """Return the beacon of a datagram, which is untrusted."""
-    try:
-        rows = cbor2.loads(datagram)
-        if not isinstance(rows, list) or len(rows) != _FIELDS or rows[0] != _VERSION:
-            return Malformed("not a beacon of this protocol version")
-        engines = [_engine(row) for row in rows[9]]
-        return Beacon(
-            fields.text(rows[1]),
-            fields.text(rows[2]),
-            fields.text(rows[3]),
-            fields.count(rows[4]),
-            fields.count(rows[5]),
-            bool(rows[6]),
-            tuple(Reader(fields.text(row[0]), fields.count(row[1])) for row in rows[7]),
-            tuple(_member(row) for row in rows[8]),
-            tuple(_load(row, engines) for row in rows[10]),
-            tuple(_cached_prefix(row, engines) for row in rows[11]),
-            tuple(
-                Demand(fields.text(row[0]), *fields.counts(row[1:4]))
-                for row in rows[12]
-            ),
-            tuple(_load(row, engines) for row in rows[13]),
-            tuple(
-                StageChange(
-                    engines[fields.count(row[0])],
-                    servers.Stage(row[1]),
-                    fields.count(row[2]),
-                )
-                for row in rows[14]
-            ),
-            _chunk(rows[15]),
-            tuple(_crash_report(row, engines) for row in rows[16]),
-            _leader(rows[17]),
-            tuple(_server_limit(row, engines) for row in rows[18]),
-        )
-    except fields.DECODE_ERRORS as error:
-        return Malformed(repr(error))
-
-
-def _crash_report_row(
-    report: CrashReport, engines: _EngineNumbering
-) -> list[typing.Any]:
-    return [
-        report.digest,
-        engines.number(report.server),
-        report.cleared,
-        report.age_ms,
-        report.ran_for_ms,
-        report.server_alive,
-    ]
-
-
-def _crash_report(
-    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
-) -> CrashReport:
-    return CrashReport(
-        fields.count(row[0]),
-        engines[fields.count(row[1])],
-        bool(row[2]),
-        fields.count(row[3]),
-        fields.count(row[4]),
-        bool(row[5]),
-    )
-
-
-def _server_limit(
-    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
-) -> ServerLimit:
-    number, millihertz, age_ms = row
-    return ServerLimit(
-        engines[fields.count(number)],
-        None if millihertz is None else fields.count(millihertz),
-        fields.count(age_ms),
-    )
-
-
-def _leader_row(leader: Leader | None) -> list[typing.Any] | None:
-    if leader is None:
-        return None
-    return [leader.host, leader.fence, leader.released, leader.age_ms]
-
-
-def _leader(row: typing.Any) -> Leader | None:
-    if row is None:
-        return None
-    return Leader(
-        fields.text(row[0]), fields.count(row[1]), bool(row[2]), fields.count(row[3])
-    )
-
-
-def _chunk(row: typing.Any) -> TotalsChunk:
-    chunk = TotalsChunk(*fields.counts(row))
-    if not chunk.number < chunk.count:
-        raise ValueError(f"chunk number must be below the count: {row!r}")
-    return chunk
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -6,7 +6,7 @@
 import logbook
 
 from pimentolatch.gateway import store_watch
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec
 from tests.features.steps import routes_serving_steps
 from tests.support import route_world
 
@@ -305,11 +305,11 @@
 
     context.datagrams = []
 
-    def encode(beacon, whole=beacons.encode):
+    def encode(beacon, whole=beacon_codec.encode):
         context.datagrams.append(whole(beacon))
         return context.datagrams[-1]
 
-    with mock.patch.object(beacons, "encode", side_effect=encode) as encoded:
+    with mock.patch.object(beacon_codec, "encode", side_effect=encode) as encoded:
         context.run(make())
 
 
--- a/tests/features/steps/routes_entries_steps.py
+++ b/tests/features/steps/routes_entries_steps.py
@@ -12,7 +12,7 @@
 
 from pimentolatch import clock, store
 from pimentolatch.platform import configuration, engines, objects, server_entries
-from pimentolatch.protocol import beacons, snapshots
+from pimentolatch.protocol import beacon_codec, beacons, snapshots
 from pimentolatch.routes import engine_reports, route_table, servers
 from standins import route_server
 from tests.features.steps import routes_logic_steps, routes_store_steps
@@ -231,9 +231,9 @@
         (engines.PrefillResult, ValueError),
     ),
     "beacons": Fuzzed(
-        cbor2.loads(beacons.encode(routes_logic_steps.a_beacon())),
-        decode_cbor(beacons.decode),
-        (beacons.Beacon, beacons.Malformed),
+        cbor2.loads(beacon_codec.encode(routes_logic_steps.a_beacon())),
+        decode_cbor(beacon_codec.decode),
+        (beacons.Beacon, beacon_codec.Malformed),
     ),
     "snapshots": Fuzzed(
         snapshot(),
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -15,7 +15,7 @@
     store_readers,
 )
 from pimentolatch.gateway import cache_updates, peer_table
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import engine_reports, route_table, servers
 from tests.support import fleet_parts, route_world
@@ -71,7 +71,7 @@
     )
     for other, receiver in context.tables:
         if other is not own:
-            receiver.receive(own.host, beacons.decode(beacons.encode(beacon)))
+            receiver.receive(own.host, beacon_codec.decode(beacon_codec.encode(beacon)))
 
 
 @behave.given("{count:d} peers of which the last one stops after its first beacon")
@@ -218,9 +218,9 @@
             load.streams = load.kv_tokens = 0
     for chunk, totals in context.teller.load_exchange.totals(NOW):
         told = context.teller.beacon(NOW, totals=totals, chunk=chunk)
-        sent = beacons.encode(told)
+        sent = beacon_codec.encode(told)
         assert len(totals) <= 40
-        context.hearer.load_exchange.receive(beacons.decode(sent), 1.0, NOW)
+        context.hearer.load_exchange.receive(beacon_codec.decode(sent), 1.0, NOW)
 
 
 @behave.then("it counts the work of all {count:d}")
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -28,7 +28,7 @@
 )
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.platform import configuration
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import engine_reports, servers
 from standins import memory_store, object_table, route_server
@@ -125,7 +125,7 @@
         members=(),
         **told,
     )
-    context.peers.datagram_received(beacons.encode(beacon), ("127.0.0.2", 7000))
+    context.peers.datagram_received(beacon_codec.encode(beacon), ("127.0.0.2", 7000))
 
 
 @behave.when('incarnations: a peer tells of work and a part at "{name}" born {born:d}')
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -18,7 +18,7 @@
 )
 from pimentolatch.gateway import sse
 from pimentolatch.platform import configuration
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import route_table, servers
 from tests.support import route_world
@@ -379,7 +379,7 @@
 
 @behave.then("the datagram {what} is malformed")
 def malformed(context, what):
-    whole = cbor2.loads(beacons.encode(a_beacon()))
+    whole = cbor2.loads(beacon_codec.encode(a_beacon()))
     datagram = {
         "empty": b"",
         "random": random.Random(3).randbytes(200),
@@ -387,7 +387,7 @@
         "a negative count": cbor2.dumps([*whole[:4], -1, *whole[5:]]),
         "another version": cbor2.dumps([99, *whole[1:]]),
     }[what]
-    assert isinstance(beacons.decode(datagram), beacons.Malformed)
+    assert isinstance(beacon_codec.decode(datagram), beacon_codec.Malformed)
 
 
 def a_beacon():
@@ -411,7 +411,7 @@
 
 @behave.then("a beacon with loads, cached parts and demands decodes as it was encoded")
 def comes_back(context):
-    assert beacons.decode(beacons.encode(a_beacon())) == a_beacon()
+    assert beacon_codec.decode(beacon_codec.encode(a_beacon())) == a_beacon()
 
 
 @behave.then("no module outside the adapter holds a name of the platform's wire")
