Ask for permits at once where no server has asked for anything

Each waiting request asked several times a second when one of 70 engines accepts it, and every engine was looked up three times though none had named a limit or a rest. That answer is now given before the first look-up.

--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -108,6 +108,9 @@
             listed: The servers.
             ahead: Waiting requests that are sent before it.
         """
+        # Each waiting request asks several times a second, for dozens of engines.
+        if not self._notices.known:
+            return datetime.timedelta()
         now = self._clock.monotonic()
         rests = [
             (server, max(self._rest_ends_at(server) - now, datetime.timedelta()))
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -120,14 +120,12 @@
 
         Requests of the same or a higher rank that wait already are sent first.
         """
-        decode_engines = [
+        decode_engines = (
             engine.server
             for engine in self._context.loads(request).all()
             if engine.server.stage is servers.Stage.DECODE
             and not engine.server.draining
-        ]
-        if not decode_engines:
-            return datetime.timedelta()
+        )
         ahead = self._waiting.ahead(request.rank)
         return self._context.flow.permit_wait(decode_engines, ahead)
 
