--- a/tests/features/requests_answers.feature
+++ b/tests/features/requests_answers.feature
@@ -45,6 +45,12 @@
       | answers for another dispatch            | may have run  | 1     |
       | answers an error that says nothing      | answered      | 1     |
 
+  # Guards against "not run" for a call that the server has read, if the caller's process
+  # stood still while it connected and its time-out ended at the same moment.
+  Scenario: A caller that stands still is not told "not run" of a call that was read
+    When requests make calls and stand still at each step of connecting
+    Then requests see "not run" for some, and the server has seen none of these
+
   # The caller saw tokens of a stranger, or its own twice: answers cross and repeat on
   # the way. Every event names its dispatch and its place; what doesn't fit is dropped,
   # and what is missing breaks the stream, so that it is resumed there.
