Keep a server's limit in whole thousandths at every instance

What callers saw: nothing yet; operators would have seen a line `server notice` at each change of the source, bounded only by the log's budget, and the rate was divided among all instances again each time.

Cause: an answer names a limit with all its digits, a beacon tells it in whole thousandths, and each newer word replaces the other, so that "2.33333" and 2.333 took turns.

Evidence: "A limit of many digits is the same whoever tells it" (server_limits.feature) failed before: two instances that hear of 2.33333, 1.0019 and 0.0004 by turns never agreed on the first two, nor, for the third, on anything but 0.0 beside 0.0004.

--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -240,4 +240,4 @@
 
 
 def _millihertz(rate: float | None) -> int | None:
-    return None if rate is None else math.floor(1000 * rate)
+    return None if rate is None else round(1000 * rate)
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -303,7 +303,7 @@
     rates = [float(value) for value in values if _DECIMAL.fullmatch(value)]
     if len(rates) < len(values):
         return notices.UnreadableLimit(repr(values)[:_MAX_QUOTED])
-    return notices.RateLimit(min(rates))
+    return notices.RateLimit.rounded(min(rates))
 
 
 def parse_retry_after(value: bytes) -> datetime.timedelta | None:
--- a/src/pimentolatch/routes/notices.py
+++ b/src/pimentolatch/routes/notices.py
@@ -3,9 +3,12 @@
 import dataclasses
 import datetime
 import enum
+import math
 
 __all__ = ["Field", "Limit", "NoLimit", "Notice", "RateLimit", "UnreadableLimit"]
 
+_STEPS_PER_HERTZ = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoLimit:
@@ -18,6 +21,14 @@
 
     rate: float
 
+    @classmethod
+    def rounded(cls, rate: float) -> "RateLimit":
+        """Return a limit in whole thousandths, rounded down, as peers tell it.
+
+        Otherwise a limit would change whenever an answer and a peer name it by turns.
+        """
+        return cls(math.floor(rate * _STEPS_PER_HERTZ) / _STEPS_PER_HERTZ)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnreadableLimit:
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -37,6 +37,13 @@
     And limits: clients ask "i1" for "notify" until it knows
     Then limits: "i2" knows that "a1" has no limit
 
+  # Guards against a limit that changes with its source, because beacons tell it rounded:
+  # each change would be logged, and the rate be divided anew.
+  Scenario: A limit of many digits is the same whoever tells it
+    Given limits: two instances that tell each other what they know
+    When limits: both hear of limits of "2.33333", "1.0019" and "0.0004" by turns
+    Then limits: both believed the same and logged each limit once
+
   # Guards against evidence that looks newer whenever an instance passes it on: a limit
   # that no server names any more would be told for ever.
   Scenario: A limit that no answer confirms is not told for ever
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -290,6 +290,31 @@
         one.receive(two.reports(), context.listed)
 
 
+@behave.when('limits: both hear of limits of "{a}", "{b}" and "{c}" by turns')
+def hear_by_turns(context, a, b, c):
+    record_log(context)
+    server = context.listed.get("s1")
+    context.believed = []
+    for text in (a, b, c):
+        notice = http_headers.parse_response_headers(
+            [(b"Server-Limit", text.encode())], 200
+        ).notice
+        for _ in range(3):
+            for hearing, told in (context.pair, context.pair[::-1]):
+                context.time.advance(SECOND / 2)
+                sent_at = context.time.monotonic()
+                hearing.observe(server, notice, sent_at, "request")
+                told.receive(hearing.reports(), context.listed)
+                context.believed.append({flow.limit(server) for flow in context.pair})
+
+
+@behave.then("limits: both believed the same and logged each limit once")
+def same_limits(context):
+    assert all(len(found) == 1 for found in context.believed), context.believed
+    lines = [r.kwargs for r in context.log.records if r.message == "server notice"]
+    assert len(lines) == 2 * 3, lines
+
+
 @behave.then("limits: neither tells of it any more")
 def neither_tells(context):
     assert [flow.reports() for flow in context.pair] == [(), ()]
