Count a dispatch whose permit others took first as none

What callers would see: 503 "no server took the request" long before the deadline, at a service whose servers limit their rate, and repeats that are missing for other requests.

Cause: a permit is taken at the moment of sending. A request that loses it to another one between its placement and that moment has cost no server anything, but used up one of its four or five attempts and, after an earlier dispatch, one repeat of the service's budget each time.

Evidence, shown failing before: "A request that loses its permit to others keeps all its attempts" (503 after four and five lost permits, now 200) and "A retry that loses its permit to others is charged once" (1 decline and 7 lost permits: 8 repeats charged, now 1), each with a prompt and with a plain call.

Why it works: attempts and charges now count what was sent. The loop ends all the same: a permit can only be lost to another request of this instance, and without one the request waits, as long as its deadline and the number of waiting requests allow.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -62,6 +62,7 @@
             progress.outcome_pending = True
             opened = await self._open(generation, prefilled)
             progress.outcome_pending = False
+            progress.withheld = isinstance(opened, dispatch.Withheld)
             self._context.log_sent(request, engine, "run", opened, sent_at)
             if prefilled is not None:
                 prefilled.transferred = isinstance(opened, dispatch.OpenResponse)
@@ -130,7 +131,7 @@
         request, progress = generation.request, generation.progress
         engine = generation.place.engine
         progress.reason = dispatch.describe(outcome)
-        if isinstance(outcome, dispatch.Withheld):
+        if progress.withheld:
             return False
         if not isinstance(outcome, dispatch.NotSent):
             progress.dispatches += 1
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -34,7 +34,8 @@
 # second server can still respond before the client disconnects.
 _TIMEOUT_FACTOR = 2.0
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=150)
-# Most attempts for one request, also counting those not sent and those declined.
+# Most attempts for one request: those that reached no server and those declined count,
+# those whose permit another request took first do not.
 _MAX_ATTEMPTS = 4
 
 
@@ -79,9 +80,10 @@
         """Forward a request and write its response."""
         service = request.service.name
         tried: set[servers.Incarnation] = set()
-        possible_runs = dispatches = 0
+        attempts = possible_runs = dispatches = 0
+        outcome: _Outcome | None = None
         last: _Outcome | None = None
-        for _ in range(_MAX_ATTEMPTS):
+        while attempts < _MAX_ATTEMPTS:
             now = self._clock.monotonic()
             if now >= request.deadline - dispatch.RETURN_TIME:
                 break
@@ -90,7 +92,9 @@
                     break
                 await response.refuse(refusal)
                 return
-            if dispatches and not self._budget.spend(service, now):
+            # A dispatch that was withheld has not used its charge.
+            is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
+            if not is_charged and not self._budget.spend(service, now):
                 break
             server = self._choose(request, tried)
             while server is None and await self._wait_for_permit(request, tried):
@@ -113,6 +117,7 @@
             if isinstance(outcome, dispatch.Withheld):
                 tried.discard(server.incarnation)
                 continue
+            attempts += 1
             if isinstance(outcome, dispatch.NotSent):
                 continue
             dispatches += 1
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -61,6 +61,7 @@
         if isinstance(outcome, dispatch.Withdrawn):
             progress.reason = dispatch.describe(outcome)
             return outcome
+        progress.withheld = isinstance(outcome, dispatch.Withheld)
         if isinstance(outcome, dispatch.Withheld):
             progress.reason = dispatch.describe(outcome)
             return None
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -31,7 +31,8 @@
 
 __all__ = ["StreamForwarder"]
 
-# Placements that are tried for one request, declined ones included.
+# Placements that are tried for one request: declined ones count, those whose permit
+# another request took first do not.
 _MAX_ATTEMPTS = 5
 # Decode engines that a prefilled prompt is offered to. An engine may decline because
 # the KV cache is no longer available, in which case a third one would decline as well.
@@ -122,9 +123,11 @@
                     ).total_seconds(),
                 )
             ):
-                for _ in range(_MAX_ATTEMPTS):
+                attempts = 0
+                while attempts < _MAX_ATTEMPTS:
                     if await self._attempt(request, response, progress):
                         return
+                    attempts += not progress.withheld
         except TimeoutError:
             await self._deadline_exceeded(request, response, progress)
             return
@@ -221,7 +224,8 @@
                 break
             # A server that accepts nothing now says nothing about the KV cache.
             server = decode_engine.server
-            offers += server.incarnation not in self._context.flow.withheld([server])
+            closed = self._context.flow.withheld([server])
+            offers += not (progress.withheld or closed)
         return False
 
     def _may_send(
@@ -231,9 +235,9 @@
 
         The first dispatch and the first separate prefill are free. Each further
         dispatch is charged before it is sent, since a server that declines it has spent
-        work on it all the same.
+        work on it all the same. One that was withheld has not used its charge.
         """
-        if not progress.dispatches:
+        if not progress.dispatches or progress.withheld:
             return True
         return self._budget.spend(request.service.name, self._context.clock.monotonic())
 
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -37,6 +37,30 @@
     And limits: clients ask "i1" for "notify" until it knows
     Then limits: "i2" knows that "a1" has no limit
 
+  # Guards against a refusal long before the deadline: each time that another request took
+  # the permit first counted as an attempt, though no server got anything.
+  Scenario Outline: A request that loses its permit to others keeps all its attempts
+    Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
+    When limits: a client asks for "<route>" and others take its permit 7 times
+    Then limits: it was served, and no server got it in vain
+
+    Examples:
+      | route  |
+      | digest |
+      | notify |
+
+  # Guards against a retry budget that is spent on dispatches that were never sent.
+  Scenario Outline: A retry that loses its permit to others is charged once
+    Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
+    And limits: the first writer or plain server that is asked declines once
+    When limits: a client asks for "<route>" and others take its permit 7 times
+    Then limits: it was served, and 1 repeat was charged
+
+    Examples:
+      | route  |
+      | digest |
+      | notify |
+
   # Guards against a limit that changes with its source, because beacons tell it rounded:
   # each change would be logged, and the rate be divided anew.
   Scenario: A limit of many digits is the same whoever tells it
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -1,12 +1,13 @@
 import asyncio
 import datetime
 import itertools
+from unittest import mock
 
 import behave
 import logbook
 
 from pimentolatch import clock
-from pimentolatch.decisions import neighbours, server_notices
+from pimentolatch.decisions import neighbours, repeat_budget, server_notices
 from pimentolatch.gateway import flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import notices, servers
@@ -225,6 +226,54 @@
         assert rate >= limit / 2, (limit, rate)
 
 
+@behave.when(
+    'limits: a client asks for "{route}" and others take its permit {count:d} times'
+)
+def others_take_permits(context, route, count):
+    _, process = context.world.instances["i1"]
+    take = process.flow.take
+    spend = repeat_budget.RepeatBudget.spend
+    declining = getattr(context, "declining", [])
+    lost = iter(range(count))
+
+    def lose_first(server):
+        if declining and all(one.faults for one in declining):
+            return take(server)
+        for one in declining:
+            one.faults.clear()
+        return next(lost, None) is None and take(server)
+
+    budget = mock.patch.object(
+        repeat_budget.RepeatBudget, "spend", autospec=True, side_effect=spend
+    )
+    with mock.patch.object(process.flow, "take", lose_first), budget as spent:
+        asked = context.world.ask(route, "r1", name="i1", body=b"text")
+        context.reply = context.run(asked)
+    context.charged = spent.call_count
+
+
+@behave.given("limits: the first writer or plain server that is asked declines once")
+def first_declines(context):
+    kept = context.world.servers
+    context.declining = [kept[name] for name in ("d1", "d2", "a1", "a2")]
+    for server in context.declining:
+        server.faults.append("decline")
+
+
+@behave.then("limits: it was served, and {count:d} repeat was charged")
+def charged(context, count):
+    assert context.reply.status == 200 and context.reply.complete, context.reply
+    assert context.charged == count, context.charged
+
+
+@behave.then("limits: it was served, and no server got it in vain")
+def served_at_once(context):
+    assert context.reply.status == 200 and context.reply.complete, context.reply
+    servers_used = context.world.servers.values()
+    got = [item.kind for server in servers_used for item in server.received]
+    assert sorted(set(got)) == sorted(got) and "run" in got, got
+
+
 def believed(context, instance, name):
     """Return the limit that an instance believes a server to have."""
     _, process = context.world.instances[instance]
