Tell a plain request that waited for a permit why it is refused

What callers saw: a client whose key was taken away while its request waited for a permit got 503 "overloaded" with Retry-After 5.8 in place of 401, and came back in vain.

Cause: the choice of a server and the decision to wait looked at the permits separately. A permit that was refilled between the two looks ended the waiting without a server. And the check of key and quarantine came before the wait; after it a refusal only ended the waiting, and the reason was looked for among the limits.

Evidence, shown failing before: "A request that waits for a permit while its key goes is told so" (503, now 401) and "A permit that comes just after it was missed is used" (503, now 200).

Why it works: one look decides both, and the check of key and quarantine follows the wait, right before the dispatch. Stream requests were not affected: they choose again after each wait and check again before each dispatch.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -87,18 +87,16 @@
             now = self._clock.monotonic()
             if now >= request.deadline - dispatch.RETURN_TIME:
                 break
+            # A dispatch that was withheld has not used its charge.
+            is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
+            if not is_charged and not self._budget.spend(service, now):
+                break
+            server = await self._await_server(request, tried)
             if (refusal := self._dispatch_check.refusal(request)) is not None:
                 if possible_runs:
                     break
                 await response.refuse(refusal)
                 return
-            # A dispatch that was withheld has not used its charge.
-            is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
-            if not is_charged and not self._budget.spend(service, now):
-                break
-            server = self._choose(request, tried)
-            while server is None and await self._wait_for_permit(request, tried):
-                server = self._choose(request, tried)
             if server is None:
                 break
             tried.add(server.incarnation)
@@ -155,23 +153,38 @@
         listed = self._fleet.servers.of_service(request.service.name)
         return [server for server in listed if server.incarnation not in tried]
 
-    def _choose(
+    async def _await_server(
         self, request: client_request.ClientRequest, tried: set[servers.Incarnation]
+    ) -> servers.Server | None:
+        """Return the server to send a request to; None if none accepts it in time.
+
+        Waits only if all servers withhold their permits.
+        """
+        while True:
+            listed = self._untried(request, tried)
+            withheld = self._flow.withheld(listed)
+            server = self._choose(request, listed, withheld)
+            if server is not None or len(withheld) < len(listed) or not listed:
+                return server
+            if not await self._wait_for_permit(request, listed):
+                return None
+
+    def _choose(
+        self,
+        request: client_request.ClientRequest,
+        listed: list[servers.Server],
+        withheld: frozenset[servers.Incarnation],
     ) -> servers.Server | None:
         """Return the server to send a request to; None if none accepts it now."""
         now = self._clock.monotonic()
-        listed = self._untried(request, tried)
-        usable = self._choice.usable(listed, now, self._flow.withheld(listed))
+        usable = self._choice.usable(listed, now, withheld)
         avoided = self._crash_quarantine.avoided(request, usable)
         return self._choice.choose(usable, now, avoided)
 
     async def _wait_for_permit(
-        self, request: client_request.ClientRequest, tried: set[servers.Incarnation]
+        self, request: client_request.ClientRequest, listed: list[servers.Server]
     ) -> bool:
-        """Wait while all servers limit their rate; False if that takes too long."""
-        listed = self._untried(request, tried)
-        if len(self._flow.withheld(listed)) < len(listed) or not listed:
-            return False
+        """Wait before choosing again; False if that is in vain."""
         left = request.deadline - self._clock.monotonic()
         wait = self._flow.permit_wait(listed, self._waiting.ahead(request.rank))
         if wait > left or not wait_policy.may_wait(left, self._waiting.total):
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -61,6 +61,11 @@
     When customers: the key goes while its request waits for an engine
     Then customers: it is refused with 401, not run, and no server got it
 
+  # Guards against "overloaded, come back" for a client whose key is not known any more.
+  Scenario: A request that waits for a permit while its key goes is told so
+    When customers: the key goes while its request waits for a permit
+    Then customers: it is refused with 401, not run, and no server got it
+
   # Guards against a second run for a customer that has been shut out meanwhile.
   Scenario: A stream that breaks after its key went is not resumed
     Given routes: an engine "d2" that writes
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -49,6 +49,13 @@
       | digest |
       | notify |
 
+  # Guards against "no server" for a request that finds no permit at one look and one at
+  # the next, which was to tell whether to wait.
+  Scenario: A permit that comes just after it was missed is used
+    Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
+    When limits: a client asks for "notify" and a permit comes just after its first look
+    Then limits: it was served, and no server got it in vain
+
   # Guards against a retry budget that is spent on dispatches that were never sent.
   Scenario Outline: A retry that loses its permit to others is charged once
     Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import datetime
 import json
 from unittest import mock
 
@@ -7,6 +8,7 @@
 
 from pimentolatch.gateway import store_watch
 from pimentolatch.protocol import beacon_codec
+from pimentolatch.routes import notices
 from tests.features.steps import routes_serving_steps
 from tests.support import route_world
 
@@ -214,6 +216,23 @@
     context.reply = context.run(both())
 
 
+@behave.when("customers: the key goes while its request waits for a permit")
+def goes_while_without_permit(context):
+    async def both():
+        _, instance = context.world.instances["one"]
+        server = instance.fleet.servers.get("a1")
+        notice = notices.Notice(notices.RateLimit(0.0))
+        now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
+        instance.flow.observe(server, notice, now, "request")
+        asked = asyncio.create_task(ask(context, "notify", KEYS["north"][0]))
+        await asyncio.sleep(WAIT_S)
+        assert not asked.done(), asked.result()
+        await change(context, 2, KEYS | {"north": KEYS["north"][1:]})
+        return await asked
+
+    context.reply = context.run(both())
+
+
 @behave.when("customers: the key goes before the stream of its request breaks")
 def goes_before_break(context):
     context.shared_faults = [["late cut"], []]
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -252,6 +252,24 @@
     context.charged = spent.call_count
 
 
+@behave.when(
+    'limits: a client asks for "{route}" and a permit comes just after its first look'
+)
+def permit_after_look(context, route):
+    _, process = context.world.instances["i1"]
+    withheld = process.flow.withheld
+    looks = itertools.count()
+
+    def missing_at_first(listed):
+        if next(looks):
+            return withheld(listed)
+        return frozenset(server.incarnation for server in listed)
+
+    with mock.patch.object(process.flow, "withheld", missing_at_first):
+        asked = context.world.ask(route, "r1", name="i1", body=b"text")
+        context.reply = context.run(asked)
+
+
 @behave.given("limits: the first writer or plain server that is asked declines once")
 def first_declines(context):
     kept = context.world.servers
