Leave the wait for a permit out of the time that a plain request ran

What callers would see: a request that is refused for ever although it ended no server. A server that crashed while the request waited for a permit seemed to have run it.

Cause: the time from which a plain request is said to be at a server was taken before it waited for its permit, for up to seconds; a crash in that time counts against it.

Evidence: "The wait for a permit does not count as time at a server that crashes" failed before (the crash was told from the arrival on, a second too early at a limit of 1 a second) and passes now.

Why it works: the time is taken after the wait, right before the dispatch, as stream requests do.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -105,8 +105,9 @@
                 and possible_runs + 1 < request.route.max_attempts
             )
             sent_at = self._clock.now()
+            begun = self._clock.monotonic()
             outcome = await self._send(server, request, may_repeat)
-            self._report_outcome(server, request, outcome, now)
+            self._report_outcome(server, request, outcome, begun)
             # An error response of a server says more than a later failed dispatch.
             if not isinstance(last, dispatch.FullResponse) or isinstance(
                 outcome, dispatch.FullResponse
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -56,6 +56,14 @@
     When limits: a client asks for "notify" and a permit comes just after its first look
     Then limits: it was served, and no server got it in vain
 
+  # Guards against an innocent request that is taken for the cause of a crash, because the
+  # server seemed to run it while it still waited.
+  Scenario: The wait for a permit does not count as time at a server that crashes
+    Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
+    And limits: "a1" has named a limit of "1" and crashes when it is asked
+    When limits: a client asks for "notify" and waits for a permit
+    Then limits: the crash is told from after the wait on
+
   # Guards against a retry budget that is spent on dispatches that were never sent.
   Scenario Outline: A retry that loses its permit to others is charged once
     Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -8,7 +8,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import neighbours, repeat_budget, server_notices
-from pimentolatch.gateway import flow_control
+from pimentolatch.gateway import flow_control, quarantine
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import notices, servers
 from tests.features.steps import routes_serving_steps
@@ -270,6 +270,41 @@
         context.reply = context.run(asked)
 
 
+@behave.given(
+    'limits: "{name}" has named a limit of "{rate}" and crashes when it is asked'
+)
+def limited_and_crashing(context, name, rate):
+    _, process = context.world.instances["i1"]
+    server = process.fleet.servers.get(name)
+    notice = notices.Notice(notices.RateLimit(float(rate)))
+    process.flow.observe(server, notice, clock.SystemClock().monotonic(), "request")
+    context.world.servers[name].faults.append("reset")
+
+
+@behave.when('limits: a client asks for "{route}" and waits for a permit')
+def waits_for_permit(context, route):
+    _, process = context.world.instances["i1"]
+    withheld = process.flow.withheld
+    context.withheld_at = []
+
+    def noted(listed):
+        found = withheld(listed)
+        if found and not context.world.servers["a1"].received:
+            context.withheld_at.append(clock.SystemClock().monotonic())
+        return found
+
+    crashes = mock.patch.object(quarantine.Quarantine, "record_crash", autospec=True)
+    with mock.patch.object(process.flow, "withheld", noted), crashes as context.crash:
+        context.run(context.world.ask(route, "r1", name="i1", body=b"text"))
+
+
+@behave.then("limits: the crash is told from after the wait on")
+def crash_after_wait(context):
+    assert len(context.withheld_at) > 1, context.withheld_at
+    (_, _, _, begun), _ = context.crash.call_args
+    assert begun >= context.withheld_at[-1], (begun, context.withheld_at)
+
+
 @behave.given("limits: the first writer or plain server that is asked declines once")
 def first_declines(context):
     kept = context.world.servers
