Share the fraction of a rendezvous hash, and name the state of a permit's share

Three places divided a rendezvous hash by 2**64: the jitter of a request, the return after a rest and the phase of a probe. `rendezvous.fraction` serves all.

A limited server's bucket said "divide the rate anew" by a count of members that was 0. A field `is_divided` says it, and the count is read from the members themselves.

No behaviour changes.

--- a/src/pimentolatch/decisions/rendezvous.py
+++ b/src/pimentolatch/decisions/rendezvous.py
@@ -23,19 +23,27 @@
 import math
 from collections import abc
 
-__all__ = ["REMOTE_ENGINES", "remote_engines", "own_engines", "rank"]
+__all__ = ["REMOTE_ENGINES", "fraction", "remote_engines", "own_engines", "rank"]
 
 _MIN_SENDERS = 2
 REMOTE_ENGINES = 4
+_HASH_BYTES = 8
+_HASHES = 1 << 8 * _HASH_BYTES
 
 
 @functools.lru_cache(maxsize=65_536)
 def rank(first: str, second: str) -> int:
     """Return the rendezvous hash of a pair; higher is preferred."""
-    digest = hashlib.blake2b(f"{first}/{second}".encode(), digest_size=8).digest()
+    text = f"{first}/{second}".encode()
+    digest = hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
     return int.from_bytes(digest, "big")
 
 
+def fraction(first: str, second: str) -> float:
+    """Return the rendezvous hash of a pair as a number from 0 to 1."""
+    return rank(first, second) / _HASHES
+
+
 def own_engines(
     instances: abc.Set[str], engines: abc.Set[str], size: int
 ) -> dict[str, frozenset[str]]:
--- a/src/pimentolatch/decisions/server_limits.py
+++ b/src/pimentolatch/decisions/server_limits.py
@@ -56,21 +56,22 @@
 
     Attributes:
         limit: Requests per second that the server accepts.
+        at: Time of the last refill.
+        confirmed_at: When the limit was last named by an answer, here or at a peer.
         rate: Permits per second of this instance; 0 if it is no sender.
         size: Most permits at any moment.
-        members: Number of instances; 0 until the rate is divided among them anew.
         level: Permits left at the time `at`.
-        confirmed_at: When the limit was last named by an answer, here or at a peer.
+        is_divided: Whether `rate` and `size` follow from the limit and the members.
         probed: Number of the last probe window that was used.
     """
 
     limit: float
-    rate: float
-    size: float
-    members: int
     at: datetime.timedelta
     confirmed_at: datetime.timedelta
+    rate: float = 0.0
+    size: float = 0.0
     level: float = 0.0
+    is_divided: bool = False
     probed: int = -1
 
 
@@ -92,7 +93,7 @@
         if members != self._members:
             self._members = members
             for bucket in self._buckets.values():
-                bucket.members = 0
+                bucket.is_divided = False
 
     def set_limit(
         self,
@@ -111,10 +112,10 @@
         """
         bucket = self._buckets.get(server.incarnation)
         if bucket is None:
-            bucket = _Bucket(limit, 0.0, 0.0, 0, now, named_at)
+            bucket = _Bucket(limit, now, named_at)
             self._buckets[server.incarnation] = bucket
         elif bucket.limit != limit:
-            bucket.limit, bucket.members = limit, 0
+            bucket.limit, bucket.is_divided = limit, False
         bucket.confirmed_at = max(bucket.confirmed_at, named_at)
 
     def lift(self, server: servers.Incarnation) -> None:
@@ -176,7 +177,7 @@
         bucket = self._buckets.get(server.incarnation)
         if bucket is None:
             return None
-        if not bucket.members:
+        if not bucket.is_divided:
             self._divide(server, bucket)
         elapsed = (now - bucket.at).total_seconds()
         bucket.level = min(bucket.size, bucket.level + bucket.rate * elapsed)
@@ -186,8 +187,8 @@
     def _divide(self, server: servers.Server, bucket: _Bucket) -> None:
         """Set this instance's part of a server's rate."""
         excess = _EXCESS_USED * (_EXCESS_S * bucket.limit + _EXCESS_REQUESTS)
-        bucket.members = len(self._members)
-        senders = max(1, min(bucket.members, int(excess)))
+        bucket.is_divided = True
+        senders = max(1, min(len(self._members), int(excess)))
         ranked = sorted(self._members, key=lambda place: _rank(place, server))
         if self._own in ranked[:senders]:
             bucket.rate = max(bucket.limit, _MIN_RATE) / senders
@@ -202,8 +203,8 @@
         if bucket.rate or now - bucket.confirmed_at < _STALE_AFTER:
             return None
         rate = _PROBED_SHARE * max(bucket.limit, _MIN_RATE)
-        period = max(bucket.members / rate, 2 * _PROBE_WINDOW_S)
-        phase = rendezvous.rank(self._own.host, server.server_id) / 2**64
+        period = max(len(self._members) / rate, 2 * _PROBE_WINDOW_S)
+        phase = rendezvous.fraction(self._own.host, server.server_id)
         windows = now.total_seconds() / period + phase
         number = int(windows)
         is_open = (windows - number) * period < _PROBE_WINDOW_S
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -51,7 +51,7 @@
     @property
     def jitter(self) -> float:
         """Uniform random number from 0 to 1, the same on all instances."""
-        return rendezvous.rank(self.request_id, "lot") / 2**64
+        return rendezvous.fraction(self.request_id, "lot")
 
     @property
     def rank(self) -> int:
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -194,8 +194,8 @@
         until = self._notices.rest_until(server.incarnation)
         if not until:
             return until
-        rank = rendezvous.rank(self._own.host, server.server_id) / 2**64
-        return until + rank * _RETURN_SPREAD
+        delay = rendezvous.fraction(self._own.host, server.server_id)
+        return until + delay * _RETURN_SPREAD
 
     def _set_limit(
         self,
