Count declined requests too when the soak checks leaving servers

The check of servers that the store lists as leaving left out the requests that a resting server declined, while the checks of the headers count them: two loops over the same arrivals, one of them weaker.

--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -166,16 +166,13 @@
         started_at = injector.drains_started_at.get(server.server_id)
         if started_at is None:
             continue
-        for request, at in zip(server.received, server.arrival_times, strict=True):
+        for gateway, at in _arrivals(server, senders):
             late = at - started_at - MAX_DRAIN_DELAY_S - margin_s
-            gateway = senders.get(request.fields.get("x-request-id", ""))
-            if late <= 0 or gateway is None:
-                continue
-            if not _affected(
+            if late > 0 and not _affected(
                 injector.injected, started_at, at, gateway, DELAYS_UPDATES
             ):
                 yield (
-                    f"{server.server_id} got {request.kind} {late:.2f} s too late from "
+                    f"{server.server_id} got a request {late:.2f} s too late from "
                     f"{gateway} after its drain began"
                 )
 
