Age evidence that is passed on in one place

Limits and members aged by a hop with the same constant and formula in two modules. `beacons.passed_on_age_ms` serves both.

--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -1,7 +1,6 @@
 """Applies what servers ask for in their responses, and logs it."""
 
 import datetime
-import math
 from collections import abc
 
 import logbook
@@ -23,9 +22,6 @@
 _CHANGED = "server notice"
 # Limits that a beacon tells; the others follow in the next ones.
 _MAX_REPORTED = 8
-# Evidence ages by this much on its way to a peer, more than any beacon takes. It would
-# otherwise look newer at each instance that passes it on, and never expire.
-_TRANSIT = datetime.timedelta(milliseconds=250)
 # After a rest the instances return within this time, each at a time of its own.
 _RETURN_SPREAD = datetime.timedelta(milliseconds=500)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -158,7 +154,7 @@
             beacons.ServerLimit(
                 recent[n].server,
                 _millihertz(recent[n].rate),
-                math.ceil((now - recent[n].at + _TRANSIT) / _MILLISECOND),
+                beacons.passed_on_age_ms(now - recent[n].at),
             )
             for n in chosen
         )
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import datetime
-import math
 import random
 
 from pimentolatch import clock
@@ -18,10 +17,6 @@
 # also still count as members of the fleet, since a partitioned instance goes on using
 # its share of shared limits. Partitions between failure domains last for minutes.
 _RETENTION = datetime.timedelta(minutes=10)
-# A report that an instance was heard ages by this much on its way, more than any beacon
-# takes. It would otherwise look newer at each instance that passes it on, and never
-# expire.
-_TRANSIT = datetime.timedelta(milliseconds=250)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -120,7 +115,7 @@
             beacons.Member(
                 mention.place.host,
                 mention.place.failure_domain,
-                math.ceil((now - mention.at + _TRANSIT) / _MILLISECOND),
+                beacons.passed_on_age_ms(now - mention.at),
             )
             for mention in self._rng.sample(known, min(most, len(known)))
         )
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -7,6 +7,8 @@
 """
 
 import dataclasses
+import datetime
+import math
 
 from pimentolatch.routes import servers
 
@@ -22,8 +24,20 @@
     "ServerLimit",
     "StageChange",
     "TotalsChunk",
+    "passed_on_age_ms",
 ]
 
+# Evidence that is passed on ages by this much on its way to a peer, more than a beacon
+# takes. It would otherwise look newer at each instance that passes it on, and never
+# expire.
+_TRANSIT = datetime.timedelta(milliseconds=250)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def passed_on_age_ms(age: datetime.timedelta) -> int:
+    """Return how old a piece of evidence is at most when it reaches a peer, in ms."""
+    return math.ceil((age + _TRANSIT) / _MILLISECOND)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
