Count only requests for the same service as ahead of a waiting one

What callers would see: 503 at once, with a Retry-After that is too late, for a service whose servers limit their rate, because requests wait for another service.

Cause: the requests that wait were counted by rank alone, one count for all services of a kind. Found by reading; the sites that we have bring it about only where several services of one kind limit their rate.

Why it works: the count is kept by service; only the bound on all waiting requests of an instance is still a sum. The scenario checks the count (the former one had no service to ask for, so it can't be run against it).

routes_waiting.feature passes.

--- a/src/pimentolatch/decisions/wait_policy.py
+++ b/src/pimentolatch/decisions/wait_policy.py
@@ -59,28 +59,31 @@
 
 
 class Waiting:
-    """Requests that wait in one instance, by the rank of their routes."""
+    """Requests that wait in one instance, by service and rank of their routes."""
 
     def __init__(self) -> None:
-        self._counts: collections.Counter[int] = collections.Counter()
+        self._counts: collections.defaultdict[str, collections.Counter[int]]
+        self._counts = collections.defaultdict(collections.Counter)
 
     @property
     def total(self) -> int:
         """Number of waiting requests."""
-        return self._counts.total()
+        return sum(counts.total() for counts in self._counts.values())
 
-    def ahead(self, rank: int) -> int:
+    def ahead(self, service: str, rank: int) -> int:
         """Return how many waiting requests are sent before one of a rank."""
-        return sum(count for other, count in self._counts.items() if other <= rank)
+        counts = self._counts[service]
+        return sum(count for other, count in counts.items() if other <= rank)
 
     @contextlib.contextmanager
-    def counted(self, rank: int) -> abc.Generator[None, None, None]:
+    def counted(self, service: str, rank: int) -> abc.Generator[None, None, None]:
         """Count a request of a rank as waiting."""
-        self._counts[rank] += 1
+        counts = self._counts[service]
+        counts[rank] += 1
         try:
             yield
         finally:
-            self._counts[rank] -= 1
+            counts[rank] -= 1
 
 
 def recheck_interval(rank: int, jitter: float) -> datetime.timedelta:
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -142,11 +142,21 @@
             return False
         retry_after = wait_policy.retry_after(
             request.jitter,
-            self._flow.permit_wait(listed, self._waiting.ahead(request.rank)),
+            self._permit_wait(request, listed),
         )
         await response.refuse(refusals.overloaded(retry_after))
         return True
 
+    def _permit_wait(
+        self, request: client_request.ClientRequest, listed: list[servers.Server]
+    ) -> datetime.timedelta:
+        """Return when a request may be sent to one of some servers.
+
+        Requests of the same or a higher rank that wait already are sent first.
+        """
+        ahead = self._waiting.ahead(request.service.name, request.rank)
+        return self._flow.permit_wait(listed, ahead)
+
     def _untried(
         self, request: client_request.ClientRequest, tried: set[servers.Incarnation]
     ) -> list[servers.Server]:
@@ -187,10 +197,10 @@
     ) -> bool:
         """Wait before choosing again; False if that is in vain."""
         left = request.deadline - self._clock.monotonic()
-        wait = self._flow.permit_wait(listed, self._waiting.ahead(request.rank))
+        wait = self._permit_wait(request, listed)
         if wait > left or not wait_policy.may_wait(left, self._waiting.total):
             return False
-        with self._waiting.counted(request.rank):
+        with self._waiting.counted(request.service.name, request.rank):
             pause = wait_policy.recheck_interval(request.rank, request.jitter)
             await self._clock.sleep(pause)
         return self._dispatch_check.refusal(request) is None
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -89,7 +89,7 @@
             return False
         if not wait_policy.may_wait(left, self._waiting.total):
             return False
-        with self._waiting.counted(request.rank):
+        with self._waiting.counted(request.service.name, request.rank):
             pause = wait_policy.recheck_interval(request.rank, request.jitter)
             await self._context.clock.sleep(pause)
         # An engine that failed this request before may serve it now; engines that keep
@@ -126,7 +126,7 @@
             if engine.server.stage is servers.Stage.DECODE
             and not engine.server.draining
         )
-        ahead = self._waiting.ahead(request.rank)
+        ahead = self._waiting.ahead(request.service.name, request.rank)
         return self._context.flow.permit_wait(decode_engines, ahead)
 
     def _choose(
--- a/tests/features/routes_waiting.feature
+++ b/tests/features/routes_waiting.feature
@@ -77,6 +77,10 @@
     Then waiting: with 48 requests waiting one more is refused
     And waiting: a request whose client is about to leave is refused
 
+  # Guards against a refusal because of requests that wait for other servers.
+  Scenario: Only requests for the same service are ahead of another one
+    Then waiting: of 3 requests for "lm" and 2 for "app" 2 are ahead of one for "app"
+
   # All engines of a stage fail. Asked by every request at once they would get hundreds of
   # connections a second; not asked at all, their return would go unnoticed.
   Scenario: Engines that fail are tried again while no other is sound
--- a/tests/features/steps/routes_waiting_steps.py
+++ b/tests/features/steps/routes_waiting_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import datetime
 from unittest import mock
 
@@ -100,6 +101,20 @@
     assert not wait_policy.may_wait(SECOND, count)
 
 
+@behave.then(
+    'waiting: of {one:d} requests for "{a}" and {two:d} for "{b}" {n:d} are ahead of '
+    'one for "{c}"'
+)
+def ahead(context, one, a, two, b, n, c):
+    waiting = wait_policy.Waiting()
+    with contextlib.ExitStack() as held:
+        for service in [a] * one + [b] * two:
+            held.enter_context(waiting.counted(service, 1))
+        assert waiting.ahead(c, 1) == n
+        assert waiting.total == one + two
+    assert waiting.total == 0
+
+
 @behave.then("waiting: a request whose client is about to leave is refused")
 def about_to_leave(context):
     assert not wait_policy.may_wait(SECOND / 10, 0)
