Leave the permits of limited servers to the most urgent requests that wait

What callers saw: less urgent requests were served at a server that limits its rate while more urgent ones waited there.

Cause: each waiting request looks for a permit at times of its own, the more urgent only more often, and one that has just arrived looks at once. Who looks first takes it.

Change: while a request of a higher rank waits for the service, a limited server counts as withheld for all others. A prompt that is prefilled already is left out of this: its KV cache would be lost.

At most one permit may go past: between the look of a request and its dispatch, while a connection is opened, another one may take it.

If no server has stated anything, nothing is asked and nothing changes.

--- a/src/pimentolatch/decisions/wait_policy.py
+++ b/src/pimentolatch/decisions/wait_policy.py
@@ -75,6 +75,11 @@
         counts = self._counts[service]
         return sum(count for other, count in counts.items() if other <= rank)
 
+    def is_outranked(self, service: str, rank: int) -> bool:
+        """Tell whether a request of a higher rank waits for the same service."""
+        counts = self._counts[service]
+        return any(count for other, count in counts.items() if other < rank)
+
     @contextlib.contextmanager
     def counted(self, service: str, rank: int) -> abc.Generator[None, None, None]:
         """Count a request of a rank as waiting."""
--- a/src/pimentolatch/gateway/flow_control.py
+++ b/src/pimentolatch/gateway/flow_control.py
@@ -76,16 +76,24 @@
         return self._notices.limit(server.incarnation)
 
     def withheld(
-        self, listed: abc.Iterable[servers.Server]
+        self, listed: abc.Iterable[servers.Server], *, is_outranked: bool = False
     ) -> frozenset[servers.Incarnation]:
-        """Return those of some servers that must not be sent a request now."""
+        """Return those of some servers that must not be sent a request now.
+
+        Args:
+            listed: The servers.
+            is_outranked: Whether more urgent requests wait, which get all permits of
+                limited servers. They look for one several times a second.
+        """
         if not self._notices.known:
             return frozenset()
         now = self._clock.monotonic()
         return frozenset(
             server.incarnation
             for server in listed
-            if self._is_closed(server, now) or not self._limits.may_send(server, now)
+            if self._is_closed(server, now)
+            or not self._limits.may_send(server, now)
+            or (is_outranked and self.limit(server) is not None)
         )
 
     def take(self, server: servers.Server) -> bool:
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -173,7 +173,12 @@
         """
         while True:
             listed = self._untried(request, tried)
-            withheld = self._flow.withheld(listed)
+            withheld = self._flow.withheld(
+                listed,
+                is_outranked=self._waiting.is_outranked(
+                    request.service.name, request.rank
+                ),
+            )
             server = self._choose(request, listed, withheld)
             if server is not None or len(withheld) < len(listed) or not listed:
                 return server
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -109,11 +109,17 @@
         return gives_up_at - self._context.clock.monotonic()
 
     def _withheld(
-        self, request: client_request.ClientRequest
+        self, request: client_request.ClientRequest, *, is_outranked: bool = False
     ) -> frozenset[servers.Incarnation]:
-        """Return the engines that accept no more requests at the moment."""
+        """Return the engines that accept no more requests at the moment.
+
+        A prompt that is prefilled already is never outranked: its KV cache takes up
+        memory, and would be lost.
+        """
         engines = self._context.loads(request).all()
-        return self._context.flow.withheld(engine.server for engine in engines)
+        return self._context.flow.withheld(
+            (engine.server for engine in engines), is_outranked=is_outranked
+        )
 
     def _permit_wait(self, request: client_request.ClientRequest) -> datetime.timedelta:
         """Return when one of the decode engines accepts a request again.
@@ -137,7 +143,10 @@
     ) -> placement_types.PlacementResult:
         assert request.head.prompt is not None and request.service.engine is not None
         loads = self._context.loads(request)
-        withheld = self._withheld(request)
+        withheld = self._withheld(
+            request,
+            is_outranked=self._waiting.is_outranked(request.service.name, request.rank),
+        )
         chooser = placement.Placement(loads, self._domain)
         place = chooser.choose(
             placement_types.PlacementRequest(
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -60,10 +60,20 @@
   # server seemed to run it while it still waited.
   Scenario: The wait for a permit does not count as time at a server that crashes
     Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
-    And limits: "a1" has named a limit of "1" and crashes when it is asked
+    And limits: "a1" has named a limit of "1"
+    And limits: "a1" crashes when it is asked
     When limits: a client asks for "notify" and waits for a permit
     Then limits: the crash is told from after the wait on
 
+  # Guards against less urgent requests that get the permits for which more urgent ones
+  # wait, only because they look at the right moment.
+  Scenario: The most urgent requests get the permits of a limited server first
+    Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
+    And limits: "notify" is more urgent than "print"
+    And limits: "a1" has named a limit of "4"
+    When limits: clients ask for 12 of each a second for 6 seconds
+    Then limits: at most 1 permit of "a1" went past a more urgent one
+
   # Guards against a retry budget that is spent on dispatches that were never sent.
   Scenario Outline: A retry that loses its permit to others is charged once
     Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -19,6 +19,8 @@
 # The bound on a limit holds from then on, counted from its first answer.
 NOTICE_S = 3.0
 WINDOW_S = 4.0
+# A waiting request of the first rank has looked for a permit within this time.
+RECHECK_S = 0.2
 ROUTES = ("digest", "notify", "draft", "print")
 
 
@@ -260,9 +262,9 @@
     withheld = process.flow.withheld
     looks = itertools.count()
 
-    def missing_at_first(listed):
+    def missing_at_first(listed, **options):
         if next(looks):
-            return withheld(listed)
+            return withheld(listed, **options)
         return frozenset(server.incarnation for server in listed)
 
     with mock.patch.object(process.flow, "withheld", missing_at_first):
@@ -270,25 +272,78 @@
         context.reply = context.run(asked)
 
 
-@behave.given(
-    'limits: "{name}" has named a limit of "{rate}" and crashes when it is asked'
-)
-def limited_and_crashing(context, name, rate):
+@behave.given('limits: "{name}" has named a limit of "{rate}"')
+def limited_before(context, name, rate):
     _, process = context.world.instances["i1"]
     server = process.fleet.servers.get(name)
     notice = notices.Notice(notices.RateLimit(float(rate)))
     process.flow.observe(server, notice, clock.SystemClock().monotonic(), "request")
+    names_limit(context, name, rate)
+
+
+@behave.given('limits: "{name}" crashes when it is asked')
+def crashes(context, name):
     context.world.servers[name].faults.append("reset")
 
 
+@behave.given('limits: "{urgent}" is more urgent than "{other}"')
+def ranked(context, urgent, other):
+    priorities = {urgent: 0, other: 3}
+    routes = [
+        found | {"priority": priorities.get(found["name"], 1)}
+        for found in route_world.ROUTES
+    ]
+    _, process = context.world.instances["i1"]
+    context.run(context.world.configure(2, routes))
+    context.run(context.world.until(lambda: process.fleet.version == 2))
+    context.ranked = (urgent, other)
+
+
+@behave.when(
+    "limits: clients ask for {rate:d} of each a second for {seconds:d} seconds"
+)
+def ask_for_each(context, rate, seconds):
+    async def load():
+        tasks = []
+        context.asked_at = {}
+        for number in range(rate * seconds):
+            for route in context.ranked:
+                request_id = f"{route}-{number}"
+                context.asked_at[request_id] = asyncio.get_running_loop().time()
+                asked = context.world.ask(route, request_id, name="i1", body=b"text")
+                tasks.append(asyncio.create_task(asked))
+            await asyncio.sleep(1 / rate)
+        return await asyncio.gather(*tasks)
+
+    context.run(load())
+
+
+@behave.then('limits: at most {most:d} permit of "{name}" went past a more urgent one')
+def permits_in_order(context, most, name):
+    server = context.world.servers[name]
+    ids = [item.fields["x-request-id"] for item in server.received]
+    arrived_at = dict(zip(ids, server.arrival_times, strict=True))
+    urgent, other = (
+        [(context.asked_at[key], at) for key, at in arrived_at.items() if route in key]
+        for route in context.ranked
+    )
+    assert len(urgent) > 20, arrived_at
+    overtaking = [
+        at
+        for _, at in other
+        if any(asked < at - RECHECK_S and sent > at for asked, sent in urgent)
+    ]
+    assert len(overtaking) <= most, overtaking
+
+
 @behave.when('limits: a client asks for "{route}" and waits for a permit')
 def waits_for_permit(context, route):
     _, process = context.world.instances["i1"]
     withheld = process.flow.withheld
     context.withheld_at = []
 
-    def noted(listed):
-        found = withheld(listed)
+    def noted(listed, **options):
+        found = withheld(listed, **options)
         if found and not context.world.servers["a1"].received:
             context.withheld_at.append(clock.SystemClock().monotonic())
         return found
