Tell a plain request that may not have a permit that it is an overload

What callers would see: 503 "no server took the request" with Retry-After 0.5 s in place of "overloaded" with the time after which a permit is to be had.

Cause: the reason of a refusal was looked for in the permits there are at that moment. A request that waits in vain behind more urgent ones, or at the deadline just as a permit comes, finds some and was not taken for one without a permit.

Why it works: the wait itself says that it was in vain, as a dispatch that was withheld does; nothing is looked up again.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -97,6 +97,9 @@
                     break
                 await response.refuse(refusal)
                 return
+            if isinstance(server, dispatch.Withheld):
+                outcome = server
+                break
             if server is None:
                 break
             tried.add(server.incarnation)
@@ -127,7 +130,9 @@
                 self._usage.record_start(request.customer_name, sent_at)
             if not may_repeat or _final(outcome):
                 break
-        if possible_runs == 0 and await self._refused_by_limits(request, response):
+        if possible_runs == 0 and await self._refused_by_limits(
+            request, response, outcome
+        ):
             return
         await _finish(request, response, last, possible_runs)
 
@@ -135,10 +140,12 @@
         self,
         request: client_request.ClientRequest,
         response: client_request.ClientResponse,
+        outcome: _Outcome | None,
     ) -> bool:
         """Refuse a request that got no permit in time; False if that is not why."""
         listed = self._fleet.servers.of_service(request.service.name)
-        if not self._flow.withheld(listed):
+        lost = isinstance(outcome, dispatch.Withheld)
+        if not lost and not self._flow.withheld(listed):
             return False
         retry_after = wait_policy.retry_after(
             request.jitter,
@@ -166,10 +173,10 @@
 
     async def _await_server(
         self, request: client_request.ClientRequest, tried: set[servers.Incarnation]
-    ) -> servers.Server | None:
-        """Return the server to send a request to; None if none accepts it in time.
+    ) -> servers.Server | dispatch.Withheld | None:
+        """Return the server to send a request to; None if none is left for it.
 
-        Waits only if all servers withhold their permits.
+        Waits if all servers withhold their permits, unless that is in vain.
         """
         while True:
             listed = self._untried(request, tried)
@@ -183,7 +190,7 @@
             if server is not None or len(withheld) < len(listed) or not listed:
                 return server
             if not await self._wait_for_permit(request, listed):
-                return None
+                return dispatch.Withheld()
 
     def _choose(
         self,
--- a/tests/features/server_limits.feature
+++ b/tests/features/server_limits.feature
@@ -74,6 +74,13 @@
     When limits: clients ask for 12 of each a second for 6 seconds
     Then limits: at most 1 permit of "a1" went past a more urgent one
 
+  # Guards against "no server" for a request that may not have the permits there are,
+  # because more urgent ones wait for them.
+  Scenario: A request that waits in vain behind more urgent ones is told when to return
+    Given limits: 1 instances before 1 readers, 1 writers and 1 plain servers
+    When limits: a client asks for "notify" and all permits of 9 seconds go to others
+    Then limits: it was refused as overloaded for at least 9 seconds
+
   # Guards against a retry budget that is spent on dispatches that were never sent.
   Scenario Outline: A retry that loses its permit to others is charged once
     Given limits: 1 instances before 1 readers, 2 writers and 2 plain servers
--- a/tests/features/steps/server_limits_steps.py
+++ b/tests/features/steps/server_limits_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import datetime
 import itertools
+import json
 from unittest import mock
 
 import behave
@@ -272,6 +273,33 @@
         context.reply = context.run(asked)
 
 
+@behave.when(
+    'limits: a client asks for "{route}" and all permits of {wait:d} seconds go to '
+    "others"
+)
+def permits_of_others(context, route, wait):
+    _, process = context.world.instances["i1"]
+
+    def of_others(listed, *, is_outranked=None):
+        if is_outranked is None:
+            return frozenset()
+        return frozenset(server.incarnation for server in listed)
+
+    looks = mock.patch.object(process.flow, "withheld", of_others)
+    waits = mock.patch.object(process.flow, "permit_wait", return_value=wait * SECOND)
+    with looks, waits:
+        asked = context.world.ask(route, "r1", name="i1", body=b"text")
+        context.reply = context.run(asked)
+
+
+@behave.then("limits: it was refused as overloaded for at least {seconds:d} seconds")
+def refused_as_overloaded(context, seconds):
+    assert context.reply.status == 503, context.reply
+    error = json.loads(context.reply.body)["error"]
+    assert error["type"] == "overloaded", error
+    assert float(context.reply.fields["retry-after"]) >= seconds, context.reply.fields
+
+
 @behave.given('limits: "{name}" has named a limit of "{rate}"')
 def limited_before(context, name, rate):
     _, process = context.world.instances["i1"]
