Log which server list a request was sent by, and how old it was

No line or metric told how long ago the server list or the configuration of an instance was last known to match the store, so the hypotheses on requests that reach leaving servers could not be told apart. The lines placed and sent (run) now bear revision, source and age of the list, store lost the time since the last answer, and two gauges the ages. An instance that leaves the store to the readers of its domain takes the age of their newest offer; before, it always counted its list as confirmed now.

--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -8,7 +8,26 @@
 from pimentolatch.decisions import engine_loads
 from pimentolatch.routes import route_table, servers
 
-__all__ = ["FleetState"]
+__all__ = ["STORE", "FleetState", "ServerListStatus"]
+
+# Source of what this instance has read from the store itself; peers go by their names.
+STORE = "store"
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerListStatus:
+    """What a decision that uses the server list rests on, for the log.
+
+    Attributes:
+        revision: Store revision that the list reflects.
+        source: Where it was read: `STORE`, or the name of a peer.
+        age_ms: Time since it was last known to match the store.
+    """
+
+    revision: int
+    source: str
+    age_ms: int
 
 
 class FleetState:
@@ -27,10 +46,12 @@
         configuration_spec: The configuration as the store holds it, sent to peers.
         servers: Table of the listed servers.
         servers_revision: Store revision that the server table reflects.
+        servers_source: Where that was read: `STORE`, or the name of a peer.
         servers_listed: Whether a server list has ever been received.
         watches_store: Whether this instance watches the store itself.
         store_unreachable: This instance watches the store and the last call failed.
         servers_confirmed_at: Time at which the server table last matched the store.
+        configuration_confirmed_at: The same for the configuration.
     """
 
     def __init__(
@@ -42,10 +63,12 @@
         self.configuration_spec: typing.Any = None
         self.servers = servers.ServerTable()
         self.servers_revision = 0
+        self.servers_source = ""
         self.servers_listed = False
         self.watches_store = False
         self.store_unreachable = False
         self.servers_confirmed_at = datetime.timedelta()
+        self.configuration_confirmed_at = datetime.timedelta()
         self._loads: dict[str, engine_loads.EngineLoads] = {}
         self._engines: dict[servers.Incarnation, engine_loads.EngineLoad] = {}
         self._on_change: list[abc.Callable[[], None]] = []
@@ -60,6 +83,13 @@
         """Whether requests can be served."""
         return self.configuration is not None and self.servers_listed
 
+    def server_list_status(self, now: datetime.timedelta) -> ServerListStatus:
+        """Return what a decision that is taken now rests on."""
+        age = now - self.servers_confirmed_at
+        return ServerListStatus(
+            self.servers_revision, self.servers_source, round(age / _MILLISECOND)
+        )
+
     def on_change(self, call: abc.Callable[[], None]) -> None:
         """Register a callback that runs after each change of the server table."""
         self._on_change.append(call)
@@ -78,12 +108,14 @@
         self,
         revision: int,
         listed: abc.Iterable[servers.Server],
+        source: str = STORE,
     ) -> bool:
         """Apply a full server list unless it is older; return whether it was used."""
         if self.servers_listed and revision < self.servers_revision:
             return False
         self.servers.replace(map(self._as_known, listed))
         self.servers_revision = revision
+        self.servers_source = source
         self.servers_listed = True
         self._update_loads()
         return True
@@ -98,6 +130,7 @@
         if revision <= self.servers_revision:
             return
         self.servers_revision = revision
+        self.servers_source = STORE
         self._change(changed, removed)
 
     def mark_leaving(self, server: servers.Server) -> None:
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -193,6 +193,6 @@
                 peer=name,
                 reason=snapshot.reason,
             )
-        elif self._fleet.replace_servers(snapshot.revision, snapshot.listed):
+        elif self._fleet.replace_servers(snapshot.revision, snapshot.listed, name):
             self._expired.replace(snapshot.expired, snapshot.expired)
             _log.info("servers from peer", peer=name, revision=snapshot.revision)
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -240,6 +240,7 @@
         may_repeat: bool,
     ) -> _Outcome:
         now = self._clock.monotonic()
+        listed = self._fleet.server_list_status(now)
         left = request.deadline - now - dispatch.RETURN_TIME
         timeout = left
         if may_repeat:
@@ -267,6 +268,9 @@
             outcome=dispatch.describe(outcome),
             ms=self._request_log.elapsed_ms(now),
             digest=digests.digest_text(request.digest),
+            list_revision=listed.revision,
+            list_source=listed.source,
+            list_age_ms=listed.age_ms,
         )
         return outcome
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -126,6 +126,7 @@
                 self._leader_tasks.leadership,
                 self._shutdown,
                 self._flow,
+                time,
             )
         )
         self._metrics_server: http_server.HttpServer | None = None
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -218,6 +218,7 @@
         withheld: frozenset[servers.Incarnation],
     ) -> None:
         assert request.head.prompt is not None
+        listed = self._context.fleet.server_list_status(self._context.clock.monotonic())
         if isinstance(place, placement_types.Infeasible):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
             self._context.log.write(
@@ -227,6 +228,9 @@
                 refused_for_ms=round(wait),
                 prompt=request.head.prompt.tokens,
                 size=size.value,
+                list_revision=listed.revision,
+                list_source=listed.source,
+                list_age_ms=listed.age_ms,
             )
             return
         prefill_engine = (
@@ -246,6 +250,9 @@
             urgency=place.level,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
             withheld=_logged_ids(withheld),
+            list_revision=listed.revision,
+            list_source=listed.source,
+            list_age_ms=listed.age_ms,
         )
 
     def _log_wait(
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -32,9 +32,13 @@
     PLACED: (
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
         *("urgency", "expected_ms", "withheld"),
+        *("list_revision", "list_source", "list_age_ms"),
     ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
-    SENT: ("server", "what", "outcome", "ms", "digest", "events"),
+    SENT: (
+        *("server", "what", "outcome", "ms", "digest", "events"),
+        *("list_revision", "list_source", "list_age_ms"),
+    ),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
         "digest",
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -9,7 +9,7 @@
 import prometheus_client
 from prometheus_client import core, registry
 
-from pimentolatch import results
+from pimentolatch import clock, results
 from pimentolatch.decisions import prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
@@ -172,6 +172,7 @@
         own_leadership: Tells whether this instance is the leader.
         shutdown: Counts the requests in flight.
         flow: What servers have asked for.
+        time: Clock of this instance.
     """
 
     def __init__(
@@ -182,7 +183,9 @@
         own_leadership: leadership.Leadership,
         shutdown: graceful_shutdown.GracefulShutdown,
         flow: flow_control.FlowControl,
+        time: clock.Clock,
     ) -> None:
+        self._clock = time
         self._fleet = fleet
         self._peers = peers
         self._suspects = suspects
@@ -193,6 +196,7 @@
     def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
         """Yield the gauges."""
         fleet = self._fleet
+        now = self._clock.monotonic()
         for name, text, value in (
             (
                 "requests_in_flight",
@@ -202,6 +206,16 @@
             ("configuration_version", "Version in force.", fleet.version),
             ("servers", "Servers that are listed.", len(fleet.servers.all())),
             ("servers_revision", "Revision of the servers.", fleet.servers_revision),
+            (
+                "servers_age_seconds",
+                "Time since the servers were known to match the store.",
+                (now - fleet.servers_confirmed_at).total_seconds(),
+            ),
+            (
+                "configuration_age_seconds",
+                "Time since the configuration was known to match the store.",
+                (now - fleet.configuration_confirmed_at).total_seconds(),
+            ),
             ("reads_store", "Whether it reads the store.", fleet.watches_store),
             (
                 "store_lost",
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -62,6 +62,7 @@
         self._clock = time
         self._pause = backoff.Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, random.Random())
         self._revision: int | None = None
+        self._answered_at = time.monotonic()
         self.unreachable = False
 
     async def catch_up(self) -> None:
@@ -80,6 +81,8 @@
                         "store lost",
                         kind=self.kind,
                         reason=outcome.reason,
+                        revision=self._revision,
+                        silent_ms=self._silent_ms(),
                     )
                 self.unreachable = True
                 self._revision = None
@@ -120,8 +123,14 @@
     def _apply_changes(self, changes: store.Changes) -> None:
         raise NotImplementedError
 
+    def _silent_ms(self) -> int:
+        """Return the time since the store last answered a call of this watch."""
+        silence = self._clock.monotonic() - self._answered_at
+        return round(silence / datetime.timedelta(milliseconds=1))
+
     def _on_response(self) -> None:
         """Handle a successful call to the store."""
+        self._answered_at = self._clock.monotonic()
 
 
 class ConfigurationWatch(_Watch):
@@ -129,6 +138,10 @@
 
     kind = configuration.CONFIGURATION_KIND
 
+    def _on_response(self) -> None:
+        super()._on_response()
+        self._fleet.configuration_confirmed_at = self._answered_at
+
     def _apply_listing(self, listing: store.Listing) -> None:
         self._apply(listing.objects)
 
@@ -178,7 +191,8 @@
         self._fleet.replace_servers(listing.revision, [*listed, *missing])
 
     def _on_response(self) -> None:
-        self._fleet.servers_confirmed_at = self._clock.monotonic()
+        super()._on_response()
+        self._fleet.servers_confirmed_at = self._answered_at
 
     def _apply_changes(self, changes: store.Changes) -> None:
         self._expired.confirm(changes.removed)
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -67,11 +67,15 @@
 
     def _check(self) -> None:
         now = self._clock.monotonic()
-        if store_readers.is_reader(self._name, self._table.readers(), now):
+        readers = self._table.readers()
+        if store_readers.is_reader(self._name, readers, now):
             self._needed_at = now
             self._start()
         else:
-            self._fleet.servers_confirmed_at = now
+            # Readers that lose the store withdraw their offers.
+            confirmed_at = max(reader.last_seen for reader in readers)
+            self._fleet.servers_confirmed_at = confirmed_at
+            self._fleet.configuration_confirmed_at = confirmed_at
             if now - self._needed_at >= _STOP_DELAY:
                 self._stop()
         self._fleet.watches_store = bool(self._running)
