--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -22,6 +22,9 @@
 
 _OUTAGE = store.Unavailable("outage", effect_unknown=False)
 _NO_TIME = datetime.timedelta()
+_POLL_INTERVAL = datetime.timedelta(milliseconds=100)
+# How long after the end of its wait a call is given up, as by the client of the store.
+_CALL_TIMEOUT = datetime.timedelta(seconds=1)
 
 
 async def no_pause(point: str) -> None:
@@ -40,6 +43,8 @@
         late_writes: Number of the next writes that take effect only after
             `late_write_delay`; the caller learns at once that the outcome is unknown.
         delay: Time before the effect of each call.
+        silenced: How often the open connections have fallen silent: calls that wait
+            then get no answer any more, new ones do.
     """
 
     outage: bool = False
@@ -48,6 +53,7 @@
     late_writes: int = 0
     late_write_delay: datetime.timedelta = datetime.timedelta(seconds=5)
     delay: datetime.timedelta = _NO_TIME
+    silenced: int = 0
 
     def clear(self) -> None:
         """Remove all faults."""
@@ -147,11 +153,13 @@
         if failed := await self._start_call(f"watch {kind}"):
             return failed
         deadline = self._clock.monotonic() + wait
-        step = datetime.timedelta(seconds=0.1)
+        silenced = self._faults.silenced
         while not self._table.changes(kind, after):
             if self._clock.monotonic() >= deadline or self._unreachable:
                 break
-            await self._clock.sleep(step)
+            await self._clock.sleep(_POLL_INTERVAL)
+            if self._faults.silenced != silenced:
+                return await self._unanswered(deadline)
         if after < self._table.compacted_revision:
             return store.HistoryGone()
         rows = self._table.changes(kind, after)
@@ -167,6 +175,12 @@
             return failed
         return self._instances()
 
+    async def _unanswered(self, deadline: datetime.timedelta) -> store.Unavailable:
+        """Wait for an answer that does not come, as long as a caller would."""
+        while self._clock.monotonic() < deadline + _CALL_TIMEOUT:
+            await self._clock.sleep(_POLL_INTERVAL)
+        return store.Unavailable("no answer", effect_unknown=False)
+
     @property
     def _unreachable(self) -> bool:
         return self._faults.outage or self._link in self._faults.cut
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,7 +1,11 @@
-"""TCP relays that can block traffic in one or both directions, delay it or reset it.
+"""TCP relays that can block, lose, delay or reset traffic.
 
 A cut behaves like a network partition: connections stay open, no data gets through, and
 data sent meanwhile arrives after the partition heals, since TCP retransmits it.
+
+A silenced connection behaves like one whose state a middlebox has lost, or whose peer
+process hangs: it stays open, keep-alive probes are answered, and what is sent on it is
+lost for good. New connections work.
 """
 
 import asyncio
@@ -13,6 +17,7 @@
 __all__ = ["Relays"]
 
 _CHUNK = 65_536
+_Result = typing.TypeVar("_Result")
 TO_SERVER = "to server"
 TO_CLIENT = "to client"
 
@@ -24,6 +29,22 @@
     direction: str
 
 
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    """A relayed connection.
+
+    Attributes:
+        writers: Its two ends.
+        silent: Directions in which data is lost.
+        ended: Set when both ends have been closed by their peers.
+    """
+
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    silent: frozenset[str] = frozenset()
+    ends: int = 0
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
 class Relays:
     """All relays of a scenario, in a thread with an event loop of its own."""
 
@@ -33,7 +54,7 @@
         self._thread.start()
         self._cuts: set[_Cut] = set()
         self._delays: dict[str, float] = {}
-        self._writers: dict[str, set[asyncio.StreamWriter]] = {}
+        self._connections: dict[str, list[_Connection]] = {}
         self._cuts_changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
 
@@ -70,6 +91,18 @@
         """Reset all connections through a relay."""
         self._call(self._reset(name))
 
+    def silence(self, name: str, *directions: str) -> int:
+        """Silence the open connections through a relay, for good.
+
+        Args:
+            name: The relay.
+            directions: Directions in which data is lost; both if none is given.
+
+        Returns:
+            The number of silenced connections.
+        """
+        return self._call(self._silence(name, frozenset(directions)))
+
     def stop(self) -> None:
         """Stop all relays and close their connections."""
         self._call(self._stop())
@@ -77,8 +110,8 @@
         self._thread.join()
         self._loop.close()
 
-    def _call(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        asyncio.run_coroutine_threadsafe(work, self._loop).result()
+    def _call(self, work: abc.Coroutine[typing.Any, typing.Any, _Result]) -> _Result:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
 
     async def _start(
         self, name: str, listen: tuple[str, int], target: tuple[str, int]
@@ -106,15 +139,19 @@
         except OSError:
             writer.close()
             return
-        writers = {writer, server_writer}
-        open_writers = self._writers.setdefault(name, set())
-        open_writers |= writers
+        connection = _Connection((writer, server_writer))
+        connections = self._connections.setdefault(name, [])
+        connections.append(connection)
         forwarders = (
             asyncio.create_task(
-                self._forward(name, source, TO_SERVER, reader, server_writer)
+                self._forward(
+                    name, source, TO_SERVER, connection, reader, server_writer
+                )
             ),
             asyncio.create_task(
-                self._forward(name, source, TO_CLIENT, server_reader, writer)
+                self._forward(
+                    name, source, TO_CLIENT, connection, server_reader, writer
+                )
             ),
         )
         try:
@@ -123,7 +160,7 @@
             for forwarder in forwarders:
                 forwarder.cancel()
             await asyncio.gather(*forwarders, return_exceptions=True)
-            open_writers -= writers
+            connections.remove(connection)
             writer.close()
             server_writer.close()
 
@@ -132,16 +169,27 @@
         name: str,
         source: str,
         direction: str,
+        connection: _Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        while data := await reader.read(_CHUNK):
-            await asyncio.sleep(self._delays.get(name, 0.0))
-            await self._wait_until_healed(name, source, direction)
-            writer.write(data)
-            await writer.drain()
+        try:
+            while data := await reader.read(_CHUNK):
+                await asyncio.sleep(self._delays.get(name, 0.0))
+                await self._wait_until_healed(name, source, direction)
+                if direction not in connection.silent:
+                    writer.write(data)
+                    await writer.drain()
+        except ConnectionError:
+            if not connection.silent:
+                raise
         # During a partition, the end of a connection must not get through either.
         await self._wait_until_healed(name, source, direction)
+        if connection.silent:
+            connection.ends += 1
+            if connection.ends == len(connection.writers):
+                connection.ended.set()
+            await connection.ended.wait()
 
     async def _wait_until_healed(self, name: str, source: str, direction: str) -> None:
         async with self._cuts_changed:
@@ -155,8 +203,15 @@
         )
 
     async def _reset(self, name: str) -> None:
-        for writer in list(self._writers.get(name, ())):
-            writer.transport.abort()
+        for connection in list(self._connections.get(name, ())):
+            for writer in connection.writers:
+                writer.transport.abort()
+
+    async def _silence(self, name: str, directions: frozenset[str]) -> int:
+        open_connections = self._connections.get(name, [])
+        for connection in open_connections:
+            connection.silent |= directions or {TO_SERVER, TO_CLIENT}
+        return len(open_connections)
 
     async def _set_cuts(self, cuts: set[_Cut]) -> None:
         async with self._cuts_changed:
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -111,6 +111,24 @@
     When watch: "e1" is removed
     Then watch: no engine is left to choose from
 
+  # Guards against a watch that waits for an answer on a connection that fell silent.
+  Scenario: A change is known in time although the watch of the servers fell silent
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it
+    When watch: the open connections to the store fall silent
+    And watch: "a1" reports that it drains
+    And watch: 2 seconds pass
+    Then watch: the instance uses "a2" only
+
+  # Guards against a configuration that is late since its watch fell silent.
+  Scenario: A version is in force in time although the watch of it fell silent
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it and the configuration
+    When watch: the open connections to the store fall silent
+    And watch: version 5 is written
+    And watch: 2 seconds pass
+    Then watch: version 5 is in force
+
   # A server is behind a partition when it is sent a request. The request is given up and
   # served elsewhere; the partition heals. Closed in order, the connection would deliver
   # the request then, to a server that has left meanwhile.
--- /dev/null
+++ b/tests/features/silent_connections.feature
@@ -0,0 +1,23 @@
+# Gateways run as processes behind relays. Connections that are open when the fault comes
+# stay open and lose what is sent on them from then on, for good; new ones work.
+Feature: Connections that fall silent
+
+  # Guards against instances that route by an old list until a silent watch ends.
+  Scenario Outline: Instances learn of leaving servers when their watches fall silent
+    Given silence: <count> gateways and clients that go on asking
+    When silence: the connections of all gateways to the store fall silent
+    And silence: an engine and a plain server report to the store that they drain
+    Then silence: all gateways know it after some seconds
+    And silence: the draining servers get no further request
+
+    Examples:
+      | count |
+      | 1     |
+      | 4     |
+
+  # Guards against instances that keep an old configuration until a silent watch ends.
+  Scenario: Instances learn of a new route when their watches fall silent
+    Given silence: 2 gateways and clients that go on asking
+    When silence: the connections of all gateways to the store fall silent
+    And silence: the operator adds a route
+    Then silence: all gateways serve the route after some seconds
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -136,7 +136,7 @@
 
 @behave.given("watch: an instance that follows it and the configuration")
 def follow_both(context):
-    context.world.start()
+    context.world.start(context.world.configuration.run)
     context.world.asks_configuration_first = True
 
 
@@ -188,6 +188,23 @@
     context.world.advance(0.3)
 
 
+@behave.when("watch: the open connections to the store fall silent")
+def fall_silent(context):
+    context.world.advance(1)
+    context.world.faults.silenced += 1
+
+
+@behave.when('watch: "{name}" reports that it drains')
+def reports_drain(context, name):
+    context.world.write(name, entry(name) | {"state": "draining"})
+
+
+@behave.when("watch: version 5 is written")
+def write_version(context):
+    spec = route_world.configuration(5, route_world.ROUTES)
+    context.world.runner.run(context.world.table.put("config", "main", spec, 0))
+
+
 @behave.when("watch: version 5 is heard of and then version 4")
 def versions(context):
     for version in (5, 4):
@@ -236,9 +253,9 @@
         )
         self.tasks = []
 
-    def start(self):
+    def start(self, *others):
         async def begin():
-            for work in (self.watch.run, self.expired.run):
+            for work in (self.watch.run, self.expired.run, *others):
                 self.tasks.append(asyncio.create_task(work()))
 
         self.runner.run(begin())
--- /dev/null
+++ b/tests/features/steps/silent_connections_steps.py
@@ -0,0 +1,171 @@
+import asyncio
+
+import behave
+
+from tests.support import route_world, soak_clients, soak_world
+
+CLIENTS = 6
+# Far above the two seconds that the operator allows, so that a busy machine does not
+# matter, and far below the time for which a watch may wait at the store.
+LEARN_S = 10.0
+POLL_S = 0.1
+REQUESTS_AFTER = 60
+# Of a failure domain so many gateways read the store, with a watch of each kind.
+MAX_READERS = 3
+WATCHES = 2
+
+
+@behave.given("silence: {count:d} gateways and clients that go on asking")
+def gateways(context, count):
+    context.route_runner = asyncio.Runner()
+    context.world = Silence(context.route_runner)
+    context.world.start(count)
+
+
+@behave.when("silence: the connections of all gateways to the store fall silent")
+def silence_store(context):
+    context.world.silence_store()
+
+
+@behave.when(
+    "silence: an engine and a plain server report to the store that they drain"
+)
+def drain(context):
+    context.world.runner.run(context.world.drain())
+
+
+@behave.when("silence: the operator adds a route")
+def add_route(context):
+    added = route_world.route("added", "app", "safe")
+    context.world.runner.run(context.world.world.configure(added))
+
+
+@behave.then("silence: all gateways know it after some seconds")
+def all_know(context):
+    context.world.runner.run(context.world.until_known())
+
+
+@behave.then("silence: the draining servers get no further request")
+def no_further(context):
+    context.world.runner.run(context.world.check_unused())
+
+
+@behave.then("silence: all gateways serve the route after some seconds")
+def all_serve(context):
+    context.world.runner.run(context.world.until_served("added"))
+
+
+class Silence:
+    """Gateways behind relays, with clients that keep their connections."""
+
+    def __init__(self, runner):
+        self.runner = runner
+        self.world = soak_world.SoakWorld()
+        self.stopping = asyncio.Event()
+        self.clients = []
+        self.tasks = []
+        self.drained = []
+
+    def start(self, count):
+        self.runner.run(self._start(count))
+
+    async def _start(self, count):
+        await self.world.start(count)
+        clock = asyncio.get_running_loop().time
+        self.clients = [
+            soak_clients.Client(self.world, number, number, clock)
+            for number in range(CLIENTS)
+        ]
+        self.tasks = [
+            asyncio.create_task(client.run(self.stopping)) for client in self.clients
+        ]
+        async with asyncio.timeout(soak_world.START_TIMEOUT_S):
+            await self._until(self._all_read)
+        await self._until_answered(REQUESTS_AFTER)
+
+    def silence_store(self):
+        world = self.world
+        counts = [world.relays.silence(f"store of {name}") for name in world.gateways]
+        assert sum(counts) >= WATCHES * self._readers, counts
+
+    @property
+    def _readers(self):
+        return min(MAX_READERS, len(self.world.gateways))
+
+    async def _until(self, condition):
+        while not await condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+    async def _all_read(self):
+        reading = [
+            await self.world.metric(name, "reads_store") for name in self.world.gateways
+        ]
+        return sum(reading) == self._readers
+
+    async def drain(self):
+        """Have an engine and a plain server drain, and keep them running."""
+        servers = self.world.servers
+        for stage in ("decode", None):
+            name = next(n for n, s in servers.items() if s.stage == stage)
+            servers[name].state = "draining"
+            await self.world.list_server(name)
+            self.drained.append(servers[name])
+
+    async def until_known(self):
+        """Wait until all gateways have the newest revision of the store."""
+        revision = max(
+            self.world.platform.table.get("servers", server.server_id).version
+            for server in self.drained
+        )
+        async with asyncio.timeout(LEARN_S):
+            for name in self.world.gateways:
+                await self._until(lambda name=name: self._knows(name, revision))
+
+    async def _knows(self, name, revision):
+        return await self.world.metric(name, "servers_revision") >= revision
+
+    async def check_unused(self):
+        """Check that requests which are sent from now on reach other servers."""
+        sent_before = self._request_ids()
+        await self._until_answered(REQUESTS_AFTER)
+        reached = {
+            request.fields.get("x-request-id", "")
+            for server in self.drained
+            for request in server.received
+        }
+        assert not reached & (self._request_ids() - sent_before)
+
+    async def until_served(self, route):
+        """Wait until each gateway serves a route."""
+        async with asyncio.timeout(LEARN_S):
+            for gateway in self.world.gateways.values():
+                await self._until(lambda host=gateway.host: _serves(host, route))
+
+    def _request_ids(self):
+        return {a.request_id for client in self.clients for a in client.attempts}
+
+    async def _until_answered(self, count):
+        """Wait until the clients have had so many more answers."""
+        goal = self._answered() + count
+
+        async def enough():
+            return self._answered() >= goal
+
+        async with asyncio.timeout(soak_world.START_TIMEOUT_S):
+            await self._until(enough)
+
+    def _answered(self):
+        return sum(a.complete for client in self.clients for a in client.attempts)
+
+    async def stop(self):
+        self.stopping.set()
+        await asyncio.gather(*self.tasks)
+        await self.world.stop()
+
+
+async def _serves(host, route):
+    reader, writer = await asyncio.open_connection(host, soak_world.CLIENTS_PORT)
+    writer.write(route_world.request(route, "probe"))
+    answer = await route_world.reply(reader)
+    writer.close()
+    return answer.status == 200
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -22,6 +22,7 @@
 CLIENTS_PORT = 8080
 READY_PORT = 8081
 PEERS_PORT = 8082
+METRICS_PORT = 8083
 RELAY_PORT = 8090
 STORE_PORT = 9000
 SERVER_PORT = 9100
@@ -167,6 +168,17 @@
             return False
         return b" 200 " in line
 
+    async def metric(self, name, metric):
+        """Return the value of a gauge of a gateway."""
+        reader, writer = await asyncio.open_connection(
+            self.gateways[name].host, METRICS_PORT
+        )
+        writer.write(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        text = (await route_world.reply(reader)).body.decode()
+        writer.close()
+        values = dict(line.rsplit(" ", 1) for line in text.splitlines())
+        return float(values[f"pimentolatch_{metric}"])
+
     async def wait_until(self, condition):
         """Wait until `condition` returns true."""
         for _ in range(round(START_TIMEOUT_S / POLL_S)):
@@ -206,6 +218,7 @@
             "failure_domain": "here",
             "clients": f"{host}:{CLIENTS_PORT}",
             "readiness": f"{host}:{READY_PORT}",
+            "metrics": f"{host}:{METRICS_PORT}",
             "peers": {
                 "host": host,
                 "ports": [PEERS_PORT, PEERS_PORT],
