Bound the time for which a watch of the store may go without an answer

Callers saw nothing; leaving servers went on getting requests, and new routes got 404, for up to 31 s after a connection to the store had fallen silent.

Cause: a watch waited 30 s for its answer and relied on TCP keep-alive to detect a dead connection earlier. Keep-alive is answered below the layer that does the work: by a proxy that has lost the connection's state, or by the kernel of a process that hangs. The time limit was longer than the promises that hang on it (2 s for leaving servers and for configurations).

Now a watch waits two fifths of that promise, taken from the settings, and an answer that is a fifth of it overdue counts as silence: idle connections are closed too, and everything is listed anew. An instance that notices withdraws its offer to read for its failure domain, as it does for any failed call.

A pause after an answer without changes is left out, since there is nothing to coalesce.

--- a/src/pimentolatch/call_budget.py
+++ b/src/pimentolatch/call_budget.py
@@ -100,12 +100,19 @@
         return self._count("list", await self._inner.list_objects(kind, prefix))
 
     async def watch(
-        self, kind: str, *, after: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait: datetime.timedelta,
+        answer_limit: datetime.timedelta | None = None,
     ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`."""
         if not await self._budget.take():
             return self._over_budget("watch")
-        outcome = await self._inner.watch(kind, after=after, wait=wait)
+        outcome = await self._inner.watch(
+            kind, after=after, wait=wait, answer_limit=answer_limit
+        )
         return self._count("watch", outcome)
 
     async def instances(self) -> tuple[store.Instance, ...] | store.Unavailable:
--- /dev/null
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -0,0 +1,51 @@
+"""Decides how long a watch of the platform's store may go without an answer.
+
+Load pattern: the connection of a watch falls silent and stays open. Keep-alive probes
+are answered all the same, by a proxy on the way or by the kernel of a process that
+hangs. An instance that waits there goes on sending requests to servers that have left,
+and by routes that are gone, for as long as it waits.
+
+Only an answer of the store shows that it still tells of changes. So the store is asked
+to answer within a part of the time in which a change must be in force, even if nothing
+has changed, and an answer that is overdue makes the connection count as silent. The
+rest of that time remains to list anew over another connection, and for the instances
+that learn of changes from this one.
+
+Each answer is a call, of which the store limits and bills the number: 2.5 a second for
+an instance that watches two kinds, at two seconds until a change must be in force.
+"""
+
+import dataclasses
+import datetime
+
+__all__ = ["WatchLimits", "watch_limits"]
+
+_WAIT_SHARE = 0.4
+# Lost packets are sent again after 200 ms, and a slow store takes as long to answer.
+_ANSWER_SHARE = 0.2
+# Longest wait that the platform accepts.
+_MAX_WAIT = datetime.timedelta(seconds=30)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchLimits:
+    """Time limits of one watch call.
+
+    Attributes:
+        wait: The store answers after this time even if nothing has changed.
+        answer: Further time after which the connection counts as silent.
+    """
+
+    wait: datetime.timedelta
+    answer: datetime.timedelta
+
+
+def watch_limits(in_force_within: datetime.timedelta) -> WatchLimits:
+    """Return the limits for a kind of object.
+
+    Args:
+        in_force_within: Time in which a change must be in force on all instances.
+    """
+    return WatchLimits(
+        min(_WAIT_SHARE * in_force_within, _MAX_WAIT), _ANSWER_SHARE * in_force_within
+    )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -194,9 +194,15 @@
             fleet,
             self._peer_table,
             (
-                store_watch.ConfigurationWatch(self._store, fleet, time),
+                store_watch.ConfigurationWatch(
+                    self._store, fleet, time, chosen.bounds.configuration_watch
+                ),
                 store_watch.ServerWatch(
-                    self._store, fleet, self._expired_servers, time
+                    self._store,
+                    fleet,
+                    self._expired_servers,
+                    time,
+                    chosen.bounds.server_watch,
                 ),
             ),
             time,
@@ -298,6 +304,7 @@
             update={"bounds": after.bounds, "quarantine": after.quarantine}
         )
         self._quarantine.apply(after.quarantine.policy)
+        self._watch_controller.apply(after.bounds)
         bounds = after.bounds
         self._budget.configure(
             bounds.repeat_ratio,
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from pimentolatch import settings, validation
-from pimentolatch.decisions import crash_suspects, server_plan
+from pimentolatch.decisions import crash_suspects, server_plan, watch_schedule
 
 __all__ = [
     "BoundSettings",
@@ -66,6 +66,9 @@
         repeat_window_s: Length of the sliding window in which they are counted.
         repeat_slack: Additional retries allowed, over all instances.
         lease_ms: Shortest time between orders of two successive leaders.
+        server_change_ms: Time within which all instances have to observe that a server
+            leaves, from the store's acknowledgement on.
+        configuration_change_ms: The same for a new configuration.
     """
 
     stop_grace_s: float = pydantic.Field(default=8.0, gt=0)
@@ -73,6 +76,18 @@
     repeat_window_s: float = pydantic.Field(default=10.0, gt=0)
     repeat_slack: float = pydantic.Field(default=0.0, ge=0)
     lease_ms: float = pydantic.Field(default=3000.0, gt=0)
+    server_change_ms: float = pydantic.Field(default=2000.0, gt=0)
+    configuration_change_ms: float = pydantic.Field(default=2000.0, gt=0)
+
+    @property
+    def server_watch(self) -> watch_schedule.WatchLimits:
+        """Time limits of a watch of the servers."""
+        return _watch_limits(self.server_change_ms)
+
+    @property
+    def configuration_watch(self) -> watch_schedule.WatchLimits:
+        """Time limits of a watch of the configuration."""
+        return _watch_limits(self.configuration_change_ms)
 
 
 class ControlSettings(validation.CheckedModel):
@@ -166,3 +181,9 @@
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
     digest_key: str = pydantic.Field(default="", max_length=64)
+
+
+def _watch_limits(in_force_within_ms: float) -> watch_schedule.WatchLimits:
+    return watch_schedule.watch_limits(
+        datetime.timedelta(milliseconds=in_force_within_ms)
+    )
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -7,6 +7,7 @@
 import logbook
 
 from pimentolatch import backoff, clock, store
+from pimentolatch.decisions import watch_schedule
 from pimentolatch.gateway import expired_entries, fleet_state
 from pimentolatch.platform import configuration, objects, server_entries
 from pimentolatch.routes import servers
@@ -18,9 +19,6 @@
 ]
 
 _log = logbook.Logger("watch")
-# The store answers a watch within this time even if nothing has changed. A dead
-# connection is detected much earlier, by keep-alive probes.
-_WATCH_TIMEOUT = datetime.timedelta(seconds=30)
 _FIRST_PAUSE = datetime.timedelta(milliseconds=100)
 # Bounds the backoff. During an outage of the store every instance of a failure domain
 # retries, on average once a second.
@@ -42,9 +40,16 @@
     its history. A watch resumed at the old revision would miss them and receive nothing
     until the next change, so an interruption is always followed by a listing.
 
+    Args:
+        source: The platform's store.
+        fleet: State that the objects are applied to.
+        time: Clock of this instance.
+        limits: How long the store may take to answer a watch.
+
     Attributes:
         kind: Kind of the watched objects.
-        coalesce_interval: Pause after an answer, in which changes accumulate.
+        coalesce_interval: Pause after changes, in which further ones accumulate.
+        limits: How long the store may take to answer a watch.
         unreachable: Whether the last call to the store failed.
     """
 
@@ -56,10 +61,12 @@
         source: objects.ObjectStore,
         fleet: fleet_state.FleetState,
         time: clock.Clock,
+        limits: watch_schedule.WatchLimits,
     ) -> None:
         self._store = source
         self._fleet = fleet
         self._clock = time
+        self.limits = limits
         self._pause = backoff.Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, random.Random())
         self._revision: int | None = None
         self._answered_at = time.monotonic()
@@ -67,14 +74,14 @@
 
     async def catch_up(self) -> None:
         """List the kind once."""
-        if await self._step() is None:
+        if await self._list() is None:
             self._on_response()
 
     async def run(self) -> None:
         """List, then watch the store; runs until cancelled."""
         self._revision = None
         while True:
-            outcome = await self._step()
+            outcome = await (self._list() if self._revision is None else self._watch())
             if isinstance(outcome, store.Unavailable):
                 if not self.unreachable:
                     _log.warn(
@@ -92,28 +99,35 @@
                 _log.info("store regained", kind=self.kind, revision=self._revision)
             self.unreachable = False
             self._on_response()
-            self._pause.reset()
-
-    async def _step(self) -> store.Unavailable | None:
-        if self._revision is None:
-            listing = await self._store.list_objects(self.kind)
-            if isinstance(listing, store.Unavailable):
-                return listing
-            self._revision = listing.revision
-            self._apply_listing(listing)
-            return None
+
+    async def _list(self) -> store.Unavailable | None:
+        listing = await self._store.list_objects(self.kind)
+        if isinstance(listing, store.Unavailable):
+            return listing
+        self._revision = listing.revision
+        self._apply_listing(listing)
+        return None
+
+    async def _watch(self) -> store.Unavailable | None:
+        assert self._revision is not None
         outcome = await self._store.watch(
-            self.kind, after=self._revision, wait=_WATCH_TIMEOUT
+            self.kind,
+            after=self._revision,
+            wait=self.limits.wait,
+            answer_limit=self.limits.answer,
         )
         if isinstance(outcome, store.Unavailable):
             return outcome
+        # Not after a listing: a store too slow to answer watches in time would get a
+        # listing of everything each time, without a pause.
+        self._pause.reset()
         if isinstance(outcome, store.HistoryGone):
             _log.info("history gone, listing anew", kind=self.kind)
             self._revision = None
             return None
         self._revision = outcome.revision
         self._apply_changes(outcome)
-        if self.coalesce_interval:
+        if self.coalesce_interval and (outcome.changed or outcome.removed):
             await self._clock.sleep(self.coalesce_interval)
         return None
 
@@ -162,6 +176,7 @@
         fleet: State that the servers are applied to.
         expired_servers: Receives the servers missing from a listing after an outage.
         time: Clock of this instance.
+        limits: How long the store may take to answer a watch.
     """
 
     kind = server_entries.SERVER_KIND
@@ -173,8 +188,9 @@
         fleet: fleet_state.FleetState,
         expired_servers: expired_entries.ExpiredServers,
         time: clock.Clock,
+        limits: watch_schedule.WatchLimits,
     ) -> None:
-        super().__init__(source, fleet, time)
+        super().__init__(source, fleet, time, limits)
         self._expired = expired_servers
         self._unusable: set[str] = set()
 
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -11,7 +11,7 @@
 
 from pimentolatch import clock, tasks
 from pimentolatch.decisions import store_readers
-from pimentolatch.gateway import fleet_state, peer_table, store_watch
+from pimentolatch.gateway import fleet_state, peer_table, settings, store_watch
 
 __all__ = ["WatchController"]
 
@@ -54,6 +54,12 @@
         self._running: list[asyncio.Task[None]] = []
         self._needed_at = datetime.timedelta()
 
+    def apply(self, bounds: settings.BoundSettings) -> None:
+        """Apply new settings; a watch that waits keeps the limits that it has."""
+        configuration_watch, server_watch = self._watches
+        configuration_watch.limits = bounds.configuration_watch
+        server_watch.limits = bounds.server_watch
+
     async def run(self) -> None:
         """Watch the store whenever this domain needs it; runs until cancelled."""
         try:
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -58,12 +58,18 @@
             after = found[-1].name
 
     async def watch(
-        self, kind: str, *, after: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait: datetime.timedelta,
+        answer_limit: datetime.timedelta | None = None,
     ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`."""
         milliseconds = int(wait / datetime.timedelta(milliseconds=1))
         query = {"watch": str(after), "wait_ms": str(milliseconds)}
-        response = await self._call("GET", _path(kind, query=query), extra=wait)
+        limit = wait + (answer_limit or self._call_timeout)
+        response = await self._call("GET", _path(kind, query=query), limit=limit)
         if isinstance(response, store.Unavailable):
             return response
         if response.status == 410:
@@ -139,8 +145,9 @@
         target: str,
         body: typing.Any = None,
         *,
-        extra: datetime.timedelta = datetime.timedelta(),
+        limit: datetime.timedelta | None = None,
     ) -> "_Response | store.Unavailable":
+        limit = limit or self._call_timeout
         is_write = method != "GET"
         data = b"" if body is None else json.dumps(body).encode()
         host = f"{self._address.host}:{self._address.port}".encode()
@@ -156,16 +163,21 @@
         except channel.ConnectError as error:
             return store.Unavailable(str(error), effect_unknown=False)
         try:
-            async with asyncio.timeout((self._call_timeout + extra).total_seconds()):
+            async with asyncio.timeout(limit.total_seconds()):
                 link.send(method, target.encode(), [(b"host", host), *_JSON], data)
                 start = await link.read_head()
                 content = await link.read_body()
             # Invalid UTF-8 in one object must not make all others unreadable.
             text = content.decode("utf-8", "replace")
             parsed = json.loads(text) if text else None
+        except TimeoutError:
+            link.close()
+            # Whatever silenced this connection may have silenced the idle ones.
+            self._pool.close()
+            reason = f"no answer within {limit.total_seconds():g} s"
+            return store.Unavailable(reason, effect_unknown=is_write)
         except (
             channel.BrokenError,
-            TimeoutError,
             ValueError,
             RecursionError,
         ) as error:
--- a/src/pimentolatch/store.py
+++ b/src/pimentolatch/store.py
@@ -132,11 +132,23 @@
         """List the objects of a kind whose names start with `prefix`."""
 
     async def watch(
-        self, kind: str, *, after: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait: datetime.timedelta,
+        answer_limit: datetime.timedelta | None = None,
     ) -> Changes | HistoryGone | Unavailable:
         """Return the changes of a kind after a revision; waits until there are any.
 
         The result may be empty after `wait`.
+
+        Args:
+            kind: Kind of the objects.
+            after: The revision.
+            wait: Time after which the store answers even if there are none.
+            answer_limit: How much longer the answer may take; by default as long as
+                that of any other call.
         """
 
     async def instances(self) -> tuple[Instance, ...] | Unavailable:
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -147,7 +147,12 @@
         return listing
 
     async def watch(
-        self, kind: str, *, after: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait: datetime.timedelta,
+        answer_limit: datetime.timedelta | None = None,
     ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`; polls the table by the clock of this store."""
         if failed := await self._start_call(f"watch {kind}"):
@@ -159,7 +164,9 @@
                 break
             await self._clock.sleep(_POLL_INTERVAL)
             if self._faults.silenced != silenced:
-                return await self._unanswered(deadline)
+                return await self._unanswered(
+                    deadline + (answer_limit or _CALL_TIMEOUT)
+                )
         if after < self._table.compacted_revision:
             return store.HistoryGone()
         rows = self._table.changes(kind, after)
@@ -177,7 +184,7 @@
 
     async def _unanswered(self, deadline: datetime.timedelta) -> store.Unavailable:
         """Wait for an answer that does not come, as long as a caller would."""
-        while self._clock.monotonic() < deadline + _CALL_TIMEOUT:
+        while self._clock.monotonic() < deadline:
             await self._clock.sleep(_POLL_INTERVAL)
         return store.Unavailable("no answer", effect_unknown=False)
 
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -6,6 +6,7 @@
 from pimentolatch import clock, settings
 from pimentolatch.backend import channel
 from pimentolatch.gateway import expired_entries, fleet_state, lease, store_watch
+from pimentolatch.gateway import settings as gateway_settings
 from standins import memory_store, object_table
 from tests.support import route_world
 
@@ -246,10 +247,13 @@
 
         link.watch = watch
         self.expired = expired_entries.ExpiredServers(self.known, self.clock)
-        self.watch = store_watch.ServerWatch(link, self.known, self.expired, self.clock)
+        bounds = gateway_settings.BoundSettings()
+        self.watch = store_watch.ServerWatch(
+            link, self.known, self.expired, self.clock, bounds.server_watch
+        )
         self.asks_configuration_first = False
         self.configuration = store_watch.ConfigurationWatch(
-            link, self.known, self.clock
+            link, self.known, self.clock, bounds.configuration_watch
         )
         self.tasks = []
 
--- a/tests/support/config_world.py
+++ b/tests/support/config_world.py
@@ -108,9 +108,9 @@
         self._after = pause
 
     async def watch(
-        self, kind: str, *, after: int, wait: datetime.timedelta
+        self, kind: str, **options: typing.Any
     ) -> store.Listing | store.Unavailable:
-        listing = await super().watch(kind, after=after, wait=wait)
+        listing = await super().watch(kind, **options)
         await self._after("watched")
         return listing
 
