--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -92,7 +92,6 @@
         self._expired = expired_servers
         self._port = port
         self._clock = time
-        self._pool = channel.ChannelPool(_FETCH_TIMEOUT)
         self._behind_since: datetime.timedelta | None = None
 
     async def run(self) -> None:
@@ -116,10 +115,6 @@
             if newer_servers is not None:
                 await self._fetch(newer_servers, _SERVERS, self._apply_servers)
 
-    def close(self) -> None:
-        """Close the pooled connections."""
-        self._pool.close()
-
     def _ahead(self) -> tuple[peer_table.Peer | None, peer_table.Peer | None]:
         """Return peers with a newer configuration and with newer servers, if any."""
         live = self._table.live()
@@ -147,7 +142,7 @@
         address = settings.Address(host=peer.host, port=self._port)
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
-                apply(name, await self._snapshot(name, address, path))
+                apply(name, await _snapshot(address, path))
         except (
             channel.ConnectError,
             channel.BrokenError,
@@ -157,19 +152,6 @@
                 "failed to fetch snapshot from peer", peer=name, reason=repr(error)
             )
 
-    async def _snapshot(self, name: str, address: settings.Address, path: str) -> bytes:
-        connection = await self._pool.acquire(name, address, self._clock.monotonic())
-        try:
-            host = f"{address.host}:{address.port}".encode()
-            connection.send("GET", path.encode(), [(b"host", host)], b"")
-            await connection.read_head()
-            content = await connection.read_body()
-        except BaseException:
-            connection.close()
-            raise
-        self._pool.release(name, connection, self._clock.monotonic())
-        return content
-
     def _apply_configuration(self, name: str, body: bytes) -> None:
         snapshot = snapshots.decode_configuration(body)
         if isinstance(snapshot, snapshots.Malformed):
@@ -196,3 +178,15 @@
         elif self._fleet.replace_servers(snapshot.revision, snapshot.listed, name):
             self._expired.replace(snapshot.expired, snapshot.expired)
             _log.info("servers from peer", peer=name, revision=snapshot.revision)
+
+
+async def _snapshot(address: settings.Address, path: str) -> bytes:
+    """Fetch a snapshot over a new connection; one kept open may have fallen silent."""
+    connection = await channel.connect(address, _FETCH_TIMEOUT)
+    try:
+        host = f"{address.host}:{address.port}".encode()
+        connection.send("GET", path.encode(), [(b"host", host)], b"")
+        await connection.read_head()
+        return await connection.read_body()
+    finally:
+        connection.close()
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -362,7 +362,6 @@
                 server.abort()
         self._beacon_exchange.close()
         self._leader_tasks.close()
-        self._snapshot_fetcher.close()
         self._client.close()
         self._store.close()
 
--- a/tests/features/silent_connections.feature
+++ b/tests/features/silent_connections.feature
@@ -21,3 +21,10 @@
     When silence: the connections of all gateways to the store fall silent
     And silence: the operator adds a route
     Then silence: all gateways serve the route after some seconds
+
+  # Guards against an instance that waits for a peer on a connection that fell silent.
+  Scenario: An instance learns from a peer although its connection to it fell silent
+    Given silence: an instance that has learned the servers of revision 1 from a peer
+    When silence: the connections of the instance to its peer fall silent
+    And silence: the peer has the servers of revision 2
+    Then silence: the instance learns revision 2 without a failed attempt
--- a/tests/features/steps/silent_connections_steps.py
+++ b/tests/features/steps/silent_connections_steps.py
@@ -1,7 +1,20 @@
 import asyncio
+import random
 
 import behave
-
+import logbook
+
+from pimentolatch import clock, settings
+from pimentolatch.decisions import neighbours
+from pimentolatch.entry import http_server
+from pimentolatch.gateway import (
+    expired_entries,
+    fleet_state,
+    peer_snapshots,
+    peer_table,
+)
+from pimentolatch.protocol import beacons
+from standins import processes, relay
 from tests.support import route_world, soak_clients, soak_world
 
 CLIENTS = 6
@@ -55,6 +68,93 @@
     context.world.runner.run(context.world.until_served("added"))
 
 
+@behave.given(
+    "silence: an instance that has learned the servers of revision {revision:d}"
+    " from a peer"
+)
+def learned(context, revision):
+    context.route_runner = asyncio.Runner()
+    context.world = PeerPair(context.route_runner)
+    context.world.start()
+    context.world.tell(revision)
+    context.world.until_learned(revision)
+
+
+@behave.when("silence: the connections of the instance to its peer fall silent")
+def silence_peer(context):
+    context.world.relays.silence("peer")
+
+
+@behave.when("silence: the peer has the servers of revision {revision:d}")
+def peer_has(context, revision):
+    context.world.tell(revision)
+
+
+@behave.then(
+    "silence: the instance learns revision {revision:d} without a failed attempt"
+)
+def learns(context, revision):
+    context.world.until_learned(revision)
+    failed = [r for r in context.world.log.records if "failed" in r.message]
+    assert not failed, failed
+
+
+class PeerPair:
+    """An instance that learns the server list from a peer behind a relay."""
+
+    def __init__(self, runner):
+        self.runner = runner
+        self.relays = relay.Relays()
+        self.log = logbook.TestHandler()
+        network = processes.Network()
+        self._host, self._relay_host = network.address(), network.address()
+        self._peer_fleet = fleet_state.FleetState()
+        self._fleet = fleet_state.FleetState()
+        time = clock.SystemClock()
+        place = neighbours.Place("own", "here")
+        self._table = peer_table.PeerTable("own", place, time, random.Random(1))
+        self._server = http_server.HttpServer(
+            peer_snapshots.SnapshotEndpoint(
+                self._peer_fleet, expired_entries.ExpiredServers(self._peer_fleet, time)
+            ),
+            settings.Address(host=self._host, port=soak_world.PEERS_PORT),
+        )
+        self._fetcher = peer_snapshots.SnapshotFetcher(
+            self._fleet,
+            self._table,
+            expired_entries.ExpiredServers(self._fleet, time),
+            soak_world.PEERS_PORT,
+            time,
+        )
+
+    def start(self):
+        port = soak_world.PEERS_PORT
+        self.log.push_application()
+        self.relays.start("peer", (self._relay_host, port), (self._host, port))
+        self.runner.run(self._server.start())
+        self.task = self.runner.get_loop().create_task(self._fetcher.run())
+
+    def tell(self, revision):
+        """Give the peer a list of this revision, and have its beacon arrive."""
+        self._peer_fleet.replace_servers(revision, [])
+        beacon = beacons.Beacon("peer", "here", "life", 0, revision, False, (), ())
+        self._table.receive(self._relay_host, beacon)
+
+    def until_learned(self, revision):
+        async def wait():
+            async with asyncio.timeout(LEARN_S):
+                while self._fleet.servers_revision < revision:  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_S)
+
+        self.runner.run(wait())
+
+    async def stop(self):
+        self.task.cancel()
+        self.log.pop_application()
+        self._server.abort()
+        self.relays.stop()
+
+
 class Silence:
     """Gateways behind relays, with clients that keep their connections."""
 
