Let the soak silence connections and judge late arrivals more strictly

Connections to the store (of one gateway, of all), to servers and from clients now fall silent, for answers only in half of the cases, in series, overlapping, and followed by drains and new routes; connections stay in use to the end. An arrival is excused by a fault of its gateway in the 3 s before it, or by one of the store when the change was made.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -12,3 +12,13 @@
   Scenario: No promise is broken while a request ends the servers that run it
     When the soak plays seed 301 for 8 seconds with a request that ends servers
     Then no promise was broken and most requests were served
+
+  # Guards against instances that go on by an old list or configuration for half a minute.
+  Scenario Outline: No promise is broken while connections fall silent and changes come
+    When the soak plays seed <seed> for 8 seconds of silence and changes
+    Then no promise was broken and most requests were served
+
+    Examples:
+      | seed |
+      | 1    |
+      | 4    |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -6,6 +6,8 @@
 
 # What is told within seconds is judged by the soak that is run by hand.
 MARGIN_S = 60.0
+# Enough for a busy machine, and far below the longest wait of a watch.
+SILENCE_MARGIN_S = 6.0
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
@@ -22,6 +24,14 @@
     context.result = asyncio.run(played)
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of silence and changes"
+)
+def play_silence(context, seed, seconds):
+    played = soak.run_seed(seed, float(seconds), SILENCE_MARGIN_S, silence=True)
+    context.result = asyncio.run(played)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,6 +2,8 @@
 
 `python -m tests.soak --seeds 1-50` makes fifty runs. `--without NAME` switches one
 safeguard off, which the checks must then detect. `--list` prints the safeguards.
+`--silence` lets connections fall silent and changes come, and nothing else, so that no
+other fault gives an instance a new connection; every other run has one gateway only.
 """
 
 import argparse
@@ -43,7 +45,9 @@
     violations: list
 
 
-async def run_seed(seed, seconds, margin_s, disabled_safeguard=None, fatal=False):
+async def run_seed(
+    seed, seconds, margin_s, disabled_safeguard=None, fatal=False, silence=False
+):
     """Run gateways under the faults of one seed and check what clients received.
 
     Args:
@@ -52,12 +56,15 @@
         margin_s: Added to the time bounds of the checks.
         disabled_safeguard: Name of a safeguard that the gateways run without.
         fatal: One client repeats a request that crashes each server that runs it.
+        silence: Only silence and planned changes are injected.
     """
     world = _make_world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
     injector = soak_faults.FaultInjector(world, clock)
-    faults = soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
-    faults += soak_faults.draw_notices(seed, seconds)
+    faults = soak_faults.draw_notices(seed, seconds)
+    faults += soak_faults.draw_silence(seed, seconds)
+    if not silence:
+        faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
     faults.sort(key=lambda fault: fault.at)
     clients = [
         soak_clients.Client(world, number, seed * 1000 + number, clock)
@@ -68,7 +75,7 @@
         world.fatal_body = soak_clients.FATAL_BODY
         clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
     try:
-        await world.start(GATEWAYS)
+        await world.start(1 if silence and seed % 2 else GATEWAYS)
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
         if fatal:
             tasks.append(asyncio.create_task(world.replace_crashed(stop)))
@@ -157,6 +164,7 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--margin", type=float, default=1.0)
     parser.add_argument("--fatal", action="store_true")
+    parser.add_argument("--silence", action="store_true")
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -169,7 +177,12 @@
     for seed in options.seeds:
         started_at = time.monotonic()
         coroutine = run_seed(
-            seed, options.seconds, options.margin, options.without, options.fatal
+            seed,
+            options.seconds,
+            options.margin,
+            options.without,
+            options.fatal,
+            options.silence,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -44,11 +44,13 @@
         "store forgets",
     }
 )
+# Those of them that affect the store itself: what it acknowledges then is not bound.
+STORE_FAULTS = frozenset({"store down", "store forgets"})
 # Faults that may abort a response.
-ABORTS_RESPONSES = frozenset({*soak_faults.KINDS, soak_faults.CRASHED_BY_REQUEST}) - {
-    *soak_faults.PLANNED,
-    "store forgets",
-}
+ABORTS_RESPONSES = (
+    frozenset({*soak_faults.KINDS, soak_faults.CRASHED_BY_REQUEST})
+    - {*soak_faults.PLANNED, "store forgets"}
+) | soak_faults.SILENCE_ABORTS
 # Log lines that report an error of the gateway itself.
 ERROR_LINES = re.compile(r'"(request failed|task failed[^"]*)"|Traceback')
 
@@ -160,6 +162,17 @@
     )
 
 
+def _excused(injected, changed_at, at, gateway):
+    """Return whether a gateway need not know a change at a moment.
+
+    A fault that ended long enough before that moment excuses nothing, even if the
+    change was made in it; nor does one that began after it.
+    """
+    return _affected(injected, at, at, gateway, DELAYS_UPDATES) or _affected(
+        injected, changed_at, changed_at, "", STORE_FAULTS
+    )
+
+
 def _drain_violations(attempts, servers, injector, margin_s):
     senders = {attempt.request_id: attempt.gateway for attempt in attempts}
     for server in servers:
@@ -168,9 +181,7 @@
             continue
         for gateway, at in _arrivals(server, senders):
             late = at - started_at - MAX_DRAIN_DELAY_S - margin_s
-            if late > 0 and not _affected(
-                injector.injected, started_at, at, gateway, DELAYS_UPDATES
-            ):
+            if late > 0 and not _excused(injector.injected, started_at, at, gateway):
                 yield (
                     f"{server.server_id} got a request {late:.2f} s too late from "
                     f"{gateway} after its drain began"
@@ -287,12 +298,8 @@
                     f"{attempt.gateway} served {attempt.route} and then answered 404"
                 )
             late = attempt.sent_at - added_at - MAX_CONFIGURE_DELAY_S - margin_s
-            if late > 0 and not _affected(
-                injector.injected,
-                added_at,
-                attempt.ended_at,
-                attempt.gateway,
-                DELAYS_UPDATES,
+            if late > 0 and not _excused(
+                injector.injected, added_at, attempt.sent_at, attempt.gateway
             ):
                 yield (
                     f"{attempt.gateway} answered 404 for {attempt.route} "
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -129,6 +129,36 @@
     return faults
 
 
+# Faults that silence open connections for good.
+SILENCE_KINDS = (
+    "store silent",
+    "all stores silent",
+    "server silent",
+    "clients silent",
+    "changes in silence",
+    "changes in silence",
+)
+# Silence that may abort a response. What instances learn is never excused by it.
+SILENCE_ABORTS = frozenset({"server silent", "clients silent"})
+# Mean time between two faults of silence.
+SILENCE_INTERVAL_S = 1.5
+
+
+def draw_silence(seed, seconds):
+    """Return the faults of a run in which connections fall silent.
+
+    Half of them coincide with the one before, and many with faults of other kinds.
+    """
+    rng = random.Random(f"silence of {seed}")
+    faults = []
+    at = 0.5
+    while at < seconds:
+        kind = rng.choice(SILENCE_KINDS)
+        faults.append(Fault(at, kind, rng.random(), rng.uniform(0.0, 1.0)))
+        at += rng.choice((0.0, 2.0)) * rng.uniform(0.5, 1.5) * SILENCE_INTERVAL_S
+    return faults
+
+
 @dataclasses.dataclass
 class NamedLimit:
     """A limit that a server named, with the span of time."""
@@ -312,6 +342,36 @@
         await asyncio.sleep(DECLINE_S)
         server.retry_after = None
 
+    async def _store_silent(self, fault, injected):
+        gateway = self._gateway(fault, injected)
+        self._silence(f"store of {gateway.name}", fault)
+
+    async def _all_stores_silent(self, fault, injected):
+        for name in self._world.gateways:
+            self._silence(f"store of {name}", fault)
+
+    async def _server_silent(self, fault, injected):
+        self._silence(self._server(fault).server_id, fault)
+
+    async def _clients_silent(self, fault, injected):
+        gateway = self._gateway(fault, injected)
+        self._silence(f"clients of {gateway.name}", fault)
+
+    async def _changes_in_silence(self, fault, injected):
+        """Change routes and servers right after all gateways' watches fell silent."""
+        await self._all_stores_silent(fault, injected)
+        await asyncio.sleep(fault.duration_s)
+        await asyncio.gather(
+            self._configure(fault, injected), self._drain(fault, injected)
+        )
+
+    def _silence(self, relay_name, fault):
+        """Silence a relay's connections, in half of the cases for answers only."""
+        answers_only = int(fault.selector * 1000) % 2
+        self._world.relays.silence(
+            relay_name, *([relay.TO_CLIENT] if answers_only else [])
+        )
+
     async def _configure(self, fault, injected):
         name = f"added{self._world.version}"
         await self._world.configure(route_world.route(name, "app", "safe"))
