--- a/src/pimentolatch/control/store_watch.py
+++ b/src/pimentolatch/control/store_watch.py
@@ -21,8 +21,8 @@
 __all__ = ["DocumentHandler", "StoreWatcher", "ViewHandler"]
 
 _log = logbook.Logger("configuration")
-# A watch ends within the longest time between two checks: its connection may fall silent
-# and stay open, and then the instance learns no more from it than from a check.
+# A watch ends within the longest time between two checks. Its connection may fall
+# silent and stay open, and other instances then find a change by a check.
 _WATCH_WAIT = datetime.timedelta(seconds=5)
 _WATCH_ANSWER_LIMIT = datetime.timedelta(seconds=2)
 # A document must be in force within 11 s: at most 8 s until a check finds it, and 3 s
