Ask a silent engine for its report over a new connection too

Callers saw nothing by itself; the engine counted as crashed: it was passed over, and the request was noted as one that crashes servers, three of which keep it from all servers for ten minutes.

Cause: an engine that has not answered in time is asked for its report over a kept connection. If kept connections to it have fallen silent, which is why it did not answer, the report is lost as well, and the engine counts as one that answers nobody.

Now the report is asked for over a kept and over a new connection at the same time: a server at capacity accepts no new one. The first report counts.

The scenario failed before ('the engine answers nobody'), and passes.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -327,6 +327,7 @@
         now: datetime.timedelta,
         *,
         max_idle: datetime.timedelta | None = None,
+        reuse: bool = True,
     ) -> Channel:
         """Return an idle connection or a new one; raises `ConnectError`.
 
@@ -335,7 +336,10 @@
             address: Address of the server.
             now: The current time.
             max_idle: Connections that were idle for longer are not reused.
+            reuse: Whether an idle connection may be returned.
         """
+        if not reuse:
+            return await connect(address, self._connect_limit)
         idle_connections = self._idle.get(server, [])
         while idle_connections:
             entry = idle_connections.pop()
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -256,17 +256,30 @@
         body: bytes = b"",
         *,
         limit: datetime.timedelta,
+        new_connection: bool = False,
     ) -> FullResponse | NotSent | OutcomeUnknown:
-        """Call the server's own interface over a connection of the pool."""
-        async with self.session(server) as calls:
+        """Call the server's own interface over a connection of the pool.
+
+        Args:
+            server: The server.
+            method: Method of the call.
+            target: Target of the call.
+            fields: Header fields besides the host.
+            body: Body of the call.
+            limit: Time limit from the connection to the end of the response.
+            new_connection: Use no kept connection; the new one is kept.
+        """
+        async with self.session(server, new_connection=new_connection) as calls:
             return await calls.call(method, target, fields, body, limit=limit)
 
     @contextlib.asynccontextmanager
     async def session(
-        self, server: servers.Server
+        self, server: servers.Server, *, new_connection: bool = False
     ) -> abc.AsyncGenerator["Session", None]:
         """Make several calls to a server's own interface over one connection."""
-        calls = Session(server, self._pool, self._flow, self._clock)
+        calls = Session(
+            server, self._pool, self._flow, self._clock, new_connection=new_connection
+        )
         try:
             yield calls
         finally:
@@ -324,7 +337,10 @@
         pool: channel.ChannelPool,
         flow: flow_control.FlowControl,
         time: clock.Clock,
+        *,
+        new_connection: bool = False,
     ) -> None:
+        self._new_connection = new_connection
         self._server = server
         self._pool = pool
         self._flow = flow
@@ -373,7 +389,10 @@
     async def _connection(self) -> channel.Channel:
         if self._link is None:
             self._link = await self._pool.acquire(
-                self._server.incarnation, self._server.address, self._clock.monotonic()
+                self._server.incarnation,
+                self._server.address,
+                self._clock.monotonic(),
+                reuse=not self._new_connection,
             )
         elif not self._link.reusable:
             raise channel.ConnectError("connection was closed after the previous call")
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -109,12 +109,39 @@
     async def _fetch_report(
         self, server: servers.Server
     ) -> engine_reports.EngineReport | None:
-        response = await self._client.call(
-            server, "GET", engines.REPORT_TARGET, limit=_REPORT_TIMEOUT
-        )
-        if isinstance(response, dispatch.FullResponse):
-            return engines.decode_report(response.body)
-        if isinstance(response, dispatch.NotSent) and not response.unresponsive:
+        """Ask for a report over a kept and over a new connection at the same time.
+
+        A kept one may have fallen silent, and a server at capacity accepts no new one:
+        either alone would make a running engine count as one that has stopped.
+        """
+        calls = {
+            asyncio.create_task(self._call(server, new_connection=new_connection))
+            for new_connection in (False, True)
+        }
+        is_full = False
+        try:
+            for completed in asyncio.as_completed(calls):
+                response = await completed
+                if isinstance(response, dispatch.FullResponse):
+                    return engines.decode_report(response.body)
+                is_full |= (
+                    isinstance(response, dispatch.NotSent) and not response.unresponsive
+                )
+        finally:
+            for call in calls:
+                call.cancel()
+        if is_full:
             # It refuses further connections, so it is running and at capacity.
             return engine_reports.EngineReport(servers.Stage.DECODE, False, 0, queued=1)
         return None
+
+    async def _call(
+        self, server: servers.Server, *, new_connection: bool
+    ) -> dispatch.FullResponse | dispatch.NotSent | dispatch.OutcomeUnknown:
+        return await self._client.call(
+            server,
+            "GET",
+            engines.REPORT_TARGET,
+            limit=_REPORT_TIMEOUT,
+            new_connection=new_connection,
+        )
--- a/tests/features/silent_connections.feature
+++ b/tests/features/silent_connections.feature
@@ -34,3 +34,10 @@
     Given silence: an instance with two peers, of which the first hangs
     When silence: both have told it of revision 1
     Then silence: the instance learns revision 1 after one failed attempt
+
+  # Guards against a live engine that counts as crashed since kept connections are silent.
+  Scenario: An engine whose kept connections fell silent does not count as crashed
+    Given silence: 1 gateways and clients that go on asking
+    When silence: the kept connections to all servers fall silent
+    And silence: 1 prompts and 0 calls are sent at once
+    Then silence: a stall check finds that the engine has lost the request
--- a/tests/features/steps/silent_connections_steps.py
+++ b/tests/features/steps/silent_connections_steps.py
@@ -1,12 +1,13 @@
 import asyncio
 import dataclasses
+import json
 import random
 
 import behave
 import logbook
 
 from pimentolatch import clock, settings
-from pimentolatch.decisions import neighbours
+from pimentolatch.decisions import neighbours, stall_check
 from pimentolatch.entry import http_server
 from pimentolatch.gateway import (
     expired_entries,
@@ -27,6 +28,8 @@
 # Of a failure domain so many gateways read the store, with a watch of each kind.
 MAX_READERS = 3
 WATCHES = 2
+# Requests of each kind that are sent at once before connections to servers fall silent.
+KEPT = 12
 
 
 @behave.given("silence: {count:d} gateways and clients that go on asking")
@@ -120,6 +123,29 @@
     assert context.world.failed_attempts() == 1, context.world.failed_attempts()
 
 
+@behave.when("silence: the kept connections to all servers fall silent")
+def silence_servers(context):
+    context.world.runner.run(context.world.silence_servers())
+
+
+@behave.when("silence: {prompts:d} prompts and {calls:d} calls are sent at once")
+def sent_at_once(context, prompts, calls):
+    asked = context.world.ask_at_once("late", prompts, calls)
+    context.answers = context.world.runner.run(asked)
+
+
+@behave.then("silence: a stall check finds that the engine has lost the request")
+def found_lost(context):
+    verdicts = {line["verdict"] for line in context.world.lines("doubted", "late")}
+    assert verdicts == {stall_check.Verdict.LOST.value}, verdicts
+
+
+@behave.then("silence: all are answered")
+def all_answered(context):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * len(statuses), statuses
+
+
 @dataclasses.dataclass(frozen=True)
 class Peer:
     name: str
@@ -221,6 +247,47 @@
             await self._until(self._all_read)
         await self._until_answered(REQUESTS_AFTER)
 
+    async def stop_clients(self):
+        self.stopping.set()
+        await asyncio.gather(*self.tasks)
+        self.tasks = []
+
+    async def ask(self, route, request_id, gateway=None):
+        """Send a request to a gateway, the first by default; return the answer."""
+        gateway = gateway or next(iter(self.world.gateways.values()))
+        reader, writer = await asyncio.open_connection(
+            gateway.host, soak_world.CLIENTS_PORT
+        )
+        writer.write(route_world.request(route, request_id))
+        try:
+            async with asyncio.timeout(LEARN_S):
+                return await route_world.reply(reader)
+        finally:
+            writer.close()
+
+    async def ask_at_once(self, prefix, prompts, calls):
+        """Send requests whose ids begin with `prefix`; return the answers."""
+        routes = ["digest"] * prompts + ["notify"] * calls
+        sent = (self.ask(route, f"{prefix}{n}") for n, route in enumerate(routes))
+        return await asyncio.gather(*sent)
+
+    def lines(self, event, prefix):
+        """Return the log lines of an event for requests whose ids begin so."""
+        logs = self.world.logs().values()
+        lines = [json.loads(line) for log in logs for line in log.splitlines()]
+        return [
+            line
+            for line in lines
+            if line["message"] == event and line["id"].startswith(prefix)
+        ]
+
+    async def silence_servers(self):
+        """Have several connections of each server kept, then silence them."""
+        await self.stop_clients()
+        await self.ask_at_once("early", KEPT, KEPT)
+        silenced = [self.world.relays.silence(name) for name in self.world.servers]
+        assert sum(silenced) > len(silenced), silenced
+
     def silence_store(self):
         world = self.world
         counts = [world.relays.silence(f"store of {name}") for name in world.gateways]
@@ -277,7 +344,10 @@
         """Wait until each gateway serves a route."""
         async with asyncio.timeout(LEARN_S):
             for gateway in self.world.gateways.values():
-                await self._until(lambda host=gateway.host: _serves(host, route))
+                await self._until(lambda by=gateway: self._serves(by, route))
+
+    async def _serves(self, gateway, route):
+        return (await self.ask(route, "probe", gateway)).status == 200
 
     def _request_ids(self):
         return {a.request_id for client in self.clients for a in client.attempts}
@@ -296,14 +366,5 @@
         return sum(a.complete for client in self.clients for a in client.attempts)
 
     async def stop(self):
-        self.stopping.set()
-        await asyncio.gather(*self.tasks)
+        await self.stop_clients()
         await self.world.stop()
-
-
-async def _serves(host, route):
-    reader, writer = await asyncio.open_connection(host, soak_world.CLIENTS_PORT)
-    writer.write(route_world.request(route, "probe"))
-    answer = await route_world.reply(reader)
-    writer.close()
-    return answer.status == 200
