Repeat a request that got no answer over a new connection

Cause: a request that got no answer on a kept connection was sent to another server over another kept connection, which was silent as well, until its attempts or its time were used up.

Now a request that has got no answer once is sent on over a new connection. The first loss can't be told from a slow server; the second is avoided. That is one connection for each repeat, and repeats are bounded by their budget.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -108,7 +108,12 @@
             if prefilled is None
             else None,
         )
-        call = self._context.client.open(place.engine.server, request, options)
+        call = self._context.client.open(
+            place.engine.server,
+            request,
+            options,
+            new_connection=progress.unanswered,
+        )
         if not request.route.repeatable:
             return await call
         return await self._context.stall_checks.wait_unless_stalled(
@@ -143,6 +148,7 @@
             return False
         loads.failed(engine, now)
         if isinstance(outcome, dispatch.OutcomeUnknown):
+            progress.unanswered = True
             self._count_run(generation)
             if outcome.server_crashed:
                 self._context.crash_quarantine.record_crash(
@@ -178,6 +184,7 @@
             await self._relay_events(generation, opened)
         except channel.BrokenError as error:
             opened.link.close()
+            progress.unanswered = True
             progress.reason = str(error)
             broken = dispatch.OutcomeUnknown(progress.reason, server_crashed=True)
             self._context.crash_quarantine.record_crash(request, engine.server, sent_at)
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -179,6 +179,8 @@
         server: servers.Server,
         request: client_request.ClientRequest,
         options: http_headers.DispatchOptions,
+        *,
+        new_connection: bool = False,
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
 
@@ -187,6 +189,13 @@
 
         The caller owns the connection of an `OpenResponse`. In all other cases,
         cancellation included, it is closed or returned to the pool.
+
+        Args:
+            server: The server.
+            request: The request.
+            options: Options of this dispatch.
+            new_connection: Use no kept connection. A request that has got no answer
+                before may have met a silent one, and the next may be silent as well.
         """
         max_idle = (
             None
@@ -199,6 +208,7 @@
                 server.address,
                 self._clock.monotonic(),
                 max_idle=max_idle,
+                reuse=not new_connection,
             )
         except channel.ConnectError as error:
             return NotSent(str(error), error.unresponsive)
@@ -223,9 +233,13 @@
         server: servers.Server,
         request: client_request.ClientRequest,
         options: http_headers.DispatchOptions,
+        *,
+        new_connection: bool = False,
     ) -> FullResponse | NotSent | Declined | OutcomeUnknown | Withheld:
-        """Send a request and read its response to the end."""
-        opened = await self.open(server, request, options)
+        """Send a request and read its response to the end; see `open`."""
+        opened = await self.open(
+            server, request, options, new_connection=new_connection
+        )
         if not isinstance(opened, OpenResponse):
             return opened
         with self.returned_to_pool(server, opened):
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -109,7 +109,9 @@
             )
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
-            outcome = await self._send(server, request, may_repeat)
+            outcome = await self._send(
+                server, request, may_repeat, new_connection=possible_runs > 0
+            )
             self._report_outcome(server, request, outcome, begun)
             # An error response of a server says more than a later failed dispatch.
             if not isinstance(last, dispatch.FullResponse) or isinstance(
@@ -238,6 +240,8 @@
         server: servers.Server,
         request: client_request.ClientRequest,
         may_repeat: bool,
+        *,
+        new_connection: bool,
     ) -> _Outcome:
         now = self._clock.monotonic()
         listed = self._fleet.server_list_status(now)
@@ -251,7 +255,9 @@
         self._choice.begin(server)
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                outcome = await self._client.fetch(server, request, options)
+                outcome = await self._client.fetch(
+                    server, request, options, new_connection=new_connection
+                )
         except TimeoutError:
             outcome = dispatch.OutcomeUnknown("no answer in time")
         finally:
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -75,10 +75,12 @@
                 loads.declined(engine, now)
             else:
                 loads.failed(engine, now)
-            if isinstance(outcome, dispatch.OutcomeUnknown) and outcome.server_crashed:
-                self._context.crash_quarantine.record_crash(
-                    request, engine.server, sent_at
-                )
+            if isinstance(outcome, dispatch.OutcomeUnknown):
+                progress.unanswered = True
+                if outcome.server_crashed:
+                    self._context.crash_quarantine.record_crash(
+                        request, engine.server, sent_at
+                    )
             progress.reason = f"prompt not read: {dispatch.describe(outcome)}"
             return None
         if progress.prefilled_before:
@@ -114,7 +116,10 @@
                     place.prefill_engine,
                     request.request_id,
                     self._context.client.fetch(
-                        place.prefill_engine.server, request, options
+                        place.prefill_engine.server,
+                        request,
+                        options,
+                        new_connection=progress.unanswered,
                     ),
                     request_progress.first_event_limit(place),
                 )
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -137,6 +137,7 @@
         failed: Engines that failed or declined it.
         possible_runs: Engines that may have started to decode.
         outcome_pending: A dispatch is in flight whose outcome is not known yet.
+        unanswered: A dispatch has got no answer, or only a part of it.
         withheld: The last dispatch was not sent, for want of a permit.
         dispatches: Dispatches that reached an engine, as the retry budget counts them.
         prefilled_before: The prompt has been prefilled on a separate engine before.
@@ -154,6 +155,7 @@
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
     outcome_pending: bool = False
+    unanswered: bool = False
     withheld: bool = False
     dispatches: int = 0
     prefilled_before: bool = False
--- a/tests/features/silent_connections.feature
+++ b/tests/features/silent_connections.feature
@@ -41,3 +41,10 @@
     When silence: the kept connections to all servers fall silent
     And silence: 1 prompts and 0 calls are sent at once
     Then silence: a stall check finds that the engine has lost the request
+
+  # Guards against a request that is lost once more on each silent connection it gets.
+  Scenario: A request that was lost on a silent connection is repeated over a new one
+    Given silence: 1 gateways and clients that go on asking
+    When silence: the kept connections to all servers fall silent
+    And silence: 12 prompts and 12 calls are sent at once
+    Then silence: all are answered
