Give watches of a slow store more time before they count as silent

Found by reading the bound on silent watches again, not seen by callers: a store that takes longer to answer than a fifth of the time allowed for a change would have every watch given up and everything listed in its place, which makes it slower still.

The listing that follows a watch without an answer shows how slow the store is, and so does each watch that ends without changes; the next watch gets twice that time if it is more. A silent connection is not affected: its listing comes over a new one, at once.

--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -11,6 +11,10 @@
 rest of that time remains to list anew over another connection, and for the instances
 that learn of changes from this one.
 
+A store that is slow answers late on every connection. The listing that follows a watch
+without an answer shows how slow it is, and so does each watch without changes; the next
+one gets more time accordingly. Listings in place of watches would make it slower.
+
 Each answer is a call, of which the store limits and bills the number: 2.5 a second for
 an instance that watches two kinds, at two seconds until a change must be in force.
 """
@@ -23,6 +27,8 @@
 _WAIT_SHARE = 0.4
 # Lost packets are sent again after 200 ms, and a slow store takes as long to answer.
 _ANSWER_SHARE = 0.2
+# A store that slows down further needs more time than it took for its last answer.
+_LATENCY_FACTOR = 2
 # Longest wait that the platform accepts.
 _MAX_WAIT = datetime.timedelta(seconds=30)
 
@@ -33,12 +39,20 @@
 
     Attributes:
         wait: The store answers after this time even if nothing has changed.
-        answer: Further time after which the connection counts as silent.
+        answer: Further time that an answer may take unless the store is slow.
     """
 
     wait: datetime.timedelta
     answer: datetime.timedelta
 
+    def answer_limit(self, latency: datetime.timedelta) -> datetime.timedelta:
+        """Return when the connection counts as silent, from the end of the wait.
+
+        Args:
+            latency: How long the store took for its last answer, the wait left out.
+        """
+        return max(self.answer, _LATENCY_FACTOR * latency)
+
 
 def watch_limits(in_force_within: datetime.timedelta) -> WatchLimits:
     """Return the limits for a kind of object.
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -70,6 +70,7 @@
         self._pause = backoff.Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, random.Random())
         self._revision: int | None = None
         self._answered_at = time.monotonic()
+        self._latency = datetime.timedelta()
         self.unreachable = False
 
     async def catch_up(self) -> None:
@@ -101,25 +102,29 @@
             self._on_response()
 
     async def _list(self) -> store.Unavailable | None:
+        begun = self._clock.monotonic()
         listing = await self._store.list_objects(self.kind)
         if isinstance(listing, store.Unavailable):
             return listing
+        self._latency = self._clock.monotonic() - begun
         self._revision = listing.revision
         self._apply_listing(listing)
         return None
 
     async def _watch(self) -> store.Unavailable | None:
         assert self._revision is not None
+        limits = self.limits
+        begun = self._clock.monotonic()
         outcome = await self._store.watch(
             self.kind,
             after=self._revision,
-            wait=self.limits.wait,
-            answer_limit=self.limits.answer,
+            wait=limits.wait,
+            answer_limit=limits.answer_limit(self._latency),
         )
         if isinstance(outcome, store.Unavailable):
             return outcome
-        # Not after a listing: a store too slow to answer watches in time would get a
-        # listing of everything each time, without a pause.
+        # Not after a listing: a store that answers no watch in time would be asked for
+        # a listing of everything again and again without a pause.
         self._pause.reset()
         if isinstance(outcome, store.HistoryGone):
             _log.info("history gone, listing anew", kind=self.kind)
@@ -127,7 +132,9 @@
             return None
         self._revision = outcome.revision
         self._apply_changes(outcome)
-        if self.coalesce_interval and (outcome.changed or outcome.removed):
+        if not outcome.changed and not outcome.removed:
+            self._latency = self._clock.monotonic() - begun - limits.wait
+        elif self.coalesce_interval:
             await self._clock.sleep(self.coalesce_interval)
         return None
 
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -155,6 +155,9 @@
         answer_limit: datetime.timedelta | None = None,
     ) -> store.Changes | store.HistoryGone | store.Unavailable:
         """See `store.Store.watch`; polls the table by the clock of this store."""
+        limit = answer_limit or _CALL_TIMEOUT
+        if self._faults.delay > limit:
+            return await self._unanswered(self._clock.monotonic() + wait + limit)
         if failed := await self._start_call(f"watch {kind}"):
             return failed
         deadline = self._clock.monotonic() + wait
@@ -164,9 +167,7 @@
                 break
             await self._clock.sleep(_POLL_INTERVAL)
             if self._faults.silenced != silenced:
-                return await self._unanswered(
-                    deadline + (answer_limit or _CALL_TIMEOUT)
-                )
+                return await self._unanswered(deadline + limit)
         if after < self._table.compacted_revision:
             return store.HistoryGone()
         rows = self._table.changes(kind, after)
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -129,6 +129,14 @@
     And watch: 2 seconds pass
     Then watch: version 5 is in force
 
+  # Guards against a slow store that gets a listing in place of each watch.
+  Scenario: A store that has become slow does not count as silent again and again
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it
+    When watch: the store takes 0.6 seconds to answer
+    And watch: 20 seconds pass
+    Then watch: the servers have been listed at most 3 times
+
   # A server is behind a partition when it is sent a request. The request is given up and
   # served elsewhere; the partition heals. Closed in order, the connection would deliver
   # the request then, to a server that has left meanwhile.
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -200,6 +200,16 @@
     context.world.write(name, entry(name) | {"state": "draining"})
 
 
+@behave.when("watch: the store takes {seconds:f} seconds to answer")
+def slow_store(context, seconds):
+    context.world.faults.delay = datetime.timedelta(seconds=seconds)
+
+
+@behave.then("watch: the servers have been listed at most {most:d} times")
+def listed_at_most(context, most):
+    assert 2 <= context.world.listings <= most, context.world.listings
+
+
 @behave.when("watch: version 5 is written")
 def write_version(context):
     spec = route_world.configuration(5, route_world.ROUTES)
@@ -246,6 +256,14 @@
             return await ask(*args, **kwargs)
 
         link.watch = watch
+        self.listings = 0
+        enumerate_objects = link.list_objects
+
+        async def list_objects(*args, **kwargs):
+            self.listings += 1
+            return await enumerate_objects(*args, **kwargs)
+
+        link.list_objects = list_objects
         self.expired = expired_entries.ExpiredServers(self.known, self.clock)
         bounds = gateway_settings.BoundSettings()
         self.watch = store_watch.ServerWatch(
