--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -22,7 +22,7 @@
 import dataclasses
 import datetime
 
-__all__ = ["WatchLimits", "watch_limits"]
+__all__ = ["MAX_WAIT", "WatchLimits", "watch_limits"]
 
 _WAIT_SHARE = 0.4
 # Lost packets are sent again after 200 ms, and a slow store takes as long to answer.
@@ -30,7 +30,7 @@
 # A store that slows down further needs more time than it took for its last answer.
 _LATENCY_FACTOR = 2
 # Longest wait that the platform accepts.
-_MAX_WAIT = datetime.timedelta(seconds=30)
+MAX_WAIT = datetime.timedelta(seconds=30)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,5 +61,5 @@
         in_force_within: Time in which a change must be in force on all instances.
     """
     return WatchLimits(
-        min(_WAIT_SHARE * in_force_within, _MAX_WAIT), _ANSWER_SHARE * in_force_within
+        min(_WAIT_SHARE * in_force_within, MAX_WAIT), _ANSWER_SHARE * in_force_within
     )
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -129,6 +129,18 @@
     And watch: 2 seconds pass
     Then watch: version 5 is in force
 
+  # Two fifths of the time remain to list anew and to tell peers; two kinds are watched.
+  Scenario Outline: A silent watch is noticed early at a bounded number of calls
+    Then watch: for changes in <within> s, silence is noticed after <noticed> s
+    And watch: <readers> instances make at most <calls> calls a second for it
+
+    Examples:
+      | within | noticed | readers | calls |
+      | 2.0    | 1.2     | 7       | 18    |
+      | 3.0    | 1.8     | 12      | 20    |
+      | 3.0    | 1.8     | 27      | 45    |
+      | 11.0   | 6.6     | 27      | 13    |
+
   # Guards against a slow store that gets a listing in place of each watch.
   Scenario: A store that has become slow does not count as silent again and again
     Given watch: a store with servers "a1" and "a2"
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -5,6 +5,7 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.backend import channel
+from pimentolatch.decisions import watch_schedule
 from pimentolatch.gateway import expired_entries, fleet_state, lease, store_watch
 from pimentolatch.gateway import settings as gateway_settings
 from standins import memory_store, object_table
@@ -210,6 +211,23 @@
     assert 2 <= context.world.listings <= most, context.world.listings
 
 
+@behave.then(
+    "watch: for changes in {within:f} s, silence is noticed after {noticed:f} s"
+)
+def noticed_after(context, within, noticed):
+    limits = watch_schedule.watch_limits(datetime.timedelta(seconds=within))
+    context.wait = limits.wait
+    assert limits.wait + limits.answer == datetime.timedelta(seconds=noticed), limits
+
+
+@behave.then(
+    "watch: {readers:d} instances make at most {calls:d} calls a second for it"
+)
+def calls_a_second(context, readers, calls):
+    made = 2 * readers / context.wait.total_seconds()
+    assert calls - 1 < made <= calls, made
+
+
 @behave.when("watch: version 5 is written")
 def write_version(context):
     spec = route_world.configuration(5, route_world.ROUTES)
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -4,8 +4,10 @@
 and runs the daemon.
 """
 
+import datetime
 import sys
 
+from pimentolatch.decisions import watch_schedule
 from pimentolatch.gateway import (
     daemon,
     decode_client,
@@ -16,12 +18,15 @@
     process,
     quarantine,
     refusals,
+    settings,
     sse,
 )
 from pimentolatch.platform import configuration, server_entries
 
 __all__ = ["SAFEGUARDS", "main"]
 
+SECOND = datetime.timedelta(seconds=1)
+
 
 def _retry_unsafe_requests():
     """Retries an unsafe request at a second server after a lost response."""
@@ -118,6 +123,12 @@
     flow_control.FlowControl.is_leaving = lambda self, server: False
 
 
+def _wait_for_silent_watches():
+    """Lets watches of the store wait as long as the platform accepts."""
+    longest = watch_schedule.WatchLimits(watch_schedule.MAX_WAIT, SECOND)
+    settings.watch_schedule.watch_limits = lambda in_force_within: longest
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -130,6 +141,7 @@
     "quarantine of fatal requests": _never_quarantine,
     "proof of origin": _accept_without_proof,
     "notices of servers": _ignore_notices,
+    "bound on silent watches": _wait_for_silent_watches,
 }
 
 
