Keep the time of the last answer of a watch apart from the age of its list

Since the age of a list is taken from the readers' offers, an instance that begins to read could take the time without readers for an outage of the store: up to 1.75 s of the 2.5 s after which entries that are missing count as expired and are used for two seconds more. Found by reading, before it was seen. The watch measures an outage by its own calls again, from when it begins to read.

The time of an answer no longer includes the pause after it. A call to a plain server is repeated over a new connection after no answer only, not after an error that the server answered.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -81,6 +81,7 @@
         service = request.service.name
         tried: set[servers.Incarnation] = set()
         attempts = possible_runs = dispatches = 0
+        unanswered = False
         outcome: _Outcome | None = None
         last: _Outcome | None = None
         while attempts < _MAX_ATTEMPTS:
@@ -110,8 +111,9 @@
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
             outcome = await self._send(
-                server, request, may_repeat, new_connection=possible_runs > 0
+                server, request, may_repeat, new_connection=unanswered
             )
+            unanswered |= isinstance(outcome, dispatch.OutcomeUnknown)
             self._report_outcome(server, request, outcome, begun)
             # An error response of a server says more than a later failed dispatch.
             if not isinstance(last, dispatch.FullResponse) or isinstance(
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -75,12 +75,12 @@
 
     async def catch_up(self) -> None:
         """List the kind once."""
-        if await self._list() is None:
-            self._on_response()
+        await self._list()
 
     async def run(self) -> None:
         """List, then watch the store; runs until cancelled."""
         self._revision = None
+        self._answered_at = self._clock.monotonic()
         while True:
             outcome = await (self._list() if self._revision is None else self._watch())
             if isinstance(outcome, store.Unavailable):
@@ -99,7 +99,6 @@
             if self.unreachable:
                 _log.info("store regained", kind=self.kind, revision=self._revision)
             self.unreachable = False
-            self._on_response()
 
     async def _list(self) -> store.Unavailable | None:
         begun = self._clock.monotonic()
@@ -109,6 +108,7 @@
         self._latency = self._clock.monotonic() - begun
         self._revision = listing.revision
         self._apply_listing(listing)
+        self._on_response()
         return None
 
     async def _watch(self) -> store.Unavailable | None:
@@ -123,6 +123,7 @@
         )
         if isinstance(outcome, store.Unavailable):
             return outcome
+        self._on_response()
         # Not after a listing: a store that answers no watch in time would be asked for
         # a listing of everything again and again without a pause.
         self._pause.reset()
@@ -202,7 +203,7 @@
         self._unusable: set[str] = set()
 
     def _apply_listing(self, listing: store.Listing) -> None:
-        outage = self._clock.monotonic() - self._fleet.servers_confirmed_at
+        outage = self._clock.monotonic() - self._answered_at
         self._unusable &= {item.name for item in listing.objects}
         listed = self._decode_usable(listing.objects)
         missing: list[servers.Server] = []
