--- a/standins/relay.py
+++ b/standins/relay.py
@@ -36,7 +36,8 @@
     Attributes:
         writers: Its two ends.
         silent: Directions in which data is lost.
-        ended: Set when both ends have been closed by their peers.
+        ends: Number of its ends that their peers have closed, once it is silent.
+        ended: Set when both are closed.
     """
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
