Reproduce instances that lose all servers and fail their callers

Two of four instances lose the path to all servers; open connections fall silent or are reset, new ones hang or are refused. Where open connections live on, all are served.

--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -192,7 +192,7 @@
                 "metrics": f"{host}:{self.metrics[name]}",
                 "peers": {
                     "host": host,
-                    "ports": [self.peer_port, self.peer_port + 1],
+                    "ports": [self.peer_port, self.peer_port + 2],
                     "seeds": list(seeds),
                 },
                 "store": {"address": f"{HOST}:{self.store_port}"},
