Serve requests through peers while an instance has no path to the servers

Cause: an instance takes each failed dispatch for the fault of one server. It never concludes that its own path is lost, so each request tries one server after the other, 0.7 s each (166 connection attempts timed out in ten seconds, one to four for each request), although peers reach all servers.

A failed dispatch now has new connections opened to a few servers of the same service and stage. If none opens, the instance counts as cut off from the service, reports so in its beacons, probes twice a second, and forwards requests to a peer that does not report the same: one hop, the deadline and the runs that are left, events relayed one by one, resumed where the route allows. What was sent to a peer and got no answer may have run, as with a server.

Why not refuse early or go out of rotation: a refused first attempt has failed as well; open connections stay, and with less than half of a domain in rotation the balancer uses all of it.

--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "Disaggregated",
+    "Elsewhere",
     "PlacementRequest",
     "Infeasible",
     "Colocated",
@@ -73,6 +74,11 @@
     """No decode engine accepts requests now; one may be available again shortly."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """This instance has lost the path to the engines; a peer can serve the request."""
+
+
 PlacementResult = Colocated | Disaggregated | Infeasible | NoEngine
 
 
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -58,6 +58,7 @@
         suspects: Crash evidence to send to peers and received from them.
         own_leadership: Leadership claims to send to peers and received from them.
         flow: Limits of servers to send to peers and received from them.
+        cut_off_services: Returns the services that this instance has no path to.
         demands: Returns the demand of clients at this instance, by service.
         time: Clock of this instance.
         rng: Picks the receivers in other failure domains.
@@ -78,6 +79,7 @@
         suspects: quarantine.Quarantine,
         own_leadership: leadership.Leadership,
         flow: flow_control.FlowControl,
+        cut_off_services: abc.Callable[[], abc.Set[str]],
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         time: clock.Clock,
         rng: random.Random,
@@ -93,6 +95,7 @@
         self._suspects = suspects
         self._leadership = own_leadership
         self._flow = flow
+        self._cut_off_services = cut_off_services
         self._demands = demands
         self._clock = time
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
@@ -208,6 +211,7 @@
             crash_reports=crash_reports,
             leader=self._leadership.announcement(),
             server_limits=self._flow.reports(),
+            cut_off_services=tuple(sorted(self._cut_off_services())),
         )
 
     def _readers(self) -> tuple[beacons.Reader, ...]:
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -10,6 +10,7 @@
 from pimentolatch.decisions import access, rendezvous
 from pimentolatch.entry import bounded_http
 from pimentolatch.platform import http_headers
+from pimentolatch.protocol import forwarding
 from pimentolatch.requests import digests
 from pimentolatch.routes import route_table
 
@@ -34,6 +35,7 @@
             timeout, whichever comes first.
         digest: Identifies the request; the same for each attempt of the client.
         access: Customer and priority of the request.
+        forwarded: Set if a peer without a path to the servers has forwarded it.
     """
 
     method: str
@@ -47,6 +49,7 @@
     deadline: datetime.timedelta
     digest: digests.RequestDigest
     access: access.Access
+    forwarded: forwarding.ForwardOptions | None = None
 
     @property
     def jitter(self) -> float:
@@ -113,6 +116,13 @@
         await self.start(status, [*fields, (b"content-length", b"%d" % len(body))])
         await self.finish(body)
 
+    async def pass_on_refusal(
+        self, code: results.ResultCode, status: int, fields: Fields, body: bytes
+    ) -> None:
+        """Write the refusal of a peer as the response."""
+        self.outcome = code.name.lower()
+        await self.send_full(status, fields, body)
+
     async def refuse(self, refusal: results.Refusal) -> None:
         """Write a refusal of this instance as the response."""
         self.outcome = refusal.code.name.lower()
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -5,7 +5,12 @@
 
 from pimentolatch.backend import channel
 from pimentolatch.decisions import placement_types, stall_check
-from pimentolatch.gateway import client_request, dispatch, request_progress, sse
+from pimentolatch.gateway import (
+    client_request,
+    dispatch,
+    event_relay,
+    request_progress,
+)
 from pimentolatch.platform import http_headers
 
 __all__ = ["DecodeClient"]
@@ -70,6 +75,7 @@
                     opened, dispatch.OutcomeUnknown
                 )
             if not isinstance(opened, dispatch.OpenResponse):
+                await self._context.check_path(engine.server, opened)
                 return self._record_failure(generation, opened, sent_at)
             with self._context.client.returned_to_pool(engine.server, opened):
                 return await self._relay_response(generation, opened, sent_at)
@@ -149,21 +155,13 @@
         loads.failed(engine, now)
         if isinstance(outcome, dispatch.OutcomeUnknown):
             progress.unanswered = True
-            self._count_run(generation)
+            request_progress.count_run(request, progress)
             if outcome.server_crashed:
                 self._context.crash_quarantine.record_crash(
                     request, engine.server, sent_at
                 )
         return False
 
-    def _count_run(self, generation: request_progress.Generation) -> None:
-        generation.progress.possible_runs += 1
-        if not generation.request.route.repeatable:
-            # The request must not run twice, so no other engine is tried.
-            generation.progress.possible_runs = max(
-                generation.progress.possible_runs, generation.request.route.max_attempts
-            )
-
     async def _relay_response(
         self,
         generation: request_progress.Generation,
@@ -175,7 +173,7 @@
         engine = generation.place.engine
         loads = self._context.loads(request)
         progress.dispatches += 1
-        self._count_run(generation)
+        request_progress.count_run(request, progress)
         try:
             if not 200 <= opened.status < 300:
                 return await self._failure_response(generation, opened)
@@ -198,6 +196,7 @@
             )
             progress.failed.add(engine.server.incarnation)
             loads.failed(engine, self._context.clock.monotonic())
+            await self._context.check_path(engine.server, broken)
             if not request.route.repeatable and generation.response.started:
                 generation.response.abort(progress.reason)
                 return True
@@ -230,29 +229,24 @@
         Raises:
             BrokenError: The stream broke off before its end.
         """
-        splitter = sse.EventSplitter()
-        response, progress = generation.response, generation.progress
+        relay = event_relay.EventRelay(
+            generation.request,
+            generation.response,
+            generation.progress,
+            opened.status,
+            opened.head.fields,
+            self._context.metrics,
+            self._context.clock,
+        )
         last = self._context.clock.monotonic()
         while data := await self._read(generation, opened):
-            whole = splitter.feed(data)
-            new = [
-                e for e in whole if e.number is None or e.number > progress.last_event
-            ]
-            if not new:
+            if not (events := relay.take(data)):
                 continue
             now = self._context.clock.monotonic()
             self._record_event(generation, now - last)
-            self._measure_event(generation, now)
             last = now
-            if not response.started:
-                await response.start(opened.status, opened.head.fields)
-            await response.write(b"".join(event.data for event in new))
-            progress.last_event = new[-1].number or progress.last_event
-        if splitter.incomplete:
-            raise channel.BrokenError("the stream ended within an event")
-        if not response.started:
-            await response.start(opened.status, opened.head.fields)
-        await response.finish()
+            await relay.write(events)
+        await relay.finish()
 
     async def _read(
         self, generation: request_progress.Generation, opened: dispatch.OpenResponse
@@ -301,14 +295,3 @@
             generation.progress.usage_counted = True
             name = generation.request.customer_name
             self._context.usage.record_start(name, self._context.clock.now())
-
-    def _measure_event(
-        self, generation: request_progress.Generation, now: datetime.timedelta
-    ) -> None:
-        """Measure latencies as the client sees them, across all engines."""
-        progress, metrics = generation.progress, self._context.metrics
-        if progress.last_event_at is None:
-            metrics.first_event((now - generation.request.arrived_at).total_seconds())
-        else:
-            metrics.pause((now - progress.last_event_at).total_seconds())
-        progress.last_event_at = now
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "MAX_IDLE_FOR_UNREPEATABLE",
     "NOT_RUN_STATUSES",
     "RETURN_TIME",
     "Declined",
@@ -30,9 +31,12 @@
 ]
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
+# A new connection that a device on the way accepts for the server is closed within this
+# time if the server is out of reach.
+_SETTLE_TIME = datetime.timedelta(milliseconds=20)
 # Longest idle time of a pooled connection that is used for a request that must not be
 # repeated: if the server closed it meanwhile, the outcome would be unknown.
-_MAX_IDLE_FOR_UNREPEATABLE = datetime.timedelta(seconds=2)
+MAX_IDLE_FOR_UNREPEATABLE = datetime.timedelta(seconds=2)
 # Responses to earlier requests that are skipped on a connection before giving up.
 _MAX_STALE_RESPONSES = 3
 # Largest response body that is buffered before it is forwarded.
@@ -210,7 +214,7 @@
         max_idle = (
             None
             if request.route.repeatable or options.prefill_only
-            else _MAX_IDLE_FOR_UNREPEATABLE
+            else MAX_IDLE_FOR_UNREPEATABLE
         )
         try:
             link = await self._pool.acquire(
@@ -238,6 +242,23 @@
             link.close()
             raise
 
+    async def reaches(self, server: servers.Server) -> bool:
+        """Tell whether a new connection to a server opens and stays open."""
+        try:
+            link = await self._pool.acquire(
+                server.incarnation,
+                server.address,
+                self._clock.monotonic(),
+                reuse=False,
+            )
+        except channel.ConnectError:
+            return False
+        try:
+            await self._clock.sleep(_SETTLE_TIME)
+            return link.idle
+        finally:
+            link.close()
+
     async def fetch(
         self,
         server: servers.Server,
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -1,6 +1,8 @@
 """HTTP front end for clients of routes, as an ASGI application."""
 
 import asyncio
+import contextlib
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -14,10 +16,12 @@
     client_request,
     dispatch_check,
     fleet_state,
+    forwarded_admission,
     refusals,
     request_log,
 )
 from pimentolatch.platform import http_headers
+from pimentolatch.protocol import forwarding
 from pimentolatch.requests import digests
 from pimentolatch.routes import route_table
 
@@ -57,6 +61,7 @@
         log: Log of requests and their outcomes.
         digest_key: Key of the requests' digests; the same on all instances.
         time: Clock.
+        admission: Admits the requests, if these are forwarded by peers.
     """
 
     def __init__(
@@ -69,7 +74,10 @@
         log: request_log.RequestLog,
         digest_key: bytes,
         time: clock.Clock,
+        *,
+        admission: forwarded_admission.ForwardedAdmission | None = None,
     ) -> None:
+        self._admission = admission
         self._fleet = fleet
         self._digest_key = digest_key
         self._dispatch_check = check
@@ -115,12 +123,26 @@
             return
         if request is None:
             return
-        self._budget.count_request(request.service.name, arrived_at)
-        if (refusal := self._dispatch_check.refusal(request)) is not None:
+        if self._admission is None:
+            # The peer has counted a forwarded request.
+            self._budget.count_request(request.service.name, arrived_at)
+        if (refusal := self._refusal(request)) is not None:
             await response.refuse(refusal)
             self._log_response(request, response)
             return
-        await self._forward(request, response, receive)
+        counted: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
+        if self._admission is not None:
+            counted = self._admission.counted()
+        with counted:
+            await self._forward(request, response, receive)
+
+    def _refusal(self, request: client_request.ClientRequest) -> results.Refusal | None:
+        """Return why a request is not served; None if it is."""
+        if self._admission is not None:
+            refusal = self._admission.refusal(request)
+            if refusal is not None:
+                return refusal
+        return self._dispatch_check.refusal(request)
 
     async def _read_request(
         self,
@@ -131,10 +153,17 @@
     ) -> client_request.ClientRequest | results.Refusal | None:
         """Read a complete request; None if its client disconnected before its end."""
         target = scope["extensions"][bounded_http.TARGET_EXTENSION]["bytes"]
+        fields: client_request.Fields = scope["headers"]
+        forwarded = None
         try:
-            head = http_headers.parse_client_headers(scope["headers"])
+            if self._admission is not None:
+                forwarded = forwarding.decode(fields)
+                fields = forwarding.without_options(fields)
+            head = http_headers.parse_client_headers(fields)
         except ValueError as error:
             return results.invalid(f"header: {error}")
+        if forwarded is not None and forwarded.configuration > configuration.version:
+            return refusals.no_configuration()
         path = target.partition(b"?")[0].decode("latin-1")
         route = configuration.select(head.host, path)
         if route is None:
@@ -168,15 +197,16 @@
         return client_request.ClientRequest(
             method=method,
             target=target,
-            fields=_fields_to_forward(scope["headers"], configuration),
+            fields=_fields_to_forward(fields, configuration),
             body=body,
             head=head,
-            route=route,
+            route=_route_for(route, forwarded),
             service=service,
             arrived_at=arrived_at,
             deadline=deadline,
             digest=digest,
             access=allowed,
+            forwarded=forwarded,
         )
 
     async def _read_body(
@@ -256,6 +286,16 @@
         await response.refuse(refusals.outcome_unknown("internal error"))
 
 
+def _route_for(
+    route: route_table.Route, forwarded: forwarding.ForwardOptions | None
+) -> route_table.Route:
+    """Return the route with the runs that the peer has left to a forwarded request."""
+    if forwarded is None:
+        return route
+    left = min(route.max_attempts, forwarded.max_runs)
+    return dataclasses.replace(route, max_attempts=left)
+
+
 def _request_id(scope: Scope) -> str:
     try:
         return http_headers.parse_client_headers(scope["headers"]).request_id
--- a/src/pimentolatch/gateway/http_protocol.py
+++ b/src/pimentolatch/gateway/http_protocol.py
@@ -5,8 +5,9 @@
 
 from pimentolatch.entry import bounded_http
 from pimentolatch.gateway import fleet_state
+from pimentolatch.protocol import forwarding
 
-__all__ = ["RouteProtocol", "protocol_class"]
+__all__ = ["ForwardedProtocol", "RouteProtocol", "protocol_class"]
 
 
 class RouteProtocol(bounded_http.BoundedHttpProtocol):
@@ -49,6 +50,17 @@
         super().on_response_complete()
 
 
-def protocol_class(fleet: fleet_state.FleetState) -> typing.Callable[..., typing.Any]:
+class ForwardedProtocol(RouteProtocol):
+    """One connection of a peer that forwards its clients' requests."""
+
+    @property
+    def head_limit_bytes(self) -> int:
+        """Largest head of a request, with the peer's own fields."""
+        return super().head_limit_bytes + forwarding.HEAD_BYTES
+
+
+def protocol_class(
+    fleet: fleet_state.FleetState, kind: type[RouteProtocol] = RouteProtocol
+) -> typing.Callable[..., typing.Any]:
     """Return the factory of the protocol of each connection."""
-    return functools.partial(RouteProtocol, fleet=fleet)
+    return functools.partial(kind, fleet=fleet)
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -103,6 +103,12 @@
             if now - peer.received_at <= _LIVENESS_TIMEOUT and not peer.beacon.stopping
         ]
 
+    def is_live(self, instance: str) -> bool:
+        """Tell whether an instance has sent a recent beacon."""
+        peer = self._peers.get(instance)
+        now = self._clock.monotonic()
+        return peer is not None and now - peer.received_at <= _LIVENESS_TIMEOUT
+
     def places(self) -> list[neighbours.Place]:
         """Return host and failure domain of all other known instances."""
         return [mention.place for mention in self._mentions.values()]
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -4,6 +4,7 @@
 import datetime
 
 from pimentolatch import clock
+from pimentolatch.backend import channel
 from pimentolatch.decisions import repeat_budget, server_choice, wait_policy
 from pimentolatch.gateway import (
     client_request,
@@ -11,7 +12,9 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    peer_forwarder,
     quarantine,
+    reachability_monitor,
     refusals,
     request_log,
     usage_exchange,
@@ -34,6 +37,7 @@
 # second server can still respond before the client disconnects.
 _TIMEOUT_FACTOR = 2.0
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=150)
+_NO_ANSWER_IN_TIME = "no answer in time"
 # Most attempts for one request: those that reached no server and those declined count,
 # those whose permit another request took first do not.
 _MAX_ATTEMPTS = 4
@@ -58,8 +62,12 @@
         check: dispatch_check.DispatchCheck,
         usage: usage_exchange.UsageCounter,
         log: request_log.RequestLog,
+        monitor: reachability_monitor.ReachabilityMonitor,
+        peers: peer_forwarder.PeerForwarder,
         time: clock.Clock,
     ) -> None:
+        self._monitor = monitor
+        self._peers = peers
         self._request_log = log
         self._fleet = fleet
         self._client = client
@@ -81,6 +89,7 @@
         service = request.service.name
         tried: set[servers.Incarnation] = set()
         attempts = possible_runs = dispatches = 0
+        started = request.forwarded is not None and request.forwarded.started
         unanswered = False
         outcome: _Outcome | None = None
         last: _Outcome | None = None
@@ -92,6 +101,18 @@
             is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
             if not is_charged and not self._budget.spend(service, now):
                 break
+            if self._peers.may_forward(request):
+                forwarded = await self._forward(request, response, possible_runs)
+                if forwarded is None:
+                    return
+                if isinstance(forwarded, dispatch.OutcomeUnknown):
+                    last = outcome = forwarded
+                    attempts += 1
+                    dispatches += 1
+                    possible_runs += 1
+                    if not _may_repeat(request, possible_runs):
+                        break
+                    continue
             server = await self._await_server(request, tried)
             if (refusal := self._dispatch_check.refusal(request)) is not None:
                 if possible_runs:
@@ -104,10 +125,7 @@
             if server is None:
                 break
             tried.add(server.incarnation)
-            may_repeat = (
-                request.route.repeatable
-                and possible_runs + 1 < request.route.max_attempts
-            )
+            may_repeat = _may_repeat(request, possible_runs + 1)
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
             outcome = await self._send(
@@ -124,13 +142,15 @@
                 tried.discard(server.incarnation)
                 continue
             attempts += 1
+            if isinstance(outcome, dispatch.NotSent | dispatch.OutcomeUnknown):
+                await self._monitor.check(server)
             if isinstance(outcome, dispatch.NotSent):
                 continue
             dispatches += 1
             if isinstance(outcome, dispatch.Declined):
                 continue
             possible_runs += 1
-            if possible_runs == 1:
+            if possible_runs == 1 and not started:
                 self._usage.record_start(request.customer_name, sent_at)
             if not may_repeat or _final(outcome):
                 break
@@ -140,6 +160,39 @@
             return
         await _finish(request, response, last, possible_runs)
 
+    async def _forward(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        possible_runs: int,
+    ) -> peer_forwarder.NotForwarded | dispatch.OutcomeUnknown | None:
+        """Have a peer serve a request; None if its response is finished."""
+        left = request.deadline - self._clock.monotonic() - dispatch.RETURN_TIME
+        try:
+            async with (
+                asyncio.timeout(left.total_seconds()),
+                self._peers.open(request, possible_runs=possible_runs) as opened,
+            ):
+                if not isinstance(opened, peer_forwarder.OpenedForward):
+                    return opened
+                body = await opened.read_body()
+        except TimeoutError:
+            return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
+        except channel.BrokenError as error:
+            return dispatch.OutcomeUnknown(str(error))
+        whole = dispatch.FullResponse(opened.status, opened.head, body)
+        if opened.refusal is None:
+            if not _genuine(whole):
+                return dispatch.OutcomeUnknown("a success without the server's proof")
+            await _finish(request, response, whole, possible_runs + 1)
+        elif possible_runs and opened.status in dispatch.NOT_RUN_STATUSES:
+            await response.refuse(refusals.outcome_unknown(opened.refusal.name.lower()))
+        else:
+            await response.pass_on_refusal(
+                opened.refusal, opened.status, opened.head.fields, body
+            )
+        return None
+
     async def _refused_by_limits(
         self,
         request: client_request.ClientRequest,
@@ -261,7 +314,7 @@
                     server, request, options, new_connection=new_connection
                 )
         except TimeoutError:
-            outcome = dispatch.OutcomeUnknown("no answer in time")
+            outcome = dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
         finally:
             failed = isinstance(outcome, dispatch.OutcomeUnknown | dispatch.NotSent)
             self._choice.end(server, self._clock.monotonic(), failed=failed)
@@ -283,6 +336,11 @@
         return outcome
 
 
+def _may_repeat(request: client_request.ClientRequest, possible_runs: int) -> bool:
+    """Tell whether a request may go to one more server after so many."""
+    return request.route.repeatable and possible_runs < request.route.max_attempts
+
+
 def _genuine(whole: dispatch.FullResponse) -> bool:
     return whole.head.sealed or not _successful(whole)
 
@@ -309,7 +367,7 @@
     elif possible_runs == 0:
         await response.refuse(refusals.no_server(request.service.name))
     elif (
-        isinstance(last, dispatch.OutcomeUnknown) and last.reason == "no answer in time"
+        isinstance(last, dispatch.OutcomeUnknown) and last.reason == _NO_ANSWER_IN_TIME
     ):
         await response.refuse(refusals.deadline_passed())
     else:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -21,13 +21,16 @@
     expired_entries,
     fleet_state,
     flow_control,
+    forwarded_admission,
     front_end,
     http_protocol,
     leader_tasks,
+    peer_forwarder,
     peer_snapshots,
     peer_table,
     plain_forwarder,
     quarantine,
+    reachability_monitor,
     request_log,
     route_metrics,
     settings,
@@ -93,6 +96,18 @@
             time,
             random.Random(),
         )
+        self._monitor = reachability_monitor.ReachabilityMonitor(
+            self._fleet, self._client, chosen.failure_domain, time, random.Random()
+        )
+        self._peer_forwarder = peer_forwarder.PeerForwarder(
+            self._fleet,
+            self._peer_table,
+            self._monitor,
+            chosen.failure_domain,
+            chosen.peers.forwarding_address.port,
+            self._request_log,
+            time,
+        )
         self._leader_tasks = leader_tasks.LeaderTasks(
             chosen, self._incarnation, self._fleet, self._peer_table, self._store, time
         )
@@ -109,12 +124,35 @@
             self._leader_tasks.usage,
             self._request_log,
             self._metrics,
+            self._monitor,
+            self._peer_forwarder,
         )
+        self._plain_forwarder = plain_forwarder.PlainForwarder(
+            self._fleet,
+            self._client,
+            self._flow,
+            self._server_choice,
+            self._budget,
+            self._quarantine,
+            self._permission,
+            self._leader_tasks.usage,
+            self._request_log,
+            self._monitor,
+            self._peer_forwarder,
+            time,
+        )
+        grace = datetime.timedelta(seconds=chosen.bounds.stop_grace_s)
         self._face = http_server.HttpServer(
-            self._route_face(),
+            self._front_end(None),
             chosen.clients,
             http_protocol.protocol_class(self._fleet),
-            datetime.timedelta(seconds=chosen.bounds.stop_grace_s),
+            grace,
+        )
+        self._peer_face = http_server.HttpServer(
+            self._front_end(forwarded_admission.ForwardedAdmission(self._monitor)),
+            chosen.peers.forwarding_address,
+            http_protocol.protocol_class(self._fleet, http_protocol.ForwardedProtocol),
+            grace,
         )
         self._readiness = http_server.HttpServer(self._ready, chosen.readiness)
         self._fleet.on_change(self._drop_unlisted)
@@ -128,6 +166,7 @@
                 self._leader_tasks.leadership,
                 self._shutdown,
                 self._flow,
+                self._monitor,
                 time,
             )
         )
@@ -146,6 +185,11 @@
         """Local fleet state: configuration, servers and engine loads."""
         return self._fleet
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests being served."""
+        return self._shutdown.in_flight
+
     @property
     def flow(self) -> flow_control.FlowControl:
         """What the servers have asked for."""
@@ -175,6 +219,7 @@
             self._quarantine,
             self._leader_tasks.leadership,
             self._flow,
+            lambda: self._monitor.cut_off_services,
             self._stream_forwarder.demands,
             time,
             random.Random(),
@@ -220,28 +265,19 @@
             time,
         )
 
-    def _route_face(self) -> front_end.RouteFrontEnd:
-        plain_requests = plain_forwarder.PlainForwarder(
-            self._fleet,
-            self._client,
-            self._flow,
-            self._server_choice,
-            self._budget,
-            self._quarantine,
-            self._permission,
-            self._leader_tasks.usage,
-            self._request_log,
-            self._clock,
-        )
+    def _front_end(
+        self, admission: forwarded_admission.ForwardedAdmission | None
+    ) -> front_end.RouteFrontEnd:
         return front_end.RouteFrontEnd(
             self._fleet,
-            (plain_requests, self._stream_forwarder),
+            (self._plain_forwarder, self._stream_forwarder),
             self._budget,
             self._shutdown,
             self._permission,
             self._request_log,
             self._settings.digest_key.encode(),
             self._clock,
+            admission=admission,
         )
 
     def _drop_unlisted(self) -> None:
@@ -280,12 +316,14 @@
             self._stage_controller.run,
             self._share_bounds,
             self._quarantine.review,
+            self._monitor.run,
             *self._leader_tasks.runners,
         ):
             supervised = tasks.keep_running(work.__qualname__, work, self._clock)
             self._tasks.append(asyncio.create_task(supervised))
         if self._metrics_server is not None:
             await self._metrics_server.start()
+        await self._peer_face.start()
         await self._readiness.start()
         await self._face.start()
         _log.info("started", failure_domain=self._settings.failure_domain)
@@ -338,7 +376,9 @@
         # Closes idle connections first, then waits for requests. If requests were
         # counted before that, there might be none, and one that arrived while the
         # connections close would be aborted.
-        closing = asyncio.create_task(self._face.stop())
+        closing = asyncio.ensure_future(
+            asyncio.gather(self._face.stop(), self._peer_face.stop())
+        )
         await asyncio.wait({closing}, timeout=remaining.total_seconds())
         if not closing.done():
             _log.warn(
@@ -356,6 +396,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in (
             self._face,
+            self._peer_face,
             self._readiness,
             self._snapshots,
             self._metrics_server,
@@ -365,6 +406,7 @@
         self._beacon_exchange.close()
         self._leader_tasks.close()
         self._client.close()
+        self._peer_forwarder.close()
         self._store.close()
 
 
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -47,6 +47,7 @@
         placement_types.Colocated
         | placement_types.Disaggregated
         | placement_types.Infeasible
+        | placement_types.Elsewhere
     ):
         """Choose engines; wait for one if none accepts requests."""
         since = self._context.clock.monotonic()
@@ -55,6 +56,8 @@
             return place
         listed = bool(self._context.loads(request).all())
         while isinstance(place, placement_types.NoEngine):
+            if self._context.peers.may_forward(request):
+                return placement_types.Elsewhere()
             if not listed or not await self.wait(request, progress):
                 self._log_wait(request, since, in_vain=True)
                 return placement_types.Infeasible(self.retry_after(request))
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -12,6 +12,7 @@
     "ANSWERED",
     "DOUBTED",
     "EVENTS",
+    "FORWARDED",
     "PLACED",
     "SENT",
     "WAITED",
@@ -25,6 +26,7 @@
 PLACED = "placed"
 SENT = "sent"
 DOUBTED = "doubted"
+FORWARDED = "forwarded"
 ANSWERED = "answered"
 # Every event with its fields; `explain` parses them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
@@ -39,6 +41,7 @@
         *("server", "what", "outcome", "ms", "digest", "events"),
         *("list_revision", "list_source", "list_age_ms"),
     ),
+    FORWARDED: ("peer", "outcome", "ms"),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
         "digest",
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -17,7 +17,9 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    peer_forwarder,
     quarantine,
+    reachability_monitor,
     refusals,
     request_log,
     route_metrics,
@@ -34,6 +36,7 @@
     "Progress",
     "address_of",
     "client_gives_up_at",
+    "count_run",
     "finish",
     "finish_with_refusal",
     "first_event_limit",
@@ -60,8 +63,17 @@
     usage: usage_exchange.UsageCounter
     log: request_log.RequestLog
     metrics: route_metrics.RouteMetrics
+    monitor: reachability_monitor.ReachabilityMonitor
+    peers: peer_forwarder.PeerForwarder
     clock: clock.Clock
 
+    async def check_path(
+        self, server: servers.Server, outcome: dispatch.Outcome
+    ) -> None:
+        """After a failed dispatch, find out whether the path to servers is lost."""
+        if isinstance(outcome, dispatch.NotSent | dispatch.OutcomeUnknown):
+            await self.monitor.check(server)
+
     def record_cached_prompt(
         self, request: client_request.ClientRequest, engine: engine_loads.EngineLoad
     ) -> None:
@@ -190,6 +202,14 @@
         self.unprefilled = self.prefill_tokens
 
 
+def count_run(request: client_request.ClientRequest, progress: Progress) -> None:
+    """Count a server that may have started to run a request."""
+    progress.possible_runs += 1
+    if not request.route.repeatable:
+        # The request must not run twice, so no other server is tried.
+        progress.possible_runs = max(progress.possible_runs, request.route.max_attempts)
+
+
 async def finish_with_refusal(
     response: client_request.ClientResponse,
     progress: Progress,
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -19,6 +19,7 @@
     leadership,
     peer_table,
     quarantine,
+    reachability_monitor,
     request_log,
 )
 
@@ -54,6 +55,9 @@
         self._dispatches = self._counter(
             "sendings", "Requests sent to servers, by what was asked.", "what"
         )
+        self._forwards = self._counter(
+            "forwards", "Requests forwarded to peers, for want of a path to servers."
+        )
         self._quarantined = prometheus_client.Counter(
             _PREFIX + "quarantined_answers",
             "Requests that were answered at once, since servers ended under them.",
@@ -102,6 +106,8 @@
         elif event == request_log.SENT:
             outcome = "failed" if wrong else "answered"
             self._dispatches.labels(outcome, fields["what"]).inc()
+        elif event == request_log.FORWARDED:
+            self._forwards.labels("failed" if wrong else "answered").inc()
         elif event == request_log.DOUBTED:
             self._stall_checks.labels(fields["verdict"]).inc()
         elif event == request_log.PLACED:
@@ -172,6 +178,7 @@
         own_leadership: Tells whether this instance is the leader.
         shutdown: Counts the requests in flight.
         flow: What servers have asked for.
+        monitor: Knows what this instance has lost the path to.
         time: Clock of this instance.
     """
 
@@ -183,8 +190,10 @@
         own_leadership: leadership.Leadership,
         shutdown: graceful_shutdown.GracefulShutdown,
         flow: flow_control.FlowControl,
+        monitor: reachability_monitor.ReachabilityMonitor,
         time: clock.Clock,
     ) -> None:
+        self._monitor = monitor
         self._clock = time
         self._fleet = fleet
         self._peers = peers
@@ -244,6 +253,11 @@
                 "Servers that asked for a rest.",
                 self._flow.resting_count,
             ),
+            (
+                "cut_off_services",
+                "Services to which there is no path from here.",
+                len(self._monitor.cut_off_services),
+            ),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -18,14 +18,17 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    peer_forwarder,
     prefill_client,
     prompt_placer,
     quarantine,
+    reachability_monitor,
     refusals,
     request_log,
     request_progress,
     route_metrics,
     stall_checker,
+    stream_handover,
     usage_exchange,
 )
 
@@ -61,6 +64,8 @@
         usage: usage_exchange.UsageCounter,
         log: request_log.RequestLog,
         metrics: route_metrics.RouteMetrics,
+        monitor: reachability_monitor.ReachabilityMonitor,
+        peers: peer_forwarder.PeerForwarder,
     ) -> None:
         stall_checks = stall_checker.StallChecker(client, log, time)
         self._context = request_progress.Context(
@@ -74,10 +79,13 @@
             usage,
             log,
             metrics,
+            monitor,
+            peers,
             time,
         )
         self._prefill_client = prefill_client.PrefillClient(self._context)
         self._decode_client = decode_client.DecodeClient(self._context)
+        self._handover = stream_handover.StreamHandover(self._context, budget)
         self._placer = prompt_placer.PromptPlacer(self._context, own_domain)
         self._sizes = prompt_sizes.PromptSizes()
         self._budget = budget
@@ -98,7 +106,11 @@
         """Forward a request and write its response."""
         assert request.head.prompt is not None
         size = self._sizes.classify(request.route.name, request.head.prompt.tokens)
-        progress = request_progress.Progress(size, last_event=request.head.last_event)
+        progress = request_progress.Progress(
+            size,
+            last_event=request.head.last_event,
+            usage_counted=request.forwarded is not None and request.forwarded.started,
+        )
         try:
             await self._run(request, response, progress)
         finally:
@@ -157,7 +169,13 @@
         """Place and dispatch a request once; True if its response is finished."""
         if progress.possible_runs >= max(1, request.route.max_attempts):
             return await self._give_up(response, progress)
+        if self._context.peers.may_forward(request):
+            finished = await self._handover.run(request, response, progress)
+            if finished is not None:
+                return finished
         place = await self._placer.place(request, progress)
+        if isinstance(place, placement_types.Elsewhere):
+            return False
         if isinstance(place, placement_types.Infeasible):
             progress.retry_after = place.retry_after
             return await self._give_up(response, progress)
@@ -206,6 +224,8 @@
                 request, prefilled, progress
             )
             while decode_engine is None and await self._placer.wait(request, progress):
+                if self._context.peers.may_forward(request):
+                    return False
                 decode_engine = self._placer.choose_decode_engine(
                     request, prefilled, progress
                 )
--- /dev/null
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -0,0 +1,125 @@
+"""Has a peer serve a stream request, or the rest of one."""
+
+from pimentolatch.backend import channel
+from pimentolatch.decisions import repeat_budget
+from pimentolatch.gateway import (
+    client_request,
+    dispatch,
+    event_relay,
+    peer_forwarder,
+    refusals,
+    request_progress,
+)
+
+__all__ = ["StreamHandover"]
+
+
+class StreamHandover:
+    """Forwards stream requests to peers and relays the events that come back.
+
+    Args:
+        context: Components that all stream requests share.
+        budget: Pays for a request that may have reached a server before.
+    """
+
+    def __init__(
+        self,
+        context: request_progress.Context,
+        budget: repeat_budget.RepeatBudget,
+    ) -> None:
+        self._context = context
+        self._budget = budget
+
+    async def run(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        progress: request_progress.Progress,
+    ) -> bool | None:
+        """Forward a request; True if its response is finished.
+
+        Returns:
+            False if it may be tried once more, None if no peer accepted it.
+        """
+        if progress.dispatches and not self._budget.spend(
+            request.service.name, self._context.clock.monotonic()
+        ):
+            await request_progress.finish(response, progress)
+            return True
+        resumed = progress.last_event > request.head.last_event
+        progress.outcome_pending = True
+        async with self._context.peers.open(
+            request,
+            possible_runs=progress.possible_runs,
+            last_event=progress.last_event if resumed else None,
+        ) as opened:
+            progress.outcome_pending = False
+            if isinstance(opened, peer_forwarder.NotForwarded):
+                return None
+            progress.dispatches += 1
+            if isinstance(opened, dispatch.OutcomeUnknown):
+                request_progress.count_run(request, progress)
+                progress.reason = opened.reason
+                return False
+            try:
+                return await self._relay(request, response, progress, opened)
+            except channel.BrokenError as error:
+                progress.reason = str(error)
+        if not request.route.repeatable and response.started:
+            response.abort(progress.reason)
+            return True
+        return False
+
+    async def _relay(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        progress: request_progress.Progress,
+        opened: peer_forwarder.OpenedForward,
+    ) -> bool:
+        if opened.refusal is not None:
+            return await self._refuse(response, progress, opened)
+        request_progress.count_run(request, progress)
+        if not 200 <= opened.status < 300:
+            body = await opened.read_body()
+            progress.failure_response = dispatch.FullResponse(
+                opened.status, opened.head, body
+            )
+            progress.reason = f"status {opened.status}"
+            await request_progress.finish(response, progress)
+            return True
+        if not opened.head.sealed:
+            raise channel.BrokenError("a success without the server's proof")
+        relay = event_relay.EventRelay(
+            request,
+            response,
+            progress,
+            opened.status,
+            opened.head.fields,
+            self._context.metrics,
+            self._context.clock,
+        )
+        while data := await opened.read():
+            if events := relay.take(data):
+                await relay.write(events)
+        await relay.finish()
+        return True
+
+    async def _refuse(
+        self,
+        response: client_request.ClientResponse,
+        progress: request_progress.Progress,
+        opened: peer_forwarder.OpenedForward,
+    ) -> bool:
+        """Answer with a peer's refusal, if it is true for all that was tried."""
+        assert opened.refusal is not None
+        body = await opened.read_body()
+        if response.started:
+            response.abort(opened.refusal.name.lower())
+        elif progress.possible_runs and opened.status in dispatch.NOT_RUN_STATUSES:
+            await response.refuse(refusals.outcome_unknown(opened.refusal.name.lower()))
+        else:
+            await response.pass_on_refusal(
+                opened.refusal, opened.status, opened.head.fields, body
+            )
+        return True
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -14,6 +14,7 @@
     "ClientHeaders",
     "DispatchOptions",
     "SETTINGS_VARIABLE",
+    "forwarded_fields",
     "parse_response_headers",
     "parse_client_headers",
     "parse_retry_after",
@@ -218,8 +219,7 @@
     if options.last_event is not None:
         dropped |= {_LAST_EVENT}
     kept = [(name, value) for name, value in fields if name.lower() not in dropped]
-    left = max(1, int(options.time_left / datetime.timedelta(milliseconds=1)))
-    kept.append((_DEADLINE, b"%d" % left))
+    kept.append((_DEADLINE, b"%d" % _whole_ms(options.time_left)))
     kept.append((_EXPECTED_SERVER, options.server_id.encode("latin-1")))
     if options.customer is not None:
         kept.append((_CUSTOMER, options.customer.encode()))
@@ -239,6 +239,36 @@
     return kept
 
 
+def forwarded_fields(
+    fields: Fields,
+    api_keys: abc.Iterable[bytes],
+    time_left: datetime.timedelta,
+    last_event: int | None,
+) -> list[tuple[bytes, bytes]]:
+    """Return the header fields of a request that is forwarded to a peer.
+
+    Args:
+        fields: Header fields of the client, with or without its API keys.
+        api_keys: The client's API keys.
+        time_left: How long the client will wait.
+        last_event: Resume after this event; None leaves the client's own field.
+    """
+    dropped = _CONNECTION_FIELDS | _RESERVED_FIELDS | _named_by_connection(fields)
+    dropped |= {_API_KEY}
+    if last_event is not None:
+        dropped |= {_LAST_EVENT}
+    kept = [(name, value) for name, value in fields if name.lower() not in dropped]
+    kept += [(_API_KEY, key) for key in api_keys]
+    kept.append((_DEADLINE, b"%d" % _whole_ms(time_left)))
+    if last_event is not None:
+        kept.append((_LAST_EVENT, b"%d" % last_event))
+    return kept
+
+
+def _whole_ms(time_left: datetime.timedelta) -> int:
+    return max(1, int(time_left / datetime.timedelta(milliseconds=1)))
+
+
 def _named_by_connection(fields: Fields) -> frozenset[bytes]:
     named: set[bytes] = set()
     for name, value in fields:
--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -13,6 +13,9 @@
 
 _VERSION = 12
 _FIELDS = 19
+# The last field is sent only by an instance that has lost the path to servers, so that
+# instances of the version without it understand all other beacons.
+_FIELDS_WHEN_CUT_OFF = _FIELDS + 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +63,8 @@
         _leader_row(beacon.leader),
         server_limits,
     ]
+    if beacon.cut_off_services:
+        rows.append(list(beacon.cut_off_services))
     return cbor2.dumps(rows)
 
 
@@ -120,7 +125,7 @@
     """Return the beacon of a datagram, which is untrusted."""
     try:
         rows = cbor2.loads(datagram)
-        if not isinstance(rows, list) or len(rows) != _FIELDS or rows[0] != _VERSION:
+        if not _is_beacon(rows):
             return Malformed("not a beacon of this protocol version")
         engines = [_engine(row) for row in rows[9]]
         return beacons.Beacon(
@@ -154,11 +159,20 @@
             tuple(_crash_report(row, engines) for row in rows[16]),
             _leader(rows[17]),
             tuple(_server_limit(row, engines) for row in rows[18]),
+            tuple(fields.text(name) for row in rows[_FIELDS:] for name in row),
         )
     except fields.DECODE_ERRORS as error:
         return Malformed(repr(error))
 
 
+def _is_beacon(rows: typing.Any) -> bool:
+    return (
+        isinstance(rows, list)
+        and len(rows) in (_FIELDS, _FIELDS_WHEN_CUT_OFF)
+        and rows[0] == _VERSION
+    )
+
+
 def _crash_report_row(
     report: beacons.CrashReport, engines: _EngineNumbering
 ) -> list[typing.Any]:
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -207,6 +207,7 @@
         crash_reports: Requests during which servers crashed.
         leader: The newest leader that the sender knows.
         server_limits: Some of the limits that servers have named lately.
+        cut_off_services: Services that the sender has lost the path to.
     """
 
     instance: str
@@ -226,3 +227,4 @@
     crash_reports: tuple[CrashReport, ...] = ()
     leader: Leader | None = None
     server_limits: tuple[ServerLimit, ...] = ()
+    cut_off_services: tuple[str, ...] = ()
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -16,6 +16,7 @@
 __all__ = ["ReceivedRequest", "RouteServer"]
 
 _EVENT_COUNT = 6
+_EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
 _RESPONSE_DELAYS_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
 
@@ -63,6 +64,7 @@
         orders: Accepted orders of the current incarnation.
         unresponsive: Whether requests for its report get no response either.
         started_ms: Unix time of its start in milliseconds; None if not reported.
+        event_pause_s: Time between two events of a stream.
         restart_before_order: Whether it restarts after its next report.
         queued, running: Ids of queued and running requests, for its report.
         fatal_body: A request with this body crashes the server soon after it starts to
@@ -98,6 +100,7 @@
         self.orders: list[dict[str, typing.Any]] = []
         self.unresponsive = False
         self.started_ms: int | None = None
+        self.event_pause_s = _EVENT_PAUSE_S
         self.restart_before_order = False
         self.queued: set[str] = set()
         self.running: set[str] = set()
@@ -323,7 +326,7 @@
                 connection.reset()
                 return False
             await connection.send_chunk(event)
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(self.event_pause_s)
         await connection.send_end()
         return True
 
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -106,6 +106,7 @@
         quarantine.Quarantine(crash_suspects.Policy(), time),
         leadership.Leadership("one", "127.0.0.1", table, None, time),
         flow_control.FlowControl(place, time),
+        frozenset,
         dict,
         time,
         chance,
--- a/tests/support/partition_world.py
+++ b/tests/support/partition_world.py
@@ -171,7 +171,7 @@
         except (TimeoutError, OSError, asyncio.IncompleteReadError, IndexError):
             return False
         served = reply.status == 200 and reply.complete
-        assert not (reply.status in (429, 503) and self._runs(request_id)), request_id
+        assert not (reply.status in (429, 503) and self.runs(request_id)), request_id
         return served
 
     async def load(self, names, seconds, rate):
@@ -190,13 +190,22 @@
             await asyncio.sleep(pause)
         return [bool(served) for served in await asyncio.gather(*sent)]
 
-    def _runs(self, request_id):
+    def runs(self, request_id):
+        """Return how many servers have started to run a request."""
         return sum(server.count_runs(request_id) for server in self.servers.values())
 
+    def queued(self, route_name):
+        """Tell whether a server holds a request whose id begins so."""
+        return any(
+            request_id.startswith(route_name)
+            for server in self.servers.values()
+            for request_id in server.queued
+        )
+
     def repeated(self):
         """Return the requests that ran more than once although they must not."""
         return [
             name
             for name, route_name in self.kinds.items()
-            if route_name in ("print", "draft") and self._runs(name) > 1
+            if route_name in ("print", "draft") and self.runs(name) > 1
         ]
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -21,6 +21,7 @@
 # outgoing connection of another process before the test had bound it.
 FIRST_PORT = 10_000
 PORTS_OF_PROCESS = 100
+PEER_PORTS = 3
 _ports = itertools.count()
 
 
@@ -38,6 +39,14 @@
     raise RuntimeError(f"no port is free from {first} on")
 
 
+def free_port_range():
+    """Return the first of as many free ports as an instance's peers use."""
+    while True:
+        ports = [free_port() for _ in range(PEER_PORTS)]
+        if ports[-1] - ports[0] == PEER_PORTS - 1:
+            return ports[0]
+
+
 def route(name, service, kind, **fields):
     """Return a route in the format of the operator's configuration."""
     chosen = {
@@ -192,7 +201,7 @@
                 "metrics": f"{host}:{self.metrics[name]}",
                 "peers": {
                     "host": host,
-                    "ports": [self.peer_port, self.peer_port + 2],
+                    "ports": [self.peer_port, self.peer_port + PEER_PORTS - 1],
                     "seeds": list(seeds),
                 },
                 "store": {"address": f"{HOST}:{self.store_port}"},
@@ -205,7 +214,7 @@
         self, name="one", seeds=(), host=HOST, ready=True, time=None
     ):
         if not self.ports:
-            self.peer_port = free_port()
+            self.peer_port = free_port_range()
         self.ports[name] = free_port()
         self.readiness[name] = free_port()
         self.metrics[name] = free_port()
