Name the shared parts of a prompt where a dispatch fails

Callers lost their streams as one server after the other ended under requests that are no two alike. The log named digests of requests, of which 195 of 219 lost one server each, and could not tell whether these requests have a part in common or servers end by themselves.

--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -38,7 +38,7 @@
     ),
     DOUBTED: ("server", "verdict", "queued", "running", "listed"),
     SENT: (
-        *("server", "what", "outcome", "ms", "digest", "events"),
+        *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms"),
     ),
     FORWARDED: ("peer", "outcome", "ms"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -107,18 +107,19 @@
             since: When it was sent.
             events: Number of the last event that the client received, for streams.
         """
+        failed = not isinstance(outcome, dispatch.FullResponse | dispatch.OpenResponse)
+        assert request.head.prompt is not None
         self.log.write(
             request_log.SENT,
             request.request_id,
-            wrong=not isinstance(
-                outcome, dispatch.FullResponse | dispatch.OpenResponse
-            ),
+            wrong=failed,
             server=engine.server.server_id,
             what=what,
             outcome=dispatch.describe(outcome),
             ms=self.log.elapsed_ms(since),
             digest=digests.digest_text(request.digest),
             events=events,
+            parts=request.head.prompt.shared_names if failed else None,
         )
 
 
--- a/src/pimentolatch/requests/prompts.py
+++ b/src/pimentolatch/requests/prompts.py
@@ -31,6 +31,11 @@
     expected_output: int
     parts: tuple[Part, ...]
 
+    @property
+    def shared_names(self) -> tuple[str, ...]:
+        """Names of the parts that other requests may share."""
+        return tuple(part.name for part in self.parts[:-1])
+
 
 @functools.lru_cache(maxsize=65_536)
 def part_key(name: str) -> int:
