Reproduce one part of a prompt that ends engine after engine

Requests that are no two alike share a part that ends each engine which begins to answer it. Where engines end by chance no request is kept from them.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -37,6 +37,12 @@
     fields: dict[str, str]
     body: bytes
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Names of the parts of its prompt."""
+        entries = self.fields.get("x-prompt-prefix", "").split(",")
+        return frozenset(entry.partition(":")[0] for entry in entries)
+
 
 class RouteServer:
     """A backend server.
@@ -69,6 +75,8 @@
         queued, running: Ids of queued and running requests, for its report.
         fatal_body: A request with this body crashes the server soon after it starts to
             run; None for no such request.
+        fatal_parts: A request with one of these parts in its prompt crashes the server
+            soon after its response begins.
         crashed: Whether the server has crashed.
         crashed_at: Time of the crash, by the event loop's clock.
         notices: Header fields that it adds to all its responses.
@@ -105,6 +113,7 @@
         self.queued: set[str] = set()
         self.running: set[str] = set()
         self.fatal_body: bytes | None = None
+        self.fatal_parts: frozenset[str] = frozenset()
         self.crashed = False
         self.crashed_at = 0.0
         self.notices: list[tuple[bytes, bytes]] = []
@@ -319,6 +328,10 @@
         if fault == "from the start":
             first = 1
         await connection.send_head(200, fields)
+        if self.fatal_parts & request.parts:
+            await asyncio.sleep(_CRASH_DELAY_S)
+            self.crash()
+            return False
         for number in range(first, _EVENT_COUNT + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if fault.endswith("cut") and number == first + 2:
