Keep parts of prompts that end servers from the other servers

Cause: evidence of crashes is kept by the digest of a whole request, and these requests are no two alike (195 of 219 digests had lost one server each). Class: evidence under a key that is finer than the cause.

The same evidence is now kept by part of the prompt as well, never by the last. It is cleared when any request with the part completes anywhere, or had events for half a second at the server that ended; a part in use is cleared many times a second, one that ends every server never. It counts after a second, in which peers can clear it, so the loss of many servers blames no part. Four crashes put a part into quarantine.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -65,6 +65,10 @@
     max_quarantine: datetime.timedelta = datetime.timedelta(days=1)
     exempt: frozenset[digests.RequestDigest] = frozenset()
 
+    def stricter(self, further: int) -> "Policy":
+        """Return the policy that asks for some more crashes."""
+        return dataclasses.replace(self, crashes=self.crashes + further)
+
     def duration(self, crashes: int) -> datetime.timedelta:
         """Return the duration of a quarantine, counted from the request's last crash.
 
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -42,6 +42,7 @@
 # to discover all members, and every instance watched the store until then.
 _MEMBERS_PER_BEACON = 2
 _MEMBERS_IN_REPLY = 30
+_NO_REPORTS = quarantine.CrashReports()
 
 
 class BeaconExchange(datagrams.DatagramSocket):
@@ -133,7 +134,9 @@
             self._send([addr[0]], self.beacon(_MEMBERS_IN_REPLY))
         weight = self._weights.get(beacon.failure_domain, 1.0)
         self._load_exchange.receive(beacon, weight, self._clock.monotonic())
-        self._suspects.receive(beacon.crash_reports)
+        self._suspects.receive(
+            quarantine.CrashReports(beacon.crash_reports, beacon.part_reports)
+        )
         self._leadership.receive(beacon.leader)
         self._flow.receive(beacon.server_limits, self._fleet.servers)
 
@@ -145,7 +148,7 @@
         seeds = [neighbours.Place(host, "") for host in self._seeds - known_hosts]
         self._neighbours = neighbours.choose(self._place, [*places, *seeds])
         self._load_exchange.partial_view = bool(self._neighbours.far)
-        self._suspects.partial_view = self._load_exchange.partial_view
+        self._suspects.set_partial_view(self._load_exchange.partial_view)
         for loads in self._fleet.loads_by_service().values():
             loads.partial_view = self._load_exchange.partial_view
         self._weights = self._table.weights()
@@ -155,7 +158,7 @@
 
     def _send_near(self) -> None:
         beacon = self.beacon(
-            cached=self._updates.take_near(), crash_reports=self._suspects.take_near()
+            cached=self._updates.take_near(), reports=self._suspects.take_near()
         )
         self._send(self._neighbours.near, beacon)
 
@@ -165,7 +168,7 @@
         if not hosts:
             return
         beacon = self.beacon(
-            cached=self._updates.take_far(), crash_reports=self._suspects.take_far()
+            cached=self._updates.take_far(), reports=self._suspects.take_far()
         )
         beacon = dataclasses.replace(beacon, loads=())
         for chunk, totals in self._load_exchange.totals(self._clock.monotonic()):
@@ -178,14 +181,14 @@
         self,
         members: int = _MEMBERS_PER_BEACON,
         cached: tuple[beacons.CachedPrefix, ...] = (),
-        crash_reports: tuple[beacons.CrashReport, ...] = (),
+        reports: quarantine.CrashReports = _NO_REPORTS,
     ) -> beacons.Beacon:
         """Return the beacon to send now.
 
         Args:
             members: Maximum number of members to list.
             cached: Prefix-cache updates to include.
-            crash_reports: Crash evidence to include.
+            reports: Crash evidence to include.
         """
         return beacons.Beacon(
             instance=self._name,
@@ -208,7 +211,8 @@
                 )
                 for service, demand in self._demands().items()
             ),
-            crash_reports=crash_reports,
+            crash_reports=reports.requests,
+            part_reports=reports.parts,
             leader=self._leadership.announcement(),
             server_limits=self._flow.reports(),
             cut_off_services=tuple(sorted(self._cut_off_services())),
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -34,6 +34,7 @@
         deadline: When its response is due: the client's deadline or the route's
             timeout, whichever comes first.
         digest: Identifies the request; the same for each attempt of the client.
+        part_digests: Identify the parts of its prompt that other requests may share.
         access: Customer and priority of the request.
         forwarded: Set if a peer without a path to the servers has forwarded it.
     """
@@ -49,6 +50,7 @@
     deadline: datetime.timedelta
     digest: digests.RequestDigest
     access: access.Access
+    part_digests: tuple[digests.RequestDigest, ...] = ()
     forwarded: forwarding.ForwardOptions | None = None
 
     @property
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -4,7 +4,7 @@
 import datetime
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import placement_types, stall_check
+from pimentolatch.decisions import part_suspects, placement_types, stall_check
 from pimentolatch.gateway import (
     client_request,
     dispatch,
@@ -185,7 +185,9 @@
             progress.unanswered = True
             progress.reason = str(error)
             broken = dispatch.OutcomeUnknown(progress.reason, server_crashed=True)
-            self._context.crash_quarantine.record_crash(request, engine.server, sent_at)
+            self._context.crash_quarantine.record_crash(
+                request, engine.server, sent_at, proven=self._is_proven(generation)
+            )
             self._context.log_sent(
                 request,
                 engine,
@@ -280,8 +282,8 @@
     ) -> None:
         """Record the end of prefill at the first event, and later the gap."""
         engine = generation.place.engine
-        if not generation.first_event_seen:
-            generation.first_event_seen = True
+        if generation.first_event_at is None:
+            generation.first_event_at = self._context.clock.monotonic()
             engine.prefill_tokens[generation.place.level] -= generation.unprefilled
             generation.unprefilled = 0
             self._context.record_cached_prompt(generation.request, engine)
@@ -289,6 +291,12 @@
             return
         self._context.loads(generation.request).observe_event_gap(engine, since)
 
+    def _is_proven(self, generation: request_progress.Generation) -> bool:
+        """Tell whether an engine has sent events of a response for a while."""
+        at = generation.first_event_at
+        now = self._context.clock.monotonic()
+        return at is not None and now - at >= part_suspects.PROVEN_AFTER
+
     def _count_usage(self, generation: request_progress.Generation) -> None:
         """Count a request once for its customer, however many engines serve it."""
         if not generation.progress.usage_counted:
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -206,9 +206,20 @@
             deadline=deadline,
             digest=digest,
             access=allowed,
+            part_digests=self._part_digests(head),
             forwarded=forwarded,
         )
 
+    def _part_digests(
+        self, head: http_headers.ClientHeaders
+    ) -> tuple[digests.RequestDigest, ...]:
+        if head.prompt is None:
+            return ()
+        return tuple(
+            digests.part_digest(self._digest_key, name)
+            for name in head.prompt.shared_names
+        )
+
     async def _read_body(
         self, receive: Receive, limit: int, deadline: datetime.timedelta
     ) -> bytes | results.Refusal | None:
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -1,34 +1,38 @@
 """Quarantines requests that crash servers, on evidence shared with peers."""
 
+import dataclasses
 import datetime
-import math
 import typing
 from collections import abc
 
 import logbook
 
 from pimentolatch import clock
-from pimentolatch.decisions import crash_evidence, crash_notices, crash_suspects
-from pimentolatch.gateway import client_request
+from pimentolatch.decisions import crash_evidence, crash_suspects, part_suspects
+from pimentolatch.gateway import client_request, crash_exchange
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
-__all__ = ["Quarantine"]
+__all__ = ["CrashReports", "Quarantine"]
 
 _log = logbook.Logger("quarantine")
-# Suspected crashes (request, server) in one beacon, some twenty bytes each.
-_MAX_PAIRS = 24
-# Requests in or close to quarantine whose suspected crashes are added to each beacon,
-# in rotation.
-_MAX_REPEATED = 2
-# How often each suspected crash is sent, since datagrams may be lost.
-_SEND_COUNT = 3
-
-_MILLISECOND = datetime.timedelta(milliseconds=1)
 _REVIEW_INTERVAL = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReports:
+    """Evidence to send to peers.
+
+    Attributes:
+        requests: Suspected crashes by request.
+        parts: The same by part of a prompt.
+    """
+
+    requests: tuple[beacons.CrashReport, ...] = ()
+    parts: tuple[beacons.CrashReport, ...] = ()
+
+
 class Quarantine:
     """Collects evidence of crashes and decides which requests are quarantined.
 
@@ -37,35 +41,50 @@
     Args:
         policy: Rules by which a request is quarantined.
         time: Clock of this instance.
-
-    Attributes:
-        partial_view: Whether there are instances that exchange no beacons with each
-            other, so that evidence from peers has to be forwarded.
     """
 
     def __init__(self, policy: crash_suspects.Policy, time: clock.Clock) -> None:
         self._suspects = crash_suspects.CrashSuspects(policy)
+        self._parts = part_suspects.PartSuspects(policy)
         self._clock = time
-        self._near = crash_notices.CrashNoticeQueue(_SEND_COUNT)
-        self._far = crash_notices.CrashNoticeQueue(_SEND_COUNT)
-        self._turn = 0
+        self._exchange = crash_exchange.CrashExchange(self._suspects, time)
+        self._part_exchange = crash_exchange.CrashExchange(self._parts, time)
         self._logged: set[digests.RequestDigest] = set()
-        self.partial_view = False
+        self._logged_parts: set[digests.RequestDigest] = set()
 
     @property
     def size(self) -> int:
         """Number of requests in quarantine."""
         return len(self._suspects.quarantined(self._clock.monotonic()))
 
+    @property
+    def part_count(self) -> int:
+        """Number of parts of prompts in quarantine."""
+        return len(self._parts.quarantined(self._clock.monotonic()))
+
+    def set_partial_view(self, partial: bool) -> None:
+        """Set whether evidence from peers has to be forwarded.
+
+        That is so if there are instances that exchange no beacons with each other.
+        """
+        self._exchange.partial_view = partial
+        self._part_exchange.partial_view = partial
+
     def apply(self, policy: crash_suspects.Policy) -> None:
         """Replace the policy; the evidence stays."""
         self._suspects.policy = policy
+        self._parts.policy = policy
 
     def verdict(
         self, request: client_request.ClientRequest
     ) -> crash_suspects.Verdict | None:
         """Return why a request is quarantined; None if it may run."""
-        return self._suspects.verdict(request.digest, self._clock.monotonic())
+        now = self._clock.monotonic()
+        verdict = self._suspects.verdict(request.digest, now)
+        if verdict is not None:
+            return verdict
+        found = (self._parts.verdict(part, now) for part in request.part_digests)
+        return next((verdict for verdict in found if verdict is not None), None)
 
     def is_suspect(self, request: client_request.ClientRequest) -> bool:
         """Tell whether servers have crashed while they ran a request."""
@@ -90,6 +109,8 @@
         request: client_request.ClientRequest,
         server: servers.Server,
         begun: datetime.timedelta,
+        *,
+        proven: bool = False,
     ) -> None:
         """Record that a server's connection ended while it ran a request.
 
@@ -98,56 +119,46 @@
             server: The server.
             begun: When the request was sent. A request that was sent over a pooled
                 connection to a server that had already crashed is not the cause.
+            proven: The server had answered the parts of its prompt for a while, so
+                none of these is the cause.
         """
-        if self._suspects.has_crashed(server.incarnation, begun):
-            return
         now = self._clock.monotonic()
-        pair = crash_evidence.SuspectedCrash(
-            request.digest, server.incarnation, False, now, now - begun
-        )
-        known = self._suspects.add(pair, now)
-        if known is not None:
-            self._enqueue([known])
+        if not self._suspects.has_crashed(server.incarnation, begun):
+            pair = _pair(request.digest, server, begun, now)
+            self._exchange.enqueue(_known(self._suspects.add(pair, now)))
+        if self._parts.has_crashed(server.incarnation, begun):
+            return
+        for part in request.part_digests:
+            pair = _pair(part, server, begun, now, cleared=proven)
+            self._part_exchange.enqueue(_known(self._parts.add(pair, now)))
 
     def record_response(
         self, server: servers.Server, since: datetime.timedelta
     ) -> None:
         """Record that a server has answered an exchange that began at `since`."""
-        self._enqueue(self._suspects.answered(server.incarnation, since))
+        incarnation = server.incarnation
+        self._exchange.enqueue(self._suspects.answered(incarnation, since))
+        self._part_exchange.enqueue(self._parts.answered(incarnation, since))
 
     def record_completion(self, request: client_request.ClientRequest) -> None:
         """Record that a server has completed a request successfully."""
-        self._enqueue(self._suspects.completed(request.digest))
+        self._exchange.enqueue(self._suspects.completed(request.digest))
+        now = self._clock.monotonic()
+        for part in request.part_digests:
+            self._part_exchange.enqueue(self._parts.record_completion(part, now))
 
-    def take_near(self) -> tuple[beacons.CrashReport, ...]:
+    def take_near(self) -> CrashReports:
         """Return the evidence to send to near peers."""
-        evidence = self._near.take(_MAX_PAIRS, self._suspects.crash_count)
-        return self._rows(evidence + self._next_repeated())
+        return CrashReports(self._exchange.take_near(), self._part_exchange.take_near())
 
-    def take_far(self) -> tuple[beacons.CrashReport, ...]:
+    def take_far(self) -> CrashReports:
         """Return the evidence to send to peers in other failure domains."""
-        evidence = self._far.take(_MAX_PAIRS, self._suspects.crash_count)
-        return self._rows(evidence + self._next_repeated())
+        return CrashReports(self._exchange.take_far(), self._part_exchange.take_far())
 
-    def receive(self, rows: typing.Iterable[beacons.CrashReport]) -> None:
+    def receive(self, reports: CrashReports) -> None:
         """Apply the evidence that a peer has sent."""
-        now = self._clock.monotonic()
-        pairs = [
-            crash_evidence.SuspectedCrash(
-                row.digest,
-                row.server,
-                row.cleared,
-                now - row.age_ms * _MILLISECOND,
-                row.ran_for_ms * _MILLISECOND,
-                row.server_alive,
-            )
-            for row in rows
-        ]
-        fresh = self._suspects.merge(pairs, now)
-        # A clearing that the peer has missed is sent back to it in any fleet.
-        if not self.partial_view:
-            fresh = [pair for pair in fresh if pair not in pairs]
-        self._enqueue(fresh)
+        self._exchange.receive(reports.requests)
+        self._part_exchange.receive(reports.parts)
 
     async def review(self) -> None:
         """Expire evidence and log changes periodically; runs until cancelled."""
@@ -156,53 +167,50 @@
             self.review_once()
 
     def review_once(self) -> None:
-        """Expire evidence and log the requests that enter or leave quarantine."""
-        now = self._clock.monotonic()
-        self._suspects.remove_expired(now)
-        self._log_changes(self._suspects.quarantined(now))
-
-    def _enqueue(self, pairs: typing.Iterable[crash_evidence.SuspectedCrash]) -> None:
-        for pair in pairs:
-            self._near.add(pair)
-            self._far.add(pair)
-
-    def _next_repeated(self) -> list[crash_evidence.SuspectedCrash]:
-        """Return all suspected crashes of the next requests in the rotation."""
-        repeated = self._suspects.repeated_crashes()
-        if not repeated:
-            return []
-        self._turn += _MAX_REPEATED
-        chosen = {(self._turn + n) % len(repeated) for n in range(_MAX_REPEATED)}
-        return [pair for number in chosen for pair in repeated[number]]
-
-    def _rows(
-        self, pairs: typing.Iterable[crash_evidence.SuspectedCrash]
-    ) -> tuple[beacons.CrashReport, ...]:
+        """Expire evidence and log what enters or leaves quarantine."""
         now = self._clock.monotonic()
-        # Rounded up: evidence whose age is rounded down at each hop would never expire.
-        return tuple(
-            beacons.CrashReport(
-                pair.digest,
-                pair.server,
-                pair.cleared,
-                max(0, math.ceil((now - pair.at) / _MILLISECOND)),
-                math.ceil(pair.ran_for / _MILLISECOND),
-                pair.server_alive,
-            )
-            for pair in pairs
+        for what, suspects, logged in (
+            ("request", self._suspects, self._logged),
+            ("part", self._parts, self._logged_parts),
+        ):
+            suspects.remove_expired(now)
+            _log_changes(what, logged, suspects.quarantined(now))
+
+
+def _pair(
+    digest: digests.RequestDigest,
+    server: servers.Server,
+    begun: datetime.timedelta,
+    now: datetime.timedelta,
+    *,
+    cleared: bool = False,
+) -> crash_evidence.SuspectedCrash:
+    return crash_evidence.SuspectedCrash(
+        digest, server.incarnation, cleared, now, now - begun
+    )
+
+
+def _known(
+    pair: crash_evidence.SuspectedCrash | None,
+) -> list[crash_evidence.SuspectedCrash]:
+    return [] if pair is None else [pair]
+
+
+def _log_changes(
+    what: str,
+    logged: set[digests.RequestDigest],
+    found: abc.Mapping[digests.RequestDigest, crash_suspects.Verdict],
+) -> None:
+    """Log the changes since the last call, and record what is logged."""
+    for digest in logged - found.keys():
+        _log.warn("quarantine ended", what=what, digest=digests.digest_text(digest))
+    for digest in found.keys() - logged:
+        verdict = found[digest]
+        _log.warn(
+            f"{what} quarantined",
+            digest=digests.digest_text(digest),
+            servers=[server.server_id for server in verdict.crashed_servers],
+            for_s=round(verdict.remaining.total_seconds()),
         )
-
-    def _log_changes(
-        self, found: abc.Mapping[digests.RequestDigest, crash_suspects.Verdict]
-    ) -> None:
-        for digest in self._logged - found.keys():
-            _log.warn("quarantine ended", digest=digests.digest_text(digest))
-        for digest in found.keys() - self._logged:
-            verdict = found[digest]
-            _log.warn(
-                "request quarantined",
-                digest=digests.digest_text(digest),
-                servers=[server.server_id for server in verdict.crashed_servers],
-                for_s=round(verdict.remaining.total_seconds()),
-            )
-        self._logged = set(found)
+    logged.clear()
+    logged.update(found)
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -188,7 +188,7 @@
     Attributes:
         prefill_tokens: Prompt tokens that this engine prefills itself.
         unprefilled: Those of them that are not prefilled yet.
-        first_event_seen: The engine has sent an event.
+        first_event_at: When the engine sent its first event; None before.
     """
 
     request: client_request.ClientRequest
@@ -197,7 +197,7 @@
     place: placement_types.Colocated | placement_types.Disaggregated
     prefill_tokens: int
     unprefilled: int = 0
-    first_event_seen: bool = False
+    first_event_at: datetime.timedelta | None = None
 
     def __post_init__(self) -> None:
         self.unprefilled = self.prefill_tokens
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -238,6 +238,11 @@
             ),
             ("fleet_instances", "Instances of the fleet.", self._peers.instances),
             ("quarantined", "Requests kept from servers.", self._suspects.size),
+            (
+                "quarantined_parts",
+                "Parts of prompts that are kept from servers.",
+                self._suspects.part_count,
+            ),
             (
                 "limited_servers",
                 "Servers that named a limit.",
--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -13,9 +13,9 @@
 
 _VERSION = 12
 _FIELDS = 19
-# The last field is sent only by an instance that has lost the path to servers, so that
-# instances of the version without it understand all other beacons.
-_FIELDS_WHEN_CUT_OFF = _FIELDS + 1
+# Fields that are sent only if one of them is not empty, so that instances of the
+# release without them understand all other beacons.
+_RARE_FIELDS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +38,7 @@
         for item in beacon.stage_changes
     ]
     crash_reports = [_crash_report_row(item, engines) for item in beacon.crash_reports]
+    part_reports = [_crash_report_row(item, engines) for item in beacon.part_reports]
     server_limits = [
         [engines.number(item.server), item.millihertz, item.age_ms]
         for item in beacon.server_limits
@@ -63,8 +64,8 @@
         _leader_row(beacon.leader),
         server_limits,
     ]
-    if beacon.cut_off_services:
-        rows.append(list(beacon.cut_off_services))
+    if beacon.cut_off_services or part_reports:
+        rows += [list(beacon.cut_off_services), part_reports]
     return cbor2.dumps(rows)
 
 
@@ -128,6 +129,7 @@
         if not _is_beacon(rows):
             return Malformed("not a beacon of this protocol version")
         engines = [_engine(row) for row in rows[9]]
+        rare = rows[_FIELDS:] or [()] * _RARE_FIELDS
         return beacons.Beacon(
             fields.text(rows[1]),
             fields.text(rows[2]),
@@ -159,7 +161,8 @@
             tuple(_crash_report(row, engines) for row in rows[16]),
             _leader(rows[17]),
             tuple(_server_limit(row, engines) for row in rows[18]),
-            tuple(fields.text(name) for row in rows[_FIELDS:] for name in row),
+            tuple(fields.text(name) for name in rare[0]),
+            tuple(_crash_report(row, engines) for row in rare[1]),
         )
     except fields.DECODE_ERRORS as error:
         return Malformed(repr(error))
@@ -168,7 +171,7 @@
 def _is_beacon(rows: typing.Any) -> bool:
     return (
         isinstance(rows, list)
-        and len(rows) in (_FIELDS, _FIELDS_WHEN_CUT_OFF)
+        and len(rows) in (_FIELDS, _FIELDS + _RARE_FIELDS)
         and rows[0] == _VERSION
     )
 
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -138,7 +138,8 @@
     """A server's connection closed while the server ran a request.
 
     Attributes:
-        digest: `digests.request_digest` of the request.
+        digest: `digests.request_digest` of the request, or `digests.part_digest` of a
+            part of its prompt.
         cleared: Whether the server proved alive or the request has completed since.
         age_ms: Maximum time since the connection closed.
         ran_for_ms: Time for which the server had run the request; 0 if not known.
@@ -208,6 +209,7 @@
         leader: The newest leader that the sender knows.
         server_limits: Some of the limits that servers have named lately.
         cut_off_services: Services that the sender has lost the path to.
+        part_reports: Parts of prompts that servers answered when they crashed.
     """
 
     instance: str
@@ -228,3 +230,4 @@
     leader: Leader | None = None
     server_limits: tuple[ServerLimit, ...] = ()
     cut_off_services: tuple[str, ...] = ()
+    part_reports: tuple[CrashReport, ...] = ()
--- a/src/pimentolatch/requests/digests.py
+++ b/src/pimentolatch/requests/digests.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-__all__ = ["RequestDigest", "digest_text", "request_digest"]
+__all__ = ["RequestDigest", "digest_text", "part_digest", "request_digest"]
 
 # Among ten million requests, two share one of 2**48 digests with a probability of one
 # in six, but rarely is one of the two among the thousand digests that are retained. The
@@ -39,6 +39,17 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+def part_digest(key: bytes, name: str) -> RequestDigest:
+    """Return the digest of a part of prompts, equal at all instances with the same key.
+
+    Args:
+        key: Secret key of up to 64 bytes.
+        name: Name of the part.
+    """
+    digest = hashlib.blake2b(name.encode(), key=key, digest_size=_DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), "big")
+
+
 def digest_text(digest: RequestDigest) -> str:
     """Return a digest in the form used in logs and settings."""
     return f"{digest:0{2 * _DIGEST_BYTES}x}"
--- a/tests/features/cut_off_instances.feature
+++ b/tests/features/cut_off_instances.feature
@@ -73,7 +73,7 @@
     Then cut: g1 refuses it as not run
 
   # Guards against instances of two releases that do not understand each other.
-  Scenario: Only an instance without a path to servers adds a field to its beacons
-    When cut: beacons with and without services out of reach are encoded
+  Scenario: Fields that the release before lacks are sent only where needed
+    When cut: beacons with and without these fields are encoded
     Then cut: the one without has the fields of the release before
     And cut: both are decoded to what they were
--- a/tests/features/steps/crash_suspects_steps.py
+++ b/tests/features/steps/crash_suspects_steps.py
@@ -23,6 +23,7 @@
 @dataclasses.dataclass(frozen=True)
 class Asked:
     digest: int
+    part_digests: tuple = ()
 
 
 REQUEST = Asked(DIGEST)
@@ -40,7 +41,7 @@
 
 def tell(kept, name, digest=DIGEST, age_ms=0):
     row = beacons.CrashReport(digest, servers.Incarnation(name), False, age_ms)
-    kept.receive([row])
+    kept.receive(quarantine.CrashReports((row,)))
 
 
 @behave.given("suspects: a request under which servers {names} ended {when}")
@@ -112,7 +113,7 @@
             age_ms=(context.time.monotonic() - begun) // (SECOND / 1000),
             ran_for_ms=50 + lead,
         )
-        context.kept.receive([row])
+        context.kept.receive(quarantine.CrashReports((row,)))
 
 
 @behave.given(
@@ -242,7 +243,9 @@
 
 @behave.then("suspects: the peers are told that both are cleared")
 def told_cleared(context):
-    told = {row.server.server_id: row.cleared for row in context.kept.take_near()}
+    told = {
+        row.server.server_id: row.cleared for row in context.kept.take_near().requests
+    }
     assert told["s1"] and told["s2"], told
 
 
@@ -254,4 +257,4 @@
 @behave.then("suspects: nothing is left to be told")
 def nothing_told(context):
     drain(context.kept)
-    assert context.kept.take_near() == ()
+    assert context.kept.take_near() == quarantine.CrashReports()
--- a/tests/features/steps/cut_off_instances_steps.py
+++ b/tests/features/steps/cut_off_instances_steps.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from pimentolatch.protocol import beacon_codec, beacons, forwarding
+from pimentolatch.routes import servers
 from tests.support import partition_world, route_world
 
 RATE = 6
@@ -206,10 +207,15 @@
     assert not context.world.runs("newer")
 
 
-@behave.when("cut: beacons with and without services out of reach are encoded")
+@behave.when("cut: beacons with and without these fields are encoded")
 def encode(context):
     calm = beacons.Beacon("one", "here", "x", 1, 1, False, (), ())
-    context.beacons = [calm, dataclasses.replace(calm, cut_off_services=("a", "b"))]
+    report = beacons.CrashReport(7, servers.Incarnation("s"), False, 3)
+    context.beacons = [
+        calm,
+        dataclasses.replace(calm, cut_off_services=("a", "b")),
+        dataclasses.replace(calm, part_reports=(report,)),
+    ]
     context.encoded = [beacon_codec.encode(beacon) for beacon in context.beacons]
 
 
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -11,7 +11,7 @@
 from pimentolatch import clock, logs, validation
 from pimentolatch.cli import explanation
 from pimentolatch.decisions import engine_loads, log_budget, stage_plan
-from pimentolatch.gateway import process, request_log, settings
+from pimentolatch.gateway import process, quarantine, request_log, settings
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
@@ -207,12 +207,12 @@
 @behave.given("an instance that keeps a request from servers")
 def instance_with_quarantine(context):
     instance_with_slack(context)
-    context.asked = types.SimpleNamespace(digest=EXEMPT_DIGEST)
+    context.asked = types.SimpleNamespace(digest=EXEMPT_DIGEST, part_digests=())
     rows = [
         beacons.CrashReport(EXEMPT_DIGEST, servers.Incarnation(f"s{n}"), False, 5000)
         for n in range(3)
     ]
-    context.instance.quarantine.receive(rows)
+    context.instance.quarantine.receive(quarantine.CrashReports(tuple(rows)))
     assert context.instance.quarantine.verdict(context.asked) is not None
 
 
--- a/tests/support/crash_replay.py
+++ b/tests/support/crash_replay.py
@@ -54,6 +54,7 @@
     attempts: int = 0
     crashes: int = 0
     retried: bool = False
+    part_digests: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +140,7 @@
         for instance in self._instances:
             others = [place for place in places if place is not instance.place]
             instance.neighbours = neighbours.choose(instance.place, others)
-            instance.quarantine.partial_view = bool(instance.neighbours.far)
+            instance.quarantine.set_partial_view(bool(instance.neighbours.far))
         self._running = {}
         self._observed_counts = {}
         for _ in range(engines):
@@ -323,9 +324,9 @@
                 self._now() + interval, self._send_beacons, instance, large, number + 1
             )
 
-    def _send(self, hosts, rows):
-        if not rows:
+    def _send(self, hosts, reports):
+        if reports == quarantine.CrashReports():
             return
         for host in hosts:
             if self._rng.random() >= BEACON_LOSS_RATE:
-                self._by_host[host].quarantine.receive(rows)
+                self._by_host[host].quarantine.receive(reports)
