Count crashes close together as one against a part, and try a part again

Not seen by callers yet; found while weighing the fix: when all servers end at once, or nobody reaches any, a part in use has four crashes and no request completes for a while.

Crashes within a quarter of a second count as one, a crash counts after the time in which a clearing reaches the fleet, and one instance lets a single request through 45 s after the last crash, later ones four times as late; if it completes, the part is cleared everywhere. Each of the new scenarios fails without its part of the change.

--- a/src/pimentolatch/decisions/crash_suspects.py
+++ b/src/pimentolatch/decisions/crash_suspects.py
@@ -29,7 +29,7 @@
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
-__all__ = ["CrashSuspects", "Policy", "Verdict", "suspect_subset"]
+__all__ = ["DISSEMINATION_TIME", "CrashSuspects", "Policy", "Verdict", "suspect_subset"]
 
 # Records of a suspect that is not retried within this time expire.
 _SUSPECT_LIFETIME = datetime.timedelta(minutes=10)
@@ -42,7 +42,7 @@
 _REPEATED = 2
 # Crash notices reach a fleet of hundreds within 2 s, most of it within 1 s. Until then
 # a suspected request is blocked, but not quarantined.
-_DISSEMINATION_TIME = datetime.timedelta(milliseconds=1500)
+DISSEMINATION_TIME = datetime.timedelta(milliseconds=1500)
 # Each crash after a quarantine makes the next one longer by this factor.
 _QUARANTINE_GROWTH = 6
 # Share of the servers that a suspect may use.
@@ -187,8 +187,8 @@
             return None
         elapsed = now - max(crash.at for crash in uncleared)
         names = tuple(crash.server for crash in uncleared)
-        if elapsed < _DISSEMINATION_TIME:
-            return Verdict(names, _DISSEMINATION_TIME - elapsed, confirmed=False)
+        if elapsed < DISSEMINATION_TIME:
+            return Verdict(names, DISSEMINATION_TIME - elapsed, confirmed=False)
         left = self.policy.duration(len(uncleared)) - elapsed
         if left <= datetime.timedelta():
             return None
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -5,7 +5,12 @@
 import random
 
 from pimentolatch import clock
-from pimentolatch.decisions import demand_rate, neighbours, store_readers
+from pimentolatch.decisions import (
+    demand_rate,
+    neighbours,
+    rendezvous,
+    store_readers,
+)
 from pimentolatch.protocol import beacons
 
 __all__ = ["Peer", "PeerTable"]
@@ -109,6 +114,12 @@
         now = self._clock.monotonic()
         return peer is not None and now - peer.received_at <= _LIVENESS_TIMEOUT
 
+    def is_first_for(self, key: int) -> bool:
+        """Tell whether this instance is the first of all known ones for a key."""
+        hosts = [place.host for place in self.places()]
+        ranks = (rendezvous.rank(host, str(key)) for host in hosts)
+        return rendezvous.rank(self._place.host, str(key)) > max(ranks, default=-1)
+
     def places(self) -> list[neighbours.Place]:
         """Return host and failure domain of all other known instances."""
         return [mention.place for mention in self._mentions.values()]
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -87,8 +87,6 @@
         self._cache_updates = cache_updates.CacheUpdates()
         self._metrics = route_metrics.RouteMetrics()
         self._request_log = request_log.RequestLog(time, self._metrics)
-        self._quarantine = quarantine.Quarantine(chosen.quarantine.policy, time)
-        self._permission = dispatch_check.DispatchCheck(self._fleet, self._quarantine)
         self._incarnation = uuid.uuid4().hex
         self._peer_table = peer_table.PeerTable(
             chosen.instance,
@@ -96,6 +94,10 @@
             time,
             random.Random(),
         )
+        self._quarantine = quarantine.Quarantine(
+            chosen.quarantine.policy, time, self._peer_table.is_first_for
+        )
+        self._permission = dispatch_check.DispatchCheck(self._fleet, self._quarantine)
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._fleet, self._client, chosen.failure_domain, time, random.Random()
         )
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -41,9 +41,17 @@
     Args:
         policy: Rules by which a request is quarantined.
         time: Clock of this instance.
+        grants_trials: Tells whether this instance, of all in the fleet, may let a
+            request with a quarantined part through as a trial.
     """
 
-    def __init__(self, policy: crash_suspects.Policy, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        policy: crash_suspects.Policy,
+        time: clock.Clock,
+        grants_trials: abc.Callable[[digests.RequestDigest], bool] = lambda part: False,
+    ) -> None:
+        self._grants_trials = grants_trials
         self._suspects = crash_suspects.CrashSuspects(policy)
         self._parts = part_suspects.PartSuspects(policy)
         self._clock = time
@@ -83,8 +91,11 @@
         verdict = self._suspects.verdict(request.digest, now)
         if verdict is not None:
             return verdict
-        found = (self._parts.verdict(part, now) for part in request.part_digests)
-        return next((verdict for verdict in found if verdict is not None), None)
+        for part in request.part_digests:
+            verdict = self._parts.verdict(part, now)
+            if verdict is not None and not self._is_on_trial(part, request, now):
+                return verdict
+        return None
 
     def is_suspect(self, request: client_request.ClientRequest) -> bool:
         """Tell whether servers have crashed while they ran a request."""
@@ -104,6 +115,16 @@
             request.digest, crashes, found
         )
 
+    def _is_on_trial(
+        self,
+        part: digests.RequestDigest,
+        request: client_request.ClientRequest,
+        now: datetime.timedelta,
+    ) -> bool:
+        return self._grants_trials(part) and self._parts.is_on_trial(
+            part, request.digest, now
+        )
+
     def record_crash(
         self,
         request: client_request.ClientRequest,
@@ -131,6 +152,7 @@
         for part in request.part_digests:
             pair = _pair(part, server, begun, now, cleared=proven)
             self._part_exchange.enqueue(_known(self._parts.add(pair, now)))
+            self._parts.end_trial(part)
 
     def record_response(
         self, server: servers.Server, since: datetime.timedelta
--- a/tests/features/part_suspects.feature
+++ b/tests/features/part_suspects.feature
@@ -34,6 +34,32 @@
     And parts: the time passes in which peers can clear a crash
     Then parts: prompts of "first" are not
 
+  # Guards against the same where no server had sent events for long.
+  Scenario: A part that many servers were answering when they ended at once is not blamed
+    When parts: 9 servers end within 500 ms, each under a prompt of "first"
+    And parts: the time passes in which peers can clear a crash
+    Then parts: prompts of "first" are not
+
+  # Guards against a part that stays blamed since all its requests are refused.
+  Scenario: A part that is sound again is cleared by a request on trial
+    When parts: 4 servers end 80 ms after they got prompts of "first, fatal"
+    And parts: 50 s pass
+    Then parts: one of 10 prompts of "fatal" may run
+    When parts: the prompt on trial completes
+    Then parts: prompts of "fatal" are not
+
+  # Guards against trials that cost a server each, one after the other.
+  Scenario: A trial under which a server ends is not repeated soon
+    When parts: 4 servers end 80 ms after they got prompts of "first, fatal"
+    And parts: 50 s pass
+    Then parts: one of 10 prompts of "fatal" may run
+    When parts: a server ends under the prompt on trial
+    Then parts: none of 10 prompts of "fatal" may run
+    When parts: 50 s pass
+    Then parts: none of 10 prompts of "fatal" may run
+    When parts: 150 s pass
+    Then parts: one of 10 prompts of "fatal" may run
+
   # Guards against a verdict by evidence that peers are about to clear.
   Scenario: Crashes count only once peers could clear them
     When parts: 4 servers end 80 ms after they got prompts of "first, fatal"
--- a/tests/features/steps/part_suspects_steps.py
+++ b/tests/features/steps/part_suspects_steps.py
@@ -15,6 +15,8 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 # Beacons in which each piece of evidence of a few crashes is told at least once.
 BEACONS = 20
+# Time between two servers that end under prompts of their own.
+PAUSE = SECOND / 4
 _numbers = itertools.count()
 
 
@@ -39,7 +41,9 @@
 def start(context):
     context.time = clock.ManualClock()
     context.time.advance(SECOND)
-    context.kept = quarantine.Quarantine(crash_suspects.Policy(), context.time)
+    context.kept = quarantine.Quarantine(
+        crash_suspects.Policy(), context.time, lambda part: True
+    )
 
 
 @behave.when(
@@ -51,6 +55,7 @@
         begun = context.time.monotonic()
         context.time.advance(ms * MILLISECOND)
         context.kept.record_crash(prompt(text), lost, begun)
+        context.time.advance(PAUSE)
 
 
 @behave.when(
@@ -81,7 +86,51 @@
 
 @behave.when("parts: the time passes in which peers can clear a crash")
 def settle(context):
-    context.time.advance(SECOND)
+    context.time.advance(crash_suspects.DISSEMINATION_TIME)
+
+
+@behave.when("parts: {seconds:d} s pass")
+def pass_time(context, seconds):
+    context.time.advance(seconds * SECOND)
+
+
+@behave.when(
+    'parts: {count:d} servers end within {ms:d} ms, each under a prompt of "{text}"'
+)
+def end_at_once(context, count, ms, text):
+    for _ in range(count):
+        begun = context.time.monotonic()
+        context.time.advance(ms * MILLISECOND / count)
+        lost = server(f"s{next(_numbers)}")
+        context.kept.record_crash(prompt(text), lost, begun)
+
+
+@behave.then('parts: one of {count:d} prompts of "{text}" may run')
+def one_may(context, count, text):
+    asked = [prompt(text) for _ in range(count)]
+    allowed = [one for one in asked if context.kept.verdict(one) is None]
+    assert len(allowed) == 1, len(allowed)
+    assert context.kept.verdict(allowed[0]) is None
+    context.on_trial = allowed[0]
+
+
+@behave.then('parts: none of {count:d} prompts of "{text}" may run')
+def none_may(context, count, text):
+    assert all(context.kept.verdict(prompt(text)) for _ in range(count))
+
+
+@behave.when("parts: the prompt on trial completes")
+def trial_completes(context):
+    context.kept.record_completion(context.on_trial)
+
+
+@behave.when("parts: a server ends under the prompt on trial")
+def trial_ends(context):
+    begun = context.time.monotonic()
+    context.time.advance(SECOND / 10)
+    lost = server(f"s{next(_numbers)}")
+    context.kept.record_crash(context.on_trial, lost, begun)
+    assert context.kept.verdict(context.on_trial) is not None
 
 
 @behave.when("parts: another instance starts and hears some beacons")
@@ -91,7 +140,7 @@
     context.other = quarantine.Quarantine(crash_suspects.Policy(), context.time)
     for _ in range(BEACONS):
         context.other.receive(context.kept.take_near())
-    context.time.advance(SECOND)
+    context.time.advance(crash_suspects.DISSEMINATION_TIME)
 
 
 @behave.when("parts: {count:d} other parts lose a server each and complete")
