Answer at once where a failed dispatch is the last one

Found by reading: since a failed dispatch asks whether the instance has lost its path to servers, a request that may not be sent again waited for the answer too, up to 0.85 s, before its client got 502. The question is now asked without waiting there. Groups out of reach are probed side by side, so that a path that is back is found within a second, not three.

A peer that breaks off in the middle of a refusal that says "not run" now counts as refusing; before, a stream's handover raised.

cut_off_instances, routes_serving, routes_stages, plain_servers and silent_connections: 74 passed.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -75,8 +75,9 @@
                     opened, dispatch.OutcomeUnknown
                 )
             if not isinstance(opened, dispatch.OpenResponse):
-                await self._context.check_path(engine.server, opened)
-                return self._record_failure(generation, opened, sent_at)
+                finished = self._record_failure(generation, opened, sent_at)
+                await self._context.check_path(request, progress, engine.server, opened)
+                return finished
             with self._context.client.returned_to_pool(engine.server, opened):
                 return await self._relay_response(generation, opened, sent_at)
         finally:
@@ -198,11 +199,11 @@
             )
             progress.failed.add(engine.server.incarnation)
             loads.failed(engine, self._context.clock.monotonic())
-            await self._context.check_path(engine.server, broken)
-            if not request.route.repeatable and generation.response.started:
+            is_over = not request.route.repeatable and generation.response.started
+            if is_over:
                 generation.response.abort(progress.reason)
-                return True
-            return False
+            await self._context.check_path(request, progress, engine.server, broken)
+            return is_over
         loads.succeeded(engine, self._context.clock.monotonic())
         self._context.crash_quarantine.record_response(engine.server, sent_at)
         self._context.crash_quarantine.record_completion(request)
--- a/src/pimentolatch/gateway/peer_forwarder.py
+++ b/src/pimentolatch/gateway/peer_forwarder.py
@@ -237,14 +237,12 @@
                 return
             if opened.refusal in _TRY_ANOTHER:
                 self._log(request, peer, f"refused: {opened.refusal.name}", since)
-                await opened.read_body()
+                with contextlib.suppress(channel.BrokenError):
+                    await opened.read_body()
                 yield NotForwarded()
                 return
             self._log(request, peer, f"answered {opened.status}", since)
             yield opened
-        except channel.BrokenError:
-            link.close()
-            raise
         except BaseException:
             link.close()
             raise
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -142,9 +142,8 @@
                 tried.discard(server.incarnation)
                 continue
             attempts += 1
-            if isinstance(outcome, dispatch.NotSent | dispatch.OutcomeUnknown):
-                await self._monitor.check(server)
             if isinstance(outcome, dispatch.NotSent):
+                await self._monitor.check(server)
                 continue
             dispatches += 1
             if isinstance(outcome, dispatch.Declined):
@@ -153,7 +152,11 @@
             if possible_runs == 1 and not started:
                 self._usage.record_start(request.customer_name, sent_at)
             if not may_repeat or _final(outcome):
+                if isinstance(outcome, dispatch.OutcomeUnknown):
+                    self._monitor.suspect(server)
                 break
+            if isinstance(outcome, dispatch.OutcomeUnknown):
+                await self._monitor.check(server)
         if possible_runs == 0 and await self._refused_by_limits(
             request, response, outcome
         ):
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -82,7 +82,7 @@
                         request, engine.server, sent_at
                     )
             progress.reason = f"prompt not read: {dispatch.describe(outcome)}"
-            await self._context.check_path(engine.server, outcome)
+            await self._context.check_path(request, progress, engine.server, outcome)
             return None
         if progress.prefilled_before:
             progress.dispatches += 1
--- a/src/pimentolatch/gateway/reachability_monitor.py
+++ b/src/pimentolatch/gateway/reachability_monitor.py
@@ -56,17 +56,23 @@
         """Tell whether this instance has lost the path to a service."""
         return self._reachability.is_cut_off(service)
 
-    async def check(self, server: servers.Server) -> None:
+    def suspect(self, server: servers.Server) -> asyncio.Task[None] | None:
         """Find out whether a failed dispatch was the server's fault or the path's.
 
-        Waits for the answer, so that the request is not sent to the next server in
-        vain.
+        Returns:
+            The probe to wait for; None if the answer is known.
         """
         group = reachability.group_of(server)
         if self._reachability.is_current(group, self._clock.monotonic()):
-            return
-        # A request that is cancelled must not cancel the probe that others wait for.
-        await asyncio.shield(self._probe(group))
+            return None
+        return self._probe(group)
+
+    async def check(self, server: servers.Server) -> None:
+        """Do the same and wait, so that no other server is tried in vain."""
+        probe = self.suspect(server)
+        if probe is not None:
+            # A request that is cancelled must not cancel what others wait for.
+            await asyncio.shield(probe)
 
     async def run(self) -> None:
         """Probe the groups that are out of reach; runs until cancelled."""
@@ -75,8 +81,8 @@
             self._reachability.retain(
                 {reachability.group_of(server) for server in self._fleet.servers.all()}
             )
-            for group in self._reachability.cut_off_groups:
-                await self._probe(group)
+            groups = self._reachability.cut_off_groups
+            await asyncio.gather(*(self._probe(group) for group in groups))
 
     def _probe(self, group: reachability.Group) -> asyncio.Task[None]:
         """Return the probe of a group that is in progress, or start one."""
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -68,11 +68,22 @@
     clock: clock.Clock
 
     async def check_path(
-        self, server: servers.Server, outcome: dispatch.Outcome
+        self,
+        request: client_request.ClientRequest,
+        progress: "Progress",
+        server: servers.Server,
+        outcome: dispatch.Outcome,
     ) -> None:
-        """After a failed dispatch, find out whether the path to servers is lost."""
-        if isinstance(outcome, dispatch.NotSent | dispatch.OutcomeUnknown):
+        """After a failed dispatch, find out whether the path to servers is lost.
+
+        Waits for the answer only if the request may be dispatched again.
+        """
+        if not isinstance(outcome, dispatch.NotSent | dispatch.OutcomeUnknown):
+            return
+        if progress.possible_runs < max(1, request.route.max_attempts):
             await self.monitor.check(server)
+        else:
+            self.monitor.suspect(server)
 
     def record_cached_prompt(
         self, request: client_request.ClientRequest, engine: engine_loads.EngineLoad
