--- a/tests/features/cut_off_instances.feature
+++ b/tests/features/cut_off_instances.feature
@@ -15,6 +15,7 @@
       | silent                      | 3       |
       | reset                       | 3       |
       | refused                     | 3       |
+      | accepted on the way         | 3       |
       | new connections are refused | 3       |
       | new connections hang        | 3       |
 
--- a/tests/support/partition_world.py
+++ b/tests/support/partition_world.py
@@ -22,11 +22,14 @@
 
     Attributes:
         hangs: Whether new connections hang; otherwise they are refused.
+        accepts: Whether a device on the way accepts new connections, which then deliver
+            nothing.
         silences: Whether open connections fall silent.
         resets: Whether open connections are reset.
     """
 
     hangs: bool = True
+    accepts: bool = False
     silences: bool = False
     resets: bool = False
 
@@ -35,15 +38,22 @@
     "silent": Way(silences=True),
     "reset": Way(resets=True),
     "refused": Way(hangs=False, resets=True),
+    "accepted on the way": Way(accepts=True, silences=True),
     "new connections hang": Way(),
     "new connections are refused": Way(hangs=False),
 }
 
 
 class _Link:
-    """An open connection of an instance to a server."""
+    """An open connection of an instance to a server.
 
-    def __init__(self, transport):
+    Args:
+        transport: The connection.
+        counts_lost: Whether what is written while it is silent stays unacknowledged.
+    """
+
+    def __init__(self, transport, counts_lost):
+        self._counts_lost = counts_lost
         self.transport = transport
         self._write = transport.write
         self._buffered = transport.get_write_buffer_size
@@ -66,7 +76,7 @@
             self._lost.clear()
 
     def _held(self):
-        return len(self._lost) + self._buffered()
+        return len(self._lost) * self._counts_lost + self._buffered()
 
 
 class PartitionedLoop(asyncio.SelectorEventLoop):
@@ -105,13 +115,17 @@
         """See `asyncio.AbstractEventLoop.create_connection`."""
         instance, server = _INSTANCE.get(), self.server_ports.get(port)
         how, servers = self.cuts.get(instance, (None, ()))
-        if server and how and (servers is None or server in servers):
-            if not how.hangs:
-                raise ConnectionRefusedError
+        cut = server and how and (servers is None or server in servers)
+        if cut and not how.hangs:
+            raise ConnectionRefusedError
+        if cut and not how.accepts:
             await asyncio.sleep(_NEVER_S)
         opened = await super().create_connection(factory, host, port, **options)
         if server and instance:
-            self._links[instance].append((server, _Link(opened[0])))
+            link = _Link(opened[0], counts_lost=not cut)
+            self._links[instance].append((server, link))
+            if cut:
+                link.silence()
         return opened
 
 
