Ask for an answer when probing the path to servers

The probe is now a request without effect over a new connection: for the report of an engine, which needs no slot, or the health check of a plain server, which does. A probe that is accepted and not answered therefore does not count while other requests of the same servers are answered, as under load.

--- a/src/pimentolatch/decisions/reachability.py
+++ b/src/pimentolatch/decisions/reachability.py
@@ -6,10 +6,12 @@
 instance fail although its peers could serve them.
 
 A failed dispatch raises the question for the servers of the same service and stage. It
-is answered by opening new connections to a few of them at a time: one that is opened
-shows that there is a path. If none can be opened, the instance counts as cut off from
-them until one can. Open connections say nothing about it: during a partition they may
-live on while new ones are refused, or stay open and deliver nothing.
+is answered by a harmless request to a few of them over new connections: one answer
+shows that there is a path. If none answers, the instance counts as cut off from them
+until one does. Open connections say nothing about it: during a partition they may live
+on while new ones are refused, or stay open and deliver nothing. A new one that opens
+shows little: a device on the way may accept it. But servers under load may keep a probe
+waiting, so one that is only silent counts if nothing else is heard from them meanwhile.
 
 Whether the servers are down or only out of reach, peers know: they report what they are
 cut off from. A request goes to a peer that does not, so if all servers are down no
@@ -22,12 +24,13 @@
 
 import dataclasses
 import datetime
+import enum
 import random
 from collections import abc
 
 from pimentolatch.routes import servers
 
-__all__ = ["MAX_PROBED", "Group", "Reachability", "group_of"]
+__all__ = ["MAX_PROBED", "Group", "ProbeResult", "Reachability", "group_of"]
 
 MAX_PROBED = 4
 _VALIDITY = datetime.timedelta(milliseconds=300)
@@ -51,6 +54,14 @@
     return Group(server.service, server.stage)
 
 
+class ProbeResult(enum.Enum):
+    """Outcome of a request over a new connection."""
+
+    ANSWERED = "answered"
+    SILENT = "accepted and not answered"
+    NOT_REACHED = "not reached"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Verdict:
     cut_off: bool
@@ -69,6 +80,7 @@
         self._domain = own_domain
         self._rng = rng
         self._verdicts: dict[Group, _Verdict] = {}
+        self._answered_at: dict[Group, datetime.timedelta] = {}
 
     @property
     def cut_off_groups(self) -> list[Group]:
@@ -89,6 +101,19 @@
         known = self._verdicts.get(group)
         return known is not None and now - known.at < _VALIDITY
 
+    def record_answer(self, group: Group, now: datetime.timedelta) -> None:
+        """Record that a server has answered a request on any connection."""
+        self._answered_at[group] = now
+
+    def shows_path(
+        self, result: ProbeResult, group: Group, since: datetime.timedelta
+    ) -> bool:
+        """Tell whether a probe that began at `since` shows a path to its group."""
+        if result is ProbeResult.SILENT:
+            answered_at = self._answered_at.get(group)
+            return answered_at is not None and answered_at >= since
+        return result is ProbeResult.ANSWERED
+
     def record(self, group: Group, *, reached: bool, now: datetime.timedelta) -> bool:
         """Record the outcome of a probe; return whether it changes the verdict."""
         before = self._verdicts.get(group)
@@ -99,6 +124,8 @@
         """Forget groups that have no servers any more."""
         for group in self._verdicts.keys() - listed:
             del self._verdicts[group]
+        for group in self._answered_at.keys() - listed:
+            del self._answered_at[group]
 
     def to_probe(self, listed: abc.Iterable[servers.Server]) -> list[servers.Server]:
         """Return the servers of a group to probe, in order.
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -9,6 +9,7 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
+from pimentolatch.decisions import reachability
 from pimentolatch.gateway import client_request, flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
@@ -31,9 +32,6 @@
 ]
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
-# A new connection that a device on the way accepts for the server is closed within this
-# time if the server is out of reach.
-_SETTLE_TIME = datetime.timedelta(milliseconds=20)
 # Longest idle time of a pooled connection that is used for a request that must not be
 # repeated: if the server closed it meanwhile, the outcome would be unknown.
 MAX_IDLE_FOR_UNREPEATABLE = datetime.timedelta(seconds=2)
@@ -176,10 +174,15 @@
     ) -> None:
         self._clock = time
         self._flow = flow
+        self._on_answer: abc.Callable[[servers.Server], None] = lambda server: None
         self._pool = channel.ChannelPool(
             _CONNECT_TIMEOUT, acknowledgement_limit=acknowledgement_limit
         )
 
+    def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
+        """Register a callback that runs after each response head of a server."""
+        self._on_answer = call
+
     def retain(self, incarnations: abc.Container[abc.Hashable]) -> None:
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
@@ -242,22 +245,37 @@
             link.close()
             raise
 
-    async def reaches(self, server: servers.Server) -> bool:
-        """Tell whether a new connection to a server opens and stays open."""
-        try:
-            link = await self._pool.acquire(
-                server.incarnation,
-                server.address,
-                self._clock.monotonic(),
-                reuse=False,
-            )
-        except channel.ConnectError:
-            return False
+    async def probe(
+        self, server: servers.Server, target: bytes, limit: datetime.timedelta
+    ) -> reachability.ProbeResult:
+        """Send a request over a new connection and wait for any answer.
+
+        Args:
+            server: The server.
+            target: A request that has no effect.
+            limit: Time limit from the connection to the head of the response.
+        """
+        address = server.address
+        link: channel.Channel | None = None
         try:
-            await self._clock.sleep(_SETTLE_TIME)
-            return link.idle
+            async with asyncio.timeout(limit.total_seconds()):
+                now = self._clock.monotonic()
+                link = await self._pool.acquire(
+                    server.incarnation, address, now, reuse=False
+                )
+                host = f"{address.host}:{address.port}".encode()
+                link.send("GET", target, [(b"host", host)], b"")
+                await link.read_head()
+            return reachability.ProbeResult.ANSWERED
+        except TimeoutError:
+            if link is None:
+                return reachability.ProbeResult.NOT_REACHED
+            return reachability.ProbeResult.SILENT
+        except (channel.ConnectError, channel.BrokenError):
+            return reachability.ProbeResult.NOT_REACHED
         finally:
-            link.close()
+            if link is not None:
+                link.close()
 
     async def fetch(
         self,
@@ -339,6 +357,7 @@
     ) -> OpenResponse | Declined | OutcomeUnknown:
         for _ in range(_MAX_STALE_RESPONSES):
             start = await link.read_head()
+            self._on_answer(server)
             head = http_headers.parse_response_headers(start.fields, start.status)
             if head.request_id in ("", request.request_id):
                 # A misdirected request is answered by another server.
--- a/src/pimentolatch/gateway/reachability_monitor.py
+++ b/src/pimentolatch/gateway/reachability_monitor.py
@@ -9,6 +9,7 @@
 from pimentolatch import clock
 from pimentolatch.decisions import reachability
 from pimentolatch.gateway import dispatch, fleet_state
+from pimentolatch.platform import engines
 from pimentolatch.routes import servers
 
 __all__ = ["ReachabilityMonitor"]
@@ -20,6 +21,9 @@
 # Servers are probed one after the other at this distance: most questions are answered
 # by the first, which takes a millisecond or two.
 _NEXT_PROBE_AFTER = datetime.timedelta(milliseconds=50)
+# Target for servers of a service that is no longer configured; any answer will do.
+_ANY_TARGET = b"/"
+_PROBE_TIMEOUT = datetime.timedelta(milliseconds=700)
 
 
 class ReachabilityMonitor:
@@ -46,6 +50,7 @@
         self._clock = time
         self._reachability = reachability.Reachability(own_domain, rng)
         self._probes: dict[reachability.Group, asyncio.Task[None]] = {}
+        client.on_answer(self._record_answer)
 
     @property
     def cut_off_services(self) -> frozenset[str]:
@@ -84,6 +89,10 @@
             groups = self._reachability.cut_off_groups
             await asyncio.gather(*(self._probe(group) for group in groups))
 
+    def _record_answer(self, server: servers.Server) -> None:
+        group = reachability.group_of(server)
+        self._reachability.record_answer(group, self._clock.monotonic())
+
     def _probe(self, group: reachability.Group) -> asyncio.Task[None]:
         """Return the probe of a group that is in progress, or start one."""
         task = self._probes.get(group)
@@ -100,7 +109,7 @@
             if server.stage is group.stage
         ]
         reached = not listed or await self._reaches_any(
-            self._reachability.to_probe(listed)
+            group, self._reachability.to_probe(listed)
         )
         now = self._clock.monotonic()
         if not self._reachability.record(group, reached=reached, now=now):
@@ -109,12 +118,14 @@
         stage = None if group.stage is None else group.stage.value
         _log.warn(message, service=group.service, stage=stage, listed=len(listed))
 
-    async def _reaches_any(self, candidates: list[servers.Server]) -> bool:
-        """Tell whether a connection can be opened to one of some servers."""
+    async def _reaches_any(
+        self, group: reachability.Group, candidates: list[servers.Server]
+    ) -> bool:
+        """Tell whether there is a path to one of some servers of a group."""
         probes: set[asyncio.Task[bool]] = set()
         try:
             for server in candidates:
-                probes.add(asyncio.create_task(self._client.reaches(server)))
+                probes.add(asyncio.create_task(self._reaches(group, server)))
                 done, probes = await asyncio.wait(
                     probes,
                     timeout=_NEXT_PROBE_AFTER.total_seconds(),
@@ -129,3 +140,18 @@
             for probe in probes:
                 probe.cancel()
         return False
+
+    async def _reaches(self, group: reachability.Group, server: servers.Server) -> bool:
+        since = self._clock.monotonic()
+        target = self._target(server)
+        result = await self._client.probe(server, target, _PROBE_TIMEOUT)
+        return self._reachability.shows_path(result, group, since)
+
+    def _target(self, server: servers.Server) -> bytes:
+        """Return what to ask a server for: an engine's report needs no slot."""
+        if server.stage is not None:
+            return engines.REPORT_TARGET
+        configuration = self._fleet.configuration
+        services = {} if configuration is None else configuration.services
+        service = services.get(server.service)
+        return _ANY_TARGET if service is None else service.health_target
--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -69,6 +69,7 @@
         name=fields["name"],
         engine=None if engine is None else _engine(engine),
         scaling=None if scaling is None else _scaling(scaling),
+        health_target=fields.get("health_path", "/").encode("latin-1"),
     )
 
 
--- a/src/pimentolatch/routes/route_table.py
+++ b/src/pimentolatch/routes/route_table.py
@@ -145,11 +145,13 @@
         name: Name of the service.
         engine: Properties of its engines; None if its servers are not model engines.
         scaling: Scaling of the service; None if its number of servers is fixed.
+        health_target: Target of its servers' health checks.
     """
 
     name: str
     engine: EngineTraits | None
     scaling: Scaling | None = None
+    health_target: bytes = b"/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -15,6 +15,7 @@
 
 __all__ = ["ReceivedRequest", "RouteServer"]
 
+HEALTH_TARGET = "/health"
 _EVENT_COUNT = 6
 _EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
@@ -219,6 +220,11 @@
                 self.restart((self.started_ms or 0) + 1)
                 return False
             return True
+        if request.target == HEALTH_TARGET:
+            self.received.pop()
+            self.arrival_times.pop()
+            await connection.send(200, [], b"")
+            return True
         if request.target == "/v1/order":
             return await self._handle_order(connection, request)
         if request.method == "DELETE":
