--- a/src/pimentolatch/gateway/peer_forwarder.py
+++ b/src/pimentolatch/gateway/peer_forwarder.py
@@ -310,4 +310,8 @@
     found = dict(start.fields).get(results.RESULT_HEADER.encode())
     if found is None or head.sealed:
         return None
-    return results.ResultCode(int(found))
+    try:
+        return results.ResultCode(int(found))
+    except ValueError:
+        # A peer of a later release may have codes of its own.
+        return results.ResultCode.INTERNAL_ERROR
