Cut gateway processes off from all servers behind relays, in tests

Four gateways as processes, of which two lose all servers behind relays that tell them apart. Relays accept new connections and deliver nothing, so this is the case that the probe's answer is needed for. It fails with forwarding switched off and passes with it. The safeguard removals of the soak reach the event splitter where it is now, and two worlds share their start.

--- a/tests/features/cut_off_instances.feature
+++ b/tests/features/cut_off_instances.feature
@@ -19,6 +19,13 @@
       | new connections are refused | 3       |
       | new connections hang        | 3       |
 
+  # Guards against the same in processes whose partition delays what is sent.
+  Scenario: Gateway processes cut off from all servers serve their callers like the others
+    Given cut: 4 gateway processes behind relays, and clients at each
+    When cut: nothing passes between g0, g1 and servers for 3 s
+    Then cut: first attempts there are served as often as the users demand
+    And cut: nothing ran twice that must not
+
   # Guards against requests that fail since only the engines of one stage are out of reach.
   Scenario Outline: An instance cut off from the engines of one stage serves its callers
     Given cut: 3 instances with servers, and clients at each
--- a/tests/features/steps/cut_off_instances_steps.py
+++ b/tests/features/steps/cut_off_instances_steps.py
@@ -30,25 +30,46 @@
 
 @behave.when("cut: {first} and {second} lose all servers, {how}, for {seconds:d} s")
 def cut(context, first, second, how, seconds):
-    context.cut = [first, second]
+    lose(context, [first, second], how, seconds)
+
+
+@behave.when("cut: {first} and {second} lose the {names}, {how}, for {seconds:d} s")
+def cut_some(context, first, second, names, how, seconds):
+    prefix = names.removesuffix("s")
+    lost = {name for name in context.world.servers if name.startswith(prefix)}
+    lose(context, [first, second], how, seconds, lost)
+
+
+def lose(context, names, how, seconds, servers=None):
+    """Partition instances, and send requests to all for some time."""
+    context.cut = names
     world = context.world
 
     async def fault():
-        world.cut(context.cut, how)
+        world.cut(names, how, servers)
         await world.load(context.all, seconds, RATE)
 
     context.route_runner.run(fault())
 
 
-@behave.when("cut: {first} and {second} lose the {names}, {how}, for {seconds:d} s")
-def cut_some(context, first, second, names, how, seconds):
+@behave.given("cut: {count:d} gateway processes behind relays, and clients at each")
+def start_processes(context, count):
+    context.route_runner = asyncio.Runner()
+    context.world = partition_world.ProcessWorld()
+    context.route_runner.run(context.world.start(count))
+    context.all = list(context.world.instances)
+    context.route_runner.run(context.world.load(context.all, BEFORE_S, RATE))
+
+
+@behave.when(
+    "cut: nothing passes between {first}, {second} and servers for {seconds:d} s"
+)
+def cut_processes(context, first, second, seconds):
     context.cut = [first, second]
     world = context.world
-    prefix = names.removesuffix("s")
-    lost = {name for name in world.servers if name.startswith(prefix)}
 
     async def fault():
-        world.cut(context.cut, how, lost)
+        world.cut(context.cut)
         await world.load(context.all, seconds, RATE)
 
     context.route_runner.run(fault())
@@ -56,13 +77,7 @@
 
 @behave.when("cut: all instances lose all servers, {how}, for {seconds:d} s")
 def cut_all(context, how, seconds):
-    world = context.world
-
-    async def fault():
-        world.cut(context.all, how)
-        await world.load(context.all, seconds, RATE)
-
-    context.route_runner.run(fault())
+    lose(context, context.all, how, seconds)
 
 
 @behave.when("cut: the path of {first} and {second} is back")
--- /dev/null
+++ b/tests/support/bound_gateway.py
@@ -0,0 +1,44 @@
+"""Runs a gateway that connects from its own host, so that relays tell it apart."""
+
+import asyncio
+import json
+import os
+import pathlib
+
+from pimentolatch.gateway import daemon
+from pimentolatch.platform import http_headers
+
+__all__ = ["main"]
+
+
+class _BoundLoop(asyncio.SelectorEventLoop):
+    def __init__(self, host):
+        super().__init__()
+        self._host = host
+
+    async def create_connection(self, factory, host=None, port=None, **options):
+        """See `asyncio.AbstractEventLoop.create_connection`."""
+        options.setdefault("local_addr", (self._host, 0))
+        return await super().create_connection(factory, host, port, **options)
+
+
+class _BoundPolicy(asyncio.DefaultEventLoopPolicy):
+    def __init__(self, host):
+        super().__init__()
+        self._host = host
+
+    def new_event_loop(self):
+        """See `asyncio.AbstractEventLoopPolicy.new_event_loop`."""
+        return _BoundLoop(self._host)
+
+
+def main():
+    """Bind connections to the host in the settings and run the daemon."""
+    settings = pathlib.Path(os.environ[http_headers.SETTINGS_VARIABLE])
+    host = json.loads(settings.read_text(encoding="utf-8"))["peers"]["host"]
+    asyncio.set_event_loop_policy(_BoundPolicy(host))
+    daemon.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/crash_world.py
+++ b/tests/support/crash_world.py
@@ -5,9 +5,6 @@
 from tests.support import route_world
 
 HOSTS = {name: f"127.0.0.{n}" for n, name in enumerate("abcd", 1)}
-PREFILL_ENGINES = 2
-DECODE_ENGINES = 6
-PLAIN_SERVERS = 6
 # More attempts than any number of crashes needs; an endless loop would hide the cause
 # of a failure.
 MAX_ATTEMPTS = 20
@@ -20,6 +17,10 @@
         fatal_body: Body of the request that crashes servers.
     """
 
+    prefill_engines = 2
+    decode_engines = 6
+    plain_servers = 6
+
     def __init__(self, fatal_body):
         super().__init__()
         self.fatal_body = fatal_body
@@ -29,11 +30,11 @@
     async def start(self):
         await self.start_store()
         await self.configure(1)
-        for _ in range(PREFILL_ENGINES):
+        for _ in range(self.prefill_engines):
             await self.add("lm", "prefill")
-        for _ in range(DECODE_ENGINES):
+        for _ in range(self.decode_engines):
             await self.add("lm", "decode")
-        for _ in range(PLAIN_SERVERS):
+        for _ in range(self.plain_servers):
             await self.add("app")
         for name, host in HOSTS.items():
             seeds = [f"{HOSTS['a']}:{self.peer_port}"] if self.ports else []
--- a/tests/support/part_world.py
+++ b/tests/support/part_world.py
@@ -9,8 +9,6 @@
 
 __all__ = ["Case", "CASES", "PartWorld"]
 
-PREFILL_ENGINES = 4
-DECODE_ENGINES = 12
 # Time after which a crashed engine is back under another id.
 RESTART_S = 1.0
 SOUND_RATE = 13
@@ -69,6 +67,10 @@
 class PartWorld(crash_world.CrashWorld):
     """Four instances before engines that come back under another id."""
 
+    prefill_engines = 4
+    decode_engines = 12
+    plain_servers = 0
+
     def __init__(self):
         super().__init__(None)
         self.parts = frozenset()
@@ -77,18 +79,6 @@
         self._ids = itertools.count()
         self._tasks = set()
 
-    async def start(self):
-        await self.start_store()
-        await self.configure(1)
-        for _ in range(PREFILL_ENGINES):
-            await self.add("lm", "prefill")
-        for _ in range(DECODE_ENGINES):
-            await self.add("lm", "decode")
-        for name, host in crash_world.HOSTS.items():
-            seeds = [f"{crash_world.HOSTS['a']}:{self.peer_port}"] if self.ports else []
-            await self.add_instance(name, seeds, host=host)
-        await self.until(self._peers_connected)
-
     async def add(self, service, stage=None):
         await super().add(service, stage)
         server = list(self.servers.values())[-1]
--- a/tests/support/partition_world.py
+++ b/tests/support/partition_world.py
@@ -5,9 +5,10 @@
 import contextvars
 import dataclasses
 
-from tests.support import route_world
+from standins import relay
+from tests.support import route_world, soak_world
 
-__all__ = ["PartitionedLoop", "PartitionWorld", "Way"]
+__all__ = ["PartitionWorld", "PartitionedLoop", "ProcessWorld", "Way"]
 
 # The instance in whose tasks a connection is opened.
 _INSTANCE = contextvars.ContextVar("instance", default=None)
@@ -129,53 +130,17 @@
         return opened
 
 
-class PartitionWorld(route_world.RouteWorld):
-    """Instances and servers; clients send each request on a new connection."""
+class Load:
+    """Sends requests to instances, each on a new connection, and counts the served.
+
+    Subclasses have `ask` and `servers`.
+    """
 
     def __init__(self):
         super().__init__()
         self._numbers = iter(range(1_000_000))
         self.kinds = {}
 
-    async def add_server(self, name, service, stage=None, domain="here"):
-        server = await super().add_server(name, service, stage, domain)
-        asyncio.get_running_loop().server_ports[server.port] = name
-        return server
-
-    async def add_instance(
-        self, name="one", seeds=(), host=route_world.HOST, **options
-    ):
-        token = _INSTANCE.set(name)
-        try:
-            return await super().add_instance(name, seeds, host, **options)
-        finally:
-            _INSTANCE.reset(token)
-
-    async def start(self, instances):
-        await self.start_store()
-        await self.configure(1)
-        for number in range(3):
-            await self.add_server(f"reader-{number}", "lm", "prefill")
-            await self.add_server(f"plain-{number}", "app")
-        for number in range(4):
-            await self.add_server(f"writer-{number}", "lm", "decode")
-        seeds = []
-        for number in range(instances):
-            host = f"127.0.1.{number + 1}"
-            await self.add_instance(f"g{number}", list(seeds), host, ready=False)
-            seeds.append(f"{host}:{self.peer_port}")
-        for name, (_, instance) in self.instances.items():
-            await self.until_ready(name)
-            await self.until(lambda by=instance: len(by.peers.live()) == instances - 1)
-
-    def cut(self, names, how, servers=None):
-        for name in names:
-            asyncio.get_running_loop().cut(name, WAYS[how], servers)
-
-    def heal(self, names):
-        for name in names:
-            asyncio.get_running_loop().heal(name)
-
     async def first_attempt(self, name, route_name):
         """Send one request; return whether the whole answer of a server came."""
         request_id = f"{route_name}-{next(self._numbers)}"
@@ -223,3 +188,85 @@
             for name, route_name in self.kinds.items()
             if route_name in ("print", "draft") and self.runs(name) > 1
         ]
+
+
+class PartitionWorld(Load, route_world.RouteWorld):
+    """Instances and servers in one process."""
+
+    async def add_server(self, name, service, stage=None, domain="here"):
+        server = await super().add_server(name, service, stage, domain)
+        asyncio.get_running_loop().server_ports[server.port] = name
+        return server
+
+    async def add_instance(
+        self, name="one", seeds=(), host=route_world.HOST, **options
+    ):
+        token = _INSTANCE.set(name)
+        try:
+            return await super().add_instance(name, seeds, host, **options)
+        finally:
+            _INSTANCE.reset(token)
+
+    async def start(self, instances):
+        await self.start_store()
+        await self.configure(1)
+        for number in range(3):
+            await self.add_server(f"reader-{number}", "lm", "prefill")
+            await self.add_server(f"plain-{number}", "app")
+        for number in range(4):
+            await self.add_server(f"writer-{number}", "lm", "decode")
+        seeds = []
+        for number in range(instances):
+            host = f"127.0.1.{number + 1}"
+            await self.add_instance(f"g{number}", list(seeds), host, ready=False)
+            seeds.append(f"{host}:{self.peer_port}")
+        for name, (_, instance) in self.instances.items():
+            await self.until_ready(name)
+            await self.until(lambda by=instance: len(by.peers.live()) == instances - 1)
+
+    def cut(self, names, how, servers=None):
+        for name in names:
+            asyncio.get_running_loop().cut(name, WAYS[how], servers)
+
+    def heal(self, names):
+        for name in names:
+            asyncio.get_running_loop().heal(name)
+
+
+class ProcessWorld(Load):
+    """Gateways as processes behind relays, which tell them apart by their hosts."""
+
+    def __init__(self):
+        super().__init__()
+        self._world = soak_world.SoakWorld("tests.support.bound_gateway")
+
+    @property
+    def instances(self):
+        return self._world.gateways
+
+    @property
+    def servers(self):
+        return self._world.servers
+
+    async def start(self, count):
+        await self._world.start(count)
+
+    async def ask(self, route_name, request_id, *, name):
+        host = self.instances[name].host
+        reader, writer = await asyncio.open_connection(host, soak_world.CLIENTS_PORT)
+        writer.write(route_world.request(route_name, request_id))
+        try:
+            async with asyncio.timeout(route_world.WAIT_S):
+                return await route_world.reply(reader)
+        finally:
+            writer.close()
+
+    def cut(self, names):
+        """Have nothing pass between some gateways and any server."""
+        for name in names:
+            for server in self.servers:
+                for direction in (relay.TO_SERVER, relay.TO_CLIENT):
+                    self._world.relays.cut(server, direction, self.instances[name].host)
+
+    async def stop(self):
+        await self._world.stop()
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -10,7 +10,6 @@
 from pimentolatch.decisions import watch_schedule
 from pimentolatch.gateway import (
     daemon,
-    decode_client,
     dispatch,
     fleet_state,
     flow_control,
@@ -65,7 +64,7 @@
     def feed(self, data):
         return [sse.Event(None, event.data) for event in split(self, data)]
 
-    decode_client.sse.EventSplitter.feed = feed
+    sse.EventSplitter.feed = feed
 
 
 def _forward_incomplete_events():
@@ -74,7 +73,7 @@
     def feed(self, data):
         return [sse.Event(None, data)]
 
-    decode_client.sse.EventSplitter.feed = feed
+    sse.EventSplitter.feed = feed
 
 
 def _send_to_draining():
