--- a/tests/features/cut_off_instances.feature
+++ b/tests/features/cut_off_instances.feature
@@ -53,6 +53,15 @@
     Then cut: no request was forwarded meanwhile
     And cut: nothing ran twice that must not
 
+  # Guards against a second partition that finds the instance unprepared.
+  Scenario: An instance that is cut off twice serves its callers like the others
+    Given cut: 3 instances with servers, and clients at each
+    When cut: g0 and g1 lose all servers, silent, for 2 s
+    And cut: the path of g0 and g1 is back
+    And cut: g0 and g1 lose all servers, silent, for 3 s
+    Then cut: first attempts there are served as often as the users demand
+    And cut: nothing ran twice that must not
+
   # Guards against answers that are lost with the peer that serves a forwarded request.
   Scenario: Requests survive the end of the peer that serves them
     Given cut: 4 instances with servers, and clients at each
