--- a/tests/support/restartable_store.py
+++ b/tests/support/restartable_store.py
@@ -34,7 +34,7 @@
         return self._server is not None
 
     async def start(self):
-        """Start the server and wait until it accepts connections."""
+        """Start the server and wait until it accepts connections or is stopped."""
         config = uvicorn.Config(
             self._build(self._state),
             host=self._host,
@@ -42,11 +42,12 @@
             log_config=None,
             lifespan="off",
         )
-        self._server = uvicorn.Server(config)
-        self._server.capture_signals = contextlib.nullcontext
-        self._task = asyncio.create_task(self._server.serve())
+        server = uvicorn.Server(config)
+        server.capture_signals = contextlib.nullcontext
+        self._server = server
+        self._task = asyncio.create_task(server.serve())
         for _ in range(round(START_TIMEOUT_S / POLL_S)):
-            if self._server.started:
+            if server.started or self._server is not server:
                 return
             await asyncio.sleep(POLL_S)
         raise TimeoutError(f"the store did not start within {START_TIMEOUT_S} s")
