Log what else could have run a stream whose engine is asked for

Callers lost answers in a second of silence of their engine. The log had the verdict on the engine, and not whether attempts and another engine were left when the stream was given up, nor that this instance closed the connection within an answer. The lines `doubted` and `answered` have both now, and pimentolatch_cut_answers counts such answers. No logic changes.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -82,6 +82,7 @@
         status: Status that was written; 0 before.
         finished: Whether nothing more can be written.
         outcome: Outcome of the request, for the log.
+        aborted: Whether this instance closed the connection within the response.
     """
 
     def __init__(self, scope: Scope, send: Send) -> None:
@@ -90,6 +91,7 @@
         self.status = 0
         self.finished = False
         self.outcome = PASSED_ON
+        self.aborted = False
 
     @property
     def started(self) -> bool:
@@ -141,5 +143,6 @@
     def abort(self, reason: str) -> None:
         """Close the connection, so that a partial response does not look complete."""
         self.outcome = reason
+        self.aborted = True
         self.finished = True
         self._scope["extensions"][bounded_http.CLOSE_EXTENSION]["call"]()
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -12,6 +12,7 @@
     request_progress,
 )
 from pimentolatch.platform import http_headers
+from pimentolatch.routes import servers
 
 __all__ = ["DecodeClient"]
 
@@ -272,12 +273,24 @@
                     return await opened.link.read()
             except TimeoutError:
                 verdict = await self._context.stall_checks.verdict(
-                    generation.place.engine, request.request_id
+                    generation.place.engine,
+                    request.request_id,
+                    runs=generation.progress.possible_runs,
+                    others=self._other_engines(generation),
                 )
             if verdict is not stall_check.Verdict.HAS_IT:
                 raise channel.BrokenError(f"in its stream, {verdict.value}")
             limit = stall_check.RECHECK_INTERVAL
 
+    def _other_engines(self, generation: request_progress.Generation) -> int:
+        """Return how many other engines could run a request now."""
+        tried = generation.progress.failed | {
+            generation.place.engine.server.incarnation
+        }
+        loads = self._context.loads(generation.request)
+        now = self._context.clock.monotonic()
+        return len(loads.usable(servers.Stage.DECODE, now, tried))
+
     def _record_event(
         self, generation: request_progress.Generation, since: datetime.timedelta
     ) -> None:
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -286,6 +286,7 @@
             version=self._fleet.version,
             servers=self._fleet.servers_revision,
             digest=digests.digest_text(request.digest),
+            cut=response.aborted,
         )
 
     async def _finish_failed(self, response: client_request.ClientResponse) -> None:
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -36,7 +36,10 @@
         *("urgency", "expected_ms", "withheld"),
         *("list_revision", "list_source", "list_age_ms"),
     ),
-    DOUBTED: ("server", "verdict", "queued", "running", "listed"),
+    DOUBTED: (
+        *("server", "verdict", "queued", "running", "listed"),
+        *("runs", "others"),
+    ),
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms"),
@@ -44,7 +47,7 @@
     FORWARDED: ("peer", "outcome", "ms"),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
-        "digest",
+        *("digest", "cut"),
     ),
 }
 
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -63,6 +63,11 @@
             "Requests that were answered at once, since servers ended under them.",
             registry=self.registry,
         )
+        self._cut = prometheus_client.Counter(
+            _PREFIX + "cut_answers",
+            "Answers whose connection this instance closed before their end.",
+            registry=self.registry,
+        )
         self._prompts = self._counter("prompts", "Prompts, by where they are read.")
         self._prompts_ended = self._counter(
             "prompts_ended",
@@ -101,6 +106,8 @@
             self._answers.labels(_status_class(int(fields["status"])), by).inc()
             if fields["outcome"] == results.ResultCode.QUARANTINED.name.lower():
                 self._quarantined.inc()
+            if fields.get("cut"):
+                self._cut.inc()
             if "ms" in fields:
                 self._answer_seconds.observe(fields["ms"] / _MS_PER_S)
         elif event == request_log.SENT:
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -38,9 +38,21 @@
         ] = {}
 
     async def verdict(
-        self, engine: engine_loads.EngineLoad, request_id: str
+        self,
+        engine: engine_loads.EngineLoad,
+        request_id: str,
+        *,
+        runs: int | None = None,
+        others: int | None = None,
     ) -> stall_check.Verdict:
-        """Ask an engine whether it still has a request."""
+        """Ask an engine whether it still has a request.
+
+        Args:
+            engine: The engine.
+            request_id: The request.
+            runs: Servers that may have run it, for the log.
+            others: Other engines that could run it, for the log.
+        """
         report = await self._report(engine.server)
         verdict = stall_check.request_status(
             report, request_id, engine.server.started_ms
@@ -54,6 +66,8 @@
             queued=None if report is None else report.queued,
             running=None if report is None else report.running,
             listed=report is not None and request_id in report.decoding_ids,
+            runs=runs,
+            others=others,
         )
         return verdict
 
