Reproduce answers that are lost while a server is silent for a second

Servers of the tests can fall silent: connections stay, nothing is read or written, nothing is lost.

The engines of the tests list what they stream in their reports, as real ones do; else each stall check would find that they have lost it.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -86,6 +86,8 @@
         declined: Request ids that it declined so, and when they arrived.
         notified: Request ids of the responses with such fields, and when they began,
             by the event loop's clock.
+        awake: Cleared while the server is silent: it accepts connections and reads and
+            writes nothing.
     """
 
     def __init__(
@@ -121,6 +123,8 @@
         self.notified: list[tuple[str, float]] = []
         self.retry_after: str | None = None
         self.declined: list[tuple[str, float]] = []
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -145,16 +149,25 @@
         self.crashed_at = asyncio.get_running_loop().time()
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections."""
         for connection in list(self._connections):
             connection.reset()
 
+    async def fall_silent(self, seconds: float) -> None:
+        """Read and write nothing for some time, and then go on."""
+        self.awake.clear()
+        await asyncio.sleep(seconds)
+        self.awake.set()
+
     def restart(self, started_ms: int) -> None:
         """Start a new incarnation with the same id and address."""
         self.started_ms = started_ms
         self.orders = []
         self.queued, self.running = set(), set()
-        for connection in self._connections:
-            connection.reset()
+        self.reset_connections()
 
     def entry(self) -> dict[str, typing.Any]:
         """Return the entry that the server writes to the store."""
@@ -188,7 +201,9 @@
         assert task is not None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection = _Connection(reader, writer, self.notices, self.notified)
+        connection = _Connection(
+            reader, writer, self.notices, self.notified, self.awake
+        )
         self._connections.add(connection)
         try:
             while (request := await connection.read_request()) is not None:
@@ -317,7 +332,11 @@
         if self.stage is None:
             await connection.send(200, headers, b"answer of " + request.body)
             return True
-        return await self._stream(connection, request, headers, fault)
+        self.running.add(request_id)
+        try:
+            return await self._stream(connection, request, headers, fault)
+        finally:
+            self.running.discard(request_id)
 
     async def _wait_cancelled(self, connection: "_Connection", request_id: str) -> None:
         await connection.wait_closed()
@@ -358,6 +377,7 @@
         writer: Bytes to the client.
         notices: The server's header fields for all responses; they may change.
         notified: The server's record of the responses with such fields.
+        awake: Cleared while the server reads and writes nothing.
     """
 
     def __init__(
@@ -366,7 +386,9 @@
         writer: asyncio.StreamWriter,
         notices: list[tuple[bytes, bytes]],
         notified: list[tuple[str, float]],
+        awake: asyncio.Event,
     ) -> None:
+        self._awake = awake
         self._notices = notices
         self._notified = notified
         self._reader = reader
@@ -383,6 +405,7 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 data = await self._reader.read(65_536)
+                await self._awake.wait()
                 if not data and head is None:
                     return None
                 self._parser.receive_data(data)
@@ -424,6 +447,7 @@
 
     async def send_head(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         """Send the status line and header fields."""
+        await self._awake.wait()
         headers = [*fields, *self._notices]
         if self._notices:
             request_id = dict(fields).get(b"x-request-id", b"").decode()
@@ -435,12 +459,14 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
+        await self._awake.wait()
         if data:
             self._writer.write(self._parser.send(h11.Data(data)) or b"")
             await self._writer.drain()
 
     async def send_end(self) -> None:
         """Send the end of the body."""
+        await self._awake.wait()
         self._writer.write(self._parser.send(h11.EndOfMessage()) or b"")
         await self._writer.drain()
 
