Keep a stream at a silent engine unless another one takes over

Callers of streams that may be resumed lost their answers while a sound engine was silent for a second: their connection was closed within the answer, or they got 502, shortly before the engine went on.

Cause: the stall check gave an engine up as soon as it did not answer the request for its report, and asked only afterwards whether attempts, budget or another engine were left. Mostly they were not: a second silence used the last attempt up, and the retry budget paid for none.

Now the request stays, and goes on reading, until a place elsewhere is found and paid for; what the engine sends meanwhile counts. An engine that says that it has lost the request, or has started again, is left as before, as is one whose connection broke. An engine that keeps silent gets no new request for a second while others are there.

Evidence: three scenarios of silent_servers.feature (attempts used up, two silences in a row, no budget) failed on the code before and pass, as do those in which another engine takes over. Ruled out: waiting longer before the check, which delays every takeover from an engine that has died and still loses to a longer silence.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -287,6 +287,11 @@
         engine.declines += 1
         engine.avoid_until = max(engine.avoid_until, now + pause)
 
+    def silent(self, engine: EngineLoad, now: datetime.timedelta) -> None:
+        """Avoid an engine for a moment that may be sound and has said nothing."""
+        engine.avoid_until = max(engine.avoid_until, now + _FIRST_BACKOFF)
+        engine.probe_at = now + _PROBE_INTERVAL
+
     def failed(self, engine: EngineLoad, now: datetime.timedelta) -> None:
         """Avoid an engine for a while after a failure."""
         pause = _FIRST_BACKOFF * 2**engine.failures
--- a/src/pimentolatch/decisions/repeat_budget.py
+++ b/src/pimentolatch/decisions/repeat_budget.py
@@ -56,14 +56,20 @@
         """Count a request for a service."""
         self._recent(self._requests, service, now).append(now)
 
-    def spend(self, service: str, now: datetime.timedelta) -> bool:
-        """Spend one repeat; False if the window holds as many as are allowed."""
+    def spend(self, service: str, now: datetime.timedelta, *, count: int = 1) -> bool:
+        """Spend repeats, all or none; False if the window allows fewer.
+
+        Args:
+            service: The service that they go to.
+            now: The current time.
+            count: Number of repeats.
+        """
         requests = len(self._recent(self._requests, service, now))
         repeats = self._recent(self._repeats, service, now)
         allowed = self._ratio * requests + self._slack / self._instances
-        if len(repeats) + 1 > _USED_SHARE * allowed:
+        if len(repeats) + count > _USED_SHARE * allowed:
             return False
-        repeats.append(now)
+        repeats.extend([now] * count)
         return True
 
     def _recent(
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -1,18 +1,19 @@
 """Has an engine generate a response and relays its events to the client."""
 
 import asyncio
+import contextlib
 import datetime
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import part_suspects, placement_types, stall_check
+from pimentolatch.decisions import part_suspects, placement_types
 from pimentolatch.gateway import (
     client_request,
     dispatch,
     event_relay,
     request_progress,
+    takeover,
 )
 from pimentolatch.platform import http_headers
-from pimentolatch.routes import servers
 
 __all__ = ["DecodeClient"]
 
@@ -20,6 +21,7 @@
 # events is checked for a stall. A full batch that also prefills stays under two.
 _STALL_GAPS = 4.0
 _MIN_STALL_TIMEOUT = datetime.timedelta(milliseconds=900)
+_AT_ONCE = datetime.timedelta()
 
 
 class DecodeClient:
@@ -27,10 +29,16 @@
 
     Args:
         context: Components that all requests share.
+        takeovers: Tells whether a request may leave a silent engine.
     """
 
-    def __init__(self, context: request_progress.Context) -> None:
+    def __init__(
+        self,
+        context: request_progress.Context,
+        takeovers: takeover.TakeoverFinder,
+    ) -> None:
         self._context = context
+        self._takeovers = takeovers
 
     async def generate(
         self,
@@ -129,6 +137,9 @@
             request.request_id,
             call,
             request_progress.first_event_limit(place),
+            self._takeovers.from_engine(
+                request, progress, place.engine, runs=progress.possible_runs + 1
+            ),
         )
 
     def _record_failure(
@@ -259,7 +270,7 @@
 
         Raises:
             BrokenError: The stream broke off, or a stall check showed that the engine
-                no longer has the request.
+                no longer has the request, or answers nobody while another can go on.
         """
         request = generation.request
         if not request.route.repeatable:
@@ -267,29 +278,25 @@
         limit = max(_STALL_GAPS * request.route.event_gap_target, _MIN_STALL_TIMEOUT)
         if generation.unprefilled:
             limit = max(limit, request_progress.first_event_limit(generation.place))
-        while True:
-            try:
-                async with asyncio.timeout(limit.total_seconds()):
-                    return await opened.link.read()
-            except TimeoutError:
-                verdict = await self._context.stall_checks.verdict(
-                    generation.place.engine,
-                    request.request_id,
-                    runs=generation.progress.possible_runs,
-                    others=self._other_engines(generation),
-                )
-            if verdict is not stall_check.Verdict.HAS_IT:
-                raise channel.BrokenError(f"in its stream, {verdict.value}")
-            limit = stall_check.RECHECK_INTERVAL
-
-    def _other_engines(self, generation: request_progress.Generation) -> int:
-        """Return how many other engines could run a request now."""
-        tried = generation.progress.failed | {
-            generation.place.engine.server.incarnation
-        }
-        loads = self._context.loads(generation.request)
-        now = self._context.clock.monotonic()
-        return len(loads.usable(servers.Stage.DECODE, now, tried))
+        with contextlib.suppress(TimeoutError):
+            # Nearly all events come in time and need no task of their own.
+            async with asyncio.timeout(limit.total_seconds()):
+                return await opened.link.read()
+        data = await self._context.stall_checks.wait_unless_stalled(
+            generation.place.engine,
+            request.request_id,
+            opened.link.read(),
+            _AT_ONCE,
+            self._takeovers.from_engine(
+                request,
+                generation.progress,
+                generation.place.engine,
+                runs=generation.progress.possible_runs,
+            ),
+        )
+        if isinstance(data, dispatch.OutcomeUnknown):
+            raise channel.BrokenError(f"in its stream, {data.reason}")
+        return data
 
     def _record_event(
         self, generation: request_progress.Generation, since: datetime.timedelta
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -6,7 +6,12 @@
 import logbook
 
 from pimentolatch.decisions import engine_loads, placement_types, wait_policy
-from pimentolatch.gateway import client_request, dispatch, request_progress
+from pimentolatch.gateway import (
+    client_request,
+    dispatch,
+    request_progress,
+    takeover,
+)
 from pimentolatch.platform import engines, http_headers
 
 __all__ = ["PrefillClient"]
@@ -23,10 +28,20 @@
 
 
 class PrefillClient:
-    """Dispatches prompts to prefill engines and releases KV cache that is not used."""
+    """Dispatches prompts to prefill engines and releases KV cache that is not used.
+
+    Args:
+        context: Components that all requests share.
+        takeovers: Tells whether a prompt may leave a silent engine.
+    """
 
-    def __init__(self, context: request_progress.Context) -> None:
+    def __init__(
+        self,
+        context: request_progress.Context,
+        takeovers: takeover.TakeoverFinder,
+    ) -> None:
         self._context = context
+        self._takeovers = takeovers
         self._background: set[asyncio.Task[None]] = set()
 
     async def prefill(
@@ -123,6 +138,12 @@
                         new_connection=progress.unanswered,
                     ),
                     request_progress.first_event_limit(place),
+                    self._takeovers.from_engine(
+                        request,
+                        progress,
+                        place.prefill_engine,
+                        runs=progress.possible_runs,
+                    ),
                 )
         except TimeoutError:
             return dispatch.Withdrawn()
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -65,6 +65,19 @@
         self._log_wait(request, since, in_vain=False)
         return place
 
+    def place_without(
+        self,
+        request: client_request.ClientRequest,
+        progress: request_progress.Progress,
+        engine: engine_loads.EngineLoad,
+    ) -> placement_types.PlacementResult:
+        """Return where a request could run now without an engine; see `takeover`."""
+        now = self._context.clock.monotonic()
+        left_out = frozenset({engine.server.incarnation})
+        return self._find_place(
+            request, progress, now, self._current_withheld(request), left_out
+        )
+
     def choose_decode_engine(
         self,
         request: client_request.ClientRequest,
@@ -143,15 +156,33 @@
         request: client_request.ClientRequest,
         progress: request_progress.Progress,
         now: datetime.timedelta,
+    ) -> placement_types.PlacementResult:
+        withheld = self._current_withheld(request)
+        place = self._find_place(request, progress, now, withheld)
+        if not progress.demand_counted:
+            progress.demand_counted = True
+            self._count_demand(request, place)
+        if not isinstance(place, placement_types.NoEngine):
+            self._log_place(request, place, progress.size, withheld)
+        return place
+
+    def _current_withheld(
+        self, request: client_request.ClientRequest
+    ) -> frozenset[servers.Incarnation]:
+        outranked = self._waiting.is_outranked(request.service.name, request.rank)
+        return self._withheld(request, is_outranked=outranked)
+
+    def _find_place(
+        self,
+        request: client_request.ClientRequest,
+        progress: request_progress.Progress,
+        now: datetime.timedelta,
+        withheld: frozenset[servers.Incarnation],
+        left_out: frozenset[servers.Incarnation] = frozenset(),
     ) -> placement_types.PlacementResult:
         assert request.head.prompt is not None and request.service.engine is not None
-        loads = self._context.loads(request)
-        withheld = self._withheld(
-            request,
-            is_outranked=self._waiting.is_outranked(request.service.name, request.rank),
-        )
-        chooser = placement.Placement(loads, self._domain)
-        place = chooser.choose(
+        chooser = placement.Placement(self._context.loads(request), self._domain)
+        return chooser.choose(
             placement_types.PlacementRequest(
                 request.head.prompt,
                 request.rank,
@@ -163,15 +194,9 @@
             ),
             request.service.engine,
             now,
-            without=self._excluded(request, progress, now),
+            without=self._excluded(request, progress, now) | left_out,
             withheld=withheld,
         )
-        if not progress.demand_counted:
-            progress.demand_counted = True
-            self._count_demand(request, place)
-        if not isinstance(place, placement_types.NoEngine):
-            self._log_place(request, place, progress.size, withheld)
-        return place
 
     def _excluded(
         self,
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -38,7 +38,7 @@
     ),
     DOUBTED: (
         *("server", "verdict", "queued", "running", "listed"),
-        *("runs", "others"),
+        *("runs", "others", "leaves"),
     ),
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -8,6 +8,7 @@
     engine_loads,
     placement_types,
     prompt_sizes,
+    repeat_budget,
     wait_policy,
 )
 from pimentolatch.gateway import (
@@ -40,6 +41,7 @@
     "finish",
     "finish_with_refusal",
     "first_event_limit",
+    "may_dispatch",
 ]
 
 # Time until the first event after which an engine is checked for a stall: a multiple of
@@ -164,6 +166,7 @@
         unanswered: A dispatch has got no answer, or only a part of it.
         withheld: The last dispatch was not sent, for want of a permit.
         dispatches: Dispatches that reached an engine, as the retry budget counts them.
+        paid_dispatches: Further dispatches that the retry budget has paid for already.
         prefilled_before: The prompt has been prefilled on a separate engine before.
         last_event: Number of the last event that the client received.
         last_event_at: When the client was sent its last event.
@@ -182,6 +185,7 @@
     unanswered: bool = False
     withheld: bool = False
     dispatches: int = 0
+    paid_dispatches: int = 0
     prefilled_before: bool = False
     last_event: int = 0
     last_event_at: datetime.timedelta | None = None
@@ -222,6 +226,26 @@
         progress.possible_runs = max(progress.possible_runs, request.route.max_attempts)
 
 
+def may_dispatch(
+    request: client_request.ClientRequest,
+    progress: Progress,
+    budget: repeat_budget.RepeatBudget,
+    now: datetime.timedelta,
+) -> bool:
+    """Tell whether the retry budget allows another dispatch of a request.
+
+    The first dispatch and the first separate prefill are free. Each further dispatch is
+    charged before it is sent, since a server that declines it has spent work on it all
+    the same. One that was withheld has not used its charge.
+    """
+    if not progress.dispatches or progress.withheld:
+        return True
+    if progress.paid_dispatches:
+        progress.paid_dispatches -= 1
+        return True
+    return budget.spend(request.service.name, now)
+
+
 async def finish_with_refusal(
     response: client_request.ClientResponse,
     progress: Progress,
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -11,7 +11,7 @@
 from pimentolatch.platform import engines
 from pimentolatch.routes import engine_reports, servers
 
-__all__ = ["StallChecker"]
+__all__ = ["Chance", "StallChecker"]
 
 # Reports need no slot and arrive within milliseconds. After a time-out there must be
 # time left to try another engine for a client that waits two seconds for its first
@@ -21,6 +21,21 @@
 _ReportTask = asyncio.Task["engine_reports.EngineReport | None"]
 
 
+class Chance(typing.Protocol):
+    """The chance that another server takes over from a silent engine."""
+
+    @property
+    def runs(self) -> int:
+        """Number of servers that may have run the request."""
+
+    @property
+    def others(self) -> int:
+        """Number of other engines that could decode now."""
+
+    async def reserve(self) -> bool:
+        """Secure a place elsewhere; False if the request should stay."""
+
+
 class StallChecker:
     """Fetches engines' reports, once for all requests that wait for an engine."""
 
@@ -37,54 +52,24 @@
             servers.Incarnation, tuple[datetime.timedelta, _ReportTask]
         ] = {}
 
-    async def verdict(
-        self,
-        engine: engine_loads.EngineLoad,
-        request_id: str,
-        *,
-        runs: int | None = None,
-        others: int | None = None,
-    ) -> stall_check.Verdict:
-        """Ask an engine whether it still has a request.
-
-        Args:
-            engine: The engine.
-            request_id: The request.
-            runs: Servers that may have run it, for the log.
-            others: Other engines that could run it, for the log.
-        """
-        report = await self._report(engine.server)
-        verdict = stall_check.request_status(
-            report, request_id, engine.server.started_ms
-        )
-        self._request_log.write(
-            request_log.DOUBTED,
-            request_id,
-            wrong=verdict is not stall_check.Verdict.HAS_IT,
-            server=engine.server.server_id,
-            verdict=verdict.value,
-            queued=None if report is None else report.queued,
-            running=None if report is None else report.running,
-            listed=report is not None and request_id in report.decoding_ids,
-            runs=runs,
-            others=others,
-        )
-        return verdict
-
     async def wait_unless_stalled(
         self,
         engine: engine_loads.EngineLoad,
         request_id: str,
         call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
         expected: datetime.timedelta,
+        chance: Chance,
     ) -> _Outcome | dispatch.OutcomeUnknown:
         """Wait for a call for as long as its engine has the request.
 
+        If the engine is silent, the call goes on unless another server takes over.
+
         Args:
             engine: The engine that is called.
             request_id: The request.
-            call: The call; it is cancelled when the engine has lost the request.
+            call: The call; it is cancelled when the request leaves the engine.
             expected: Time after which the engine is first checked for a stall.
+            chance: The chance that another server takes over.
         """
         task = asyncio.create_task(call)
         limit = expected
@@ -93,8 +78,10 @@
                 await asyncio.wait({task}, timeout=limit.total_seconds())
                 if task.done():
                     break
-                verdict = await self.verdict(engine, request_id)
-                if verdict is not stall_check.Verdict.HAS_IT and not task.done():
+                verdict = await _unless_done(
+                    task, self._reason_to_leave(engine, request_id, chance)
+                )
+                if verdict is not None and not task.done():
                     return dispatch.OutcomeUnknown(
                         verdict.value,
                         server_crashed=verdict is not stall_check.Verdict.LOST,
@@ -104,6 +91,33 @@
         finally:
             task.cancel()
 
+    async def _reason_to_leave(
+        self, engine: engine_loads.EngineLoad, request_id: str, chance: Chance
+    ) -> stall_check.Verdict | None:
+        """Ask an engine whether it still has a request; None if this should stay."""
+        report = await self._report(engine.server)
+        verdict = stall_check.request_status(
+            report, request_id, engine.server.started_ms
+        )
+        others = chance.others
+        leaves = verdict is not stall_check.Verdict.HAS_IT
+        if verdict is stall_check.Verdict.SILENT:
+            leaves = await chance.reserve()
+        self._request_log.write(
+            request_log.DOUBTED,
+            request_id,
+            wrong=verdict is not stall_check.Verdict.HAS_IT,
+            server=engine.server.server_id,
+            verdict=verdict.value,
+            queued=None if report is None else report.queued,
+            running=None if report is None else report.running,
+            listed=report is not None and request_id in report.decoding_ids,
+            runs=chance.runs,
+            others=others,
+            leaves=leaves,
+        )
+        return verdict if leaves else None
+
     async def _report(
         self, server: servers.Server
     ) -> engine_reports.EngineReport | None:
@@ -159,3 +173,16 @@
             limit=_REPORT_TIMEOUT,
             new_connection=new_connection,
         )
+
+
+async def _unless_done(
+    task: asyncio.Task[typing.Any],
+    check: abc.Coroutine[typing.Any, typing.Any, stall_check.Verdict | None],
+) -> stall_check.Verdict | None:
+    """Return the result of a check; None if a task is done before."""
+    checking = asyncio.create_task(check)
+    try:
+        await asyncio.wait({task, checking}, return_when=asyncio.FIRST_COMPLETED)
+        return checking.result() if checking.done() else None
+    finally:
+        checking.cancel()
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -29,6 +29,7 @@
     route_metrics,
     stall_checker,
     stream_handover,
+    takeover,
     usage_exchange,
 )
 
@@ -83,10 +84,11 @@
             peers,
             time,
         )
-        self._prefill_client = prefill_client.PrefillClient(self._context)
-        self._decode_client = decode_client.DecodeClient(self._context)
-        self._handover = stream_handover.StreamHandover(self._context, budget)
         self._placer = prompt_placer.PromptPlacer(self._context, own_domain)
+        takeovers = takeover.TakeoverFinder(self._context, self._placer, budget)
+        self._prefill_client = prefill_client.PrefillClient(self._context, takeovers)
+        self._decode_client = decode_client.DecodeClient(self._context, takeovers)
+        self._handover = stream_handover.StreamHandover(self._context, budget)
         self._sizes = prompt_sizes.PromptSizes()
         self._budget = budget
 
@@ -251,15 +253,9 @@
     def _may_send(
         self, request: client_request.ClientRequest, progress: request_progress.Progress
     ) -> bool:
-        """Tell whether the retry budget allows another dispatch of a request.
-
-        The first dispatch and the first separate prefill are free. Each further
-        dispatch is charged before it is sent, since a server that declines it has spent
-        work on it all the same. One that was withheld has not used its charge.
-        """
-        if not progress.dispatches or progress.withheld:
-            return True
-        return self._budget.spend(request.service.name, self._context.clock.monotonic())
+        """See `request_progress.may_dispatch`."""
+        now = self._context.clock.monotonic()
+        return request_progress.may_dispatch(request, progress, self._budget, now)
 
     async def _refused(
         self,
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -41,9 +41,8 @@
         Returns:
             False if it may be tried once more, None if no peer accepted it.
         """
-        if progress.dispatches and not self._budget.spend(
-            request.service.name, self._context.clock.monotonic()
-        ):
+        now = self._context.clock.monotonic()
+        if not request_progress.may_dispatch(request, progress, self._budget, now):
             await request_progress.finish(response, progress)
             return True
         resumed = progress.last_event > request.head.last_event
