Leave a silent plain server only for another one

Callers of calls that may be repeated were told after twice the latency target that the time limit had passed, where the only server that was left was silent for a second and went on.

Cause: the same as with streams, a server was given up before it was known whether another one can take its place. A request leaves now only if one that was not tried accepts it, or a peer reaches the servers, and the retry budget pays for it; else it waits, and looks again, until its time is up.

Evidence: the scenario of one plain server in silent_servers.feature failed (504 after 0.8 s) and passes.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import datetime
+import functools
+import typing
+from collections import abc
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
@@ -37,6 +40,7 @@
 # second server can still respond before the client disconnects.
 _TIMEOUT_FACTOR = 2.0
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=150)
+_NO_TIME = datetime.timedelta()
 _NO_ANSWER_IN_TIME = "no answer in time"
 # Most attempts for one request: those that reached no server and those declined count,
 # those whose permit another request took first do not.
@@ -91,6 +95,7 @@
         attempts = possible_runs = dispatches = 0
         started = request.forwarded is not None and request.forwarded.started
         unanswered = False
+        repeats = _Repeats(self._budget, service, self._clock)
         outcome: _Outcome | None = None
         last: _Outcome | None = None
         while attempts < _MAX_ATTEMPTS:
@@ -99,7 +104,7 @@
                 break
             # A dispatch that was withheld has not used its charge.
             is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
-            if not is_charged and not self._budget.spend(service, now):
+            if not is_charged and not repeats.spend():
                 break
             if self._peers.may_forward(request):
                 forwarded = await self._forward(request, response, possible_runs)
@@ -129,7 +134,12 @@
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
             outcome = await self._send(
-                server, request, may_repeat, new_connection=unanswered
+                server,
+                request,
+                functools.partial(self._may_leave, request, tried, repeats)
+                if may_repeat
+                else _stay,
+                new_connection=unanswered,
             )
             unanswered |= isinstance(outcome, dispatch.OutcomeUnknown)
             self._report_outcome(server, request, outcome, begun)
@@ -293,31 +303,68 @@
             if isinstance(outcome, dispatch.FullResponse) and _successful(outcome):
                 self._crash_quarantine.record_completion(request)
 
+    def _may_leave(
+        self,
+        request: client_request.ClientRequest,
+        tried: set[servers.Incarnation],
+        repeats: "_Repeats",
+    ) -> bool:
+        """Tell whether a request leaves a silent server, and pay for the next one.
+
+        A sound server may fall silent for a second and go on. Without another one to go
+        to, leaving it would only cost the caller the answer.
+        """
+        if self._dispatch_check.refusal(request) is not None:
+            return False
+        listed = self._untried(request, tried)
+        elsewhere = self._peers.may_forward(request) or self._choose(
+            request, listed, self._flow.withheld(listed)
+        )
+        return bool(elsewhere) and repeats.reserve()
+
+    async def _answer(
+        self,
+        call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
+        request: client_request.ClientRequest,
+        time_left: datetime.timedelta,
+        may_leave: abc.Callable[[], bool],
+    ) -> _Outcome:
+        """Wait for the answer to a dispatch until it may leave or time is up."""
+        patience = max(_TIMEOUT_FACTOR * request.route.latency_target, _MIN_TIMEOUT)
+        task = asyncio.create_task(call)
+        try:
+            while time_left > _NO_TIME:
+                begun = self._clock.monotonic()
+                limit = min(patience, time_left)
+                await asyncio.wait({task}, timeout=limit.total_seconds())
+                if task.done():
+                    return task.result()
+                if may_leave():
+                    break
+                time_left -= self._clock.monotonic() - begun
+            return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
+        finally:
+            task.cancel()
+
     async def _send(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
-        may_repeat: bool,
+        may_leave: abc.Callable[[], bool],
         *,
         new_connection: bool,
     ) -> _Outcome:
         now = self._clock.monotonic()
         listed = self._fleet.server_list_status(now)
         left = request.deadline - now - dispatch.RETURN_TIME
-        timeout = left
-        if may_repeat:
-            target = _TIMEOUT_FACTOR * request.route.latency_target
-            timeout = min(left, max(target, _MIN_TIMEOUT))
         options = http_headers.DispatchOptions(server.server_id, left)
         outcome: _Outcome = dispatch.OutcomeUnknown("cancelled")
         self._choice.begin(server)
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                outcome = await self._client.fetch(
-                    server, request, options, new_connection=new_connection
-                )
-        except TimeoutError:
-            outcome = dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
+            call = self._client.fetch(
+                server, request, options, new_connection=new_connection
+            )
+            outcome = await self._answer(call, request, left, may_leave)
         finally:
             failed = isinstance(outcome, dispatch.OutcomeUnknown | dispatch.NotSent)
             self._choice.end(server, self._clock.monotonic(), failed=failed)
@@ -339,6 +386,36 @@
         return outcome
 
 
+class _Repeats:
+    """Repeats of one request, of which some are paid for before they are sent."""
+
+    def __init__(
+        self, budget: repeat_budget.RepeatBudget, service: str, time: clock.Clock
+    ) -> None:
+        self._budget = budget
+        self._service = service
+        self._clock = time
+        self._paid = 0
+
+    def reserve(self) -> bool:
+        """Pay for a later repeat; False if the budget does not allow it."""
+        paid = self._budget.spend(self._service, self._clock.monotonic())
+        self._paid += paid
+        return paid
+
+    def spend(self) -> bool:
+        """Use a repeat that is paid for, or pay for one."""
+        if not self._paid and not self.reserve():
+            return False
+        self._paid -= 1
+        return True
+
+
+def _stay() -> bool:
+    """Return False: a request that may not be repeated leaves no server."""
+    return False
+
+
 def _may_repeat(request: client_request.ClientRequest, possible_runs: int) -> bool:
     """Tell whether a request may go to one more server after so many."""
     return request.route.repeatable and possible_runs < request.route.max_attempts
