Reproduce kept connections that close within the idle time in force

Clients use a connection again until it was idle for four fifths of the newest limit. Three scenarios fail and are listed: a limit of 490 ms closes at once, and a raised limit is not applied to connections that are idle already, whether they have had an answer or no request yet. A request that crosses such a close gets neither an answer nor a refusal.

--- /dev/null
+++ b/tests/features/kept_connections.feature
@@ -0,0 +1,36 @@
+# Clients keep connections open and use them again within the idle time in force.
+Feature: Kept connections of clients
+
+  # Guards against whole requests that cross the close of a connection that closes early.
+  Scenario Outline: A request on a connection that was idle for less than the limit is answered
+    Given kept: an instance with an idle time of <limit> ms
+    When kept: a client <begins> and is idle for 100 ms
+    Then kept: its next request on the same connection is answered
+
+    Examples:
+      | limit | begins                |
+      | 490   | has been answered     |
+      | 490   | has opened connection |
+
+  # Guards against a raised limit that connections which are idle already don't get.
+  Scenario Outline: A connection that is idle while the limit is raised gets the new limit
+    Given kept: an instance with an idle time of 1000 ms
+    When kept: a client <begins> and is idle for 0 ms
+    And kept: the idle time is raised to 15000 ms, and the client is idle for 1500 ms
+    Then kept: its next request on the same connection is answered
+
+    Examples:
+      | begins                |
+      | has been answered     |
+      | has opened connection |
+
+  # Guards against connections that stay open for good, as their limit was changed.
+  Scenario Outline: A connection is closed once it has been idle for the limit
+    Given kept: an instance with an idle time of 490 ms
+    When kept: a client <begins> and is idle for 0 ms
+    Then kept: the instance closes the connection
+
+    Examples:
+      | begins                |
+      | has been answered     |
+      | has opened connection |
