Close idle connections by the limit in force, to the millisecond

A whole request on a kept connection got neither an answer nor a refusal: it crossed the close of a connection that clients may still use, by four fifths of the newest limit. The time-out was armed once, when the last answer ended or the connection opened, so a raised limit came too late for idle connections; and it was rounded to whole seconds, 1.4 s to 1 s and 0.4 s to none.

The time-out now looks at the limit in force when it fires and waits for what is left. The time until the first request and between two are one mechanism; the server library's own number of whole seconds isn't used any more. A lowered limit applies from the next answer on: clients don't use a connection that they take for closed, so nothing crosses that close.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -37,7 +37,7 @@
 # Upper bound for a whole request. The handlers bound the time of a body themselves;
 # this is above the longest they allow.
 MESSAGE_SECONDS = 330.0
-FIRST_BYTE_SECONDS = 75.0
+IDLE_SECONDS = 75.0
 # Time for which the rest of a refused body is read and discarded, so that a caller that
 # is still sending receives the refusal and not a connection reset.
 LINGER_SECONDS = 5.0
@@ -62,21 +62,22 @@
         return HEAD_SECONDS
 
     @property
-    def first_byte_seconds(self) -> float:
-        """Longest time until the first byte on a new connection, in seconds."""
-        return FIRST_BYTE_SECONDS
+    def idle_seconds(self) -> float:
+        """Longest time without a request on a connection, in seconds."""
+        return IDLE_SECONDS
 
     _head_bytes = 0
     _head_too_large = False
     _in_head = False
     _in_message = False
     _discarding_input = False
+    _idle_since = 0.0
     _timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: typing.Any) -> None:
-        """Start the timeout of the first byte."""
+        """Start the idle timeout."""
         super().connection_made(transport)
-        self._start_timer(self.first_byte_seconds)
+        self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer."""
@@ -163,11 +164,32 @@
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
-        """Shorten the timeout of a body whose request has been answered."""
+        """Start the idle timeout, and shorten that of a body that still arrives."""
         super().on_response_complete()
+        if self.timeout_keep_alive_task is not None:
+            self._begin_idle()
         if self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, unless its bound has been raised meanwhile."""
+        left = self._idle_since + self.idle_seconds - self.loop.time()
+        if left > 0 and not self.transport.is_closing():
+            self._schedule_idle_timeout(left)
+        else:
+            super().timeout_keep_alive_handler()
+
+    def _begin_idle(self) -> None:
+        self._unset_keepalive_if_required()
+        self._idle_since = self.loop.time()
+        self._schedule_idle_timeout(self.idle_seconds)
+
+    def _schedule_idle_timeout(self, seconds: float) -> None:
+        # The library's own time-out is a whole number of seconds.
+        self.timeout_keep_alive_task = self.loop.call_later(
+            seconds, self.timeout_keep_alive_handler
+        )
+
     def _head_too_large_message(self) -> str:
         return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
 
@@ -218,5 +240,5 @@
                 408, f"request head did not arrive within {self.head_seconds:g} s"
             )
         elif not self._response_pending():
-            # Either nothing arrived, or the rest of a refused body did not.
+            # The rest of a refused body did not arrive.
             self.transport.abort()
--- a/src/pimentolatch/entry/http_server.py
+++ b/src/pimentolatch/entry/http_server.py
@@ -14,7 +14,6 @@
 
 __all__ = ["HttpServer"]
 
-_IDLE_SECONDS = 75
 # Requests are drained before a server stops, so this bounds only responses to callers
 # that don't read.
 _CLOSE_TIMEOUT = datetime.timedelta(seconds=5)
@@ -79,7 +78,6 @@
                 log_config=None,
                 access_log=False,
                 server_header=False,
-                timeout_keep_alive=_IDLE_SECONDS,
                 timeout_graceful_shutdown=math.ceil(close_timeout.total_seconds()),
                 backlog=2048,
             )
--- a/src/pimentolatch/gateway/http_protocol.py
+++ b/src/pimentolatch/gateway/http_protocol.py
@@ -11,7 +11,7 @@
 
 
 class RouteProtocol(bounded_http.BoundedHttpProtocol):
-    """One client connection; the newest limits apply to each request."""
+    """One client connection; the newest limits apply."""
 
     def __init__(
         self, *args: typing.Any, fleet: fleet_state.FleetState, **named: typing.Any
@@ -34,21 +34,16 @@
         return self._fleet.configuration.limits.head_timeout.total_seconds()
 
     @property
-    def first_byte_seconds(self) -> float:
-        """Longest time until the first byte on a new connection."""
+    def idle_seconds(self) -> float:
+        """Longest time without a request on a connection."""
         if self._fleet.configuration is None:
-            return super().first_byte_seconds
+            return super().idle_seconds
         return self._fleet.configuration.limits.idle_timeout.total_seconds()
 
     def continues_after_eof(self, path: str) -> bool:
         """Return False: a client that closes its side has disconnected."""
         return False
 
-    def on_response_complete(self) -> None:
-        """Keep the connection alive for the configured idle time."""
-        self.timeout_keep_alive = round(self.first_byte_seconds)
-        super().on_response_complete()
-
 
 class ForwardedProtocol(RouteProtocol):
     """One connection of a peer that forwards its clients' requests."""
