Keep the software version of servers and log which one resumes a stream

The record of streams that join two versions could not be traced: the version in a server's entry was checked and dropped, and no line said that a request resumes a stream. No decision depends on it yet.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -74,6 +74,14 @@
         """The client's identifier of this attempt."""
         return self.head.request_id
 
+    @property
+    def origin_id(self) -> str:
+        """The client's identifier of the attempt that began the stream.
+
+        Empty if the client resumes a stream and does not name it.
+        """
+        return self.head.resumes if self.head.last_event else self.head.request_id
+
 
 class ClientResponse:
     """Writes one response to a client.
--- a/src/pimentolatch/gateway/peer_forwarder.py
+++ b/src/pimentolatch/gateway/peer_forwarder.py
@@ -137,14 +137,14 @@
         request: client_request.ClientRequest,
         *,
         possible_runs: int,
-        last_event: int | None = None,
+        resumed: http_headers.Resumption | None = None,
     ) -> abc.AsyncGenerator[OpenedForward | NotForwarded | dispatch.OutcomeUnknown]:
         """Forward a request and wait for the header of its response.
 
         Args:
             request: The request.
             possible_runs: Number of servers that may have started to run it.
-            last_event: Resume after this event; None leaves the client's own field.
+            resumed: Where to resume the stream; None leaves the client's own fields.
         """
         tried: set[str] = set()
         while len(tried) < _MAX_PEERS:
@@ -155,7 +155,7 @@
             self._choice.begin(peer)
             try:
                 async with self._exchange(
-                    peer, request, possible_runs, last_event
+                    peer, request, possible_runs, resumed
                 ) as outcome:
                     if not isinstance(outcome, NotForwarded):
                         yield outcome
@@ -211,7 +211,7 @@
         peer: peer_choice.Candidate,
         request: client_request.ClientRequest,
         possible_runs: int,
-        last_event: int | None,
+        resumed: http_headers.Resumption | None,
     ) -> abc.AsyncGenerator[OpenedForward | NotForwarded | dispatch.OutcomeUnknown]:
         """Send a request to one peer; its connection is open while the context is."""
         since = self._clock.monotonic()
@@ -228,7 +228,7 @@
             return
         try:
             try:
-                self._send(link, request, possible_runs, last_event)
+                self._send(link, request, possible_runs, resumed)
                 opened = await self._opened(peer, link)
             except channel.BrokenError as error:
                 outcome = dispatch.OutcomeUnknown(f"peer {peer.instance}: {error}")
@@ -254,7 +254,7 @@
         link: channel.Channel,
         request: client_request.ClientRequest,
         possible_runs: int,
-        last_event: int | None,
+        resumed: http_headers.Resumption | None,
     ) -> None:
         options = forwarding.ForwardOptions(
             max_runs=max(1, request.route.max_attempts - possible_runs),
@@ -263,7 +263,7 @@
         )
         left = request.deadline - self._clock.monotonic() - dispatch.RETURN_TIME
         fields = http_headers.forwarded_fields(
-            request.fields, request.head.api_keys, left, last_event
+            request.fields, request.head.api_keys, left, resumed
         )
         link.send(
             request.method,
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -23,6 +23,8 @@
 _log = logbook.Logger("spread")
 _CONFIGURATION = "/v1/configuration"
 _SERVERS = "/v1/servers"
+# Asks for the servers' software versions too; earlier releases ignore the query.
+_VERSIONS = "versions"
 # Beacons arrive every 250 ms.
 _INTERVAL = datetime.timedelta(milliseconds=100)
 # An instance that watches the store fetches only after a peer has been ahead for this
@@ -46,14 +48,15 @@
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one request; 404 if there is nothing to serve."""
-        body = self._body(scope["path"])
+        versions = scope.get("query_string", b"") == _VERSIONS.encode()
+        body = self._body(scope["path"], versions=versions)
         length = (b"content-length", b"%d" % len(body))
         status = 200 if body else 404
         start = {"type": "http.response.start", "status": status, "headers": [length]}
         await send(start)
         await send({"type": "http.response.body", "body": body})
 
-    def _body(self, path: str) -> bytes:
+    def _body(self, path: str, *, versions: bool) -> bytes:
         fleet = self._fleet
         if path == _CONFIGURATION:
             snapshot = snapshots.Configuration(fleet.configuration_spec)
@@ -63,7 +66,8 @@
             return snapshots.encode_servers(
                 snapshots.Servers(
                     fleet.servers_revision, listed, self._expired.remaining()
-                )
+                ),
+                versions=versions,
             )
         return b""
 
@@ -114,7 +118,8 @@
                     newer_configuration, _CONFIGURATION, self._apply_configuration
                 )
             if newer_servers is not None:
-                await self._fetch(newer_servers, _SERVERS, self._apply_servers)
+                path = f"{_SERVERS}?{_VERSIONS}"
+                await self._fetch(newer_servers, path, self._apply_servers)
 
     def _ahead(self) -> tuple[peer_table.Peer | None, peer_table.Peer | None]:
         """Return peers with a newer configuration and with newer servers, if any."""
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -163,7 +163,7 @@
             progress.demand_counted = True
             self._count_demand(request, place)
         if not isinstance(place, placement_types.NoEngine):
-            self._log_place(request, place, progress.size, withheld)
+            self._log_place(request, place, progress, withheld)
         return place
 
     def _current_withheld(
@@ -242,7 +242,7 @@
         place: placement_types.Colocated
         | placement_types.Disaggregated
         | placement_types.Infeasible,
-        size: prompt_sizes.SizeClass,
+        progress: request_progress.Progress,
         withheld: frozenset[servers.Incarnation],
     ) -> None:
         assert request.head.prompt is not None
@@ -255,7 +255,7 @@
                 wrong=True,
                 refused_for_ms=round(wait),
                 prompt=request.head.prompt.tokens,
-                size=size.value,
+                size=progress.size.value,
                 list_revision=listed.revision,
                 list_source=listed.source,
                 list_age_ms=listed.age_ms,
@@ -274,8 +274,10 @@
             donor=None if place.kv_source is None else place.kv_source.server.server_id,
             tokens=place.tokens,
             prompt=request.head.prompt.tokens,
-            size=size.value,
+            size=progress.size.value,
             urgency=place.level,
+            version=place.engine.server.version,
+            after=progress.last_event or None,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
             withheld=_logged_ids(withheld),
             list_revision=listed.revision,
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -33,7 +33,7 @@
     WAITED: ("ms", "in_vain", "withheld"),
     PLACED: (
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
-        *("urgency", "expected_ms", "withheld"),
+        *("urgency", "expected_ms", "withheld", "version", "after"),
         *("list_revision", "list_source", "list_age_ms"),
     ),
     DOUBTED: (
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -10,6 +10,7 @@
     refusals,
     request_progress,
 )
+from pimentolatch.platform import http_headers
 
 __all__ = ["StreamHandover"]
 
@@ -45,12 +46,14 @@
         if not request_progress.may_dispatch(request, progress, self._budget, now):
             await request_progress.finish(response, progress)
             return True
-        resumed = progress.last_event > request.head.last_event
+        resumed = None
+        if progress.last_event > request.head.last_event:
+            resumed = http_headers.Resumption(progress.last_event, request.origin_id)
         progress.outcome_pending = True
         async with self._context.peers.open(
             request,
             possible_runs=progress.possible_runs,
-            last_event=progress.last_event if resumed else None,
+            resumed=resumed,
         ) as opened:
             progress.outcome_pending = False
             if isinstance(opened, peer_forwarder.NotForwarded):
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -13,6 +13,7 @@
     "ResponseHeaders",
     "ClientHeaders",
     "DispatchOptions",
+    "Resumption",
     "SETTINGS_VARIABLE",
     "forwarded_fields",
     "parse_response_headers",
@@ -35,6 +36,7 @@
 _PROMPT_PARTS = b"x-prompt-prefix"
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _EXPECTED_SERVER = b"x-expect-instance"
 _CUSTOMER = b"x-tenant"
 _URGENCY = b"x-request-urgency"
@@ -101,6 +103,7 @@
         api_keys: All API keys in the header, including empty ones.
         time_left: How long the client will wait from now on; None if not given.
         last_event: Number of the last event that the client has received; 0 for none.
+        resumes: Id of the request that brought the first event; empty if not given.
         prompt: Prompt and expected output of a model request; None for other requests.
     """
 
@@ -110,6 +113,20 @@
     time_left: datetime.timedelta | None
     last_event: int
     prompt: prompts.Prompt | None
+    resumes: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """Where a stream is resumed.
+
+    Attributes:
+        last_event: Number of the last event that the client has received.
+        origin_id: Id of the request that brought its first event.
+    """
+
+    last_event: int
+    origin_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +192,7 @@
         time_left=None if time_left is None else _milliseconds(time_left),
         last_event=int(found.get(_LAST_EVENT, b"0") or b"0"),
         prompt=_prompt(found),
+        resumes=found.get(_RESUMES, b"").decode("latin-1"),
     )
 
 
@@ -243,7 +261,7 @@
     fields: Fields,
     api_keys: abc.Iterable[bytes],
     time_left: datetime.timedelta,
-    last_event: int | None,
+    resumed: "Resumption | None",
 ) -> list[tuple[bytes, bytes]]:
     """Return the header fields of a request that is forwarded to a peer.
 
@@ -251,17 +269,18 @@
         fields: Header fields of the client, with or without its API keys.
         api_keys: The client's API keys.
         time_left: How long the client will wait.
-        last_event: Resume after this event; None leaves the client's own field.
+        resumed: Where to resume the stream; None leaves the client's own fields.
     """
     dropped = _CONNECTION_FIELDS | _RESERVED_FIELDS | _named_by_connection(fields)
     dropped |= {_API_KEY}
-    if last_event is not None:
-        dropped |= {_LAST_EVENT}
+    if resumed is not None:
+        dropped |= {_LAST_EVENT, _RESUMES}
     kept = [(name, value) for name, value in fields if name.lower() not in dropped]
     kept += [(_API_KEY, key) for key in api_keys]
     kept.append((_DEADLINE, b"%d" % _whole_ms(time_left)))
-    if last_event is not None:
-        kept.append((_LAST_EVENT, b"%d" % last_event))
+    if resumed is not None:
+        kept.append((_LAST_EVENT, b"%d" % resumed.last_event))
+        kept.append((_RESUMES, resumed.origin_id.encode("latin-1")))
     return kept
 
 
--- a/src/pimentolatch/platform/server_entries.py
+++ b/src/pimentolatch/platform/server_entries.py
@@ -49,8 +49,7 @@
 
 
 def _server(name: str, spec: dict[typing.Any, typing.Any]) -> servers.Server:
-    # Unused, but an entry without them was not written by a server.
-    _text(spec, "version")
+    # Unused, but an entry without it was not written by a server.
     _integer(spec, "sequence", 0, _MAX_NUMBER)
     state = _text(spec, "state")
     if state not in _STATES:
@@ -67,6 +66,7 @@
         # Absent if servers never restart under the same id.
         started_ms=_integer(spec, "born", 0, _MAX_NUMBER) if "born" in spec else None,
         spot=spec.get("spot") is True,
+        version=_text(spec, "version"),
     )
 
 
--- a/src/pimentolatch/protocol/snapshots.py
+++ b/src/pimentolatch/protocol/snapshots.py
@@ -73,10 +73,16 @@
         return Malformed(repr(error))
 
 
-def encode_servers(snapshot: Servers) -> bytes:
-    """Return the encoded body of a list of servers."""
+def encode_servers(snapshot: Servers, *, versions: bool = True) -> bytes:
+    """Return the encoded body of a list of servers.
+
+    Args:
+        snapshot: The list.
+        versions: Whether the rows have the servers' software versions. Instances of
+            earlier releases reject rows with a further field.
+    """
     expired = {name: span / _MS for name, span in snapshot.expired.items()}
-    rows = [_server_row(server) for server in snapshot.listed]
+    rows = [_server_row(server, versions) for server in snapshot.listed]
     return cbor2.dumps([snapshot.revision, rows, expired])
 
 
@@ -93,8 +99,8 @@
         return Malformed(repr(error))
 
 
-def _server_row(server: servers.Server) -> list[typing.Any]:
-    return [
+def _server_row(server: servers.Server, versions: bool) -> list[typing.Any]:
+    row = [
         server.server_id,
         server.started_ms,
         server.service,
@@ -106,6 +112,7 @@
         server.remaining_warm_up / _MS,
         server.spot,
     ]
+    return [*row, server.version] if versions else row
 
 
 def _server(row: typing.Any) -> servers.Server:
@@ -120,6 +127,7 @@
         slots,
         warm_up,
         spot,
+        *version,
     ) = row
     return servers.Server(
         server_id=_text(name),
@@ -132,6 +140,7 @@
         remaining_warm_up=float(warm_up) * _MS,
         started_ms=None if started_ms is None else int(started_ms),
         spot=bool(spot),
+        version=_text(*version) if version else "",
     )
 
 
--- a/src/pimentolatch/routes/servers.py
+++ b/src/pimentolatch/routes/servers.py
@@ -63,6 +63,7 @@
         remaining_warm_up: Time for which it is still slow after its start.
         started_ms: Unix time of its start, in milliseconds; None if unknown.
         spot: Whether it is a spot server: cheaper, and may be reclaimed any time.
+        version: Version of its software; empty if unknown. Versions have no order.
         incarnation: The incarnation, by server id and start time.
     """
 
@@ -76,6 +77,7 @@
     remaining_warm_up: datetime.timedelta = datetime.timedelta()
     started_ms: int | None = None
     spot: bool = False
+    version: str = ""
     incarnation: Incarnation = dataclasses.field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
