Add the records of which software version began a stream

Servers of several software versions may serve side by side, and what two of them write doesn't fit together. An instance that gets a resumed stream has to know which version began it, also when the instance that relayed its first event has crashed.

stream_origins keeps such records in a bounded table and chooses the three instances, in three failure domains, that keep each; whoever looks a stream up ranks them by the same hash and queries twice as many. A record that contradicts another makes the stream unknown. version_history tells when no other version can have begun a stream.

Ruled out: ranking with rendezvous.rank, which caches 65,536 pairs, so that each record of a large fleet would evict hundreds of pairs that other decisions look up; a plain dict, in which finding the oldest entry passes over all that were removed before it.

--- /dev/null
+++ b/src/pimentolatch/decisions/version_history.py
@@ -0,0 +1,90 @@
+"""Tells whether only one software version of a service can have begun a stream.
+
+Load pattern: releases are rare, so nearly always all servers of a service have one
+version. A client resumes its stream some seconds after its last event at any instance,
+also when no instance with a record of the stream can be reached.
+
+Without this decision such a stream would have to be refused, even though no other
+version could have begun it. If only the current list of servers were consulted, a
+stream would go on at the new version right after the last server of the old one left.
+
+Grounds: a version that was listed within `stream_origins.LIFETIME` may have begun a
+stream that a client still resumes. An instance that has observed the list for a shorter
+time doesn't know which versions were listed before.
+"""
+
+import datetime
+from collections import abc
+
+from pimentolatch.decisions import stream_origins
+
+__all__ = ["VersionHistory"]
+
+# Removed versions that are kept of a service: each one evicted was removed before two
+# others, which rule out a sole version for longer than it would.
+_MAX_REMOVED = 2
+
+
+class VersionHistory:
+    """Software versions of each service that are or were recently listed."""
+
+    def __init__(self) -> None:
+        self._since: datetime.timedelta | None = None
+        self._listed: dict[str, frozenset[str]] = {}
+        # Versions with the time of their removal, in its order.
+        self._removed: dict[str, dict[str, datetime.timedelta]] = {}
+
+    def observe(
+        self,
+        service_versions: abc.Mapping[str, abc.Set[str]],
+        now: datetime.timedelta,
+    ) -> None:
+        """Update the listed versions.
+
+        Args:
+            service_versions: All versions that are listed now, by service. An empty
+                text stands for servers whose version is unknown.
+            now: Monotonic time.
+        """
+        if self._since is None:
+            self._since = now
+        current = {name: frozenset(found) for name, found in service_versions.items()}
+        for service in self._listed.keys() | current.keys():
+            self._update_removed(service, current.get(service, frozenset()), now)
+        self._listed = current
+        for service in list(self._removed):
+            if not self._recently_removed(service, now):
+                del self._removed[service]
+
+    def sole_version(self, service: str, now: datetime.timedelta) -> str | None:
+        """Return the only version that can have begun a stream that is resumed now.
+
+        Returns:
+            None if there may have been several versions or the version is unknown.
+        """
+        if self._since is None or now - self._since < stream_origins.LIFETIME:
+            return None
+        versions = self._listed.get(service, frozenset())
+        versions |= self._recently_removed(service, now)
+        return next(iter(versions)) or None if len(versions) == 1 else None
+
+    def _update_removed(
+        self, service: str, current: frozenset[str], now: datetime.timedelta
+    ) -> None:
+        removed = self._removed.setdefault(service, {})
+        for version in current:
+            removed.pop(version, None)
+        for version in sorted(self._listed.get(service, frozenset()) - current):
+            removed[version] = now
+        while len(removed) > _MAX_REMOVED:
+            del removed[next(iter(removed))]
+
+    def _recently_removed(
+        self, service: str, now: datetime.timedelta
+    ) -> frozenset[str]:
+        removed = self._removed.get(service, {})
+        return frozenset(
+            version
+            for version, removed_at in removed.items()
+            if now - removed_at < stream_origins.LIFETIME
+        )
--- /dev/null
+++ b/tests/features/stream_origins.feature
@@ -0,0 +1,116 @@
+Feature: Instances know which software version began a stream
+
+  # Guards against a table that grows with the traffic.
+  Scenario: Beyond its capacity a table evicts the oldest records
+    Given origins: a table of 100 records
+    When origins: 250 streams are recorded
+    Then origins: the table holds 100 records
+    And origins: stream 149 is unknown
+    And origins: stream 150 is known
+
+  Scenario: Records expire and are removed
+    Given origins: a table of 100 records
+    When origins: 50 streams are recorded for 10 seconds
+    And origins: 9 seconds pass
+    Then origins: stream 49 is known
+    When origins: 1 second passes
+    Then origins: stream 49 is unknown
+    And origins: the table holds 0 records
+
+  Scenario: A record that is repeated counts for longer
+    Given origins: a table of 100 records
+    When origins: build 1 is recorded for stream 7 for 10 seconds
+    And origins: 8 seconds pass
+    And origins: build 1 is recorded for stream 7 for 10 seconds
+    And origins: 8 seconds pass
+    Then origins: stream 7 was begun by build 1
+
+  # Guards against a stream that goes on at a version that did not begin it.
+  Scenario: A stream recorded with two builds is unknown until both have expired
+    Given origins: a table of 100 records
+    When origins: build 1 is recorded for stream 7 for 20 seconds
+    And origins: build 2 is recorded for stream 7 for 10 seconds
+    And origins: build 1 is recorded for stream 7 for 10 seconds
+    Then origins: stream 7 is ambiguous
+    When origins: 19 seconds pass
+    Then origins: stream 7 is ambiguous
+    When origins: 1 second passes
+    And origins: build 2 is recorded for stream 7 for 10 seconds
+    Then origins: stream 7 was begun by build 2
+
+  Scenario: Keys of builds differ however service and version are divided
+    Then origins: the builds of these services and versions have different keys
+      | service | version |
+      | a       | bc      |
+      | ab      | c       |
+      | abc     |         |
+      | a/b     | c       |
+      | a       | b/c     |
+      | 1/a     | bc      |
+
+  # Guards against records that a failure domain takes with it.
+  Scenario: Records are kept in three failure domains
+    Given origins: 40 instances in 9 failure domains
+    Then origins: each of 500 streams is kept by 3 hosts in 3 failure domains
+    And origins: each host keeps between half and twice its share of 4000 streams
+
+  Scenario Outline: Records are kept by three hosts in fewer failure domains
+    Given origins: <instances> instances in <domains> failure domains
+    Then origins: each of 500 streams is kept by <hosts> hosts in <domains> failure domains
+
+    Examples:
+      | instances | domains | hosts |
+      | 20        | 2       | 3     |
+      | 20        | 1       | 3     |
+      | 2         | 2       | 2     |
+      | 0         | 0       | 0     |
+
+  # Guards against queries that miss the record since two instances know the fleet
+  # differently.
+  Scenario Outline: Whoever lacks one instance still queries two that keep the record
+    Given origins: <instances> instances in <domains> failure domains
+    Then origins: for 50 streams the order in which instances are known makes no difference
+    And origins: for 50 streams a query that misses any one instance reaches 2 that keep it
+    And origins: for 50 streams a query reaches 2 if any one instance is unknown to the recorder
+
+    Examples:
+      | instances | domains |
+      | 40        | 9       |
+      | 40        | 3       |
+      | 40        | 2       |
+      | 40        | 1       |
+
+  Scenario: In a small fleet all instances are queried
+    Given origins: 16 instances in 3 failure domains
+    Then origins: 16 hosts are queried
+    Given origins: 17 instances in 3 failure domains
+    Then origins: 6 hosts are queried
+
+  # Guards against a stream that goes on at the new version after the old one has left.
+  Scenario Outline: A version is the sole one if no other can have begun a stream
+    When origins: versions are listed as "<listed>"
+    Then origins: after <seconds> seconds the sole version is "<sole>"
+
+    Examples:
+      | listed                  | seconds | sole    |
+      | 0=v1                    | 59      | none    |
+      | 0=v1                    | 60      | v1      |
+      | 0=v1,v2                 | 100     | none    |
+      | 0=v1 70=v2              | 71      | none    |
+      | 0=v1 50=v1,v2 60=v2     | 119     | none    |
+      | 0=v1 50=v1,v2 60=v2     | 120     | v2      |
+      | 0=v1 70=v2 80=v1        | 139     | none    |
+      | 0=v1 70=v2 80=v1        | 140     | v1      |
+      | 0=unknown               | 100     | none    |
+      | 0=v1 10=v1,unknown 20=v1 | 79     | none    |
+      | 0=v1 10=v1,unknown 20=v1 | 80     | v1      |
+      | 0=v1 100=nothing        | 159     | v1      |
+      | 0=v1 100=nothing        | 160     | none    |
+      | 0=nothing 30=v1         | 60      | v1      |
+      | 0=nothing               | 100     | none    |
+
+  Scenario: Nothing is the sole version before the list was seen
+    Then origins: a history without observations has no sole version
+
+  Scenario: A bounded history agrees with a complete one
+    Then origins: 300 drawn histories agree with one that forgets nothing
