Add messages that record and look up which build began a stream

An announcement of records, a question and its answer, as CBOR datagrams with the version number first. The remaining time is bounded by the lifetime of a record, so that no sender can make a record stay.

--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -3,10 +3,12 @@
 import random
 
 import behave
+import cbor2
 import hypothesis
 import hypothesis.strategies as st
 
 from pimentolatch.decisions import neighbours, stream_origins, version_history
+from pimentolatch.protocol import origin_messages
 
 SERVICE = "lm"
 SECOND = datetime.timedelta(seconds=1)
@@ -15,6 +17,23 @@
 UNKNOWN_STREAM = stream_origins.origin_key("another stream")
 BUILD = stream_origins.build_key(SERVICE, "v1")
 OTHER_BUILD = stream_origins.build_key(SERVICE, "v2")
+KEYS = st.integers(0, 2**64 - 1)
+NUMBERS = st.integers(0, 2**53 - 1)
+ORIGINS = st.builds(origin_messages.Origin, KEYS, KEYS, st.integers(0, 60_000))
+MESSAGES = st.one_of(
+    st.lists(ORIGINS, max_size=5).map(
+        lambda rows: origin_messages.Announcement(tuple(rows))
+    ),
+    st.builds(origin_messages.Question, NUMBERS, KEYS),
+    st.builds(origin_messages.Answer, NUMBERS, st.none() | KEYS),
+)
+CBOR_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(st.integers(), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
 VERSIONS = st.sets(st.sampled_from(["", "v1", "v2", "v3", "v4", "v5"]), max_size=3)
 
 
@@ -258,3 +277,106 @@
 
     check()
     assert {None, "v1", "v2"} <= results, results
+
+
+# Messages
+
+
+@behave.then("origins: {count:d} drawn messages are decoded as they were encoded")
+def messages_round_trip(context, count):
+    kinds = set()
+
+    @drawn(count)
+    @hypothesis.given(MESSAGES)
+    def check(message):
+        kinds.add(type(message))
+        assert origin_messages.decode(origin_messages.encode(message)) == message
+
+    check()
+    assert len(kinds) == 3, kinds
+
+
+def longest_announcement(count):
+    row = origin_messages.Origin(2**64 - 1, 2**64 - 1, 60_000)
+    return origin_messages.Announcement((row,) * count)
+
+
+@behave.then("origins: the longest announcement fits into {size:d} bytes")
+def longest_fits(context, size):
+    message = longest_announcement(origin_messages.MAX_ORIGINS)
+    datagram = origin_messages.encode(message)
+    assert len(datagram) <= size, len(datagram)
+    assert origin_messages.decode(datagram) == message
+
+
+@behave.then("origins: a longer announcement is not encoded")
+def longer_is_refused(context):
+    try:
+        origin_messages.encode(longest_announcement(origin_messages.MAX_ORIGINS + 1))
+    except ValueError:
+        return
+    raise AssertionError("an announcement that is too long was encoded")
+
+
+DATAGRAMS = {
+    "nothing": b"",
+    "text": b"GET / HTTP/1.1\r\n\r\n",
+    "no list": cbor2.dumps({0: 1}),
+    "an empty list": cbor2.dumps([]),
+    "a version alone": cbor2.dumps([1]),
+    "a later version": cbor2.dumps([2, 2, 5, 6]),
+    "an unknown kind": cbor2.dumps([1, 9, 5, 6]),
+    "a question without origin": cbor2.dumps([1, 2, 5]),
+    "a question with a negative number": cbor2.dumps([1, 2, -1, 6]),
+    "a question with a key of 65 bits": cbor2.dumps([1, 2, 5, 2**64]),
+    "a question with a text as key": cbor2.dumps([1, 2, 5, "6"]),
+    "an answer with a field too many": cbor2.dumps([1, 3, 5, 6, 7]),
+    "an answer with a text as build": cbor2.dumps([1, 3, 5, "6"]),
+    "origins that are no list": cbor2.dumps([1, 1, {5: 6}]),
+    "an origin that is a number": cbor2.dumps([1, 1, [5]]),
+    "an origin that counts too long": cbor2.dumps([1, 1, [[5, 6, 60_001]]]),
+    "51 origins": cbor2.dumps([1, 1, [[5, 6, 7]] * 51]),
+}
+
+
+@behave.then("origins: each of these datagrams is malformed")
+def datagrams_are_malformed(context):
+    for row in context.table:
+        decoded = origin_messages.decode(DATAGRAMS[row["datagram"]])
+        assert isinstance(decoded, origin_messages.Malformed), (row, decoded)
+        assert decoded.reason, row
+
+
+def is_decoded(datagram):
+    decoded = origin_messages.decode(datagram)
+    assert isinstance(decoded, origin_messages.Message | origin_messages.Malformed)
+
+
+@behave.then("origins: {count:d} drawn datagrams are decoded or malformed")
+def drawn_datagrams(context, count):
+    @drawn(count)
+    @hypothesis.given(st.binary(max_size=40) | CBOR_VALUES.map(cbor2.dumps))
+    def check(datagram):
+        is_decoded(datagram)
+
+    check()
+
+    @drawn(count)
+    @hypothesis.given(st.integers(0, 4), st.lists(CBOR_VALUES, max_size=3))
+    def check_kinds(kind, values):
+        is_decoded(cbor2.dumps([1, kind, *values]))
+
+    check_kinds()
+
+
+@behave.then("origins: {count:d} damaged messages are decoded or malformed")
+def damaged_messages(context, count):
+    @drawn(count)
+    @hypothesis.given(MESSAGES, st.integers(0, 200), st.integers(0, 255))
+    def check(message, position, value):
+        datagram = bytearray(origin_messages.encode(message))
+        datagram[position % len(datagram)] = value
+        is_decoded(bytes(datagram))
+        is_decoded(bytes(datagram[: position % len(datagram)]))
+
+    check()
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -114,3 +114,32 @@
 
   Scenario: A bounded history agrees with a complete one
     Then origins: 300 drawn histories agree with one that forgets nothing
+
+  Scenario: Messages between instances are decoded as they were encoded
+    Then origins: 200 drawn messages are decoded as they were encoded
+    And origins: the longest announcement fits into 1200 bytes
+    And origins: a longer announcement is not encoded
+
+  # Guards against a receiver that fails at bytes from elsewhere.
+  Scenario: Malformed datagrams are dropped with the reason
+    Then origins: each of these datagrams is malformed
+      | datagram                          |
+      | nothing                           |
+      | text                              |
+      | no list                           |
+      | an empty list                     |
+      | a version alone                   |
+      | a later version                   |
+      | an unknown kind                   |
+      | a question without origin         |
+      | a question with a negative number |
+      | a question with a key of 65 bits  |
+      | a question with a text as key     |
+      | an answer with a field too many   |
+      | an answer with a text as build    |
+      | origins that are no list          |
+      | an origin that is a number        |
+      | an origin that counts too long    |
+      | 51 origins                        |
+    And origins: 300 drawn datagrams are decoded or malformed
+    And origins: 300 damaged messages are decoded or malformed
