--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -1,13 +1,20 @@
+import asyncio
 import collections
+import contextlib
+import dataclasses
 import datetime
 import random
+import socket
 
 import behave
 import cbor2
 import hypothesis
 import hypothesis.strategies as st
+import logbook
 
+from pimentolatch import clock, settings
 from pimentolatch.decisions import neighbours, stream_origins, version_history
+from pimentolatch.gateway import origin_exchange
 from pimentolatch.protocol import origin_messages
 
 SERVICE = "lm"
@@ -17,6 +24,12 @@
 UNKNOWN_STREAM = stream_origins.origin_key("another stream")
 BUILD = stream_origins.build_key(SERVICE, "v1")
 OTHER_BUILD = stream_origins.build_key(SERVICE, "v2")
+# Far above what a datagram on the loopback takes; only a failed scenario waits so long.
+PATIENCE_SECONDS = 20
+RESEND_DELAY = 60 * MILLISECOND
+REPEAT_DELAY = 100 * MILLISECOND
+TIMEOUT = 200 * MILLISECOND
+
 KEYS = st.integers(0, 2**64 - 1)
 NUMBERS = st.integers(0, 2**53 - 1)
 ORIGINS = st.builds(origin_messages.Origin, KEYS, KEYS, st.integers(0, 60_000))
@@ -380,3 +393,370 @@
         is_decoded(bytes(datagram[: position % len(datagram)]))
 
     check()
+
+
+@behave.then("origins: an instance logs a malformed datagram with its sender")
+def malformed_is_logged(context):
+    exchange = origin_exchange.OriginExchange(
+        settings.Address(host="127.0.0.1", port=1), list, clock.ManualClock()
+    )
+    with logbook.TestHandler() as log:
+        for datagram in DATAGRAMS.values():
+            exchange.datagram_received(datagram, ("127.0.71.9", 1))
+    assert len(log.records) == len(DATAGRAMS), log.formatted_records
+    for record in log.records:
+        assert record.level == logbook.WARNING, record
+        assert record.kwargs["sender"] == "127.0.71.9", record.kwargs
+        assert record.kwargs["reason"], record.kwargs
+
+
+# Exchanges between instances
+
+
+class Exchange(origin_exchange.OriginExchange):
+    """Exchange that counts what it sends and receives, and may lose datagrams.
+
+    Attributes:
+        lost: Number of datagrams, the first ones, that are not received.
+        answers: Whether it processes what it receives.
+        received: Number of datagrams that arrived.
+        questions: The questions that were sent.
+    """
+
+    def __init__(self, address, places, time):
+        super().__init__(address, places, time)
+        self.lost = 0
+        self.answers = True
+        self.received = 0
+        self.questions = []
+
+    def datagram_received(self, data, addr):
+        self.received += 1
+        if self.answers and self.received > self.lost:
+            super().datagram_received(data, addr)
+
+    def send(self, hosts, datagrams):
+        hosts = list(hosts)
+        for datagram in datagrams:
+            message = origin_messages.decode(datagram)
+            if isinstance(message, origin_messages.Question):
+                self.questions += [message for _ in hosts]
+        super().send(hosts, datagrams)
+
+
+class Fleet:
+    """Instances on hosts of their own that exchange datagrams over the loopback.
+
+    Attributes:
+        exchanges: The exchanges by host.
+        clocks: The clocks of the instances by host; they stand still.
+    """
+
+    def __init__(self, instances, domains):
+        self._places = [
+            neighbours.Place(f"127.0.71.{n + 1}", f"domain-{n % domains}")
+            for n in range(instances)
+        ]
+        port = free_port(self._places[0].host)
+        self.clocks = {place.host: CountingClock() for place in self._places}
+        self.exchanges = {
+            place.host: Exchange(
+                settings.Address(host=place.host, port=port),
+                lambda own=place: [other for other in self._places if other != own],
+                self.clocks[place.host],
+            )
+            for place in self._places
+        }
+
+    async def __aenter__(self):
+        for exchange in self.exchanges.values():
+            await exchange.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for exchange in self.exchanges.values():
+            exchange.close()
+        await asyncio.sleep(0)
+
+
+class CountingClock(clock.ManualClock):
+    """Clock that counts how often somebody sleeps on it."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleeps = 0
+
+    async def sleep(self, duration):
+        self.sleeps += 1
+        await super().sleep(duration)
+
+
+def free_port(host):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
+async def find(exchange, origin):
+    """Look up a stream; the clock stands still, so no timeout ends this."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        return await exchange.find(origin)
+
+
+@behave.given("origins: {instances:d} running instance in {domains:d} failure domain")
+@behave.given("origins: {instances:d} running instances in {domains:d} failure domains")
+def given_fleet(context, instances, domains):
+    context.fleet = Fleet(instances, domains)
+
+
+@behave.given(
+    "origins: {instances:d} running instances that lose the first datagram they receive"
+)
+def given_lossy_fleet(context, instances):
+    context.fleet = Fleet(instances, 3)
+    for exchange in context.fleet.exchanges.values():
+        exchange.lost = 1
+
+
+@behave.when("origins: the first one records a stream and terminates")
+def record_and_terminate(context):
+    context.repeat = False
+
+
+@behave.when("origins: the first one records a stream, repeats it and terminates")
+def record_repeat_and_terminate(context):
+    context.repeat = True
+
+
+async def play_record(fleet, repeat):
+    """Let the first instance record a stream and terminate; return the others."""
+    first, *others = fleet.exchanges.values()
+    transmissions = 2 if repeat else 1
+    task = asyncio.create_task(first.run())
+    first.record(STREAM, BUILD, stream_origins.LIFETIME, repeat=repeat)
+    await until(lambda: sum(other.received for other in others) == 3)
+    if repeat:
+        own_clock = next(iter(fleet.clocks.values()))
+        await until(lambda: own_clock.sleeps)
+        own_clock.advance(REPEAT_DELAY)
+    await until(lambda: sum(other.received for other in others) == 3 * transmissions)
+    first.close()
+    task.cancel()
+    return others
+
+
+@behave.then("origins: every other instance finds the build")
+def others_find(context):
+    async def play():
+        async with context.fleet as fleet:
+            others = await play_record(fleet, context.repeat)
+            for other in others:
+                other.lost = 0
+                assert await find(other, STREAM) == BUILD
+                assert other.pending_questions == 0
+                asked = len(other.questions)
+                assert await find(other, STREAM) == BUILD
+                assert len(other.questions) == asked
+            assert any(other.questions for other in others)
+
+    asyncio.run(play())
+
+
+@behave.then("origins: a stream that nobody recorded is not found, before any timeout")
+def not_found(context):
+    async def play():
+        async with context.fleet as fleet:
+            first = next(iter(fleet.exchanges.values()))
+            assert await find(first, UNKNOWN_STREAM) is None
+            assert len(first.questions) == len(fleet.exchanges) - 1
+            assert first.pending_questions == 0
+
+    asyncio.run(play())
+
+
+@behave.then("origins: it finds what it has recorded and nothing else")
+def finds_own(context):
+    async def play():
+        async with context.fleet as fleet:
+            (own,) = fleet.exchanges.values()
+            (own_clock,) = fleet.clocks.values()
+            own.record(STREAM, BUILD, 2 * stream_origins.LIFETIME, repeat=False)
+            assert await find(own, STREAM) == BUILD
+            assert await find(own, UNKNOWN_STREAM) is None
+            own_clock.advance(stream_origins.LIFETIME)
+            assert await find(own, STREAM) is None
+
+    asyncio.run(play())
+
+
+@behave.then("origins: it never sleeps on its clock until a record is to be repeated")
+def never_sleeps(context):
+    async def play():
+        async with context.fleet as fleet:
+            (own,) = fleet.exchanges.values()
+            (own_clock,) = fleet.clocks.values()
+            task = asyncio.create_task(own.run())
+            own.record(STREAM, BUILD, stream_origins.LIFETIME, repeat=False)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert own_clock.sleeps == 0
+            for count in (1, 2):
+                own.record(STREAM, BUILD, stream_origins.LIFETIME, repeat=True)
+                await until(lambda expected=count: own_clock.sleeps == expected)
+                own_clock.advance(REPEAT_DELAY)
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                assert own_clock.sleeps == count
+            task.cancel()
+
+    asyncio.run(play())
+
+
+@behave.given("origins: a peer that answers and one that is silent")
+def given_silent_peer(context):
+    context.during = []
+
+
+@behave.when("origins: a stream that nobody recorded is looked up")
+def look_up_unknown(context):
+    context.origin = UNKNOWN_STREAM
+
+
+@behave.when("origins: a stream that the answering peer knows is looked up")
+def look_up_known(context):
+    context.origin = STREAM
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lookup:
+    """A lookup at one of three instances, of which one receives but never answers."""
+
+    fleet: Fleet
+    own: Exchange
+    answering: Exchange
+    silent: Exchange
+    task: asyncio.Task
+
+    async def end_by_timeout(self):
+        """Let the time of the lookup pass; return what it found."""
+        own_clock = next(iter(self.fleet.clocks.values()))
+        assert not self.task.done()
+        own_clock.advance(RESEND_DELAY)
+        await until(lambda: self.silent.received == 2 and own_clock.sleeps == 2)
+        assert not self.task.done()
+        own_clock.advance(TIMEOUT - RESEND_DELAY)
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            return await self.task
+
+
+@contextlib.asynccontextmanager
+async def lookup(context):
+    """Start a lookup at the first of three instances; both peers get the question."""
+    async with Fleet(3, 3) as fleet:
+        own, answering, silent = fleet.exchanges.values()
+        silent.answers = False
+        answering.datagram_received(
+            origin_messages.encode(
+                origin_messages.Announcement(
+                    (origin_messages.Origin(STREAM, BUILD, 60_000),)
+                )
+            ),
+            ("127.0.71.9", 1),
+        )
+        answering.received = 0
+        task = asyncio.create_task(own.find(context.origin))
+        await until(lambda: answering.received and silent.received and own.received)
+        yield Lookup(fleet, own, answering, silent, task)
+        task.cancel()
+
+
+@behave.then("origins: the silent peer is asked again and the other one is not")
+def asked_again(context):
+    async def play():
+        async with lookup(context) as run:
+            await run.end_by_timeout()
+            assert run.silent.received == 2, run.silent.received
+            assert run.answering.received == 1, run.answering.received
+            assert len({question.number for question in run.own.questions}) == 1
+
+    asyncio.run(play())
+
+
+@behave.when(
+    "origins: answers arrive from a host that was not asked and to no question"
+)
+def foreign_answers(context):
+    def answer(own, number, host):
+        message = origin_messages.Answer(number, OTHER_BUILD)
+        own.datagram_received(origin_messages.encode(message), (host, 1))
+
+    def act(own):
+        number = own.questions[0].number
+        answer(own, number, "127.0.71.9")
+        answer(own, number + 1, "127.0.71.3")
+        # The answering peer has already answered otherwise.
+        answer(own, number, "127.0.71.2")
+
+    context.during.append(act)
+
+
+@behave.then("origins: the lookup ends with nothing when its time is over")
+def ends_with_nothing(context):
+    async def play():
+        async with lookup(context) as run:
+            for act in context.during:
+                act(run.own)
+            assert await run.end_by_timeout() is None
+            assert run.own.pending_questions == 0
+
+    asyncio.run(play())
+
+
+@behave.then("origins: the lookup ends with the build, before any timeout")
+def ends_with_build(context):
+    async def play():
+        async with lookup(context) as run:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                assert await run.task == BUILD
+            assert run.own.pending_questions == 0
+
+    asyncio.run(play())
+
+
+@behave.then("origins: a stream recorded with two builds is not looked up at peers")
+def contradicted_not_found(context):
+    async def play():
+        async with Fleet(3, 3) as fleet:
+            own, answering, _ = fleet.exchanges.values()
+            own.record(STREAM, BUILD, stream_origins.LIFETIME, repeat=False)
+            await until(lambda: answering.received)
+            assert await find(answering, STREAM) == BUILD
+            row = origin_messages.Origin(STREAM, OTHER_BUILD, 1000)
+            own.datagram_received(
+                origin_messages.encode(origin_messages.Announcement((row,))),
+                ("127.0.71.3", 1),
+            )
+            assert await find(own, STREAM) is None
+            assert not own.questions
+
+    asyncio.run(play())
+
+
+@behave.then("origins: when the lookup is cancelled, no question and no task is left")
+def nothing_left(context):
+    async def play():
+        async with lookup(context) as run:
+            assert run.own.pending_questions == 1
+            run.task.cancel()
+            await asyncio.wait([run.task], timeout=PATIENCE_SECONDS)
+            assert run.task.cancelled()
+            assert run.own.pending_questions == 0
+            await until(lambda: len(asyncio.all_tasks()) == 1)
+
+    asyncio.run(play())
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -143,3 +143,60 @@
       | 51 origins                        |
     And origins: 300 drawn datagrams are decoded or malformed
     And origins: 300 damaged messages are decoded or malformed
+    And origins: an instance logs a malformed datagram with its sender
+
+  # Guards against a record that is lost with the instance that made it.
+  Scenario Outline: A stream's build is found after its recorder has terminated
+    Given origins: <instances> running instances in 3 failure domains
+    When origins: the first one records a stream and terminates
+    Then origins: every other instance finds the build
+
+    Examples:
+      | instances |
+      | 5         |
+      | 20        |
+
+  Scenario: A stream that nobody recorded is not found
+    Given origins: 5 running instances in 3 failure domains
+    Then origins: a stream that nobody recorded is not found, before any timeout
+
+  Scenario: An instance without peers knows what it has recorded
+    Given origins: 1 running instance in 1 failure domain
+    Then origins: it finds what it has recorded and nothing else
+
+  # Guards against a record that no peer has since one datagram was lost.
+  Scenario: A record whose first datagrams are lost is sent again
+    Given origins: 5 running instances that lose the first datagram they receive
+    When origins: the first one records a stream, repeats it and terminates
+    Then origins: every other instance finds the build
+
+  Scenario: Without records to repeat an instance waits without waking
+    Given origins: 1 running instance in 1 failure domain
+    Then origins: it never sleeps on its clock until a record is to be repeated
+
+  # Guards against a lookup that waits for an instance that has crashed.
+  Scenario: A host that doesn't answer is asked twice and then given up
+    Given origins: a peer that answers and one that is silent
+    When origins: a stream that nobody recorded is looked up
+    Then origins: the silent peer is asked again and the other one is not
+    And origins: the lookup ends with nothing when its time is over
+
+  Scenario: A host that doesn't answer delays nothing that another one knows
+    Given origins: a peer that answers and one that is silent
+    When origins: a stream that the answering peer knows is looked up
+    Then origins: the lookup ends with the build, before any timeout
+
+  # Guards against answers to other questions, such as those of a former process.
+  Scenario: Answers from elsewhere or to no question are dropped
+    Given origins: a peer that answers and one that is silent
+    When origins: a stream that nobody recorded is looked up
+    And origins: answers arrive from a host that was not asked and to no question
+    Then origins: the lookup ends with nothing when its time is over
+
+  Scenario: A contradicted record is not looked up elsewhere
+    Then origins: a stream recorded with two builds is not looked up at peers
+
+  Scenario: A cancelled lookup leaves nothing behind
+    Given origins: a peer that answers and one that is silent
+    When origins: a stream that nobody recorded is looked up
+    Then origins: when the lookup is cancelled, no question and no task is left
