Count exchanges that an engine broke off together as one failure

After a second of silence callers were refused, or waited, while sound engines were left out for up to eight seconds: each stream that broke off doubled the time, however many had the same cause, and several failures counted as proof that the engine is down, on which the planner refills a stage. When the times ended, one after the other, all requests went to the first engines to return.

What breaks off within the interval after which a failed engine may be tried again was sent before the failure and counts with it, so a failure is one that was found by trying. So that an engine which is still out of reach doesn't get all prompts after a second, being idle, it gets one request at a time until it is heard: an event, an answer or a refusal of its own.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -42,13 +42,14 @@
 _MIN_LONG_PROMPT = 3000
 _MAX_SHORT_PROMPT = 1000
 # An engine that failed is avoided for this long while others can serve; the time
-# doubles with each consecutive failure up to the maximum.
+# doubles with each consecutive failure up to the maximum. Afterwards one request at a
+# time tries it: an engine that is idle because it is out of reach looks like the best.
 _FIRST_BACKOFF = datetime.timedelta(seconds=1)
 _MAX_BACKOFF = datetime.timedelta(seconds=8)
 _MAX_DOUBLINGS = 3
 # While no engine of its stage is healthy, one that failed is retried after this time:
 # nothing else can serve, and a crashed engine is back within seconds of its last
-# failure.
+# failure. What breaks off sooner was sent before the failure and has the same cause.
 _PROBE_INTERVAL = datetime.timedelta(milliseconds=300)
 # Backoff after a declined request. One may be declined because of the request itself,
 # several in a row are not.
@@ -83,7 +84,8 @@
         streams: Streams of this instance that run there.
         kv_tokens: Tokens that these streams hold in KV memory.
         event_gap_ms: Mean time between events of its streams.
-        failures: Consecutive dispatches that broke off.
+        failures: Consecutive failures; dispatches that broke off together are one.
+        on_trial: It has not been heard since its last failure.
         declines: Consecutive requests that it declined to run.
         answered_at: Time of its last answer, as evidence that it is alive.
         avoid_until: Until when it is avoided while others are healthy.
@@ -100,6 +102,7 @@
         self.kv_tokens = 0
         self.event_gap_ms = 0.0
         self.failures = 0
+        self.on_trial = False
         self.declines = 0
         self.avoid_until = datetime.timedelta()
         self.probe_at = datetime.timedelta()
@@ -120,6 +123,11 @@
         """Return whether the engine declines everything because of a stage change."""
         return self.change is not None and now < self.change.until
 
+    def accepts_trial(self) -> bool:
+        """Return whether no request of this instance is outstanding there."""
+        # Prompts are added and subtracted as fractions, which leaves a remainder.
+        return not self.streams and sum(self.prefill_tokens) < 1.0
+
     def own_load(self) -> peer_loads.PeerLoad:
         """Return the outstanding work of this instance here."""
         return peer_loads.PeerLoad(
@@ -221,8 +229,9 @@
     ) -> list[EngineLoad]:
         """Return the engines of a stage that accept requests.
 
-        Engines that failed recently are left out as long as others remain. If none
-        remains, each is retried after its probe interval.
+        Engines that failed recently are left out as long as others remain, and then
+        get one request at a time until they are heard. If none remains, each is retried
+        after its probe interval.
         """
         found = [
             engine
@@ -232,7 +241,12 @@
             and engine.server.incarnation not in without
             and not engine.is_changing(now)
         ]
-        healthy = [engine for engine in found if now >= engine.avoid_until]
+        healthy = [
+            engine
+            for engine in found
+            if now >= engine.avoid_until
+            and (not engine.on_trial or engine.accepts_trial())
+        ]
         return healthy or [engine for engine in found if now >= engine.probe_at]
 
     def observe_prefill(
@@ -268,12 +282,14 @@
 
     def observe_event_gap(self, engine: EngineLoad, took: datetime.timedelta) -> None:
         """Learn from the time between two events of a stream."""
+        engine.on_trial = False
         milliseconds = took / datetime.timedelta(milliseconds=1)
         engine.event_gap_ms += _EVENT_GAP_WEIGHT * (milliseconds - engine.event_gap_ms)
 
     def succeeded(self, engine: EngineLoad, now: datetime.timedelta) -> None:
         """Record an answer and reset the failures of an engine."""
         engine.answered_at = now
+        engine.on_trial = False
         engine.failures = 0
         engine.declines = 0
 
@@ -285,6 +301,7 @@
         """
         pause = _DECLINED_BACKOFF * 2 ** min(engine.declines, _MAX_DOUBLINGS)
         engine.declines += 1
+        engine.on_trial = False
         engine.avoid_until = max(engine.avoid_until, now + pause)
 
     def silent(self, engine: EngineLoad, now: datetime.timedelta) -> None:
@@ -294,6 +311,9 @@
 
     def failed(self, engine: EngineLoad, now: datetime.timedelta) -> None:
         """Avoid an engine for a while after a failure."""
+        if now < engine.probe_at:
+            return
+        engine.on_trial = True
         pause = _FIRST_BACKOFF * 2**engine.failures
         engine.failures = min(engine.failures + 1, _MAX_DOUBLINGS)
         engine.avoid_until = now + min(pause, _MAX_BACKOFF)
