Count the failure of a silent engine that a request leaves

An engine that was asked in vain got its time for trials moved, so that the failure counted when a request left it right afterwards was taken for one of the same moment and not counted: an engine that had died without a word would have been tried by new requests every second, 1.2 s each. Found by reading two changes side by side; shown by no run.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -307,7 +307,6 @@
     def silent(self, engine: EngineLoad, now: datetime.timedelta) -> None:
         """Avoid an engine for a moment that may be sound and has said nothing."""
         engine.avoid_until = max(engine.avoid_until, now + _FIRST_BACKOFF)
-        engine.probe_at = now + _PROBE_INTERVAL
 
     def failed(self, engine: EngineLoad, now: datetime.timedelta) -> None:
         """Avoid an engine for a while after a failure."""
