Reproduce streams that go on at another software version

Servers of the tests have a version, and their events name it if it isn't the usual one. Where one version alone is in use all goes well, and must stay so.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -19,6 +19,7 @@
 _EVENT_COUNT = 6
 _EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
+_DEFAULT_VERSION = "v1"
 _RESPONSE_DELAYS_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
 
 
@@ -53,6 +54,8 @@
         service: Service that the server belongs to.
         failure_domain: Failure domain of the server.
         stage: `prefill`, `decode`, or None for a plain server.
+        version: Version of the server's software; events of other versions than the
+            default one name it.
 
     Attributes:
         faults: Faults of the next `prefill` and `run` requests, one per request; an
@@ -72,6 +75,7 @@
         unresponsive: Whether requests for its report get no response either.
         started_ms: Unix time of its start in milliseconds; None if not reported.
         event_pause_s: Time between two events of a stream.
+        cuts_new_streams: Whether it cuts each stream that begins with its first event.
         restart_before_order: Whether it restarts after its next report.
         queued, running: Ids of queued and running requests, for its report.
         fatal_body: A request with this body crashes the server soon after it starts to
@@ -96,11 +100,13 @@
         service: str,
         failure_domain: str,
         stage: str | None = None,
+        version: str = _DEFAULT_VERSION,
     ) -> None:
         self.server_id = server_id
         self.service = service
         self.failure_domain = failure_domain
         self.stage = stage
+        self.version = version
         self.state = "ready"
         self.faults: collections.deque[str] = collections.deque()
         self.received: list[ReceivedRequest] = []
@@ -112,6 +118,7 @@
         self.unresponsive = False
         self.started_ms: int | None = None
         self.event_pause_s = _EVENT_PAUSE_S
+        self.cuts_new_streams = False
         self.restart_before_order = False
         self.queued: set[str] = set()
         self.running: set[str] = set()
@@ -162,9 +169,15 @@
         await asyncio.sleep(seconds)
         self.awake.set()
 
-    def restart(self, started_ms: int) -> None:
-        """Start a new incarnation with the same id and address."""
+    def restart(self, started_ms: int, version: str | None = None) -> None:
+        """Start a new incarnation with the same id and address.
+
+        Args:
+            started_ms: Unix time of the start in milliseconds.
+            version: Version of its software; None for the same as before.
+        """
         self.started_ms = started_ms
+        self.version = version or self.version
         self.orders = []
         self.queued, self.running = set(), set()
         self.reset_connections()
@@ -175,7 +188,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.failure_domain,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -357,9 +370,11 @@
             await asyncio.sleep(_CRASH_DELAY_S)
             self.crash()
             return False
+        is_cut = fault.endswith("cut") or (self.cuts_new_streams and first == 1)
+        mark = "" if self.version == _DEFAULT_VERSION else f"{self.version} "
         for number in range(first, _EVENT_COUNT + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if fault.endswith("cut") and number == first + 2:
+            event = f"id: {number}\ndata: {mark}piece {number}\n\n".encode()
+            if is_cut and number == first + 2:
                 await connection.send_chunk(event[: len(event) // 2])
                 connection.reset()
                 return False
@@ -482,7 +497,7 @@
 
 
 def _parse_request(head: h11.Request, body: bytes) -> ReceivedRequest:
-    fields = {n.decode().lower(): v.decode() for n, v in head.headers}
+    fields = {n.decode().lower(): v.decode("latin-1") for n, v in head.headers}
     kind = "prefill" if fields.get("x-stage") == "prefill" else "run"
     target = head.target.decode()
     if target.startswith("/v1/"):
--- /dev/null
+++ b/tests/features/steps/software_versions_steps.py
@@ -0,0 +1,252 @@
+import asyncio
+
+import behave
+
+from tests.support import version_world
+
+VERSIONS = ("v1", "v2")
+# The bound of the users, as a share of that of new streams that begin.
+MIN_SHARE = 0.5
+
+
+def start(context, instances, decode_versions):
+    context.route_runner = asyncio.Runner()
+    context.world = version_world.VersionWorld()
+    context.route_runner.run(context.world.start(instances, decode_versions))
+
+
+def begin(context, count, events=None):
+    context.sent = count
+    context.begun = context.route_runner.run(context.world.begin(count, events))
+
+
+def resume(context, **options):
+    context.route_runner.run(context.world.resume(context.begun, **options))
+
+
+def of_version(context, version):
+    """Return the streams that a version began."""
+    return [s for s in context.begun if s.events[0].version == version]
+
+
+@behave.given(
+    "versions: {instances:d} instances and {engines:d} decode engines, half of each"
+    " version"
+)
+def two_versions(context, instances, engines):
+    # One half after the other, since engines alternate between the failure domains.
+    start(context, instances, [VERSIONS[2 * n // engines] for n in range(engines)])
+
+
+@behave.given(
+    "versions: {instances:d} instances and {engines:d} decode engines of one version"
+)
+def one_version(context, instances, engines):
+    start(context, instances, [VERSIONS[0]] * engines)
+
+
+@behave.given("versions: each decode engine breaks off the streams that it begins")
+def break_off(context):
+    for server in context.world.servers.values():
+        server.cuts_new_streams = True
+
+
+@behave.given("versions: engines send an event every {pause:d} ms")
+def event_pause(context, pause):
+    for server in context.world.servers.values():
+        server.event_pause_s = pause / 1000
+
+
+@behave.when(
+    "versions: clients begin {count:d} streams and disconnect after {events:d} events"
+)
+def begin_and_disconnect(context, count, events):
+    begin(context, count, events)
+
+
+@behave.when("versions: clients begin {count:d} streams and read them to their end")
+def begin_and_read(context, count):
+    begin(context, count)
+
+
+@behave.when(
+    'versions: clients begin {count:d} streams of which those of "{version}" lose all'
+    " engines"
+)
+def begin_and_lose(context, count, version):
+    async def lose():
+        world = context.world
+        begun = asyncio.create_task(world.begin(count))
+        await world.until(lambda: all_have_begun(world, count))
+        world.crash(version)
+        return await begun
+
+    context.begun = context.route_runner.run(lose())
+
+
+def all_have_begun(world, count):
+    return len(world.streams) == count and all(s.events for s in world.streams)
+
+
+@behave.when("versions: they resume at other instances")
+def resume_elsewhere(context):
+    resume(context)
+
+
+@behave.when(
+    "versions: they resume at other instances and disconnect after {events:d} more"
+)
+def resume_and_disconnect(context, events):
+    resume(context, events=events)
+
+
+@behave.when("versions: they resume again at other instances")
+def resume_again(context):
+    resume(context)
+
+
+@behave.when("versions: they resume at other instances with {value}")
+def resume_with(context, value):
+    resume(context, resumes=value)
+
+
+@behave.when("versions: they resume with {value}, as often as refusals ask for it")
+def resume_often(context, value):
+    async def resume_all():
+        world = context.world
+        await asyncio.gather(
+            *(world.resume_until_accepted(stream, value) for stream in context.begun)
+        )
+
+    context.route_runner.run(resume_all())
+
+
+@behave.when("versions: they resume with {value} at an instance that has just started")
+def resume_at_new(context, value):
+    name = context.route_runner.run(context.world.join())
+    resume(context, resumes=value, name=name)
+
+
+@behave.when('versions: the engines of "{version}" crash and are listed no more')
+def remove(context, version):
+    context.route_runner.run(context.world.remove(version))
+
+
+@behave.when('versions: the engines of "{version}" crash and are listed as usual')
+def crash(context, version):
+    async def end():
+        context.world.crash(version)
+
+    context.route_runner.run(end())
+
+
+@behave.when('versions: engines of "{new}" replace those of "{old}"')
+def release(context, new, old):
+    async def replace():
+        world = context.world
+        for engine in world.engines(old):
+            await world.add_engine(f"{engine.server_id}-{new}", engine.stage, new)
+        await world.remove(old)
+
+    context.route_runner.run(replace())
+
+
+@behave.when('versions: half of the engines restart at "{version}" under their ids')
+def restart(context, version):
+    async def restart_half():
+        names = [n for n, s in context.world.servers.items() if s.stage == "decode"]
+        for name in names[: len(names) // 2]:
+            await context.world.restart_at(name, version)
+        await context.world.add_engine(f"prefill-{version}", "prefill", version)
+
+    context.route_runner.run(restart_half())
+
+
+@behave.when('versions: half of the engines restart at "{version}", not listed yet')
+def restart_unlisted(context, version):
+    names = [n for n, s in context.world.servers.items() if s.stage == "decode"]
+    context.restarted = names[: len(names) // 2]
+    for name in context.restarted:
+        context.world.restart_unlisted(name, version)
+
+
+@behave.when("versions: the list shows them")
+def list_restarted(context):
+    async def list_all():
+        for name in context.restarted:
+            await context.world.list_restarted(name)
+
+    context.route_runner.run(list_all())
+
+
+@behave.then("versions: no stream holds events of two versions")
+def none_joined(context):
+    world = context.world
+    assert context.begun
+    assert not world.joined(), world.describe(context.begun)
+    assert not world.out_of_order(), [s.events for s in world.out_of_order()]
+    assert not world.refused_and_run(), world.refused_and_run()
+
+
+@behave.then("versions: streams are resumed at least half as often as new ones begin")
+def resumed_often(context):
+    resumed = sum(stream.resumed for stream in context.begun)
+    share = resumed / len(context.begun)
+    figures = context.world.describe(context.begun)
+    assert share >= MIN_SHARE * len(context.begun) / context.sent, figures
+
+
+@behave.then("versions: all are resumed")
+def all_resumed(context):
+    check_resumed(context, context.begun)
+
+
+@behave.then('versions: those of "{version}" are resumed')
+def version_resumed(context, version):
+    check_resumed(context, of_version(context, version))
+
+
+def check_resumed(context, streams):
+    figures = context.world.describe(streams)
+    assert streams, figures
+    assert all(stream.resumed and stream.whole for stream in streams), figures
+
+
+@behave.then("versions: all streams are whole")
+def all_whole(context):
+    broken = [stream for stream in context.world.streams if not stream.whole]
+    assert not broken, (len(broken), broken[0])
+
+
+@behave.then("versions: all are refused as not run, with a time to come back")
+def all_refused(context):
+    check_refused(context, context.begun)
+
+
+@behave.then(
+    'versions: those of "{version}" are refused as not run, with a time to come back'
+)
+def version_refused(context, version):
+    check_refused(context, of_version(context, version))
+
+
+def check_refused(context, streams):
+    figures = context.world.describe(streams)
+    assert streams, figures
+    assert all(stream.attempts[-1].refused for stream in streams), figures
+
+
+@behave.then(
+    'versions: those of "{gone}" are broken off, and those of "{left}" are whole'
+)
+def broken_off(context, gone, left):
+    lost, kept = of_version(context, gone), of_version(context, left)
+    assert lost and kept, (len(lost), len(kept))
+    assert not any(stream.attempts[-1].complete for stream in lost), lost
+    assert all(stream.whole for stream in kept), kept
+
+
+@behave.then("versions: both versions have served some")
+def both_served(context):
+    served = {version for s in context.world.streams for version in s.versions}
+    assert served == set(VERSIONS), served
