Resume streams only at the software version that began them

Cause: the version of a server was checked and dropped, and Resumes was read nowhere, so each resumption went to any engine. Class: a fact that decides what may follow was known to one connection only and went away with it.

The instance that relays a stream's first event records which version made it and tells three instances in three failure domains before the client gets that event; whoever resumes the stream asks. Placement leaves the decode engines of other versions out, within an answer too. Without a record a stream goes on only if one version alone has been listed for as long as the route's time limit and the list is current; else, and where its version is gone, it is refused at once as not run (result code 208), or broken off if its answer has begun. A server that turns out to have started again before a stream began makes its origin contradictory, so that the stream goes on nowhere.

--- a/src/pimentolatch/decisions/neighbours.py
+++ b/src/pimentolatch/decisions/neighbours.py
@@ -22,7 +22,7 @@
 
 from pimentolatch.decisions import rendezvous
 
-__all__ = ["Neighbours", "Place", "choose", "domain_weights"]
+__all__ = ["Neighbours", "Place", "choose", "domain_weights", "hears_all"]
 
 # Up to this many peers, all instances report to each other. Small fleets have eight
 # instances.
@@ -57,6 +57,11 @@
     far: tuple[tuple[str, ...], ...] = ()
 
 
+def hears_all(peers: int) -> bool:
+    """Tell whether an instance receives the reports of all of so many peers."""
+    return peers <= _MAX_FULL_MESH
+
+
 def choose(own: Place, known: abc.Collection[Place]) -> Neighbours:
     """Return the peers to report to, out of those that are known.
 
--- a/src/pimentolatch/decisions/version_history.py
+++ b/src/pimentolatch/decisions/version_history.py
@@ -56,16 +56,27 @@
             if not self._recently_removed(service, now):
                 del self._removed[service]
 
-    def sole_version(self, service: str, now: datetime.timedelta) -> str | None:
+    def sole_version(
+        self,
+        service: str,
+        now: datetime.timedelta,
+        within: datetime.timedelta = stream_origins.LIFETIME,
+    ) -> str | None:
         """Return the only version that can have begun a stream that is resumed now.
 
+        Args:
+            service: The service.
+            now: Monotonic time.
+            within: How long ago the stream began at most; up to
+                `stream_origins.LIFETIME`.
+
         Returns:
             None if there may have been several versions or the version is unknown.
         """
-        if self._since is None or now - self._since < stream_origins.LIFETIME:
+        if self._since is None or now - self._since < within:
             return None
         versions = self._listed.get(service, frozenset())
-        versions |= self._recently_removed(service, now)
+        versions |= self._recently_removed(service, now, within)
         return next(iter(versions)) or None if len(versions) == 1 else None
 
     def _update_removed(
@@ -80,11 +91,14 @@
             del removed[next(iter(removed))]
 
     def _recently_removed(
-        self, service: str, now: datetime.timedelta
+        self,
+        service: str,
+        now: datetime.timedelta,
+        within: datetime.timedelta = stream_origins.LIFETIME,
     ) -> frozenset[str]:
         removed = self._removed.get(service, {})
         return frozenset(
             version
             for version, removed_at in removed.items()
-            if now - removed_at < stream_origins.LIFETIME
+            if now - removed_at < within
         )
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -76,11 +76,8 @@
 
     @property
     def origin_id(self) -> str:
-        """The client's identifier of the attempt that began the stream.
-
-        Empty if the client resumes a stream and does not name it.
-        """
-        return self.head.resumes if self.head.last_event else self.head.request_id
+        """See `http_headers.ClientHeaders.origin_id`."""
+        return self.head.origin_id
 
 
 class ClientResponse:
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -308,10 +308,19 @@
             engine.prefill_tokens[generation.place.level] -= generation.unprefilled
             generation.unprefilled = 0
             self._context.record_cached_prompt(generation.request, engine)
+            self._record_origin(generation)
             self._count_usage(generation)
             return
         self._context.loads(generation.request).observe_event_gap(engine, since)
 
+    def _record_origin(self, generation: request_progress.Generation) -> None:
+        """Record the build that begins a stream, before the client has an event."""
+        progress = generation.progress
+        if progress.build is None:
+            server = generation.place.engine.server
+            resumptions = self._context.resumptions
+            progress.build = resumptions.begin(generation.request, server)
+
     def _is_proven(self, generation: request_progress.Generation) -> bool:
         """Tell whether an engine has sent events of a response for a while."""
         at = generation.first_event_at
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -176,7 +176,9 @@
         )
         if isinstance(allowed, access.Denial):
             return _refusal_for(allowed)
-        service = configuration.services.get(route.service_of(head.request_id))
+        # A resumed stream stays with the service that began it.
+        service_name = route.service_of(head.origin_id or head.request_id)
+        service = configuration.services.get(service_name)
         if service is None:
             return refusals.no_server(route.name)
         deadline = arrived_at + route.timeout
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -124,6 +124,18 @@
         """Return host and failure domain of all other known instances."""
         return [mention.place for mention in self._mentions.values()]
 
+    def reachable_places(self) -> list[neighbours.Place]:
+        """Return the other instances that may answer now.
+
+        In a small fleet each instance hears all that are live.
+        """
+        if not neighbours.hears_all(len(self._mentions)):
+            return self.places()
+        return [
+            neighbours.Place(peer.host, peer.beacon.failure_domain)
+            for peer in self.live()
+        ]
+
     def sample_members(self, most: int) -> tuple[beacons.Member, ...]:
         """Return a random sample of the known instances, `most` of them at most."""
         now = self._clock.monotonic()
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -25,6 +25,7 @@
     front_end,
     http_protocol,
     leader_tasks,
+    origin_exchange,
     peer_forwarder,
     peer_snapshots,
     peer_table,
@@ -32,6 +33,7 @@
     quarantine,
     reachability_monitor,
     request_log,
+    resumptions,
     route_metrics,
     settings,
     stage_controller,
@@ -113,6 +115,9 @@
         self._leader_tasks = leader_tasks.LeaderTasks(
             chosen, self._incarnation, self._fleet, self._peer_table, self._store, time
         )
+        self._origins = origin_exchange.OriginExchange(
+            chosen.peers.origins_address, self._peer_table.reachable_places, time
+        )
         self._stream_forwarder = stream_forwarder.StreamForwarder(
             self._fleet,
             self._client,
@@ -128,6 +133,9 @@
             self._metrics,
             self._monitor,
             self._peer_forwarder,
+            resumptions.Resumptions(
+                self._fleet, self._origins, self._request_log, time
+            ),
         )
         self._plain_forwarder = plain_forwarder.PlainForwarder(
             self._fleet,
@@ -309,11 +317,13 @@
         """
         await self._snapshots.start()
         await self._beacon_exchange.start()
+        await self._origins.start()
         await self._leader_tasks.start()
         for work in (
             self._watch_controller.run,
             self._expired_servers.run,
             self._beacon_exchange.run,
+            self._origins.run,
             self._snapshot_fetcher.run,
             self._stage_controller.run,
             self._share_bounds,
@@ -406,6 +416,7 @@
             if server is not None:
                 server.abort()
         self._beacon_exchange.close()
+        self._origins.close()
         self._leader_tasks.close()
         self._client.close()
         self._peer_forwarder.close()
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -206,6 +206,10 @@
     ) -> frozenset[servers.Incarnation]:
         """Return the engines that a request must not use."""
         failed = frozenset(progress.failed)
+        if progress.build is not None:
+            failed |= self._context.resumptions.other_servers(
+                request.service.name, progress.build
+            )
         if not self._context.crash_quarantine.is_suspect(request):
             return failed
         loads = self._context.loads(request)
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -19,10 +19,12 @@
     "outcome_unknown",
     "overloaded",
     "unknown_key",
+    "version_unavailable",
 ]
 
 _NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
 _NO_SERVER_RETRY = datetime.timedelta(milliseconds=500)
+_VERSION_RETRY = datetime.timedelta(seconds=1)
 
 
 def no_configuration() -> results.Refusal:
@@ -73,6 +75,16 @@
     )
 
 
+def version_unavailable() -> results.Refusal:
+    """Refuse to resume a stream at another software version than began it."""
+    return results.Refusal(
+        results.ResultCode.VERSION_UNAVAILABLE,
+        "no server of the version that began the stream is known",
+        results.Execution.NOT_RUN,
+        _VERSION_RETRY,
+    )
+
+
 def overloaded(retry_after: datetime.timedelta) -> results.Refusal:
     """Refuse a request whose response would start too late."""
     return results.Refusal(
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -14,6 +14,7 @@
     "EVENTS",
     "FORWARDED",
     "PLACED",
+    "RESUMED",
     "SENT",
     "WAITED",
     "EventCounter",
@@ -26,6 +27,7 @@
 PLACED = "placed"
 SENT = "sent"
 DOUBTED = "doubted"
+RESUMED = "resumed"
 FORWARDED = "forwarded"
 ANSWERED = "answered"
 # Every event with its fields; `explain` parses them and docs/OPERATIONS.md lists them.
@@ -44,6 +46,7 @@
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms"),
     ),
+    RESUMED: ("origin", "outcome", "ms"),
     FORWARDED: ("peer", "outcome", "ms"),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -23,6 +23,7 @@
     reachability_monitor,
     refusals,
     request_log,
+    resumptions,
     route_metrics,
     stall_checker,
     usage_exchange,
@@ -67,6 +68,7 @@
     metrics: route_metrics.RouteMetrics
     monitor: reachability_monitor.ReachabilityMonitor
     peers: peer_forwarder.PeerForwarder
+    resumptions: resumptions.Resumptions
     clock: clock.Clock
 
     async def check_path(
@@ -169,6 +171,8 @@
         paid_dispatches: Further dispatches that the retry budget has paid for already.
         prefilled_before: The prompt has been prefilled on a separate engine before.
         last_event: Number of the last event that the client received.
+        build: Build that began the stream; None before its first event, or if it is not
+            known.
         last_event_at: When the client was sent its last event.
         failure_response: An engine's error response, forwarded if no other engine
             succeeds.
@@ -188,6 +192,7 @@
     paid_dispatches: int = 0
     prefilled_before: bool = False
     last_event: int = 0
+    build: int | None = None
     last_event_at: datetime.timedelta | None = None
     failure_response: dispatch.FullResponse | None = None
     reason: str = ""
--- /dev/null
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -0,0 +1,201 @@
+"""Finds out which software version has to go on with a stream.
+
+What two versions of a server's software write doesn't fit together, so a stream goes on
+only at a server of the version that began it: after a failure within one response, and
+when a client resumes it with another request at any instance.
+"""
+
+import collections
+import dataclasses
+import datetime
+
+from pimentolatch import clock
+from pimentolatch.decisions import stream_origins, version_history
+from pimentolatch.gateway import (
+    client_request,
+    fleet_state,
+    origin_exchange,
+    request_log,
+)
+from pimentolatch.routes import servers
+
+__all__ = ["Resumptions"]
+
+# The list of servers is confirmed about once a second. An older one may lack a version
+# that other instances use already.
+_MAX_LIST_AGE = datetime.timedelta(seconds=2)
+# An instance learns within this time that a server has started again. Until then what
+# the new process writes counts as written by the old one's version.
+_MAX_LIST_LAG = datetime.timedelta(seconds=5)
+# Start times are those of the servers' clocks.
+_CLOCK_TOLERANCE = datetime.timedelta(milliseconds=500)
+_MAX_RECENT = 4096
+_RECORDED = "recorded"
+_SOLE_VERSION = "sole version"
+_UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Beginning:
+    """A stream that has begun lately.
+
+    Attributes:
+        at: When its first event arrived.
+        origin: Key of the request.
+        server: Incarnation that sent the event, as far as was known then.
+        lifetime: How long a client may resume the stream.
+    """
+
+    at: datetime.datetime
+    origin: int
+    server: servers.Incarnation
+    lifetime: datetime.timedelta
+
+
+class Resumptions:
+    """Records which software version begins each stream, and finds it out again.
+
+    Args:
+        fleet: The listed servers.
+        exchange: Keeps the records, at peers too.
+        log: Log of requests.
+        time: Clock of this instance.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_state.FleetState,
+        exchange: origin_exchange.OriginExchange,
+        log: request_log.RequestLog,
+        time: clock.Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._exchange = exchange
+        self._request_log = log
+        self._clock = time
+        self._history = version_history.VersionHistory()
+        self._recent: collections.deque[_Beginning] = collections.deque(
+            maxlen=_MAX_RECENT
+        )
+        fleet.on_change(self._observe_servers)
+
+    def begin(
+        self, request: client_request.ClientRequest, server: servers.Server
+    ) -> int | None:
+        """Record the server that sends the first event of a stream.
+
+        Returns:
+            The build that the stream has to go on at; None if it is not known.
+        """
+        build = _build_of(server)
+        if build is not None and not request.head.last_event:
+            origin = stream_origins.origin_key(request.request_id)
+            lifetime = request.head.time_left or request.route.timeout
+            self._record(origin, build, lifetime, server.service)
+            if server.started_ms is not None:
+                self._recent.append(
+                    _Beginning(self._clock.now(), origin, server.incarnation, lifetime)
+                )
+        return build
+
+    async def find(self, request: client_request.ClientRequest) -> int | None:
+        """Return the build that began a stream; None if it can't be found out."""
+        since = self._clock.monotonic()
+        build = None
+        if request.origin_id:
+            origin = stream_origins.origin_key(request.origin_id)
+            build = await self._exchange.find(origin)
+        outcome = _RECORDED
+        if build is None:
+            build = self._sole_build(request)
+            outcome = _UNKNOWN if build is None else _SOLE_VERSION
+        self._request_log.write(
+            request_log.RESUMED,
+            request.request_id,
+            wrong=build is None,
+            origin=request.origin_id,
+            outcome=outcome,
+            ms=self._request_log.elapsed_ms(since),
+        )
+        return build
+
+    def is_gone(self, service: str, build: int) -> bool:
+        """Tell whether only servers of other versions are left in a service."""
+        versions = self._versions(service)
+        return bool(versions) and build not in {
+            stream_origins.build_key(service, version) for version in versions
+        }
+
+    def other_servers(self, service: str, build: int) -> frozenset[servers.Incarnation]:
+        """Return the listed decode servers that must not go on with a stream."""
+        return frozenset(
+            server.incarnation
+            for server in self._fleet.servers.of_service(service)
+            if server.stage is servers.Stage.DECODE and _build_of(server) != build
+        )
+
+    def _sole_build(self, request: client_request.ClientRequest) -> int | None:
+        """Return the build of the only version that can have begun a stream."""
+        now = self._clock.monotonic()
+        if now - self._fleet.servers_confirmed_at > _MAX_LIST_AGE:
+            return None
+        service = request.service.name
+        version = self._history.sole_version(service, now, request.route.timeout)
+        return None if version is None else stream_origins.build_key(service, version)
+
+    def _record(
+        self, origin: int, build: int, lifetime: datetime.timedelta, service: str
+    ) -> None:
+        several = len(self._versions(service)) > 1
+        self._exchange.record(origin, build, lifetime, repeat=several)
+
+    def _versions(self, service: str) -> frozenset[str]:
+        return frozenset(
+            server.version
+            for server in self._fleet.servers.all()
+            if server.service == service
+        )
+
+    def _observe_servers(self) -> None:
+        self._observe_versions()
+        self._correct_origins()
+
+    def _correct_origins(self) -> None:
+        """Record the version of servers that had started again before a stream began.
+
+        The two records contradict each other, so the stream goes on nowhere: events of
+        both versions may have been sent.
+        """
+        now = self._clock.now()
+        while self._recent and now - self._recent[0].at > _MAX_LIST_LAG:
+            self._recent.popleft()
+        for beginning in self._recent:
+            server = self._fleet.servers.get(beginning.server.server_id)
+            if server is None or server.incarnation == beginning.server:
+                continue
+            build = _build_of(server)
+            if build is not None and _had_started(server, beginning.at):
+                self._record(
+                    beginning.origin, build, beginning.lifetime, server.service
+                )
+
+    def _observe_versions(self) -> None:
+        versions: dict[str, set[str]] = {}
+        for server in self._fleet.servers.all():
+            versions.setdefault(server.service, set()).add(server.version)
+        self._history.observe(versions, self._clock.monotonic())
+
+
+def _had_started(server: servers.Server, at: datetime.datetime) -> bool:
+    """Tell whether a server's process may have been running at a moment."""
+    if server.started_ms is None:
+        return True
+    latest_ms = (at + _CLOCK_TOLERANCE).timestamp() * 1000
+    return server.started_ms <= latest_ms
+
+
+def _build_of(server: servers.Server) -> int | None:
+    """Return the build of a server; None if its version is unknown."""
+    if not server.version:
+        return None
+    return stream_origins.build_key(server.service, server.version)
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -77,6 +77,9 @@
         self._stall_checks = self._counter(
             "doubts", "Silent engines asked, by verdict."
         )
+        self._resumptions = self._counter(
+            "resumptions", "Streams resumed, by how their software version was found."
+        )
         self._expected = self._histogram(
             "expected_first_event_seconds",
             "Time to the first event that was expected.",
@@ -117,6 +120,8 @@
             self._forwards.labels("failed" if wrong else "answered").inc()
         elif event == request_log.DOUBTED:
             self._stall_checks.labels(fields["verdict"]).inc()
+        elif event == request_log.RESUMED:
+            self._resumptions.labels(fields["outcome"]).inc()
         elif event == request_log.PLACED:
             self._count_placement(fields)
 
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -50,6 +50,11 @@
         """Where this instance receives requests that its peers can't serve."""
         return settings.Address(host=self.host, port=self.ports[0] + 2)
 
+    @property
+    def origins_address(self) -> settings.Address:
+        """Where this instance receives datagrams about the origins of streams."""
+        return settings.Address(host=self.host, port=self.ports[0] + 2)
+
     @property
     def usage_address(self) -> settings.Address:
         """Where this instance receives its peers' counts of started requests."""
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -26,6 +26,7 @@
     refusals,
     request_log,
     request_progress,
+    resumptions,
     route_metrics,
     stall_checker,
     stream_handover,
@@ -67,6 +68,7 @@
         metrics: route_metrics.RouteMetrics,
         monitor: reachability_monitor.ReachabilityMonitor,
         peers: peer_forwarder.PeerForwarder,
+        stream_resumptions: resumptions.Resumptions,
     ) -> None:
         stall_checks = stall_checker.StallChecker(client, log, time)
         self._context = request_progress.Context(
@@ -82,6 +84,7 @@
             metrics,
             monitor,
             peers,
+            stream_resumptions,
             time,
         )
         self._placer = prompt_placer.PromptPlacer(self._context, own_domain)
@@ -175,6 +178,8 @@
             finished = await self._handover.run(request, response, progress)
             if finished is not None:
                 return finished
+        if await self._finished_unresumed(request, response, progress):
+            return True
         place = await self._placer.place(request, progress)
         if isinstance(place, placement_types.Elsewhere):
             return False
@@ -257,6 +262,29 @@
         now = self._context.clock.monotonic()
         return request_progress.may_dispatch(request, progress, self._budget, now)
 
+    async def _finished_unresumed(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        progress: request_progress.Progress,
+    ) -> bool:
+        """Finish a request whose stream no known server may go on with; True if so."""
+        if not progress.last_event:
+            if not response.started:
+                # The client has nothing of the version that was to begin the stream.
+                progress.build = None
+            return False
+        found = self._context.resumptions
+        # What is known of its beginning may have been corrected since its first event.
+        progress.build = await found.find(request)
+        service = request.service.name
+        if progress.build is not None and not found.is_gone(service, progress.build):
+            return False
+        await request_progress.finish_with_refusal(
+            response, progress, refusals.version_unavailable()
+        )
+        return True
+
     async def _refused(
         self,
         request: client_request.ClientRequest,
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -115,6 +115,14 @@
     prompt: prompts.Prompt | None
     resumes: str = ""
 
+    @property
+    def origin_id(self) -> str:
+        """Id of the request that began the stream.
+
+        Empty if the client resumes a stream and does not name it.
+        """
+        return self.resumes if self.last_event else self.request_id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resumption:
