--- a/src/pimentolatch/decisions/server_choice.py
+++ b/src/pimentolatch/decisions/server_choice.py
@@ -20,6 +20,8 @@
 _REMOTE_COST = 0.35
 # Backoff after a failure; it doubles with each further one. A server that fails two
 # calls in five is avoided most of the time, one that failed once by chance hardly.
+# Calls that fail within the first backoff after a failure were sent before it and have
+# the same cause, such as a second of silence; they don't count again.
 _INITIAL_BACKOFF = datetime.timedelta(milliseconds=300)
 _MAX_BACKOFF = datetime.timedelta(seconds=5)
 _MAX_DOUBLINGS = 5
@@ -29,6 +31,7 @@
 class _Record:
     outstanding: int = 0
     failures: int = 0
+    failed_at: datetime.timedelta | None = None
     avoid_until: datetime.timedelta = datetime.timedelta()
 
 
@@ -77,6 +80,9 @@
         if not failed:
             record.failures = max(0, record.failures - 1)
             return
+        if record.failed_at is not None and now - record.failed_at < _INITIAL_BACKOFF:
+            return
+        record.failed_at = now
         backoff = _INITIAL_BACKOFF * 2 ** min(record.failures, _MAX_DOUBLINGS)
         record.failures += 1
         record.avoid_until = now + min(backoff, _MAX_BACKOFF)
