Count the soak's requests that end without a whole answer

The soak checked what answers say and whether a planned stop cuts them, but not that a whole request gets an answer at all: one whose connection was closed, or whose answer was cut, passed unless that met a planned stop with an answer begun.

Each run now prints how its requests ended: answered, refused as not run, failed, denied, out of time, hit by a fault, crossed a close. What is left is lost and breaks a promise. Without the store an instance has to go on, so faults of the store alone excuse nothing. A request that crosses a close is one that no server got and that ended without a byte within the 200 ms of the users' pages, at an instance that was stopping. Faults whose effect outlives them (misbehaving servers, silenced connections) excuse from their begin on, so that in ordinary runs the check says little once one of them was drawn.

Each version of the configuration now keeps a list of routes of its own: the one that was written before no longer gets the routes that are added later.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,10 +4,12 @@
 safeguard off, which the checks must then detect. `--list` prints the safeguards.
 `--silence` lets connections fall silent and changes come, and nothing else, so that no
 other fault gives an instance a new connection; every other run has one gateway only.
+Each run also prints how its requests ended.
 """
 
 import argparse
 import asyncio
+import collections
 import dataclasses
 import logging
 import pathlib
@@ -19,6 +21,7 @@
     safeguard_removal,
     soak_checks,
     soak_clients,
+    soak_endings,
     soak_faults,
     soak_world,
 )
@@ -43,10 +46,16 @@
     served: int
     faults: int
     violations: list
+    endings: collections.Counter
 
 
 async def run_seed(
-    seed, seconds, margin_s, disabled_safeguard=None, fatal=False, silence=False
+    seed,
+    seconds,
+    margin_s,
+    disabled_safeguard=None,
+    fatal=False,
+    silence=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -61,11 +70,7 @@
     world = _make_world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
     injector = soak_faults.FaultInjector(world, clock)
-    faults = soak_faults.draw_notices(seed, seconds)
-    faults += soak_faults.draw_silence(seed, seconds)
-    if not silence:
-        faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
-    faults.sort(key=lambda fault: fault.at)
+    faults = _draw_faults(seed, seconds, silence)
     clients = [
         soak_clients.Client(world, number, seed * 1000 + number, clock)
         for number in range(CLIENTS)
@@ -97,9 +102,9 @@
         for s in servers
         if s.crashed
     ]
-    violations = list(
-        soak_checks.violations(attempts, servers, injector, logs, margin_s)
-    )
+    endings = soak_endings.Endings(world, injector)
+    violations = list(endings.violations(attempts))
+    violations += soak_checks.violations(attempts, servers, injector, logs, margin_s)
     violations += soak_checks.quarantine_violations(
         attempts, servers, injector, margin_s
     )
@@ -118,7 +123,22 @@
     if violations:
         _save_failure(seed, disabled_safeguard, violations, logs)
     served = sum(attempt.status == 200 and attempt.complete for attempt in attempts)
-    return Result(seed, len(attempts), served, len(injector.injected), violations)
+    return Result(
+        seed,
+        len(attempts),
+        served,
+        len(injector.injected),
+        violations,
+        collections.Counter(endings.ending(attempt) for attempt in attempts),
+    )
+
+
+def _draw_faults(seed, seconds, silence):
+    faults = soak_faults.draw_notices(seed, seconds)
+    faults += soak_faults.draw_silence(seed, seconds)
+    if not silence:
+        faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def _make_world(disabled_safeguard):
@@ -192,6 +212,8 @@
             f"{time.monotonic() - started_at:.0f} s",
             flush=True,
         )
+        counts = sorted((end.value, count) for end, count in result.endings.items())
+        print("    " + ", ".join(f"{count} {name}" for name, count in counts))
         for line in result.violations[:5]:
             print("   ", line)
     print(f"{len(options.seeds)} runs, {failed_runs} with violations")
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -93,7 +93,7 @@
         attempt
         for request_id, attempt in sent_after.items()
         if request_id in dispatched_ids
-        and not _affected(
+        and not affected(
             injector.injected,
             attempt.sent_at,
             attempt.ended_at,
@@ -151,7 +151,7 @@
         yield f"{attempt.request_id} got {attempt.response_body[:60]!r}"
 
 
-def _affected(injected, begin, end, gateway, kinds):
+def affected(injected, begin, end, gateway, kinds):
     """Return whether a fault of `kinds` at the gateway, or at all, overlaps a span."""
     return any(
         fault.begin <= end
@@ -168,7 +168,7 @@
     A fault that ended long enough before that moment excuses nothing, even if the
     change was made in it; nor does one that began after it.
     """
-    return _affected(injected, at, at, gateway, DELAYS_UPDATES) or _affected(
+    return affected(injected, at, at, gateway, DELAYS_UPDATES) or affected(
         injected, changed_at, changed_at, "", STORE_FAULTS
     )
 
@@ -218,7 +218,7 @@
         told = _told_at(server, begin, senders)
         for sender, at in _arrivals(server, senders):
             late = at - told.get(sender, at) - MAX_DRAIN_DELAY_S - margin_s
-            if late > 0 and not _affected(
+            if late > 0 and not affected(
                 injector.injected, told[sender], at, sender[0], {"pause"}
             ):
                 yield (
@@ -239,7 +239,7 @@
             begin = declined_at + REST_UNDER_WAY_S + margin_s
             end = declined_at + rest
             count = sum(by == sender and begin < at < end for by, at in arrivals)
-            if count > MAX_IN_REST and not _affected(
+            if count > MAX_IN_REST and not affected(
                 injector.injected, declined_at, end, sender[0], EXCUSES_NOTICES
             ):
                 yield (
@@ -263,7 +263,7 @@
                 continue
             if not max(binding_at, told[sender] + LIMIT_TOLD_S + margin_s) <= at:
                 continue
-            if at <= limit.end and not _affected(
+            if at <= limit.end and not affected(
                 injector.injected, limit.begin, at, sender[0], EXCUSES_NOTICES
             ):
                 counted.append(at)
@@ -322,7 +322,7 @@
             if not stop.begin - 1 <= attempt.sent_at <= stop.end or attempt.status == 0:
                 # A gateway does not read a request that crosses its close.
                 continue
-            if not _affected(
+            if not affected(
                 injector.injected,
                 attempt.sent_at,
                 attempt.ended_at,
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -26,6 +26,7 @@
         body: Body of the request.
         status: HTTP status; NO_RESPONSE if there was none.
         complete: Whether the response was received to its end.
+        gave_up: Whether the client stopped waiting for it.
         ended_at: When the response, or the connection, ended.
     """
 
@@ -37,6 +38,7 @@
     body: bytes
     status: int = NO_RESPONSE
     complete: bool = False
+    gave_up: bool = False
     response_body: bytes = b""
     headers: dict = dataclasses.field(default_factory=dict)
     ended_at: float = 0.0
@@ -84,7 +86,9 @@
             async with asyncio.timeout(DEADLINE_S + 1):
                 writer.write(route_world.request(route, request_id, body))
                 reusable = await self._read_response(reader, attempt)
-        except (OSError, TimeoutError, ValueError, IndexError):
+        except TimeoutError:
+            attempt.gave_up = True
+        except (OSError, ValueError, IndexError):
             pass
         except asyncio.IncompleteReadError as error:
             attempt.response_body += error.partial
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -47,12 +47,24 @@
         return self.popen.poll() is None
 
 
+@dataclasses.dataclass(frozen=True)
+class Configured:
+    """A version of the configuration and when it was written."""
+
+    at: float
+    spec: dict
+
+
 class SoakWorld:
     """All processes, servers and relays of one run.
 
     Args:
         module: Python module that each gateway process runs.
         arguments: Command-line arguments of the module.
+
+    Attributes:
+        configurations: All versions of the configuration, in order.
+        removed_at: Time at which each removed server was stopped, by server id.
     """
 
     def __init__(self, module="pimentolatch.gateway", arguments=()):
@@ -68,6 +80,8 @@
         self.fatal_body = None
         self.version = 0
         self.routes = list(route_world.ROUTES)
+        self.configurations = []
+        self.removed_at = {}
         self._store_host = self._network.address()
         self.store = restartable_store.RestartableStore(
             self.platform, self._store_host, STORE_PORT
@@ -99,7 +113,9 @@
         self.version += 1
         if new_route is not None:
             self.routes.append(new_route)
-        spec = route_world.configuration(self.version, self.routes)
+        spec = route_world.configuration(self.version, list(self.routes))
+        now = asyncio.get_running_loop().time()
+        self.configurations.append(Configured(now, spec))
         await self.store.write("config", "main", spec)
 
     async def add_server(self, service, stage):
@@ -128,6 +144,7 @@
         if server is None:
             return
         self.removed_servers.append(server)
+        self.removed_at[name] = asyncio.get_running_loop().time()
         await server.stop()
         current = self.platform.table.get("servers", name)
         await self.platform.table.delete("servers", name, current.version)
