Test streams whose instance is killed continue on their version

Four gateway processes and engines of two versions; 24 streams begin at one instance, which is killed by SIGKILL as soon as each of them has an event, and the clients resume at the other three after 200 ms.

Servers of the soak's world have versions in turn; one by default.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -13,13 +13,19 @@
 
 import h11
 
-__all__ = ["EVENT_COUNT", "EVENT_PAUSE_S", "ReceivedRequest", "RouteServer"]
+__all__ = [
+    "DEFAULT_VERSION",
+    "EVENT_COUNT",
+    "EVENT_PAUSE_S",
+    "ReceivedRequest",
+    "RouteServer",
+]
 
 HEALTH_TARGET = "/health"
+DEFAULT_VERSION = "v1"
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
-_DEFAULT_VERSION = "v1"
 _RESPONSE_DELAYS_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
 
 
@@ -101,7 +107,7 @@
         service: str,
         failure_domain: str,
         stage: str | None = None,
-        version: str = _DEFAULT_VERSION,
+        version: str = DEFAULT_VERSION,
     ) -> None:
         self.server_id = server_id
         self.service = service
@@ -373,7 +379,7 @@
             self.crash()
             return False
         is_cut = fault.endswith("cut") or (self.cuts_new_streams and first == 1)
-        mark = "" if self.version == _DEFAULT_VERSION else f"{self.version} "
+        mark = "" if self.version == DEFAULT_VERSION else f"{self.version} "
         for number in range(first, self.event_count + 1):
             event = f"id: {number}\ndata: {mark}piece {number}\n\n".encode()
             if is_cut and number == first + 2:
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -12,6 +12,15 @@
     Then versions: no stream holds events of two versions
     And versions: streams are resumed at least half as often as new ones begin
 
+  # Guards against a version that only the instance knows which began the stream.
+  Scenario: A stream whose instance is killed continues on its version
+    Given versions: 4 gateway processes and 6 decode engines, half of each version
+    And versions: engines send an event every 100 ms
+    When versions: clients begin 24 streams at g0, which is killed within them
+    And versions: they resume at the instances that are left after 200 ms
+    Then versions: no stream holds events of two versions
+    And versions: streams are resumed at least half as often as new ones begin
+
   # Guards against an id that is looked up by the attempt before the last one.
   Scenario: A stream that its client resumes twice continues on its version
     Given versions: 4 instances and 6 decode engines, half of each version
--- a/tests/features/steps/software_versions_steps.py
+++ b/tests/features/steps/software_versions_steps.py
@@ -45,6 +45,16 @@
     start(context, instances, [VERSIONS[0]] * engines)
 
 
+@behave.given(
+    "versions: {instances:d} gateway processes and {engines:d} decode engines, half of"
+    " each version"
+)
+def processes(context, instances, engines):
+    context.route_runner = asyncio.Runner()
+    context.world = version_world.ProcessWorld()
+    context.route_runner.run(context.world.start(instances, engines, VERSIONS))
+
+
 @behave.given("versions: each decode engine breaks off the streams that it begins")
 def break_off(context):
     for server in context.world.servers.values():
@@ -88,6 +98,27 @@
     return len(world.streams) == count and all(s.events for s in world.streams)
 
 
+@behave.when(
+    "versions: clients begin {count:d} streams at {name}, which is killed within them"
+)
+def begin_and_kill(context, count, name):
+    async def kill():
+        world = context.world
+        begun = asyncio.create_task(world.begin(count, names=[name]))
+        await world.until(lambda: all_have_begun(world, count))
+        world.kill(name)
+        return [stream for stream in await begun if not stream.whole]
+
+    context.begun = context.route_runner.run(kill())
+    context.sent = len(context.begun)
+    context.left = [other for other in context.world.instances if other != name]
+
+
+@behave.when("versions: they resume at the instances that are left after {pause:d} ms")
+def resume_at_left(context, pause):
+    resume(context, names=context.left, pause_s=pause / 1000)
+
+
 @behave.when("versions: they resume at other instances")
 def resume_elsewhere(context):
     resume(context)
@@ -124,7 +155,7 @@
 @behave.when("versions: they resume with {value} at an instance that has just started")
 def resume_at_new(context, value):
     name = context.route_runner.run(context.world.join())
-    resume(context, resumes=value, name=name)
+    resume(context, resumes=value, names=[name])
 
 
 @behave.when('versions: the engines of "{version}" crash and are listed no more')
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -72,6 +72,8 @@
         arguments: Command-line arguments of the module.
 
     Attributes:
+        version: Version of the configuration.
+        versions: Versions of the software of the servers that will be added.
         routes: Routes of the next version of the configuration.
         limits: What differs from the usual limits of clients in it.
         second_services: Whether each service has a copy.
@@ -92,6 +94,7 @@
         self.removed_servers = []
         self.fatal_body = None
         self.version = 0
+        self.versions = itertools.repeat(route_server.DEFAULT_VERSION)
         self.routes = list(route_world.ROUTES)
         self.limits = {}
         self.second_services = False
@@ -146,7 +149,8 @@
     async def add_server(self, service, stage):
         """Start a server behind a relay and write its entry to the store."""
         name = f"{stage or service}-{next(self._numbers)}"
-        server = route_server.RouteServer(name, service, "here", stage)
+        version = next(self.versions)
+        server = route_server.RouteServer(name, service, "here", stage, version)
         server.fatal_body = self.fatal_body
         server.event_count = self.event_count
         server.event_pause_s = self.event_pause_s
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import re
 import time
 
 from standins import route_server
-from tests.support import route_world
+from tests.support import route_world, soak_world
 
-__all__ = ["RESUMES", "Attempt", "Stream", "VersionWorld"]
+__all__ = ["RESUMES", "Attempt", "ProcessWorld", "Stream", "VersionWorld"]
 
 DOMAINS = ("east", "west")
 EVENT_PAUSE_S = 0.03
@@ -17,7 +18,6 @@
 BEGIN_PAUSE_S = 0.004
 RETURN_PAUSE_S = 0.05
 EVENTS = list(range(1, 7))
-DEFAULT_VERSION = "v1"
 FIRST_START_MS = 1_000
 NO_ANSWER = 0
 # Enough for each instance's share to cover all resumptions within an answer.
@@ -120,13 +120,142 @@
         return any(a.events for a in earlier) and bool(last.events)
 
 
-class VersionWorld(route_world.RouteWorld):
-    """Instances in two failure domains, and engines whose versions a scenario names."""
+class Clients:
+    """Clients that begin streams, disconnect and resume; subclasses have `connect`."""
 
     def __init__(self):
         super().__init__()
         self.streams = []
         self._random = random.Random(SEED)
+
+    async def begin(self, count, events=None, names=()):
+        """Begin streams.
+
+        Args:
+            count: Number of streams.
+            events: Events after which a client disconnects; None to read all.
+            names: Instances to use in turn; none for all.
+
+        Returns:
+            The streams of which the client has an event, in the order of their begin.
+        """
+        names = names or list(self.instances)
+        begun = []
+        for number in range(count):
+            stream = Stream(f"{self._random.getrandbits(64):016x}")
+            self.streams.append(stream)
+            name = names[number % len(names)]
+            begun.append(asyncio.create_task(self._attempt(stream, name, events)))
+            await asyncio.sleep(BEGIN_PAUSE_S)
+        await asyncio.gather(*begun)
+        return [stream for stream in self.streams[-count:] if stream.events]
+
+    async def resume(
+        self,
+        streams,
+        events=None,
+        resumes=FIRST_ATTEMPT,
+        names=(),
+        pause_s=RETURN_PAUSE_S,
+    ):
+        """Have clients resume streams.
+
+        Args:
+            streams: The streams.
+            events: Events after which a client disconnects; None to read all.
+            resumes: Value of `Resumes`, a key of `RESUMES`.
+            names: Instances to use in turn; none for the one after the last that each
+                stream was at.
+            pause_s: Time before the clients come back.
+        """
+        await asyncio.sleep(pause_s)
+        chosen = itertools.cycle(names or [None])
+        await asyncio.gather(
+            *(self._resume(s, events, resumes, next(chosen)) for s in streams)
+        )
+
+    async def _resume(self, stream, events, resumes, name=None):
+        names = list(self.instances)
+        before = names.index(stream.attempts[-1].instance)
+        chosen = name or names[(before + 1) % len(names)]
+        await self._attempt(stream, chosen, events, resumes)
+
+    async def resume_until_accepted(self, stream, resumes):
+        """Resume a stream each time that a refusal says when to come back."""
+        async with asyncio.timeout(route_world.WAIT_S):
+            await self._resume(stream, None, resumes)
+            while stream.attempts[-1].refused:
+                fields = stream.attempts[-1].fields
+                await asyncio.sleep(float(fields["retry-after"]))
+                await self._resume(stream, None, resumes)
+
+    async def _attempt(self, stream, name, events, resumes=None):
+        attempt = Attempt(f"{self._random.getrandbits(64):016x}", name)
+        data = self._request(stream, attempt, resumes)
+        stream.attempts.append(attempt)
+        reader, writer = await self.connect(name)
+        writer.write(data)
+        try:
+            async with asyncio.timeout(route_world.WAIT_S):
+                await _read(reader, attempt, events)
+        except (OSError, asyncio.IncompleteReadError, IndexError, ValueError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    def _request(self, stream, attempt, resumes):
+        fields = {"x_prompt_prefix": f"{stream.part}:1200"}
+        if stream.events:
+            fields["last_event_id"] = str(stream.events[-1].number)
+        body = stream.part.encode()
+        data = route_world.request("digest", attempt.request_id, body, **fields)
+        if resumes is None:
+            return data
+        first, own = stream.first_id.encode(), attempt.request_id.encode()
+        value = RESUMES[resumes](first, own)
+        if value is None:
+            return data
+        line, rest = data.split(b"\r\n", 1)
+        return line + b"\r\nResumes: " + value + b"\r\n" + rest
+
+    def joined(self):
+        """Return the streams that hold events of two versions."""
+        return [stream for stream in self.streams if len(stream.versions) > 1]
+
+    def out_of_order(self):
+        """Return the streams that lack an event between two, or have one twice."""
+        return [
+            stream
+            for stream in self.streams
+            if [e.number for e in stream.events] != EVENTS[: len(stream.events)]
+        ]
+
+    def refused_and_run(self):
+        """Return the attempts that were refused as not run and that a server ran."""
+        return [
+            attempt
+            for stream in self.streams
+            for attempt in stream.attempts
+            if attempt.status in (429, 503)
+            and any(s.count_runs(attempt.request_id) for s in self.servers.values())
+        ]
+
+    def describe(self, streams):
+        """Return how many were joined, and how many of some streams were resumed."""
+        resumed = sum(stream.resumed for stream in streams)
+        refused = sum(stream.attempts[-1].refused for stream in streams)
+        rest = len(streams) - resumed - refused
+        return (
+            f"{len(self.joined())} of {len(self.streams)} joined; {resumed} of"
+            f" {len(streams)} resumed, {refused} refused, {rest} neither"
+        )
+
+
+class VersionWorld(Clients, route_world.RouteWorld):
+    """Instances in two failure domains, and engines whose versions a scenario names."""
+
+    def __init__(self):
+        super().__init__()
         self._domains = {}
 
     def settings(self, name, seeds=(), host=route_world.HOST):
@@ -221,120 +350,48 @@
         tables = [instance.fleet.servers for _, instance in self.instances.values()]
         await self.until(lambda: all(is_known(known) for known in tables))
 
-    async def begin(self, count, events=None):
-        """Begin streams at all instances in turn.
-
-        Args:
-            count: Number of streams.
-            events: Events after which a client disconnects; None to read all.
-
-        Returns:
-            The streams of which the client has an event, in the order of their begin.
-        """
-        names = list(self.instances)
-        begun = []
-        for number in range(count):
-            stream = Stream(f"{self._random.getrandbits(64):016x}")
-            self.streams.append(stream)
-            name = names[number % len(names)]
-            begun.append(asyncio.create_task(self._attempt(stream, name, events)))
-            await asyncio.sleep(BEGIN_PAUSE_S)
-        await asyncio.gather(*begun)
-        return [stream for stream in self.streams[-count:] if stream.events]
-
-    async def resume(self, streams, events=None, resumes=FIRST_ATTEMPT, name=None):
-        """Have clients resume streams.
 
-        Args:
-            streams: The streams.
-            events: Events after which a client disconnects; None to read all.
-            resumes: Value of `Resumes`, a key of `RESUMES`.
-            name: Instance; None for the one after the last that each stream was at.
-        """
-        await asyncio.sleep(RETURN_PAUSE_S)
-        await asyncio.gather(*(self._resume(s, events, resumes, name) for s in streams))
+class ProcessWorld(Clients):
+    """Gateways as processes, and engines of two versions."""
 
-    async def _resume(self, stream, events, resumes, name=None):
-        names = list(self.instances)
-        before = names.index(stream.attempts[-1].instance)
-        chosen = name or names[(before + 1) % len(names)]
-        await self._attempt(stream, chosen, events, resumes)
+    def __init__(self):
+        super().__init__()
+        self._world = soak_world.SoakWorld()
 
-    async def resume_until_accepted(self, stream, resumes):
-        """Resume a stream each time that a refusal says when to come back."""
-        async with asyncio.timeout(route_world.WAIT_S):
-            await self._resume(stream, None, resumes)
-            while stream.attempts[-1].refused:
-                fields = stream.attempts[-1].fields
-                await asyncio.sleep(float(fields["retry-after"]))
-                await self._resume(stream, None, resumes)
+    @property
+    def instances(self):
+        return self._world.gateways
 
-    async def _attempt(self, stream, name, events, resumes=None):
-        attempt = Attempt(f"{self._random.getrandbits(64):016x}", name)
-        data = self._request(stream, attempt, resumes)
-        stream.attempts.append(attempt)
-        reader, writer = await self.connect(name)
-        writer.write(data)
-        try:
-            async with asyncio.timeout(route_world.WAIT_S):
-                await _read(reader, attempt, events)
-        except (OSError, asyncio.IncompleteReadError, IndexError, ValueError):
-            pass
-        finally:
-            writer.transport.abort()
+    @property
+    def servers(self):
+        return self._world.servers
 
-    def _request(self, stream, attempt, resumes):
-        fields = {"x_prompt_prefix": f"{stream.part}:1200"}
-        if stream.events:
-            fields["last_event_id"] = str(stream.events[-1].number)
-        body = stream.part.encode()
-        data = route_world.request("digest", attempt.request_id, body, **fields)
-        if resumes is None:
-            return data
-        first, own = stream.first_id.encode(), attempt.request_id.encode()
-        value = RESUMES[resumes](first, own)
-        if value is None:
-            return data
-        line, rest = data.split(b"\r\n", 1)
-        return line + b"\r\nResumes: " + value + b"\r\n" + rest
+    async def start(self, instances, decode_engines, versions):
+        """Start instances, decode engines and a prefill engine of each version."""
+        self._world.versions = itertools.cycle(versions)
+        await self._world.start(instances, decode_engines, len(versions), 0)
 
-    def joined(self):
-        """Return the streams that hold events of two versions."""
-        return [stream for stream in self.streams if len(stream.versions) > 1]
+    async def connect(self, name):
+        host = self.instances[name].host
+        return await asyncio.open_connection(host, soak_world.CLIENTS_PORT)
 
-    def out_of_order(self):
-        """Return the streams that lack an event between two, or have one twice."""
-        return [
-            stream
-            for stream in self.streams
-            if [e.number for e in stream.events] != EVENTS[: len(stream.events)]
-        ]
+    def kill(self, name):
+        """Kill an instance, without a word to its peers."""
+        self.instances[name].popen.kill()
 
-    def refused_and_run(self):
-        """Return the attempts that were refused as not run and that a server ran."""
-        return [
-            attempt
-            for stream in self.streams
-            for attempt in stream.attempts
-            if attempt.status in (429, 503)
-            and any(s.count_runs(attempt.request_id) for s in self.servers.values())
-        ]
+    async def until(self, condition):
+        await self._world.wait_until(condition)
 
-    def describe(self, streams):
-        """Return how many were joined, and how many of some streams were resumed."""
-        resumed = sum(stream.resumed for stream in streams)
-        refused = sum(stream.attempts[-1].refused for stream in streams)
-        rest = len(streams) - resumed - refused
-        return (
-            f"{len(self.joined())} of {len(self.streams)} joined; {resumed} of"
-            f" {len(streams)} resumed, {refused} refused, {rest} neither"
-        )
+    async def stop(self):
+        await self._world.stop()
 
 
 def _parse_event(text):
     number, version, piece = _EVENT.fullmatch(text).groups()
     assert number == piece, text
-    return Event(int(number), (version or DEFAULT_VERSION.encode()).decode())
+    return Event(
+        int(number), (version or route_server.DEFAULT_VERSION.encode()).decode()
+    )
 
 
 async def _read(reader, attempt, events):
