Find out that the path is lost while requests stay at silent servers

And a call whose time was up got its 504 only after the path was probed, up to 0.8 s late.

Cause: giving a server up was what raised the question whether the path is lost. Now each look at a silent server raises it, without waiting for the answer; a call that is out of time is answered first. No repeat is paid for at that time any more, either.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -99,8 +99,7 @@
         outcome: _Outcome | None = None
         last: _Outcome | None = None
         while attempts < _MAX_ATTEMPTS:
-            now = self._clock.monotonic()
-            if now >= request.deadline - dispatch.RETURN_TIME:
+            if self._is_out_of_time(request):
                 break
             # A dispatch that was withheld has not used its charge.
             is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
@@ -136,7 +135,7 @@
             outcome = await self._send(
                 server,
                 request,
-                functools.partial(self._may_leave, request, tried, repeats)
+                functools.partial(self._may_leave, server, request, tried, repeats)
                 if may_repeat
                 else _stay,
                 new_connection=unanswered,
@@ -166,6 +165,9 @@
                     self._monitor.suspect(server)
                 break
             if isinstance(outcome, dispatch.OutcomeUnknown):
+                if self._is_out_of_time(request):
+                    self._monitor.suspect(server)
+                    break
                 await self._monitor.check(server)
         if possible_runs == 0 and await self._refused_by_limits(
             request, response, outcome
@@ -303,8 +305,12 @@
             if isinstance(outcome, dispatch.FullResponse) and _successful(outcome):
                 self._crash_quarantine.record_completion(request)
 
+    def _is_out_of_time(self, request: client_request.ClientRequest) -> bool:
+        return self._clock.monotonic() >= request.deadline - dispatch.RETURN_TIME
+
     def _may_leave(
         self,
+        server: servers.Server,
         request: client_request.ClientRequest,
         tried: set[servers.Incarnation],
         repeats: "_Repeats",
@@ -312,8 +318,10 @@
         """Tell whether a request leaves a silent server, and pay for the next one.
 
         A sound server may fall silent for a second and go on. Without another one to go
-        to, leaving it would only cost the caller the answer.
+        to, leaving it would only cost the caller the answer. Whether it is the path to
+        all servers that is silent is found out meanwhile.
         """
+        self._monitor.suspect(server)
         if self._dispatch_check.refusal(request) is not None:
             return False
         listed = self._untried(request, tried)
@@ -339,9 +347,9 @@
                 await asyncio.wait({task}, timeout=limit.total_seconds())
                 if task.done():
                     return task.result()
-                if may_leave():
-                    break
                 time_left -= self._clock.monotonic() - begun
+                if time_left > _NO_TIME and may_leave():
+                    break
             return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
         finally:
             task.cancel()
--- a/src/pimentolatch/gateway/takeover.py
+++ b/src/pimentolatch/gateway/takeover.py
@@ -102,11 +102,13 @@
         request = takeover.request
         now = self._context.clock.monotonic()
         self._context.loads(request).silent(takeover.engine, now)
+        # Requests that stay must not keep the instance from finding out that it is cut
+        # off from the servers.
+        self._context.monitor.suspect(takeover.engine.server)
         if takeover.runs >= max(1, request.route.max_attempts):
             return False
         if self._context.dispatch_check.refusal(request) is not None:
             return False
-        # If all servers are silent, the path to them may be lost.
         await self._context.monitor.check(takeover.engine.server)
         dispatches = self._dispatches_elsewhere(takeover)
         if not dispatches:
