Let the test of an answer that waits for a path check reach its time limit

The scenario, as rewritten without a bound on time, found another way to answer: with a path to peers the request was served by one, and with an endless check it never ended. It has one server now, silent for good, and a check that never ends once the client's time is up.

--- a/tests/features/silent_servers_left.feature
+++ b/tests/features/silent_servers_left.feature
@@ -17,10 +17,9 @@
 
   # Guards against callers who are told of the time limit long after it.
   Scenario: A request at the only plain server is answered before its path is checked
-    Given left: 3 instances with 1 decode and 1 plain servers
-    And left: requests have 2 attempts
-    And left: a check of the path to servers that never ends
-    When left: g0 loses all servers and a client asks it on the "notify" route
+    Given left: an instance with 0 decode and 1 plain servers, and 2 attempts
+    And left: a check of the path that never ends once a client's time is up
+    When left: a client asks the only server, which is silent for good
     Then left: the client is told that the time limit has passed
 
   # Guards against a report that an engine answers before it reads a request that waited.
--- a/tests/features/steps/silent_servers_left_steps.py
+++ b/tests/features/steps/silent_servers_left_steps.py
@@ -6,6 +6,8 @@
 from tests.support import partition_world, route_world
 
 REQUEST = "left-1"
+# Shortly before the time limit of a request.
+NEARLY_UP_S = int(partition_world.DEADLINE_MS) / 1000 - 0.2
 
 
 def routes(attempts):
@@ -97,14 +99,28 @@
     assert noticed, "served only once the first request was out of time"
 
 
-@behave.given("left: a check of the path to servers that never ends")
+@behave.given("left: a check of the path that never ends once a client's time is up")
 def endless_check(context):
-    _, instance = context.world.instances["g0"]
+    _, instance = context.world.instances["one"]
+    check = instance._monitor.check
+
+    async def check_in_time(server):
+        if asyncio.get_running_loop().time() > context.asked_at + NEARLY_UP_S:
+            await asyncio.Event().wait()
+        await check(server)
+
+    instance._monitor.check = check_in_time
 
-    async def never(server):
-        await asyncio.Event().wait()
 
-    instance._monitor.check = never
+@behave.when("left: a client asks the only server, which is silent for good")
+def ask_silent(context):
+    async def start():
+        (server,) = context.world.servers.values()
+        server.awake.clear()
+        context.asked_at = asyncio.get_running_loop().time()
+        context.asked = asyncio.create_task(ask(context, "notify", REQUEST, "one"))
+
+    context.route_runner.run(start())
 
 
 @behave.then("left: the client is told that the time limit has passed")
