Don't take a late report for proof that an engine has lost a request

Callers got 502 "the engine has lost it", or their request ran at two engines, after a second of silence: an engine that goes on may answer the request for its report before it reads the request itself. The check assumed that a request is always read first.

A report that took over 100 ms proves nothing now but a restart; the request is looked at again 900 ms later. The scenario of silent_servers_left.feature failed (502) and passes; routes_serving and silent_servers do as before.

--- a/src/pimentolatch/decisions/stall_check.py
+++ b/src/pimentolatch/decisions/stall_check.py
@@ -7,10 +7,10 @@
 missing answer alone does not distinguish an overloaded engine from a stopped one, and
 an instance that rarely uses an engine can't judge by that engine's other answers.
 
-So the engine is asked for a report. If it doesn't answer, it has stopped. If it answers
-with an empty queue and doesn't run the request, it has lost the request; so has an
-engine that has restarted since, whatever it runs now. In all other cases the request
-stays, since no other engine would finish it sooner.
+So the engine is asked for a report. If it doesn't answer, it has stopped or is silent
+for a moment. If it answers at once with an empty queue and doesn't run the request, it
+has lost the request; so has an engine that has restarted since, whatever it runs now.
+In all other cases the request stays, since no other engine would finish it sooner.
 """
 
 import datetime
@@ -25,6 +25,9 @@
 RECHECK_INTERVAL = datetime.timedelta(milliseconds=900)
 # A report this recent serves all requests that check the same engine.
 MAX_REPORT_AGE = datetime.timedelta(milliseconds=300)
+# Reports come within milliseconds. One that takes longer was made by an engine that was
+# silent, which may not have read the request yet.
+_MAX_PROMPT_REPORT = datetime.timedelta(milliseconds=100)
 
 
 class Verdict(enum.Enum):
@@ -40,6 +43,7 @@
     report: engine_reports.EngineReport | None,
     request_id: str,
     started_ms: int | None = None,
+    took: datetime.timedelta = datetime.timedelta(),
 ) -> Verdict:
     """Return the state of a request that an engine has not answered.
 
@@ -47,6 +51,7 @@
         report: The engine's current report; None if it did not answer.
         request_id: The request; it was dispatched before the report was made.
         started_ms: Start of the incarnation that the request was sent to, if known.
+        took: Time from the request for the report to its arrival.
     """
     if report is None:
         return Verdict.SILENT
@@ -57,4 +62,4 @@
     # Prefill-only requests run without being listed.
     if report.running > len(report.decoding_ids):
         return Verdict.HAS_IT
-    return Verdict.LOST
+    return Verdict.HAS_IT if took > _MAX_PROMPT_REPORT else Verdict.LOST
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -1,6 +1,7 @@
 """Asks unresponsive engines whether they still have a request."""
 
 import asyncio
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -18,7 +19,27 @@
 # event.
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
 _Outcome = typing.TypeVar("_Outcome")
-_ReportTask = asyncio.Task["engine_reports.EngineReport | None"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """An engine's report, or that it sent none.
+
+    Attributes:
+        content: The report; None if the engine did not answer.
+        took: Time until then.
+    """
+
+    content: engine_reports.EngineReport | None
+    took: datetime.timedelta
+
+    @property
+    def decoding_ids(self) -> abc.Container[str]:
+        """Requests that the engine decodes."""
+        return () if self.content is None else self.content.decoding_ids
+
+
+_ReportTask = asyncio.Task[_Report]
 
 
 class Chance(typing.Protocol):
@@ -97,7 +118,7 @@
         """Ask an engine whether it still has a request; None if this should stay."""
         report = await self._report(engine.server)
         verdict = stall_check.request_status(
-            report, request_id, engine.server.started_ms
+            report.content, request_id, engine.server.started_ms, report.took
         )
         others = chance.others
         leaves = verdict is not stall_check.Verdict.HAS_IT
@@ -109,18 +130,16 @@
             wrong=verdict is not stall_check.Verdict.HAS_IT,
             server=engine.server.server_id,
             verdict=verdict.value,
-            queued=None if report is None else report.queued,
-            running=None if report is None else report.running,
-            listed=report is not None and request_id in report.decoding_ids,
+            queued=None if report.content is None else report.content.queued,
+            running=None if report.content is None else report.content.running,
+            listed=request_id in report.decoding_ids,
             runs=chance.runs,
             others=others,
             leaves=leaves,
         )
         return verdict if leaves else None
 
-    async def _report(
-        self, server: servers.Server
-    ) -> engine_reports.EngineReport | None:
+    async def _report(self, server: servers.Server) -> _Report:
         now = self._clock.monotonic()
         at, report_task = self._pending_reports.get(server.incarnation, (now, None))
         if report_task is None or (
@@ -129,11 +148,17 @@
             self._pending_reports = {
                 n: a for n, a in self._pending_reports.items() if not a[1].done()
             }
-            report_task = asyncio.create_task(self._fetch_report(server))
+            report_task = asyncio.create_task(self._timed_report(server, now))
             self._pending_reports[server.incarnation] = now, report_task
         # A request that is cancelled must not cancel the report that others wait for.
         return await asyncio.shield(report_task)
 
+    async def _timed_report(
+        self, server: servers.Server, since: datetime.timedelta
+    ) -> _Report:
+        content = await self._fetch_report(server)
+        return _Report(content, self._clock.monotonic() - since)
+
     async def _fetch_report(
         self, server: servers.Server
     ) -> engine_reports.EngineReport | None:
