Leave a silent server only while another placement is left

A request whose last placement met a silent server was given up after 0.9 s of 6 s (504; a stream 502), since declined placements count as well and the decision to leave did not know how many there were. The scenario of three plain servers that decline failed and passes; streams count alike, read only.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -130,13 +130,14 @@
                 break
             tried.add(server.incarnation)
             may_repeat = _may_repeat(request, possible_runs + 1)
+            may_leave = may_repeat and attempts + 1 < _MAX_ATTEMPTS
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
             outcome = await self._send(
                 server,
                 request,
                 functools.partial(self._may_leave, server, request, tried, repeats)
-                if may_repeat
+                if may_leave
                 else _stay,
                 new_connection=unanswered,
             )
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -32,6 +32,7 @@
 from pimentolatch.routes import servers
 
 __all__ = [
+    "MAX_PLACEMENTS",
     "Context",
     "Generation",
     "PrefilledPrompt",
@@ -45,6 +46,9 @@
     "may_dispatch",
 ]
 
+# Placements that are tried for one request: declined ones count, those whose permit
+# another request took first do not.
+MAX_PLACEMENTS = 5
 # Time until the first event after which an engine is checked for a stall: a multiple of
 # the expected time, and a minimum.
 _FIRST_EVENT_FACTOR = 3.0
@@ -167,6 +171,7 @@
         outcome_pending: A dispatch is in flight whose outcome is not known yet.
         unanswered: A dispatch has got no answer, or only a part of it.
         withheld: The last dispatch was not sent, for want of a permit.
+        placements: Placements that were tried, as `MAX_PLACEMENTS` counts them.
         dispatches: Dispatches that reached an engine, as the retry budget counts them.
         paid_dispatches: Further dispatches that the retry budget has paid for already.
         prefilled_before: The prompt has been prefilled on a separate engine before.
@@ -188,6 +193,7 @@
     outcome_pending: bool = False
     unanswered: bool = False
     withheld: bool = False
+    placements: int = 0
     dispatches: int = 0
     paid_dispatches: int = 0
     prefilled_before: bool = False
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -36,9 +36,6 @@
 
 __all__ = ["StreamForwarder"]
 
-# Placements that are tried for one request: declined ones count, those whose permit
-# another request took first do not.
-_MAX_ATTEMPTS = 5
 # Decode engines that a prefilled prompt is offered to. An engine may decline because
 # the KV cache is no longer available, in which case a third one would decline as well.
 _MAX_TRANSFERS = 2
@@ -140,11 +137,10 @@
                     ).total_seconds(),
                 )
             ):
-                attempts = 0
-                while attempts < _MAX_ATTEMPTS:
+                while progress.placements < request_progress.MAX_PLACEMENTS:
                     if await self._attempt(request, response, progress):
                         return
-                    attempts += not progress.withheld
+                    progress.placements += not progress.withheld
         except TimeoutError:
             await self._deadline_exceeded(request, response, progress)
             return
--- a/src/pimentolatch/gateway/takeover.py
+++ b/src/pimentolatch/gateway/takeover.py
@@ -2,9 +2,9 @@
 
 A sound server may fall silent for a second and go on with what it has. A request that
 leaves it gains something only if another server can run it: the client's connection
-would be closed otherwise, shortly before the answer goes on. So a place elsewhere and
-its share of the retry budget are secured first, while the silent server may still
-answer.
+would be closed otherwise, shortly before the answer goes on. So a place elsewhere is
+found and paid for first, while the silent server may still answer. It can be lost all
+the same before the request gets there: nothing is reserved at the other server.
 """
 
 import dataclasses
@@ -107,6 +107,8 @@
         self._context.monitor.suspect(takeover.engine.server)
         if takeover.runs >= max(1, request.route.max_attempts):
             return False
+        if takeover.progress.placements + 1 >= request_progress.MAX_PLACEMENTS:
+            return False
         if self._context.dispatch_check.refusal(request) is not None:
             return False
         await self._context.monitor.check(takeover.engine.server)
