Close the connection of a response that comes as its client leaves

If the head of a response and the end of its request fell into one turn of the event loop, the connection was dropped open, and the engine worked on for nobody.

--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -94,6 +94,7 @@
         """
         task = asyncio.create_task(call)
         limit = expected
+        used = False
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=limit.total_seconds())
@@ -108,9 +109,11 @@
                         server_crashed=verdict is not stall_check.Verdict.LOST,
                     )
                 limit = stall_check.RECHECK_INTERVAL
+            used = True
             return task.result()
         finally:
             task.cancel()
+            _close_unused(task, used=used)
 
     async def _reason_to_leave(
         self, engine: engine_loads.EngineLoad, request_id: str, chance: Chance
@@ -200,6 +203,17 @@
         )
 
 
+def _close_unused(task: asyncio.Task[typing.Any], *, used: bool) -> None:
+    """Close the connection of a response that came as its caller was cancelled.
+
+    The engine would go on with a request that nobody waits for.
+    """
+    if used or not task.done() or task.cancelled() or task.exception() is not None:
+        return
+    if isinstance(response := task.result(), dispatch.OpenResponse):
+        response.link.close()
+
+
 async def _unless_done(
     task: asyncio.Task[typing.Any],
     check: abc.Coroutine[typing.Any, typing.Any, stall_check.Verdict | None],
