Postpone the probe of an ejected server only when a probe fails

In the first daemon, callers met the other servers, or a refusal, for up to a minute after one had broken off its exchanges at once, as a second of silence does: each failure after the ejection doubled the pause before the next probe, though those exchanges were sent before and had the same cause.

Now a failure postpones only if a probe has been sent since the last one. With ten such failures the probe comes after 5 s as intended (over a minute before, by the decision alone; no play has been measured). A probe that fails doubles the pause as before, which the second scenario holds.

--- a/src/pimentolatch/decisions/health.py
+++ b/src/pimentolatch/decisions/health.py
@@ -45,6 +45,7 @@
     observations: int = 0
     failures: int = 0
     ejected: bool = False
+    probed: bool = False
     pause: datetime.timedelta = _INITIAL_PAUSE
     probe_at: datetime.timedelta = datetime.timedelta()
 
@@ -76,12 +77,18 @@
             known.latency_ratio += _GAIN * (latency_ratio - known.latency_ratio)
         known.observations += 1
         known.failures = 0
+        known.probed = False
 
     def failed(self, server: str, now: datetime.timedelta) -> None:
-        """Record an answer that broke off or never began."""
+        """Record an answer that broke off or never began.
+
+        Only that of a probe says that the server still fails: what was sent before the
+        server was ejected failed for the same cause.
+        """
         known = self._servers.setdefault(server, _Server())
         known.failures += 1
-        if known.ejected:
+        if known.ejected and known.probed:
+            known.probed = False
             self._postpone(known, now)
 
     def slowness(self, server: str, peers: abc.Collection[str]) -> float:
@@ -133,6 +140,7 @@
 
     def probed(self, server: str, now: datetime.timedelta) -> None:
         """Record that a probe is sent; the next one waits longer."""
+        self._servers[server].probed = True
         self._postpone(self._servers[server], now)
 
     def retain(self, servers: abc.Set[str]) -> None:
