Refuse a stream at once whose version has only draining engines left

A resumed stream whose version was left with engines that drain waited for its client's patience before it was refused, since these counted as left though none accepts requests. Found by reading; the refusal itself is in a scenario, when it comes is in none.

--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -120,11 +120,9 @@
         return build
 
     def is_gone(self, service: str, build: int) -> bool:
-        """Tell whether only servers of other versions are left in a service."""
-        versions = self._versions(service)
-        return bool(versions) and build not in {
-            stream_origins.build_key(service, version) for version in versions
-        }
+        """Tell whether only servers of other versions accept requests."""
+        builds = {_build_of(s) for s in self._fleet.servers.of_service(service)}
+        return bool(builds) and build not in builds
 
     def other_servers(self, service: str, build: int) -> frozenset[servers.Incarnation]:
         """Return the listed decode servers that must not go on with a stream."""
