Count no answer as cut by a stop whose time limit was reached

The soak took a stream that ended at its route's time limit for one that the planned stop of its instance had cut. In runs with pauses a new configuration may set four seconds, which a stream uses up whose two engines fell silent in turn.

What ends before its limit still breaks the promise; the limit is the shortest that may be in force, as for lost requests.

A lost request's line also says whether its connection was reset.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -115,7 +115,9 @@
     ]
     endings = soak_endings.Endings(world, injector)
     violations = list(endings.violations(attempts))
-    violations += soak_checks.violations(attempts, servers, injector, logs, margin_s)
+    violations += soak_checks.violations(
+        attempts, servers, injector, logs, margin_s, endings.time_up
+    )
     violations += soak_checks.quarantine_violations(
         attempts, servers, injector, margin_s
     )
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -54,8 +54,17 @@
 ERROR_LINES = re.compile(r'"(request failed|task failed[^"]*)"|Traceback')
 
 
-def violations(attempts, servers, injector, logs, margin_s):
-    """Yield one line for each violation of a guarantee."""
+def violations(attempts, servers, injector, logs, margin_s, time_up):
+    """Yield one line for each violation of a guarantee.
+
+    Args:
+        attempts: What clients sent and received.
+        servers: All servers of the run.
+        injector: The faults that were injected.
+        logs: Log of each gateway by its name.
+        margin_s: Added to the time bounds.
+        time_up: Returns whether an attempt was ended since its time was up.
+    """
     runs = _runs_by_request(servers)
     for attempt in attempts:
         yield from _run_violations(attempt, runs.get(attempt.request_id, ()))
@@ -65,7 +74,7 @@
     yield from _leaving_violations(attempts, servers, injector, margin_s)
     yield from _rest_violations(attempts, servers, injector, margin_s)
     yield from _route_violations(attempts, injector, margin_s)
-    yield from _stop_violations(attempts, injector)
+    yield from _stop_violations(attempts, injector, time_up)
     for name, log in logs.items():
         for line in log.splitlines():
             if ERROR_LINES.search(line):
@@ -314,7 +323,7 @@
             )
 
 
-def _stop_violations(attempts, injector):
+def _stop_violations(attempts, injector, time_up):
     """Check that a graceful stop aborts only requests hit by an unplanned fault."""
     for stop in injector.injected:
         if stop.kind != "term":
@@ -325,7 +334,7 @@
             if not stop.begin - 1 <= attempt.sent_at <= stop.end or attempt.status == 0:
                 # A gateway does not read a request that crosses its close.
                 continue
-            if not affected(
+            if not time_up(attempt) and not affected(
                 injector.injected,
                 attempt.sent_at,
                 attempt.ended_at,
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -27,6 +27,8 @@
         status: HTTP status; NO_RESPONSE if there was none.
         complete: Whether the response was received to its end.
         gave_up: Whether the client stopped waiting for it.
+        reset: Whether the connection was reset, as by an instance that closes it with
+            data unread.
         ended_at: When the response, or the connection, ended.
     """
 
@@ -39,6 +41,7 @@
     status: int = NO_RESPONSE
     complete: bool = False
     gave_up: bool = False
+    reset: bool = False
     response_body: bytes = b""
     headers: dict = dataclasses.field(default_factory=dict)
     ended_at: float = 0.0
@@ -111,6 +114,8 @@
                 reusable = await self._read_response(reader, attempt)
         except TimeoutError:
             attempt.gave_up = True
+        except ConnectionResetError:
+            attempt.reset = True
         except (OSError, ValueError, IndexError):
             pass
         except asyncio.IncompleteReadError as error:
--- a/tests/support/soak_endings.py
+++ b/tests/support/soak_endings.py
@@ -64,7 +64,7 @@
             return Ending.CROSSED
         if self._hit(attempt):
             return Ending.EXCUSED
-        if self._time_up(attempt):
+        if self.time_up(attempt):
             return Ending.TIME_UP
         return Ending.LOST
 
@@ -77,7 +77,8 @@
                     f"{attempt.request_id} ({attempt.route}) got no whole answer from "
                     f"{attempt.gateway} in {duration_s:.1f} s: status "
                     f"{attempt.status}, {len(attempt.response_body)} bytes, "
-                    f"reached {sorted(self._reached.get(attempt.request_id, ()))}"
+                    f"{'reset, ' if attempt.reset else ''}"
+                    f"reached {sorted(self._servers(attempt))}"
                 )
 
     def _crossed_close(self, attempt):
@@ -112,7 +113,7 @@
             for server_id in self._servers(attempt)
         )
 
-    def _time_up(self, attempt):
+    def time_up(self, attempt):
         """Return whether the instance ended a request whose time was up."""
         timeouts = [
             route["timeout_ms"] / 1000
