Have the soak notice that silent engines are given up for nobody

`--without "stay at silent engines"` lets each request leave a silent engine, as if another one had always taken over.

--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -19,6 +19,7 @@
     refusals,
     settings,
     sse,
+    takeover,
 )
 from pimentolatch.platform import configuration, server_entries
 
@@ -128,6 +129,15 @@
     settings.watch_schedule.watch_limits = lambda in_force_within: longest
 
 
+def _leave_silent_engines():
+    """Gives a silent engine up although nobody can take its place."""
+
+    async def reserve(self, takeover):
+        return True
+
+    takeover.TakeoverFinder.reserve = reserve
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -141,6 +151,7 @@
     "proof of origin": _accept_without_proof,
     "notices of servers": _ignore_notices,
     "bound on silent watches": _wait_for_silent_watches,
+    "stay at silent engines": _leave_silent_engines,
 }
 
 
