--- a/tests/features/silent_servers.feature
+++ b/tests/features/silent_servers.feature
@@ -53,6 +53,14 @@
     And pause: the engine that decodes it falls silent, and none of the others
     Then pause: the client gets the whole stream
 
+  # Guards against streams that are cut since their next place is silent for a moment.
+  Scenario: A stream is whole although the engine that prefills it again is silent
+    Given pause: an instance with 2 decode, 1 prefill and 0 plain servers
+    And pause: decode engines that have much to prefill
+    When pause: a stream on the "digest" route has begun
+    And pause: the engine that decodes it falls silent for good, and prefill engines for 2.5 s
+    Then pause: the client gets the whole stream
+
   # Guards against streams that wait for a silent engine where another one could go on.
   Scenario: A stream goes on at another engine while its own stays silent
     Given pause: an instance with 2 decode, 1 prefill and 0 plain servers
--- a/tests/features/steps/silent_servers_steps.py
+++ b/tests/features/steps/silent_servers_steps.py
@@ -9,6 +9,8 @@
 # given up, and far shorter than the clients' deadline.
 SILENCE_S = 1.5
 EVENT_PAUSE_S = 0.1
+# So much is queued that prompts are prefilled on separate engines.
+BUSY_TOKENS = 5000
 EVENTS = [str(number) for number in range(1, 7)]
 REQUEST = "silent-1"
 
@@ -112,6 +114,30 @@
     running(context).awake.clear()
 
 
+@behave.given("pause: decode engines that have much to prefill")
+def busy_prefilling(context):
+    _, instance = context.world.instances["one"]
+    for engine in instance.fleet.loads("lm").all():
+        if engine.server.stage.value == "decode":
+            engine.prefill_tokens[0] += BUSY_TOKENS
+
+
+@behave.when(
+    "pause: the engine that decodes it falls silent for good,"
+    " and prefill engines for {seconds:g} s"
+)
+def next_place_silent(context, seconds):
+    async def silence():
+        running(context).awake.clear()
+        context.silences += [
+            asyncio.create_task(server.fall_silent(seconds))
+            for server in context.world.servers.values()
+            if server.stage == "prefill"
+        ]
+
+    context.route_runner.run(silence())
+
+
 @behave.when("pause: all servers fall silent")
 def all_silent(context):
     async def silence():
