Withdraw nothing within a response for a client that may leave

Callers lost streams that had left a silent engine for a place whose prefill engine was silent too: the prompt was withdrawn 0.2 s before a gap of two seconds, to refuse it in time. Within a response there is nothing to refuse, so the client's connection was closed, 0.7 s before the engine went on.

Cause: the time that a client waits decided for every request, though it serves refusals only. A stream that has begun goes on now until its time is up or its client leaves, which ends it at once.

--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -300,13 +300,17 @@
 def client_gives_up_at(
     request: client_request.ClientRequest, progress: Progress
 ) -> datetime.timedelta:
-    """Return when the client disconnects if it receives no further event."""
-    since = (
-        request.arrived_at if progress.last_event_at is None else progress.last_event_at
-    )
+    """Return until when a request is worth waiting for.
+
+    Before its first event a client disconnects after a gap, and is better refused just
+    before. Within a response nothing can be said any more but its end, so the request
+    goes on until the client disconnects by itself.
+    """
+    if progress.last_event_at is not None:
+        return request.deadline
     route = request.route
     gap = wait_policy.client_timeout(route.latency_target, route.event_gap_target)
-    return min(request.deadline, since + gap)
+    return min(request.deadline, request.arrived_at + gap)
 
 
 def address_of(engine: engine_loads.EngineLoad | None) -> settings.Address | None:
