Test that lists of servers are read with and without software versions

An instance of an earlier release gets rows as it knows them, and one of this release reads both. Rows without a version can't be told from the code before, where they were all there is; with the version always sent the last step fails (11 fields).

--- a/tests/features/routes_entries.feature
+++ b/tests/features/routes_entries.feature
@@ -66,3 +66,9 @@
       | read prompts   |
       | beacons        |
       | snapshots      |
+
+  # Guards against instances that can't read each other's lists while they are replaced.
+  Scenario: A list of servers is read with and without their software versions
+    Given entries: a server of software version "v2"
+    Then entries: peers that ask for versions read "v2" in its list
+    And entries: peers of an earlier release get rows of 10 fields, without a version
--- a/tests/features/steps/routes_entries_steps.py
+++ b/tests/features/steps/routes_entries_steps.py
@@ -265,3 +265,31 @@
     with logbook.NullHandler():
         check()
     assert len(seen) > 1, f"only {seen}"
+
+
+@behave.given('entries: a server of software version "{version}"')
+def server_of_version(context, version):
+    entry = route_server.RouteServer("s1", "lm", "here", "decode", version).entry()
+    server = server_entries.decode("s1", entry | {"address": "127.0.0.1:9100"})
+    assert isinstance(server, servers.Server), server
+    context.snapshot = snapshots.Servers(7, (server,), {})
+
+
+@behave.then('entries: peers that ask for versions read "{version}" in its list')
+def versions_read(context, version):
+    body = snapshots.encode_servers(context.snapshot)
+    (read,) = snapshots.decode_servers(body).listed
+    assert read.version == version, read
+    assert read == context.snapshot.listed[0]
+
+
+@behave.then(
+    "entries: peers of an earlier release get rows of {count:d} fields,"
+    " without a version"
+)
+def rows_without(context, count):
+    body = snapshots.encode_servers(context.snapshot, versions=False)
+    _, (row,), _ = cbor2.loads(body)
+    assert len(row) == count, row
+    (read,) = snapshots.decode_servers(body).listed
+    assert read.version == "", read
