Log which servers are used although their entries are missing

Nothing told a request to a listed server from one to a server that is only kept since its entry may have expired. placed and sent bear kept_ms now, a warning names the servers that a listing lacks and the silence that was taken for an outage, and two metrics count them and the requests that they get.

--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -32,6 +32,7 @@
         self._fleet = fleet
         self._clock = time
         self._until: dict[str, datetime.timedelta] = {}
+        fleet.kept_until = self._until
 
     async def run(self) -> None:
         """Remove servers whose grace period has ended; runs until cancelled."""
@@ -62,6 +63,7 @@
         now = self._clock.monotonic()
         granted = left or {}
         self._until = {name: now + granted.get(name, _GRACE) for name in names}
+        self._fleet.kept_until = self._until
 
     def confirm(self, names: abc.Iterable[str]) -> None:
         """Discard these servers from the set: the store has reported on them."""
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -52,6 +52,7 @@
         store_unreachable: This instance watches the store and the last call failed.
         servers_confirmed_at: Time at which the server table last matched the store.
         configuration_confirmed_at: The same for the configuration.
+        kept_until: Until when servers are used whose entries are missing, by id.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         self.store_unreachable = False
         self.servers_confirmed_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
+        self.kept_until: abc.Mapping[str, datetime.timedelta] = {}
         self._loads: dict[str, engine_loads.EngineLoads] = {}
         self._engines: dict[servers.Incarnation, engine_loads.EngineLoad] = {}
         self._on_change: list[abc.Callable[[], None]] = []
@@ -90,6 +92,15 @@
             self.servers_revision, self.servers_source, round(age / _MILLISECOND)
         )
 
+    def kept_ms(self, now: datetime.timedelta, *server_ids: str) -> int | None:
+        """Return for how long servers are used yet whose entries are missing.
+
+        Returns:
+            The shortest time of these servers; None if the entries of all are listed.
+        """
+        kept = [self.kept_until[name] for name in server_ids if name in self.kept_until]
+        return round((min(kept) - now) / _MILLISECOND) if kept else None
+
     def on_change(self, call: abc.Callable[[], None]) -> None:
         """Register a callback that runs after each change of the server table."""
         self._on_change.append(call)
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -195,7 +195,12 @@
             )
         elif self._fleet.replace_servers(snapshot.revision, snapshot.listed, name):
             self._expired.replace(snapshot.expired, snapshot.expired)
-            _log.info("servers from peer", peer=name, revision=snapshot.revision)
+            _log.info(
+                "servers from peer",
+                peer=name,
+                revision=snapshot.revision,
+                kept=len(snapshot.expired),
+            )
 
 
 async def _snapshot(address: settings.Address, path: str) -> bytes:
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -365,6 +365,7 @@
     ) -> _Outcome:
         now = self._clock.monotonic()
         listed = self._fleet.server_list_status(now)
+        kept_ms = self._fleet.kept_ms(now, server.server_id)
         left = request.deadline - now - dispatch.RETURN_TIME
         options = http_headers.DispatchOptions(server.server_id, left)
         outcome: _Outcome = dispatch.OutcomeUnknown("cancelled")
@@ -391,6 +392,7 @@
             list_revision=listed.revision,
             list_source=listed.source,
             list_age_ms=listed.age_ms,
+            kept_ms=kept_ms,
         )
         return outcome
 
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -250,7 +250,8 @@
         withheld: frozenset[servers.Incarnation],
     ) -> None:
         assert request.head.prompt is not None
-        listed = self._context.fleet.server_list_status(self._context.clock.monotonic())
+        fleet, now = self._context.fleet, self._context.clock.monotonic()
+        listed = fleet.server_list_status(now)
         if isinstance(place, placement_types.Infeasible):
             wait = place.retry_after / datetime.timedelta(milliseconds=1)
             self._context.log.write(
@@ -270,11 +271,12 @@
             if isinstance(place, placement_types.Disaggregated)
             else place.engine
         )
+        chosen = (prefill_engine.server.server_id, place.engine.server.server_id)
         self._context.log.write(
             request_log.PLACED,
             request.request_id,
-            reader=prefill_engine.server.server_id,
-            writer=place.engine.server.server_id,
+            reader=chosen[0],
+            writer=chosen[1],
             donor=None if place.kv_source is None else place.kv_source.server.server_id,
             tokens=place.tokens,
             prompt=request.head.prompt.tokens,
@@ -287,6 +289,7 @@
             list_revision=listed.revision,
             list_source=listed.source,
             list_age_ms=listed.age_ms,
+            kept_ms=fleet.kept_ms(now, *chosen),
         )
 
     def _log_wait(
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -36,7 +36,7 @@
     PLACED: (
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
         *("urgency", "expected_ms", "withheld", "version", "after"),
-        *("list_revision", "list_source", "list_age_ms"),
+        *("list_revision", "list_source", "list_age_ms", "kept_ms"),
     ),
     DOUBTED: (
         *("server", "verdict", "queued", "running", "listed"),
@@ -44,7 +44,7 @@
     ),
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
-        *("list_revision", "list_source", "list_age_ms"),
+        *("list_revision", "list_source", "list_age_ms", "kept_ms"),
     ),
     RESUMED: ("origin", "outcome", "ms"),
     FORWARDED: ("peer", "outcome", "ms"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -139,6 +139,7 @@
             digest=digests.digest_text(request.digest),
             events=events,
             parts=request.head.prompt.shared_names if failed else None,
+            kept_ms=self.fleet.kept_ms(since, engine.server.server_id),
         )
 
 
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -55,6 +55,11 @@
         self._dispatches = self._counter(
             "sendings", "Requests sent to servers, by what was asked.", "what"
         )
+        self._dispatches_to_kept = prometheus_client.Counter(
+            _PREFIX + "sendings_to_kept_servers",
+            "Requests sent to servers whose entries are missing.",
+            registry=self.registry,
+        )
         self._forwards = self._counter(
             "forwards", "Requests forwarded to peers, for want of a path to servers."
         )
@@ -116,6 +121,8 @@
         elif event == request_log.SENT:
             outcome = "failed" if wrong else "answered"
             self._dispatches.labels(outcome, fields["what"]).inc()
+            if fields.get("kept_ms") is not None:
+                self._dispatches_to_kept.inc()
         elif event == request_log.FORWARDED:
             self._forwards.labels("failed" if wrong else "answered").inc()
         elif event == request_log.DOUBTED:
@@ -226,6 +233,11 @@
             ),
             ("configuration_version", "Version in force.", fleet.version),
             ("servers", "Servers that are listed.", len(fleet.servers.all())),
+            (
+                "kept_servers",
+                "Servers that are used though their entries are missing.",
+                len(fleet.kept_until),
+            ),
             ("servers_revision", "Revision of the servers.", fleet.servers_revision),
             (
                 "servers_age_seconds",
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -31,6 +31,8 @@
 # An entry expires after three missed heartbeats. An outage of the store that is shorter
 # than this makes no entry of a running server expire.
 _MIN_EXPIRY = datetime.timedelta(seconds=2.5)
+# Longest list of servers in one log line.
+_MAX_LOGGED = 10
 
 
 class _Watch:
@@ -211,6 +213,15 @@
             named = {item.name for item in listing.objects}
             known = self._fleet.servers.all()
             missing = [server for server in known if server.server_id not in named]
+        if missing:
+            _log.warn(
+                "servers kept whose entries are missing",
+                servers=[server.server_id for server in missing[:_MAX_LOGGED]],
+                missing=len(missing),
+                listed=len(listed),
+                revision=listing.revision,
+                silent_ms=self._silent_ms(),
+            )
         self._expired.replace(server.server_id for server in missing)
         self._fleet.replace_servers(listing.revision, [*listed, *missing])
 
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -58,6 +58,14 @@
     And watch: 4 seconds pass
     Then watch: the instance uses "a1" and "a2"
 
+  # Guards against a log that does not tell a listed server from one that is only kept.
+  Scenario: The log tells for how long a server is used whose entry is missing
+    Given watch: a store with servers "a1" and "a2"
+    And watch: an instance that follows it
+    When watch: the store is away for 5 seconds and comes back without "a1"
+    Then watch: a request at "a1" is logged as sent to a kept server
+    And watch: a request at "a2" is logged as sent to a listed server
+
   # The configuration is listed first when the store is back. That says nothing of how
   # long the servers were not heard of.
   Scenario: An answer about the configuration does not end the wait for expired entries
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -251,6 +251,16 @@
     assert context.world.used() == {"a1", "a2"}, context.world.used()
 
 
+@behave.then('watch: a request at "{name}" is logged as sent to a kept server')
+def logged_as_kept(context, name):
+    assert 0 < context.world.kept_ms(name) <= 2000, context.world.kept_ms(name)
+
+
+@behave.then('watch: a request at "{name}" is logged as sent to a listed server')
+def logged_as_listed(context, name):
+    assert context.world.kept_ms(name) is None
+
+
 @behave.then('watch: the instance uses "a2" only')
 def uses_one(context):
     assert context.world.used() == {"a2"}, context.world.used()
@@ -323,6 +333,9 @@
     def used(self):
         return {server.server_id for server in self.known.servers.of_service("app")}
 
+    def kept_ms(self, name):
+        return self.known.kept_ms(self.clock.monotonic(), name)
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
