--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -18,7 +19,7 @@
 from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
 from pimentolatch.protocol import snapshots
 
-__all__ = ["SnapshotEndpoint", "SnapshotFetcher"]
+__all__ = ["Fetch", "Response", "SnapshotEndpoint", "SnapshotFetcher", "fetch"]
 
 _log = logbook.Logger("spread")
 _CONFIGURATION = "/v1/configuration"
@@ -33,6 +34,22 @@
 _FETCH_TIMEOUT = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A peer's response with a snapshot.
+
+    Attributes:
+        fields: Names and values of its header fields.
+        body: The encoded snapshot.
+    """
+
+    fields: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+Fetch = typing.Callable[[settings.Address, str], abc.Awaitable[Response]]
+
+
 class SnapshotEndpoint:
     """ASGI application that serves this instance's snapshots to peers."""
 
@@ -81,6 +98,7 @@
         expired_servers: Receives the servers whose entries have expired at a peer.
         port: Port on which peers serve snapshots.
         time: Clock of this instance.
+        fetch_from: Fetches a path from a peer; `fetch` by default.
     """
 
     def __init__(
@@ -90,7 +108,9 @@
         expired_servers: expired_entries.ExpiredServers,
         port: int,
         time: clock.Clock,
+        fetch_from: Fetch | None = None,
     ) -> None:
+        self._fetch_from = fetch_from or fetch
         self._fleet = fleet
         self._table = table
         self._expired = expired_servers
@@ -152,13 +172,13 @@
         self,
         peer: peer_table.Peer,
         path: str,
-        apply: abc.Callable[[str, bytes], None],
+        apply: abc.Callable[[str, Response], None],
     ) -> None:
         name = peer.beacon.instance
         address = settings.Address(host=peer.host, port=self._port)
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
-                apply(name, await _snapshot(address, path))
+                apply(name, await self._fetch_from(address, path))
             self._last_failed = None
         except (
             channel.ConnectError,
@@ -170,8 +190,8 @@
                 "failed to fetch snapshot from peer", peer=name, reason=repr(error)
             )
 
-    def _apply_configuration(self, name: str, body: bytes) -> None:
-        snapshot = snapshots.decode_configuration(body)
+    def _apply_configuration(self, name: str, response: Response) -> None:
+        snapshot = snapshots.decode_configuration(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
                 "malformed configuration snapshot from peer",
@@ -185,8 +205,8 @@
                 version=self._fleet.version,
             )
 
-    def _apply_servers(self, name: str, body: bytes) -> None:
-        snapshot = snapshots.decode_servers(body)
+    def _apply_servers(self, name: str, response: Response) -> None:
+        snapshot = snapshots.decode_servers(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
                 "malformed server snapshot from peer",
@@ -203,13 +223,18 @@
             )
 
 
-async def _snapshot(address: settings.Address, path: str) -> bytes:
-    """Fetch a snapshot over a new connection; one kept open may have fallen silent."""
+async def fetch(address: settings.Address, path: str) -> Response:
+    """Fetch a snapshot over a new connection; one kept open may have fallen silent.
+
+    Raises:
+        channel.ConnectError: The peer can't be reached.
+        channel.BrokenError: The connection ended before the response.
+    """
     connection = await channel.connect(address, _FETCH_TIMEOUT)
     try:
         host = f"{address.host}:{address.port}".encode()
         connection.send("GET", path.encode(), [(b"host", host)], b"")
-        await connection.read_head()
-        return await connection.read_body()
+        head = await connection.read_head()
+        return Response(tuple(head.fields), await connection.read_body())
     finally:
         connection.close()
