Take no server back from a peer that only keeps it as expired

What callers saw: nothing; a server that had left went on getting requests, also from instances that had removed it. A server that the peer only keeps is taken over now by an instance that still lists it, or that has no list yet.

It is enough since an instance without the server in its list either has the store's word that it is gone or never knew it.

--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -213,15 +213,35 @@
                 peer=name,
                 reason=snapshot.reason,
             )
-        elif self._fleet.replace_servers(snapshot.revision, snapshot.listed, name):
-            self._expired.replace(snapshot.expired, snapshot.expired)
+            return
+        expired = self._still_used(snapshot.expired)
+        listed = [
+            server
+            for server in snapshot.listed
+            if server.server_id in expired or server.server_id not in snapshot.expired
+        ]
+        if self._fleet.replace_servers(snapshot.revision, listed, name):
+            self._expired.replace(expired, expired)
             _log.info(
                 "servers from peer",
                 peer=name,
                 revision=snapshot.revision,
-                kept=len(snapshot.expired),
+                kept=len(expired),
             )
 
+    def _still_used(
+        self, expired: abc.Mapping[str, datetime.timedelta]
+    ) -> dict[str, datetime.timedelta]:
+        """Return the servers kept by a peer that this instance has not removed.
+
+        A peer that missed the removal of a server keeps it as possibly expired. An
+        instance that has a list without that server knows better.
+        """
+        if not self._fleet.servers_listed:
+            return dict(expired)
+        known = self._fleet.servers
+        return {n: left for n, left in expired.items() if known.get(n) is not None}
+
 
 async def fetch(address: settings.Address, path: str) -> Response:
     """Fetch a snapshot over a new connection; one kept open may have fallen silent.
