Judge an outage by the age of the list, not by an instance's own silence

What callers saw: nothing; a server that had left went on getting requests for two seconds from an instance that had been cut off from the store. Cause: the instance took the time since the store last answered itself for an outage in which entries expired, though peers had read the store all the while and had sent it their list. What one listing has granted a server, or a peer, is not ended by the next listing; else a peer's fresh list would end it.

Releases before this one neither send nor read the field.

--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -13,10 +13,10 @@
 from pimentolatch import clock
 from pimentolatch.gateway import fleet_state
 
-__all__ = ["ExpiredServers"]
+__all__ = ["GRACE", "ExpiredServers"]
 
 _log = logbook.Logger("watch")
-_GRACE = datetime.timedelta(seconds=2)
+GRACE = datetime.timedelta(seconds=2)
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
 
 
@@ -49,20 +49,14 @@
                 )
                 self._fleet.remove_servers(over)
 
-    def replace(
-        self,
-        names: abc.Iterable[str],
-        left: abc.Mapping[str, datetime.timedelta] | None = None,
-    ) -> None:
+    def replace(self, left: abc.Mapping[str, datetime.timedelta]) -> None:
         """Replace the set of servers with expired entries.
 
         Args:
-            names: Servers that are missing from a new listing.
-            left: Remaining grace period by server; two seconds where it is not given.
+            left: Remaining grace period by server.
         """
         now = self._clock.monotonic()
-        granted = left or {}
-        self._until = {name: now + granted.get(name, _GRACE) for name in names}
+        self._until = {name: now + span for name, span in left.items()}
         self._fleet.kept_until = self._until
 
     def confirm(self, names: abc.Iterable[str]) -> None:
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -144,6 +144,10 @@
         self.servers_source = STORE
         self._change(changed, removed)
 
+    def confirm_servers(self, at: datetime.timedelta) -> None:
+        """Record that the server table matched the store at this time."""
+        self.servers_confirmed_at = max(self.servers_confirmed_at, at)
+
     def mark_leaving(self, server: servers.Server) -> None:
         """Apply that a listed server has said that it leaves."""
         listed = self.servers.get(server.server_id)
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import datetime
+import math
 import typing
 from collections import abc
 
@@ -26,6 +27,9 @@
 _SERVERS = "/v1/servers"
 # Asks for the servers' software versions too; earlier releases ignore the query.
 _VERSIONS = "versions"
+# Header field with the age of the list in ms; earlier releases do not know it.
+_LIST_AGE = b"list-age-ms"
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # Beacons arrive every 250 ms.
 _INTERVAL = datetime.timedelta(milliseconds=100)
 # An instance that watches the store fetches only after a peer has been ahead for this
@@ -57,9 +61,11 @@
         self,
         fleet: fleet_state.FleetState,
         expired_servers: expired_entries.ExpiredServers,
+        time: clock.Clock,
     ) -> None:
         self._fleet = fleet
         self._expired = expired_servers
+        self._clock = time
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
@@ -67,9 +73,13 @@
         """Serve one request; 404 if there is nothing to serve."""
         versions = scope.get("query_string", b"") == _VERSIONS.encode()
         body = self._body(scope["path"], versions=versions)
-        length = (b"content-length", b"%d" % len(body))
+        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
+        fields = [
+            (b"content-length", b"%d" % len(body)),
+            (_LIST_AGE, b"%d" % math.ceil(age / _MILLISECOND)),
+        ]
         status = 200 if body else 404
-        start = {"type": "http.response.start", "status": status, "headers": [length]}
+        start = {"type": "http.response.start", "status": status, "headers": fields}
         await send(start)
         await send({"type": "http.response.body", "body": body})
 
@@ -220,8 +230,12 @@
             for server in snapshot.listed
             if server.server_id in expired or server.server_id not in snapshot.expired
         ]
+        now = self._clock.monotonic()
         if self._fleet.replace_servers(snapshot.revision, listed, name):
-            self._expired.replace(expired, expired)
+            age = _list_age(response)
+            if age is not None:
+                self._fleet.confirm_servers(now - age)
+            self._expired.replace(expired)
             _log.info(
                 "servers from peer",
                 peer=name,
@@ -243,6 +257,12 @@
         return {n: left for n, left in expired.items() if known.get(n) is not None}
 
 
+def _list_age(response: Response) -> datetime.timedelta | None:
+    """Return the age of a peer's list; None if the peer does not tell it."""
+    text = dict(response.fields).get(_LIST_AGE, b"")
+    return int(text) * _MILLISECOND if text.isdigit() else None
+
+
 async def fetch(address: settings.Address, path: str) -> Response:
     """Fetch a snapshot over a new connection; one kept open may have fallen silent.
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -243,7 +243,7 @@
             time,
         )
         self._snapshots = http_server.HttpServer(
-            peer_snapshots.SnapshotEndpoint(fleet, self._expired_servers),
+            peer_snapshots.SnapshotEndpoint(fleet, self._expired_servers, time),
             chosen.peers.address,
         )
         self._watch_controller = watch_controller.WatchController(
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -31,6 +31,7 @@
 # An entry expires after three missed heartbeats. An outage of the store that is shorter
 # than this makes no entry of a running server expire.
 _MIN_EXPIRY = datetime.timedelta(seconds=2.5)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # Longest list of servers in one log line.
 _MAX_LOGGED = 10
 
@@ -150,7 +151,7 @@
     def _silent_ms(self) -> int:
         """Return the time since the store last answered a call of this watch."""
         silence = self._clock.monotonic() - self._answered_at
-        return round(silence / datetime.timedelta(milliseconds=1))
+        return round(silence / _MILLISECOND)
 
     def _on_response(self) -> None:
         """Handle a successful call to the store."""
@@ -205,29 +206,52 @@
         self._unusable: set[str] = set()
 
     def _apply_listing(self, listing: store.Listing) -> None:
-        outage = self._clock.monotonic() - self._answered_at
-        self._unusable &= {item.name for item in listing.objects}
+        named = {item.name for item in listing.objects}
+        self._unusable &= named
         listed = self._decode_usable(listing.objects)
-        missing: list[servers.Server] = []
-        if outage >= _MIN_EXPIRY and self._fleet.servers_listed:
-            named = {item.name for item in listing.objects}
-            known = self._fleet.servers.all()
-            missing = [server for server in known if server.server_id not in named]
-        if missing:
-            _log.warn(
-                "servers kept whose entries are missing",
-                servers=[server.server_id for server in missing[:_MAX_LOGGED]],
-                missing=len(missing),
-                listed=len(listed),
-                revision=listing.revision,
-                silent_ms=self._silent_ms(),
-            )
-        self._expired.replace(server.server_id for server in missing)
-        self._fleet.replace_servers(listing.revision, [*listed, *missing])
+        left = self._grace_periods(named)
+        kept = [
+            server for server in self._fleet.servers.all() if server.server_id in left
+        ]
+        if kept:
+            self._log_kept(kept, listing)
+        if self._fleet.replace_servers(listing.revision, [*listed, *kept]):
+            self._expired.replace(left)
+
+    def _grace_periods(self, named: set[str]) -> dict[str, datetime.timedelta]:
+        """Return the remaining grace periods of the servers to keep, by server id.
+
+        Args:
+            named: Servers that have an entry.
+        """
+        # A listing soon after another one does not end what that one has granted.
+        left = {
+            name: span
+            for name, span in self._expired.remaining().items()
+            if name not in named
+        }
+        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
+        if age >= _MIN_EXPIRY and self._fleet.servers_listed:
+            for server in self._fleet.servers.all():
+                if server.server_id not in named:
+                    left.setdefault(server.server_id, expired_entries.GRACE)
+        return left
+
+    def _log_kept(self, kept: list[servers.Server], listing: store.Listing) -> None:
+        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
+        _log.warn(
+            "servers kept whose entries are missing",
+            servers=[server.server_id for server in kept[:_MAX_LOGGED]],
+            missing=len(kept),
+            listed=len(listing.objects),
+            revision=listing.revision,
+            silent_ms=self._silent_ms(),
+            list_age_ms=round(age / _MILLISECOND),
+        )
 
     def _on_response(self) -> None:
         super()._on_response()
-        self._fleet.servers_confirmed_at = self._answered_at
+        self._fleet.confirm_servers(self._answered_at)
 
     def _apply_changes(self, changes: store.Changes) -> None:
         self._expired.confirm(changes.removed)
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -72,7 +72,7 @@
         host, relay_host = self._network.address(), self._network.address()
         port = soak_world.PEERS_PORT
         server = http_server.HttpServer(
-            peer_snapshots.SnapshotEndpoint(fleet, expired),
+            peer_snapshots.SnapshotEndpoint(fleet, expired, self._time),
             settings.Address(host=host, port=port),
         )
         self.relays.start(name, (relay_host, port), (host, port))
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -112,7 +112,7 @@
             peer_snapshots.SnapshotFetcher(
                 fleet, peers, expired, PEERS_PORT, self.clock, self._fetch
             ),
-            peer_snapshots.SnapshotEndpoint(fleet, expired),
+            peer_snapshots.SnapshotEndpoint(fleet, expired, self.clock),
         )
 
     async def _start(self):
