Count the grace of expired entries from the store's return

What callers saw: nothing; a server that had left got requests for up to 4.25 s after the store was back, where two are allowed. Cause: the two seconds in which entries reappear began anew whenever an instance listed the servers again, up to a call's limit and a pause after the store's return, and were checked every 250 ms. They run from the begin of the last call that the store did not answer now, which lies before its return (decisions.missing_servers). That bound may be early by as much, so while more servers are missing than listed they are used for up to 1.5 s longer: callers have nowhere else to go. Peers are told what is left, as before.

--- /dev/null
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -0,0 +1,64 @@
+"""Decides how long servers are used whose entries are missing after an outage.
+
+Load pattern: the store is out of reach for some seconds. When an instance lists the
+servers again, some are missing. Their entries may have expired, as servers could not
+renew them either; these servers still work and their entries are back within about two
+seconds of the store's return. Or they have left meanwhile. Without the former every
+instance would have nowhere to send requests to; kept for too long, a server that has
+left gets requests that it may not finish.
+
+The time runs from the store's return, not from the moment at which an instance notices
+it, since that may be a second later and differs between instances. The last call that
+the store left unanswered began before its return, which gives a safe bound. If most
+servers are missing beyond it, the bound may have been early, and callers have nowhere
+else to go; then they are used for as long as an instance may take to notice.
+"""
+
+import dataclasses
+import datetime
+
+__all__ = ["ListingGap", "extension", "grace_ends_at", "may_have_expired"]
+
+# An entry expires after three missed heartbeats. An outage of the store that is shorter
+# than this makes no entry of a running server expire.
+_MIN_EXPIRY = datetime.timedelta(seconds=2.5)
+# Entries of running servers are back within this time of the store's return.
+_RETURN_TIME = datetime.timedelta(seconds=2)
+# Longest time between the begin of the last unanswered call and of the next one: the
+# limit of a call and the pause after it.
+_MAX_NOTICE_DELAY = datetime.timedelta(seconds=1.5)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListingGap:
+    """A listing that lacks servers which were known before.
+
+    Attributes:
+        list_age: Time since the known list was last known to match the store.
+    """
+
+    list_age: datetime.timedelta
+
+
+def may_have_expired(gap: ListingGap) -> bool:
+    """Return whether the entries may have expired; otherwise the servers have left."""
+    return gap.list_age >= _MIN_EXPIRY
+
+
+def grace_ends_at(unanswered_since: datetime.timedelta) -> datetime.timedelta:
+    """Return until when servers are used whose entries may have expired.
+
+    Args:
+        unanswered_since: When the last call began that the store did not answer.
+    """
+    return unanswered_since + _RETURN_TIME
+
+
+def extension(*, kept: int, listed: int) -> datetime.timedelta:
+    """Return for how much longer servers are used.
+
+    Args:
+        kept: Number of servers that are used although their entries are missing.
+        listed: Number of servers with an entry.
+    """
+    return _MAX_NOTICE_DELAY if kept > listed else datetime.timedelta()
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -5,19 +5,20 @@
 requests to.
 """
 
+import asyncio
 import datetime
 from collections import abc
 
 import logbook
 
 from pimentolatch import clock
+from pimentolatch.decisions import missing_servers
 from pimentolatch.gateway import fleet_state
 
-__all__ = ["GRACE", "ExpiredServers"]
+__all__ = ["ExpiredServers"]
 
 _log = logbook.Logger("watch")
-GRACE = datetime.timedelta(seconds=2)
-_CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
 class ExpiredServers:
@@ -32,39 +33,58 @@
         self._fleet = fleet
         self._clock = time
         self._until: dict[str, datetime.timedelta] = {}
+        self._any = asyncio.Event()
         fleet.kept_until = self._until
 
     async def run(self) -> None:
         """Remove servers whose grace period has ended; runs until cancelled."""
         while True:
-            await self._clock.sleep(_CHECK_INTERVAL)
-            now = self._clock.monotonic()
-            over = [name for name, at in self._until.items() if now >= at]
-            for name in over:
-                del self._until[name]
-            if over:
-                _log.info(
-                    "servers did not come back",
-                    servers=over,
-                )
-                self._fleet.remove_servers(over)
-
-    def replace(self, left: abc.Mapping[str, datetime.timedelta]) -> None:
-        """Replace the set of servers with expired entries.
+            await self._any.wait()
+            await self._clock.sleep(self._next_check())
+            self._remove_overdue()
+            if not self._until:
+                self._any.clear()
+
+    def replace(self, until: abc.Mapping[str, datetime.timedelta]) -> None:
+        """Replace the servers that are kept.
 
         Args:
-            left: Remaining grace period by server.
+            until: End of the grace period by server, by this instance's clock.
         """
-        now = self._clock.monotonic()
-        self._until = {name: now + span for name, span in left.items()}
+        self._until = dict(until)
         self._fleet.kept_until = self._until
+        if self._until:
+            self._any.set()
 
     def confirm(self, names: abc.Iterable[str]) -> None:
         """Discard these servers from the set: the store has reported on them."""
         for name in names:
             self._until.pop(name, None)
 
+    def until(self) -> abc.Mapping[str, datetime.timedelta]:
+        """Return the end of the grace period of each server, by the clock."""
+        return self._until
+
     def remaining(self) -> dict[str, datetime.timedelta]:
-        """Return the remaining grace period of each server."""
+        """Return the remaining grace period of each server; negative if extended."""
         now = self._clock.monotonic()
         return {name: at - now for name, at in self._until.items()}
+
+    def _next_check(self) -> datetime.timedelta:
+        left = min(self.remaining().values(), default=_CHECK_INTERVAL)
+        if left <= datetime.timedelta():
+            return _CHECK_INTERVAL
+        return min(left, _CHECK_INTERVAL)
+
+    def _remove_overdue(self) -> None:
+        kept = len(self._until)
+        extension = missing_servers.extension(
+            kept=kept, listed=len(self._fleet.servers.all()) - kept
+        )
+        now = self._clock.monotonic()
+        over = [name for name, at in self._until.items() if now >= at + extension]
+        for name in over:
+            del self._until[name]
+        if over:
+            _log.info("servers did not come back", servers=over)
+            self._fleet.remove_servers(over)
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -235,7 +235,7 @@
             age = _list_age(response)
             if age is not None:
                 self._fleet.confirm_servers(now - age)
-            self._expired.replace(expired)
+            self._expired.replace({n: now + left for n, left in expired.items()})
             _log.info(
                 "servers from peer",
                 peer=name,
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -7,7 +7,7 @@
 import logbook
 
 from pimentolatch import backoff, clock, store
-from pimentolatch.decisions import watch_schedule
+from pimentolatch.decisions import missing_servers, watch_schedule
 from pimentolatch.gateway import expired_entries, fleet_state
 from pimentolatch.platform import configuration, objects, server_entries
 from pimentolatch.routes import servers
@@ -25,9 +25,6 @@
 # of the 2,038 calls that 195 instances made in 50 s. The delay does no harm: a leaving
 # server accepts requests for seconds, and a crash is noticed by failing requests.
 _COALESCE_INTERVAL = datetime.timedelta(milliseconds=300)
-# An entry expires after three missed heartbeats. An outage of the store that is shorter
-# than this makes no entry of a running server expire.
-_MIN_EXPIRY = datetime.timedelta(seconds=2.5)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Longest list of servers in one log line.
 _MAX_LOGGED = 10
@@ -72,6 +69,7 @@
         )
         self._revision: int | None = None
         self._answered_at = time.monotonic()
+        self._unanswered_since = time.monotonic()
         self._latency = datetime.timedelta()
         self.unreachable = False
 
@@ -84,8 +82,10 @@
         self._revision = None
         self._answered_at = self._clock.monotonic()
         while True:
+            begun = self._clock.monotonic()
             outcome = await (self._list() if self._revision is None else self._watch())
             if isinstance(outcome, store.Unavailable):
+                self._unanswered_since = begun
                 if not self.unreachable:
                     _log.warn(
                         "store lost",
@@ -208,36 +208,37 @@
         named = {item.name for item in listing.objects}
         self._unusable &= named
         listed = self._decode_usable(listing.objects)
-        left = self._grace_periods(named)
-        kept = [
-            server for server in self._fleet.servers.all() if server.server_id in left
-        ]
+        until = self._grace_periods(named)
+        known = self._fleet.servers.all()
+        kept = [server for server in known if server.server_id in until]
         if kept:
             self._log_kept(kept, listing)
         if self._fleet.replace_servers(listing.revision, [*listed, *kept]):
-            self._expired.replace(left)
+            self._expired.replace(until)
 
     def _grace_periods(self, named: set[str]) -> dict[str, datetime.timedelta]:
-        """Return the remaining grace periods of the servers to keep, by server id.
+        """Return until when servers are kept, by server id.
 
         Args:
             named: Servers that have an entry.
         """
         # A listing soon after another one does not end what that one has granted.
-        left = {
-            name: span
-            for name, span in self._expired.remaining().items()
-            if name not in named
+        until = {
+            name: at for name, at in self._expired.until().items() if name not in named
         }
-        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
-        if age >= _MIN_EXPIRY and self._fleet.servers_listed:
+        gap = missing_servers.ListingGap(self._list_age())
+        if self._fleet.servers_listed and missing_servers.may_have_expired(gap):
+            grace_ends_at = missing_servers.grace_ends_at(self._unanswered_since)
             for server in self._fleet.servers.all():
                 if server.server_id not in named:
-                    left.setdefault(server.server_id, expired_entries.GRACE)
-        return left
+                    until.setdefault(server.server_id, grace_ends_at)
+        return until
+
+    def _list_age(self) -> datetime.timedelta:
+        """Return the time since the list was known to match the store."""
+        return self._clock.monotonic() - self._fleet.servers_confirmed_at
 
     def _log_kept(self, kept: list[servers.Server], listing: store.Listing) -> None:
-        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
         _log.warn(
             "servers kept whose entries are missing",
             servers=[server.server_id for server in kept[:_MAX_LOGGED]],
@@ -245,7 +246,7 @@
             listed=len(listing.objects),
             revision=listing.revision,
             silent_ms=self._silent_ms(),
-            list_age_ms=round(age / _MILLISECOND),
+            list_age_ms=round(self._list_age() / _MILLISECOND),
         )
 
     def _on_response(self) -> None:
