Reproduce a server that left and is kept by the instance that missed it, known red

An instance that was cut off for four seconds keeps a server that left meanwhile, though the entries of all others were renewed throughout: the servers had noticed nothing. The second scenario guards the reverse: with all entries expired and all but one back, that one is used.

--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -44,6 +44,29 @@
     Then outage: "i0" has listed the servers
     And outage: no instance uses "s1"
 
+  # Guards against a server that left and is kept since one instance missed it.
+  Scenario: A server that left while one instance was cut off is not kept by that one
+    Given outage: 6 servers and 3 instances
+    When outage: "i0" is cut off from the store
+    And outage: "i0" hears no peer any more
+    And outage: 3 seconds pass
+    And outage: "s1" leaves
+    And outage: 1 seconds pass
+    And outage: "i0" reaches the store again
+    Then outage: "i0" has listed the servers
+    And outage: no instance uses "s1"
+
+  # Guards against servers that are dropped since some of the others are back already.
+  Scenario: Servers that are back late are used although most others are listed
+    Given outage: 6 servers and 3 instances
+    When outage: "i0" is cut off from the store
+    And outage: "i0" hears no peer any more
+    And outage: 4 seconds pass
+    And outage: all entries expire and all but "s1" are written again
+    And outage: "i0" reaches the store again
+    Then outage: "i0" has listed the servers
+    And outage: "i0" uses "s1"
+
   # Guards against a server that comes back from a peer that only keeps it.
   Scenario: A server that an instance has removed does not come back from a peer
     Given outage: 6 servers and 2 instances
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -130,6 +130,14 @@
     assert context.world.instances[name].used() == {context.servers[0]}
 
 
+@behave.when('outage: all entries expire and all but "{name}" are written again')
+def expire_and_return(context, name):
+    context.world.remove(*context.servers)
+    for other in context.servers:
+        if other != name:
+            context.world.write(other)
+
+
 @behave.when('outage: "{name}" is written, which only "{reader}" reads')
 def written_for_one(context, name, reader):
     others = set(context.world.instances) - {reader}
@@ -175,6 +183,11 @@
     raise AssertionError(f"{name} was not learned")
 
 
+@behave.then('outage: "{name}" uses "{server}"')
+def uses(context, name, server):
+    assert server in context.world.instances[name].used()
+
+
 @behave.then('outage: "{name}" uses servers that are not listed')
 def uses_unlisted(context, name):
     listed = {row.name for row in context.world.table.list_objects("servers")}
