Tell servers that left from expired entries by the entries that survived

What callers saw: nothing; a server that had left got requests from an instance that had not reached the store, or that the store had rejected, while it left. Cause: any server missing from a listing after 2.5 s counted as one whose entry had expired with the store away, though the entries of nearly all other servers had been renewed throughout. An entry tells in which revision it was created, so those that were never removed are known: while they are more than the missing ones, the servers noticed no outage, and what is missing has left.

A short outage that makes less than half of the entries expire costs the use of these servers until they are back.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -7,6 +7,14 @@
 instance would have nowhere to send requests to; kept for too long, a server that has
 left gets requests that it may not finish.
 
+What an instance felt is no measure of what the store went through: the store may have
+rejected reads only, or only this instance was cut off, while servers renewed their
+entries all the time. So the verdict rests on the entries. Most of them survive an
+outage of which the servers noticed nothing, and hardly any a long one of the store.
+Entries that have expired and are back were created anew, so they do not count as
+survivors. A short outage lets a few expire; these servers are done without until their
+entries are back, since most others are listed.
+
 The time runs from the store's return, not from the moment at which an instance notices
 it, since that may be a second later and differs between instances. The last call that
 the store left unanswered began before its return, which gives a safe bound. If most
@@ -35,14 +43,18 @@
 
     Attributes:
         list_age: Time since the known list was last known to match the store.
+        missing: Number of known servers without an entry.
+        survived: Number of known servers whose entries were never removed.
     """
 
     list_age: datetime.timedelta
+    missing: int
+    survived: int
 
 
 def may_have_expired(gap: ListingGap) -> bool:
     """Return whether the entries may have expired; otherwise the servers have left."""
-    return gap.list_age >= _MIN_EXPIRY
+    return gap.list_age >= _MIN_EXPIRY and gap.missing >= gap.survived
 
 
 def grace_ends_at(unanswered_since: datetime.timedelta) -> datetime.timedelta:
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -208,7 +208,7 @@
         named = {item.name for item in listing.objects}
         self._unusable &= named
         listed = self._decode_usable(listing.objects)
-        until = self._grace_periods(named)
+        until = self._grace_periods(listing)
         known = self._fleet.servers.all()
         kept = [server for server in known if server.server_id in until]
         if kept:
@@ -216,24 +216,33 @@
         if self._fleet.replace_servers(listing.revision, [*listed, *kept]):
             self._expired.replace(until)
 
-    def _grace_periods(self, named: set[str]) -> dict[str, datetime.timedelta]:
-        """Return until when servers are kept, by server id.
-
-        Args:
-            named: Servers that have an entry.
-        """
+    def _grace_periods(self, listing: store.Listing) -> dict[str, datetime.timedelta]:
+        """Return until when servers without an entry are kept, by server id."""
+        named = {item.name for item in listing.objects}
         # A listing soon after another one does not end what that one has granted.
         until = {
             name: at for name, at in self._expired.until().items() if name not in named
         }
-        gap = missing_servers.ListingGap(self._list_age())
-        if self._fleet.servers_listed and missing_servers.may_have_expired(gap):
+        known = {server.server_id for server in self._fleet.servers.all()}
+        missing = known - named
+        if not missing:
+            return until
+        gap = missing_servers.ListingGap(
+            self._list_age(), len(missing), self._count_survivors(known, listing)
+        )
+        if missing_servers.may_have_expired(gap):
             grace_ends_at = missing_servers.grace_ends_at(self._unanswered_since)
-            for server in self._fleet.servers.all():
-                if server.server_id not in named:
-                    until.setdefault(server.server_id, grace_ends_at)
+            for name in missing:
+                until.setdefault(name, grace_ends_at)
         return until
 
+    def _count_survivors(self, known: set[str], listing: store.Listing) -> int:
+        """Return how many known servers' entries have never been removed."""
+        revision = self._fleet.servers_revision
+        return sum(
+            item.name in known and item.created <= revision for item in listing.objects
+        )
+
     def _list_age(self) -> datetime.timedelta:
         """Return the time since the list was known to match the store."""
         return self._clock.monotonic() - self._fleet.servers_confirmed_at
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -224,7 +224,12 @@
 def _object(item: typing.Any) -> store.Found:
     metadata = item["metadata"]
     # Another writer may have omitted the spec; decoders then reject the None.
-    return store.Found(metadata["name"], int(metadata["revision"]), item.get("spec"))
+    return store.Found(
+        metadata["name"],
+        int(metadata["revision"]),
+        item.get("spec"),
+        int(metadata.get("created", 0)),
+    )
 
 
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
--- a/src/pimentolatch/store.py
+++ b/src/pimentolatch/store.py
@@ -28,11 +28,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Found:
-    """An object as it is stored. `version` grows with each write of the object."""
+    """An object as it is stored.
+
+    Attributes:
+        version: Revision of the store at its last write.
+        created: Revision of the store at its creation; an object that was removed and
+            written again has a new one.
+    """
 
     name: str
     version: int
     value: Json
+    created: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -225,4 +225,4 @@
 
 
 def _found(row: object_table.Row) -> store.Found:
-    return store.Found(row.name, row.version, row.value)
+    return store.Found(row.name, row.version, row.value, row.created)
