Keep expired servers while the store is away once more

Cause: the grace period ended by the clock, while nothing could be learned of any server. It ends only while the list is current now (the store answers this instance, or the readers of its failure domain), and runs anew from the last unanswered call after another outage.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -20,12 +20,21 @@
 the store left unanswered began before its return, which gives a safe bound. If most
 servers are missing beyond it, the bound may have been early, and callers have nowhere
 else to go; then they are used for as long as an instance may take to notice.
+
+The store may be away again before the entries are back. Nothing is known of them then,
+so no grace period ends until the list is current, and the time runs anew.
 """
 
 import dataclasses
 import datetime
 
-__all__ = ["ListingGap", "extension", "grace_ends_at", "may_have_expired"]
+__all__ = [
+    "ListingGap",
+    "extension",
+    "grace_ends_at",
+    "is_current",
+    "may_have_expired",
+]
 
 # An entry expires after three missed heartbeats. An outage of the store that is shorter
 # than this makes no entry of a running server expire.
@@ -35,6 +44,9 @@
 # Longest time between the begin of the last unanswered call and of the next one: the
 # limit of a call and the pause after it.
 _MAX_NOTICE_DELAY = datetime.timedelta(seconds=1.5)
+# A list that is read, here or by the readers of the failure domain, is confirmed at
+# least once in this time.
+_MAX_LIST_AGE = datetime.timedelta(seconds=1.5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +69,11 @@
     return gap.list_age >= _MIN_EXPIRY and gap.missing >= gap.survived
 
 
+def is_current(list_age: datetime.timedelta) -> bool:
+    """Return whether a list tells which entries are back by now."""
+    return list_age <= _MAX_LIST_AGE
+
+
 def grace_ends_at(unanswered_since: datetime.timedelta) -> datetime.timedelta:
     """Return until when servers are used whose entries may have expired.
 
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -77,6 +77,10 @@
         return min(left, _CHECK_INTERVAL)
 
     def _remove_overdue(self) -> None:
+        if self._fleet.store_unreachable or not missing_servers.is_current(
+            self._clock.monotonic() - self._fleet.servers_confirmed_at
+        ):
+            return
         kept = len(self._until)
         extension = missing_servers.extension(
             kept=kept, listed=len(self._fleet.servers.all()) - kept
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -219,10 +219,13 @@
     def _grace_periods(self, listing: store.Listing) -> dict[str, datetime.timedelta]:
         """Return until when servers without an entry are kept, by server id."""
         named = {item.name for item in listing.objects}
+        grace_ends_at = missing_servers.grace_ends_at(self._unanswered_since)
         # A listing soon after another one does not end what that one has granted.
         until = {
             name: at for name, at in self._expired.until().items() if name not in named
         }
+        if not missing_servers.is_current(self._list_age()):
+            until = {name: max(at, grace_ends_at) for name, at in until.items()}
         known = {server.server_id for server in self._fleet.servers.all()}
         missing = known - named
         if not missing:
@@ -231,7 +234,6 @@
             self._list_age(), len(missing), self._count_survivors(known, listing)
         )
         if missing_servers.may_have_expired(gap):
-            grace_ends_at = missing_servers.grace_ends_at(self._unanswered_since)
             for name in missing:
                 until.setdefault(name, grace_ends_at)
         return until
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -97,6 +97,16 @@
       | 12.0 | 1.9  |
       | 30.0 | 1.2  |
 
+  # Guards against a grace period that ends while the store is away once more.
+  Scenario: A second outage before the entries are back leaves no instance without servers
+    Given outage: 6 servers and 4 instances
+    When outage: the store is away for 5 seconds and all entries expire
+    And outage: 0.6 seconds pass
+    And outage: the store is away for 5 seconds and all servers but "s1" are written again
+    Then outage: at each moment each instance used at least 3 servers
+    When outage: 2 seconds pass
+    Then outage: no instance uses "s1"
+
   # Guards against a failure domain that loses its servers when it regains the store.
   Scenario: Servers that were cut off with their instances are used when they are listed
     Given outage: 6 servers and 4 instances
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -75,6 +75,19 @@
     context.world.faults.outage = False
 
 
+@behave.when(
+    "outage: the store is away for {seconds:g} seconds and all servers but"
+    ' "{name}" are written again'
+)
+def away_again(context, seconds, name):
+    context.world.faults.outage = True
+    advance(context, seconds)
+    for other in context.servers:
+        if other != name:
+            context.world.write(other)
+    context.world.faults.outage = False
+
+
 @behave.when(
     'outage: all servers but "{name}" are listed again after {seconds:g} seconds'
 )
