Soak with a store that is away while servers leave unsaid

--outages has the store reject all reads for 0.5 to 7 s while servers renew their entries, or down for 4 to 7 s in which all entries expire and are written again one by one. Servers leave at any time without reporting it and go on serving; gateways are killed, restarted and told to read their settings, and routes are added, in series and overlapping. Nothing excuses a request that reaches a server more than two seconds after the later of the store's word and its return.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -32,3 +32,8 @@
       | seed |
       | 4    |
       | 5    |
+
+  # Guards against requests that are refused or lost while the store is away.
+  Scenario: No promise is broken while the store is away and servers leave unsaid
+    When the soak plays seed 3 for 8 seconds of outages
+    Then no promise was broken and most requests were served
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -40,6 +40,12 @@
     context.result = asyncio.run(played)
 
 
+@behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of outages")
+def play_outages(context, seed, seconds):
+    played = soak.run_seed(seed, float(seconds), MARGIN_S, outages=True)
+    context.result = asyncio.run(played)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,6 +3,7 @@
 `python -m tests.soak --seeds 1-50` makes fifty runs. `--without NAME` switches one
 safeguard off, which the checks must then detect. `--list` prints the safeguards.
 `--pauses` lets servers fall silent for a second and go on, with planned changes only.
+`--outages` lets the store reject reads or lose all entries while servers leave unsaid.
 `--silence` lets connections fall silent and changes come, and nothing else, so that no
 other fault gives an instance a new connection; every other run has one gateway only.
 Each run also prints how its requests ended.
@@ -24,6 +25,7 @@
     soak_clients,
     soak_endings,
     soak_faults,
+    soak_outages,
     soak_pauses,
     soak_world,
 )
@@ -59,6 +61,7 @@
     fatal=False,
     silence=False,
     pauses=False,
+    outages=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -70,6 +73,7 @@
         fatal: One client repeats a request that crashes each server that runs it.
         silence: Only silence and planned changes are injected.
         pauses: Only pauses of servers and planned changes are injected.
+        outages: Outages of the store, leaving servers and restarts are injected.
     """
     world = _make_world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
@@ -78,19 +82,20 @@
         injector = soak_pauses.PauseInjector(world, clock)
         faults = soak_pauses.draw(seed, seconds)
         clients = soak_pauses.clients(world, seed, clock)
+    elif outages:
+        injector = soak_outages.OutageInjector(world, clock)
+        faults = soak_outages.draw(seed, seconds)
+        clients = _clients(world, seed, clock)
     else:
         injector = soak_faults.FaultInjector(world, clock)
         faults = _draw_faults(seed, seconds, silence)
-        clients = [
-            soak_clients.Client(world, number, seed * 1000 + number, clock)
-            for number in range(CLIENTS)
-        ]
+        clients = _clients(world, seed, clock)
     stop = asyncio.Event()
     if fatal:
         world.fatal_body = soak_clients.FATAL_BODY
         clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
     try:
-        alone = (silence and seed % 2) or (pauses and seed % 4 == 0)
+        alone = (silence and seed % 2) or ((pauses or outages) and seed % 4 == 0)
         await world.start(1 if alone else GATEWAYS)
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
         if fatal:
@@ -121,6 +126,10 @@
     violations += soak_checks.quarantine_violations(
         attempts, servers, injector, margin_s
     )
+    if outages:
+        violations += soak_outages.late_violations(
+            attempts, servers, injector, margin_s
+        )
     after_faults = [
         attempt
         for attempt in attempts
@@ -146,6 +155,13 @@
     )
 
 
+def _clients(world, seed, clock):
+    return [
+        soak_clients.Client(world, number, seed * 1000 + number, clock)
+        for number in range(CLIENTS)
+    ]
+
+
 def _draw_faults(seed, seconds, silence):
     faults = soak_faults.draw_notices(seed, seconds)
     faults += soak_faults.draw_silence(seed, seconds)
@@ -199,6 +215,7 @@
     parser.add_argument("--fatal", action="store_true")
     parser.add_argument("--silence", action="store_true")
     parser.add_argument("--pauses", action="store_true")
+    parser.add_argument("--outages", action="store_true")
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -218,6 +235,7 @@
             options.fatal,
             options.silence,
             options.pauses,
+            options.outages,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -7,7 +7,8 @@
 import datetime
 import sys
 
-from pimentolatch.decisions import watch_schedule
+from pimentolatch import clock
+from pimentolatch.decisions import missing_servers, watch_schedule
 from pimentolatch.gateway import (
     daemon,
     dispatch,
@@ -138,6 +139,14 @@
     takeover.TakeoverFinder.reserve = reserve
 
 
+def _keep_missing_servers():
+    """Keeps all servers that a listing lacks for two seconds from a late listing on."""
+    watch_schedule._RETRY_SHARE = 1.0
+    now = clock.SystemClock().monotonic
+    missing_servers.may_have_expired = lambda gap: gap.list_age > 2 * SECOND
+    missing_servers.grace_ends_at = lambda unanswered_since: now() + 2 * SECOND
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -152,6 +161,7 @@
     "notices of servers": _ignore_notices,
     "bound on silent watches": _wait_for_silent_watches,
     "stay at silent engines": _leave_silent_engines,
+    "grace from the store's return": _keep_missing_servers,
 }
 
 
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -41,6 +41,8 @@
         "store cut one way",
         "store down",
         "store forgets",
+        "store rejects",
+        "store expires",
     }
 )
 # Those of them that affect the store itself: what it acknowledges then is not bound.
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -171,14 +171,19 @@
 
     async def remove_server(self, name):
         """Stop a server and delete its entry; does nothing if it was removed before."""
+        if await self.stop_server(name):
+            current = self.platform.table.get("servers", name)
+            await self.platform.table.delete("servers", name, current.version)
+
+    async def stop_server(self, name):
+        """Stop a server; return False if it was stopped before."""
         server = self.servers.pop(name, None)
         if server is None:
-            return
+            return False
         self.removed_servers.append(server)
         self.removed_at[name] = asyncio.get_running_loop().time()
         await server.stop()
-        current = self.platform.table.get("servers", name)
-        await self.platform.table.delete("servers", name, current.version)
+        return True
 
     async def replace_crashed(self, stop):
         """Replace servers that a request has crashed, until `stop` is set."""
