--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -2,27 +2,25 @@
 
 Load pattern: the store is out of reach for some seconds. When an instance lists the
 servers again, some are missing. Their entries may have expired, as servers could not
-renew them either; these servers still work and their entries are back within about two
-seconds of the store's return. Or they have left meanwhile. Without the former every
-instance would have nowhere to send requests to; kept for too long, a server that has
-left gets requests that it may not finish.
-
-What an instance felt is no measure of what the store went through: the store may have
-rejected reads only, or only this instance was cut off, while servers renewed their
-entries all the time. So the verdict rests on the entries. Most of them survive an
-outage of which the servers noticed nothing, and hardly any a long one of the store.
-Entries that have expired and are back were created anew, so they do not count as
-survivors. A short outage lets a few expire; these servers are done without until their
-entries are back, since most others are listed.
-
-The time runs from the store's return, not from the moment at which an instance notices
-it, since that may be a second later and differs between instances. The last call that
-the store left unanswered began before its return, which gives a safe bound. If most
-servers are missing beyond it, the bound may have been early, and callers have nowhere
-else to go; then they are used for as long as an instance may take to notice.
-
-The store may be away again before the entries are back. Nothing is known of them then,
-so no grace period ends until the list is current, and the time runs anew.
+renew them either; these servers still work, and their entries are back within about
+two seconds of the store's return. Or they have left meanwhile. If the former were
+dropped at once, an instance would have nowhere to send requests to; if the latter are
+used for too long, they get requests that they may not finish.
+
+Failed calls of an instance do not show that the store was down: it may have rejected
+reads only, or only this instance, while servers went on renewing their entries. The
+entries show it. Most of them survive an outage that did not affect the servers, and
+hardly any a long one that did. Entries that expired and are back were created anew, so
+they do not count as survivors. In a short outage a few entries expire; these servers
+are not used until their entries are back, since most others are listed.
+
+The grace period runs from the store's return. An instance notices that up to a call's
+time limit and a pause later, so the begin of the last unanswered call, which lies
+before the return, serves as a lower bound. If most servers are still missing when the
+period ends by this bound, it is extended by the longest possible error.
+
+If the store is down again before the entries are back, an instance can't learn of them.
+So a grace period ends only while the list is current, and begins anew after the outage.
 """
 
 import dataclasses
@@ -44,8 +42,8 @@
 # Longest time between the begin of the last unanswered call and of the next one: the
 # limit of a call and the pause after it.
 _MAX_NOTICE_DELAY = datetime.timedelta(seconds=1.5)
-# A list that is read, here or by the readers of the failure domain, is confirmed at
-# least once in this time.
+# An instance that can read the store, or whose failure domain has readers that can,
+# seldom has an older list.
 _MAX_LIST_AGE = datetime.timedelta(seconds=1.5)
 
 
