--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -52,7 +52,7 @@
     """A listing that lacks servers which were known before.
 
     Attributes:
-        list_age: Time since the known list was last known to match the store.
+        list_age: Time since the known list was read from the store.
         missing: Number of known servers without an entry.
         survived: Number of known servers whose entries were never removed.
     """
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -50,7 +50,10 @@
         servers_listed: Whether a server list has ever been received.
         watches_store: Whether this instance watches the store itself.
         store_unreachable: This instance watches the store and the last call failed.
-        servers_confirmed_at: Time at which the server table last matched the store.
+        servers_confirmed_at: Time at which the server table last matched the store, as
+            far as is known: readers of the failure domain that still read it count.
+        servers_read_at: Time at which what the table holds was read from the store, by
+            this instance or by the peer that it is from.
         configuration_confirmed_at: The same for the configuration.
         kept_until: Until when servers are used whose entries are missing, by id.
     """
@@ -69,6 +72,7 @@
         self.watches_store = False
         self.store_unreachable = False
         self.servers_confirmed_at = datetime.timedelta()
+        self.servers_read_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
         self.kept_until: abc.Mapping[str, datetime.timedelta] = {}
         self._loads: dict[str, engine_loads.EngineLoads] = {}
@@ -146,8 +150,9 @@
         return True
 
     def confirm_servers(self, at: datetime.timedelta) -> None:
-        """Record that the server table matched the store at this time."""
+        """Record that the server table was read from the store at this time."""
         self.servers_confirmed_at = max(self.servers_confirmed_at, at)
+        self.servers_read_at = max(self.servers_read_at, at)
 
     def mark_leaving(self, server: servers.Server) -> None:
         """Apply that a listed server has said that it leaves."""
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -246,8 +246,8 @@
         )
 
     def _list_age(self) -> datetime.timedelta:
-        """Return the time since the list was known to match the store."""
-        return self._clock.monotonic() - self._fleet.servers_confirmed_at
+        """Return the time since the known list was read from the store."""
+        return self._clock.monotonic() - self._fleet.servers_read_at
 
     def _log_kept(self, kept: list[servers.Server], listing: store.Listing) -> None:
         _log.warn(
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -80,7 +80,8 @@
         else:
             # Readers that lose the store withdraw their offers.
             confirmed_at = max(reader.last_seen for reader in readers)
-            self._fleet.servers_confirmed_at = confirmed_at
+            if not self._is_behind():
+                self._fleet.servers_confirmed_at = confirmed_at
             self._fleet.configuration_confirmed_at = confirmed_at
             if now - self._needed_at >= _STOP_DELAY:
                 self._stop()
@@ -89,6 +90,11 @@
             watch.unreachable for watch in self._watches
         )
 
+    def _is_behind(self) -> bool:
+        """Return whether a peer has a newer list of servers."""
+        revision = self._fleet.servers_revision
+        return any(peer.beacon.servers > revision for peer in self._table.live())
+
     def _start(self) -> None:
         if self._running:
             return
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -66,6 +66,18 @@
     Then outage: "i0" has listed the servers
     And outage: "i0" does not use "s1"
 
+  # Guards against servers that are dropped by an instance which only hears of readers.
+  Scenario: Readers that have read the store again do not renew a list behind theirs
+    Given outage: 6 servers and 2 instances
+    When outage: "i0" is cut off from the store
+    And outage: "i0" hears no peer any more
+    And outage: 5 seconds pass
+    And outage: most entries expire
+    And outage: "i0" hears that readers of its failure domain have read the store
+    And outage: "i0" reaches the store again
+    Then outage: "i0" has listed the servers
+    And outage: "i0" uses servers that are not listed
+
   # Guards against a server that left and is kept since one instance missed it.
   Scenario: A server that left while one instance was cut off is not kept by that one
     Given outage: 6 servers and 3 instances
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -247,6 +247,14 @@
     assert used <= listed, used - listed
 
 
+@behave.when(
+    'outage: "{name}" hears that readers of its failure domain have read the store'
+)
+def hears_of_readers(context, name):
+    fleet = context.world.instances[name].fleet
+    fleet.servers_confirmed_at = context.world.clock.monotonic()
+
+
 @behave.then(
     "outage: with a list of {age:g} s, {missing:d} missing and {survived:d} survived"
     " entries may {expired} expired"
@@ -264,7 +272,7 @@
 @behave.then('outage: the list of "{name}" is older than {seconds:g} seconds')
 def older(context, name, seconds):
     fleet = context.world.instances[name].fleet
-    age = context.world.clock.monotonic() - fleet.servers_confirmed_at
+    age = context.world.clock.monotonic() - fleet.servers_read_at
     assert age > datetime.timedelta(seconds=seconds), age
 
 
