Keep the connections that a relay could not open with the logs of a failed soak

Two requests at the start of a soak run were closed without a byte, and nothing tells whether the gateway or the relay in front of it closed them.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -47,7 +47,12 @@
 
 
 class Relays:
-    """All relays of a scenario, in a thread with an event loop of its own."""
+    """All relays of a scenario, in a thread with an event loop of its own.
+
+    Attributes:
+        failures: Connections that were closed at once since the target was not reached,
+            with the relay's name and the reason.
+    """
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
@@ -58,6 +63,7 @@
         self._connections: dict[str, list[_Connection]] = {}
         self._cuts_changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
+        self.failures: list[str] = []
 
     def start(
         self, name: str, listen: tuple[str, int], target: tuple[str, int]
@@ -137,7 +143,8 @@
             server_reader, server_writer = await asyncio.open_connection(
                 *target, local_addr=(source, 0)
             )
-        except OSError:
+        except OSError as error:
+            self.failures.append(f"{name}: {error!r}")
             writer.close()
             return
         connection = _Connection((writer, server_writer))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -143,7 +143,7 @@
             f"only {succeeded} of {len(after_faults)} were served after the faults"
         )
     if violations:
-        _save_failure(seed, disabled_safeguard, violations, logs)
+        _save_failure(seed, disabled_safeguard, violations, logs, world.relays.failures)
     served = sum(attempt.status == 200 and attempt.complete for attempt in attempts)
     return Result(
         seed,
@@ -190,13 +190,14 @@
     await asyncio.gather(*tasks)
 
 
-def _save_failure(seed, disabled, violations, logs):
+def _save_failure(seed, disabled, violations, logs, relay_failures):
     folder = (
         FAILURES_FOLDER / f"seed-{seed}{'' if disabled is None else '-' + disabled}"
     )
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     (folder / "violations.txt").write_text("\n".join(violations), encoding="utf-8")
+    (folder / "relays.txt").write_text("\n".join(relay_failures), encoding="utf-8")
     for name, text in logs.items():
         (folder / f"{name}.log").write_text(text, encoding="utf-8")
 
