Add speeds and outstanding calls of servers to the demands in beacons

Cause: speeds of engines and calls outstanding at plain servers are learned by each instance alone; sixty instances before forty-five engines have some eight prompts each for an engine in a minute. Both are to be shared, and the parts that use them are built side by side, so the format comes first.

The rows of demands take two further columns if there is anything to tell. The release before reads four columns and ignores the rest, so no beacon is lost while two releases run side by side; a field at the end of the beacon would have been refused by it.

Nothing sends the columns yet.

--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -39,6 +39,7 @@
     ]
     crash_reports = [_crash_report_row(item, engines) for item in beacon.crash_reports]
     part_reports = [_crash_report_row(item, engines) for item in beacon.part_reports]
+    demands = [_demand_row(item, engines) for item in beacon.demands]
     server_limits = [
         [engines.number(item.server), item.millihertz, item.age_ms]
         for item in beacon.server_limits
@@ -56,7 +57,7 @@
         [[engine.server_id, engine.started_ms] for engine in engines.numbered],
         loads,
         cached,
-        [[d.service, d.prefill, d.decode, d.prefill_rate] for d in beacon.demands],
+        demands,
         totals,
         stage_changes,
         [beacon.chunk.number, beacon.chunk.count],
@@ -108,6 +109,59 @@
     )
 
 
+def _demand_row(demand: beacons.Demand, engines: _EngineNumbering) -> list[typing.Any]:
+    """Return the row of a demand.
+
+    Instances of the release without speeds and calls ignore columns beyond the fourth.
+    """
+    row = [demand.service, demand.prefill, demand.decode, demand.prefill_rate]
+    if not demand.speeds and not demand.calls:
+        return row
+    speeds = [
+        [
+            engines.number(item.server),
+            item.prefill_rate,
+            item.event_gap_us,
+            item.samples,
+        ]
+        for item in demand.speeds
+    ]
+    calls = [
+        [engines.number(item.server), item.outstanding, item.avoided_ms]
+        for item in demand.calls
+    ]
+    return [*row, speeds, calls]
+
+
+def _demand(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> beacons.Demand:
+    prefill, decode, prefill_rate = fields.counts(row[1:4])
+    speeds, calls = row[4:6] or ((), ())
+    return beacons.Demand(
+        fields.text(row[0]),
+        prefill,
+        decode,
+        prefill_rate,
+        tuple(_server_speed(item, engines) for item in speeds),
+        tuple(_call_load(item, engines) for item in calls),
+    )
+
+
+def _server_speed(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> beacons.ServerSpeed:
+    number, prefill_rate, event_gap_us, samples = fields.counts(row)
+    return beacons.ServerSpeed(engines[number], prefill_rate, event_gap_us, samples)
+
+
+def _call_load(
+    row: typing.Any, engines: abc.Sequence[servers.Incarnation]
+) -> beacons.CallLoad:
+    number, outstanding, avoided_ms = fields.counts(row)
+    return beacons.CallLoad(engines[number], outstanding, avoided_ms)
+
+
 def _engine(row: typing.Any) -> servers.Incarnation:
     server_id, started_ms = row
     return servers.shared_incarnation(
@@ -144,10 +198,7 @@
             tuple(_member(row) for row in rows[8]),
             tuple(_load(row, engines) for row in rows[10]),
             tuple(_cached_prefix(row, engines) for row in rows[11]),
-            tuple(
-                beacons.Demand(fields.text(row[0]), *fields.counts(row[1:4]))
-                for row in rows[12]
-            ),
+            tuple(_demand(row, engines) for row in rows[12]),
             tuple(_load(row, engines) for row in rows[13]),
             tuple(
                 beacons.StageChange(
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -15,6 +15,7 @@
 __all__ = [
     "Beacon",
     "CachedPrefix",
+    "CallLoad",
     "CrashReport",
     "Demand",
     "Leader",
@@ -22,6 +23,7 @@
     "Member",
     "Reader",
     "ServerLimit",
+    "ServerSpeed",
     "StageChange",
     "TotalsChunk",
     "passed_on_age_ms",
@@ -90,20 +92,58 @@
     remaining_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSpeed:
+    """Speed of one engine as the sender has learned it.
+
+    Attributes:
+        server: The engine.
+        prefill_rate: Prompt tokens a second that it prefills; 0 if not known.
+        event_gap_us: Time between two events of its streams, in microseconds; 0 if
+            not known.
+        samples: Number of answers that the figures rest on.
+    """
+
+    server: servers.Incarnation
+    prefill_rate: int
+    event_gap_us: int
+    samples: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallLoad:
+    """Calls that the sender has outstanding at one server of a plain service.
+
+    Attributes:
+        server: The server.
+        outstanding: Number of calls without a response.
+        avoided_ms: How much longer the sender avoids the server after failures.
+    """
+
+    server: servers.Incarnation
+    outstanding: int
+    avoided_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """Demand of clients on a service at the sender, in tokens a second.
+    """Demand of clients on a service at the sender, and what it knows of the servers.
 
     Attributes:
-        prefill: Prompt tokens to prefill.
-        decode: Tokens to decode.
+        service: Name of the service.
+        prefill: Prompt tokens to prefill a second; 0 for a plain service.
+        decode: Tokens to decode a second; 0 for a plain service.
         prefill_rate: Prompt tokens a second that one engine prefills, as learned.
+        speeds: Speeds of some of its engines, if they differ.
+        calls: Load of its servers, for a plain service.
     """
 
     service: str
     prefill: int
     decode: int
     prefill_rate: int
+    speeds: tuple[ServerSpeed, ...] = ()
+    calls: tuple[CallLoad, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/routes_logic.feature
+++ b/tests/features/routes_logic.feature
@@ -133,6 +133,17 @@
 
   Scenario: A beacon comes back as it was sent
     Then a beacon with loads, cached parts and demands decodes as it was encoded
+    And its demands keep the columns that the release before reads
+
+  # Guards against one peer's bad figures that make an engine look infinitely fast.
+  Scenario Outline: A beacon with a speed that is no count is dropped
+    Then a beacon whose speed of an engine is <value> is malformed
+
+    Examples:
+      | value    |
+      | missing  |
+      | negative |
+      | a text   |
 
   # Words of the platform outside the adapter would have to be changed in many places
   # when the platform changes one.
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -403,7 +403,17 @@
         loads=(beacons.Load(P1, (0, 5), 2, 900),),
         cached=(beacons.CachedPrefix(P1, 17, 800),),
         crash_reports=(beacons.CrashReport(99, P1, False, 3),),
-        demands=(beacons.Demand("lm", 1000, 50, 45_000),),
+        demands=(
+            beacons.Demand("lm", 1000, 50, 45_000),
+            beacons.Demand(
+                "narrator",
+                1000,
+                50,
+                45_000,
+                speeds=(beacons.ServerSpeed(P1, 46_000, 66_000, 12),),
+            ),
+            beacons.Demand("desk", 0, 0, 0, calls=(beacons.CallLoad(P1, 3, 250),)),
+        ),
         totals=(beacons.Load(servers.Incarnation("p2", 5), (7,), 1, 20),),
         stage_changes=(beacons.StageChange(P1, servers.Stage.DECODE, 900),),
     )
@@ -414,6 +424,24 @@
     assert beacon_codec.decode(beacon_codec.encode(a_beacon())) == a_beacon()
 
 
+@behave.then("its demands keep the columns that the release before reads")
+def columns_of_release_before(context):
+    rows = cbor2.loads(beacon_codec.encode(a_beacon()))[12]
+    assert [row[:4] for row in rows] == [
+        ["lm", 1000, 50, 45_000],
+        ["narrator", 1000, 50, 45_000],
+        ["desk", 0, 0, 0],
+    ], rows
+
+
+@behave.then("a beacon whose speed of an engine is {value} is malformed")
+def bad_speed(context, value):
+    rows = cbor2.loads(beacon_codec.encode(a_beacon()))
+    rows[12][1][4][0][1] = {"missing": None, "negative": -1, "a text": "fast"}[value]
+    decoded = beacon_codec.decode(cbor2.dumps(rows))
+    assert isinstance(decoded, beacon_codec.Malformed), decoded
+
+
 @behave.then("no module outside the adapter holds a name of the platform's wire")
 def names_only_in_adapter(context):
     found = []
