Ask the loads of a service for the speed of one engine

Both figures are today's: the rate of the whole service and the engine's own mean gap, so nothing is decided otherwise.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -276,6 +276,17 @@
             faster = overhead < self.overhead_ms
             self.overhead_ms *= 1 + (-_FASTER_STEP if faster else _SLOWER_STEP)
 
+    def prefill_rate_of(self, engine: EngineLoad) -> float:
+        """Return the prompt tokens that an engine prefills in a millisecond."""
+        return self.prefill_rate
+
+    def event_gap_of(self, engine: EngineLoad) -> float:
+        """Return the time between events of an engine's streams in milliseconds.
+
+        It is 0 if no stream of the engine has been observed.
+        """
+        return engine.event_gap_ms
+
     def prefill_cost(self, tokens: int) -> float:
         """Return the prefill time of a prompt, in tokens at the learned rate."""
         return tokens + self.overhead_ms * self.prefill_rate
