--- a/src/pimentolatch/decisions/silent_servers.py
+++ b/src/pimentolatch/decisions/silent_servers.py
@@ -127,6 +127,10 @@
         until = self._avoided.get(server)
         return until is not None and now < until
 
+    def avoided_count(self, now: datetime.timedelta) -> int:
+        """Return the number of servers that are avoided now."""
+        return sum(now < until for until in self._avoided.values())
+
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget servers that are not listed any more."""
         for known in (self._own, self._answered_at, self._avoided):
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -190,6 +190,7 @@
                 self._shutdown,
                 self._flow,
                 self._monitor,
+                self._silence,
                 time,
             )
         )
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -21,6 +21,7 @@
     quarantine,
     reachability_monitor,
     request_log,
+    silence_exchange,
 )
 
 __all__ = ["MetricsEndpoint", "RouteMetrics", "StateCollector"]
@@ -198,6 +199,7 @@
         shutdown: Counts the requests in flight.
         flow: What servers have asked for.
         monitor: Knows what this instance has lost the path to.
+        silence: Knows which servers instances of this domain found silent.
         time: Clock of this instance.
     """
 
@@ -210,9 +212,11 @@
         shutdown: graceful_shutdown.GracefulShutdown,
         flow: flow_control.FlowControl,
         monitor: reachability_monitor.ReachabilityMonitor,
+        silence: silence_exchange.SilenceExchange,
         time: clock.Clock,
     ) -> None:
         self._monitor = monitor
+        self._silence = silence
         self._clock = time
         self._fleet = fleet
         self._peers = peers
@@ -287,6 +291,11 @@
                 "Services to which there is no path from here.",
                 len(self._monitor.cut_off_services),
             ),
+            (
+                "avoided_servers",
+                "Servers that instances of this failure domain found silent.",
+                self._silence.avoided_count,
+            ),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
--- a/src/pimentolatch/gateway/silence_exchange.py
+++ b/src/pimentolatch/gateway/silence_exchange.py
@@ -44,6 +44,11 @@
         self._shared = shared
         self._known = silent_servers.SilentServers(own_name)
 
+    @property
+    def avoided_count(self) -> int:
+        """Number of servers that are avoided now."""
+        return self._known.avoided_count(self._clock.monotonic())
+
     def observe(self, client: dispatch.ServerClient) -> None:
         """Learn from the answers to a client's requests, and from their absence."""
         client.on_answer(self._record_answer)
