Say that an instance is ready only once it listens for clients

Cause: start opened the readiness port before the clients' port, so an instance that knew all it needed answered 200 while clients were refused. A client sent there in that moment lost its connection without a byte.

The order is swapped.

--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -336,8 +336,9 @@
         if self._metrics_server is not None:
             await self._metrics_server.start()
         await self._peer_face.start()
-        await self._readiness.start()
         await self._face.start()
+        # Last, or the load balancer could send clients before they can connect.
+        await self._readiness.start()
         _log.info("started", failure_domain=self._settings.failure_domain)
 
     def apply(self, chosen: settings.GatewaySettings) -> None:
--- a/tests/features/routes_serving.feature
+++ b/tests/features/routes_serving.feature
@@ -214,3 +214,9 @@
     When routes: it asks for "print" as the time for the balancer is over
     Then routes: the status is 200
     And routes: "r1" ran 1 time
+
+  # Guards against clients that are sent to a new instance before it listens for them,
+  # and are refused.
+  Scenario: An instance that does not listen for clients does not say it is ready
+    When routes: an instance knows all it needs while its clients' port refuses them
+    Then routes: its readiness check does not succeed
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -1,8 +1,11 @@
 import asyncio
 import collections
+import socket
 
 import behave
 
+from pimentolatch import clock
+from pimentolatch.gateway import process
 from tests.support import route_world
 
 # Longer than a prompt may take to be read before another engine is tried.
@@ -474,3 +477,38 @@
         await context.stop
 
     context.run(ask())
+
+
+@behave.when(
+    "routes: an instance knows all it needs while its clients' port refuses them"
+)
+def instance_without_clients_port(context):
+    context.run(start_without_clients_port(context.world))
+
+
+async def start_without_clients_port(world):
+    """Start an instance whose clients' port is bound to a socket that never listens."""
+    name, host = "deaf", "127.0.0.2"
+    with socket.socket() as taken:
+        taken.bind((host, 0))
+        world.ports[name] = taken.getsockname()[1]
+        world.readiness[name] = route_world.free_port()
+        world.metrics[name] = route_world.free_port()
+        chosen = world.settings(name, host=host)
+        instance = process.GatewayInstance(chosen, clock.SystemClock())
+        world.instances[name] = (host, instance)
+        try:
+            await instance.start()
+        except OSError:
+            await world.until(lambda: instance.fleet.complete)
+            return
+    raise AssertionError("the clients' port was free")
+
+
+@behave.then("routes: its readiness check does not succeed")
+def not_ready(context):
+    try:
+        status = context.run(context.world.ask_ready("deaf"))
+    except ConnectionRefusedError:
+        return
+    assert status != 200, status
