Report what made an answer late

Cause: neither log nor metrics told which part of its way made an answer late, so nobody could tell a full queue from a slow engine or a pause.

decisions.lateness divides the time to the first event into phases and puts a late answer down to the longest, or, if it began in time, to its longest gap. One line (late) and one counter (late_answers, by cause and route) for each; explain shows them. Ruled out: several causes for one answer (counts don't add up), comparison with the prediction (it has no parts; it is in the line), asking engines (a call for each prompt).

Nothing is decided by it.

The stand-in server got a delay between head and first event; no check of a test changed.

--- a/src/pimentolatch/cli/explanation.py
+++ b/src/pimentolatch/cli/explanation.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from pimentolatch import results
+from pimentolatch.decisions import lateness
 from pimentolatch.gateway import request_log
 
 __all__ = ["Line", "explain", "read_lines"]
@@ -120,9 +121,25 @@
 
 
 def _late(lines: abc.Sequence[Line]) -> str:
+    late = [line for line in lines if line.event == request_log.LATE]
+    if late:
+        return _lateness(late[-1])
     slow = [line for line in lines if line.event == request_log.SENT]
     if not slow:
         return ""
     longest = max(slow, key=lambda line: int(line.fields.get("ms", 0)))
     took, server = longest.fields.get("ms"), longest.fields.get("server")
     return f"; the longest step was {longest.fields['what']} at {server}, {took} ms"
+
+
+def _lateness(line: Line) -> str:
+    """Return by how much an answer was late, why, and the time of each phase."""
+    fields = line.fields
+    phases = (phase.value.replace(" ", "_") for phase in lateness.Phase)
+    times = [
+        f"{phase} {took} ms" for phase in phases if (took := fields.get(f"{phase}_ms"))
+    ]
+    if gap := fields.get("gap_ms"):
+        times.append(f"longest gap {gap} ms")
+    cause, over = fields.get("cause"), fields.get("over_ms")
+    return f"; late by {over} ms, cause {cause} ({', '.join(times)})"
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -5,7 +5,7 @@
 import datetime
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import part_suspects, placement_types
+from pimentolatch.decisions import lateness, part_suspects, placement_types
 from pimentolatch.gateway import (
     client_request,
     dispatch,
@@ -74,6 +74,7 @@
             # If the deadline passes before the outcome is known, the engine may be
             # decoding, so the client must not be told that the request did not run.
             progress.outcome_pending = True
+            self._begin_phase(generation, prefilled, sent_at)
             opened = await self._open(generation, prefilled)
             progress.outcome_pending = False
             progress.withheld = isinstance(opened, dispatch.Withheld)
@@ -84,9 +85,13 @@
                     opened, dispatch.OutcomeUnknown
                 )
             if not isinstance(opened, dispatch.OpenResponse):
+                progress.trace.timeline.dispatch_failed(self._context.clock.monotonic())
                 finished = self._record_failure(generation, opened, sent_at)
                 await self._context.check_path(request, progress, engine.server, opened)
                 return finished
+            if prefilled is not None:
+                now = self._context.clock.monotonic()
+                progress.trace.timeline.enter(lateness.Phase.FIRST_EVENT, now)
             with self._context.client.returned_to_pool(engine.server, opened):
                 return await self._relay_response(generation, opened, sent_at)
         finally:
@@ -94,6 +99,28 @@
             engine.kv_tokens -= reserved_tokens
             engine.prefill_tokens[place.level] -= generation.unprefilled
 
+    def _begin_phase(
+        self,
+        generation: request_progress.Generation,
+        prefilled: request_progress.PrefilledPrompt | None,
+        now: datetime.timedelta,
+    ) -> None:
+        """Begin the phase of a decode dispatch, which may include the prefill."""
+        request, progress = generation.request, generation.progress
+        engine = generation.place.engine
+        progress.trace.writer = engine.server.server_id
+        if prefilled is not None:
+            progress.trace.timeline.enter(lateness.Phase.TRANSFER, now)
+            return
+        progress.trace.reader = progress.trace.writer
+        own_work = request_progress.prefill_time(
+            self._context.loads(request),
+            engine,
+            generation.prefill_tokens,
+            colocated=True,
+        )
+        progress.trace.timeline.enter(lateness.Phase.PREFILL, now, own_work)
+
     async def _open(
         self,
         generation: request_progress.Generation,
--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -58,6 +58,7 @@
         self._measure()
         await self._start()
         await self._response.write(b"".join(event.data for event in events))
+        self._progress.trace.timeline.written(self._clock.monotonic())
         self._progress.last_event = events[-1].number or self._progress.last_event
 
     async def finish(self) -> None:
@@ -82,3 +83,4 @@
         else:
             self._metrics.pause((now - progress.last_event_at).total_seconds())
         progress.last_event_at = now
+        progress.trace.timeline.answered(now)
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -8,13 +8,14 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import repeat_budget, server_choice, wait_policy
+from pimentolatch.decisions import lateness, repeat_budget, server_choice, wait_policy
 from pimentolatch.gateway import (
     client_request,
     dispatch,
     dispatch_check,
     fleet_state,
     flow_control,
+    late_answers,
     peer_forwarder,
     quarantine,
     reachability_monitor,
@@ -90,6 +91,16 @@
         response: client_request.ClientResponse,
     ) -> None:
         """Forward a request and write its response."""
+        trace = late_answers.Trace(lateness.Timeline(request.arrived_at))
+        await self._run(request, response, trace)
+        late_answers.report(self._request_log, request, response, trace)
+
+    async def _run(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        trace: late_answers.Trace,
+    ) -> None:
         service = request.service.name
         tried: set[servers.Incarnation] = set()
         attempts = possible_runs = dispatches = 0
@@ -106,9 +117,12 @@
             if not is_charged and not repeats.spend():
                 break
             if self._peers.may_forward(request):
-                forwarded = await self._forward(request, response, possible_runs)
+                forwarded = await self._forward(
+                    request, response, possible_runs, trace.timeline
+                )
                 if forwarded is None:
                     return
+                trace.timeline.dispatch_failed(self._clock.monotonic())
                 if isinstance(forwarded, dispatch.OutcomeUnknown):
                     last = outcome = forwarded
                     attempts += 1
@@ -139,6 +153,7 @@
                 functools.partial(self._may_leave, server, request, tried, repeats)
                 if may_leave
                 else _stay,
+                trace,
                 new_connection=unanswered,
             )
             unanswered |= isinstance(outcome, dispatch.OutcomeUnknown)
@@ -181,8 +196,10 @@
         request: client_request.ClientRequest,
         response: client_request.ClientResponse,
         possible_runs: int,
+        timeline: lateness.Timeline,
     ) -> peer_forwarder.NotForwarded | dispatch.OutcomeUnknown | None:
         """Have a peer serve a request; None if its response is finished."""
+        timeline.enter(lateness.Phase.PEER, self._clock.monotonic())
         left = request.deadline - self._clock.monotonic() - dispatch.RETURN_TIME
         try:
             async with (
@@ -196,6 +213,7 @@
             return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
         except channel.BrokenError as error:
             return dispatch.OutcomeUnknown(str(error))
+        timeline.answered(self._clock.monotonic())
         whole = dispatch.FullResponse(opened.status, opened.head, body)
         if opened.refusal is None:
             if not _genuine(whole):
@@ -360,10 +378,13 @@
         server: servers.Server,
         request: client_request.ClientRequest,
         may_leave: abc.Callable[[], bool],
+        trace: late_answers.Trace,
         *,
         new_connection: bool,
     ) -> _Outcome:
         now = self._clock.monotonic()
+        trace.writer = server.server_id
+        trace.timeline.enter(lateness.Phase.SERVER, now)
         listed = self._fleet.server_list_status(now)
         kept_ms = self._fleet.kept_ms(now, server.server_id)
         left = request.deadline - now - dispatch.RETURN_TIME
@@ -380,6 +401,10 @@
             self._choice.end(server, self._clock.monotonic(), failed=failed)
         if isinstance(outcome, dispatch.FullResponse) and not _genuine(outcome):
             outcome = dispatch.OutcomeUnknown("a success without the server's proof")
+        if _final(outcome):
+            trace.timeline.answered(self._clock.monotonic())
+        else:
+            trace.timeline.dispatch_failed(self._clock.monotonic())
         self._request_log.write(
             request_log.SENT,
             request.request_id,
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -5,7 +5,12 @@
 
 import logbook
 
-from pimentolatch.decisions import engine_loads, placement_types, wait_policy
+from pimentolatch.decisions import (
+    engine_loads,
+    lateness,
+    placement_types,
+    wait_policy,
+)
 from pimentolatch.gateway import (
     client_request,
     dispatch,
@@ -66,6 +71,9 @@
             prefill_only=True,
             kv_source=request_progress.address_of(place.kv_source),
         )
+        own_work = request_progress.prefill_time(loads, engine, place.tokens)
+        progress.trace.reader = engine.server.server_id
+        progress.trace.timeline.enter(lateness.Phase.PREFILL, sent_at, own_work)
         ahead = engine.total_prefill_tokens(sent_at, place.level)
         engine.prefill_tokens[place.level] += cost
         try:
@@ -99,6 +107,7 @@
             progress.reason = f"prompt not read: {dispatch.describe(outcome)}"
             await self._context.check_path(request, progress, engine.server, outcome)
             return None
+        progress.trace.timeline.enter(lateness.Phase.HELD, now)
         if progress.prefilled_before:
             progress.dispatches += 1
         progress.prefilled_before = True
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -13,6 +13,7 @@
     "DOUBTED",
     "EVENTS",
     "FORWARDED",
+    "LATE",
     "PLACED",
     "RESUMED",
     "SENT",
@@ -29,6 +30,7 @@
 DOUBTED = "doubted"
 RESUMED = "resumed"
 FORWARDED = "forwarded"
+LATE = "late"
 ANSWERED = "answered"
 # Every event with its fields; `explain` parses them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
@@ -48,6 +50,12 @@
     ),
     RESUMED: ("origin", "outcome", "ms"),
     FORWARDED: ("peer", "outcome", "ms"),
+    LATE: (
+        *("cause", "over_ms", "route", "customer", "size", "reader", "writer"),
+        *("first_ms", "gap_ms", "placed_ms", "expected_ms"),
+        *("held_ms", "queue_ms", "prefill_ms", "transfer_ms", "first_event_ms"),
+        *("server_ms", "retry_ms", "peer_ms"),
+    ),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
         *("digest", "cut"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -18,6 +18,7 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    late_answers,
     peer_forwarder,
     quarantine,
     reachability_monitor,
@@ -44,6 +45,7 @@
     "finish_with_refusal",
     "first_event_limit",
     "may_dispatch",
+    "prefill_time",
 ]
 
 # Placements that are tried for one request: declined ones count, those whose permit
@@ -167,6 +169,7 @@
 
     Attributes:
         size: Size class of its prompt among those of its route.
+        trace: Tells why its answer was late.
         failed: Engines that failed or declined it.
         possible_runs: Engines that may have started to decode.
         outcome_pending: A dispatch is in flight whose outcome is not known yet.
@@ -189,6 +192,7 @@
     """
 
     size: prompt_sizes.SizeClass
+    trace: late_answers.Trace
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
     outcome_pending: bool = False
@@ -314,6 +318,19 @@
     return min(request.deadline, request.arrived_at + gap)
 
 
+def prefill_time(
+    loads: engine_loads.EngineLoads,
+    engine: engine_loads.EngineLoad,
+    tokens: int,
+    *,
+    colocated: bool = False,
+) -> datetime.timedelta:
+    """Return the time of a prefill without a queue, at the learned rate."""
+    milliseconds = loads.prefill_cost(tokens) / loads.prefill_rate_of(engine)
+    slowdown = engine_loads.COLOCATED_SLOWDOWN if colocated else 1.0
+    return datetime.timedelta(milliseconds=slowdown * milliseconds)
+
+
 def address_of(engine: engine_loads.EngineLoad | None) -> settings.Address | None:
     """Return an engine's address, or None if there is no engine."""
     return None if engine is None else engine.server.address
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -68,6 +68,12 @@
             "Requests that were answered at once, since servers ended under them.",
             registry=self.registry,
         )
+        self._late = prometheus_client.Counter(
+            _PREFIX + "late_answers",
+            "Answers that missed their route's target, by what took longest.",
+            ["cause", "route"],
+            registry=self.registry,
+        )
         self._cut = prometheus_client.Counter(
             _PREFIX + "cut_answers",
             "Answers whose connection this instance closed before their end.",
@@ -129,6 +135,8 @@
             self._stall_checks.labels(fields["verdict"]).inc()
         elif event == request_log.RESUMED:
             self._resumptions.labels(fields["outcome"]).inc()
+        elif event == request_log.LATE:
+            self._late.labels(fields["cause"], fields["route"]).inc()
         elif event == request_log.PLACED:
             self._count_placement(fields)
 
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -6,6 +6,7 @@
 from pimentolatch import clock
 from pimentolatch.decisions import (
     demand_rate,
+    lateness,
     placement_types,
     prompt_sizes,
     repeat_budget,
@@ -18,6 +19,7 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    late_answers,
     peer_forwarder,
     prefill_client,
     prompt_placer,
@@ -110,6 +112,7 @@
         size = self._sizes.classify(request.route.name, request.head.prompt.tokens)
         progress = request_progress.Progress(
             size,
+            late_answers.Trace(lateness.Timeline(request.arrived_at), size),
             last_event=request.head.last_event,
             usage_counted=request.forwarded is not None and request.forwarded.started,
         )
@@ -121,6 +124,7 @@
                 response.status,
                 whole=response.outcome == client_request.PASSED_ON,
             )
+            late_answers.report(self._context.log, request, response, progress.trace)
 
     async def _run(
         self,
@@ -140,6 +144,8 @@
                 while progress.placements < request_progress.MAX_PLACEMENTS:
                     if await self._attempt(request, response, progress):
                         return
+                    now = self._context.clock.monotonic()
+                    progress.trace.timeline.dispatch_failed(now)
                     progress.placements += not progress.withheld
         except TimeoutError:
             await self._deadline_exceeded(request, response, progress)
@@ -182,6 +188,8 @@
         if isinstance(place, placement_types.Infeasible):
             progress.retry_after = place.retry_after
             return await self._give_up(response, progress)
+        now = self._context.clock.monotonic()
+        progress.trace.timeline.placed(now, place.expected)
         if await self._refused(request, response, progress):
             return True
         if not self._may_send(request, progress):
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -1,7 +1,7 @@
 """Has a peer serve a stream request, or the rest of one."""
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import repeat_budget
+from pimentolatch.decisions import lateness, repeat_budget
 from pimentolatch.gateway import (
     client_request,
     dispatch,
@@ -50,6 +50,7 @@
         if progress.last_event > request.head.last_event:
             resumed = http_headers.Resumption(progress.last_event, request.origin_id)
         progress.outcome_pending = True
+        progress.trace.timeline.enter(lateness.Phase.PEER, now)
         async with self._context.peers.open(
             request,
             possible_runs=progress.possible_runs,
@@ -57,6 +58,7 @@
         ) as opened:
             progress.outcome_pending = False
             if isinstance(opened, peer_forwarder.NotForwarded):
+                progress.trace.timeline.dispatch_failed(self._context.clock.monotonic())
                 return None
             progress.dispatches += 1
             if isinstance(opened, dispatch.OutcomeUnknown):
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -82,6 +82,7 @@
         started_ms: Unix time of its start in milliseconds; None if not reported.
         event_count: Number of events of a stream.
         event_pause_s: Time between two events of a stream.
+        first_event_delay_s: Time from the head of a stream to its first event.
         cuts_new_streams: Whether it cuts each stream that begins with its first event.
         restart_before_order: Whether it restarts after its next report.
         queued, running: Ids of queued and running requests, for its report.
@@ -126,6 +127,7 @@
         self.started_ms: int | None = None
         self.event_count = EVENT_COUNT
         self.event_pause_s = EVENT_PAUSE_S
+        self.first_event_delay_s = 0.0
         self.cuts_new_streams = False
         self.restart_before_order = False
         self.queued: set[str] = set()
@@ -374,6 +376,7 @@
         if fault == "from the start":
             first = 1
         await connection.send_head(200, fields)
+        await asyncio.sleep(self.first_event_delay_s)
         if self.fatal_parts & request.parts:
             await asyncio.sleep(_CRASH_DELAY_S)
             self.crash()
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -30,6 +30,7 @@
       | was left by its client          | the client left                |
       | was answered by a failing server | the server answered 500       |
       | was served                      | none                           |
+      | was served late                 | late by 120 ms, cause queue (held 2 ms, queue 400 ms, prefill 90 ms, longest gap 30 ms) |
       | no instance has heard of        | no line names this request     |
 
   Scenario: Lines of others and of no meaning are passed over
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -145,6 +145,20 @@
         line(1, "sent", server="a1", what="run", outcome="answered 200", ms=20),
         line(1.02, "answered", status=200, outcome="passed on"),
     ],
+    "was served late": [
+        line(1, "placed", reader="p1", writer="d1", expected_ms=100),
+        line(
+            1.52,
+            "late",
+            cause="queue",
+            over_ms=120,
+            held_ms=2,
+            queue_ms=400,
+            prefill_ms=90,
+            gap_ms=30,
+        ),
+        line(1.6, "answered", status=200, outcome="passed on"),
+    ],
     "no instance has heard of": [],
 }
 
