Count why connections to servers are opened

Ruled out as causes: resets, Connection: close, clients that leave.

decisions.connection_reuse names the reason, a counter tells it. Which connection a request may use is unchanged.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -15,6 +15,7 @@
 
 from pimentolatch import settings
 from pimentolatch.backend import delivery_timer, sockets
+from pimentolatch.decisions import connection_reuse
 
 __all__ = [
     "ResponseHead",
@@ -330,6 +331,15 @@
     channel: Channel
     since: datetime.timedelta
 
+    def obstacle(
+        self, now: datetime.timedelta, max_idle: datetime.timedelta | None
+    ) -> connection_reuse.Opening | None:
+        """Return why it can't be used; see `connection_reuse.obstacle`."""
+        if not self.channel.idle:
+            return connection_reuse.Opening.EXPIRED
+        keep_alive = self.channel.keep_alive
+        return connection_reuse.obstacle(now - self.since, keep_alive, max_idle)
+
 
 class ChannelPool:
     """Pool of idle connections, by server.
@@ -338,6 +348,7 @@
         connect_limit: Time limit for opening a connection.
         acknowledgement_limit: How long a peer may leave a request without an
             acknowledgement before the connection is reset.
+        on_open: Called with the reason whenever a connection is opened.
     """
 
     def __init__(
@@ -345,7 +356,9 @@
         connect_limit: datetime.timedelta,
         *,
         acknowledgement_limit: datetime.timedelta = _ACKNOWLEDGEMENT_LIMIT,
+        on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
     ) -> None:
+        self._on_open = on_open
         self._connect_limit = connect_limit
         self._acknowledgement_limit = acknowledgement_limit
         self._idle: dict[abc.Hashable, list[_IdleConnection]] = {}
@@ -369,16 +382,18 @@
             reuse: Whether an idle connection may be returned.
         """
         if not reuse:
-            return await self._connect(address)
+            return await self._open(address, connection_reuse.Opening.REQUIRED)
+        why = connection_reuse.Opening.NONE_IDLE
         idle_connections = self._idle.get(server, [])
         while idle_connections:
             entry = idle_connections.pop()
-            idle = now - entry.since
-            recent = max_idle is None or idle <= max_idle
-            if entry.channel.idle and idle < entry.channel.keep_alive and recent:
+            obstacle = entry.obstacle(now, max_idle)
+            if obstacle is None:
                 return entry.channel
+            if why is connection_reuse.Opening.NONE_IDLE:
+                why = obstacle
             entry.channel.close()
-        return await self._connect(address)
+        return await self._open(address, why)
 
     def release(
         self, server: abc.Hashable, channel: Channel, now: datetime.timedelta
@@ -400,6 +415,12 @@
         """Close all idle connections."""
         self.retain(())
 
+    async def _open(
+        self, address: settings.Address, why: connection_reuse.Opening
+    ) -> Channel:
+        self._on_open(why)
+        return await self._connect(address)
+
     async def _connect(self, address: settings.Address) -> Channel:
         return await connect(
             address,
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -9,7 +9,7 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import reachability
+from pimentolatch.decisions import connection_reuse, reachability
 from pimentolatch.gateway import client_request, flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
@@ -163,6 +163,7 @@
         flow: Records what servers ask for in their responses, and permits requests.
         acknowledgement_limit: How long a server may leave a request without an
             acknowledgement before its connection is reset.
+        on_open: Called with the reason whenever a connection is opened.
     """
 
     def __init__(
@@ -171,12 +172,15 @@
         flow: flow_control.FlowControl,
         *,
         acknowledgement_limit: datetime.timedelta,
+        on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
     ) -> None:
         self._clock = time
         self._flow = flow
         self._on_answer: abc.Callable[[servers.Server], None] = lambda server: None
         self._pool = channel.ChannelPool(
-            _CONNECT_TIMEOUT, acknowledgement_limit=acknowledgement_limit
+            _CONNECT_TIMEOUT,
+            acknowledgement_limit=acknowledgement_limit,
+            on_open=on_open,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -72,8 +72,12 @@
         self._fleet = fleet_state.FleetState(self._flow.is_leaving)
         self._flow.on_leaving(self._fleet.mark_leaving)
         bounds = chosen.bounds
+        self._metrics = route_metrics.RouteMetrics()
         self._client = dispatch.ServerClient(
-            time, self._flow, acknowledgement_limit=bounds.acknowledgement_limit
+            time,
+            self._flow,
+            acknowledgement_limit=bounds.acknowledgement_limit,
+            on_open=self._metrics.connection_opened,
         )
         self._server_choice = server_choice.ServerChoice(chosen.failure_domain)
         self._budget = repeat_budget.RepeatBudget(
@@ -87,7 +91,6 @@
             time,
         )
         self._cache_updates = cache_updates.CacheUpdates()
-        self._metrics = route_metrics.RouteMetrics()
         self._request_log = request_log.RequestLog(time, self._metrics)
         self._incarnation = uuid.uuid4().hex
         self._peer_table = peer_table.PeerTable(
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -10,7 +10,7 @@
 from prometheus_client import core, registry
 
 from pimentolatch import clock, results
-from pimentolatch.decisions import prompt_sizes
+from pimentolatch.decisions import connection_reuse, prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
     client_request,
@@ -74,6 +74,12 @@
             ["cause", "route"],
             registry=self.registry,
         )
+        self._connections = prometheus_client.Counter(
+            _PREFIX + "server_connections_opened",
+            "Connections opened to servers, by why no kept one was used.",
+            ["why"],
+            registry=self.registry,
+        )
         self._cut = prometheus_client.Counter(
             _PREFIX + "cut_answers",
             "Answers whose connection this instance closed before their end.",
@@ -158,6 +164,10 @@
             outcome = "failed" if status else "client left"
         self._prompts_ended.labels(outcome, size.value).inc()
 
+    def connection_opened(self, why: connection_reuse.Opening) -> None:
+        """Count a connection that is opened to a server."""
+        self._connections.labels(why.value).inc()
+
     def first_event(self, seconds: float) -> None:
         """Count the first event of a stream."""
         self._first_event.observe(seconds)
