--- a/src/pimentolatch/decisions/lateness.py
+++ b/src/pimentolatch/decisions/lateness.py
@@ -170,10 +170,9 @@
             self._close(now)
             self._first_after = now - self._arrived_at
         else:
-            gap = self._gap(now - self._last_event_at)
-            self._longest_gap = max(
-                self._longest_gap, gap, key=lambda known: known.length
-            )
+            length = now - self._last_event_at
+            if length > self._longest_gap.length:
+                self._longest_gap = self._gap(length)
         self._is_resuming = False
         self._last_event_at = now
 
