--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -82,8 +82,12 @@
         )
         self._flow.on_leaving(self._fleet.mark_leaving)
         bounds = chosen.bounds
+        self._metrics = route_metrics.RouteMetrics()
         self._client = dispatch.ServerClient(
-            time, self._flow, acknowledgement_limit=bounds.acknowledgement_limit
+            time,
+            self._flow,
+            acknowledgement_limit=bounds.acknowledgement_limit,
+            on_open=self._metrics.connection_opened,
         )
         self._silence.observe(self._client)
         self._server_choice = server_choice.ServerChoice(
@@ -100,7 +104,6 @@
             time,
         )
         self._cache_updates = cache_updates.CacheUpdates()
-        self._metrics = route_metrics.RouteMetrics()
         self._request_log = request_log.RequestLog(time, self._metrics)
         self._incarnation = uuid.uuid4().hex
         self._peer_table = peer_table.PeerTable(
@@ -352,8 +355,9 @@
         if self._metrics_server is not None:
             await self._metrics_server.start()
         await self._peer_face.start()
-        await self._readiness.start()
         await self._face.start()
+        # Last, or the load balancer could send clients before they can connect.
+        await self._readiness.start()
         _log.info("started", failure_domain=self._settings.failure_domain)
 
     def apply(self, chosen: settings.GatewaySettings) -> None:
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -10,7 +10,7 @@
 from prometheus_client import core, registry
 
 from pimentolatch import clock, results
-from pimentolatch.decisions import prompt_sizes
+from pimentolatch.decisions import connection_reuse, prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
     client_request,
@@ -69,6 +69,18 @@
             "Requests that were answered at once, since servers ended under them.",
             registry=self.registry,
         )
+        self._late = prometheus_client.Counter(
+            _PREFIX + "late_answers",
+            "Answers that missed their route's target, by what took longest.",
+            ["cause", "route"],
+            registry=self.registry,
+        )
+        self._connections = prometheus_client.Counter(
+            _PREFIX + "server_connections_opened",
+            "Connections opened to servers, by why no kept one was used.",
+            ["why"],
+            registry=self.registry,
+        )
         self._cut = prometheus_client.Counter(
             _PREFIX + "cut_answers",
             "Answers whose connection this instance closed before their end.",
@@ -130,6 +142,8 @@
             self._stall_checks.labels(fields["verdict"]).inc()
         elif event == request_log.RESUMED:
             self._resumptions.labels(fields["outcome"]).inc()
+        elif event == request_log.LATE:
+            self._late.labels(fields["cause"], fields["route"]).inc()
         elif event == request_log.PLACED:
             self._count_placement(fields)
 
@@ -151,6 +165,10 @@
             outcome = "failed" if status else "client left"
         self._prompts_ended.labels(outcome, size.value).inc()
 
+    def connection_opened(self, why: connection_reuse.Opening) -> None:
+        """Count a connection that is opened to a server."""
+        self._connections.labels(why.value).inc()
+
     def first_event(self, seconds: float) -> None:
         """Count the first event of a stream."""
         self._first_event.observe(seconds)
