Hand leadership over before a usage window is late

The leader kept its claim for four seconds after its lease had ended, to 25.3 s. Three things made it worse: the instance next in line waited a second for the one that had just released the lease; a renewal that waited for the store while another task yielded took the lease back at 26.4 s, although peers had been told that it was free; and whoever takes over collected counts for four seconds, so the report went out at 30.5 s, due at 27.0 s.

Changes: two failed calls for a report, or one failed renewal a second after the lease ended, make a leader that is to be there at all times yield; where there is no receiver the four seconds stay. The lease is renewed by one task at a time, each of which looks again whether it may, and a tenure that ended while a call was in flight is released under its latest fence. Whoever releases the lease is not waited for. A notice on the usage socket tells all peers at once who leads or has yielded, and a new leader is answered with all counts at once, so two seconds of collecting suffice. Instances of an earlier version drop the notice with a log line and send within their second.

Ruled out: a successor that takes over sooner from a silent leader. The wait keeps two holders' calls in order, which the platform demands.

Not mended: a leader that is killed is followed ten seconds later, so the window that ended just before is late; what an instance counted in the second before it is killed is lost.

--- a/src/pimentolatch/decisions/leader_election.py
+++ b/src/pimentolatch/decisions/leader_election.py
@@ -60,6 +60,12 @@
         claim = self._claim
         return claim.fence if claim is not None and claim.released else None
 
+    @property
+    def released_host(self) -> str | None:
+        """Host that released leadership; it doesn't try again before its peers."""
+        claim = self._claim
+        return claim.host if claim is not None and claim.released else None
+
     def receive(self, claim: Claim, at: datetime.timedelta) -> None:
         """Store a claim that was made at a time, by this instance's clock.
 
--- a/src/pimentolatch/decisions/usage.py
+++ b/src/pimentolatch/decisions/usage.py
@@ -37,10 +37,10 @@
 # due 5 s after the end of the next window; 2 s of that are left to the successor of a
 # reporter that terminates.
 _MAX_REPORT_DELAY = datetime.timedelta(seconds=7)
-# How long a new reporter first receives the counts of the others, each of which sends
-# them every second once it knows the new reporter. Without this, the few counts that a
-# neighbour of some had cached would pass for those of all.
-_COLLECTION_TIME = datetime.timedelta(seconds=4)
+# How long a new reporter first receives the counts of the others. Without this, the few
+# counts that a neighbour of some had cached would pass for those of all. It asks for
+# them at once and a second later, so that one lost message does not matter.
+_COLLECTION_TIME = datetime.timedelta(seconds=2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +166,10 @@
             if origin != self._own and origin.instance not in live
         ]
 
+    def collecting(self, now: datetime.datetime, since: datetime.datetime) -> bool:
+        """Tell whether a reporter since some time still asks the others for counts."""
+        return now < since + _COLLECTION_TIME
+
     def total(
         self,
         window: int,
--- a/src/pimentolatch/gateway/leadership.py
+++ b/src/pimentolatch/gateway/leadership.py
@@ -1,6 +1,8 @@
 """Leader election: which instance runs the leader tasks, and how peers learn of it."""
 
+import asyncio
 import datetime
+import typing
 
 import logbook
 
@@ -9,16 +11,21 @@
 from pimentolatch.gateway import lease, peer_table
 from pimentolatch.protocol import beacons
 
-__all__ = ["Leadership"]
+__all__ = ["Leadership", "Listener"]
 
 _log = logbook.Logger("tenure")
 _INTERVAL = datetime.timedelta(milliseconds=500)
 # A leader that has failed to renew the lease for this long yields to its peers.
 _MAX_RENEWAL_FAILURE = datetime.timedelta(milliseconds=4000)
+# The same where there is to be a leader at all times. What is due can't wait for a
+# leader that may not act and can't reach the store: two calls that time out suffice.
+_MAX_PERMANENT_RENEWAL_FAILURE = datetime.timedelta(milliseconds=1000)
 # After yielding, this instance does not try again for this many handover gaps, since
 # its peers may reach the store or receiver that it can't reach.
 _ABSTAIN_FACTOR = 3
 
+Listener = typing.Callable[[beacons.Leader], None]
+
 
 class Leadership:
     """Holds the leader lease while this instance is the leader.
@@ -56,6 +63,11 @@
         self._leader_tracker = leader_election.LeaderTracker(self._clock.monotonic())
         self._last_acquired: datetime.timedelta | None = None
         self._abstains_until = datetime.timedelta()
+        # Each leader task renews the lease. One that waits while another one yields
+        # must see that, or it would take back what peers were told is released.
+        self._lock = asyncio.Lock()
+        self._ended_tenures = 0
+        self._listeners: list[Listener] = []
         self.since = time.now()
 
     @property
@@ -90,7 +102,12 @@
             # An earlier incarnation of this instance held the lease, and peers still
             # report it as the leader.
             return True
-        names = [peer.beacon.instance for peer in self._peers.live()]
+        released_by = self._leader_tracker.released_host
+        names = [
+            peer.beacon.instance
+            for peer in self._peers.live()
+            if peer.host != released_by
+        ]
         if self._permanent:
             return self._leader_tracker.should_acquire(self._name, names, now)
         is_first = all(name > self._name for name in names)
@@ -98,18 +115,33 @@
 
     async def acquire(self) -> bool:
         """Acquire or renew the lease; False if another instance may still act."""
-        if not self.should_lead():
-            return False
+        async with self._lock:
+            return self.should_lead() and await self._acquire()
+
+    async def _acquire(self) -> bool:
+        started, ended_tenures = self._clock.monotonic(), self._ended_tenures
+        acquired = await self._lease.acquire(self._leader_tracker.released_fence)
         now = self._clock.monotonic()
-        if await self._lease.acquire(self._leader_tracker.released_fence):
-            if self._last_acquired is None:
+        if acquired and self._ended_tenures != ended_tenures:
+            # Leadership was given up while the call was in flight.
+            self._receive_release(now)
+            self._lease.give_up()
+            return False
+        if acquired:
+            began = self._last_acquired is None
+            self._last_acquired = now
+            if began:
                 self.since = self._clock.now()
                 _log.info("tenure begun", fence=self._lease.fence)
-            self._last_acquired = self._clock.monotonic()
+                self._notify_listeners()
             return True
+        if self._permanent:
+            failing = now, _MAX_PERMANENT_RENEWAL_FAILURE
+        else:
+            failing = started, _MAX_RENEWAL_FAILURE
         if (
             self._last_acquired is not None
-            and now - self._last_acquired > _MAX_RENEWAL_FAILURE
+            and failing[0] - self._last_acquired > failing[1]
         ):
             self._yield_to_peers("the lease could not be renewed")
         return False
@@ -122,6 +154,14 @@
         """Give up leadership: this instance can't reach the receiver of its calls."""
         self._yield_to_peers("the receiver is unreachable")
 
+    def store_unreachable(self) -> None:
+        """Give up leadership: this instance can't reach the store."""
+        self._yield_to_peers("the store is unreachable")
+
+    def subscribe(self, listener: Listener) -> None:
+        """Have a function called when this instance becomes the leader or yields."""
+        self._listeners.append(listener)
+
     def announce_stop(self) -> None:
         """Give up leadership: this instance is about to stop."""
         self._release("instance is stopping")
@@ -170,12 +210,23 @@
             return
         now = self._clock.monotonic()
         self._abstains_until = now + _ABSTAIN_FACTOR * self._lease.handover_gap
+        self._receive_release(now)
+        self._end(reason)
+        self._notify_listeners()
+
+    def _receive_release(self, now: datetime.timedelta) -> None:
         claim = leader_election.Claim(self._host, self._lease.fence, released=True)
         self._leader_tracker.receive(claim, now)
-        self._end(reason)
+
+    def _notify_listeners(self) -> None:
+        notice = self.announcement()
+        if notice is not None:
+            for listener in self._listeners:
+                listener(notice)
 
     def _end(self, reason: str) -> None:
         self._lease.give_up()
         if self.active:
             _log.info("tenure ended", fence=self._lease.fence, reason=reason)
+        self._ended_tenures += 1
         self._last_acquired = None
--- a/src/pimentolatch/gateway/usage_exchange.py
+++ b/src/pimentolatch/gateway/usage_exchange.py
@@ -12,7 +12,7 @@
 from pimentolatch import clock, settings
 from pimentolatch.decisions import rendezvous, usage
 from pimentolatch.gateway import datagrams, leadership, peer_table
-from pimentolatch.protocol import usage_rows
+from pimentolatch.protocol import beacons, usage_rows
 
 __all__ = ["NullUsageCounter", "UsageCounter", "UsageExchange"]
 
@@ -62,6 +62,7 @@
         self._peers = peers
         self._leadership = own_leadership
         self._clock = time
+        own_leadership.subscribe(self._notify_peers)
 
     def record_start(self, customer: str | None, moment: datetime.datetime) -> None:
         """See `UsageCounter.record_start`."""
@@ -72,6 +73,7 @@
         """Send the counts periodically; runs until cancelled."""
         while True:
             self.send_counts()
+            self._repeat_notice()
             await self._clock.sleep(_INTERVAL)
 
     def send_counts(self) -> None:
@@ -88,13 +90,39 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a row of counts from a peer."""
-        row = usage_rows.decode(data)
-        if isinstance(row, usage_rows.Malformed):
+        found = usage_rows.decode(data)
+        if isinstance(found, usage_rows.Malformed):
             _log.warn(
-                "malformed usage datagram dropped", sender=addr[0], reason=row.reason
+                "malformed usage datagram dropped", sender=addr[0], reason=found.reason
             )
-            return
-        self._counter.merge(row)
+        elif isinstance(found, usage_rows.LeaderNotice):
+            self._receive_notice(found)
+        else:
+            self._counter.merge(found)
+
+    def _receive_notice(self, notice: usage_rows.LeaderNotice) -> None:
+        """Process a peer's notice; answer a new leader with all counts at once."""
+        self._leadership.receive(
+            beacons.Leader(notice.host, notice.fence, notice.released, 0)
+        )
+        if not notice.released and self._leadership.host == notice.host:
+            self.send_counts()
+
+    def _notify_peers(self, leader: beacons.Leader) -> None:
+        """Tell all peers who leads, which beacons would take up to two seconds for."""
+        notice = usage_rows.LeaderNotice(leader.host, leader.fence, leader.released)
+        hosts = [peer.host for peer in self._peers.live()]
+        self.send(hosts, [usage_rows.encode_notice(notice)])
+
+    def _repeat_notice(self) -> None:
+        now, since = self._clock.now(), self._leadership.since
+        leader = self._leadership.announcement()
+        if (
+            self._leadership.active
+            and leader is not None
+            and self._counter.collecting(now, since)
+        ):
+            self._notify_peers(leader)
 
     def _backup_hosts(self, live: abc.Iterable[peer_table.Peer]) -> list[str]:
         """Return the hosts of the peers that keep a copy of this instance's counts."""
--- a/src/pimentolatch/gateway/usage_reports.py
+++ b/src/pimentolatch/gateway/usage_reports.py
@@ -21,7 +21,8 @@
 _RETRY_PAUSE = datetime.timedelta(seconds=1)
 # Number of windows that the store keeps; a report of an older window is of no use.
 _STORED_WINDOWS = 8
-# After this many consecutive unanswered calls leadership is yielded to a peer.
+# After this many consecutive unanswered calls to the receiver, or to the store,
+# leadership is yielded to a peer.
 _MAX_UNREACHABLE_CALLS = 2
 
 _Counts = dict[str, int]
@@ -77,6 +78,7 @@
         self._accepted: set[int] = set()
         self._unanswered: set[int] = set()
         self._unreachable_calls = 0
+        self._failed_commits = 0
 
     async def run(self) -> None:
         """Report windows when they are complete; runs until cancelled."""
@@ -134,6 +136,7 @@
         found = await self._store.get(_KIND, _NAME)
         if isinstance(found, store.Unavailable):
             _log.warn("usage record not read", reason=found.reason)
+            self._record_failed_call()
             return False
         self._record = _record_of(found)
         self._record_fence = self._leadership.fence
@@ -150,6 +153,7 @@
         )
         if isinstance(outcome, store.Written):
             self._record = _Record(outcome.version, recent)
+            self._failed_commits = 0
             return True
         # Another instance may have written, or this write may have taken effect after
         # all: the record must be read again.
@@ -159,8 +163,17 @@
             window=window,
             reason=repr(outcome),
         )
+        if isinstance(outcome, store.Unavailable):
+            self._record_failed_call()
         return False
 
+    def _record_failed_call(self) -> None:
+        """Yield if the store can't be reached while a report is due."""
+        self._failed_commits += 1
+        if self._failed_commits >= _MAX_UNREACHABLE_CALLS:
+            self._failed_commits = 0
+            self._leadership.store_unreachable()
+
     async def _send(self, window: int, counts: _Counts) -> bool:
         if not await self._leadership.acquire() or not self._leadership.valid():
             return False
--- a/src/pimentolatch/protocol/usage_rows.py
+++ b/src/pimentolatch/protocol/usage_rows.py
@@ -1,4 +1,8 @@
-"""Datagrams in which instances report how many requests customers started."""
+"""Datagrams in which instances report how many requests customers started.
+
+A leader that begins asks for them by a notice, and one that yields tells its peers. An
+instance of a version without notices drops them as malformed.
+"""
 
 import dataclasses
 from collections import abc
@@ -8,11 +12,13 @@
 from pimentolatch.decisions import usage
 from pimentolatch.protocol import fields
 
-__all__ = ["Malformed", "decode", "encode"]
+__all__ = ["LeaderNotice", "Malformed", "decode", "encode", "encode_notice"]
 
 _VERSION = 1
 # Customers in one datagram, so few that no link has to fragment it.
 _MAX_CUSTOMERS = 50
+_NOTICE = "leader"
+_NOTICE_FIELDS = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +28,27 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderNotice:
+    """The sender has become the leader, or has released its leadership.
+
+    Attributes:
+        host: Host at which peers reach the sender.
+        fence: Fencing token of the leadership.
+        released: Whether it was released.
+    """
+
+    host: str
+    fence: int
+    released: bool
+
+
+def encode_notice(notice: LeaderNotice) -> bytes:
+    """Return the datagram of a notice."""
+    values = [_VERSION, _NOTICE, notice.host, notice.fence, notice.released]
+    return cbor2.dumps(values)
+
+
 def encode(row: usage.Row) -> list[bytes]:
     """Return the datagrams of a row."""
     parts = [
@@ -31,12 +58,14 @@
     return [_encode_part(row, part) for part in parts or [()]]
 
 
-def decode(datagram: bytes) -> usage.Row | Malformed:
-    """Return the row of a datagram, which is untrusted."""
+def decode(datagram: bytes) -> usage.Row | LeaderNotice | Malformed:
+    """Return the row or notice of a datagram, which is untrusted."""
     try:
-        version, instance, incarnation, window, final, total, counts = cbor2.loads(
-            datagram
-        )
+        values = cbor2.loads(datagram)
+        if len(values) == _NOTICE_FIELDS and values[:2] == [_VERSION, _NOTICE]:
+            _, _, host, fence, released = values
+            return LeaderNotice(fields.text(host), fields.count(fence), bool(released))
+        version, instance, incarnation, window, final, total, counts = values
         if version != _VERSION:
             raise ValueError(f"unknown version {version!r:.20}")
         return usage.Row(
--- a/tests/features/steps/usage_steps.py
+++ b/tests/features/steps/usage_steps.py
@@ -421,3 +421,92 @@
     context.run(asyncio.sleep(3 * SHORT_S))
     later = context.receiver.received[context.before :]
     assert sum(call.fence == context.fence for call in later) <= 1, later
+
+
+@behave.when(
+    "usage: the leader is cut off from the store for {seconds:d} seconds,"
+    " at each half second"
+)
+def leader_cut_off(context, seconds):
+    context.worlds = [
+        usage_world.play_store_cut(number * usage_world.STEP, seconds * SECOND)
+        for number in range(10)
+    ]
+
+
+@behave.then(
+    "usage: every window is accepted with the true counts within {seconds:d} seconds"
+    " of its end"
+)
+def accepted_in_time(context, seconds):
+    for number, world in enumerate(context.worlds):
+        origin = world.time.now() - world.time.monotonic()
+        accepted = {call.window: call for call in reversed(world.receiver.accepted)}
+        assert len(world.true_counts_by_window) > 5
+        for window, truth in world.true_counts_by_window.items():
+            assert window in accepted, (number, window)
+            call = accepted[window]
+            late = origin + call.at - usage.window_end(window, WINDOW)
+            assert late <= seconds * SECOND, (number, window, late)
+            assert dict(call.counts) == dict(truth), (number, window)
+
+
+@behave.given("usage: a leader whose renewal waits for the store")
+def waits_for_store(context):
+    world = usage_world.UsageWorld(1, faulty=False)
+    context.leading = world.instances["one"].leadership
+    context.held = world.hold_store("one")
+
+
+@behave.when("usage: it yields and then the store answers")
+def yields_while_waiting(context):
+    async def played():
+        time = context.held.time
+        time.advance(4 * SECOND)
+        assert await context.leading.acquire()
+        time.advance(4 * SECOND)
+        context.held.answers.clear()
+        waiting = [asyncio.create_task(context.leading.acquire()) for _ in range(2)]
+        await asyncio.sleep(0)
+        context.leading.announce_stop()
+        context.held.answers.set()
+        context.acquired = await asyncio.gather(*waiting)
+
+    asyncio.run(played())
+
+
+@behave.then("usage: it does not lead, and its latest fence is announced as released")
+def does_not_lead(context):
+    assert context.acquired == [False, False], context.acquired
+    assert not context.leading.active and not context.leading.valid()
+    notice = context.leading.announcement()
+    assert notice.released and notice.fence == context.held.stored_fence(), notice
+
+
+@behave.given("usage: exchanges of two instances, of which one becomes the leader")
+def two_exchanges(context):
+    context.pair = usage_world.ExchangePair()
+    context.pair.two.counter.count_started("north", context.pair.world.time.now())
+    context.pair.start_leading()
+
+
+@behave.then("usage: the other one knows the leader and has sent it all its counts")
+def knows_leader(context):
+    pair = context.pair
+    assert pair.two.leadership.host == pair.one.host
+    now = pair.world.time.now()
+    found = pair.one.counter.total(
+        usage.window_of(now, WINDOW), [], now + 4 * WINDOW, now
+    )
+    assert found is not None and found.counts == (("north", 1),), found
+
+
+@behave.when("usage: the leader stops")
+def leader_stops(context):
+    context.pair.one.leadership.announce_stop()
+
+
+@behave.then("usage: the other one knows that the lease is released")
+def knows_release(context):
+    assert context.pair.two.leadership.host is None
+    assert context.pair.two.leadership.should_lead()
--- a/tests/features/usage.feature
+++ b/tests/features/usage.feature
@@ -98,3 +98,25 @@
     When usage: another holder has called with a higher fence
     And usage: "north" makes 3 requests
     Then usage: that fence is used once more at most
+
+  # Guards against a window that is missed since the leader, cut off from the store alone,
+  # holds on to leadership, and its successor waits as long again before it reports.
+  Scenario: A leader that is cut off from the store hands over before windows are late
+    When usage: the leader is cut off from the store for 7 seconds, at each half second
+    Then usage: every window is accepted with the true counts within 10 seconds of its end
+    And usage: no fence is shared and none is followed by a lower one
+
+  # Guards against a task that waits for the lease while another one yields it, and then
+  # takes back what peers were told is released.
+  Scenario: A release ends the renewals that are under way
+    Given usage: a leader whose renewal waits for the store
+    When usage: it yields and then the store answers
+    Then usage: it does not lead, and its latest fence is announced as released
+
+  # Guards against a new leader that waits for beacons to be known, and reports too late
+  # or without the counts that neighbours keep of ended instances.
+  Scenario: A new leader asks for counts and gets them at once
+    Given usage: exchanges of two instances, of which one becomes the leader
+    Then usage: the other one knows the leader and has sent it all its counts
+    When usage: the leader stops
+    Then usage: the other one knows that the lease is released
--- a/tests/support/usage_world.py
+++ b/tests/support/usage_world.py
@@ -9,7 +9,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import usage
-from pimentolatch.gateway import leadership, lease, usage_reports
+from pimentolatch.gateway import leadership, lease, usage_exchange, usage_reports
 from pimentolatch.platform import control_api
 from standins import memory_store, object_table
 
@@ -279,6 +279,12 @@
         self.cut_off.clear()
         self.receiver.unresponsive = False
 
+    def hold_store(self, name):
+        """Return the store of an instance, which answers once it is told to."""
+        lease_of = self.instances[name].leadership._lease
+        lease_of._store = HeldStore(lease_of._store, self.time)
+        return lease_of._store
+
     def contents(self):
         """Return the distinct contents that were accepted for each window."""
         found = collections.defaultdict(set)
@@ -328,3 +334,95 @@
 
     asyncio.run(play_to_end())
     return world
+
+
+def play_store_cut(offset, duration):
+    """Cut the leader off from the store for a time, then let all reports be sent.
+
+    Args:
+        offset: When the cut begins, counted from the end of a window.
+        duration: How long it lasts.
+    """
+    world = UsageWorld(1, faulty=False)
+    start = 4 * WINDOW + offset
+
+    async def play_to_end():
+        for number in range(round(12 * WINDOW / STEP)):
+            if world.time.monotonic() == start:
+                (leader,) = (i for i in world.running() if i.leadership.active)
+                world.faults.cut.add(leader.name)
+            elif world.time.monotonic() == start + duration:
+                world.faults.clear()
+            await world._step(number)
+        await world.settle()
+
+    asyncio.run(play_to_end())
+    return world
+
+
+class HeldStore:
+    """Store that answers once it is told to.
+
+    Attributes:
+        answers: Set while calls are answered.
+    """
+
+    def __init__(self, found, time):
+        self._found = found
+        self.time = time
+        self.answers = asyncio.Event()
+        self.answers.set()
+
+    async def get(self, kind, name):
+        await self.answers.wait()
+        return await self._found.get(kind, name)
+
+    async def put(self, kind, name, value, *, if_version):
+        await self.answers.wait()
+        return await self._found.put(kind, name, value, if_version=if_version)
+
+    def stored_fence(self):
+        """Return the fence of the lease in the store."""
+        return self._found._table.get("pimentolatch-leases", "stages").value["fence"]
+
+
+class _Exchange(usage_exchange.UsageExchange):
+    """Hands its datagrams to the other exchange at once."""
+
+    def __init__(self, pair, instance):
+        address = types.SimpleNamespace(host=instance.host, port=1)
+        super().__init__(
+            address,
+            instance.counter,
+            instance.peers,
+            instance.leadership,
+            instance.time,
+        )
+        self._pair = pair
+
+    def send(self, hosts, datagrams):
+        for host in hosts:
+            for datagram in datagrams:
+                self._pair.exchanges[host].datagram_received(
+                    datagram, (self._address.host, 1)
+                )
+
+
+class ExchangePair:
+    """Two instances and the sockets over which they exchange counts."""
+
+    def __init__(self):
+        self.world = UsageWorld(1, faulty=False)
+        self.world.instances.pop("three")
+        self.one, self.two = (self.world.instances[name] for name in ("one", "two"))
+        for instance in (self.one, self.two):
+            instance.time = self.world.time
+        self.exchanges = {
+            instance.host: _Exchange(self, instance)
+            for instance in (self.one, self.two)
+        }
+
+    def start_leading(self):
+        """Have the first instance become the leader."""
+        self.world.time.advance(datetime.timedelta(seconds=4))
+        assert asyncio.run(self.one.leadership.acquire())
