Order dear servers by the load that was seen

Changes: every instance counts the servers and their load, so a leader orders at its first look; booting spot servers count for new orders, unless some of their domain were lost since the order, and never for a release; once the load was seen for 20 seconds, on-demand servers stand in only up to what the highest load of that time and twice its mean need at a utilization of 0.6, and at least half of what was provided. Where spot servers are not used, on-demand ones are returned from the dearest domain as long as the loss of any one domain leaves enough. `capacity.servers` keeps the need fixed, `capacity.follow_load` switches this off. Nothing is stored: instances see the same beacons, and the need that the first leader stored stays the upper bound.

Ruled out: returning spot servers by load. Uneven numbers of spot servers by domain: with three domains, one to spare and prices between 0.85 and 1.2, even numbers cost least.

--- a/src/pimentolatch/decisions/server_plan.py
+++ b/src/pimentolatch/decisions/server_plan.py
@@ -15,7 +15,12 @@
 spot servers are in service.
 
 The on-demand servers present at the start are released only as far as spot servers
-replace them.
+replace them. Once the load of the last swings is known, on-demand servers stand in for
+missing ones only as far as that load needs them: each costs as much as several spot
+servers, which are kept for what the operator provided. Servers that are still booting
+count as present for new orders, since one ordered now would be later, but never for a
+release. Where spot servers are not used, on-demand ones are released from the dearest
+domain first, as long as the rest suffice after the loss of any one domain.
 """
 
 import dataclasses
@@ -40,6 +45,8 @@
 # Time after the expected boot at which an order is repeated if its servers are not in
 # service: the order may have been lost, or reclaimed servers may be available again.
 _REORDER_DELAY = datetime.timedelta(seconds=2)
+# Time after the expected boot within which a server is listed.
+_BOOT_MARGIN = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,17 +75,26 @@
         spot: Whether spot servers may be ordered.
         spare_domains: Failure domains whose loss the spot servers must cover; None
             decides by their price.
+        follow_load: Whether on-demand servers follow the load that was seen. It has no
+            effect if `servers` is set.
     """
 
     servers: int | None = None
     spot: bool = True
     spare_domains: int | None = None
+    follow_load: bool = True
+
+    @property
+    def follows_load(self) -> bool:
+        """Whether on-demand servers follow the load that was seen."""
+        return self.follow_load and self.servers is None
 
 
 @dataclasses.dataclass(slots=True)
 class _Sent:
     count: int
     at: datetime.timedelta
+    highest: int = 0
 
 
 class InitialSize:
@@ -92,6 +108,11 @@
         self._highest = 0
         self._grown_at = datetime.timedelta()
 
+    @property
+    def highest(self) -> int:
+        """Highest number observed."""
+        return self._highest
+
     def observe(self, total: int, now: datetime.timedelta) -> int | None:
         """Record the number of servers; return the size once it has settled."""
         if total > self._highest:
@@ -116,6 +137,11 @@
         self._sent: dict[tuple[str, bool], _Sent] = {}
         self._refused: dict[tuple[str, bool], datetime.timedelta] = {}
 
+    @property
+    def need(self) -> int:
+        """Servers that suffice, as the operator provided them."""
+        return self._need
+
     def sent(self, order: Order, now: datetime.timedelta) -> None:
         """Record an order that was or may have been accepted."""
         self._sent[order.failure_domain, order.spot] = _Sent(order.count, now)
@@ -129,6 +155,7 @@
         scaling: route_table.Scaling,
         current: abc.Mapping[str, ServerCounts],
         now: datetime.timedelta,
+        seen_need: int | None = None,
     ) -> tuple[Order, ...]:
         """Return the orders to send now.
 
@@ -136,16 +163,46 @@
             scaling: Limits and prices, from the configuration.
             current: Servers in service, by failure domain.
             now: The current time.
+            seen_need: Servers that the load of the last swings needs, if known.
         """
-        wanted = self._wanted(scaling, current)
+        self._note_losses(current)
+        wanted = self._wanted(scaling, current, now, seen_need)
         return tuple(
             Order(domain, spot, count)
             for (domain, spot), count in sorted(wanted.items())
             if self._is_due((domain, spot), count, current.get(domain), now, scaling)
         )
 
+    def _note_losses(self, current: abc.Mapping[str, ServerCounts]) -> None:
+        """Record the most spot servers seen since each order."""
+        for (domain, spot), sent in self._sent.items():
+            if spot:
+                found = current.get(domain)
+                sent.highest = max(sent.highest, found.spot if found else 0)
+
+    def _expected_spot(
+        self,
+        domain: str,
+        serving: int,
+        scaling: route_table.Scaling,
+        now: datetime.timedelta,
+    ) -> int:
+        """Return the spot servers of a domain with those that are still booting.
+
+        If some were lost since the order, the booting ones may be lost too.
+        """
+        sent = self._sent.get((domain, True))
+        if sent is None or serving < sent.highest:
+            return serving
+        booting = now - sent.at < scaling.boot_time + _BOOT_MARGIN
+        return max(serving, sent.count) if booting else serving
+
     def _wanted(
-        self, scaling: route_table.Scaling, current: abc.Mapping[str, ServerCounts]
+        self,
+        scaling: route_table.Scaling,
+        current: abc.Mapping[str, ServerCounts],
+        now: datetime.timedelta,
+        seen_need: int | None,
     ) -> dict[tuple[str, bool], int]:
         domains = sorted(scaling.prices, key=lambda name: (scaling.prices[name], name))
         nothing = ServerCounts(0, 0)
@@ -158,9 +215,21 @@
             for domain in domains:
                 room = max(0, scaling.max_servers - found[domain].on_demand)
                 spot_counts[domain] = min(per_domain, room)
+        if not uses_spot and seen_need is not None:
+            rest = _spread(seen_need, scaling, found)
+            return {(domain, False): count for domain, count in rest.items()}
+        need = self._need if seen_need is None else min(self._need, seen_need)
         spot_serving = sum(min(found[d].spot, spot_counts[d]) for d in domains)
+        spot_expected = sum(
+            min(self._expected_spot(d, found[d].spot, scaling, now), spot_counts[d])
+            for d in domains
+        )
         on_demand_counts = self._on_demand_counts(
-            scaling, found, max(0, self._need - spot_serving), spot_counts
+            scaling,
+            found,
+            max(0, need - spot_serving),
+            max(0, need - spot_expected),
+            spot_counts,
         )
         wanted = {(domain, False): count for domain, count in on_demand_counts.items()}
         if uses_spot:
@@ -184,26 +253,33 @@
         scaling: route_table.Scaling,
         found: abc.Mapping[str, ServerCounts],
         missing: int,
+        missing_later: int,
         spot_counts: abc.Mapping[str, int],
     ) -> dict[str, int]:
         """Return how many on-demand servers each domain keeps or gets.
 
         Servers already in service are kept first, in the cheapest domains: moving them
         would cost a boot and their prefix caches.
+
+        Args:
+            scaling: Limits and prices.
+            found: Servers in service.
+            missing: Servers missing now, for which those in service are kept.
+            missing_later: Those of them that booting servers won't replace.
+            spot_counts: Spot servers that each domain is to have.
         """
         least = {d: max(0, scaling.min_servers - spot_counts[d]) for d in found}
         on_demand_counts = {
             domain: min(least[domain], scaling.max_servers) for domain in found
         }
-        missing -= sum(on_demand_counts.values())
-        for room_of in (
-            lambda d: found[d].on_demand,
-            lambda d: scaling.max_servers - spot_counts[d],
+        for room_of, required in (
+            (lambda d: found[d].on_demand, missing),
+            (lambda d: scaling.max_servers - spot_counts[d], missing_later),
         ):
             for domain in found:
-                more = max(0, min(missing, room_of(domain) - on_demand_counts[domain]))
+                lacking = required - sum(on_demand_counts.values())
+                more = max(0, min(lacking, room_of(domain) - on_demand_counts[domain]))
                 on_demand_counts[domain] += more
-                missing -= more
         return on_demand_counts
 
     def _is_due(
@@ -226,6 +302,27 @@
         return serving != count and now - sent.at >= scaling.boot_time + _REORDER_DELAY
 
 
+def _spread(
+    need: int,
+    scaling: route_table.Scaling,
+    found: abc.Mapping[str, ServerCounts],
+) -> dict[str, int]:
+    """Return the on-demand servers to keep, by failure domain.
+
+    The dearest domain is reduced first. The rest must suffice after the loss of any one
+    domain, so no domain keeps so many that its loss breaks the need.
+    """
+    counts = {domain: found[domain].on_demand for domain in found}
+    domains = sorted(counts, key=lambda name: (-scaling.prices[name], name))
+    for domain in domains:
+        while counts[domain] > scaling.min_servers:
+            fewer = counts | {domain: counts[domain] - 1}
+            if sum(fewer.values()) - max(fewer.values()) < need:
+                break
+            counts = fewer
+    return counts
+
+
 def _spot_is_cheaper(scaling: route_table.Scaling) -> bool:
     """Return whether spot servers with one spare failure domain cost less."""
     domains = len(scaling.prices)
--- a/src/pimentolatch/gateway/capacity_controller.py
+++ b/src/pimentolatch/gateway/capacity_controller.py
@@ -2,12 +2,13 @@
 
 import collections
 import datetime
+from collections import abc
 
 import logbook
 
 from pimentolatch import clock, store
-from pimentolatch.decisions import server_plan
-from pimentolatch.gateway import fleet_state, leadership
+from pimentolatch.decisions import demand_rate, placement, server_need, server_plan
+from pimentolatch.gateway import fleet_state, leadership, peer_table
 from pimentolatch.platform import control_api, objects
 from pimentolatch.routes import route_table
 
@@ -21,6 +22,9 @@
 class CapacityController:
     """Plans and orders servers while this instance is the leader.
 
+    Every instance observes the number of servers and their load, so that a new leader
+    need not watch for seconds before it may order or return any.
+
     Args:
         own_name: Name of this instance.
         fleet: Services and servers.
@@ -28,6 +32,8 @@
         source: The platform's store.
         receiver: API to which the orders are sent.
         policy: Rules by which servers are ordered.
+        peers: The live peers, which report the demand of their clients.
+        own_demand: Returns the demand of this instance's clients for a service.
         time: Clock of this instance.
     """
 
@@ -39,6 +45,8 @@
         source: objects.ObjectStore,
         receiver: control_api.ControlApi,
         policy: server_plan.Policy,
+        peers: peer_table.PeerTable,
+        own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
         time: clock.Clock,
     ) -> None:
         self._name = own_name
@@ -47,7 +55,10 @@
         self._store = source
         self._receiver = receiver
         self._policy = policy
+        self._peers = peers
+        self._own_demand = own_demand
         self._clock = time
+        self._needs: dict[str, server_need.SeenNeed] = {}
         self._initial_sizes: dict[str, server_plan.InitialSize] = {}
         self._planners: dict[str, server_plan.ServerPlanner] = {}
 
@@ -55,20 +66,55 @@
         """Order missing servers and return surplus ones; runs until cancelled."""
         while True:
             await self._clock.sleep(_INTERVAL)
+            self.observe()
             if self._leadership.active:
                 await self.order_due()
             else:
                 self._planners.clear()
-                self._initial_sizes.clear()
+
+    def observe(self) -> None:
+        """Record the number of servers and the load of each service that scales."""
+        for service, _ in self._scaled_services():
+            self._observe_size(service)
+            self._observe_load(service)
 
     async def order_due(self) -> None:
         """Send the orders that are due."""
+        for service, scaling in self._scaled_services():
+            await self._order_for_service(service, scaling)
+
+    def _scaled_services(self) -> list[tuple[str, route_table.Scaling]]:
         configuration = self._fleet.configuration
         if configuration is None or not self._fleet.servers_listed:
+            return []
+        return [
+            (service.name, service.scaling)
+            for service in configuration.services.values()
+            if service.scaling is not None
+        ]
+
+    def _observe_size(self, service: str) -> int | None:
+        """Return how many servers there were before any was ordered, once known."""
+        listed = self._fleet.servers.of_service(service)
+        size = self._initial_sizes.setdefault(service, server_plan.InitialSize())
+        ordered = sum(server.spot for server in listed) if size.highest else 0
+        return size.observe(len(listed) - ordered, self._clock.monotonic())
+
+    def _observe_load(self, service: str) -> None:
+        """Record the load of a service as a number of fully occupied engines."""
+        traits = self._fleet.engine_traits(service)
+        if traits is None or not self._policy.follows_load:
             return
-        for service in configuration.services.values():
-            if service.scaling is not None:
-                await self._order_for_service(service.name, service.scaling)
+        now = self._clock.monotonic()
+        loads = self._fleet.loads(service)
+        rate = max(loads.prefill_rate, self._peers.prefill_rate(service))
+        prefill = (
+            self._own_demand(service).prefill + self._peers.demand(service).prefill
+        )
+        decode = sum(placement.utilization(e, traits, now) for e in loads.all())
+        self._needs.setdefault(service, server_need.SeenNeed()).observe(
+            prefill / 1000 / rate + decode, now
+        )
 
     async def _order_for_service(
         self, service: str, scaling: route_table.Scaling
@@ -77,14 +123,22 @@
         if planner is None:
             return
         server_counts = self._servers_by_domain(service)
-        for order in planner.plan(scaling, server_counts, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        seen_need = self._seen_need(service, planner.need, now)
+        for order in planner.plan(scaling, server_counts, now, seen_need):
             if not await self._leadership.acquire() or not self._leadership.valid():
                 return
-            outcome = await self._send(service, order)
+            outcome = await self._send(service, order, scaling)
             self._record_outcome(planner, order, outcome)
             if not self._leadership.active:
                 return
 
+    def _seen_need(
+        self, service: str, provided: int, now: datetime.timedelta
+    ) -> int | None:
+        seen = self._needs.get(service)
+        return None if seen is None else seen.need(provided, now)
+
     def _record_outcome(
         self,
         planner: server_plan.ServerPlanner,
@@ -117,11 +171,7 @@
         A later leader counts the ordered servers, including spare ones, and would
         mistake that count for the need.
         """
-        initial_size = self._initial_sizes.setdefault(
-            service, server_plan.InitialSize()
-        )
-        total = len(self._fleet.servers.of_service(service))
-        size = initial_size.observe(total, self._clock.monotonic())
+        size = self._observe_size(service)
         if size is None or not await self._leadership.acquire():
             return None
         found = await self._store.get(_KIND, service)
@@ -134,13 +184,15 @@
         return size if isinstance(outcome, store.Written) else None
 
     async def _send(
-        self, service: str, order: server_plan.Order
+        self, service: str, order: server_plan.Order, scaling: route_table.Scaling
     ) -> control_api.Outcome:
         holder = control_api.Holder(self._name, self._leadership.fence)
         server_order = control_api.ServerOrder(
             service, order.failure_domain, order.count, order.spot
         )
         outcome = await self._receiver.order_servers(holder, server_order)
+        planner, seen = self._planners[service], self._needs.get(service)
+        share = scaling.spot_price if order.spot else 1.0
         _log.info(
             "servers ordered",
             service=service,
@@ -149,6 +201,10 @@
             count=order.count,
             fence=holder.fence,
             stages=self._stages(service),
+            provided=planner.need,
+            seen_need=self._seen_need(service, planner.need, self._clock.monotonic()),
+            seen_peak=None if seen is None else round(seen.peak, 1),
+            price=round(scaling.prices[order.failure_domain] * share, 3),
             outcome=repr(outcome),
         )
         return outcome
--- a/src/pimentolatch/gateway/leader_tasks.py
+++ b/src/pimentolatch/gateway/leader_tasks.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from pimentolatch import clock
-from pimentolatch.decisions import usage
+from pimentolatch.decisions import demand_rate, usage
 from pimentolatch.gateway import (
     capacity_controller,
     fleet_state,
@@ -35,6 +35,7 @@
         fleet: Services and servers.
         peers: The live peers.
         source: The platform's store.
+        own_demand: Returns the demand of this instance's clients for a service.
         time: Clock of this instance.
 
     Attributes:
@@ -49,6 +50,7 @@
         fleet: fleet_state.FleetState,
         peers: peer_table.PeerTable,
         source: objects.ObjectStore,
+        own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
         time: clock.Clock,
     ) -> None:
         self._settings = chosen
@@ -89,6 +91,8 @@
                     source,
                     self._receiver,
                     chosen.capacity.policy,
+                    peers,
+                    own_demand,
                     time,
                 )
                 self._runners.append(controller.run)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -113,7 +113,13 @@
             time,
         )
         self._leader_tasks = leader_tasks.LeaderTasks(
-            chosen, self._incarnation, self._fleet, self._peer_table, self._store, time
+            chosen,
+            self._incarnation,
+            self._fleet,
+            self._peer_table,
+            self._store,
+            lambda service: self._stream_forwarder.demand(service),
+            time,
         )
         self._origins = origin_exchange.OriginExchange(
             chosen.peers.origins_address, self._peer_table.reachable_places, time
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -135,17 +135,22 @@
         spot: Whether spot servers, which can be reclaimed, may be ordered.
         spare_domains: Number of failure domains whose loss the servers must cover; by
             default two where servers are cheap enough, otherwise one.
+        follow_load: Whether on-demand servers follow the load of the engines. Without
+            effect if `servers` is set.
     """
 
     order: bool = True
     servers: int | None = pydantic.Field(default=None, ge=1)
     spot: bool = True
     spare_domains: int | None = pydantic.Field(default=None, ge=0)
+    follow_load: bool = True
 
     @property
     def policy(self) -> server_plan.Policy:
         """The same in the types of the decision."""
-        return server_plan.Policy(self.servers, self.spot, self.spare_domains)
+        return server_plan.Policy(
+            self.servers, self.spot, self.spare_domains, self.follow_load
+        )
 
 
 class QuarantineSettings(validation.CheckedModel):
--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -71,3 +71,68 @@
     Given capacity: a keeper before 8 dear servers of a service
     When capacity: it loses the lease and looks
     Then capacity: it has ordered nothing
+
+  # Replays a minute of load that swings and bursts while two domains are reclaimed one
+  # after the other. Guards against dear stand-ins that no caller needs, and against a
+  # fleet that is short in the burst.
+  Scenario Outline: Dear servers stand in for as many as the load of the last swings needs
+    Given capacity: <kind> load on 30 dear servers, 1 domain to spare
+    When capacity: a minute passes in which two domains are reclaimed during a burst
+    Then capacity: callers lack <lack> servers, and no more than by a fixed need
+    And capacity: <dear> dear servers are ordered after the reclaims, <fixed> by a fixed need
+
+    Examples:
+      | kind  | lack | dear | fixed |
+      | light | no   | no   | some  |
+      | heavy | some | some | some  |
+
+  # Guards against servers that are returned in a trough, before a swing has been seen.
+  Scenario: The need is unknown until the load was seen for longer than a swing
+    When capacity: a load that swings between 4 and 8 servers is seen for a minute
+    Then capacity: nothing is known of the need for 20 seconds after the first load
+    And capacity: the need hardly falls in a trough and bears the peak and twice the mean
+
+  # Guards against a need that falls to nothing when few callers come, or exceeds what the
+  # operator provided.
+  Scenario: The need is between half and all of what was provided
+    Then capacity: a load of 0.1 servers needs 15 of 30, one of 100 needs 30
+
+  # Guards against dear servers that are ordered although cheap ones, which come sooner,
+  # are already booting; and against waiting for some that were reclaimed meanwhile.
+  Scenario Outline: Servers that are booting are not ordered a second time
+    Given capacity: cheap servers of which some still boot
+    Then capacity: with <lost> lost among the others, dear ones are ordered: <dear>
+
+    Examples:
+      | lost     | dear |
+      | none     | no   |
+      | a domain | yes  |
+
+  # Guards against a domain that keeps so many dear servers that its loss breaks the need.
+  Scenario: Without cheap servers dear ones are returned from the dearest domain first
+    Given capacity: light load on 30 dear servers, no cheap ones allowed
+    When capacity: a minute passes in which "east" is lost
+    Then capacity: callers never lack a server
+    And capacity: fewer dear servers stand in "south" than in "east" before the loss
+
+  # Guards against an operator's fixed number that is passed over.
+  Scenario: A number that the operator set, or a switch, keeps the need fixed
+    Then capacity: the load is not followed if "servers" is set or "follow_load" is off
+
+  # Guards against a second set of servers after a change of the leader.
+  Scenario: The next leader repeats no order whose answer was lost
+    Given capacity: a keeper before 8 dear servers of a service
+    When capacity: the answers of its orders are lost and another keeper follows
+    Then capacity: each kind in each domain was ordered one number at the end
+
+  # Guards against orders by a need that could not be read.
+  Scenario: While the store is away a new leader orders nothing
+    Given capacity: a keeper before 8 dear servers of a service
+    When capacity: the store is away for 10 seconds and returns for 20
+    Then capacity: it has ordered nothing before and what suffices after
+
+  # Guards against seconds of dear servers that are paid while a new leader watches them.
+  Scenario: A leader that has watched the servers before orders at once
+    Given capacity: a keeper before 8 dear servers of a service
+    When capacity: it watches for 3 seconds and then becomes the leader
+    Then capacity: it orders at its first look
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -2,6 +2,7 @@
 import dataclasses
 import datetime
 import itertools
+import math
 import random
 import types
 
@@ -9,7 +10,7 @@
 import logbook
 
 from pimentolatch import clock, settings
-from pimentolatch.decisions import server_plan
+from pimentolatch.decisions import demand_rate, server_need, server_plan
 from pimentolatch.gateway import capacity_controller, fleet_state
 from pimentolatch.platform import configuration, control_api
 from pimentolatch.routes import route_table, servers
@@ -17,6 +18,7 @@
 from tests.support import route_world, scaling_world
 
 SECOND = datetime.timedelta(seconds=1)
+ZERO = datetime.timedelta()
 PRICES = {"north": 1.0, "east": 0.8, "south": 1.25, "west": 0.9}
 SCALING = route_table.Scaling(1, 15, scaling_world.BOOT_TIME, 0.18, PRICES)
 FIRST = {"north": 8, "east": 8, "south": 7, "west": 7}
@@ -207,6 +209,13 @@
         self.time = clock.ManualClock()
         self.table = object_table.ObjectTable()
         self.orders = []
+        self.prefill = 0.0
+        self.faults = memory_store.StoreFaults()
+        self.answers_lost = False
+        self.peers = types.SimpleNamespace(
+            demand=lambda service: demand_rate.ServiceDemand(0.0, 0.0),
+            prefill_rate=lambda service: 0.0,
+        )
         self.list()
 
     def list(self):
@@ -234,10 +243,14 @@
         self.orders.append(order)
         self.counts[order.failure_domain, order.spot] = order.count
         self.list()
+        if self.answers_lost:
+            return control_api.Unanswered("carried out", reached=True)
         return control_api.Accepted()
 
     def keeper(self, name):
-        store = memory_store.MemoryStore(self.table, time=self.time, link=name)
+        store = memory_store.MemoryStore(
+            self.table, time=self.time, link=name, faults=self.faults
+        )
         held = Tenure()
         kept = capacity_controller.CapacityController(
             name,
@@ -246,14 +259,17 @@
             store,
             types.SimpleNamespace(order_servers=self.order_servers),
             server_plan.Policy(),
+            self.peers,
+            lambda service: demand_rate.ServiceDemand(self.prefill, 0.0),
             self.time,
         )
         return held, kept
 
     def play(self, kept, seconds):
         async def steps():
-            for _ in range(2 * seconds):
+            for _ in range(round(2 * seconds)):
                 self.time.advance(SECOND / 2)
+                kept.observe()
                 await kept.order_due()
 
         with logbook.NullHandler().applicationbound():
@@ -293,3 +309,219 @@
 @behave.then("capacity: it has ordered nothing")
 def ordered_nothing(context):
     assert context.fleet.orders == []
+
+
+def load_of(mean):
+    """Return a load that swings within 11 s and bursts to twice its mean."""
+
+    def load(now):
+        seconds = now.total_seconds()
+        swing = 1 + 0.27 * math.sin(2 * math.pi * seconds / 11)
+        return mean * (2.0 if 40 <= seconds < 43 else swing)
+
+    return load
+
+
+LOADS = {"light": load_of(4.5), "heavy": load_of(10.0)}
+FIXED = server_plan.Policy(spare_domains=1, follow_load=False)
+
+
+def loaded(kind, policy):
+    return scaling_world.ScalingWorld(policy, FIRST, SCALING, load=LOADS[kind])
+
+
+@behave.given("capacity: {kind:w} load on {count:d} dear servers, 1 domain to spare")
+def with_load(context, kind, count):
+    assert count == NEED
+    policy = dataclasses.replace(FIXED, follow_load=True)
+    context.scaling, context.fixed = loaded(kind, policy), loaded(kind, FIXED)
+
+
+@behave.when(
+    "capacity: a minute passes in which two domains are reclaimed during a burst"
+)
+def two_reclaims(context):
+    for world in (context.scaling, context.fixed):
+        world.play(60, [(39, "east"), (41, "west")])
+
+
+@behave.then(
+    "capacity: callers lack {lack:w} servers, and no more than by a fixed need"
+)
+def lack_servers(context, lack):
+    short, fixed = context.scaling.short, context.fixed.short
+    assert (short > 0.0) == (lack == "some"), short
+    assert short <= fixed, (short, fixed)
+
+
+@behave.then("capacity: callers never lack a server")
+def never_short(context):
+    assert context.scaling.short == 0.0, context.scaling.short
+
+
+@behave.then(
+    "capacity: {dear:w} dear servers are ordered after the reclaims,"
+    " {fixed:w} by a fixed need"
+)
+def dear_after(context, dear, fixed):
+    for world, wanted in ((context.scaling, dear), (context.fixed, fixed)):
+        counts = [
+            order.count
+            for at, order in world.orders
+            if at > 39 * SECOND and not order.spot
+        ]
+        assert any(counts) == (wanted == "some"), (wanted, counts)
+    cheaper = context.scaling.cost < context.fixed.cost
+    assert cheaper or dear == fixed, (context.scaling.cost, context.fixed.cost)
+
+
+@behave.when(
+    "capacity: a load that swings between {low:d} and {high:d} servers is seen for a"
+    " minute"
+)
+def swinging(context, low, high):
+    seen = server_need.SeenNeed()
+    context.low, context.high, context.needs = low, high, []
+    for number in range(70):
+        now = number * SECOND
+        swing = (1 - math.cos(2 * math.pi * (number - 10) / 11)) / 2
+        load = low + (high - low) * swing if number >= 10 else 0.0
+        seen.observe(load, now)
+        context.needs.append(seen.need(NEED, now))
+
+
+@behave.then(
+    "capacity: nothing is known of the need for {seconds:d} seconds after the first"
+    " load"
+)
+def unknown(context, seconds):
+    known = [number for number, need in enumerate(context.needs) if need is not None]
+    assert known == list(range(10 + seconds, 70)), known
+
+
+@behave.then(
+    "capacity: the need hardly falls in a trough and bears the peak and twice the mean"
+)
+def hardly_falls(context):
+    known = [need for need in context.needs if need is not None]
+    # The window is no multiple of the swing, which moves the mean a little.
+    assert max(known) - min(known) <= 2, known
+    mean = (context.low + context.high) / 2
+    assert min(known) * scaling_world.BUSY_SHARE >= 2 * mean, known
+    assert min(known) * scaling_world.BUSY_SHARE >= context.high, known
+
+
+@behave.then(
+    "capacity: a load of {light:f} servers needs {least:d} of {most:d},"
+    " one of {heavy:d} needs {all_of_them:d}"
+)
+def between(context, light, least, most, heavy, all_of_them):
+    for load, need in ((light, least), (heavy, all_of_them)):
+        seen = server_need.SeenNeed()
+        for number in range(30):
+            seen.observe(load, number * SECOND)
+        assert seen.need(most, 29 * SECOND) == need, seen.need(most, 29 * SECOND)
+
+
+@behave.given("capacity: cheap servers of which some still boot")
+def some_boot(context):
+    context.planner = server_plan.ServerPlanner(FIXED, NEED)
+    for domain in PRICES:
+        context.planner.sent(server_plan.Order(domain, True, 10), ZERO)
+    serving = {domain: server_plan.ServerCounts(0, 6) for domain in PRICES}
+    context.planner.plan(SCALING, serving, SECOND)
+    context.serving = serving
+
+
+@behave.then(
+    "capacity: with {lost} lost among the others, dear ones are ordered: {dear}"
+)
+def with_lost(context, lost, dear):
+    serving = dict(context.serving)
+    if lost != "none":
+        for domain in ("east", "west"):
+            serving[domain] = server_plan.ServerCounts(0, 0)
+    orders = context.planner.plan(SCALING, serving, 2 * SECOND)
+    dear_counts = [order.count for order in orders if not order.spot]
+    assert any(dear_counts) == (dear == "yes"), orders
+
+
+@behave.given(
+    "capacity: {kind:w} load on {count:d} dear servers, no cheap ones allowed"
+)
+def load_on_dear(context, kind, count):
+    assert count == NEED
+    context.scaling = loaded(kind, server_plan.Policy(spot=False))
+
+
+@behave.when('capacity: a minute passes in which "{domain}" is lost')
+def domain_lost(context, domain):
+    world = context.scaling
+    world.play(39)
+    context.before = world.server_counts()
+    world.lose(domain)
+    world.play(21)
+
+
+@behave.then(
+    'capacity: fewer dear servers stand in "{dearest}" than in "{cheapest}" before the'
+    " loss"
+)
+def fewer_dear(context, dearest, cheapest):
+    counts = {domain: found.on_demand for domain, found in context.before.items()}
+    assert counts[dearest] < counts[cheapest], counts
+    assert sum(counts.values()) < NEED, counts
+
+
+@behave.then(
+    'capacity: the load is not followed if "servers" is set or "follow_load" is off'
+)
+def not_followed(context):
+    assert server_plan.Policy().follows_load
+    assert not server_plan.Policy(servers=8).follows_load
+    assert not server_plan.Policy(follow_load=False).follows_load
+
+
+@behave.when("capacity: the answers of its orders are lost and another keeper follows")
+def answers_lost(context):
+    context.fleet.answers_lost = True
+    context.fleet.play(context.kept, 4)
+    assert context.fleet.orders
+    _, kept = context.fleet.keeper("two")
+    context.fleet.play(kept, 20)
+
+
+@behave.then("capacity: each kind in each domain was ordered one number at the end")
+def one_number(context):
+    assert sum(context.fleet.counts.values()) == 16, context.fleet.counts
+    assert not any(c for (_, spot), c in context.fleet.counts.items() if not spot)
+
+
+@behave.when(
+    "capacity: the store is away for {away:d} seconds and returns for {back:d}"
+)
+def store_away(context, away, back):
+    context.fleet.faults.outage = True
+    context.fleet.play(context.kept, away)
+    context.before = list(context.fleet.orders)
+    context.fleet.faults.clear()
+    context.fleet.play(context.kept, back)
+
+
+@behave.then("capacity: it has ordered nothing before and what suffices after")
+def nothing_before(context):
+    assert context.before == []
+    assert sum(context.fleet.counts.values()) == 16, context.fleet.counts
+
+
+@behave.when("capacity: it watches for {seconds:d} seconds and then becomes the leader")
+def watches(context, seconds):
+    for _ in range(2 * seconds):
+        context.fleet.time.advance(SECOND / 2)
+        context.kept.observe()
+    context.fleet.play(context.kept, 0.5)
+
+
+@behave.then("capacity: it orders at its first look")
+def first_look(context):
+    assert context.fleet.orders
--- a/tests/support/scaling_world.py
+++ b/tests/support/scaling_world.py
@@ -4,7 +4,7 @@
 import datetime
 import random
 
-from pimentolatch.decisions import server_plan
+from pimentolatch.decisions import server_need, server_plan
 
 STEP = datetime.timedelta(milliseconds=500)
 BOOT_TIME = datetime.timedelta(seconds=4)
@@ -12,6 +12,8 @@
 # Time after a reclaim in which the failure domain offers no spot servers.
 UNAVAILABLE_AFTER_RECLAIM = datetime.timedelta(seconds=11)
 DRAIN_TIME = datetime.timedelta(seconds=3)
+# Share of a server's time above which callers wait for it.
+BUSY_SHARE = 0.8
 ZERO = datetime.timedelta()
 
 
@@ -39,9 +41,12 @@
         scaling: Scaling settings of the service.
         seed: Seed that decides which orders are lost.
         lost_share: Share of the orders that are lost.
+        load: Returns the load at a time, as a number of fully occupied servers.
     """
 
-    def __init__(self, policy, initial, scaling, seed=1, lost_share=0.0):
+    def __init__(
+        self, policy, initial, scaling, seed=1, lost_share=0.0, load=lambda now: 0.0
+    ):
         self.rng = random.Random(seed)
         self.scaling = scaling
         self.now = ZERO
@@ -56,7 +61,11 @@
         self.desired = {(d, False): c for d, c in initial.items()}
         self.serving = []
         self.cost = 0.0
+        self.short = 0.0
+        self._policy = policy
         self._lost_share = lost_share
+        self._load = load
+        self._seen = server_need.SeenNeed()
 
     def play(self, seconds, reclaims=()):
         """Simulate a time.
@@ -79,6 +88,10 @@
             if server.domain == domain and server.spot:
                 server.ends_at = self.now + RECLAIM_NOTICE
 
+    def lose(self, domain):
+        """End all servers of a failure domain at once."""
+        self.servers = [s for s in self.servers if s.domain != domain]
+
     def _step(self):
         self.servers = [
             s for s in self.servers if s.ends_at is None or s.ends_at > self.now
@@ -88,9 +101,20 @@
             price *= self.scaling.spot_price if server.spot else 1.0
             self.cost += price * STEP.total_seconds()
         self.serving.append(sum(self._serves(s) for s in self.servers))
-        for order in self.planner.plan(self.scaling, self.server_counts(), self.now):
+        load = self._load(self.now)
+        missing = load / BUSY_SHARE - self.serving[-1]
+        self.short += max(0.0, missing) * STEP.total_seconds()
+        self._seen.observe(load, self.now)
+        for order in self.planner.plan(
+            self.scaling, self.server_counts(), self.now, self._seen_need()
+        ):
             self._execute(order)
 
+    def _seen_need(self):
+        if not self._policy.follows_load:
+            return None
+        return self._seen.need(self.planner.need, self.now)
+
     def _serves(self, server):
         return server.ready_at <= self.now and server.ends_at is None
 
