--- a/src/pimentolatch/gateway/capacity_controller.py
+++ b/src/pimentolatch/gateway/capacity_controller.py
@@ -1,6 +1,7 @@
 """Orders servers for services whose servers are billed by the second."""
 
 import collections
+import dataclasses
 import datetime
 from collections import abc
 
@@ -12,13 +13,30 @@
 from pimentolatch.platform import control_api, objects
 from pimentolatch.routes import route_table
 
-__all__ = ["CapacityController"]
+__all__ = ["CapacityController", "ServiceNeed"]
 
 _log = logbook.Logger("capacity")
 _KIND = "pimentolatch-capacity"
 _INTERVAL = datetime.timedelta(milliseconds=500)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceNeed:
+    """What is known of the servers that a service needs.
+
+    Attributes:
+        service: Name of the service.
+        provided: Servers that the operator provided; 0 if not known yet.
+        seen_need: Servers that the load needs; None if too little was seen.
+        seen_peak: Highest load seen, as a number of fully occupied engines.
+    """
+
+    service: str
+    provided: int
+    seen_need: int | None
+    seen_peak: float
+
+
 class CapacityController:
     """Plans and orders servers while this instance is the leader.
 
@@ -62,6 +80,22 @@
         self._initial_sizes: dict[str, server_plan.InitialSize] = {}
         self._planners: dict[str, server_plan.ServerPlanner] = {}
 
+    @property
+    def needs(self) -> list[ServiceNeed]:
+        """What this instance has seen of each service that scales."""
+        return [self._need_of(service) for service, _ in self._scaled_services()]
+
+    def _need_of(self, service: str) -> ServiceNeed:
+        planner = self._planners.get(service)
+        size = self._initial_sizes.get(service)
+        provided = size.highest if size is not None else 0
+        provided = planner.need if planner is not None else provided
+        seen = self._needs.get(service)
+        if seen is None:
+            return ServiceNeed(service, provided, None, 0.0)
+        need = seen.need(provided, self._clock.monotonic())
+        return ServiceNeed(service, provided, need, round(seen.peak, 1))
+
     async def run(self) -> None:
         """Order missing servers and return surplus ones; runs until cancelled."""
         while True:
@@ -124,7 +158,7 @@
             return
         server_counts = self._servers_by_domain(service)
         now = self._clock.monotonic()
-        seen_need = self._seen_need(service, planner.need, now)
+        seen_need = self._need_of(service).seen_need
         for order in planner.plan(scaling, server_counts, now, seen_need):
             if not await self._leadership.acquire() or not self._leadership.valid():
                 return
@@ -133,12 +167,6 @@
             if not self._leadership.active:
                 return
 
-    def _seen_need(
-        self, service: str, provided: int, now: datetime.timedelta
-    ) -> int | None:
-        seen = self._needs.get(service)
-        return None if seen is None else seen.need(provided, now)
-
     def _record_outcome(
         self,
         planner: server_plan.ServerPlanner,
@@ -191,7 +219,7 @@
             service, order.failure_domain, order.count, order.spot
         )
         outcome = await self._receiver.order_servers(holder, server_order)
-        planner, seen = self._planners[service], self._needs.get(service)
+        need = self._need_of(service)
         share = scaling.spot_price if order.spot else 1.0
         _log.info(
             "servers ordered",
@@ -201,9 +229,9 @@
             count=order.count,
             fence=holder.fence,
             stages=self._stages(service),
-            provided=planner.need,
-            seen_need=self._seen_need(service, planner.need, self._clock.monotonic()),
-            seen_peak=None if seen is None else round(seen.peak, 1),
+            provided=need.provided,
+            seen_need=need.seen_need,
+            seen_peak=need.seen_peak,
             price=round(scaling.prices[order.failure_domain] * share, 3),
             outcome=repr(outcome),
         )
--- a/src/pimentolatch/gateway/leader_tasks.py
+++ b/src/pimentolatch/gateway/leader_tasks.py
@@ -77,6 +77,7 @@
         self.usage: usage_exchange.UsageCounter = usage_exchange.NullUsageCounter()
         self._runners: list[Runner] = []
         self._receiver: control_api.ControlApi | None = None
+        self._capacity: capacity_controller.CapacityController | None = None
         self._exchange: usage_exchange.UsageExchange | None = None
         if chosen.control is not None:
             self._receiver = control_api.ControlApi(chosen.control.address, time)
@@ -95,6 +96,7 @@
                     own_demand,
                     time,
                 )
+                self._capacity = controller
                 self._runners.append(controller.run)
 
     def _link_usage(
@@ -129,6 +131,10 @@
         """Functions to run as background tasks."""
         return tuple(self._runners)
 
+    def server_needs(self) -> list[capacity_controller.ServiceNeed]:
+        """Return what is known of the servers that each scaled service needs."""
+        return [] if self._capacity is None else self._capacity.needs
+
     async def start(self) -> None:
         """Open the sockets.
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -183,6 +183,7 @@
                 self._shutdown,
                 self._flow,
                 self._monitor,
+                self._leader_tasks.server_needs,
                 time,
             )
         )
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+from collections import abc
 
 import prometheus_client
 from prometheus_client import core, registry
@@ -13,6 +14,7 @@
 from pimentolatch.decisions import prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
+    capacity_controller,
     client_request,
     fleet_state,
     flow_control,
@@ -198,6 +200,7 @@
         shutdown: Counts the requests in flight.
         flow: What servers have asked for.
         monitor: Knows what this instance has lost the path to.
+        needs: Returns what is known of the servers that scaled services need.
         time: Clock of this instance.
     """
 
@@ -210,8 +213,10 @@
         shutdown: graceful_shutdown.GracefulShutdown,
         flow: flow_control.FlowControl,
         monitor: reachability_monitor.ReachabilityMonitor,
+        needs: abc.Callable[[], list[capacity_controller.ServiceNeed]],
         time: clock.Clock,
     ) -> None:
+        self._needs = needs
         self._monitor = monitor
         self._clock = time
         self._fleet = fleet
@@ -290,6 +295,32 @@
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
+        yield from self._collect_needs()
+
+    def _collect_needs(self) -> typing.Iterator[core.GaugeMetricFamily]:
+        """Yield what orders of servers rest on, by service."""
+        needs = self._needs()
+        for name, text, values in (
+            (
+                "servers_provided",
+                "Servers that the operator provided.",
+                [float(need.provided) for need in needs],
+            ),
+            (
+                "servers_needed",
+                "Servers that the load seen needs.",
+                [float(need.seen_need or need.provided) for need in needs],
+            ),
+            (
+                "load_peak_engines",
+                "Highest load seen, in fully occupied engines.",
+                [need.seen_peak for need in needs],
+            ),
+        ):
+            family = core.GaugeMetricFamily(_PREFIX + name, text, labels=["service"])
+            for need, value in zip(needs, values, strict=True):
+                family.add_metric([need.service], value)
+            yield family
 
 
 class MetricsEndpoint:
--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -136,3 +136,10 @@
     Given capacity: a keeper before 8 dear servers of a service
     When capacity: it watches for 3 seconds and then becomes the leader
     Then capacity: it orders at its first look
+
+  # Guards against orders whose grounds nobody can see, and against a load that is not
+  # taken from what all instances report.
+  Scenario: An operator sees what orders of servers rest on
+    Given capacity: a keeper before 8 dear servers of a service
+    When capacity: prompts that keep 2 engines busy are seen for 25 seconds
+    Then capacity: 8 are known to be provided, 7 to be needed and the peak as 2.0
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -525,3 +525,25 @@
 @behave.then("capacity: it orders at its first look")
 def first_look(context):
     assert context.fleet.orders
+
+
+@behave.when(
+    "capacity: prompts that keep {busy:d} engines busy are seen for {seconds:d} seconds"
+)
+def prompts_seen(context, busy, seconds):
+    fleet = context.fleet
+    # Half of them arrive at this instance, half at its peers.
+    half = busy / 2 * 1000 * fleet.known.loads("lm").prefill_rate
+    fleet.prefill = half
+    fleet.peers.demand = lambda service: demand_rate.ServiceDemand(half, 0.0)
+    fleet.play(context.kept, seconds)
+
+
+@behave.then(
+    "capacity: {provided:d} are known to be provided, {needed:d} to be needed and the"
+    " peak as {peak:f}"
+)
+def needs_seen(context, provided, needed, peak):
+    (need,) = context.kept.needs
+    found = need.provided, need.seen_need, need.seen_peak
+    assert found == (provided, needed, peak), need
