--- a/src/pimentolatch/gateway/leader_tasks.py
+++ b/src/pimentolatch/gateway/leader_tasks.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from pimentolatch import clock
-from pimentolatch.decisions import usage
+from pimentolatch.decisions import demand_rate, usage
 from pimentolatch.gateway import (
     capacity_controller,
     fleet_state,
@@ -35,6 +35,7 @@
         fleet: Services and servers.
         peers: The live peers.
         source: The platform's store.
+        own_demand: Returns the demand of this instance's clients for a service.
         time: Clock of this instance.
 
     Attributes:
@@ -49,6 +50,7 @@
         fleet: fleet_state.FleetState,
         peers: peer_table.PeerTable,
         source: objects.ObjectStore,
+        own_demand: abc.Callable[[str], demand_rate.ServiceDemand],
         time: clock.Clock,
     ) -> None:
         self._settings = chosen
@@ -75,6 +77,7 @@
         self.usage: usage_exchange.UsageCounter = usage_exchange.NullUsageCounter()
         self._runners: list[Runner] = []
         self._receiver: control_api.ControlApi | None = None
+        self._capacity: capacity_controller.CapacityController | None = None
         self._exchange: usage_exchange.UsageExchange | None = None
         if chosen.control is not None:
             self._receiver = control_api.ControlApi(chosen.control.address, time)
@@ -89,8 +92,11 @@
                     source,
                     self._receiver,
                     chosen.capacity.policy,
+                    peers,
+                    own_demand,
                     time,
                 )
+                self._capacity = controller
                 self._runners.append(controller.run)
 
     def _link_usage(
@@ -125,6 +131,10 @@
         """Functions to run as background tasks."""
         return tuple(self._runners)
 
+    def server_needs(self) -> list[capacity_controller.ServiceNeed]:
+        """Return what is known of the servers that each scaled service needs."""
+        return [] if self._capacity is None else self._capacity.needs
+
     async def start(self) -> None:
         """Open the sockets.
 
