Keep the order of routes within a customer's rank

Cause: a customer's rank stood in for its route's.

Ruled out: the ranks of the routes themselves; where customers have no ranks the levels are as they were.

Change: the customer's rank still goes first, the route's orders within it; the same order holds for requests that wait in an instance. Late requests of a rank go with its least urgent routes.

--- a/src/pimentolatch/decisions/access.py
+++ b/src/pimentolatch/decisions/access.py
@@ -25,11 +25,14 @@
 
     Attributes:
         customer: Its customer; None for public routes and where no keys are configured.
-        rank: Priority, 0 first.
+        rank: Priority, 0 first; the customer's, or the route's if it has none.
+        route_rank: Priority of the route among requests of equal rank; None if `rank`
+            is the route's.
     """
 
     customer: customers.Customer | None
     rank: int
+    route_rank: int | None = None
 
 
 class Denial(enum.Enum):
@@ -63,8 +66,9 @@
             return Denial.OUT_OF_DATE
     if customer is None:
         return Denial.UNKNOWN_KEY
-    rank = route.rank if customer.rank is None else customer.rank
-    return Access(customer, rank)
+    if customer.rank is None:
+        return Access(customer, route.rank)
+    return Access(customer, customer.rank, route.rank)
 
 
 def still_authorized(
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -254,7 +254,11 @@
         cost = 2 * milliseconds + (_LATE_MS if late else 0)
         cost += fetched + _RECOMPUTE_MS * _shared(request.prompt, tokens)
         level = urgency.level_of(
-            request.rank, late=late, large=request.large, jitter=request.jitter
+            request.rank,
+            late=late,
+            large=request.large,
+            jitter=request.jitter,
+            route_rank=request.route_rank,
         )
         return cost, placement_types.Colocated(
             decode_engine, tokens, kv_source, level, expected
@@ -274,7 +278,11 @@
         cost = fetched + _RECOMPUTE_MS * _shared(request.prompt, tokens)
         for late in (False, True):
             level = urgency.level_of(
-                request.rank, late=late, large=request.large, jitter=request.jitter
+                request.rank,
+                late=late,
+                large=request.large,
+                jitter=request.jitter,
+                route_rank=request.route_rank,
             )
             work = prefill_engine.total_prefill_tokens(
                 now, level
--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -88,11 +88,12 @@
 
     Attributes:
         prompt: The prompt.
-        rank: Priority rank of its route; 0 is the highest.
+        rank: Priority rank of its customer or route; 0 is the highest.
         large: Whether it is large among the prompts of its route.
         time_to_target: Time left until the route's latency target for the first event.
         time_to_deadline: Time the client still waits for the first event.
         jitter: Uniform random number from 0 to 1, fixed for the request.
+        route_rank: Rank of its route if `rank` is its customer's; None otherwise.
     """
 
     prompt: prompts.Prompt
@@ -101,3 +102,4 @@
     time_to_target: datetime.timedelta
     time_to_deadline: datetime.timedelta
     jitter: float
+    route_rank: int | None = None
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -7,7 +7,7 @@
 from collections import abc
 
 from pimentolatch import results
-from pimentolatch.decisions import access, rendezvous
+from pimentolatch.decisions import access, rendezvous, urgency
 from pimentolatch.entry import bounded_http
 from pimentolatch.platform import http_headers
 from pimentolatch.protocol import forwarding
@@ -63,6 +63,16 @@
         """Priority of the request; 0 is served first."""
         return self.access.rank
 
+    @property
+    def route_rank(self) -> int | None:
+        """See `access.Access.route_rank`."""
+        return self.access.route_rank
+
+    @property
+    def order(self) -> int:
+        """Place of the request among those that wait; the lowest are served first."""
+        return urgency.on_time_level(self.rank, self.route_rank)
+
     @property
     def customer_name(self) -> str | None:
         """Name of the customer; None if the request has no customer's key."""
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -105,7 +105,7 @@
             return False
         if not wait_policy.may_wait(left, self._waiting.total):
             return False
-        with self._waiting.counted(request.service.name, request.rank):
+        with self._waiting.counted(request.service.name, request.order):
             pause = wait_policy.recheck_interval(request.rank, request.jitter)
             await self._context.clock.sleep(pause)
         # An engine that failed this request before may serve it now; engines that keep
@@ -148,7 +148,7 @@
             if engine.server.stage is servers.Stage.DECODE
             and not engine.server.draining
         )
-        ahead = self._waiting.ahead(request.service.name, request.rank)
+        ahead = self._waiting.ahead(request.service.name, request.order)
         return self._context.flow.permit_wait(decode_engines, ahead)
 
     def _choose(
@@ -169,7 +169,7 @@
     def _current_withheld(
         self, request: client_request.ClientRequest
     ) -> frozenset[servers.Incarnation]:
-        outranked = self._waiting.is_outranked(request.service.name, request.rank)
+        outranked = self._waiting.is_outranked(request.service.name, request.order)
         return self._withheld(request, is_outranked=outranked)
 
     def _find_place(
@@ -191,6 +191,7 @@
                 time_to_deadline=request_progress.client_gives_up_at(request, progress)
                 - now,
                 jitter=request.jitter,
+                route_rank=request.route_rank,
             ),
             request.service.engine,
             now,
--- a/tests/features/routes_logic.feature
+++ b/tests/features/routes_logic.feature
@@ -35,6 +35,7 @@
 
   Scenario: No rank is put behind what is late in a lower one
     Then the urgency of a late request of a rank comes before the next rank
+    And routes keep their order within a customer's rank and ranks never mix
     And the least urgent fits what engines know
 
   # Three prompts of 20,000 tokens wait at the engine that keeps a shared part. Reading
--- a/tests/features/steps/fleet_replay_steps.py
+++ b/tests/features/steps/fleet_replay_steps.py
@@ -1,4 +1,6 @@
 import collections
+import dataclasses
+import itertools
 
 import behave
 
@@ -8,6 +10,7 @@
 LONG = fleet_parts.RequestKind("briefing", 51.5, 5382, 150, 6610, 42, 2, 823.0)
 SHORT = fleet_parts.RequestKind("draft", 81.0, 0, 0, 826, 32, 0, 609.0)
 FIRST_SEED = 1
+BURST_BEGINS_S = 3
 
 
 @behave.given(
@@ -113,6 +116,7 @@
     ]
     for fleet in context.fleets:
         fleet.run(fleet_parts.LETTERS, 8)
+    context.kinds = fleet_parts.LETTERS
 
 
 @behave.then(
@@ -120,7 +124,7 @@
 )
 def largest_served(context):
     for fleet in context.fleets:
-        for kind in fleet_parts.LETTERS:
+        for kind in context.kinds:
             ended = [found for found in fleet.outcomes if found.kind == kind.name]
             ended.sort(key=lambda found: found.tokens)
             largest = ended[-len(ended) // 10 :]
@@ -131,3 +135,51 @@
 def served_share(ended):
     served = [found for found in ended if found.status in fleet_parts.SERVED_STATUSES]
     return len(served) / len(ended)
+
+
+@behave.given("replay: {count:d} instances hear no peer")
+def deaf(context, count):
+    context.deaf_instances = count
+
+
+@behave.when(
+    "replay: an assistant's requests come twice as often for {seconds:d} seconds, "
+    "drawn by 2, 3 and 5"
+)
+def assistant_burst(context, seconds):
+    context.fleets = [context.new_fleet(seed) for seed in (2, 3, 5)]
+    bursts = [
+        fleet_parts.Burst(kind.name, BURST_BEGINS_S, BURST_BEGINS_S + seconds, 2.0)
+        for kind in fleet_parts.ASSISTANT
+    ]
+    context.kinds = fleet_parts.ASSISTANT
+    for fleet in context.fleets:
+        fleet.deaf.update(list(fleet.instances)[: context.deaf_instances])
+        fleet.run(context.kinds, BURST_BEGINS_S + seconds, bursts)
+
+
+@behave.then(
+    "replay: no kind is served less often than a less urgent one by over 5 in 100, "
+    "nor on time by over 15 in 100"
+)
+def in_order(context):
+    for fleet in context.fleets:
+        shares = [ended_shares(fleet, kind) for kind in fleet_parts.ASSISTANT]
+        for urgent, other in itertools.combinations(shares, 2):
+            assert urgent.served >= other.served - 0.05, shares
+            assert urgent.on_time >= other.on_time - 0.15, shares
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shares:
+    """Shares of a kind's requests that were served at all, and on time."""
+
+    kind: str
+    served: float
+    on_time: float
+
+
+def ended_shares(fleet, kind):
+    ended = [found for found in fleet.outcomes if found.kind == kind.name]
+    on_time = sum(found.status is fleet_parts.Status.SERVED for found in ended)
+    return Shares(kind.name, served_share(ended), on_time / len(ended))
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -146,6 +146,19 @@
         assert late < following
 
 
+@behave.then("routes keep their order within a customer's rank and ranks never mix")
+def routes_in_order(context):
+    for rank in (0, 1, 2):
+        levels = [
+            urgency.level_of(rank, late=late, large=False, jitter=0.9, route_rank=route)
+            for late in (False, True)
+            for route in (0, 1, 2, 7)
+        ]
+        assert levels[0] < levels[1] < levels[2] == levels[3], levels
+        assert set(levels[4:]) == {levels[2]}, levels
+        assert levels[2] < urgency.on_time_level(rank + 1, 0), levels
+
+
 @behave.then("the least urgent fits what engines know")
 def fits(context):
     assert urgency.level_of(50, late=True, large=False, jitter=0.9) == 9
--- a/tests/support/fleet_parts.py
+++ b/tests/support/fleet_parts.py
@@ -44,6 +44,7 @@
             distributed from 0.5 to 1.5 times the mean.
         deadline_s: Longest time that clients wait for an answer.
         retries: Whether clients retry once after a refusal or a time-out.
+        route_rank: Rank of the route if `rank` is that of the customers; or None.
     """
 
     name: str
@@ -58,6 +59,7 @@
     suffix_sigma: float = 0.0
     deadline_s: float = 10.0
     retries: bool = False
+    route_rank: int | None = None
 
 
 class Status(enum.Enum):
@@ -233,3 +235,11 @@
     RequestKind("offer", 90.0, 6300, 400, 2890, 4, 1, 1045.0, 0.7, 1.0, 3.1, True),
     RequestKind("notice", 139.0, 350, 420, 1110, 14, 0, 1026.0, 0.7, 1.0, 6.2, True),
 )
+
+# Workload of an assistant whose customers all have the rank 1, with 59 instances and 45
+# engines: digests that are long and soon due, chat replies, labels with time to spare.
+ASSISTANT = (
+    RequestKind("digest", 40.0, 5382, 841, 6610, 29, 1, 545.0, 0.7, 1.4, 10.9, True, 0),
+    RequestKind("reply", 82.2, 198, 993, 628, 22, 1, 519.0, 0.7, 1.0, 8.3, True, 1),
+    RequestKind("label", 83.3, 568, 1744, 1800, 2, 1, 2022.0, 0.7, 1.3, 2.5, True, 2),
+)
--- a/tests/support/fleet_world.py
+++ b/tests/support/fleet_world.py
@@ -86,6 +86,8 @@
             for n in range(instances)
         }
         self._weight = 1.0
+        # Instances that no beacon reaches.
+        self.deaf: set[str] = set()
         self._choose_neighbours(instances)
         self.late: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[str] = collections.Counter()
@@ -256,7 +258,13 @@
         timeout = job.timeout_ms * fleet_parts.MS
         elapsed = (self.now - job.arrived) * fleet_parts.MS
         request = placement_types.PlacementRequest(
-            prompt, kind.rank, job.large, target - elapsed, timeout - elapsed, job.lot
+            prompt,
+            kind.rank,
+            job.large,
+            target - elapsed,
+            timeout - elapsed,
+            job.lot,
+            kind.route_rank,
         )
         placement = instance.placer.choose(
             request, fleet_parts.TRAITS, self.time, frozenset(job.declined)
@@ -489,6 +497,8 @@
         weight: float,
         latency: float,
     ) -> None:
+        if receiver.name in self.deaf:
+            return
         self.schedule(
             self.now + latency,
             lambda: receiver.load_exchange.receive(beacon, weight, self.time),
