Refuse a configuration in which a route's priority is below 0

Cause: the level sent to engines is worked out from the rank; below 0 it would be one that engines don't know, and each request of the route would be rejected. A customer's priority is checked already, a route's was not.

Change: the version is refused with the field and the route named, and the last one stays in force. What int() accepts is accepted as before, so no version that is in force today is refused.

--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -43,7 +43,7 @@
         timeout=_milliseconds(fields["timeout_ms"]),
         latency_target=_milliseconds(fields.get("latency_target_ms", 0)),
         event_gap_target=_milliseconds(fields.get("gap_target_ms", 0)),
-        rank=int(fields.get("priority", 0)),
+        rank=_rank(fields),
         max_attempts=int(fields.get("max_attempts", 1)),
         # Despite the platform's name, this doesn't refer to sticky sessions: requests
         # of the route list the parts of their prompts.
@@ -53,6 +53,14 @@
     )
 
 
+def _rank(fields: _Fields) -> int:
+    # Engines know no level below 0: such requests would be rejected one by one.
+    rank = int(fields.get("priority", 0))
+    if rank < 0:
+        raise ValueError(f"the priority of route {fields['name']!r} is below 0")
+    return rank
+
+
 def _shares(fields: _Fields) -> tuple[route_table.ServiceShare, ...]:
     split = fields.get("traffic_split")
     if not split:
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -115,6 +115,12 @@
     Then customers: each error names the customer and no key
     And customers: the keys of before are in force
 
+  # Guards against requests with a level that engines don't know, rejected one by one.
+  Scenario: A configuration with a rank below 0 leaves the last one in force
+    When customers: a version comes in which "digest" has the priority -1
+    Then customers: each error names the customer and no key
+    And customers: the keys of before are in force
+
   Scenario: Fields of a customer that are not known are passed over
     When customers: a version comes in which "north" has an unknown field
     Then customers: the new version is in force
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -391,6 +391,20 @@
     context.named = [row["named"] for row in context.table]
 
 
+@behave.when('customers: a version comes in which "digest" has the priority {rank:d}')
+def mistaken_route(context, rank):
+    async def write():
+        routes = [
+            fields | {"priority": rank} if fields["name"] == "digest" else fields
+            for fields in ROUTES
+        ]
+        await context.world.configure(2, routes, customers(north=0))
+        await context.world.until(lambda: len(errors(context)) == 1)
+
+    context.run(write())
+    context.named = ["priority of route"]
+
+
 @behave.then("customers: each error names the customer and no key")
 def error_names(context):
     for record, name in zip(errors(context), context.named, strict=True):
