--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -6,7 +6,8 @@
 counted when it is dispatched and subtracted when it ends, and instances report their
 counts to each other several times a second.
 
-`peer_loads` sums the reports of peers; `prefix_cache` tracks what engines have cached.
+`peer_loads` sums the reports of peers; `prefix_cache` tracks what engines have cached;
+`server_speeds` learns how fast each engine is, and tells whether that matters.
 
 Speeds are learned from answers. Their initial figures are such that any engine of today
 is faster, so that a cold start expects waits that are too long rather than too short.
@@ -17,7 +18,12 @@
 import operator
 from collections import abc
 
-from pimentolatch.decisions import peer_loads, prefix_cache, urgency
+from pimentolatch.decisions import (
+    peer_loads,
+    prefix_cache,
+    server_speeds,
+    urgency,
+)
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers
 
@@ -93,6 +99,7 @@
         change: The stage change that it is carrying out, if one is known.
         peers: Work of other instances there.
         prefix_cache: Estimate of its prefix cache.
+        speed: What is known of its speed.
     """
 
     def __init__(self, server: servers.Server) -> None:
@@ -110,6 +117,7 @@
         self.answered_at = datetime.timedelta()
         self.peers = peer_loads.PeerLoads()
         self.prefix_cache = prefix_cache.PrefixCache()
+        self.speed = server_speeds.EngineSpeed()
 
     def begin_change(self, change: StageChange) -> None:
         """Record a change of stage that this or another instance ordered."""
@@ -180,7 +188,12 @@
 class EngineLoads:
     """The engines of one model service.
 
+    Args:
+        speed_ratio: Ratio between fast and slow engines from which the speed of each
+            counts; None for never.
+
     Attributes:
+        speeds: Whether the speeds of the engines differ, and typical ones.
         partial_view: Whether the fleet is too large for each instance to receive the
             reports of all others, so that the counts of engines in other failure
             domains are older and less exact.
@@ -190,8 +203,9 @@
         prompts_observed: Number of prefills observed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, speed_ratio: float | None = server_speeds.DEFAULT_RATIO) -> None:
         self._engines: dict[str, EngineLoad] = {}
+        self.speeds = server_speeds.Speeds(speed_ratio)
         self.partial_view = False
         self.prefill_rate = _INITIAL_PREFILL_RATE
         self.overhead_ms = _INITIAL_OVERHEAD_MS
@@ -278,14 +292,50 @@
 
     def prefill_rate_of(self, engine: EngineLoad) -> float:
         """Return the prompt tokens that an engine prefills in a millisecond."""
-        return self.prefill_rate
+        if not self.speeds.uneven:
+            return self.prefill_rate
+        return self.speeds.rate_of(engine.speed) or self.prefill_rate
+
+    def assumed_rate(self, engine: EngineLoad) -> float | None:
+        """Return the rate that a wait at an engine rests on, if engines differ."""
+        return round(self.prefill_rate_of(engine), 1) if self.speeds.uneven else None
 
     def event_gap_of(self, engine: EngineLoad) -> float:
         """Return the time between events of an engine's streams in milliseconds.
 
-        It is 0 if no stream of the engine has been observed.
+        It is 0 if no stream of the engine has been observed and engines don't differ.
         """
-        return engine.event_gap_ms
+        if not self.speeds.uneven:
+            return engine.event_gap_ms
+        return self.speeds.gap_of(engine.speed)
+
+    def record_prefill(
+        self,
+        engine: EngineLoad,
+        tokens: float,
+        took: datetime.timedelta,
+        ahead: float,
+        now: datetime.timedelta,
+    ) -> None:
+        """Learn from a prompt that an engine prefilled; see `observe_prefill`."""
+        self.observe_prefill(tokens, took, ahead)
+        took_ms = took / datetime.timedelta(milliseconds=1) - self.overhead_ms
+        self.speeds.observe_prefill(engine.speed, tokens, ahead, took_ms, now)
+        self.refresh_speeds(now)
+
+    def record_event_gap(
+        self, engine: EngineLoad, took: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Learn from the time between two events of a stream of an engine."""
+        self.observe_event_gap(engine, took)
+        gap_ms = took / datetime.timedelta(milliseconds=1)
+        self.speeds.observe_gap(engine.speed, gap_ms, now)
+        self.refresh_speeds(now)
+
+    def refresh_speeds(self, now: datetime.timedelta) -> None:
+        """Bring the speeds in use up to date if that was not done just now."""
+        speeds = (engine.speed for engine in self._engines.values())
+        self.speeds.refresh_if_due(speeds, now)
 
     def prefill_cost(self, tokens: int) -> float:
         """Return the prefill time of a prompt, in tokens at the learned rate."""
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -17,6 +17,11 @@
 where instances converge that have not received each other's reports. If that engine has
 a queue, another engine fetches the prefix from it: the transfer takes a few
 milliseconds of a link, while the prefill takes a hundred of an engine.
+
+If the engines differ in speed (`server_speeds`), waits follow the speed of each, and a
+decode engine is charged for the chance that a pause of the stream exceeds what clients
+accept. So a fast engine takes streams until its batch costs as much as the pauses of a
+slow one, not until both have as many.
 """
 
 import dataclasses
@@ -66,6 +71,11 @@
 # charge grows so steeply that such an engine is chosen only if all others are as full.
 _HIGH_UTILIZATION = 0.85
 _OVERFULL_MS = 4000.0
+# Bounds the charge for pauses, in multiples of that for a late first event: engines
+# whose pauses are all too long differ still, but not without end.
+_MAX_PAUSE_CHARGE = 4.0
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_NO_TARGET = datetime.timedelta()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +150,7 @@
         traits: route_table.EngineTraits,
         now: datetime.timedelta,
         without: frozenset[servers.Incarnation] = frozenset(),
+        event_gap_target: datetime.timedelta = _NO_TARGET,
     ) -> engine_loads.EngineLoad | None:
         """Return the decode engine for a prompt that was just prefilled.
 
@@ -150,7 +161,7 @@
         if not decode_engines:
             return None
         costs = {
-            w.server.server_id: self._decode_cost(w, traits, now)
+            w.server.server_id: self._decode_cost(w, traits, now, event_gap_target)
             for w in decode_engines
         }
         return _best_decode_engine(
@@ -176,11 +187,16 @@
         cost.
         """
         ranking = prefix_affinity.rank(
-            request.prompt, prefill_engines, self._loads.prefill_rate
+            request.prompt,
+            prefill_engines,
+            self._loads.prefill_rate,
+            by_speed=self._loads.speeds.uneven,
         )
         kv_sources = _kv_sources(request.prompt, [*decode_engines, *prefill_engines])
         costs = {
-            w.server.server_id: self._decode_cost(w, traits, now)
+            w.server.server_id: self._decode_cost(
+                w, traits, now, request.event_gap_target
+            )
             for w in decode_engines
         }
         for decode_engine in decode_engines:
@@ -190,6 +206,7 @@
         if not decode_engines:
             return
         best: dict[str, tuple[float, engine_loads.EngineLoad]] = {}
+        found: list[tuple[float, placement_types.Disaggregated]] = []
         for prefill_engine in prefill_engines:
             domain = prefill_engine.server.failure_domain
             if domain not in best:
@@ -204,7 +221,29 @@
                 place = dataclasses.replace(place, kv_source=ranking.kv_source)
             if self._loads.partial_view:
                 cost += self._cross_domain_cost(prefill_engine)
-            yield base + cost + ranking.charges[prefill_engine.server.server_id], place
+            found.append((base + cost, place))
+        yield from self._with_charges(found, ranking, request)
+
+    def _with_charges(
+        self,
+        found: abc.Sequence[tuple[float, placement_types.Disaggregated]],
+        ranking: prefix_affinity.Ranking,
+        request: placement_types.PlacementRequest,
+    ) -> abc.Iterator[tuple[float, placement_types.Disaggregated]]:
+        """Add the charges for engines that are not preferred for a prompt."""
+        is_relieved = self._loads.speeds.uneven and any(
+            place.prefill_engine is ranking.preferred
+            and place.expected > request.time_to_target
+            for _, place in found
+        )
+        for cost, place in found:
+            server_id = place.prefill_engine.server.server_id
+            charge = (
+                prefix_affinity.missed_by_late(ranking, server_id)
+                if is_relieved
+                else ranking.charges[server_id]
+            )
+            yield cost + charge, place
 
     def _colocated_bound(self) -> float:
         """Return the most tokens that may be queued for prefill on a decode engine.
@@ -220,13 +259,31 @@
         decode_engine: engine_loads.EngineLoad,
         traits: route_table.EngineTraits,
         now: datetime.timedelta,
+        event_gap_target: datetime.timedelta,
     ) -> float:
         full = utilization(decode_engine, traits, now)
         cost = _BATCH_MS * full
+        if self._loads.speeds.uneven and event_gap_target:
+            cost += self._pause_cost(decode_engine, event_gap_target)
         if full > _HIGH_UTILIZATION:
             cost += _OVERFULL_MS * (full - _HIGH_UTILIZATION)
         return cost + self._cross_domain_cost(decode_engine)
 
+    def _pause_cost(
+        self,
+        decode_engine: engine_loads.EngineLoad,
+        event_gap_target: datetime.timedelta,
+    ) -> float:
+        """Return the charge for the chance that a stream has a pause too long.
+
+        The chance is not known, but it grows faster than the long pauses of an engine
+        approach what clients accept, and is high when they reach it.
+        """
+        gap_ms = self._loads.event_gap_of(decode_engine)
+        pause_ms = gap_ms * self._loads.speeds.pause_factor
+        ratio = pause_ms / (event_gap_target / _MILLISECOND)
+        return _LATE_MS * min(_MAX_PAUSE_CHARGE, ratio * ratio)
+
     def _cross_domain_cost(self, engine: engine_loads.EngineLoad) -> float:
         if engine.server.failure_domain == self._domain:
             return 0.0
@@ -246,7 +303,9 @@
         ahead = decode_engine.total_prefill_tokens(now)
         if ahead + tokens > bound:
             return None
-        rate = self._loads.prefill_rate / engine_loads.COLOCATED_SLOWDOWN
+        rate = (
+            self._loads.prefill_rate_of(decode_engine) / engine_loads.COLOCATED_SLOWDOWN
+        )
         milliseconds = (ahead + self._loads.prefill_cost(tokens)) / rate
         expected = datetime.timedelta(milliseconds=milliseconds + _FIRST_STEP_MS)
         late = expected > request.time_to_target
@@ -279,7 +338,7 @@
             work = prefill_engine.total_prefill_tokens(
                 now, level
             ) + self._loads.prefill_cost(tokens)
-            milliseconds = work / self._loads.prefill_rate
+            milliseconds = work / self._loads.prefill_rate_of(prefill_engine)
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
             if expected <= request.time_to_target:
                 break
--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -93,6 +93,8 @@
         time_to_target: Time left until the route's latency target for the first event.
         time_to_deadline: Time the client still waits for the first event.
         jitter: Uniform random number from 0 to 1, fixed for the request.
+        event_gap_target: Longest time between two events that the route's clients
+            accept; 0 if it is not known.
     """
 
     prompt: prompts.Prompt
@@ -101,3 +103,4 @@
     time_to_target: datetime.timedelta
     time_to_deadline: datetime.timedelta
     jitter: float
+    event_gap_target: datetime.timedelta = datetime.timedelta()
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -18,6 +18,8 @@
     load_exchange,
     peer_table,
     quarantine,
+    speed_exchange,
+    speed_log,
 )
 from pimentolatch.gateway import settings as gateway_settings
 from pimentolatch.protocol import beacon_codec, beacons
@@ -101,6 +103,8 @@
         self._clock = time
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
         self._load_exchange = load_exchange.LoadExchange(fleet, own_domain, updates)
+        self._speed_exchange = speed_exchange.SpeedExchange(fleet, own_domain)
+        self._speed_log = speed_log.SpeedLog(fleet)
         self._neighbours = neighbours.Neighbours(())
         self._weights: dict[str, float] = {}
         self.stopping = False
@@ -133,7 +137,11 @@
             _log.info("peer heard", peer=beacon.instance, host=addr[0])
             self._send([addr[0]], self.beacon(_MEMBERS_IN_REPLY))
         weight = self._weights.get(beacon.failure_domain, 1.0)
-        self._load_exchange.receive(beacon, weight, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._load_exchange.receive(beacon, weight, now)
+        self._speed_exchange.receive(
+            beacon, now, partial_view=self._load_exchange.partial_view
+        )
         self._suspects.receive(
             quarantine.CrashReports(beacon.crash_reports, beacon.part_reports)
         )
@@ -151,6 +159,7 @@
         self._suspects.set_partial_view(self._load_exchange.partial_view)
         for loads in self._fleet.loads_by_service().values():
             loads.partial_view = self._load_exchange.partial_view
+        self._speed_log.write(self._clock.monotonic())
         self._weights = self._table.weights()
         self._load_exchange.retain(
             {peer.beacon.instance for peer in self._table.live()}
@@ -160,6 +169,7 @@
         beacon = self.beacon(
             cached=self._updates.take_near(), reports=self._suspects.take_near()
         )
+        beacon = self._with_speeds(beacon, of_domain=False)
         self._send(self._neighbours.near, beacon)
 
     def _send_far(self) -> None:
@@ -172,7 +182,32 @@
         )
         beacon = dataclasses.replace(beacon, loads=())
         for chunk, totals in self._load_exchange.totals(self._clock.monotonic()):
-            self._send(hosts, dataclasses.replace(beacon, totals=totals, chunk=chunk))
+            message = dataclasses.replace(beacon, totals=totals, chunk=chunk)
+            if not chunk.number:
+                message = self._with_speeds(message, of_domain=True)
+            self._send(hosts, message)
+
+    def _with_speeds(
+        self, beacon: beacons.Beacon, *, of_domain: bool
+    ) -> beacons.Beacon:
+        """Return a beacon with the speeds of some engines, if they differ.
+
+        Args:
+            beacon: The beacon.
+            of_domain: Whether it reports for all instances of this domain.
+        """
+        now = self._clock.monotonic()
+        named = {load.engine for load in (*beacon.loads, *beacon.totals)}
+        demands = tuple(
+            dataclasses.replace(
+                demand,
+                speeds=self._speed_exchange.rows(
+                    demand.service, named, now, of_domain=of_domain
+                ),
+            )
+            for demand in beacon.demands
+        )
+        return dataclasses.replace(beacon, demands=demands)
 
     def _send(self, hosts: abc.Iterable[str], beacon: beacons.Beacon) -> None:
         self.send(hosts, [beacon_codec.encode(beacon)])
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -258,7 +258,7 @@
             if not (events := relay.take(data)):
                 continue
             now = self._context.clock.monotonic()
-            self._record_event(generation, now - last)
+            self._record_event(generation, now - last, now)
             last = now
             await relay.write(events)
         await relay.finish()
@@ -299,19 +299,22 @@
         return data
 
     def _record_event(
-        self, generation: request_progress.Generation, since: datetime.timedelta
+        self,
+        generation: request_progress.Generation,
+        since: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> None:
         """Record the end of prefill at the first event, and later the gap."""
         engine = generation.place.engine
         if generation.first_event_at is None:
-            generation.first_event_at = self._context.clock.monotonic()
+            generation.first_event_at = now
             engine.prefill_tokens[generation.place.level] -= generation.unprefilled
             generation.unprefilled = 0
             self._context.record_cached_prompt(generation.request, engine)
             self._record_origin(generation)
             self._count_usage(generation)
             return
-        self._context.loads(generation.request).observe_event_gap(engine, since)
+        self._context.loads(generation.request).record_event_gap(engine, since, now)
 
     def _record_origin(self, generation: request_progress.Generation) -> None:
         """Record the build that begins a stream, before the client has an event."""
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc
 
-from pimentolatch.decisions import engine_loads
+from pimentolatch.decisions import engine_loads, server_speeds
 from pimentolatch.routes import route_table, servers
 
 __all__ = ["STORE", "FleetState", "ServerListStatus"]
@@ -61,7 +61,9 @@
     def __init__(
         self,
         is_leaving: abc.Callable[[servers.Incarnation], bool] = lambda server: False,
+        speed_ratio: float | None = server_speeds.DEFAULT_RATIO,
     ) -> None:
+        self._speed_ratio = speed_ratio
         self._is_leaving = is_leaving
         self.configuration: route_table.Configuration | None = None
         self.configuration_spec: typing.Any = None
@@ -172,7 +174,11 @@
 
     def loads(self, service: str) -> engine_loads.EngineLoads:
         """Return the engine loads of a model service."""
-        return self._loads.setdefault(service, engine_loads.EngineLoads())
+        loads = self._loads.get(service)
+        if loads is None:
+            loads = engine_loads.EngineLoads(self._speed_ratio)
+            self._loads[service] = loads
+        return loads
 
     def engine_load(
         self, incarnation: servers.Incarnation
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -104,7 +104,7 @@
         progress.prefilled_before = True
         loads.succeeded(engine, now)
         self._context.crash_quarantine.record_response(engine.server, sent_at)
-        loads.observe_prefill(place.tokens, now - sent_at, ahead)
+        loads.record_prefill(engine, place.tokens, now - sent_at, ahead, now)
         self._context.record_cached_prompt(request, engine)
         return prefilled
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -69,7 +69,9 @@
         self._shutdown = graceful_shutdown.GracefulShutdown()
         own_place = neighbours.Place(chosen.peers.host, chosen.failure_domain)
         self._flow = flow_control.FlowControl(own_place, time)
-        self._fleet = fleet_state.FleetState(self._flow.is_leaving)
+        self._fleet = fleet_state.FleetState(
+            self._flow.is_leaving, chosen.balance.speed_ratio
+        )
         self._flow.on_leaving(self._fleet.mark_leaving)
         bounds = chosen.bounds
         self._client = dispatch.ServerClient(
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -94,6 +94,7 @@
             request.service.engine,
             now,
             without=self._excluded(request, progress, now) | self._withheld(request),
+            event_gap_target=request.route.event_gap_target,
         )
 
     async def wait(
@@ -191,6 +192,7 @@
                 time_to_deadline=request_progress.client_gives_up_at(request, progress)
                 - now,
                 jitter=request.jitter,
+                event_gap_target=request.route.event_gap_target,
             ),
             request.service.engine,
             now,
@@ -285,6 +287,7 @@
             version=place.engine.server.version,
             after=progress.last_event or None,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
+            assumed_rate=self._context.loads(request).assumed_rate(prefill_engine),
             withheld=_logged_ids(withheld),
             list_revision=listed.revision,
             list_source=listed.source,
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -225,6 +225,7 @@
         """Yield the gauges."""
         fleet = self._fleet
         now = self._clock.monotonic()
+        speeds = [loads.speeds for loads in fleet.loads_by_service().values()]
         for name, text, value in (
             (
                 "requests_in_flight",
@@ -287,6 +288,21 @@
                 "Services to which there is no path from here.",
                 len(self._monitor.cut_off_services),
             ),
+            (
+                "engine_speed_spread",
+                "Ratio between fast and slow engines, of the service with the highest.",
+                max((found.spread for found in speeds), default=1.0),
+            ),
+            (
+                "engines_of_known_speed",
+                "Engines whose speed is known.",
+                sum(found.known for found in speeds),
+            ),
+            (
+                "services_of_uneven_engines",
+                "Services whose engines' speeds count.",
+                sum(found.uneven for found in speeds),
+            ),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -10,10 +10,12 @@
     crash_suspects,
     request_delivery,
     server_plan,
+    server_speeds,
     watch_schedule,
 )
 
 __all__ = [
+    "BalanceSettings",
     "BoundSettings",
     "CapacitySettings",
     "ControlSettings",
@@ -175,6 +177,19 @@
         )
 
 
+class BalanceSettings(validation.CheckedModel):
+    """How requests are distributed over servers that differ.
+
+    Attributes:
+        speed_ratio: Ratio between fast and slow engines of a service from which the
+            learned speed of each counts, above 1; null for never.
+    """
+
+    speed_ratio: float | None = pydantic.Field(
+        default=server_speeds.DEFAULT_RATIO, gt=1, allow_inf_nan=False
+    )
+
+
 class GatewaySettings(validation.CheckedModel):
     """Settings of one instance.
 
@@ -186,6 +201,7 @@
         metrics: Address for metrics; they are not served if it is not set.
         control: Receives reports and orders; none are sent if it is not set.
         capacity: How servers are ordered there.
+        balance: How requests are distributed over servers that differ.
         digest_key: Key of the digests that identify requests in logs and between peers;
             the same on all instances of the fleet.
     """
@@ -199,6 +215,7 @@
     store: StoreSettings
     control: ControlSettings | None = None
     capacity: CapacitySettings = CapacitySettings()
+    balance: BalanceSettings = BalanceSettings()
     bounds: BoundSettings = BoundSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
