--- a/src/pimentolatch/decisions/server_speeds.py
+++ b/src/pimentolatch/decisions/server_speeds.py
@@ -14,8 +14,8 @@
 With sixty instances one sees eight prompts of an engine in a minute, so instances
 report what they learned. An instance tells the peers of its failure domain only what it
 saw itself, and other domains also what those peers reported, never what other domains
-did: nothing returns to who has counted it already. The reports are combined by their
-weighted median, in which one peer can't outweigh two others.
+did: nothing returns to who has counted it already. The reports are combined by a
+weighted quantile, in which one peer can't outweigh the others.
 
 What was learned takes effect only while the engines differ by a factor; see `Speeds`.
 """
@@ -23,6 +23,7 @@
 import bisect
 import dataclasses
 import datetime
+import itertools
 import math
 from collections import abc
 
@@ -35,8 +36,11 @@
 # Speeds stay in use down to this share of the ratio, and are reported from it on.
 _HYSTERESIS = 0.9
 # Quantiles of the observations that the figures follow.
-_RATE_QUANTILE = 0.8
+_RATE_QUANTILE = 0.9
 _GAP_QUANTILE = 0.5
+# The same when the reports of peers are combined: those whose prompts waited report
+# rates that are too low.
+_COMBINED_RATE_QUANTILE = 0.8
 # Quantile of the pauses, relative to the median gap of their engine. Slow spells that
 # take less than a twentieth of the time don't decide whether a stream is late.
 _PAUSE_QUANTILE = 0.95
@@ -58,7 +62,9 @@
 _MIN_ENGINES = 3
 # A prompt and what was ahead of it must be this long, in tokens, for its time to show
 # the rate rather than the overhead of a prompt.
-_MIN_TOKENS = 1000.0
+_MIN_TOKENS = 2000.0
+# Share of the tokens ahead that is not prefilled yet when a prompt arrives.
+_AHEAD_SHARE = 0.5
 # A peer's figure further from the typical one is an error of that peer.
 _MAX_FACTOR = 8.0
 # Plausible figures while none is typical yet: tokens and events per millisecond.
@@ -212,8 +218,8 @@
         rates = [(item.rate, item.samples) for item in reports if item.rate]
         gaps = [(item.gap_ms, item.samples) for item in reports if item.gap_ms]
         return Report(
-            _weighted_median(rates),
-            _weighted_median(gaps),
+            _weighted_quantile(rates, _COMBINED_RATE_QUANTILE),
+            _weighted_quantile(gaps, _GAP_QUANTILE),
             sum(report.samples for report in reports),
         )
 
@@ -296,7 +302,8 @@
             now: The current time.
         """
         if ahead <= tokens and tokens + ahead >= _MIN_TOKENS:
-            speed.observe_rate((tokens + ahead) / max(1.0, took_ms), now)
+            work = tokens + _AHEAD_SHARE * ahead
+            speed.observe_rate(work / max(1.0, took_ms), now)
 
     def observe_gap(
         self, speed: EngineSpeed, gap_ms: float, now: datetime.timedelta
@@ -374,15 +381,18 @@
     return figure if lowest <= figure <= highest else 0.0
 
 
-def _weighted_median(figures: list[tuple[float, float]]) -> float:
-    """Return the median of figures with weights; 0 without any."""
-    if len(figures) < 2:
-        return figures[0][0] if figures else 0.0
+def _weighted_quantile(figures: list[tuple[float, float]], share: float) -> float:
+    """Return a quantile of figures with weights; 0 without any.
+
+    Of three or more it is never the highest: one instance alone can't raise it.
+    """
+    if not figures:
+        return 0.0
     figures.sort()
-    sums: list[float] = []
-    for _, weight in figures:
-        sums.append(weight + (sums[-1] if sums else 0.0))
-    return figures[bisect.bisect_left(sums, sums[-1] / 2)][0]
+    sums = list(itertools.accumulate(weight for _, weight in figures))
+    place = bisect.bisect_left(sums, sums[-1] * share)
+    highest = len(figures) - 1
+    return figures[min(place, highest - 1 if highest > 1 else highest)][0]
 
 
 def _spread(figures: abc.Iterable[float]) -> float:
