--- a/src/pimentolatch/decisions/server_speeds.py
+++ b/src/pimentolatch/decisions/server_speeds.py
@@ -7,8 +7,9 @@
 
 An engine's prefill rate follows a high quantile of what its prompts show: a prompt that
 waited behind others makes it look slow, and nothing makes it look fast. Its event gap
-follows the median, taken at most once in `_GAP_INTERVAL`: a slow spell of 600 ms with
-twenty streams would otherwise be a hundred samples. Both are followed by steps that get
+follows a low quantile, since slow spells make gaps longer and nothing makes them
+shorter, and takes one sample in `_GAP_INTERVAL`: a slow spell of 600 ms with twenty
+streams would otherwise be a hundred. Both are followed by steps that get
 shorter with each sample, so that eight are enough and no sample has much influence.
 
 With sixty instances one sees eight prompts of an engine in a minute, so instances
@@ -37,7 +38,7 @@
 _HYSTERESIS = 0.9
 # Quantiles of the observations that the figures follow.
 _RATE_QUANTILE = 0.9
-_GAP_QUANTILE = 0.5
+_GAP_QUANTILE = 0.3
 # The same when the reports of peers are combined: those whose prompts waited report
 # rates that are too low.
 _COMBINED_RATE_QUANTILE = 0.8
@@ -45,7 +46,7 @@
 # take less than a twentieth of the time don't decide whether a stream is late.
 _PAUSE_QUANTILE = 0.95
 # Least relative step: a slow spell, which is three samples of a gap, moves it by a
-# ninth.
+# fourteenth.
 _MIN_STEP = 0.04
 _GAP_INTERVAL = datetime.timedelta(milliseconds=200)
 # Evidence counts for half after this time, and for no more than this many samples.
@@ -55,7 +56,7 @@
 # Samples from which an engine's figure is used, and from which it counts as evidence
 # that engines differ.
 _KNOWN_SAMPLES = 4.0
-_SURE_SAMPLES = 8.0
+_SURE_SAMPLES = 6.0
 # Shares of the engines that are left out at both ends when fast and slow ones are
 # compared, so that one that hangs doesn't make all others fast.
 _TRIMMED = 0.2
@@ -73,6 +74,9 @@
 # A peer rotates through its engines within ten seconds.
 _REPORT_EXPIRY = datetime.timedelta(seconds=30)
 _REFRESH_INTERVAL = datetime.timedelta(seconds=1)
+# Consecutive refreshes in which the engines must differ, so that a slow spell at the
+# beginning of the evidence is not taken for a speed.
+_CONFIRMATIONS = 2
 # Weights of engines in a ranking are powers of this: two instances whose figures
 # differ by a few hundredths have to rank alike.
 _WEIGHT_BASE = 1.5
@@ -251,6 +255,8 @@
     def __init__(self, ratio: float | None = DEFAULT_RATIO) -> None:
         self._ratio = ratio
         self._refreshed_at = _LONG_AGO
+        self._in_a_row = 0
+        self._guess = 1.0
         self._pause = _Quantile(_PAUSE_QUANTILE)
         self.uneven = False
         self.spread = 1.0
@@ -266,7 +272,7 @@
     @property
     def reports(self) -> bool:
         """Whether peers should be told: the engines differ, or nearly so."""
-        return self._ratio is not None and self.spread >= _HYSTERESIS * self._ratio
+        return self._ratio is not None and self._guess >= _HYSTERESIS * self._ratio
 
     def rate_of(self, speed: EngineSpeed) -> float:
         """Return the tokens an engine prefills per millisecond; 0 if nothing is known.
@@ -349,16 +355,22 @@
         rates = sorted(speed.rate for speed in speeds if speed.rate)
         gaps = sorted(speed.gap_ms for speed in speeds if speed.gap_ms)
         self.known = sum(1 for speed in speeds if speed.rate or speed.gap_ms)
-        # Of two middle ones the slower: an engine that was not tried must not look
-        # better than half of the others.
-        self.typical_rate = rates[(len(rates) - 1) // 2] if rates else 0.0
+        # An engine that was not tried must not look better than half of the others.
+        # Fast ones prefill more prompts and are known first, so the slower quarter of
+        # the known rates is what half of all engines reach.
+        self.typical_rate = rates[(len(rates) - 1) // 4] if rates else 0.0
         self.typical_gap_ms = gaps[len(gaps) // 2] if gaps else 0.0
+        self._guess = max(
+            _spread(speed.rate for speed in speeds if speed.rate),
+            _spread(speed.gap_ms for speed in speeds if speed.gap_ms),
+        )
         self.spread = max(
             _spread(speed.rate for speed in speeds if speed.sure and speed.rate),
             _spread(speed.gap_ms for speed in speeds if speed.sure and speed.gap_ms),
         )
         limit = self._ratio * (_HYSTERESIS if self.uneven else 1.0)
-        self.uneven = self.spread >= limit
+        self._in_a_row = self._in_a_row + 1 if self.spread >= limit else 0
+        self.uneven = self._in_a_row >= (1 if self.uneven else _CONFIRMATIONS)
         for speed in speeds:
             speed.weight = self._weight(speed)
 
--- a/tests/support/fleet_parts.py
+++ b/tests/support/fleet_parts.py
@@ -12,9 +12,15 @@
     placement,
     placement_types,
     prompt_sizes,
+    server_speeds,
     wait_policy,
 )
-from pimentolatch.gateway import cache_updates, fleet_state, load_exchange
+from pimentolatch.gateway import (
+    cache_updates,
+    fleet_state,
+    load_exchange,
+    speed_exchange,
+)
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import route_table, servers
@@ -97,6 +103,7 @@
         large: It is large among the prompts of its kind that its instance has seen.
         prefilled: An engine has prefilled the prompt.
         finished: The client has its answer, or this attempt has ended without one.
+        late: Its first event or a later one was late.
     """
 
     kind: RequestKind
@@ -112,6 +119,7 @@
     large: bool = False
     prefilled: bool = False
     finished: bool = False
+    late: bool = False
 
     @property
     def first_arrival(self) -> float:
@@ -160,6 +168,29 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Speeds:
+    """Speeds of engines, in turn, and slow spells of each.
+
+    Attributes:
+        factors: Speed of each engine relative to the model's.
+        slow_share: Share of the spells in which an engine is slow.
+        slow_factor: By how much it is slower then.
+        spell_ms: Length of a spell.
+    """
+
+    factors: tuple[float, ...] = (1.0,)
+    slow_share: float = 0.0
+    slow_factor: float = 1.0
+    spell_ms: float = 600.0
+
+    def of(self, number: int, now: float) -> float:
+        """Return the speed of an engine at a time in milliseconds."""
+        speed = self.factors[number % len(self.factors)]
+        spell = random.Random(f"{number}/{now // self.spell_ms}").random()
+        return speed / (self.slow_factor if spell < self.slow_share else 1.0)
+
+
 class Engine:
     """An engine that prefills queued prompts in order of priority.
 
@@ -171,8 +202,9 @@
         busy_ms: Total time spent on prefill.
     """
 
-    def __init__(self, server: servers.Server) -> None:
+    def __init__(self, server: servers.Server, number: int) -> None:
         self.server = server
+        self.number = number
         self.queue: list[tuple[int, int, Instance, Job]] = []
         self.cached: set[str] = set()
         self.busy = False
@@ -189,10 +221,16 @@
 class Instance:
     """One instance: its load counts and what it receives from peers."""
 
-    def __init__(self, name: str, domain: str, listed: list[servers.Server]) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        listed: list[servers.Server],
+        speed_ratio: float | None = server_speeds.DEFAULT_RATIO,
+    ) -> None:
         self.name = name
         self.place = neighbours.Place(name, domain)
-        self.fleet = fleet_state.FleetState()
+        self.fleet = fleet_state.FleetState(speed_ratio=speed_ratio)
         services = {SERVICE: route_table.Service(SERVICE, TRAITS)}
         limits = route_table.ClientLimits(1, 1, MS, MS)
         self.fleet.configure(route_table.Configuration(1, (), services, limits), None)
@@ -202,6 +240,7 @@
         self.load_exchange = load_exchange.LoadExchange(
             self.fleet, domain, self.updates
         )
+        self.speed_exchange = speed_exchange.SpeedExchange(self.fleet, domain)
         self.placer = placement.Placement(self.loads, domain)
         self.demand = demand_rate.DemandRate()
         self.sizes = prompt_sizes.PromptSizes()
@@ -212,8 +251,14 @@
         domain = self.place.failure_domain
         head = (self.name, domain, "life", 1, 1, False, (), ())
         changing = self.load_exchange.changing(now)
+        loads = self.load_exchange.own()
+        named = {load.engine for load in (*loads, *fields.get("totals", ()))}
+        speeds = self.speed_exchange.rows(
+            SERVICE, named, now, of_domain="totals" in fields
+        )
+        demands = (beacons.Demand(SERVICE, 0, 0, 0, speeds),)
         return beacons.Beacon(
-            *head, loads=self.load_exchange.own(), stage_changes=changing, **fields
+            *head, loads=loads, stage_changes=changing, demands=demands, **fields
         )
 
 
--- a/tests/support/fleet_world.py
+++ b/tests/support/fleet_world.py
@@ -19,6 +19,7 @@
     neighbours,
     placement_types,
     prompt_sizes,
+    server_speeds,
     stage_plan,
     wait_policy,
 )
@@ -50,6 +51,12 @@
 # Gap between the events of a stream, and the longest that clients accept.
 EVENT_GAP_MS = 40.0
 EVENT_GAP_TARGET_MS = 250.0
+# The same where the engines' speeds are part of the replay: a dozen tokens an event,
+# longer for each other stream.
+UNEVEN_GAP_MS = 62.0
+GAP_PER_STREAM = 0.007
+UNEVEN_GAP_TARGET_MS = 200.0
+TOKENS_PER_EVENT = 12
 
 
 class FleetSimulation:
@@ -61,6 +68,8 @@
         engines: Number of engines in the fleet.
         prefill_engines: How many of the engines prefill; the others decode.
         seed: Seed for arrivals, prompts and the receivers of beacons.
+        speeds: Speeds of the engines; by default all are equal and steady.
+        speed_ratio: Setting of the instances from which speeds count.
     """
 
     def __init__(
@@ -70,7 +79,10 @@
         engines: int,
         prefill_engines: int,
         seed: int,
+        speeds: fleet_parts.Speeds | None = None,
+        speed_ratio: float | None = server_speeds.DEFAULT_RATIO,
     ) -> None:
+        self._speeds = speeds
         self.random = random.Random(seed)
         self.now = 0.0
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
@@ -78,10 +90,13 @@
         self.names = [f"d{n}" for n in range(domains)]
         listed = [self._server(n, n < prefill_engines) for n in range(engines)]
         self.engines = {
-            server.server_id: fleet_parts.Engine(server) for server in listed
+            server.server_id: fleet_parts.Engine(server, number)
+            for number, server in enumerate(listed)
         }
         self.instances = {
-            f"{domain}-{n}": fleet_parts.Instance(f"{domain}-{n}", domain, listed)
+            f"{domain}-{n}": fleet_parts.Instance(
+                f"{domain}-{n}", domain, listed, speed_ratio
+            )
             for domain in self.names
             for n in range(instances)
         }
@@ -90,6 +105,7 @@
         self.late: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[str] = collections.Counter()
         self.done: collections.Counter[str] = collections.Counter()
+        self.late_answers = 0
         self.first_event_times: list[tuple[float, float]] = []
         self.outcomes: list[fleet_parts.Outcome] = []
         self.prefilled_tokens = 0
@@ -256,7 +272,13 @@
         timeout = job.timeout_ms * fleet_parts.MS
         elapsed = (self.now - job.arrived) * fleet_parts.MS
         request = placement_types.PlacementRequest(
-            prompt, kind.rank, job.large, target - elapsed, timeout - elapsed, job.lot
+            prompt,
+            kind.rank,
+            job.large,
+            target - elapsed,
+            timeout - elapsed,
+            job.lot,
+            UNEVEN_GAP_TARGET_MS * fleet_parts.MS,
         )
         placement = instance.placer.choose(
             request, fleet_parts.TRAITS, self.time, frozenset(job.declined)
@@ -380,6 +402,7 @@
         self._ever_prefilled.update(part.name for part in job.prompt.parts[:-1])
         self.prefilled_tokens += uncached
         took = PREFILL_OVERHEAD_MS + uncached / PREFILL_TOKENS_PER_MS
+        took /= self._speed(engine)
         engine.busy_ms += took
         self.schedule(self.now + took, lambda: self._prefill_next(engine))
         done = self.now + took + PREFILL_RESPONSE_MS
@@ -396,10 +419,12 @@
             return
         placement, loads = job.placement, instance.loads
         placement.prefill_engine.prefill_tokens[placement.level] -= job.cost
-        loads.observe_prefill(
+        loads.record_prefill(
+            placement.prefill_engine,
             placement.tokens,
             (self.now - job.dispatched_at) * fleet_parts.MS,
             job.queued_ahead,
+            self.time,
         )
         placement.prefill_engine.prefix_cache.add_prompt(
             job.prompt, fleet_parts.TRAITS.kv_tokens
@@ -440,20 +465,47 @@
             status = fleet_parts.Status.SERVED
             if self.now > job.first_arrival + job.kind.target_ms:
                 self.late[job.kind.name] += 1
+                job.late = True
                 status = fleet_parts.Status.LATE
             self._finish(job, status)
 
         def end() -> None:
             engine.streams -= 1
-            instance.loads.observe_event_gap(
-                decode_engine, EVENT_GAP_MS * fleet_parts.MS
-            )
+            self.late_answers += job.late
+            if self._speeds is None:
+                instance.loads.observe_event_gap(
+                    decode_engine, EVENT_GAP_MS * fleet_parts.MS
+                )
             decode_engine.streams -= 1
             decode_engine.kv_tokens -= kv_tokens
 
+        def event(left: int) -> None:
+            if not left:
+                end()
+                return
+            gap = UNEVEN_GAP_MS * (1 + GAP_PER_STREAM * engine.streams)
+            gap /= self._speed(engine)
+
+            def arrive() -> None:
+                took = gap * fleet_parts.MS
+                instance.loads.record_event_gap(decode_engine, took, self.time)
+                job.late |= gap > UNEVEN_GAP_TARGET_MS
+                event(left - 1)
+
+            self.schedule(self.now + gap, arrive)
+
         self.schedule(self.now + took, first)
+        if self._speeds is not None:
+            events = job.kind.output_tokens // TOKENS_PER_EVENT
+            self.schedule(self.now + took, lambda: event(events))
+            return
         self.schedule(self.now + took + TOKEN_GAP_MS * job.kind.output_tokens, end)
 
+    def _speed(self, engine: fleet_parts.Engine) -> float:
+        if self._speeds is None:
+            return 1.0
+        return self._speeds.of(engine.number, self.now)
+
     def _send_beacons(
         self, instance: fleet_parts.Instance, number: int, until: float
     ) -> None:
@@ -489,10 +541,13 @@
         weight: float,
         latency: float,
     ) -> None:
-        self.schedule(
-            self.now + latency,
-            lambda: receiver.load_exchange.receive(beacon, weight, self.time),
-        )
+        def receive() -> None:
+            receiver.load_exchange.receive(beacon, weight, self.time)
+            receiver.speed_exchange.receive(
+                beacon, self.time, partial_view=receiver.load_exchange.partial_view
+            )
+
+        self.schedule(self.now + latency, receive)
 
     def max_to_mean_work(self) -> float:
         """Return the prefill time of the busiest engine relative to the mean."""
