--- a/src/pimentolatch/decisions/server_speeds.py
+++ b/src/pimentolatch/decisions/server_speeds.py
@@ -38,25 +38,26 @@
 _HYSTERESIS = 0.9
 # Quantiles of the observations that the figures follow.
 _RATE_QUANTILE = 0.9
-_GAP_QUANTILE = 0.3
+_GAP_QUANTILE = 0.25
 # The same when the reports of peers are combined: those whose prompts waited report
 # rates that are too low.
 _COMBINED_RATE_QUANTILE = 0.8
 # Quantile of the pauses, relative to the median gap of their engine. Slow spells that
 # take less than a twentieth of the time don't decide whether a stream is late.
 _PAUSE_QUANTILE = 0.95
-# Least relative step: a slow spell, which is three samples of a gap, moves it by a
-# fourteenth.
-_MIN_STEP = 0.04
 _GAP_INTERVAL = datetime.timedelta(milliseconds=200)
-# Evidence counts for half after this time, and for no more than this many samples.
+# Evidence counts for half after this time, and for no more than this many samples, so
+# that a slow spell, which is three samples of a gap, moves it by a sixteenth. Below
+# half a sample it is forgotten.
 _HALF_LIFE = datetime.timedelta(seconds=60)
-_MAX_SAMPLES = 16.0
+_MAX_SAMPLES = 25.0
+_FORGOTTEN_SAMPLES = 0.5
 _MAX_REPORTED = 8.0
 # Samples from which an engine's figure is used, and from which it counts as evidence
-# that engines differ.
+# that engines differ: eight of a gap are 1.6 s, so that most are outside of slow
+# spells.
 _KNOWN_SAMPLES = 4.0
-_SURE_SAMPLES = 6.0
+_SURE_SAMPLES = 8.0
 # Shares of the engines that are left out at both ends when fast and slow ones are
 # compared, so that one that hangs doesn't make all others fast.
 _TRIMMED = 0.2
@@ -122,13 +123,13 @@
 
     def observe(self, figure: float, now: datetime.timedelta) -> None:
         """Move the value towards a figure."""
-        self._samples = min(_MAX_SAMPLES, self.samples(now) + 1)
+        before = self.samples(now)
+        self._samples = min(_MAX_SAMPLES, before + 1)
         self._at = now
-        if self._samples < 2:
-            # What was known before has aged to less than one sample.
+        if before < _FORGOTTEN_SAMPLES:
             self.value = figure
             return
-        step = 2 * max(_MIN_STEP, 1 / self._samples)
+        step = 2 / self._samples
         if figure > self.value:
             self.value = min(figure, self.value * math.exp(step * self._share))
         else:
@@ -219,8 +220,8 @@
             for sender in [s for s, (_, at) in known.items() if _is_old(at, now)]:
                 del known[sender]
             reports += [report for report, _ in known.values()]
-        rates = [(item.rate, item.samples) for item in reports if item.rate]
-        gaps = [(item.gap_ms, item.samples) for item in reports if item.gap_ms]
+        rates = [(item.rate, _weight(item)) for item in reports if item.rate]
+        gaps = [(item.gap_ms, _weight(item)) for item in reports if item.gap_ms]
         return Report(
             _weighted_quantile(rates, _COMBINED_RATE_QUANTILE),
             _weighted_quantile(gaps, _GAP_QUANTILE),
@@ -382,6 +383,10 @@
         return float(_WEIGHT_BASE**steps)
 
 
+def _weight(report: Report) -> float:
+    return min(report.samples, _MAX_REPORTED)
+
+
 def _is_old(at: datetime.timedelta, now: datetime.timedelta) -> bool:
     return now - at >= _REPORT_EXPIRY
 
