Refresh speeds every three seconds once they count

Cause: bringing the speeds of 45 engines up to date with the reports of twelve peers took 0.8 ms, the largest part of the 1.7 ms a second that the exchange takes an instance (decode 34 us and apply 34 us a beacon with 8 rows, rows 0.1 ms, in a trial by hand).

--- a/src/pimentolatch/decisions/server_speeds.py
+++ b/src/pimentolatch/decisions/server_speeds.py
@@ -77,6 +77,8 @@
 # A peer rotates through its engines within ten seconds.
 _REPORT_EXPIRY = datetime.timedelta(seconds=30)
 _REFRESH_INTERVAL = datetime.timedelta(seconds=1)
+# The same once speeds count: it takes 0.8 ms for 45 engines of which peers report.
+_REFRESH_INTERVAL_IN_USE = datetime.timedelta(seconds=3)
 # Consecutive refreshes in which the engines must differ, so that a slow spell at the
 # beginning of the evidence is not taken for a speed.
 _CONFIRMATIONS = 2
@@ -351,7 +353,8 @@
         self, speeds: abc.Iterable[EngineSpeed], now: datetime.timedelta
     ) -> None:
         """Bring the figures in use up to date if that was not done just now."""
-        if now - self._refreshed_at >= _REFRESH_INTERVAL:
+        interval = _REFRESH_INTERVAL_IN_USE if self.uneven else _REFRESH_INTERVAL
+        if now - self._refreshed_at >= interval:
             self._refreshed_at = now
             self._refresh(list(speeds), now)
 
