--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -94,6 +94,8 @@
         time_to_deadline: Time the client still waits for the first event.
         jitter: Uniform random number from 0 to 1, fixed for the request.
         route_rank: Rank of its route if `rank` is its customer's; None otherwise.
+        event_gap_target: Longest time between two events that the route's clients
+            accept; 0 if it is not known.
     """
 
     prompt: prompts.Prompt
@@ -103,3 +105,4 @@
     time_to_deadline: datetime.timedelta
     jitter: float
     route_rank: int | None = None
+    event_gap_target: datetime.timedelta = datetime.timedelta()
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -71,7 +71,9 @@
         own_place = neighbours.Place(chosen.peers.host, chosen.failure_domain)
         self._flow = flow_control.FlowControl(own_place, time)
         self._fleet = fleet_state.FleetState(
-            self._flow.is_leaving, lambda server: self._silence.is_avoided(server)
+            self._flow.is_leaving,
+            lambda server: self._silence.is_avoided(server),
+            chosen.balance.speed_ratio,
         )
         self._silence = silence_exchange.SilenceExchange(
             self._fleet,
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -94,6 +94,7 @@
             request.service.engine,
             now,
             without=self._excluded(request, progress, now) | self._withheld(request),
+            event_gap_target=request.route.event_gap_target,
         )
 
     async def wait(
@@ -192,6 +193,7 @@
                 - now,
                 jitter=request.jitter,
                 route_rank=request.route_rank,
+                event_gap_target=request.route.event_gap_target,
             ),
             request.service.engine,
             now,
@@ -286,6 +288,7 @@
             version=place.engine.server.version,
             after=progress.last_event or None,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
+            assumed_rate=self._context.loads(request).assumed_rate(prefill_engine),
             withheld=_logged_ids(withheld),
             list_revision=listed.revision,
             list_source=listed.source,
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -10,6 +10,7 @@
     crash_suspects,
     request_delivery,
     server_plan,
+    server_speeds,
     watch_schedule,
 )
 
@@ -182,15 +183,21 @@
 
 
 class BalanceSettings(validation.CheckedModel):
-    """How work is divided among servers.
+    """How requests are distributed over the servers of a service.
 
     Attributes:
         share_silence: Whether servers are avoided that were silent to other instances
             of the failure domain.
+        speed_ratio: Ratio between fast and slow engines of a service from which the
+            learned speed of each counts, above 1; null for never.
     """
 
     share_silence: bool = True
 
+    speed_ratio: float | None = pydantic.Field(
+        default=server_speeds.DEFAULT_RATIO, gt=1, allow_inf_nan=False
+    )
+
 
 class GatewaySettings(validation.CheckedModel):
     """Settings of one instance.
@@ -203,7 +210,7 @@
         metrics: Address for metrics; they are not served if it is not set.
         control: Receives reports and orders; none are sent if it is not set.
         capacity: How servers are ordered there.
-        balance: How work is divided among servers.
+        balance: How requests are distributed over the servers of a service.
         digest_key: Key of the digests that identify requests in logs and between peers;
             the same on all instances of the fleet.
     """
