Count less urgent prompts ahead by half where engines differ in speed

Prompts that are less urgent were taken to be overtaken. Where engines differ in speed, what a slow one has begun takes longest.

Ruled out: counting them where engines are equal.

server_speeds, overload_replay, fleet_replay: 35 passed, 0 failed.

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -71,6 +71,9 @@
 # charge grows so steeply that such an engine is chosen only if all others are as full.
 _HIGH_UTILIZATION = 0.85
 _OVERFULL_MS = 4000.0
+# Share of the less urgent tokens of an engine that are prefilled before a prompt all the
+# same: what the engine has begun is not interrupted.
+_OVERTAKEN_SHARE = 0.5
 # Bounds the charge for pauses, in multiples of that for a late first event: engines
 # whose pauses are all too long differ still, but not without end.
 _MAX_PAUSE_CHARGE = 4.0
@@ -323,6 +326,16 @@
             decode_engine, tokens, kv_source, level, expected
         )
 
+    def _tokens_ahead(
+        self, engine: engine_loads.EngineLoad, level: int, now: datetime.timedelta
+    ) -> float:
+        """Return the tokens that an engine prefills before a prompt of a level."""
+        ahead = engine.total_prefill_tokens(now, level)
+        if not self._loads.speeds.uneven:
+            return ahead
+        less_urgent = engine.total_prefill_tokens(now) - ahead
+        return ahead + _OVERTAKEN_SHARE * less_urgent
+
     def _disaggregated(
         self,
         prefill_engine: engine_loads.EngineLoad,
@@ -343,8 +356,8 @@
                 jitter=request.jitter,
                 route_rank=request.route_rank,
             )
-            work = prefill_engine.total_prefill_tokens(
-                now, level
+            work = self._tokens_ahead(
+                prefill_engine, level, now
             ) + self._loads.prefill_cost(tokens)
             milliseconds = work / self._loads.prefill_rate_of(prefill_engine)
             expected = datetime.timedelta(milliseconds=milliseconds + _HANDOVER_MS)
--- a/tests/features/server_speeds.feature
+++ b/tests/features/server_speeds.feature
@@ -111,6 +111,18 @@
     When speeds: 2000 sessions are ranked
     Then speeds: a fast engine is home to 1.8 to 3 times as many sessions as a slow one
 
+  # An urgent prompt goes to an engine that has just begun a long one, which it can't
+  # interrupt, and is late. Where engines are equal nothing changes.
+  Scenario Outline: Long prompts under way count for an urgent one if engines <differ>
+    Given speeds: two engines read, and engines <differ>
+    When speeds: the first has 20000 less urgent tokens to read and the second 2000 as urgent ones
+    Then speeds: an urgent prompt goes to the <chosen>
+
+    Examples:
+      | differ       | chosen |
+      | differ       | second |
+      | do not differ | first |
+
   Scenario Outline: A ratio of <ratio> in the settings is <verdict>
     When speeds: the settings have a ratio of <ratio>
     Then speeds: they are <verdict>
--- a/tests/features/steps/server_speeds_steps.py
+++ b/tests/features/steps/server_speeds_steps.py
@@ -7,7 +7,14 @@
 
 from pimentolatch import settings as own_settings
 from pimentolatch import validation
-from pimentolatch.decisions import engine_loads, prefix_affinity, server_speeds
+from pimentolatch.decisions import (
+    engine_loads,
+    placement,
+    placement_types,
+    prefix_affinity,
+    server_speeds,
+    urgency,
+)
 from pimentolatch.gateway import fleet_state, settings, speed_exchange
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
@@ -150,6 +157,39 @@
     assert low <= found <= high, found
 
 
+@behave.given("speeds: two engines read, and engines {differ}")
+def two_readers(context, differ):
+    context.loads, context.now = engine_loads.EngineLoads(), START
+    writer = server(2, stage=servers.Stage.DECODE)
+    context.loads.update([server(0), server(1), writer])
+    context.loads.speeds.uneven = differ == "differ"
+
+
+@behave.when(
+    "speeds: the first has {long:d} less urgent tokens to read and the second {short:d}"
+    " as urgent ones"
+)
+def tokens_ahead(context, long, short):
+    context.loads.get("engine-0").prefill_tokens[urgency.LEVELS - 1] = long
+    context.loads.get("engine-1").prefill_tokens[0] = short
+
+
+@behave.then("speeds: an urgent prompt goes to the {which}")
+def goes_to(context, which):
+    part = prompts.Part("own", 600)
+    prompt = prompts.Prompt("m", 600, 10, 10, (part,))
+    request = placement_types.PlacementRequest(
+        prompt, 0, False, 2 * SECOND, 5 * SECOND, 0.5
+    )
+    chooser = placement.Placement(context.loads, "d0")
+    traits = fleet_parts.TRAITS
+    # No prompt of this size is read where others are written.
+    context.loads.partial_view = True
+    place = chooser.choose(request, traits, context.now)
+    expected = {"first": "engine-0", "second": "engine-1"}[which]
+    assert place.prefill_engine.server.server_id == expected, place
+
+
 @behave.given("speeds: an engine that reads {rate:d} tokens a ms")
 def steady_reader(context, rate):
     context.loads, context.now, context.rate = engine_loads.EngineLoads(), START, rate
