Play uneven engines and silent failure domains in the soak

Servers that instances of a failure domain report silent are avoided, leader tasks are handed over sooner and engines' speeds will be learned; the soak met none of this: one failure domain, equal engines, and a cut that leaves connections open, which no instance reports as silence.

`--uneven` spreads six gateways and the servers over two failure domains, has engines at 0.7, 0.7 and 1.7 times the usual pace with spells at 2.5 times, and makes all servers of one domain after the other lose their connections and be out of reach for 1.5 to 4 s, beside kills, restarts, SIGHUP, configurations and drains. Prompts are prefilled at once by the stand-ins: only the pace of events differs. Checks are those of the other runs; a request is excused by the silence only if it reached a server that was out of reach meanwhile. New: once a domain is back, its servers of each service get requests within 3.5 s and the margin.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,7 +1,8 @@
 """TCP relays that can block, lose, delay or reset traffic.
 
 A cut behaves like a network partition: connections stay open, no data gets through, and
-data sent meanwhile arrives after the partition heals, since TCP retransmits it.
+data sent meanwhile arrives after the partition heals, since TCP retransmits it. A relay
+that is unreachable has lost its connections and accepts none: attempts time out.
 
 A silenced connection behaves like one whose state a middlebox has lost, or whose peer
 process hangs: it stays open, keep-alive probes are answered, and what is sent on it is
@@ -9,7 +10,10 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
+import itertools
+import socket
 import threading
 import typing
 from collections import abc
@@ -58,11 +62,13 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
+        self._targets: dict[str, tuple[str, int]] = {}
         self._cuts: set[_Cut] = set()
         self._delays: dict[str, float] = {}
         self._connections: dict[str, list[_Connection]] = {}
         self._cuts_changed = asyncio.Condition()
-        self._servers: list[asyncio.Server] = []
+        self._servers: dict[str, asyncio.Server] = {}
+        self._full: dict[str, tuple[socket.socket, ...]] = {}
         self.failures: list[str] = []
 
     def start(
@@ -90,6 +96,15 @@
         }
         self._call(self._set_cuts(remaining))
 
+    def make_unreachable(self, name: str) -> None:
+        """Reset all connections, and let attempts to connect time out."""
+        self._call(self._fill_backlog(name))
+        self.reset(name)
+
+    def make_reachable(self, name: str) -> None:
+        """Undo `make_unreachable`."""
+        self._call(self._empty_backlog(name))
+
     def delay(self, name: str, seconds: float) -> None:
         """Delay each chunk of data that goes through a relay."""
         self._delays[name] = seconds
@@ -123,12 +138,33 @@
     async def _start(
         self, name: str, listen: tuple[str, int], target: tuple[str, int]
     ) -> None:
+        self._targets[name] = target
+        await self._listen(name, listen)
+
+    async def _listen(self, name: str, listen: tuple[str, int]) -> None:
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await self._serve(name, target, reader, writer)
-
-        self._servers.append(await asyncio.start_server(serve, *listen))
+            await self._serve(name, self._targets[name], reader, writer)
+
+        self._servers[name] = await asyncio.start_server(serve, *listen)
+
+    async def _fill_backlog(self, name: str) -> None:
+        """Replace a listener by one that accepts none; the kernel drops all others."""
+        address = self._servers[name].sockets[0].getsockname()
+        self._servers[name].close()
+        filler = socket.socket()
+        # A client may have filled it already; then this attempt would last.
+        filler.setblocking(False)
+        self._full[name] = (socket.create_server(address, backlog=0), filler)
+        with contextlib.suppress(BlockingIOError):
+            filler.connect(address)
+
+    async def _empty_backlog(self, name: str) -> None:
+        address = self._full[name][0].getsockname()
+        for opened in self._full.pop(name):
+            opened.close()
+        await self._listen(name, address)
 
     async def _serve(
         self,
@@ -227,8 +263,10 @@
             self._cuts_changed.notify_all()
 
     async def _stop(self) -> None:
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
+        for opened in itertools.chain.from_iterable(self._full.values()):
+            opened.close()
         current = asyncio.current_task()
         tasks = [task for task in asyncio.all_tasks() if task is not current]
         for task in tasks:
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -82,6 +82,7 @@
         started_ms: Unix time of its start in milliseconds; None if not reported.
         event_count: Number of events of a stream.
         event_pause_s: Time between two events of a stream.
+        slowness: Factor of that time.
         first_event_delay_s: Time from the head of a stream to its first event.
         cuts_new_streams: Whether it cuts each stream that begins with its first event.
         restart_before_order: Whether it restarts after its next report.
@@ -127,6 +128,7 @@
         self.started_ms: int | None = None
         self.event_count = EVENT_COUNT
         self.event_pause_s = EVENT_PAUSE_S
+        self.slowness = 1.0
         self.first_event_delay_s = 0.0
         self.cuts_new_streams = False
         self.restart_before_order = False
@@ -390,7 +392,7 @@
                 connection.reset()
                 return False
             await connection.send_chunk(event)
-            await asyncio.sleep(self.event_pause_s)
+            await asyncio.sleep(self.event_pause_s * self.slowness)
         await connection.send_end()
         return True
 
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -37,3 +37,9 @@
   Scenario: No promise is broken while the store is away and servers leave unsaid
     When the soak plays seed 3 for 8 seconds of outages
     Then no promise was broken and most requests were served
+
+  # Guards against servers that stay unused after a cut, and against requests that are lost
+  # while one failure domain after the other is out of reach.
+  Scenario: No promise is broken while engines are uneven and domains fall silent in turn
+    When the soak plays seed 1 for 8 seconds of uneven engines
+    Then no promise was broken and most requests were served
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -46,6 +46,12 @@
     context.result = asyncio.run(played)
 
 
+@behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of uneven engines")
+def play_uneven(context, seed, seconds):
+    played = soak.run_seed(seed, float(seconds), MARGIN_S, uneven=True)
+    context.result = asyncio.run(played)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,6 +6,7 @@
 `--outages` lets the store reject reads or lose all entries while servers leave unsaid.
 `--silence` lets connections fall silent and changes come, and nothing else, so that no
 other fault gives an instance a new connection; every other run has one gateway only.
+`--uneven` lets engines differ in speed and failure domains fall silent in turn.
 Each run also prints how its requests ended.
 """
 
@@ -27,6 +28,7 @@
     soak_faults,
     soak_outages,
     soak_pauses,
+    soak_uneven,
     soak_world,
 )
 
@@ -62,6 +64,7 @@
     silence=False,
     pauses=False,
     outages=False,
+    uneven=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -74,6 +77,7 @@
         silence: Only silence and planned changes are injected.
         pauses: Only pauses of servers and planned changes are injected.
         outages: Outages of the store, leaving servers and restarts are injected.
+        uneven: Engines differ in speed, and failure domains fall silent in turn.
     """
     world = _make_world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
@@ -86,6 +90,11 @@
         injector = soak_outages.OutageInjector(world, clock)
         faults = soak_outages.draw(seed, seconds)
         clients = _clients(world, seed, clock)
+    elif uneven:
+        soak_uneven.prepare(world)
+        injector = soak_uneven.UnevenInjector(world, clock)
+        faults = soak_uneven.draw(seed, seconds)
+        clients = _clients(world, seed, clock, soak_uneven.CLIENTS)
     else:
         injector = soak_faults.FaultInjector(world, clock)
         faults = _draw_faults(seed, seconds, silence)
@@ -96,7 +105,10 @@
         clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
     try:
         alone = (silence and seed % 2) or ((pauses or outages) and seed % 4 == 0)
-        await world.start(1 if alone else GATEWAYS)
+        if uneven:
+            await world.start(soak_uneven.GATEWAYS, **soak_uneven.SERVERS)
+        else:
+            await world.start(1 if alone else GATEWAYS)
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
         if fatal:
             tasks.append(asyncio.create_task(world.replace_crashed(stop)))
@@ -121,7 +133,7 @@
     endings = soak_endings.Endings(world, injector)
     violations = list(endings.violations(attempts))
     violations += soak_checks.violations(
-        attempts, servers, injector, logs, margin_s, endings.time_up
+        attempts, servers, injector, logs, margin_s, endings.unanswerable
     )
     violations += soak_checks.quarantine_violations(
         attempts, servers, injector, margin_s
@@ -130,6 +142,8 @@
         violations += soak_outages.late_violations(
             attempts, servers, injector, margin_s
         )
+    if uneven:
+        violations += soak_uneven.avoidance_violations(servers, injector, margin_s)
     after_faults = [
         attempt
         for attempt in attempts
@@ -155,10 +169,10 @@
     )
 
 
-def _clients(world, seed, clock):
+def _clients(world, seed, clock, count=CLIENTS):
     return [
         soak_clients.Client(world, number, seed * 1000 + number, clock)
-        for number in range(CLIENTS)
+        for number in range(count)
     ]
 
 
@@ -217,6 +231,7 @@
     parser.add_argument("--silence", action="store_true")
     parser.add_argument("--pauses", action="store_true")
     parser.add_argument("--outages", action="store_true")
+    parser.add_argument("--uneven", action="store_true")
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -237,6 +252,7 @@
             options.silence,
             options.pauses,
             options.outages,
+            options.uneven,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -8,7 +8,7 @@
 import sys
 
 from pimentolatch import clock
-from pimentolatch.decisions import missing_servers, watch_schedule
+from pimentolatch.decisions import missing_servers, silent_servers, watch_schedule
 from pimentolatch.gateway import (
     daemon,
     dispatch,
@@ -147,6 +147,12 @@
     missing_servers.grace_ends_at = lambda unanswered_since: now() + 2 * SECOND
 
 
+def _avoid_reported_servers_for_long():
+    """Avoids servers that instances reported silent for ten times as long."""
+    silent_servers._EXPIRY *= 10
+    silent_servers._TRIER_SHARE = 0.0
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -162,6 +168,7 @@
     "bound on silent watches": _wait_for_silent_watches,
     "stay at silent engines": _leave_silent_engines,
     "grace from the store's return": _keep_missing_servers,
+    "end of avoidance": _avoid_reported_servers_for_long,
 }
 
 
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -56,7 +56,7 @@
 ERROR_LINES = re.compile(r'"(request failed|task failed[^"]*)"|Traceback')
 
 
-def violations(attempts, servers, injector, logs, margin_s, time_up):
+def violations(attempts, servers, injector, logs, margin_s, unanswerable):
     """Yield one line for each violation of a guarantee.
 
     Args:
@@ -65,7 +65,8 @@
         injector: The faults that were injected.
         logs: Log of each gateway by its name.
         margin_s: Added to the time bounds.
-        time_up: Returns whether an attempt was ended since its time was up.
+        unanswerable: Returns whether an attempt was ended since its time was up or a
+            server could not be reached.
     """
     runs = _runs_by_request(servers)
     for attempt in attempts:
@@ -76,7 +77,7 @@
     yield from _leaving_violations(attempts, servers, injector, margin_s)
     yield from _rest_violations(attempts, servers, injector, margin_s)
     yield from _route_violations(attempts, injector, margin_s)
-    yield from _stop_violations(attempts, injector, time_up)
+    yield from _stop_violations(attempts, injector, unanswerable)
     for name, log in logs.items():
         for line in log.splitlines():
             if ERROR_LINES.search(line):
@@ -325,7 +326,7 @@
             )
 
 
-def _stop_violations(attempts, injector, time_up):
+def _stop_violations(attempts, injector, unanswerable):
     """Check that a graceful stop aborts only requests hit by an unplanned fault."""
     for stop in injector.injected:
         if stop.kind != "term":
@@ -336,7 +337,7 @@
             if not stop.begin - 1 <= attempt.sent_at <= stop.end or attempt.status == 0:
                 # A gateway does not read a request that crosses its close.
                 continue
-            if not time_up(attempt) and not affected(
+            if not unanswerable(attempt) and not affected(
                 injector.injected,
                 attempt.sent_at,
                 attempt.ended_at,
--- a/tests/support/soak_endings.py
+++ b/tests/support/soak_endings.py
@@ -50,6 +50,7 @@
     def __init__(self, world, injector):
         self._world = world
         self._injected = injector.injected
+        self._silences = injector.silences
         self._reached = {}
         for server in [*world.servers.values(), *world.removed_servers]:
             for request in server.received:
@@ -62,7 +63,7 @@
             return _complete_ending(attempt.status)
         if self._crossed_close(attempt):
             return Ending.CROSSED
-        if self._hit(attempt):
+        if self._hit(attempt) or self._silenced(attempt):
             return Ending.EXCUSED
         if self.time_up(attempt):
             return Ending.TIME_UP
@@ -113,6 +114,19 @@
             for server_id in self._servers(attempt)
         )
 
+    def unanswerable(self, attempt):
+        """Return whether time was up, or a server that it reached out of reach."""
+        return self.time_up(attempt) or self._silenced(attempt)
+
+    def _silenced(self, attempt):
+        servers = self._servers(attempt)
+        return any(
+            silence.server_id in servers
+            and silence.begin <= attempt.ended_at
+            and silence.end >= attempt.sent_at
+            for silence in self._silences
+        )
+
     def time_up(self, attempt):
         """Return whether the instance ended a request whose time was up."""
         timeouts = [
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -189,6 +189,7 @@
         routes_added_at: Time at which each route was added, by route name.
         routes_dropped_at: Time at which each route was dropped, by route name.
         pauses: Pauses of servers.
+        silences: Spans in which a server could not be reached.
         limits: Limits that servers named.
         leaves_said_at: Time from which a server says that it leaves, by server id.
         rests: Rest that a server asks for in seconds, by server id.
@@ -202,6 +203,7 @@
         self.routes_added_at = {}
         self.routes_dropped_at = {}
         self.pauses = []
+        self.silences = []
         self.limits = []
         self.leaves_said_at = {}
         self.rests = {}
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import json
@@ -78,6 +79,8 @@
         limits: What differs from the usual limits of clients in it.
         second_services: Whether each service has a copy.
         event_count, event_pause_s: Length and pace of the servers' streams.
+        failure_domains: Those of gateways and servers, filled evenly.
+        slowness: Factors of the pace of the engines, one after the other.
         configurations: All versions of the configuration, in order.
         removed_at: Time at which each removed server was stopped, by server id.
     """
@@ -100,6 +103,8 @@
         self.second_services = False
         self.event_count = route_server.EVENT_COUNT
         self.event_pause_s = route_server.EVENT_PAUSE_S
+        self.failure_domains = ("here",)
+        self.slowness = itertools.repeat(1.0)
         self.configurations = []
         self.removed_at = {}
         self._store_host = self._network.address()
@@ -125,8 +130,9 @@
         names = [f"g{number}" for number in range(gateways)]
         hosts = {name: self._network.address() for name in names}
         seeds = [f"{host}:{PEERS_PORT}" for host in list(hosts.values())[:3]]
-        for name, host in hosts.items():
-            self._add_gateway(name, host, seeds)
+        domains = itertools.cycle(self.failure_domains)
+        for (name, host), domain in zip(hosts.items(), domains, strict=False):
+            self._add_gateway(name, host, domain, seeds)
         for name in names:
             await self.wait_until_ready(name)
 
@@ -150,10 +156,12 @@
         """Start a server behind a relay and write its entry to the store."""
         name = f"{stage or service}-{next(self._numbers)}"
         version = next(self.versions)
-        server = route_server.RouteServer(name, service, "here", stage, version)
+        domain = self._emptiest_domain(service, stage)
+        server = route_server.RouteServer(name, service, domain, stage, version)
         server.fatal_body = self.fatal_body
         server.event_count = self.event_count
         server.event_pause_s = self.event_pause_s
+        server.slowness = next(self.slowness)
         await server.start()
         listener = (self._network.address(), SERVER_PORT)
         self.relays.start(name, listener, ("127.0.0.1", server.port))
@@ -162,6 +170,16 @@
         await self.list_server(name)
         return server
 
+    def _emptiest_domain(self, service, stage):
+        """Return the failure domain that has the fewest ready servers of a kind."""
+        kind = (service, stage, "ready")
+        counts = collections.Counter(
+            server.failure_domain
+            for server in self.servers.values()
+            if (server.service, server.stage, server.state) == kind
+        )
+        return min(self.failure_domains, key=lambda domain: counts[domain])
+
     async def list_server(self, name):
         """Write a server's entry to the store, as the server itself does."""
         server = self.servers[name]
@@ -259,7 +277,7 @@
             for name, gateway in self.gateways.items()
         }
 
-    def _add_gateway(self, name, host, seeds):
+    def _add_gateway(self, name, host, domain, seeds):
         store = (self._network.address(), STORE_PORT)
         self.relays.start(f"store of {name}", store, (self._store_host, STORE_PORT))
         self.relays.start(
@@ -268,7 +286,7 @@
         settings = pathlib.Path(self._folder.name) / f"{name}.jsonc"
         fields = {
             "instance": name,
-            "failure_domain": "here",
+            "failure_domain": domain,
             "clients": f"{host}:{CLIENTS_PORT}",
             "readiness": f"{host}:{READY_PORT}",
             "metrics": f"{host}:{METRICS_PORT}",
