Replace lost on-demand servers where spot servers are not used

Cause: once the load of the last swings was known, the plan of a service without spot servers started from the servers in service and could only return some. Lost servers were never ordered again, and each loss lowered the numbers ordered before, so that the fleet only shrank; a domain that had lost all was ordered none although the configuration names a least number.

If fewer are left than the load needs, the plan is now that of a fixed need of that size, and no domain goes below its least.

Ruled out: servers that come back by themselves, which the order of the lower number would send away again.

--- a/src/pimentolatch/decisions/server_plan.py
+++ b/src/pimentolatch/decisions/server_plan.py
@@ -20,7 +20,8 @@
 servers, which are kept for what the operator provided. Servers that are still booting
 count as present for new orders, since one ordered now would be later, but never for a
 release. Where spot servers are not used, on-demand ones are released from the dearest
-domain first, as long as the rest suffice after the loss of any one domain.
+domain first, as long as the rest suffice after the loss of any one domain. If that
+happens and the rest do not suffice, lost ones are replaced.
 """
 
 import dataclasses
@@ -215,10 +216,12 @@
             for domain in domains:
                 room = max(0, scaling.max_servers - found[domain].on_demand)
                 spot_counts[domain] = min(per_domain, room)
-        if not uses_spot and seen_need is not None:
-            rest = _spread(seen_need, scaling, found)
-            return {(domain, False): count for domain, count in rest.items()}
         need = self._need if seen_need is None else min(self._need, seen_need)
+        on_demand = sum(counts.on_demand for counts in found.values())
+        # If fewer are left than needed, some were lost and are replaced below.
+        if not uses_spot and seen_need is not None and on_demand >= need:
+            rest = _spread(need, scaling, found)
+            return {(domain, False): count for domain, count in rest.items()}
         spot_serving = sum(min(found[d].spot, spot_counts[d]) for d in domains)
         spot_expected = sum(
             min(self._expected_spot(d, found[d].spot, scaling, now), spot_counts[d])
@@ -312,7 +315,9 @@
     The dearest domain is reduced first. The rest must suffice after the loss of any one
     domain, so no domain keeps so many that its loss breaks the need.
     """
-    counts = {domain: found[domain].on_demand for domain in found}
+    counts = {
+        domain: max(found[domain].on_demand, scaling.min_servers) for domain in found
+    }
     domains = sorted(counts, key=lambda name: (-scaling.prices[name], name))
     for domain in domains:
         while counts[domain] > scaling.min_servers:
--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -115,6 +115,18 @@
     Then capacity: callers never lack a server
     And capacity: fewer dear servers stand in "south" than in "east" before the loss
 
+  # Guards against a fleet that shrinks with each loss, since what is left is kept.
+  Scenario Outline: Without cheap servers lost ones are replaced as far as the load needs
+    Given capacity: <kind> load on 30 dear servers, no cheap ones allowed
+    When capacity: a minute passes in which "east" and then "west" are lost
+    Then capacity: the need is served at the end
+    And capacity: each domain has its least at the end
+
+    Examples:
+      | kind  |
+      | light |
+      | heavy |
+
   # Guards against an operator's fixed number that is passed over.
   Scenario: A number that the operator set, or a switch, keeps the need fixed
     Then capacity: the load is not followed if "servers" is set or "follow_load" is off
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -463,6 +463,28 @@
     world.play(21)
 
 
+@behave.when(
+    'capacity: a minute passes in which "{first}" and then "{second}" are lost'
+)
+def two_domains_lost(context, first, second):
+    context.scaling.play(39)
+    for domain in (first, second):
+        context.scaling.lose(domain)
+        context.scaling.play(10)
+
+
+@behave.then("capacity: the need is served at the end")
+def need_served(context):
+    world = context.scaling
+    assert world.serving[-1] >= world.seen_need(), (world.serving, world.seen_need())
+
+
+@behave.then("capacity: each domain has its least at the end")
+def least_at_end(context):
+    counts = context.scaling.server_counts()
+    assert all(c.on_demand >= SCALING.min_servers for c in counts.values()), counts
+
+
 @behave.then(
     'capacity: fewer dear servers stand in "{dearest}" than in "{cheapest}" before the'
     " loss"
--- a/tests/support/scaling_world.py
+++ b/tests/support/scaling_world.py
@@ -106,11 +106,12 @@
         self.short += max(0.0, missing) * STEP.total_seconds()
         self._seen.observe(load, self.now)
         for order in self.planner.plan(
-            self.scaling, self.server_counts(), self.now, self._seen_need()
+            self.scaling, self.server_counts(), self.now, self.seen_need()
         ):
             self._execute(order)
 
-    def _seen_need(self):
+    def seen_need(self):
+        """Return the servers that the load seen needs; None if that is not known."""
         if not self._policy.follows_load:
             return None
         return self._seen.need(self.planner.need, self.now)
