Look for avoided servers only while there are any

Cause: each placement asks for each engine whether it is avoided, and each question read the clock, also in deployments where no server is ever silent.

The scenario fails before: the clock was read for each engine. What is avoided stays as it was.

--- a/src/pimentolatch/decisions/silent_servers.py
+++ b/src/pimentolatch/decisions/silent_servers.py
@@ -76,6 +76,11 @@
         self._reports: dict[str, tuple[Report, ...]] = {}
         self._avoided: dict[servers.Incarnation, datetime.timedelta] = {}
 
+    @property
+    def avoids_any(self) -> bool:
+        """Whether a server may be avoided."""
+        return bool(self._avoided)
+
     def silent(self, server: servers.Server, now: datetime.timedelta) -> None:
         """Record that a server did not accept a request of this instance."""
         self._own[server.incarnation] = now
--- a/src/pimentolatch/gateway/silence_exchange.py
+++ b/src/pimentolatch/gateway/silence_exchange.py
@@ -56,6 +56,9 @@
 
     def is_avoided(self, server: servers.Incarnation) -> bool:
         """Tell whether a server gets no request while others can serve."""
+        # Asked for each server of each request, mostly while none is avoided.
+        if not self._known.avoids_any:
+            return False
         return self._known.is_avoided(server, self._clock.monotonic())
 
     def reports(self) -> dict[str, tuple[beacons.SilentServer, ...]]:
--- a/tests/features/shared_silence.feature
+++ b/tests/features/shared_silence.feature
@@ -72,3 +72,8 @@
     When silence: two servers do not accept requests of the first two
     Then silence: only the instance of their failure domain avoids them
     And silence: with sharing switched off it avoids none
+
+  # Guards against work for each server of each request while none is avoided.
+  Scenario: While no server is avoided no time is spent on each one
+    Given silence: three instances, two of them in one failure domain
+    Then silence: a prompt finds its engines without a look at the clock
--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -303,3 +303,11 @@
     for sent in context.sent:
         alone.receive(sent)
     assert not any(alone.is_avoided(server.incarnation) for server in context.servers)
+
+
+@behave.then("silence: a prompt finds its engines without a look at the clock")
+def no_clock_read(context):
+    context.clock.monotonic = None
+    loads = engine_loads.EngineLoads(context.exchanges["one"].is_avoided)
+    loads.update(context.servers)
+    assert loads.usable(servers.Stage.DECODE, 10 * SECOND, frozenset())
