Report no server as silent that refuses connections

Cause: any failure to connect counted as silence, so the servers of a failure domain that restart, and refuse connections at once, spoke for the rest of it: in a domain of two servers one that crashed has instances of the other domains avoid the sound one if they have not heard it within a second.

A refusal is an answer of its host: the path is sound, and the caller loses no time. So only attempts that time out count, and requests without an acknowledgement, as before.

Ruled out: a second column in beacons that keeps refusals for single servers; each instance meets a refusal in one round trip and then backs off by itself.

Of the two new scenarios the one with a refusal fails before; the 14 of shared_silence.feature pass.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -189,7 +189,7 @@
         self._on_answer.append(call)
 
     def on_silence(self, call: abc.Callable[[servers.Server], None]) -> None:
-        """Register a callback for each request that a server did not accept."""
+        """Register a callback for each request to which a server gave no sign."""
         self._on_silence.append(call)
 
     def retain(self, incarnations: abc.Container[abc.Hashable]) -> None:
@@ -237,7 +237,9 @@
                 reuse=not new_connection,
             )
         except channel.ConnectError as error:
-            _notify(self._on_silence, server)
+            # A refusal shows that the path is sound, and costs no caller any time.
+            if error.unresponsive:
+                _notify(self._on_silence, server)
             return NotSent(str(error), error.unresponsive)
         try:
             labelled = dataclasses.replace(options, customer=request.customer_name)
--- a/tests/features/shared_silence.feature
+++ b/tests/features/shared_silence.feature
@@ -73,6 +73,17 @@
     Then silence: only the instance of their failure domain avoids them
     And silence: with sharing switched off it avoids none
 
+  # Guards against a small failure domain that is given up since half of its servers
+  # restart, which refuse connections at once.
+  Scenario Outline: A server that <does> is <said> to be silent
+    When silence: a request is sent to a server that <does>
+    Then silence: the server is <said> to be silent
+
+    Examples:
+      | does                  | said     |
+      | refuses connections   | not said |
+      | answers no connection | said     |
+
   # Guards against work for each server of each request while none is avoided.
   Scenario: While no server is avoided no time is spent on each one
     Given silence: three instances, two of them in one failure domain
--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -1,8 +1,12 @@
+import asyncio
 import collections
+import contextlib
 import dataclasses
 import datetime
 import heapq
 import random
+import socket
+import types
 
 import behave
 
@@ -13,7 +17,8 @@
     server_choice,
     silent_servers,
 )
-from pimentolatch.gateway import fleet_state, silence_exchange
+from pimentolatch.gateway import dispatch, fleet_state, silence_exchange
+from pimentolatch.platform import http_headers
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.routes import servers
 
@@ -311,3 +316,39 @@
     loads = engine_loads.EngineLoads(context.exchanges["one"].is_avoided)
     loads.update(context.servers)
     assert loads.usable(servers.Stage.DECODE, 10 * SECOND, frozenset())
+
+
+@contextlib.contextmanager
+def listener(answers):
+    """Yield an address that refuses connections, or leaves them unanswered."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as opened:
+        address = opened.getsockname()
+        if answers:
+            opened.close()
+            yield address
+        else:
+            # The only place in the queue is taken.
+            with socket.create_connection(address):
+                yield address
+
+
+@behave.when("silence: a request is sent to a server that {does}")
+def send_request(context, does):
+    client = dispatch.ServerClient(
+        clock.SystemClock(), None, acknowledgement_limit=SECOND
+    )
+    context.told = []
+    client.on_silence(context.told.append)
+    request = types.SimpleNamespace(route=types.SimpleNamespace(repeatable=True))
+    with listener(does == "refuses connections") as (host, port):
+        context.server = dataclasses.replace(
+            listed(1, "there"), address=settings.Address(host=host, port=port)
+        )
+        options = http_headers.DispatchOptions("s1", SECOND)
+        context.outcome = asyncio.run(client.open(context.server, request, options))
+
+
+@behave.then("silence: the server is {said} to be silent")
+def told_silent(context, said):
+    assert isinstance(context.outcome, dispatch.NotSent), context.outcome
+    assert context.told == ([] if said == "not said" else [context.server])
