Let no instance that stops become the leader

Cause: an instance that was told to stop gave up leadership only if it held it. Until its process ended, up to the stop grace later, it could acquire the lease, or finish an acquisition that was under way, and then end without a release: as in a restart of one instance after the other. Its peers then wait until the lease has run out, 6.5 s at a lease of 3 s, and usage windows fall due meanwhile.

An instance that stops does not try again, and gives up what it is acquiring; peers are told by beacons that this fence is released.

Ruled out: ending the tasks at the stop; they serve the requests that are left.

Both examples of the new scenario fail before; usage.feature and routes_orders.feature pass.

--- a/src/pimentolatch/gateway/leadership.py
+++ b/src/pimentolatch/gateway/leadership.py
@@ -63,6 +63,7 @@
         self._leader_tracker = leader_election.LeaderTracker(self._clock.monotonic())
         self._last_acquired: datetime.timedelta | None = None
         self._abstains_until = datetime.timedelta()
+        self._is_stopping = False
         # Each leader task renews the lease. One that waits while another one yields
         # must see that, or it would take back what peers were told is released.
         self._lock = asyncio.Lock()
@@ -96,7 +97,7 @@
         if self.active:
             return True
         now = self._clock.monotonic()
-        if now < self._abstains_until:
+        if self._is_stopping or now < self._abstains_until:
             return False
         if self._leader_tracker.host(now) == self._host:
             # An earlier incarnation of this instance held the lease, and peers still
@@ -163,7 +164,10 @@
         self._listeners.append(listener)
 
     def announce_stop(self) -> None:
-        """Give up leadership: this instance is about to stop."""
+        """Give up leadership for good: this instance is about to stop."""
+        self._is_stopping = True
+        # A first acquisition may be in flight.
+        self._ended_tenures += 1
         self._release("instance is stopping")
 
     def receive(self, notice: beacons.Leader | None) -> None:
--- a/tests/features/steps/usage_steps.py
+++ b/tests/features/steps/usage_steps.py
@@ -483,6 +483,35 @@
     assert notice.released and notice.fence == context.held.stored_fence(), notice
 
 
+@behave.when("usage: it stops while its first lease is being taken")
+def stops_while_acquiring(context):
+    async def played():
+        context.held.time.advance(4 * SECOND)
+        context.held.answers.clear()
+        waiting = asyncio.create_task(context.leading.acquire())
+        await asyncio.sleep(0)
+        context.leading.announce_stop()
+        context.held.answers.set()
+        context.acquired = await waiting
+
+    asyncio.run(played())
+
+
+@behave.when("usage: it stops before it has led")
+def stops_before(context):
+    context.held.time.advance(4 * SECOND)
+    context.leading.announce_stop()
+    context.acquired = asyncio.run(context.leading.acquire())
+
+
+@behave.then("usage: it does not lead, neither at once nor 20 seconds later")
+def does_not_lead_later(context):
+    assert not context.acquired and not context.leading.active
+    context.held.time.advance(20 * SECOND)
+    assert not asyncio.run(context.leading.acquire())
+    assert not context.leading.valid()
+
+
 @behave.given("usage: exchanges of two instances, of which one becomes the leader")
 def two_exchanges(context):
     context.pair = usage_world.ExchangePair()
--- a/tests/features/usage.feature
+++ b/tests/features/usage.feature
@@ -113,6 +113,18 @@
     When usage: it yields and then the store answers
     Then usage: it does not lead, and its latest fence is announced as released
 
+  # Guards against an instance that becomes the leader while it stops, so that nobody leads
+  # until its lease has run out.
+  Scenario Outline: An instance that stops <when> does not become the leader
+    Given usage: a leader whose renewal waits for the store
+    When usage: it stops <when>
+    Then usage: it does not lead, neither at once nor 20 seconds later
+
+    Examples:
+      | when                                 |
+      | while its first lease is being taken |
+      | before it has led                    |
+
   # Guards against a new leader that waits for beacons to be known, and reports too late
   # or without the counts that neighbours keep of ended instances.
   Scenario: A new leader asks for counts and gets them at once
