--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -71,8 +71,8 @@
 # charge grows so steeply that such an engine is chosen only if all others are as full.
 _HIGH_UTILIZATION = 0.85
 _OVERFULL_MS = 4000.0
-# Share of an engine's less urgent tokens that are prefilled before a prompt all the same:
-# what the engine has begun is not interrupted.
+# Share of the less urgent tokens that an engine prefills before a prompt all the same:
+# it doesn't interrupt what it has begun.
 _OVERTAKEN_SHARE = 0.5
 # Bounds the charge for pauses, in multiples of that for a late first event: engines
 # whose pauses are all too long differ still, but not without end.
