Report no silent servers while no server is heard

Reporters whose reports have all expired are forgotten, and the newest reports go first, since a beacon names 20 at most.

Ruled out: three reporters instead of two; a cut takes as many instances as it likes.

--- a/src/pimentolatch/decisions/silent_servers.py
+++ b/src/pimentolatch/decisions/silent_servers.py
@@ -12,9 +12,10 @@
 failure domain are reported and none of the others has answered here lately, the whole
 domain is: one cut on the way explains it.
 
-One reporter is not enough, as it may be cut off itself. Reports of other failure
-domains do not count: what they can't reach may be in reach here. Servers are avoided
-only while others can serve.
+One reporter is not enough, as it may be cut off itself. An instance that has heard no
+server lately reports none: it is more likely cut off than all servers silent. Reports
+of other failure domains do not count: what they can't reach may be in reach here.
+Servers are avoided only while others can serve.
 
 A few instances ask a server again before the others: if it is back they withdraw their
 reports, and if it is still silent they renew them. Which ones follows from a hash of
@@ -73,6 +74,7 @@
         self._name = own_name
         self._own: dict[servers.Incarnation, datetime.timedelta] = {}
         self._answered_at: dict[servers.Incarnation, datetime.timedelta] = {}
+        self._last_answer_at: datetime.timedelta | None = None
         self._reports: dict[str, tuple[Report, ...]] = {}
         self._avoided: dict[servers.Incarnation, datetime.timedelta] = {}
 
@@ -88,6 +90,7 @@
     def answered(self, server: servers.Server, now: datetime.timedelta) -> None:
         """Record that a server has answered this instance."""
         self._answered_at[server.incarnation] = now
+        self._last_answer_at = now
         self._own.pop(server.incarnation, None)
         self._avoided.pop(server.incarnation, None)
 
@@ -100,12 +103,19 @@
             self._reports.pop(reporter, None)
 
     def own_reports(self, now: datetime.timedelta) -> tuple[Report, ...]:
-        """Return the current reports of this instance."""
-        return tuple(
+        """Return the current reports of this instance, the newest first.
+
+        There are none while it hears no server at all.
+        """
+        heard_at = self._last_answer_at
+        if heard_at is None or now - heard_at > _PROOF_LIFETIME:
+            return ()
+        current = [
             Report(server, at)
             for server, at in self._own.items()
             if now - at <= _EXPIRY
-        )
+        ]
+        return tuple(sorted(current, key=lambda report: report.at, reverse=True))
 
     def update(
         self, listed: abc.Iterable[servers.Server], now: datetime.timedelta
@@ -117,6 +127,7 @@
             now: The current time.
         """
         before = self._avoided
+        self._forget_expired(now)
         found = self._reported(now)
         self._avoided = {
             server: self._avoided_until(server, times.values())
@@ -142,6 +153,14 @@
             for server in [name for name in known if name not in listed]:
                 del known[server]
 
+    def _forget_expired(self, now: datetime.timedelta) -> None:
+        """Forget instances whose reports have all expired, as they may have ended."""
+        self._reports = {
+            reporter: reports
+            for reporter, reports in self._reports.items()
+            if any(now - report.at <= _EXPIRY for report in reports)
+        }
+
     def _reported(
         self, now: datetime.timedelta
     ) -> dict[servers.Incarnation, dict[str, datetime.timedelta]]:
--- a/tests/features/shared_silence.feature
+++ b/tests/features/shared_silence.feature
@@ -29,6 +29,18 @@
     When silence: "one" reports 4 servers
     Then silence: no server is avoided
 
+  # Guards against instances that are cut off from all servers, still reach their peers,
+  # and have them avoid sound servers.
+  Scenario Outline: An instance that hears no server reports none
+    Given silence: an instance and 4 servers of another failure domain
+    When silence: it hears <whom> and finds 4 servers silent
+    Then silence: it reports <count> servers
+
+    Examples:
+      | whom           | count |
+      | another server | 4     |
+      | nobody         | 0     |
+
   # Guards against a server that is avoided although it has answered since.
   Scenario: A server that answers here is not avoided
     Given silence: an instance and 4 servers of another failure domain
--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -202,6 +202,20 @@
     update(context)
 
 
+@behave.when("silence: it hears {who} and finds {count:d} servers silent")
+def finds_silent(context, who, count):
+    if who == "another server":
+        context.known.answered(listed(9, "here"), context.now)
+    for server in context.servers[:count]:
+        context.known.silent(server, context.now)
+
+
+@behave.then("silence: it reports {count:d} servers")
+def reports_itself(context, count):
+    reported = context.known.own_reports(context.now)
+    assert len(reported) == count, reported
+
+
 @behave.when("silence: the first server answers")
 def answers(context):
     context.known.answered(context.servers[0], context.now)
@@ -272,6 +286,7 @@
     for name in ("one", "two"):
         client = Client()
         context.exchanges[name].observe(client)
+        client.answered(listed(3, "here"))
         for server in context.servers:
             client.silent(server)
         context.sent.append(beacon(name, context.exchanges[name]))
