Give the running quantile a module of its own, and say what silence means

Cause: server_speeds had 434 lines with two jobs; a gap was called a median that is a low quantile; pages and comments said of silent servers that they did not accept requests, while refusals count no longer. No behaviour changes.

--- a/src/pimentolatch/decisions/server_speeds.py
+++ b/src/pimentolatch/decisions/server_speeds.py
@@ -30,6 +30,8 @@
 import math
 from collections import abc
 
+from pimentolatch.decisions import running_quantile
+
 __all__ = ["DEFAULT_RATIO", "EngineSpeed", "Report", "Speeds"]
 
 # Ratio between fast and slow engines from which their speeds are used. Equal engines
@@ -44,16 +46,10 @@
 # The same when the reports of peers are combined: those whose prompts waited report
 # rates that are too low.
 _COMBINED_RATE_QUANTILE = 0.8
-# Quantile of the pauses, relative to the median gap of their engine. Slow spells that
+# Quantile of the pauses, relative to the typical gap of their engine. Slow spells that
 # take less than a twentieth of the time don't decide whether a stream is late.
 _PAUSE_QUANTILE = 0.95
 _GAP_INTERVAL = datetime.timedelta(milliseconds=200)
-# Evidence counts for half after this time, and for no more than this many samples, so
-# that a slow spell, which is three samples of a gap, moves it by a sixteenth. Below
-# half a sample it is forgotten.
-_HALF_LIFE = datetime.timedelta(seconds=60)
-_MAX_SAMPLES = 25.0
-_FORGOTTEN_SAMPLES = 0.5
 _MAX_REPORTED = 8.0
 # Samples from which an engine's figure is used, and from which it counts as evidence
 # that engines differ: eight of a gap are 1.6 s, so that most are outside of slow
@@ -104,43 +100,6 @@
     samples: float
 
 
-class _Quantile:
-    """Follows a quantile of positive figures, and forgets.
-
-    Args:
-        share: The quantile, from 0 to 1.
-    """
-
-    __slots__ = ("_at", "_samples", "_share", "value")
-
-    def __init__(self, share: float) -> None:
-        self._share = share
-        self._samples = 0.0
-        self._at = _LONG_AGO
-        self.value = 0.0
-
-    def samples(self, now: datetime.timedelta) -> float:
-        """Return the number of samples, less what has aged."""
-        if not self._samples:
-            return 0.0
-        return float(self._samples * 0.5 ** ((now - self._at) / _HALF_LIFE))
-
-    def observe(self, figure: float, now: datetime.timedelta) -> None:
-        """Move the value towards a figure."""
-        before = self.samples(now)
-        self._samples = min(_MAX_SAMPLES, before + 1)
-        self._at = now
-        if before < _FORGOTTEN_SAMPLES:
-            self.value = figure
-            return
-        step = 2 / self._samples
-        if figure > self.value:
-            self.value = min(figure, self.value * math.exp(step * self._share))
-        else:
-            lower = self.value * math.exp(-step * (1 - self._share))
-            self.value = max(figure, lower)
-
-
 class EngineSpeed:
     """Evidence of one engine's speed in one lifetime, and the figures in use.
 
@@ -164,8 +123,8 @@
     )
 
     def __init__(self) -> None:
-        self._rate = _Quantile(_RATE_QUANTILE)
-        self._gap = _Quantile(_GAP_QUANTILE)
+        self._rate = running_quantile.RunningQuantile(_RATE_QUANTILE)
+        self._gap = running_quantile.RunningQuantile(_GAP_QUANTILE)
         self._gap_at = _LONG_AGO
         self._peers: dict[str, tuple[Report, datetime.timedelta]] = {}
         self._domains: dict[str, tuple[Report, datetime.timedelta]] = {}
@@ -176,7 +135,7 @@
 
     @property
     def own_gap_ms(self) -> float:
-        """Median gap as this instance saw it; 0 if it saw none."""
+        """Typical gap as this instance saw it; 0 if it saw none."""
         return self._gap.value
 
     def observe_rate(self, rate: float, now: datetime.timedelta) -> None:
@@ -262,7 +221,7 @@
         self._refreshed_at = _LONG_AGO
         self._in_a_row = 0
         self._guess = 1.0
-        self._pause = _Quantile(_PAUSE_QUANTILE)
+        self._pause = running_quantile.RunningQuantile(_PAUSE_QUANTILE)
         self.uneven = False
         self.spread = 1.0
         self.known = 0
@@ -271,7 +230,7 @@
 
     @property
     def pause_factor(self) -> float:
-        """Ratio of long pauses between events to the median gap of their engine."""
+        """Ratio of long pauses between events to the typical gap of their engine."""
         return max(1.0, self._pause.value)
 
     @property
--- a/src/pimentolatch/decisions/silent_servers.py
+++ b/src/pimentolatch/decisions/silent_servers.py
@@ -6,11 +6,12 @@
 which waits for most of a second: hundreds of callers pay for what a neighbour knows
 already.
 
-So an instance reports the servers that did not accept its request and that it has not
-heard since. A server that two instances of the own failure domain report is avoided
-until one of them has heard it, unless it has answered here since. If most servers of a
-failure domain are reported and none of the others has answered here lately, the whole
-domain is: one cut on the way explains it.
+So an instance reports the servers that gave no sign to its request, neither a
+connection nor an acknowledgement, and that it has not heard since. A server that two
+instances of the own failure domain report is avoided until one of them has heard it,
+unless it has answered here since. If at least half of a failure domain's servers are
+reported, those that have not answered here lately are avoided too: one cut on the way
+explains them.
 
 One reporter is not enough, as it may be cut off itself. An instance that has heard no
 server lately reports none: it is more likely cut off than all servers silent. Reports
@@ -84,7 +85,7 @@
         return bool(self._avoided)
 
     def silent(self, server: servers.Server, now: datetime.timedelta) -> None:
-        """Record that a server did not accept a request of this instance."""
+        """Record that a server gave no sign to a request of this instance."""
         self._own[server.incarnation] = now
 
     def answered(self, server: servers.Server, now: datetime.timedelta) -> None:
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -112,7 +112,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilentServer:
-    """A server that did not accept a request of the sender and was not heard since.
+    """A server that gave no sign to a request of the sender and was not heard since.
 
     Attributes:
         server: The server.
