--- a/tests/features/steps/requests_http_steps.py
+++ b/tests/features/steps/requests_http_steps.py
@@ -101,16 +101,18 @@
     """Read whole answers with stated lengths: (status, body) each."""
     raw, found = b"", []
     while len(found) < count:
-        piece = link.recv(65536)
-        raw += piece
         head, separator, rest = raw.partition(b"\r\n\r\n")
         length = re.search(rb"content-length: (\d+)", head)
         if separator and length and len(rest) >= int(length[1]):
             body = rest[: int(length[1])]
             found.append((int(head.split()[1]), json.loads(body)))
             raw = rest[int(length[1]) :]
-        elif not piece:
+            continue
+        # Only now: one read may have brought several answers.
+        piece = link.recv(65536)
+        if not piece:
             raise AssertionError(f"ended in {raw!r}")
+        raw += piece
     return found
 
 
