Log entries that contradict what is known of a server, and pauses of the process

Nothing told whether a late request went by an older entry that was written after the leaving, or by a list that was old since the process had stood still. The number of the check-in that wrote an entry was decoded and thrown away; it is kept now, and an entry that says less than what is known of its server is logged with both numbers and the revision. The entry is used as before.

--- /dev/null
+++ b/src/pimentolatch/decisions/departures.py
@@ -0,0 +1,148 @@
+"""Decides whether a server's entry is newer than what is known of the server.
+
+Load pattern: a server reports that it drains, or its entry is removed, and it goes on
+serving what it has. A check-in that it wrote before may reach the store afterwards: a
+lost packet, a partition or a proxy held it up, or a call without an answer was carried
+out late. It lists the server as ready again. The store's newest revision has the older
+content then, and stays until the entry expires some seconds later.
+
+Check-ins of an incarnation are numbered. An entry with a lower number than a known one
+is older, and one that was created again with the number of the removed one is the same.
+A higher number proves nothing: check-ins that change nothing are not told, so the last
+known number is often that of the server's start.
+
+Leaving is final: a server that has said that it drains is used again only as another
+incarnation. A removed entry is not, since entries also expire while a server works but
+can't reach the store. Such a server is unconfirmed until it says itself that it is
+ready. Nobody could be served if no server of a service were confirmed; then the
+unconfirmed ones are used.
+
+Departures are remembered by number, not for a time: a partition may hold a check-in
+for as long as it lasts.
+"""
+
+import dataclasses
+import enum
+from collections import abc
+
+from pimentolatch.routes import servers
+
+__all__ = ["Departures", "Standing"]
+
+# A fleet of 3,800 servers that is replaced once still has all its departures.
+_MAX_REMEMBERED = 4096
+
+
+class Standing(enum.Enum):
+    """How an entry relates to what is known of its server, as the log names it."""
+
+    CURRENT = "current"
+    LEAVING = "ready after it drained"
+    OUTDATED = "older than known"
+    UNCONFIRMED = "listed again after its removal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    """What is known of an incarnation that is no longer listed.
+
+    Attributes:
+        check_in: Number of the check-in that its entry was last known from.
+        is_final: Whether it can't be ready again: it drained, or another incarnation
+            has taken its place.
+    """
+
+    check_in: int | None
+    is_final: bool
+
+
+class Departures:
+    """The servers that are no longer listed, and those that are listed again."""
+
+    def __init__(self) -> None:
+        self._departed: dict[servers.Incarnation, _Departure] = {}
+        self._unconfirmed: set[servers.Incarnation] = set()
+
+    @property
+    def unconfirmed(self) -> abc.Set[servers.Incarnation]:
+        """Listed servers that have not said that they are ready since their removal."""
+        return self._unconfirmed
+
+    def judge(self, entry: servers.Server, known: servers.Server | None) -> Standing:
+        """Return how an entry counts; an outdated one must not replace the known one.
+
+        Args:
+            entry: The entry.
+            known: What is listed under its id so far, if anything.
+        """
+        if known is not None and known.incarnation == entry.incarnation:
+            return self._judge_change(entry, known)
+        departure = self._departed.get(entry.incarnation)
+        if departure is None:
+            return Standing.CURRENT
+        if departure.is_final:
+            if known is not None:
+                return Standing.OUTDATED
+            return Standing.CURRENT if entry.draining else Standing.LEAVING
+        if _is_at_most(entry.check_in, departure.check_in):
+            return Standing.OUTDATED
+        if entry.draining:
+            return Standing.CURRENT
+        return Standing.UNCONFIRMED
+
+    def enlist(self, server: servers.Server, standing: Standing) -> None:
+        """Record that a server is listed, with the standing of its entry."""
+        if standing is Standing.UNCONFIRMED:
+            self._unconfirmed.add(server.incarnation)
+        elif server.draining:
+            self._unconfirmed.discard(server.incarnation)
+
+    def depart(self, server: servers.Server, *, replaced: bool = False) -> None:
+        """Record that a server is no longer listed.
+
+        Args:
+            server: As it was listed last.
+            replaced: Whether another incarnation is listed in its place.
+        """
+        self._unconfirmed.discard(server.incarnation)
+        before = self._departed.pop(server.incarnation, None)
+        is_final = (
+            server.draining or replaced or (before is not None and before.is_final)
+        )
+        self._departed[server.incarnation] = _Departure(server.check_in, is_final)
+        if len(self._departed) > _MAX_REMEMBERED:
+            del self._departed[next(iter(self._departed))]
+
+    def confirm(self, server: servers.Incarnation) -> None:
+        """Record that a server has said that it is ready."""
+        self._unconfirmed.discard(server)
+        self._departed.pop(server, None)
+
+    def usable(self, listed: abc.Iterable[servers.Server]) -> abc.Iterator[bool]:
+        """Yield for each listed server whether it may be used if it is ready."""
+        listed = list(listed)
+        confirmed = {
+            (server.service, server.stage)
+            for server in listed
+            if not server.draining and server.incarnation not in self._unconfirmed
+        }
+        for server in listed:
+            yield (
+                server.incarnation not in self._unconfirmed
+                or (server.service, server.stage) not in confirmed
+            )
+
+    def _judge_change(self, entry: servers.Server, known: servers.Server) -> Standing:
+        if known.draining and not entry.draining:
+            return Standing.LEAVING
+        if _is_below(entry.check_in, known.check_in):
+            return Standing.OUTDATED
+        return Standing.CURRENT
+
+
+def _is_below(number: int | None, known: int | None) -> bool:
+    return number is not None and known is not None and number < known
+
+
+def _is_at_most(number: int | None, known: int | None) -> bool:
+    return number is not None and known is not None and number <= known
--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -19,6 +19,10 @@
 instances would ask a store that is overloaded without an end; with a long one, each of
 them would miss the store's return by seconds, and servers that leave then.
 
+A process that stands still learns nothing meanwhile, and what its sockets have received
+before may be as old as the pause. After a longer pause than a part of that time it asks
+the store, or a peer, before it uses what it knows.
+
 Each answer is a call, of which the store limits and bills the number: 2.5 a second for
 an instance that watches two kinds, at two seconds until a change must be in force.
 """
@@ -26,12 +30,13 @@
 import dataclasses
 import datetime
 
-__all__ = ["MAX_WAIT", "WatchLimits", "watch_limits"]
+__all__ = ["MAX_WAIT", "WatchLimits", "pause_limit", "watch_limits"]
 
 _WAIT_SHARE = 0.4
 # Lost packets are sent again after 200 ms, and a slow store takes as long to answer.
 _ANSWER_SHARE = 0.2
 _RETRY_SHARE = 0.25
+_PAUSE_SHARE = 0.25
 # A store that slows down further needs more time than it took for its last answer.
 _LATENCY_FACTOR = 2
 # Longest wait that the platform accepts.
@@ -72,3 +77,12 @@
         answer=_ANSWER_SHARE * in_force_within,
         longest_pause=_RETRY_SHARE * in_force_within,
     )
+
+
+def pause_limit(in_force_within: datetime.timedelta) -> datetime.timedelta:
+    """Return the pause of a process after which it asks before it sends a request.
+
+    Args:
+        in_force_within: Time in which a change must be in force on all instances.
+    """
+    return _PAUSE_SHARE * in_force_within
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from pimentolatch.decisions import engine_loads, server_speeds
+from pimentolatch.gateway import listed_servers
 from pimentolatch.routes import route_table, servers
 
 __all__ = ["STORE", "FleetState", "ServerListStatus"]
@@ -71,6 +72,7 @@
         self.configuration: route_table.Configuration | None = None
         self.configuration_spec: typing.Any = None
         self.servers = servers.ServerTable()
+        self._listed = listed_servers.ListedServers()
         self.servers_revision = 0
         self.servers_source = ""
         self.servers_listed = False
@@ -133,11 +135,11 @@
         """Apply a full server list unless it is older; return whether it was used."""
         if self.servers_listed and revision < self.servers_revision:
             return False
-        self.servers.replace(map(self._as_known, listed))
         self.servers_revision = revision
         self.servers_source = source
         self.servers_listed = True
-        self._update_loads()
+        self._listed.replace(listed, revision, source)
+        self._update_table()
         return True
 
     def update_servers(
@@ -163,7 +165,7 @@
         """Apply that a listed server has said that it leaves."""
         listed = self.servers.get(server.server_id)
         if listed is not None and listed.incarnation == server.incarnation:
-            self._change([listed], ())
+            self._update_table()
 
     def remove_servers(self, removed: abc.Iterable[str]) -> None:
         """Remove servers whose entries have expired."""
@@ -204,7 +206,13 @@
     def _change(
         self, changed: abc.Iterable[servers.Server], removed: abc.Iterable[str]
     ) -> None:
-        self.servers.update(map(self._as_known, changed), removed)
+        self._listed.update(
+            changed, removed, self.servers_revision, self.servers_source
+        )
+        self._update_table()
+
+    def _update_table(self) -> None:
+        self.servers.replace(map(self._as_known, self._listed.all()))
         self._update_loads()
 
     def _as_known(self, server: servers.Server) -> servers.Server:
--- /dev/null
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -0,0 +1,98 @@
+"""Listed servers, judged by what this instance knows of them.
+
+Without it the newest write to the store would count as the newest fact, and a check-in
+that reaches the store late would undo that its server leaves.
+"""
+
+from collections import abc
+
+import logbook
+
+from pimentolatch.decisions import departures
+from pimentolatch.routes import servers
+
+__all__ = ["ListedServers"]
+
+_log = logbook.Logger("watch")
+
+
+class ListedServers:
+    """The entries of servers from the store, or from a peer's list."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, servers.Server] = {}
+        self._departures = departures.Departures()
+        self._logged: dict[servers.Incarnation, departures.Standing] = {}
+
+    def all(self) -> abc.Collection[servers.Server]:
+        """Return the entries that are in force."""
+        return self._entries.values()
+
+    def replace(
+        self, listed: abc.Iterable[servers.Server], revision: int, source: str
+    ) -> None:
+        """Apply a full list.
+
+        Args:
+            listed: The servers.
+            revision: Revision of the store, for the log.
+            source: Where the list was read, for the log.
+        """
+        listed = list(listed)
+        names = {server.server_id for server in listed}
+        self.update(
+            listed,
+            [name for name in self._entries if name not in names],
+            revision,
+            source,
+        )
+
+    def update(
+        self,
+        changed: abc.Iterable[servers.Server],
+        removed: abc.Iterable[str],
+        revision: int,
+        source: str,
+    ) -> None:
+        """Apply entries that have changed, and remove others by their names."""
+        for server in changed:
+            self._apply(server, revision, source)
+        for name in removed:
+            gone = self._entries.pop(name, None)
+            if gone is not None:
+                self._logged.pop(gone.incarnation, None)
+                self._departures.depart(gone)
+
+    def _apply(self, entry: servers.Server, revision: int, source: str) -> None:
+        known = self._entries.get(entry.server_id)
+        standing = self._departures.judge(entry, known)
+        self._log(entry, known, standing, revision, source)
+        if known is not None and known.incarnation != entry.incarnation:
+            self._departures.depart(known, replaced=True)
+        self._entries[entry.server_id] = entry
+
+    def _log(
+        self,
+        entry: servers.Server,
+        known: servers.Server | None,
+        standing: departures.Standing,
+        revision: int,
+        source: str,
+    ) -> None:
+        """Log an entry that contradicts what is known, once while it is listed."""
+        if standing is departures.Standing.CURRENT:
+            return
+        if self._logged.get(entry.incarnation) is standing:
+            return
+        self._logged[entry.incarnation] = standing
+        _log.warn(
+            "entry contradicts what is known of its server",
+            server=entry.server_id,
+            started_ms=entry.started_ms,
+            standing=standing.value,
+            draining=entry.draining,
+            check_in=entry.check_in,
+            known_check_in=None if known is None else known.check_in,
+            revision=revision,
+            source=source,
+        )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -26,6 +26,7 @@
     http_protocol,
     leader_tasks,
     origin_exchange,
+    pause_monitor,
     peer_forwarder,
     peer_snapshots,
     peer_table,
@@ -118,6 +119,7 @@
             chosen.quarantine.policy, time, self._peer_table.is_first_for
         )
         self._permission = dispatch_check.DispatchCheck(self._fleet, self._quarantine)
+        self._pauses = pause_monitor.PauseMonitor(bounds.pause_limit, time)
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._fleet, self._client, chosen.failure_domain, time, random.Random()
         )
@@ -357,6 +359,7 @@
             self._share_bounds,
             self._quarantine.review,
             self._monitor.run,
+            self._pauses.run,
             *self._leader_tasks.runners,
         ):
             supervised = tasks.keep_running(work.__qualname__, work, self._clock)
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -108,6 +108,13 @@
             datetime.timedelta(milliseconds=self.server_change_ms)
         )
 
+    @property
+    def pause_limit(self) -> datetime.timedelta:
+        """For how long this process may stand still and use what it knows."""
+        return watch_schedule.pause_limit(
+            datetime.timedelta(milliseconds=self.server_change_ms)
+        )
+
     @property
     def configuration_watch(self) -> watch_schedule.WatchLimits:
         """Time limits of a watch of the configuration."""
--- a/src/pimentolatch/platform/server_entries.py
+++ b/src/pimentolatch/platform/server_entries.py
@@ -49,8 +49,6 @@
 
 
 def _server(name: str, spec: dict[typing.Any, typing.Any]) -> servers.Server:
-    # Unused, but an entry without it was not written by a server.
-    _integer(spec, "sequence", 0, _MAX_NUMBER)
     state = _text(spec, "state")
     if state not in _STATES:
         raise _WrongFieldError(f"state {state!r} is unknown")
@@ -67,6 +65,7 @@
         started_ms=_integer(spec, "born", 0, _MAX_NUMBER) if "born" in spec else None,
         spot=spec.get("spot") is True,
         version=_text(spec, "version"),
+        check_in=_integer(spec, "sequence", 0, _MAX_NUMBER),
     )
 
 
--- a/src/pimentolatch/routes/servers.py
+++ b/src/pimentolatch/routes/servers.py
@@ -64,6 +64,8 @@
         started_ms: Unix time of its start, in milliseconds; None if unknown.
         spot: Whether it is a spot server: cheaper, and may be reclaimed any time.
         version: Version of its software; empty if unknown. Versions have no order.
+        check_in: Number of the check-in that wrote the entry, counted by the
+            incarnation; None if unknown.
         incarnation: The incarnation, by server id and start time.
     """
 
@@ -78,6 +80,7 @@
     started_ms: int | None = None
     spot: bool = False
     version: str = ""
+    check_in: int | None = dataclasses.field(default=None, compare=False)
     incarnation: Incarnation = dataclasses.field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -97,14 +100,6 @@
         self._servers = {server.server_id: server for server in servers}
         self._index()
 
-    def update(self, changed: abc.Iterable[Server], removed: abc.Iterable[str]) -> None:
-        """Apply the changes since the last revision."""
-        for server in changed:
-            self._servers[server.server_id] = server
-        for name in removed:
-            self._servers.pop(name, None)
-        self._index()
-
     def get(self, server_id: str) -> Server | None:
         """Return a listed server, or None."""
         return self._servers.get(server_id)
