Bring about late requests by older entries and after pauses, which fail

Reproduced twice, as failing tests:

- A check-in from before the leaving is written after it.
- A gateway stands still for 2.9 s, servers leave, requests come meanwhile.
Three scenarios: it sends them to these servers when it goes on.

The stand-in of a server numbers its check-ins and answers its health check 503 when it leaves, as the users' servers do. In `silent_connections.feature` "all gateways know it" waits for the store's newest revision now, which is at or after the one before.

--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -20,8 +20,8 @@
 them would miss the store's return by seconds, and servers that leave then.
 
 A process that stands still learns nothing meanwhile, and what its sockets have received
-before may be as old as the pause. After a longer pause than a part of that time it asks
-the store, or a peer, before it uses what it knows.
+may be as old as the pause. After a pause longer than a part of that time it asks the
+store, or a peer, before it uses what it knows.
 
 Each answer is a call, of which the store limits and bills the number: 2.5 a second for
 an instance that watches two kinds, at two seconds until a change must be in force.
--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -1,7 +1,7 @@
 """Notices that this process stood still: stopped, suspended with its host, or starved.
 
-Sockets go on receiving meanwhile. When the process goes on, it finds the requests of the
-whole pause and answers them at once, by what it knew before.
+Sockets go on receiving meanwhile. When the process goes on, it finds the requests of
+the whole pause and answers them at once, by what it knew before.
 """
 
 import datetime
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -145,6 +145,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.port = 0
+        self._check_ins = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -191,11 +192,13 @@
         self.started_ms = started_ms
         self.version = version or self.version
         self.orders = []
+        self._check_ins = 0
         self.queued, self.running = set(), set()
         self.reset_connections()
 
     def entry(self) -> dict[str, typing.Any]:
-        """Return the entry that the server writes to the store."""
+        """Return the entry that its next check-in writes to the store."""
+        self._check_ins += 1
         entry: dict[str, typing.Any] = {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
@@ -204,7 +207,7 @@
             "slots": 8,
             "state": self.state,
             "cold_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": self._check_ins,
         }
         if self.stage is not None:
             entry["stage"] = self.stage
@@ -263,7 +266,9 @@
         if request.target == HEALTH_TARGET:
             self.received.pop()
             self.arrival_times.pop()
-            await connection.send(200, [], b"")
+            status = 200 if self.state == "ready" else 503
+            identity = [(b"x-instance-id", self.server_id.encode())]
+            await connection.send(status, identity, b"")
             return True
         if request.target == "/v1/order":
             return await self._handle_order(connection, request)
--- /dev/null
+++ b/tests/features/pauses.feature
@@ -0,0 +1,28 @@
+# A gateway is stopped and goes on (SIGSTOP, SIGCONT). Its sockets receive requests
+# meanwhile, and it answers them at once when it goes on.
+Feature: Instances that stood still
+
+  # Guards against requests of a pause that are sent by what was known before it.
+  Scenario Outline: A gateway that stood still asks before it sends what came meanwhile
+    Given silence: <count> gateways and clients that go on asking
+    When silence: a gateway stands still, two servers <leave> and requests come
+    Then silence: all are answered
+    And silence: the servers that left got none of these requests
+
+    Examples:
+      | count | leave                      |
+      | 1     | report that they drain     |
+      | 3     | have their entries removed |
+
+  # Guards against an instance that asks only the store, which may be out of its reach.
+  Scenario: A gateway that stood still asks its peers if the store does not answer
+    Given silence: 3 gateways and clients that go on asking
+    When silence: the store gets out of reach of a gateway that stands still, two servers leave and requests come
+    Then silence: all are answered
+    And silence: the servers that left got none of these requests
+
+  # Guards against an instance that waits for an answer that nobody can give it.
+  Scenario: A gateway that stood still serves by what it knows if nobody answers
+    Given silence: 1 gateways and clients that go on asking
+    When silence: the store gets out of reach of a gateway that stands still, two servers leave and requests come
+    Then silence: all are answered
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import random
+import signal
 
 import logbook
 
@@ -33,6 +34,9 @@
 WATCHES = 2
 # Requests of each kind that are sent at once before connections to servers fall silent.
 KEPT = 12
+# Longer than a leaving server may get requests.
+PAUSE_S = 2.9
+LEAVE_AFTER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,6 +124,7 @@
         self.clients = []
         self.tasks = []
         self.drained = []
+        self.entries_before = {}
 
     def start(self, count):
         self.runner.run(self._start(count))
@@ -162,6 +167,37 @@
         sent = (self.ask(route, f"{prefix}{n}") for n, route in enumerate(routes))
         return await asyncio.gather(*sent)
 
+    async def ask_in_pause(self, leave, *, cut=False):
+        """Stop the first gateway, have servers leave and send it requests meanwhile.
+
+        Args:
+            leave: Has two servers leave.
+            cut: Whether the gateway has no way to the store from then on.
+
+        Returns:
+            The answers.
+        """
+        name, gateway = next(iter(self.world.gateways.items()))
+        gateway.popen.send_signal(signal.SIGSTOP)
+        if cut:
+            for direction in (relay.TO_SERVER, relay.TO_CLIENT):
+                self.world.relays.cut(f"store of {name}", direction)
+        await asyncio.sleep(LEAVE_AFTER_S)
+        await leave()
+        asking = asyncio.create_task(self.ask_at_once("paused", KEPT, KEPT))
+        await asyncio.sleep(PAUSE_S)
+        gateway.popen.send_signal(signal.SIGCONT)
+        return await asking
+
+    def reached(self, prefix):
+        """Return the requests whose ids begin so and that servers got which left."""
+        return [
+            request.fields["x-request-id"]
+            for server in self.drained
+            for request in server.received
+            if request.fields.get("x-request-id", "").startswith(prefix)
+        ]
+
     def lines(self, event, prefix):
         """Return the log lines of an event for requests whose ids begin so."""
         logs = self.world.logs().values()
@@ -203,19 +239,35 @@
 
     async def drain(self):
         """Have an engine and a plain server drain, and keep them running."""
-        servers = self.world.servers
+        for server in self._chosen_to_leave():
+            await self.world.list_server(server.server_id)
+
+    async def leave(self):
+        """Remove the entries of an engine and a plain server, and keep them running."""
+        table = self.world.platform.table
+        for server in self._chosen_to_leave():
+            current = table.get("servers", server.server_id)
+            await table.delete("servers", server.server_id, current.version)
+
+    def _chosen_to_leave(self):
+        """Return the servers that leave; they say so when they are asked."""
+        table = self.world.platform.table
         for stage in ("decode", None):
-            name = next(n for n, s in servers.items() if s.stage == stage)
-            servers[name].state = "draining"
-            await self.world.list_server(name)
-            self.drained.append(servers[name])
+            server = next(s for s in self.world.servers.values() if s.stage == stage)
+            entry = table.get("servers", server.server_id)
+            self.entries_before[server.server_id] = entry.value
+            server.state = "draining"
+            self.drained.append(server)
+        return self.drained
+
+    async def write_as_before(self):
+        """Write the entries of the servers that leave as they were before."""
+        for name, entry in self.entries_before.items():
+            await self.world.store.write("servers", name, entry)
 
     async def until_known(self):
         """Wait until all gateways have the newest revision of the store."""
-        revision = max(
-            self.world.platform.table.get("servers", server.server_id).version
-            for server in self.drained
-        )
+        revision = self.world.platform.table.revision
         async with asyncio.timeout(LEARN_S):
             for name in self.world.gateways:
                 await self._until(lambda name=name: self._knows(name, revision))
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
+import itertools
 import random
 
 from pimentolatch import clock
@@ -73,6 +74,7 @@
     Attributes:
         apart: Names of instances that no peer reaches.
         held: Names of instances whose watches get their answers later.
+        readiness: What servers say when they are asked, by id; nothing by default.
         tells_age: False if instances send their lists without the age.
     """
 
@@ -83,9 +85,11 @@
         self.table = object_table.ObjectTable()
         self.apart = set()
         self.held = set()
+        self.readiness = {}
         self.tells_age = True
         self._steps = 0
         self._tasks = []
+        self._check_ins = itertools.count(1)
         for name in servers:
             self.write(name)
         built = [self._instance(f"i{n}", f"10.0.0.{n}") for n in range(instances)]
@@ -190,10 +194,10 @@
                     receiver.peers.receive(sender.host, beacon)
 
     def write(self, name, **fields):
-        """Write a server's entry."""
+        """Write a server's entry, by default with the number of its next check-in."""
         current = self.table.get("servers", name)
         version = 0 if current is None else current.version
-        value = entry(name) | fields
+        value = entry(name) | {"sequence": next(self._check_ins)} | fields
         self.runner.run(self.table.put("servers", name, value, version))
 
     def remove(self, *names):
