Let no older entry undo that a server leaves

What callers saw: nothing yet; requests went on to servers that had reported that they drain, until they ended (DRAIN). Cause: the newest revision of the store counted, whatever its content. A check-in that was written before the report and reached the store after it made the server ready again at all instances, and the number that tells the order of a server's check-ins was thrown away.

A leaving is final for an incarnation now, and an entry with a lower number than a known one of its incarnation, or of an incarnation that another one has replaced, changes nothing. An entry that can't be read tells nothing of its server, which has not departed then.

Why it works: the order of writes of one server is taken from the server's own numbers, not from the order in which they arrived.

--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -131,14 +131,22 @@
         revision: int,
         listed: abc.Iterable[servers.Server],
         source: str = STORE,
+        unreadable: abc.Container[str] = (),
     ) -> bool:
-        """Apply a full server list unless it is older; return whether it was used."""
+        """Apply a full server list unless it is older; return whether it was used.
+
+        Args:
+            revision: Revision of the store that the list reflects.
+            listed: The servers.
+            source: Where it was read: `STORE`, or the name of a peer.
+            unreadable: Names of entries that describe no server.
+        """
         if self.servers_listed and revision < self.servers_revision:
             return False
         self.servers_revision = revision
         self.servers_source = source
         self.servers_listed = True
-        self._listed.replace(listed, revision, source)
+        self._listed.replace(listed, unreadable, revision, source)
         self._update_table()
         return True
 
@@ -147,13 +155,21 @@
         revision: int,
         changed: abc.Iterable[servers.Server],
         removed: abc.Iterable[str],
+        unreadable: abc.Collection[str] = (),
     ) -> bool:
-        """Apply incremental changes unless they are older; return whether they were."""
+        """Apply incremental changes unless they are older; return whether they were.
+
+        Args:
+            revision: Revision of the store that they lead to.
+            changed: The servers whose entries have changed.
+            removed: Names of the entries that were removed.
+            unreadable: Names of the entries that describe no server any more.
+        """
         if revision <= self.servers_revision:
             return False
         self.servers_revision = revision
         self.servers_source = STORE
-        self._change(changed, removed)
+        self._change(changed, [*removed, *unreadable], unreadable)
         return True
 
     def confirm_servers(self, at: datetime.timedelta) -> None:
@@ -204,10 +220,13 @@
         return self._loads
 
     def _change(
-        self, changed: abc.Iterable[servers.Server], removed: abc.Iterable[str]
+        self,
+        changed: abc.Iterable[servers.Server],
+        removed: abc.Iterable[str],
+        unreadable: abc.Container[str] = (),
     ) -> None:
         self._listed.update(
-            changed, removed, self.servers_revision, self.servers_source
+            changed, removed, unreadable, self.servers_revision, self.servers_source
         )
         self._update_table()
 
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -4,6 +4,7 @@
 that reaches the store late would undo that its server leaves.
 """
 
+import dataclasses
 from collections import abc
 
 import logbook
@@ -29,44 +30,53 @@
         return self._entries.values()
 
     def replace(
-        self, listed: abc.Iterable[servers.Server], revision: int, source: str
+        self,
+        listed: abc.Iterable[servers.Server],
+        unreadable: abc.Container[str],
+        revision: int,
+        source: str,
     ) -> None:
-        """Apply a full list.
-
-        Args:
-            listed: The servers.
-            revision: Revision of the store, for the log.
-            source: Where the list was read, for the log.
-        """
+        """Apply a full list; see `update`."""
         listed = list(listed)
         names = {server.server_id for server in listed}
-        self.update(
-            listed,
-            [name for name in self._entries if name not in names],
-            revision,
-            source,
-        )
+        removed = [name for name in self._entries if name not in names]
+        self.update(listed, removed, unreadable, revision, source)
 
     def update(
         self,
         changed: abc.Iterable[servers.Server],
         removed: abc.Iterable[str],
+        unreadable: abc.Container[str],
         revision: int,
         source: str,
     ) -> None:
-        """Apply entries that have changed, and remove others by their names."""
+        """Apply entries that have changed, and remove others by their names.
+
+        Args:
+            changed: The entries.
+            removed: Names of entries that are not in force any more.
+            unreadable: Those of them that are still there. They tell nothing of their
+                servers, so these have not departed.
+            revision: Revision of the store, for the log.
+            source: Where this was read, for the log.
+        """
         for server in changed:
             self._apply(server, revision, source)
         for name in removed:
             gone = self._entries.pop(name, None)
             if gone is not None:
                 self._logged.pop(gone.incarnation, None)
-                self._departures.depart(gone)
+                if name not in unreadable or gone.draining:
+                    self._departures.depart(gone)
 
     def _apply(self, entry: servers.Server, revision: int, source: str) -> None:
         known = self._entries.get(entry.server_id)
         standing = self._departures.judge(entry, known)
         self._log(entry, known, standing, revision, source)
+        if standing is departures.Standing.OUTDATED:
+            return
+        if standing is departures.Standing.LEAVING:
+            entry = dataclasses.replace(entry, draining=True)
         if known is not None and known.incarnation != entry.incarnation:
             self._departures.depart(known, replaced=True)
         self._entries[entry.server_id] = entry
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -213,7 +213,10 @@
         kept = [server for server in known if server.server_id in until]
         if kept:
             self._log_kept(kept, listing)
-        if self._fleet.replace_servers(listing.revision, [*listed, *kept]):
+        usable = {server.server_id for server in listed}
+        if self._fleet.replace_servers(
+            listing.revision, [*listed, *kept], unreadable=named - usable
+        ):
             self._expired.replace(until)
 
     def _grace_periods(self, listing: store.Listing) -> dict[str, datetime.timedelta]:
@@ -272,7 +275,7 @@
         named = {server.server_id for server in usable}
         unusable = [item.name for item in changes.changed if item.name not in named]
         if self._fleet.update_servers(
-            changes.revision, usable, [*changes.removed, *unusable]
+            changes.revision, usable, changes.removed, unusable
         ):
             self._expired.confirm(changes.removed)
             self._expired.confirm(item.name for item in changes.changed)
