Ask a server that is listed again after its removal whether it is ready

Cause: the entry was believed because it was the newest.

Such a server is unconfirmed now. Its health check is asked, and it is used once that says "ready" with its own id. A server that has no slot free, or does not answer, is asked again every half second while its entry lasts. Unconfirmed servers are used while no other server of their service and stage is listed, so that an outage in which all entries are removed one by one leaves no caller without a server, but not once they have said that they are not ready.

Weighed and not built: waiting until the entry has outlived a check-in interval or two (it costs a server that works four seconds; a question costs a millisecond or two), and final removals (a server that was cut off from the store for four seconds would be lost).

--- a/src/pimentolatch/decisions/departures.py
+++ b/src/pimentolatch/decisions/departures.py
@@ -14,8 +14,8 @@
 Leaving is final: a server that has said that it drains is used again only as another
 incarnation. A removed entry is not, since entries also expire while a server works but
 can't reach the store. Such a server is unconfirmed until it says itself that it is
-ready. Nobody could be served if no server of a service were confirmed; then the
-unconfirmed ones are used.
+ready. While no other server of its service and stage is listed, as after an outage in
+which all entries expired, an unconfirmed one is used unless it says that it is not.
 
 Departures are remembered by number, not for a time: a partition may hold a check-in
 for as long as it lasts.
@@ -62,6 +62,7 @@
     def __init__(self) -> None:
         self._departed: dict[servers.Incarnation, _Departure] = {}
         self._unconfirmed: set[servers.Incarnation] = set()
+        self._denied: set[servers.Incarnation] = set()
 
     @property
     def unconfirmed(self) -> abc.Set[servers.Incarnation]:
@@ -95,7 +96,7 @@
         if standing is Standing.UNCONFIRMED:
             self._unconfirmed.add(server.incarnation)
         elif server.draining:
-            self._unconfirmed.discard(server.incarnation)
+            self._settle(server.incarnation)
 
     def depart(self, server: servers.Server, *, replaced: bool = False) -> None:
         """Record that a server is no longer listed.
@@ -104,7 +105,7 @@
             server: As it was listed last.
             replaced: Whether another incarnation is listed in its place.
         """
-        self._unconfirmed.discard(server.incarnation)
+        self._settle(server.incarnation)
         before = self._departed.pop(server.incarnation, None)
         is_final = (
             server.draining or replaced or (before is not None and before.is_final)
@@ -115,22 +116,42 @@
 
     def confirm(self, server: servers.Incarnation) -> None:
         """Record that a server has said that it is ready."""
-        self._unconfirmed.discard(server)
+        self._settle(server)
         self._departed.pop(server, None)
 
-    def usable(self, listed: abc.Iterable[servers.Server]) -> abc.Iterator[bool]:
-        """Yield for each listed server whether it may be used if it is ready."""
-        listed = list(listed)
+    def deny(self, server: servers.Incarnation) -> None:
+        """Record that an unconfirmed server has said that it is not ready."""
+        if server in self._unconfirmed:
+            self._denied.add(server)
+
+    def withheld(
+        self, listed: abc.Collection[servers.Server]
+    ) -> frozenset[servers.Incarnation]:
+        """Return the unconfirmed servers that must not be used.
+
+        Args:
+            listed: All listed servers.
+        """
+        if not self._unconfirmed:
+            return frozenset()
         confirmed = {
             (server.service, server.stage)
             for server in listed
             if not server.draining and server.incarnation not in self._unconfirmed
         }
-        for server in listed:
-            yield (
-                server.incarnation not in self._unconfirmed
-                or (server.service, server.stage) not in confirmed
+        return frozenset(
+            server.incarnation
+            for server in listed
+            if server.incarnation in self._denied
+            or (
+                server.incarnation in self._unconfirmed
+                and (server.service, server.stage) in confirmed
             )
+        )
+
+    def _settle(self, server: servers.Incarnation) -> None:
+        self._unconfirmed.discard(server)
+        self._denied.discard(server)
 
     def _judge_change(self, entry: servers.Server, known: servers.Server) -> Standing:
         if known.draining and not entry.draining:
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -96,6 +96,15 @@
         """Whether requests can be served."""
         return self.configuration is not None and self.servers_listed
 
+    @property
+    def unconfirmed_servers(self) -> list[servers.Server]:
+        """Servers that are listed again and have not said that they are ready."""
+        return self._listed.unconfirmed
+
+    def listed_servers(self) -> list[servers.Server]:
+        """Return the servers to tell peers, with those that are not confirmed here."""
+        return [self._as_said(server) for server in self._listed.all()]
+
     def server_list_status(self, now: datetime.timedelta) -> ServerListStatus:
         """Return what a decision that is taken now rests on."""
         age = now - self.servers_confirmed_at
@@ -132,6 +141,7 @@
         listed: abc.Iterable[servers.Server],
         source: str = STORE,
         unreadable: abc.Container[str] = (),
+        unconfirmed: abc.Iterable[str] = (),
     ) -> bool:
         """Apply a full server list unless it is older; return whether it was used.
 
@@ -140,6 +150,7 @@
             listed: The servers.
             source: Where it was read: `STORE`, or the name of a peer.
             unreadable: Names of entries that describe no server.
+            unconfirmed: Ids of the servers that the peer has not confirmed.
         """
         if self.servers_listed and revision < self.servers_revision:
             return False
@@ -147,6 +158,7 @@
         self.servers_source = source
         self.servers_listed = True
         self._listed.replace(listed, unreadable, revision, source)
+        self._listed.doubt(unconfirmed)
         self._update_table()
         return True
 
@@ -177,6 +189,16 @@
         self.servers_confirmed_at = max(self.servers_confirmed_at, at)
         self.servers_read_at = max(self.servers_read_at, at)
 
+    def confirm_server(self, server: servers.Incarnation) -> None:
+        """Use a server again that has said that it is ready."""
+        self._listed.confirm(server)
+        self._update_table()
+
+    def deny_server(self, server: servers.Incarnation) -> None:
+        """Apply that a server that is listed again has said that it is not ready."""
+        self._listed.deny(server)
+        self._update_table()
+
     def mark_leaving(self, server: servers.Server) -> None:
         """Apply that a listed server has said that it leaves."""
         listed = self.servers.get(server.server_id)
@@ -231,11 +253,17 @@
         self._update_table()
 
     def _update_table(self) -> None:
-        self.servers.replace(map(self._as_known, self._listed.all()))
+        withheld = self._listed.withheld()
+        self.servers.replace(
+            dataclasses.replace(server, draining=True)
+            if server.incarnation in withheld
+            else server
+            for server in self.listed_servers()
+        )
         self._update_loads()
 
-    def _as_known(self, server: servers.Server) -> servers.Server:
-        """Return a listed server with what it has said itself."""
+    def _as_said(self, server: servers.Server) -> servers.Server:
+        """Return a listed server with what it has said in its answers."""
         if server.draining or not self._is_leaving(server.incarnation):
             return server
         return dataclasses.replace(server, draining=True)
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -25,10 +25,38 @@
         self._departures = departures.Departures()
         self._logged: dict[servers.Incarnation, departures.Standing] = {}
 
+    @property
+    def unconfirmed(self) -> list[servers.Server]:
+        """Servers that are listed again and have not said that they are ready."""
+        found = self._departures.unconfirmed
+        if not found:
+            return []
+        return [s for s in self._entries.values() if s.incarnation in found]
+
     def all(self) -> abc.Collection[servers.Server]:
         """Return the entries that are in force."""
         return self._entries.values()
 
+    def withheld(self) -> frozenset[servers.Incarnation]:
+        """Return the unconfirmed servers that must not be used."""
+        return self._departures.withheld(self._entries.values())
+
+    def confirm(self, server: servers.Incarnation) -> None:
+        """Record that a server has said that it is ready."""
+        self._departures.confirm(server)
+
+    def deny(self, server: servers.Incarnation) -> None:
+        """Record that a server has said that it is not ready."""
+        self._departures.deny(server)
+
+    def doubt(self, names: abc.Iterable[str]) -> None:
+        """Record that a peer has not confirmed these servers."""
+        for name in names:
+            if name in self._entries:
+                self._departures.enlist(
+                    self._entries[name], departures.Standing.UNCONFIRMED
+                )
+
     def replace(
         self,
         listed: abc.Iterable[servers.Server],
@@ -80,6 +108,7 @@
         if known is not None and known.incarnation != entry.incarnation:
             self._departures.depart(known, replaced=True)
         self._entries[entry.server_id] = entry
+        self._departures.enlist(entry, standing)
 
     def _log(
         self,
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -29,6 +29,10 @@
 _VERSIONS = "versions"
 # Header field with the age of the list in ms; earlier releases do not know it.
 _LIST_AGE = b"list-age-ms"
+# Header field with the ids of the listed servers that the sender has not confirmed.
+_UNCONFIRMED = b"unconfirmed-servers"
+# Servers that this field names at most, so that the head stays within its limit.
+_MAX_NAMED = 50
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Beacons arrive every 250 ms.
 _INTERVAL = datetime.timedelta(milliseconds=100)
@@ -78,6 +82,9 @@
             (b"content-length", b"%d" % len(body)),
             (_LIST_AGE, b"%d" % math.ceil(age / _MILLISECOND)),
         ]
+        if unconfirmed := self._fleet.unconfirmed_servers[:_MAX_NAMED]:
+            names = ",".join(server.server_id for server in unconfirmed)
+            fields.append((_UNCONFIRMED, names.encode()))
         status = 200 if body else 404
         start = {"type": "http.response.start", "status": status, "headers": fields}
         await send(start)
@@ -89,7 +96,7 @@
             snapshot = snapshots.Configuration(fleet.configuration_spec)
             return snapshots.encode_configuration(snapshot)
         if path == _SERVERS and fleet.servers_listed:
-            listed = tuple(fleet.servers.all())
+            listed = tuple(fleet.listed_servers())
             return snapshots.encode_servers(
                 snapshots.Servers(
                     fleet.servers_revision, listed, self._expired.remaining()
@@ -231,7 +238,9 @@
             if server.server_id in expired or server.server_id not in snapshot.expired
         ]
         now = self._clock.monotonic()
-        if self._fleet.replace_servers(snapshot.revision, listed, name):
+        if self._fleet.replace_servers(
+            snapshot.revision, listed, name, unconfirmed=_unconfirmed(response)
+        ):
             age = _list_age(response)
             if age is not None:
                 self._fleet.confirm_servers(now - age)
@@ -263,6 +272,12 @@
     return int(text) * _MILLISECOND if text.isdigit() else None
 
 
+def _unconfirmed(response: Response) -> list[str]:
+    """Return the ids of the servers that a peer has not confirmed."""
+    names = dict(response.fields).get(_UNCONFIRMED, b"").decode("latin-1")
+    return [name for name in names.split(",") if name]
+
+
 async def fetch(address: settings.Address, path: str) -> Response:
     """Fetch a snapshot over a new connection; one kept open may have fallen silent.
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -35,6 +35,7 @@
     reachability_monitor,
     request_log,
     resumptions,
+    returned_servers,
     route_metrics,
     settings,
     silence_exchange,
@@ -123,6 +124,13 @@
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._fleet, self._client, chosen.failure_domain, time, random.Random()
         )
+        self._returned_servers = returned_servers.ReturnedServers(
+            self._fleet,
+            returned_servers.HealthCheck(self._fleet, self._client),
+            lambda: self._peer_table.instances,
+            time,
+            random.Random(),
+        )
         self._peer_forwarder = peer_forwarder.PeerForwarder(
             self._fleet,
             self._peer_table,
@@ -360,6 +368,7 @@
             self._quarantine.review,
             self._monitor.run,
             self._pauses.run,
+            self._returned_servers.run,
             *self._leader_tasks.runners,
         ):
             supervised = tasks.keep_running(work.__qualname__, work, self._clock)
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -305,6 +305,11 @@
                 "Servers that said they leave.",
                 self._flow.leaving_count,
             ),
+            (
+                "unconfirmed_servers",
+                "Servers listed again that have not said that they are ready.",
+                len(self._fleet.unconfirmed_servers),
+            ),
             (
                 "resting_servers",
                 "Servers that asked for a rest.",
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -44,6 +44,7 @@
 _KV_SOURCE = b"x-kv-source"
 _KV_FETCH = b"kv-fetch"
 _NOT_RUN = b"x-not-executed"
+_SERVER_ID = b"x-instance-id"
 _SEAL = b"x-response-seal"
 _LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
@@ -175,6 +176,7 @@
             was changed on the way.
         notice: What the server states about itself.
         fields: Header fields to forward to the client.
+        server_id: Id of the server; empty if the response does not tell it.
     """
 
     request_id: str
@@ -183,6 +185,7 @@
     encoded: bool
     notice: notices.Notice
     fields: tuple[tuple[bytes, bytes], ...]
+    server_id: str = ""
 
 
 def parse_client_headers(fields: Fields) -> ClientHeaders:
@@ -316,7 +319,7 @@
     """
     found = {name.lower(): value for name, value in fields}
     dropped = (_CONNECTION_FIELDS - {b"content-length"}) | _named_by_connection(fields)
-    dropped |= {_NOT_RUN, b"x-instance-id"}
+    dropped |= {_NOT_RUN, _SERVER_ID}
     return ResponseHeaders(
         request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
         not_run=_NOT_RUN in found,
@@ -326,6 +329,7 @@
         fields=tuple(
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
+        server_id=found.get(_SERVER_ID, b"").decode("latin-1"),
     )
 
 
--- a/tests/features/older_entries.feature
+++ b/tests/features/older_entries.feature
@@ -33,6 +33,7 @@
   Scenario Outline: A server whose entry was removed is not used by an older check-in
     Given outage: 4 servers and 2 instances
     When outage: "s1" leaves
+    And outage: "s1" says that it is not ready when it is asked
     And outage: 1 seconds pass
     And outage: <check_in> of "s1" is written
     And outage: 1 seconds pass
@@ -47,6 +48,7 @@
   Scenario: A server whose entry had expired is used once it says that it is ready
     Given outage: 4 servers and 2 instances
     When outage: "s1" leaves
+    And outage: "s1" does not answer when it is asked
     And outage: 6 seconds pass
     And outage: a later check-in that is ready of "s1" is written
     And outage: 0.5 seconds pass
@@ -58,7 +60,8 @@
   # Guards against a fleet without servers after the store has dropped all entries.
   Scenario: Servers are used unconfirmed while no other one of their service is listed
     Given outage: 4 servers and 2 instances
-    When outage: all entries are removed and written again, the last after 1.2 seconds
+    When outage: no server answers when it is asked
+    And outage: all entries are removed and written again, the last after 1.2 seconds
     Then outage: each instance uses a server
     When outage: all servers say that they are ready when they are asked
     And outage: 2 seconds pass
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -4,6 +4,7 @@
 
 from pimentolatch import settings
 from pimentolatch.decisions import departures
+from pimentolatch.gateway import returned_servers
 from pimentolatch.routes import servers
 from tests.support import silent_world, watch_world
 
@@ -38,17 +39,28 @@
 
 @behave.when('outage: "{name}" says that it is ready when it is asked')
 def says_ready(context, name):
-    context.world.readiness[name] = True
+    context.world.answers[name] = returned_servers.Answer.READY
 
 
 @behave.when('outage: "{name}" says that it is not ready when it is asked')
 def says_not_ready(context, name):
-    context.world.readiness[name] = False
+    context.world.answers[name] = returned_servers.Answer.NOT_READY
+
+
+@behave.when('outage: "{name}" does not answer when it is asked')
+def says_nothing(context, name):
+    context.world.answers[name] = returned_servers.Answer.NONE
+
+
+@behave.when("outage: no server answers when it is asked")
+def none_answers(context):
+    answers = dict.fromkeys(context.servers, returned_servers.Answer.NONE)
+    context.world.answers.update(answers)
 
 
 @behave.when("outage: all servers say that they are ready when they are asked")
 def all_say_ready(context):
-    context.world.readiness.update(dict.fromkeys(context.servers, True))
+    context.world.answers.clear()
 
 
 @behave.when(
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -13,6 +13,7 @@
     fleet_state,
     peer_snapshots,
     peer_table,
+    returned_servers,
     settings,
     store_watch,
 )
@@ -57,6 +58,7 @@
     peers: peer_table.PeerTable
     fetcher: peer_snapshots.SnapshotFetcher
     endpoint: peer_snapshots.SnapshotEndpoint
+    returned: returned_servers.ReturnedServers
 
     def used(self):
         """Return the ids of the servers that requests may be sent to."""
@@ -74,7 +76,8 @@
     Attributes:
         apart: Names of instances that no peer reaches.
         held: Names of instances whose watches get their answers later.
-        readiness: What servers say when they are asked, by id; nothing by default.
+        answers: What servers answer when they are asked whether they are ready, by
+            id; by default that they are.
         tells_age: False if instances send their lists without the age.
     """
 
@@ -85,7 +88,7 @@
         self.table = object_table.ObjectTable()
         self.apart = set()
         self.held = set()
-        self.readiness = {}
+        self.answers = {}
         self.tells_age = True
         self._steps = 0
         self._tasks = []
@@ -122,8 +125,15 @@
                 fleet, peers, expired, PEERS_PORT, self.clock, self._fetch
             ),
             peer_snapshots.SnapshotEndpoint(fleet, expired, self.clock),
+            returned_servers.ReturnedServers(
+                fleet, self._ask, lambda: 1, self.clock, random.Random(name)
+            ),
         )
 
+    async def _ask(self, server):
+        """Return what a server says of itself."""
+        return self.answers.get(server.server_id, returned_servers.Answer.READY)
+
     def _hold_answers(self, link, name):
         answer = link.watch
 
@@ -141,6 +151,7 @@
                 instance.watch.run,
                 instance.expired.run,
                 instance.fetcher.run,
+                instance.returned.run,
             ):
                 self._tasks.append(asyncio.create_task(work()))
 
