Learn what was missed in a pause before a request is sent

What callers saw: nothing; requests that had come while an instance stood still (stopped, starved, suspended with its host) went to servers that had left meanwhile, by routes that may be gone (DRAIN, CONFIG). Cause: the sockets hold what comes in a pause, and the process answers it at once when it goes on, in the same round of its event loop, by the list that it had. Nothing between the age of the list and the dispatch asked how old it was. What the sockets hold of the store and of peers may be as old as the pause, so it proves nothing.

The list is looked at once more at the moment of sending: a server may have been chosen before the pause, or while the connection was opened.

Three new ones fail without the look at the list; two more examples of `server_notices.feature` pass before too.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -155,6 +155,10 @@
     return f"answered {outcome.status}"
 
 
+async def _no_wait() -> None:
+    """Return at once."""
+
+
 class ServerClient:
     """Sends requests to servers over pooled connections.
 
@@ -163,6 +167,8 @@
         flow: Records what servers ask for in their responses, and permits requests.
         acknowledgement_limit: How long a server may leave a request without an
             acknowledgement before its connection is reset.
+        accepts: Tells whether a server is listed and accepts new requests.
+        wait_until_current: Waits after a pause of this process until that is known.
         on_open: Called with the reason whenever a connection is opened.
     """
 
@@ -172,10 +178,14 @@
         flow: flow_control.FlowControl,
         *,
         acknowledgement_limit: datetime.timedelta,
+        accepts: abc.Callable[[servers.Server], bool] = lambda server: True,
+        wait_until_current: abc.Callable[[], abc.Awaitable[None]] = _no_wait,
         on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
     ) -> None:
         self._clock = time
         self._flow = flow
+        self._accepts = accepts
+        self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
         self._on_silence: list[abc.Callable[[servers.Server], None]] = []
         self._pool = channel.ChannelPool(
@@ -210,8 +220,9 @@
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
 
-        A permit is taken at the moment of sending: a request that was placed may have
-        been prefilled for seconds since, or have waited for a connection.
+        The list and the permit are asked at the moment of sending: a request that was
+        placed may have been prefilled for seconds since, or have waited for a
+        connection, or the process may have stood still.
 
         The caller owns the connection of an `OpenResponse`. In all other cases,
         cancellation included, it is closed or returned to the pool.
@@ -244,7 +255,8 @@
         try:
             labelled = dataclasses.replace(options, customer=request.customer_name)
             fields = http_headers.request_fields(request.fields, labelled)
-            if not self._flow.take(server):
+            await self._wait_until_current()
+            if not self._accepts(server) or not self._flow.take(server):
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
             sent_at = self._clock.monotonic()
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -229,6 +229,15 @@
         """Return the load of a listed engine of any service."""
         return self._engines.get(incarnation)
 
+    def accepts(self, server: servers.Server) -> bool:
+        """Tell whether a server is listed and accepts new requests."""
+        listed = self.servers.get(server.server_id)
+        return (
+            listed is not None
+            and listed.incarnation == server.incarnation
+            and not listed.draining
+        )
+
     def is_replaced(self, incarnation: servers.Incarnation) -> bool:
         """Tell whether another incarnation of the same server is listed instead.
 
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -61,6 +61,8 @@
         log: Log of requests and their outcomes.
         digest_key: Key of the requests' digests; the same on all instances.
         time: Clock.
+        wait_until_current: Waits after a pause of this process until what was missed is
+            known.
         admission: Admits the requests, if these are forwarded by peers.
     """
 
@@ -75,6 +77,7 @@
         digest_key: bytes,
         time: clock.Clock,
         *,
+        wait_until_current: abc.Callable[[], abc.Awaitable[None]],
         admission: forwarded_admission.ForwardedAdmission | None = None,
     ) -> None:
         self._admission = admission
@@ -86,6 +89,7 @@
         self._budget = budget
         self._shutdown = shutdown
         self._clock = time
+        self._wait_until_current = wait_until_current
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI)."""
@@ -104,6 +108,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived_at = self._clock.monotonic()
+        await self._wait_until_current()
         response = client_request.ClientResponse(scope, send)
         configuration = self._fleet.configuration
         if configuration is None or not self._fleet.complete:
--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -1,10 +1,13 @@
 """Notices that this process stood still: stopped, suspended with its host, or starved.
 
 Sockets go on receiving meanwhile. When the process goes on, it finds the requests of
-the whole pause and answers them at once, by what it knew before.
+the whole pause, and would answer them at once by what it knew before: servers that have
+left would get requests, and routes that are gone would be served.
 """
 
+import asyncio
 import datetime
+from collections import abc
 
 import logbook
 
@@ -18,25 +21,63 @@
 
 
 class PauseMonitor:
-    """Compares the time between two rounds of the event loop with the time asked for.
+    """Has this instance learn what it missed before it serves on after a pause.
 
     Args:
         limit: Shortest pause that counts.
-        time: Clock of this instance.
+        catch_up: Learns what was missed, within a bounded time.
+        time: Clock of this instance, which advances during a pause.
+
+    Attributes:
+        limit: Shortest pause that counts.
     """
 
-    def __init__(self, limit: datetime.timedelta, time: clock.Clock) -> None:
-        self._limit = limit
+    def __init__(
+        self,
+        limit: datetime.timedelta,
+        catch_up: abc.Callable[[], abc.Coroutine[None, None, None]],
+        time: clock.Clock,
+    ) -> None:
+        self.limit = limit
+        self._catch_up = catch_up
         self._clock = time
         self._seen_at = time.monotonic()
+        self._catching_up: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Look at the clock; runs until cancelled."""
         self._seen_at = self._clock.monotonic()
         while True:
             await self._clock.sleep(_INTERVAL)
-            now = self._clock.monotonic()
-            pause = now - self._seen_at - _INTERVAL
-            self._seen_at = now
-            if pause > self._limit:
-                _log.warn("process stood still", ms=round(pause / _MILLISECOND))
+            self._look()
+
+    async def wait_until_current(self) -> None:
+        """Return at once, or after a pause once what was missed is known.
+
+        Requests are often the first that is handled after a pause, before `run`.
+        """
+        self._look()
+        if self._catching_up is not None:
+            # A request that is cancelled must not cancel what others wait for.
+            await asyncio.shield(self._catching_up)
+
+    def _look(self) -> None:
+        now = self._clock.monotonic()
+        pause = now - self._seen_at - _INTERVAL
+        self._seen_at = now
+        if pause <= self.limit:
+            return
+        _log.warn("process stood still", ms=round(pause / _MILLISECOND))
+        if self._catching_up is not None:
+            # What it has asked may have been answered before this pause.
+            self._catching_up.cancel()
+        self._catching_up = asyncio.create_task(self._learn(now))
+
+    async def _learn(self, since: datetime.timedelta) -> None:
+        try:
+            await self._catch_up()
+        finally:
+            if self._catching_up is asyncio.current_task():
+                self._catching_up = None
+        took = self._clock.monotonic() - since
+        _log.info("caught up after a pause", ms=round(took / _MILLISECOND))
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -17,6 +17,7 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.backend import channel
+from pimentolatch.decisions import missing_servers
 from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
 from pimentolatch.protocol import snapshots
 
@@ -39,6 +40,8 @@
 # An instance that watches the store fetches only after a peer has been ahead for this
 # long: a working watch lags by at most this much.
 _MAX_WATCH_LAG = datetime.timedelta(milliseconds=400)
+# Peers asked one after the other by an instance that has to catch up.
+_MAX_ASKED = 3
 _FETCH_TIMEOUT = datetime.timedelta(seconds=1)
 
 
@@ -158,6 +161,27 @@
                 path = f"{_SERVERS}?{_VERSIONS}"
                 await self._fetch(newer_servers, path, self._apply_servers)
 
+    async def catch_up(self) -> bool:
+        """Fetch everything from one peer; return whether its list is current.
+
+        Peers that were heard last are asked even if that was long ago: after a pause of
+        this process all beacons are old.
+        """
+        for peer in self._table.last_heard(_MAX_ASKED):
+            configured = await self._fetch(
+                peer, _CONFIGURATION, self._apply_configuration
+            )
+            listed = await self._fetch(
+                peer, f"{_SERVERS}?{_VERSIONS}", self._apply_servers
+            )
+            if configured and listed and self._is_current(listed):
+                return True
+        return False
+
+    def _is_current(self, response: Response) -> bool:
+        age = _list_age(response)
+        return age is not None and missing_servers.is_current(age)
+
     def _ahead(self) -> tuple[peer_table.Peer | None, peer_table.Peer | None]:
         """Return peers with a newer configuration and with newer servers, if any."""
         live = self._table.live()
@@ -190,13 +214,16 @@
         peer: peer_table.Peer,
         path: str,
         apply: abc.Callable[[str, Response], None],
-    ) -> None:
+    ) -> Response | None:
+        """Fetch and apply a snapshot; return the response if there was one."""
         name = peer.beacon.instance
         address = settings.Address(host=peer.host, port=self._port)
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
-                apply(name, await self._fetch_from(address, path))
+                response = await self._fetch_from(address, path)
+            apply(name, response)
             self._last_failed = None
+            return response
         except (
             channel.ConnectError,
             channel.BrokenError,
@@ -206,6 +233,7 @@
             _log.warn(
                 "failed to fetch snapshot from peer", peer=name, reason=repr(error)
             )
+            return None
 
     def _apply_configuration(self, name: str, response: Response) -> None:
         snapshot = snapshots.decode_configuration(response.body)
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -108,6 +108,13 @@
             if now - peer.received_at <= _LIVENESS_TIMEOUT and not peer.beacon.stopping
         ]
 
+    def last_heard(self, most: int) -> list[Peer]:
+        """Return the peers that were heard last, those of this domain first."""
+        own = self._place.failure_domain
+        known = [p for p in self._peers.values() if not p.beacon.stopping]
+        known.sort(key=lambda p: (p.beacon.failure_domain == own, p.received_at))
+        return known[: -most - 1 : -1]
+
     def is_live(self, instance: str) -> bool:
         """Tell whether an instance has sent a recent beacon."""
         peer = self._peers.get(instance)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -16,6 +16,7 @@
 from pimentolatch.gateway import (
     beacon_exchange,
     cache_updates,
+    catch_up,
     dispatch,
     dispatch_check,
     expired_entries,
@@ -87,10 +88,16 @@
         self._flow.on_leaving(self._fleet.mark_leaving)
         bounds = chosen.bounds
         self._metrics = route_metrics.RouteMetrics()
+        # The parts that learn from the store and from peers are built later.
+        self._pauses = pause_monitor.PauseMonitor(
+            bounds.pause_limit, lambda: self._catch_up(), time
+        )
         self._client = dispatch.ServerClient(
             time,
             self._flow,
             acknowledgement_limit=bounds.acknowledgement_limit,
+            accepts=self._fleet.accepts,
+            wait_until_current=self._pauses.wait_until_current,
             on_open=self._metrics.connection_opened,
         )
         self._silence.observe(self._client)
@@ -120,7 +127,6 @@
             chosen.quarantine.policy, time, self._peer_table.is_first_for
         )
         self._permission = dispatch_check.DispatchCheck(self._fleet, self._quarantine)
-        self._pauses = pause_monitor.PauseMonitor(bounds.pause_limit, time)
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._fleet, self._client, chosen.failure_domain, time, random.Random()
         )
@@ -283,23 +289,21 @@
             peer_snapshots.SnapshotEndpoint(fleet, self._expired_servers, time),
             chosen.peers.address,
         )
-        self._watch_controller = watch_controller.WatchController(
-            chosen.instance,
-            fleet,
-            self._peer_table,
-            (
-                store_watch.ConfigurationWatch(
-                    self._store, fleet, time, chosen.bounds.configuration_watch
-                ),
-                store_watch.ServerWatch(
-                    self._store,
-                    fleet,
-                    self._expired_servers,
-                    time,
-                    chosen.bounds.server_watch,
-                ),
+        watches = (
+            store_watch.ConfigurationWatch(
+                self._store, fleet, time, chosen.bounds.configuration_watch
             ),
-            time,
+            store_watch.ServerWatch(
+                self._store,
+                fleet,
+                self._expired_servers,
+                time,
+                chosen.bounds.server_watch,
+            ),
+        )
+        self._catch_up = catch_up.CatchUp(watches, self._snapshot_fetcher)
+        self._watch_controller = watch_controller.WatchController(
+            chosen.instance, fleet, self._peer_table, watches, time
         )
         self._stage_controller = stage_controller.StageController(
             chosen.instance,
@@ -324,6 +328,7 @@
             self._request_log,
             self._settings.digest_key.encode(),
             self._clock,
+            wait_until_current=self._pauses.wait_until_current,
             admission=admission,
         )
 
@@ -398,6 +403,7 @@
         )
         self._quarantine.apply(after.quarantine.policy)
         self._watch_controller.apply(after.bounds)
+        self._pauses.limit = after.bounds.pause_limit
         bounds = after.bounds
         self._budget.configure(
             bounds.repeat_ratio,
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -15,6 +15,7 @@
 __all__ = [
     "ConfigurationWatch",
     "ServerWatch",
+    "Watch",
     "apply_configuration",
 ]
 
@@ -30,7 +31,7 @@
 _MAX_LOGGED = 10
 
 
-class _Watch:
+class Watch:
     """Lists a kind, then watches its changes; lists again after an interruption.
 
     An interrupted watch may have missed changes that the store has since dropped from
@@ -73,9 +74,9 @@
         self._latency = datetime.timedelta()
         self.unreachable = False
 
-    async def catch_up(self) -> None:
-        """List the kind once."""
-        await self._list()
+    async def catch_up(self) -> bool:
+        """List the kind once; return whether the store has answered."""
+        return await self._list() is None
 
     async def run(self) -> None:
         """List, then watch the store; runs until cancelled."""
@@ -157,7 +158,7 @@
         self._answered_at = self._clock.monotonic()
 
 
-class ConfigurationWatch(_Watch):
+class ConfigurationWatch(Watch):
     """Watches the operator's configuration."""
 
     kind = configuration.CONFIGURATION_KIND
@@ -178,7 +179,7 @@
                 apply_configuration(self._fleet, item.value)
 
 
-class ServerWatch(_Watch):
+class ServerWatch(Watch):
     """Watches the backend servers.
 
     Args:
--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -26,3 +26,15 @@
     Given silence: 1 gateways and clients that go on asking
     When silence: the store gets out of reach of a gateway that stands still, two servers leave and requests come
     Then silence: all are answered
+
+  # Guards against a server that was chosen before a pause and is used after it.
+  Scenario Outline: A request is not sent to a server that <does> since it was chosen
+    Given pauses: a client of servers and a server that is listed
+    When pauses: a request is sent to it and it <does> before the connection is open
+    Then pauses: the request is withheld and the server got nothing
+
+    Examples:
+      | does                       |
+      | is listed as draining      |
+      | is listed no more          |
+      | is listed as started again |
--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -52,10 +52,12 @@
     Then notices: the prompt was read once and only "d2" ran the request
 
     Examples:
-      | does                 |
-      | says that it leaves  |
-      | asks for a rest      |
-      | names a limit of 0   |
+      | does                  |
+      | says that it leaves   |
+      | asks for a rest       |
+      | names a limit of 0    |
+      | is listed as draining |
+      | is listed no more     |
 
   # Guards against values without a meaning: none may raise, or exclude a server for ever.
   Scenario Outline: Each value of the fields has one meaning
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -1,5 +1,23 @@
+import asyncio
+import dataclasses
+import datetime
+import types
+
 import behave
 
+from pimentolatch import clock, settings
+from pimentolatch.decisions import neighbours
+from pimentolatch.gateway import dispatch, fleet_state, flow_control
+from pimentolatch.platform import http_headers
+from pimentolatch.routes import servers
+from standins import route_server
+
+SECOND = datetime.timedelta(seconds=1)
+CHANGES = {
+    "is listed as draining": {"draining": True},
+    "is listed as started again": {"started_ms": 2000},
+}
+
 
 @behave.when(
     "silence: a gateway stands still, two servers report that they drain and requests"
@@ -31,3 +49,61 @@
 @behave.then("silence: the servers that left got none of these requests")
 def got_none(context):
     assert not context.world.reached("paused"), context.world.reached("paused")
+
+
+@behave.given("pauses: a client of servers and a server that is listed")
+def client_and_server(context):
+    context.fleet = fleet_state.FleetState()
+    context.server = route_server.RouteServer("a1", "app", "here")
+
+
+@behave.when(
+    "pauses: a request is sent to it and it {does} before the connection is open"
+)
+def send_to_changed(context, does):
+    context.outcome = asyncio.run(send(context.fleet, context.server, does))
+
+
+async def send(fleet, server, does):
+    await server.start()
+    address = settings.Address(host="127.0.0.1", port=server.port)
+    listed = servers.Server("a1", "app", address, "here", False, None, 1)
+    fleet.replace_servers(1, [listed])
+
+    async def change():
+        if does in CHANGES:
+            changed = dataclasses.replace(listed, **CHANGES[does])
+            fleet.update_servers(2, [changed], [])
+        else:
+            fleet.update_servers(2, [], ["a1"])
+
+    time = clock.SystemClock()
+    client = dispatch.ServerClient(
+        time,
+        flow_control.FlowControl(neighbours.Place("own", "here"), time),
+        acknowledgement_limit=SECOND,
+        accepts=fleet.accepts,
+        wait_until_current=change,
+    )
+    request = types.SimpleNamespace(
+        route=types.SimpleNamespace(repeatable=True),
+        customer_name=None,
+        fields=[(b"host", b"x")],
+        method="POST",
+        target=b"/notify",
+        request_id="",
+        body=b"x",
+    )
+    options = http_headers.DispatchOptions("a1", SECOND)
+    try:
+        async with asyncio.timeout(SECOND.total_seconds()):
+            return await client.open(listed, request, options)
+    finally:
+        client.close()
+        await server.stop()
+
+
+@behave.then("pauses: the request is withheld and the server got nothing")
+def withheld(context):
+    assert isinstance(context.outcome, dispatch.Withheld), context.outcome
+    assert not context.server.received
--- a/tests/features/steps/server_notices_steps.py
+++ b/tests/features/steps/server_notices_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import datetime
 
 import behave
@@ -151,6 +152,21 @@
         engine.prefill_tokens[0] += 5000 * (engine.server.stage.value == "decode")
 
 
+def list_as_draining(fleet, server):
+    drained = dataclasses.replace(server, draining=True)
+    fleet.update_servers(fleet.servers_revision + 1, [drained], [])
+
+
+def list_no_more(fleet, server):
+    fleet.update_servers(fleet.servers_revision + 1, [], [server.server_id])
+
+
+LISTINGS = {
+    "is listed as draining": list_as_draining,
+    "is listed no more": list_no_more,
+}
+
+
 @behave.when(
     'notices: a client asks for "digest" and "{name}" {does} while the prompt is read'
 )
@@ -162,6 +178,9 @@
         asked = asyncio.create_task(world.ask("digest", "r1", name="i1"))
         await world.until(lambda: world.servers["p1"].received)
         server = instance.fleet.servers.get(name)
+        if does in LISTINGS:
+            LISTINGS[does](instance.fleet, server)
+            return await asked
         now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
         instance.flow.observe(server, NOTICES[does], now, "request")
         return await asked
