Tell peers which listed servers leave

It costs nothing while the store's list is right. A leaving is final for an incarnation, so what peers pass on can't be wrong later.

Two scenarios of `older_entries.feature` fail without it.

--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -12,6 +12,7 @@
 from pimentolatch.gateway import (
     cache_updates,
     datagrams,
+    departure_exchange,
     fleet_state,
     flow_control,
     leadership,
@@ -65,6 +66,7 @@
         cut_off_services: Returns the services that this instance has no path to.
         demands: Returns the demand of clients at this instance, by service.
         silence: Servers found silent, to send to peers and received from them.
+        departures: Servers that leave against the store's list, likewise.
         time: Clock of this instance.
         rng: Picks the receivers in other failure domains.
 
@@ -87,6 +89,7 @@
         cut_off_services: abc.Callable[[], abc.Set[str]],
         demands: abc.Callable[[], abc.Mapping[str, demand_rate.ServiceDemand]],
         silence: silence_exchange.SilenceExchange,
+        departures: departure_exchange.DepartureExchange,
         time: clock.Clock,
         rng: random.Random,
     ) -> None:
@@ -104,6 +107,7 @@
         self._cut_off_services = cut_off_services
         self._demands = demands
         self._silence = silence
+        self._departures = departures
         self._clock = time
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
         self._load_exchange = load_exchange.LoadExchange(fleet, own_domain, updates)
@@ -150,6 +154,7 @@
             quarantine.CrashReports(beacon.crash_reports, beacon.part_reports)
         )
         self._silence.receive(beacon)
+        self._departures.receive(beacon)
         self._leadership.receive(beacon.leader)
         self._flow.receive(beacon.server_limits, self._fleet.servers)
 
@@ -253,21 +258,22 @@
     def _demand_rows(self) -> tuple[beacons.Demand, ...]:
         demands = self._demands()
         silent = self._silence.reports()
-        rows = [
-            beacons.Demand(
-                service,
-                int(demand.prefill),
-                int(demand.decode),
-                int(1000 * self._fleet.loads(service).prefill_rate),
-                silent=silent.get(service, ()),
+        leaving = self._departures.reports()
+        unknown = demand_rate.ServiceDemand(0.0, 0.0)
+        rows = []
+        for service in dict.fromkeys([*demands, *silent, *leaving]):
+            demand = demands.get(service, unknown)
+            rate = self._fleet.loads(service).prefill_rate if service in demands else 0
+            rows.append(
+                beacons.Demand(
+                    service,
+                    int(demand.prefill),
+                    int(demand.decode),
+                    int(1000 * rate),
+                    silent=silent.get(service, ()),
+                    leaving=leaving.get(service, ()),
+                )
             )
-            for service, demand in demands.items()
-        ]
-        rows += [
-            beacons.Demand(service, 0, 0, 0, silent=found)
-            for service, found in silent.items()
-            if service not in demands
-        ]
         return tuple(rows)
 
     def _readers(self) -> tuple[beacons.Reader, ...]:
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -105,6 +105,15 @@
         """Return the servers to tell peers, with those that are not confirmed here."""
         return [self._as_said(server) for server in self._listed.all()]
 
+    def overruled_servers(self) -> list[servers.Server]:
+        """Return the servers that leave although their entries say they are ready."""
+        said = (
+            server
+            for server in self._listed.all()
+            if not server.draining and self._is_leaving(server.incarnation)
+        )
+        return [*self._listed.overruled, *said]
+
     def server_list_status(self, now: datetime.timedelta) -> ServerListStatus:
         """Return what a decision that is taken now rests on."""
         age = now - self.servers_confirmed_at
@@ -199,6 +208,13 @@
         self._listed.deny(server)
         self._update_table()
 
+    def mark_drained(self, server: servers.Incarnation) -> bool:
+        """Apply a peer's word that a server drains; return whether that was new."""
+        is_new = self._listed.mark_drained(server)
+        if is_new:
+            self._update_table()
+        return is_new
+
     def mark_leaving(self, server: servers.Server) -> None:
         """Apply that a listed server has said that it leaves."""
         listed = self.servers.get(server.server_id)
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -24,6 +24,7 @@
         self._entries: dict[str, servers.Server] = {}
         self._departures = departures.Departures()
         self._logged: dict[servers.Incarnation, departures.Standing] = {}
+        self._overruled: set[servers.Incarnation] = set()
 
     @property
     def unconfirmed(self) -> list[servers.Server]:
@@ -33,6 +34,24 @@
             return []
         return [s for s in self._entries.values() if s.incarnation in found]
 
+    @property
+    def overruled(self) -> list[servers.Server]:
+        """Servers that drain although the last entry said that they are ready."""
+        if not self._overruled:
+            return []
+        return [s for s in self._entries.values() if s.incarnation in self._overruled]
+
+    def mark_drained(self, server: servers.Incarnation) -> bool:
+        """Apply a peer's word that a server drains; return whether that was new."""
+        entry = self._entries.get(server.server_id)
+        if entry is None or entry.incarnation != server or entry.draining:
+            return False
+        entry = dataclasses.replace(entry, draining=True)
+        self._entries[server.server_id] = entry
+        self._overruled.add(server)
+        self._departures.enlist(entry, departures.Standing.LEAVING)
+        return True
+
     def all(self) -> abc.Collection[servers.Server]:
         """Return the entries that are in force."""
         return self._entries.values()
@@ -94,6 +113,7 @@
             gone = self._entries.pop(name, None)
             if gone is not None:
                 self._logged.pop(gone.incarnation, None)
+                self._overruled.discard(gone.incarnation)
                 if name not in unreadable or gone.draining:
                     self._departures.depart(gone)
 
@@ -103,8 +123,10 @@
         self._log(entry, known, standing, revision, source)
         if standing is departures.Standing.OUTDATED:
             return
+        self._overruled.discard(entry.incarnation)
         if standing is departures.Standing.LEAVING:
             entry = dataclasses.replace(entry, draining=True)
+            self._overruled.add(entry.incarnation)
         if known is not None and known.incarnation != entry.incarnation:
             self._departures.depart(known, replaced=True)
         self._entries[entry.server_id] = entry
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -17,6 +17,7 @@
     beacon_exchange,
     cache_updates,
     catch_up,
+    departure_exchange,
     dispatch,
     dispatch_check,
     expired_entries,
@@ -274,6 +275,7 @@
             lambda: self._monitor.cut_off_services,
             self._stream_forwarder.demands,
             self._silence,
+            departure_exchange.DepartureExchange(fleet),
             time,
             random.Random(),
         )
--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -112,11 +112,16 @@
 def _demand_row(demand: beacons.Demand, engines: _EngineNumbering) -> list[typing.Any]:
     """Return the row of a demand.
 
-    Instances of the release without speeds and silent servers ignore the columns
-    beyond the fourth.
+    Instances of releases without speeds and silent servers, or without leaving ones,
+    ignore the columns that they do not know.
     """
-    row = [demand.service, demand.prefill, demand.decode, demand.prefill_rate]
-    if not demand.speeds and not demand.silent:
+    row: list[typing.Any] = [
+        demand.service,
+        demand.prefill,
+        demand.decode,
+        demand.prefill_rate,
+    ]
+    if not demand.speeds and not demand.silent and not demand.leaving:
         return row
     speeds = [
         [
@@ -128,7 +133,10 @@
         for item in demand.speeds
     ]
     silent = [[engines.number(item.server), item.age_ms] for item in demand.silent]
-    return [*row, speeds, silent]
+    row += [speeds, silent]
+    if demand.leaving:
+        row.append([engines.number(server) for server in demand.leaving])
+    return row
 
 
 def _demand(
@@ -136,6 +144,7 @@
 ) -> beacons.Demand:
     prefill, decode, prefill_rate = fields.counts(row[1:4])
     speeds, silent = row[4:6] or ((), ())
+    leaving = row[6] if len(row) > 6 else ()
     return beacons.Demand(
         fields.text(row[0]),
         prefill,
@@ -143,6 +152,7 @@
         prefill_rate,
         tuple(_server_speed(item, engines) for item in speeds),
         tuple(_silent_server(item, engines) for item in silent),
+        tuple(engines[number] for number in fields.counts(leaving)),
     )
 
 
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -134,6 +134,7 @@
         prefill_rate: Prompt tokens a second that one engine prefills, as learned.
         speeds: Speeds of some of its engines, if they differ.
         silent: Servers that were silent to the sender.
+        leaving: Servers that have said that they leave, and whose entries do not.
     """
 
     service: str
@@ -142,6 +143,7 @@
     prefill_rate: int
     speeds: tuple[ServerSpeed, ...] = ()
     silent: tuple[SilentServer, ...] = ()
+    leaving: tuple[servers.Incarnation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/older_entries.feature
+++ b/tests/features/older_entries.feature
@@ -29,6 +29,26 @@
     And outage: 2 seconds pass
     Then outage: no instance uses "s1"
 
+  # Guards against an instance that has only the older check-in to go by.
+  Scenario: An instance that starts later learns from its peers which servers leave
+    Given outage: 4 servers and 2 instances
+    When outage: "s1" reports that it drains
+    And outage: 1 seconds pass
+    And outage: its check-in before the report of "s1" is written
+    And outage: 1 seconds pass
+    And outage: "i2" starts
+    Then outage: no instance uses "s1"
+
+  # Guards against a leaving that each instance learns of by a request of its own.
+  Scenario: What a server says in an answer to one instance is known to all
+    Given outage: 4 servers and 3 instances
+    When outage: "s1" says in an answer to "i0" that it leaves
+    And outage: 1 seconds pass
+    Then outage: no instance uses "s1"
+    When outage: "s1" starts again with check-ins from 1 on
+    And outage: 1 seconds pass
+    Then outage: all instances use all servers
+
   # Guards against a removal that is undone by a check-in which was held up on its way.
   Scenario Outline: A server whose entry was removed is not used by an older check-in
     Given outage: 4 servers and 2 instances
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -105,6 +105,20 @@
         assert instance.fleet.servers.get(name).started_ms == BORN_AGAIN
 
 
+@behave.when('outage: "{name}" starts')
+def instance_starts(context, name):
+    context.world.add_instance(name, "10.0.0.9")
+    context.world.advance(1)
+
+
+@behave.when('outage: "{server}" says in an answer to "{name}" that it leaves')
+def says_leaving(context, server, name):
+    fleet = context.world.instances[name].fleet
+    listed = fleet.servers.get(server)
+    context.world.said_leaving.add((name, listed.incarnation))
+    fleet.mark_leaving(listed)
+
+
 @behave.given("outage: an instance that has seen {count:d} servers leave")
 def seen_leave(context, count):
     context.departures = departures.Departures()
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -17,6 +17,7 @@
 from pimentolatch.gateway import (
     beacon_exchange,
     cache_updates,
+    departure_exchange,
     dispatch,
     fleet_state,
     flow_control,
@@ -112,6 +113,7 @@
         silence_exchange.SilenceExchange(
             context.known, "one", "here", time, shared=True
         ),
+        departure_exchange.DepartureExchange(context.known),
         time,
         chance,
     )
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -9,6 +9,7 @@
 from pimentolatch import clock
 from pimentolatch.decisions import neighbours
 from pimentolatch.gateway import (
+    departure_exchange,
     expired_entries,
     fleet_state,
     peer_snapshots,
@@ -17,7 +18,7 @@
     settings,
     store_watch,
 )
-from pimentolatch.protocol import beacons
+from pimentolatch.protocol import beacon_codec, beacons
 from standins import memory_store, object_table
 from tests.support import route_world
 
@@ -59,6 +60,7 @@
     fetcher: peer_snapshots.SnapshotFetcher
     endpoint: peer_snapshots.SnapshotEndpoint
     returned: returned_servers.ReturnedServers
+    departures: departure_exchange.DepartureExchange
 
     def used(self):
         """Return the ids of the servers that requests may be sent to."""
@@ -78,6 +80,8 @@
         held: Names of instances whose watches get their answers later.
         answers: What servers answer when they are asked whether they are ready, by
             id; by default that they are.
+        said_leaving: Name of an instance, and a server's incarnation that has said in
+            an answer to it that it leaves.
         tells_age: False if instances send their lists without the age.
     """
 
@@ -89,6 +93,7 @@
         self.apart = set()
         self.held = set()
         self.answers = {}
+        self.said_leaving = set()
         self.tells_age = True
         self._steps = 0
         self._tasks = []
@@ -97,11 +102,13 @@
             self.write(name)
         built = [self._instance(f"i{n}", f"10.0.0.{n}") for n in range(instances)]
         self.instances = {instance.name: instance for instance in built}
-        self.runner.run(self._start())
+        self.runner.run(self._start(built))
         self.advance(1)
 
     def _instance(self, name, host):
-        fleet = fleet_state.FleetState()
+        fleet = fleet_state.FleetState(
+            lambda server: (name, server) in self.said_leaving
+        )
         store_watch.apply_configuration(
             fleet, route_world.configuration(1, route_world.ROUTES)
         )
@@ -128,6 +135,7 @@
             returned_servers.ReturnedServers(
                 fleet, self._ask, lambda: 1, self.clock, random.Random(name)
             ),
+            departure_exchange.DepartureExchange(fleet),
         )
 
     async def _ask(self, server):
@@ -145,8 +153,14 @@
 
         link.watch = watch
 
-    async def _start(self):
-        for instance in self.instances.values():
+    def add_instance(self, name, host):
+        """Start one more instance."""
+        instance = self._instance(name, host)
+        self.instances[name] = instance
+        self.runner.run(self._start([instance]))
+
+    async def _start(self, instances):
+        for instance in instances:
             for work in (
                 instance.watch.run,
                 instance.expired.run,
@@ -199,10 +213,16 @@
                 stopping=False,
                 readers=(),
                 members=(),
+                demands=tuple(
+                    beacons.Demand(service, 0, 0, 0, leaving=leaving)
+                    for service, leaving in sender.departures.reports().items()
+                ),
             )
+            beacon = beacon_codec.decode(beacon_codec.encode(beacon))
             for receiver in hearing:
                 if receiver is not sender:
                     receiver.peers.receive(sender.host, beacon)
+                    receiver.departures.receive(beacon)
 
     def write(self, name, **fields):
         """Write a server's entry, by default with the number of its next check-in."""
