Break off answers that do not end

What callers saw (by tests of our own, a server that sends bytes until its caller closes; one request, 6 s left): a stream of single-byte chunks kept the instance busy for 7.9 s of processor time and stopped everything else for 4.3 s at a stretch; interim responses, endless events, events without numbers and comments took 5.7 to 6.4 s of processor time each, until the time limit; an event without end 35 MB of memory. A server that had declined and then sent the rest of its refusal bit by bit held its caller to the deadline, with "may have run" (504) in place of "not run". Calls to the store, to the control API and to peers had no bound on the body but their time.

Cause: bodies were bounded in bytes where they were buffered, and nothing else was: neither the heads and framing around them, nor an event, nor the number of events; and what the socket had received was parsed in one go. Class: a bound on the result in place of one on the work.

- A response may have 32 kB more of framing than of body.
- At most 16 kB are parsed before other tasks run.
- An event may have 256 kB, a stream two events a token and a thousand more.
- The body of a refusal is read for 100 ms and 64 kB; then its connection is closed.
- Answers of a server's own interface and of the control API have 1 MB and 64 kB, those of the store and of peers 16 MB.

The client gets 502, or a stream that is broken off after 1,040 events for 20 tokens. Drips end by the client's time limit, refusals at once.

Slow drips of a body that is being taken for one are left to the time limits of requests. The first daemon, whose HTTP library has bounds of its own, was not looked into.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -28,6 +28,12 @@
 ]
 
 _READ_BUFFER_BYTES = 262_144
+# Bytes that are parsed before other tasks may run.
+_PARSED_BYTES = 16_384
+# Bytes of heads and framing that a response may have beyond as many as its body. A
+# server in trouble may send interim responses or tiny chunks without end, each of which
+# takes as long to parse as many kilobytes of a body.
+_MAX_FRAMING_BYTES = 32_768
 # Calls among instances and to the platform have time limits of about this length.
 _ACKNOWLEDGEMENT_LIMIT = datetime.timedelta(seconds=1)
 # Idle connections are dropped this long before the server's stated time-out, so that a
@@ -113,13 +119,16 @@
         self.at_end = True
         self._wake()
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int) -> bytes:
         """Return received bytes, empty at the end.
 
         Raises:
             OSError: The connection was reset.
             UndeliveredError: It was reset because a request was not acknowledged.
         """
+        if len(self.received) > max_bytes:
+            # More than one round's worth: let other tasks run in between.
+            await asyncio.sleep(0)
         while not self.received and not self.at_end:
             self._waiter = asyncio.get_running_loop().create_future()
             try:
@@ -127,9 +136,13 @@
             finally:
                 self._waiter = None
         if self.received:
-            data = bytes(self.received)
-            self.received.clear()
-            if self.transport is not None and not self.transport.is_closing():
+            data = bytes(self.received[:max_bytes])
+            del self.received[:max_bytes]
+            if (
+                len(self.received) <= _READ_BUFFER_BYTES
+                and self.transport is not None
+                and not self.transport.is_closing()
+            ):
                 self.transport.resume_reading()
             return data
         if self.error is not None:
@@ -160,6 +173,8 @@
         )
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._parsed_bytes = 0
+        self._body_bytes = 0
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
 
     @property
@@ -191,6 +206,7 @@
         """Send a request; raises `ValueError`, sending nothing, if it is malformed."""
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
+        self._parsed_bytes = self._body_bytes = 0
         headers = list(fields)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"content-length", b"%d" % len(body)))
@@ -222,17 +238,18 @@
         """Return the next bytes of the body, empty at its end; raises `BrokenError`."""
         event = await self._event()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b""
         raise BrokenError("connection closed within the response body")
 
-    async def read_body(self, max_bytes: int | None = None) -> bytes:
+    async def read_body(self, max_bytes: int) -> bytes:
         """Return the rest of the body; raises `BrokenError`, also past `max_bytes`."""
         content = bytearray()
         while part := await self.read():
             content += part
-            if max_bytes is not None and len(content) > max_bytes:
+            if len(content) > max_bytes:
                 raise BrokenError(f"response body exceeds {max_bytes} bytes")
         return bytes(content)
 
@@ -243,6 +260,7 @@
         to the current one.
         """
         rest, _ = self._parser.trailing_data
+        self._parsed_bytes = self._body_bytes = 0
         assert self._request is not None
         self._parser = h11.Connection(h11.CLIENT)
         self._parser.send(self._request)
@@ -284,13 +302,16 @@
                 raise BrokenError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            if self._parsed_bytes - 2 * self._body_bytes > _MAX_FRAMING_BYTES:
+                raise BrokenError("the response has more framing than content")
             try:
-                data = await self._stream.read()
+                data = await self._stream.read(_PARSED_BYTES)
             except OSError as error:
                 raise BrokenError(repr(error)) from error
             self._parse(data)
 
     def _parse(self, data: bytes) -> None:
+        self._parsed_bytes += len(data)
         try:
             self._parser.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -39,6 +39,12 @@
 _MAX_STALE_RESPONSES = 3
 # Largest response body that is buffered before it is forwarded.
 MAX_BODY_BYTES = 8_000_000
+# Largest answer of a server's own interface; a report is a few kilobytes.
+_MAX_CALL_BYTES = 1_000_000
+# The body of a refusal says nothing more. It is read so that the connection can be used
+# again, which is not worth waiting for.
+_MAX_REFUSAL_BYTES = 65_536
+_REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=100)
 _MISDIRECTED = 421
 # Time reserved for returning the response to the client.
 RETURN_TIME = datetime.timedelta(milliseconds=10)
@@ -403,9 +409,10 @@
         if opened.head.not_run or opened.status == _MISDIRECTED:
             with (
                 self.returned_to_pool(server, opened),
-                contextlib.suppress(channel.BrokenError),
+                contextlib.suppress(channel.BrokenError, TimeoutError),
             ):
-                await opened.link.read_body(MAX_BODY_BYTES)
+                async with asyncio.timeout(_REFUSAL_TIMEOUT.total_seconds()):
+                    await opened.link.read_body(_MAX_REFUSAL_BYTES)
             return Declined(opened.status)
         if opened.head.encoded:
             opened.link.close()
@@ -468,7 +475,7 @@
                 head = http_headers.parse_response_headers(start.fields, start.status)
                 if start.status != _MISDIRECTED:
                     self._flow.observe(self._server, head.notice, sent_at, "call")
-                content = await link.read_body(MAX_BODY_BYTES)
+                content = await link.read_body(_MAX_CALL_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
             return OutcomeUnknown(repr(error))
--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -11,6 +11,11 @@
 
 __all__ = ["EventRelay"]
 
+# An event has a token at least. Servers may also send comments, and repeat events that
+# the client has.
+_EVENTS_PER_TOKEN = 2
+_MAX_OTHER_EVENTS = 1000
+
 
 class EventRelay:
     """Relays the complete events of one response that the client does not have yet.
@@ -43,14 +48,27 @@
         self._metrics = metrics
         self._clock = time
         self._splitter = sse.EventSplitter()
+        self._events = 0
+        prompt = request.head.prompt
+        tokens = 0 if prompt is None else prompt.max_output
+        self._max_events = _EVENTS_PER_TOKEN * tokens + _MAX_OTHER_EVENTS
 
     def take(self, data: bytes) -> list[sse.Event]:
-        """Return the events that are now complete and that the client does not have."""
+        """Return the events that are now complete and that the client does not have.
+
+        Raises:
+            BrokenError: The stream has no end.
+        """
         last = self._progress.last_event
+        try:
+            events = self._splitter.feed(data)
+        except sse.OversizedEventError as error:
+            raise channel.BrokenError(str(error)) from error
+        self._events += len(events)
+        if self._events > self._max_events:
+            raise channel.BrokenError(f"more than {self._max_events} events came")
         return [
-            event
-            for event in self._splitter.feed(data)
-            if event.number is None or event.number > last
+            event for event in events if event.number is None or event.number > last
         ]
 
     async def write(self, events: list[sse.Event]) -> None:
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -42,6 +42,8 @@
 _MAX_WATCH_LAG = datetime.timedelta(milliseconds=400)
 # Peers asked one after the other by an instance that has to catch up.
 _MAX_ASKED = 3
+# A list of 3,800 servers has some 500 kB.
+_MAX_BYTES = 16_000_000
 _FETCH_TIMEOUT = datetime.timedelta(seconds=1)
 
 
@@ -318,6 +320,6 @@
         host = f"{address.host}:{address.port}".encode()
         connection.send("GET", path.encode(), [(b"host", host)], b"")
         head = await connection.read_head()
-        return Response(tuple(head.fields), await connection.read_body())
+        return Response(tuple(head.fields), await connection.read_body(_MAX_BYTES))
     finally:
         connection.close()
--- a/src/pimentolatch/gateway/sse.py
+++ b/src/pimentolatch/gateway/sse.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
-__all__ = ["Event", "EventSplitter"]
+__all__ = ["Event", "EventSplitter", "OversizedEventError"]
 
 _END = b"\n\n"
+# An event has one or a few tokens.
+_MAX_EVENT_BYTES = 262_144
 _ID = b"id:"
 
 
@@ -16,6 +18,10 @@
     data: bytes
 
 
+class OversizedEventError(Exception):
+    """An event does not end."""
+
+
 class EventSplitter:
     """Holds back a partial event until its end has arrived.
 
@@ -33,8 +39,16 @@
         return bool(self._partial)
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are now complete."""
+        """Return the events that are now complete.
+
+        Raises:
+            OversizedEventError: The next event is too large.
+        """
         *whole, self._partial = (self._partial + data).split(_END)
+        if len(self._partial) > _MAX_EVENT_BYTES:
+            raise OversizedEventError(
+                f"an event exceeds {_MAX_EVENT_BYTES} bytes without an end"
+            )
         return [Event(_number(event), event + _END) for event in whole]
 
 
--- a/src/pimentolatch/platform/control_api.py
+++ b/src/pimentolatch/platform/control_api.py
@@ -26,6 +26,7 @@
     "Unanswered",
 ]
 
+_MAX_RESPONSE_BYTES = 65_536
 _CALL_TIMEOUT = datetime.timedelta(seconds=1)
 _USAGE = b"/usage"
 _SCALE = b"/scale"
@@ -156,7 +157,7 @@
                     "POST", target, self._fields(holder), json.dumps(body).encode()
                 )
                 start = await link.read_head()
-                content = await link.read_body()
+                content = await link.read_body(_MAX_RESPONSE_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
             return Unanswered(repr(error), reached=True)
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -13,6 +13,8 @@
 
 __all__ = ["ObjectStore"]
 
+# A page of a list is about 1 MB; changes of some thousand objects come at once.
+_MAX_RESPONSE_BYTES = 16_000_000
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -166,7 +168,7 @@
             async with asyncio.timeout(limit.total_seconds()):
                 link.send(method, target.encode(), [(b"host", host), *_JSON], data)
                 start = await link.read_head()
-                content = await link.read_body()
+                content = await link.read_body(_MAX_RESPONSE_BYTES)
             # Invalid UTF-8 in one object must not make all others unreadable.
             text = content.decode("utf-8", "replace")
             parsed = json.loads(text) if text else None
--- a/tests/features/steps/undelivered_requests_steps.py
+++ b/tests/features/steps/undelivered_requests_steps.py
@@ -14,6 +14,7 @@
     virtual_time,
 )
 
+MOST_BYTES = 1000
 ADDRESS = settings.Address(host="192.0.2.1", port=80)
 CONNECT_LIMIT = datetime.timedelta(seconds=1)
 # Time in which instances have to observe that a server leaves.
@@ -60,7 +61,7 @@
         try:
             link.send("GET", target, [(b"host", b"x")], b"")
             await link.read_head()
-            await link.read_body()
+            await link.read_body(MOST_BYTES)
         except channel.BrokenError:
             link.close()
             self.given_up_s = time.monotonic().total_seconds()
@@ -138,7 +139,7 @@
     try:
         link.send("POST", b"/", [(b"host", b"x")], body)
         assert (await link.read_head()).status == 200
-        assert await link.read_body() == b"ok"
+        assert await link.read_body(MOST_BYTES) == b"ok"
     finally:
         link.close()
         server.close()
