Tell peers which servers are unconfirmed

What callers saw: nothing; an instance that had just started, or was cut off while an entry was removed, used the server again when an earlier check-in listed it, as it had not seen the removal. Beacons name the unconfirmed servers of the sender now, and whoever has not asked them itself does so before it uses them. Same column, same cost as for leaving ones: none while there are none.

One scenario of `older_entries.feature` fails without it.

--- a/src/pimentolatch/decisions/departures.py
+++ b/src/pimentolatch/decisions/departures.py
@@ -63,6 +63,7 @@
         self._departed: dict[servers.Incarnation, _Departure] = {}
         self._unconfirmed: set[servers.Incarnation] = set()
         self._denied: set[servers.Incarnation] = set()
+        self._confirmed: set[servers.Incarnation] = set()
 
     @property
     def unconfirmed(self) -> abc.Set[servers.Incarnation]:
@@ -106,6 +107,7 @@
             replaced: Whether another incarnation is listed in its place.
         """
         self._settle(server.incarnation)
+        self._confirmed.discard(server.incarnation)
         before = self._departed.pop(server.incarnation, None)
         is_final = (
             server.draining or replaced or (before is not None and before.is_final)
@@ -114,10 +116,22 @@
         if len(self._departed) > _MAX_REMEMBERED:
             del self._departed[next(iter(self._departed))]
 
+    def doubt(self, server: servers.Incarnation) -> bool:
+        """Record that a peer has not confirmed a listed server; return if that counts.
+
+        It does not if this instance has asked the server itself: peers ask a little
+        later, or have lost the path to it.
+        """
+        if server in self._confirmed or server in self._unconfirmed:
+            return False
+        self._unconfirmed.add(server)
+        return True
+
     def confirm(self, server: servers.Incarnation) -> None:
         """Record that a server has said that it is ready."""
         self._settle(server)
         self._departed.pop(server, None)
+        self._confirmed.add(server)
 
     def deny(self, server: servers.Incarnation) -> None:
         """Record that an unconfirmed server has said that it is not ready."""
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -258,10 +258,11 @@
     def _demand_rows(self) -> tuple[beacons.Demand, ...]:
         demands = self._demands()
         silent = self._silence.reports()
-        leaving = self._departures.reports()
+        leaving = self._departures.leaving()
+        unconfirmed = self._departures.unconfirmed()
         unknown = demand_rate.ServiceDemand(0.0, 0.0)
         rows = []
-        for service in dict.fromkeys([*demands, *silent, *leaving]):
+        for service in dict.fromkeys([*demands, *silent, *leaving, *unconfirmed]):
             demand = demands.get(service, unknown)
             rate = self._fleet.loads(service).prefill_rate if service in demands else 0
             rows.append(
@@ -272,6 +273,7 @@
                     int(1000 * rate),
                     silent=silent.get(service, ()),
                     leaving=leaving.get(service, ()),
+                    unconfirmed=unconfirmed.get(service, ()),
                 )
             )
         return tuple(rows)
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -150,7 +150,7 @@
         listed: abc.Iterable[servers.Server],
         source: str = STORE,
         unreadable: abc.Container[str] = (),
-        unconfirmed: abc.Iterable[str] = (),
+        unconfirmed: abc.Collection[str] = (),
     ) -> bool:
         """Apply a full server list unless it is older; return whether it was used.
 
@@ -167,7 +167,11 @@
         self.servers_source = source
         self.servers_listed = True
         self._listed.replace(listed, unreadable, revision, source)
-        self._listed.doubt(unconfirmed)
+        self._listed.doubt(
+            server.incarnation
+            for server in self._listed.all()
+            if server.server_id in unconfirmed
+        )
         self._update_table()
         return True
 
@@ -208,6 +212,13 @@
         self._listed.deny(server)
         self._update_table()
 
+    def doubt_servers(self, doubted: abc.Iterable[servers.Incarnation]) -> bool:
+        """Apply that a peer has not confirmed servers; return whether that counts."""
+        counts = self._listed.doubt(doubted)
+        if counts:
+            self._update_table()
+        return counts
+
     def mark_drained(self, server: servers.Incarnation) -> bool:
         """Apply a peer's word that a server drains; return whether that was new."""
         is_new = self._listed.mark_drained(server)
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -68,13 +68,19 @@
         """Record that a server has said that it is not ready."""
         self._departures.deny(server)
 
-    def doubt(self, names: abc.Iterable[str]) -> None:
-        """Record that a peer has not confirmed these servers."""
-        for name in names:
-            if name in self._entries:
-                self._departures.enlist(
-                    self._entries[name], departures.Standing.UNCONFIRMED
-                )
+    def doubt(self, doubted: abc.Iterable[servers.Incarnation]) -> bool:
+        """Record that a peer has not confirmed these servers; return if that counts."""
+        return any(
+            [
+                self._departures.doubt(server)
+                for server in doubted
+                if self._is_ready(server)
+            ]
+        )
+
+    def _is_ready(self, server: servers.Incarnation) -> bool:
+        entry = self._entries.get(server.server_id)
+        return entry is not None and entry.incarnation == server and not entry.draining
 
     def replace(
         self,
--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -112,8 +112,8 @@
 def _demand_row(demand: beacons.Demand, engines: _EngineNumbering) -> list[typing.Any]:
     """Return the row of a demand.
 
-    Instances of releases without speeds and silent servers, or without leaving ones,
-    ignore the columns that they do not know.
+    Instances of releases without speeds and silent servers, or without leaving and
+    unconfirmed ones, ignore the columns that they do not know.
     """
     row: list[typing.Any] = [
         demand.service,
@@ -121,7 +121,8 @@
         demand.decode,
         demand.prefill_rate,
     ]
-    if not demand.speeds and not demand.silent and not demand.leaving:
+    doubted = (demand.leaving, demand.unconfirmed)
+    if not demand.speeds and not demand.silent and not any(doubted):
         return row
     speeds = [
         [
@@ -134,8 +135,8 @@
     ]
     silent = [[engines.number(item.server), item.age_ms] for item in demand.silent]
     row += [speeds, silent]
-    if demand.leaving:
-        row.append([engines.number(server) for server in demand.leaving])
+    if any(doubted):
+        row += [[engines.number(server) for server in found] for found in doubted]
     return row
 
 
@@ -144,7 +145,7 @@
 ) -> beacons.Demand:
     prefill, decode, prefill_rate = fields.counts(row[1:4])
     speeds, silent = row[4:6] or ((), ())
-    leaving = row[6] if len(row) > 6 else ()
+    leaving, unconfirmed = row[6:8] or ((), ())
     return beacons.Demand(
         fields.text(row[0]),
         prefill,
@@ -153,6 +154,7 @@
         tuple(_server_speed(item, engines) for item in speeds),
         tuple(_silent_server(item, engines) for item in silent),
         tuple(engines[number] for number in fields.counts(leaving)),
+        tuple(engines[number] for number in fields.counts(unconfirmed)),
     )
 
 
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -135,6 +135,8 @@
         speeds: Speeds of some of its engines, if they differ.
         silent: Servers that were silent to the sender.
         leaving: Servers that have said that they leave, and whose entries do not.
+        unconfirmed: Servers that are listed again after their removal and have not said
+            to the sender that they are ready.
     """
 
     service: str
@@ -144,6 +146,7 @@
     speeds: tuple[ServerSpeed, ...] = ()
     silent: tuple[SilentServer, ...] = ()
     leaving: tuple[servers.Incarnation, ...] = ()
+    unconfirmed: tuple[servers.Incarnation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/older_entries.feature
+++ b/tests/features/older_entries.feature
@@ -64,6 +64,20 @@
       | its first check-in             |
       | a later check-in that is ready |
 
+  # Guards against an instance that has not seen the removal.
+  Scenario: An instance that starts later asks a server that its peers have not confirmed
+    Given outage: 4 servers and 2 instances
+    When outage: "s1" leaves
+    And outage: "s1" says that it is not ready when it is asked
+    And outage: 1 seconds pass
+    And outage: a later check-in that is ready of "s1" is written
+    And outage: 1 seconds pass
+    And outage: "i2" starts
+    Then outage: no instance uses "s1"
+    When outage: "s1" says that it is ready when it is asked
+    And outage: 2 seconds pass
+    Then outage: all instances use all servers
+
   # Guards against servers that stay unused since their entries expired.
   Scenario: A server whose entry had expired is used once it says that it is ready
     Given outage: 4 servers and 2 instances
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -213,9 +213,15 @@
                 stopping=False,
                 readers=(),
                 members=(),
-                demands=tuple(
-                    beacons.Demand(service, 0, 0, 0, leaving=leaving)
-                    for service, leaving in sender.departures.reports().items()
+                demands=(
+                    beacons.Demand(
+                        "app",
+                        0,
+                        0,
+                        0,
+                        leaving=sender.departures.leaving().get("app", ()),
+                        unconfirmed=sender.departures.unconfirmed().get("app", ()),
+                    ),
                 ),
             )
             beacon = beacon_codec.decode(beacon_codec.encode(beacon))
