Play late check-ins and pauses of gateways in the soak

`--entries`: servers report that they drain, or their entries are removed, and one of their earlier check-ins, or one that was held up, is written afterwards; entries expire and come back; gateways stand still for 2 to 5 s while a server leaves, and thirty requests come meanwhile that wait for no answer; gateways restart one at a time, the store rejects reads, routes are added. One failure domain has a single gateway, every fourth run has one in all. Requests are late whatever else happened, but for those by a gateway within a second of its start (the operator allows three); at the end no gateway may doubt a server that works.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -38,6 +38,11 @@
     When the soak plays seed 3 for 8 seconds of outages
     Then no promise was broken and most requests were served
 
+  # Guards against leavings that are undone by earlier check-ins, or happen in a pause.
+  Scenario: No promise is broken while check-ins are late and gateways stand still
+    When the soak plays seed 2 for 5 seconds of late check-ins and pauses of gateways
+    Then no promise was broken and most requests were served
+
   # Guards against servers that stay unused after a cut, and against requests that are lost
   # while one failure domain after the other is out of reach.
   Scenario: No promise is broken while engines are uneven and domains fall silent in turn
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -46,6 +46,15 @@
     context.result = asyncio.run(played)
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of late check-ins and pauses"
+    " of gateways"
+)
+def play_entries(context, seed, seconds):
+    played = soak.run_seed(seed, float(seconds), MARGIN_S, entries=True)
+    context.result = asyncio.run(played)
+
+
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of uneven engines")
 def play_uneven(context, seed, seconds):
     played = soak.run_seed(seed, float(seconds), MARGIN_S, uneven=True)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,6 +6,8 @@
 `--outages` lets the store reject reads or lose all entries while servers leave unsaid.
 `--silence` lets connections fall silent and changes come, and nothing else, so that no
 other fault gives an instance a new connection; every other run has one gateway only.
+`--entries` has earlier check-ins of servers reach the store after their leaving, and
+gateways stand still around it; one failure domain has a single gateway.
 `--uneven` lets engines differ in speed and failure domains fall silent in turn.
 Each run also prints how its requests ended.
 """
@@ -25,6 +27,7 @@
     soak_checks,
     soak_clients,
     soak_endings,
+    soak_entries,
     soak_faults,
     soak_outages,
     soak_pauses,
@@ -65,6 +68,7 @@
     pauses=False,
     outages=False,
     uneven=False,
+    entries=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -78,9 +82,11 @@
         pauses: Only pauses of servers and planned changes are injected.
         outages: Outages of the store, leaving servers and restarts are injected.
         uneven: Engines differ in speed, and failure domains fall silent in turn.
+        entries: Check-ins reach the store late, and gateways stand still.
     """
     world = _make_world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
+    alone = (silence and seed % 2) or ((pauses or outages or entries) and seed % 4 == 0)
     if pauses:
         soak_pauses.prepare(world, seed)
         injector = soak_pauses.PauseInjector(world, clock)
@@ -90,6 +96,11 @@
         injector = soak_outages.OutageInjector(world, clock)
         faults = soak_outages.draw(seed, seconds)
         clients = _clients(world, seed, clock)
+    elif entries:
+        world.failure_domains = soak_entries.FAILURE_DOMAINS
+        clients = _clients(world, seed, clock)
+        injector = soak_entries.EntryInjector(world, clock, clients)
+        faults = soak_entries.draw(seed, seconds, alone=alone)
     elif uneven:
         soak_uneven.prepare(world)
         injector = soak_uneven.UnevenInjector(world, clock)
@@ -104,12 +115,13 @@
         world.fatal_body = soak_clients.FATAL_BODY
         clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
     try:
-        alone = (silence and seed % 2) or ((pauses or outages) and seed % 4 == 0)
         if uneven:
             await world.start(soak_uneven.GATEWAYS, **soak_uneven.SERVERS)
         else:
-            await world.start(1 if alone else GATEWAYS)
+            several = soak_entries.GATEWAYS if entries else GATEWAYS
+            await world.start(1 if alone else several)
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
+        doubted = []
         if fatal:
             tasks.append(asyncio.create_task(world.replace_crashed(stop)))
         await _inject_faults(injector, faults, clients, clock)
@@ -118,6 +130,8 @@
         await asyncio.sleep(RECOVERY_CHECK_S)
         stop.set()
         await asyncio.gather(*tasks)
+        if entries:
+            doubted = await soak_entries.unconfirmed_violations(world)
         logs = world.logs()
     finally:
         await world.stop()
@@ -131,7 +145,7 @@
         if s.crashed
     ]
     endings = soak_endings.Endings(world, injector)
-    violations = list(endings.violations(attempts))
+    violations = [*doubted, *endings.violations(attempts)]
     violations += soak_checks.violations(
         attempts, servers, injector, logs, margin_s, endings.unanswerable
     )
@@ -142,6 +156,10 @@
         violations += soak_outages.late_violations(
             attempts, servers, injector, margin_s
         )
+    if entries:
+        violations += soak_entries.late_violations(
+            attempts, servers, injector, margin_s
+        )
     if uneven:
         violations += soak_uneven.avoidance_violations(servers, injector, margin_s)
     after_faults = [
@@ -232,6 +250,7 @@
     parser.add_argument("--pauses", action="store_true")
     parser.add_argument("--outages", action="store_true")
     parser.add_argument("--uneven", action="store_true")
+    parser.add_argument("--entries", action="store_true")
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -253,6 +272,7 @@
             options.pauses,
             options.outages,
             options.uneven,
+            options.entries,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -8,12 +8,18 @@
 import sys
 
 from pimentolatch import clock
-from pimentolatch.decisions import missing_servers, silent_servers, watch_schedule
+from pimentolatch.decisions import (
+    departures,
+    missing_servers,
+    silent_servers,
+    watch_schedule,
+)
 from pimentolatch.gateway import (
     daemon,
     dispatch,
     fleet_state,
     flow_control,
+    pause_monitor,
     plain_forwarder,
     process,
     quarantine,
@@ -153,6 +159,28 @@
     silent_servers._TRIER_SHARE = 0.0
 
 
+def _believe_older_entries():
+    """Takes each entry of a server as it is, and removals as if they were final."""
+    judge = departures.Departures
+    judge.judge = lambda self, entry, known: departures.Standing.CURRENT
+    judge.missed_changes = lambda self, entries, known, known_revision: []
+    judge.created_again = lambda self, entries, known: frozenset()
+
+
+def _use_unconfirmed():
+    """Uses servers that are listed again without asking them."""
+    departures.Departures.withheld = lambda self, listed: frozenset()
+
+
+def _serve_on_after_pauses():
+    """Serves by what was known before a pause of the process."""
+
+    async def no_wait(self):
+        pass
+
+    pause_monitor.PauseMonitor.wait_until_current = no_wait
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -169,6 +197,9 @@
     "stay at silent engines": _leave_silent_engines,
     "grace from the store's return": _keep_missing_servers,
     "end of avoidance": _avoid_reported_servers_for_long,
+    "judgement of entries": _believe_older_entries,
+    "questions to returned servers": _use_unconfirmed,
+    "catching up after pauses": _serve_on_after_pauses,
 }
 
 
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -148,8 +148,11 @@
         attempt.complete = True
         return attempt.headers.get("connection", "").lower() != "close"
 
+    def _choose_gateway(self):
+        return self._rng.choice(sorted(self._world.gateways))
+
     async def _connect(self):
-        self._gateway = self._rng.choice(sorted(self._world.gateways))
+        self._gateway = self._choose_gateway()
         host = self._world.gateways[self._gateway].host
         try:
             async with asyncio.timeout(1.0):
--- a/tests/support/soak_outages.py
+++ b/tests/support/soak_outages.py
@@ -11,7 +11,7 @@
 
 from tests.support import soak_checks, soak_faults
 
-__all__ = ["OutageInjector", "draw", "late_violations"]
+__all__ = ["OutageInjector", "between", "draw", "late_violations"]
 
 OUTAGE_KINDS = ("store rejects", "store rejects", "store expires")
 LEAVE_KINDS = ("leave unsaid",)
@@ -72,7 +72,7 @@
     async def _store_rejects(self, fault, injected):
         begin = self._begin_outage()
         self._world.platform.rejects_reads = True
-        await asyncio.sleep(_between(REJECTS_S, fault.selector))
+        await asyncio.sleep(between(REJECTS_S, fault.selector))
         self._end_outage(begin)
 
     async def _store_expires(self, fault, injected):
@@ -80,7 +80,7 @@
             return
         begin = self._begin_outage()
         await self._world.store.stop()
-        await asyncio.sleep(_between(EXPIRES_S, fault.selector))
+        await asyncio.sleep(between(EXPIRES_S, fault.selector))
         expired = [name for name in self._world.servers if await self._remove(name)]
         await self._world.store.start()
         self._end_outage(begin)
@@ -131,16 +131,26 @@
         return True
 
 
-def _between(bounds, share):
+def between(bounds, share):
+    """Return the value that divides a span in this ratio."""
     low, high = bounds
     return low + share * (high - low)
 
 
-def late_violations(attempts, servers, injector, margin_s):
+def late_violations(
+    attempts, servers, injector, margin_s, counts=lambda request_id, at: True
+):
     """Yield a line for each server that got requests too late after it had left.
 
     Nothing excuses a request: neither a gateway's restart nor another outage that began
     when the time allowed was over.
+
+    Args:
+        attempts: What clients sent and received.
+        servers: All servers of the run.
+        injector: Knows when they left and when the store was away.
+        margin_s: Added to the time allowed.
+        counts: Tells whether a request counts that arrived at a moment.
     """
     sent = {attempt.request_id for attempt in attempts}
     for server in servers:
@@ -154,6 +164,7 @@
             if request.kind in ("prefill", "run")
             and request.fields.get("x-request-id", "") in sent
             and at > allowed + margin_s
+            and counts(request.fields["x-request-id"], at)
         ]
         if late:
             yield (
