--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -72,6 +72,7 @@
         self.configuration_spec: typing.Any = None
         self.servers = servers.ServerTable()
         self._listed = listed_servers.ListedServers()
+        self._said_leaving: set[servers.Incarnation] = set()
         self.servers_revision = 0
         self.servers_source = ""
         self.servers_listed = False
@@ -112,14 +113,19 @@
 
     def listed_servers(self) -> list[servers.Server]:
         """Return the servers to tell peers, with those that are not confirmed here."""
+        if not self._said_leaving:
+            return list(self._listed.all())
         return [self._as_said(server) for server in self._listed.all()]
 
     def overruled_servers(self) -> list[servers.Server]:
         """Return the servers that leave although their entries say they are ready."""
+        # Asked for each beacon, mostly while there are none.
+        if not self._said_leaving:
+            return self._listed.overruled
         said = (
             server
             for server in self._listed.all()
-            if not server.draining and self._is_leaving(server.incarnation)
+            if not server.draining and server.incarnation in self._said_leaving
         )
         return [*self._listed.overruled, *said]
 
@@ -175,7 +181,9 @@
         self.servers_revision = revision
         self.servers_source = source
         self.servers_listed = True
+        listed = list(listed)
         self._listed.replace(listed, unreadable, revision, source)
+        self._said_leaving = set(self._leaving(listed))
         self._listed.doubt(
             server.incarnation
             for server in self._listed.all()
@@ -239,6 +247,7 @@
         """Apply that a listed server has said that it leaves."""
         listed = self.servers.get(server.server_id)
         if listed is not None and listed.incarnation == server.incarnation:
+            self._said_leaving.add(server.incarnation)
             self._update_table()
 
     def remove_servers(self, removed: abc.Iterable[str]) -> None:
@@ -292,24 +301,38 @@
         removed: abc.Iterable[str],
         unreadable: abc.Container[str] = (),
     ) -> None:
+        changed = list(changed)
         self._listed.update(
             changed, removed, unreadable, self.servers_revision, self.servers_source
         )
+        self._said_leaving.update(self._leaving(changed))
         self._update_table()
 
+    def _leaving(
+        self, listed: abc.Iterable[servers.Server]
+    ) -> abc.Iterator[servers.Incarnation]:
+        """Yield those of some servers that have said in an answer that they leave."""
+        for server in listed:
+            if self._is_leaving(server.incarnation):
+                yield server.incarnation
+
     def _update_table(self) -> None:
-        withheld = self._listed.withheld()
-        self.servers.replace(
-            dataclasses.replace(server, draining=True)
-            if server.incarnation in withheld
-            else server
-            for server in self.listed_servers()
-        )
+        if self._said_leaving:
+            self._said_leaving &= {s.incarnation for s in self._listed.all()}
+        listed = self.listed_servers()
+        if withheld := self._listed.withheld():
+            listed = [
+                dataclasses.replace(server, draining=True)
+                if server.incarnation in withheld
+                else server
+                for server in listed
+            ]
+        self.servers.replace(listed)
         self._update_loads()
 
     def _as_said(self, server: servers.Server) -> servers.Server:
         """Return a listed server with what it has said in its answers."""
-        if server.draining or not self._is_leaving(server.incarnation):
+        if server.draining or server.incarnation not in self._said_leaving:
             return server
         return dataclasses.replace(server, draining=True)
 
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self) -> None:
-        self.kept: abc.Container[str] = ()
+        self.kept: abc.Collection[str] = ()
         self._entries: dict[str, servers.Server] = {}
         self._departures = departures.Departures()
         self._logged: dict[servers.Incarnation, departures.Standing] = {}
@@ -120,10 +120,10 @@
             source: Where this was read, for the log.
         """
         changed = list(changed)
-        with_entry = {n: s for n, s in self._entries.items() if n not in self.kept}
-        for server in self._departures.missed_changes(
-            changed, with_entry, self._revision
-        ):
+        known = self._entries
+        if self.kept:
+            known = {n: s for n, s in known.items() if n not in self.kept}
+        for server in self._departures.missed_changes(changed, known, self._revision):
             self._remove(server.server_id)
         self._revision = revision
         again = self._departures.created_again(changed, self._entries)
