Let no answer confirm a server that has left since

What callers saw: nothing; found by reading. A server that is listed again and removed once more while its health check answers "ready" lost the record of its leaving by that answer, so an earlier check-in could list it as any other server. Only servers that are unconfirmed at that moment are confirmed now. The new scenario failed before.

--- a/src/pimentolatch/decisions/departures.py
+++ b/src/pimentolatch/decisions/departures.py
@@ -161,7 +161,12 @@
         return True
 
     def confirm(self, server: servers.Incarnation) -> None:
-        """Record that a server has said that it is ready."""
+        """Record that a server has said that it is ready.
+
+        It may have left while its answer was on the way.
+        """
+        if server not in self._unconfirmed:
+            return
         self._settle(server)
         self._departed.pop(server, None)
         self._confirmed.add(server)
--- a/tests/features/older_entries.feature
+++ b/tests/features/older_entries.feature
@@ -161,6 +161,12 @@
     And outage: 1 seconds pass
     Then outage: all instances have the start time of "s1"
 
+  # Guards against an answer that was given before the server left.
+  Scenario: A server that leaves again while it is asked is not confirmed by its answer
+    Given outage: an instance that has seen 1 servers leave
+    When outage: it is listed again, and leaves while its answer is on the way
+    Then outage: it remembers at least 1 of them and at most 1
+
   # Guards against a memory of servers that have left which grows without a bound.
   Scenario: As many departures are remembered as a large fleet has servers
     Given outage: an instance that has seen 20000 servers leave
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -135,6 +135,14 @@
         context.departures.depart(server)
 
 
+@behave.when("outage: it is listed again, and leaves while its answer is on the way")
+def leaves_while_asked(context):
+    [server] = context.left
+    context.departures.enlist(server, departures.Standing.UNCONFIRMED)
+    context.departures.depart(server)
+    context.departures.confirm(server.incarnation)
+
+
 @behave.then("outage: it remembers at least {least:d} of them and at most {most:d}")
 def remembers(context, least, most):
     remembered = sum(
