--- a/src/pimentolatch/gateway/catch_up.py
+++ b/src/pimentolatch/gateway/catch_up.py
@@ -1,4 +1,8 @@
-"""Learns at once, from the store or a peer, what this instance has missed."""
+"""Learns at once, from the store or a peer, what this instance has missed.
+
+Servers that may have left meanwhile and are listed again are asked before requests go
+on: if it is all of a service, they would be used until they have answered.
+"""
 
 import asyncio
 import datetime
@@ -24,18 +28,21 @@
     Args:
         watches: Read the store.
         fetcher: Asks peers.
+        ask_servers: Asks the servers that are not confirmed then.
     """
 
     def __init__(
         self,
         watches: abc.Sequence[store_watch.Watch],
         fetcher: peer_snapshots.SnapshotFetcher,
+        ask_servers: abc.Callable[[], abc.Awaitable[None]],
     ) -> None:
         self._watches = watches
         self._fetcher = fetcher
+        self._ask_servers = ask_servers
 
     async def __call__(self) -> None:
-        """Return once one of them has answered, or the time is up."""
+        """Return once this is known, or the time is up."""
         asked = {
             asyncio.create_task(self._read_store()),
             asyncio.create_task(self._fetcher.catch_up()),
@@ -44,6 +51,7 @@
             async with asyncio.timeout(_TIME_LIMIT.total_seconds()):
                 for answer in asyncio.as_completed(asked):
                     if await answer:
+                        await self._ask_servers()
                         return
             _log.warn("nobody tells what was missed")
         except TimeoutError:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -303,7 +303,9 @@
                 chosen.bounds.server_watch,
             ),
         )
-        self._catch_up = catch_up.CatchUp(watches, self._snapshot_fetcher)
+        self._catch_up = catch_up.CatchUp(
+            watches, self._snapshot_fetcher, self._returned_servers.ask_all
+        )
         self._watch_controller = watch_controller.WatchController(
             chosen.instance, fleet, self._peer_table, watches, time
         )
--- a/src/pimentolatch/gateway/returned_servers.py
+++ b/src/pimentolatch/gateway/returned_servers.py
@@ -118,21 +118,22 @@
                 self._rng.random() * self._instances() * _SPREAD_PER_INSTANCE
             )
             self._any.clear()
-            await self._ask_all()
+            await self.ask_all()
             if self._fleet.unconfirmed_servers:
                 await self._clock.sleep(_RETRY_INTERVAL)
                 self._any.set()
 
+    async def ask_all(self) -> None:
+        """Ask all unconfirmed servers once; return when they have answered."""
+        asked = self._fleet.unconfirmed_servers
+        await asyncio.gather(*(self._ask_one(server) for server in asked))
+
     def _wake(self) -> None:
         asked = {server.incarnation for server in self._fleet.unconfirmed_servers}
         self._answers = {s: a for s, a in self._answers.items() if s in asked}
         if asked - self._answers.keys():
             self._any.set()
 
-    async def _ask_all(self) -> None:
-        asked = self._fleet.unconfirmed_servers
-        await asyncio.gather(*(self._ask_one(server) for server in asked))
-
     async def _ask_one(self, server: servers.Server) -> None:
         async with self._slots:
             answer = await self._ask(server)
