--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -30,9 +30,9 @@
 _READ_BUFFER_BYTES = 262_144
 # Bytes that are parsed before other tasks may run.
 _PARSED_BYTES = 16_384
-# Bytes of heads and framing that a response may have beyond as many as its body. A
-# server in trouble may send interim responses or tiny chunks without end, each of which
-# takes as long to parse as many kilobytes of a body.
+# How many more bytes of heads and framing than of body a response may have. A server in
+# trouble may send interim responses or tiny chunks without end, each of which takes as
+# long to parse as many kilobytes of a body.
 _MAX_FRAMING_BYTES = 32_768
 # Calls among instances and to the platform have time limits of about this length.
 _ACKNOWLEDGEMENT_LIMIT = datetime.timedelta(seconds=1)
@@ -127,7 +127,7 @@
             UndeliveredError: It was reset because a request was not acknowledged.
         """
         if len(self.received) > max_bytes:
-            # More than one round's worth: let other tasks run in between.
+            # Other tasks run between two parts of what has been received.
             await asyncio.sleep(0)
         while not self.received and not self.at_end:
             self._waiter = asyncio.get_running_loop().create_future()
--- a/src/pimentolatch/decisions/departures.py
+++ b/src/pimentolatch/decisions/departures.py
@@ -24,8 +24,8 @@
 ready. While no other server of its service and stage is listed, as after an outage in
 which all entries expired, an unconfirmed one is used unless it says that it is not.
 
-Departures are remembered by number, not for a time: a partition may hold a check-in
-for as long as it lasts.
+The latest departures are remembered, however long ago they were: a partition may hold a
+check-in for as long as it lasts.
 """
 
 import enum
@@ -35,7 +35,7 @@
 
 __all__ = ["Departures", "Standing"]
 
-# A fleet of 3,800 servers that is replaced once still has all its departures.
+# Enough for a release that replaces all servers of a fleet of 3,800.
 _MAX_REMEMBERED = 4096
 _FIRST_CHECK_IN = 1
 
