--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -80,9 +80,9 @@
         self.store.write("config", "main", spec)
         self.record.write(f"operator: configuration {version} written")
 
-    async def start_server(self, name, service, stage=None, **options):
-        """Start a server as a process and list it."""
-        host = self.host()
+    async def start_server(self, name, service, stage=None, host=None, **options):
+        """Start a server as a process and list it; return its host."""
+        host = host or self.host()
         settings = {
             "id": name,
             "host": host,
