--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -2,7 +2,11 @@
 
 One argument, a JSON object: `id`, `host`, `port`, `stage`, `log` and these options:
 `events` and `pause_s` of a stream, `comments` (a comment line of the event-stream format
-after each event), `work_s` (time to answer a plain request).
+after each event), `work_s` (time to answer a plain request), `born` (start of this
+lifetime), `shed` (number of decode requests that it turns away first, as a full server
+does) with `rest_s` (what it asks for then).
+A prefill engine numbers its handles from 1 in each lifetime. Its memory names the request
+whose prompt it is; a decode engine that fetches it goes on with what it fetched.
 It writes a line to the log for each request that it gets.
 """
 
@@ -17,6 +21,8 @@
 LOG = open(OPTIONS["log"], "a", encoding="utf-8")  # noqa: SIM115
 RUNNING = set()
 HANDLES = {}
+BORN = {"born": OPTIONS["born"]} if "born" in OPTIONS else {}
+SHED = OPTIONS.get("shed", 0)
 
 
 def log(what, request_id, **more):
@@ -30,7 +36,40 @@
     await writer.drain()
 
 
+async def prefill(writer, request):
+    request_id = request.get("x-request-id")
+    handle = f"{len(HANDLES) + 1:012x}"
+    HANDLES[handle] = request_id
+    log("prefill", request_id, handle=handle, **BORN)
+    body = {"kv_handle": handle, "tokens": 200, "version": 1, **BORN}
+    fields = [("X-Request-Id", request_id), ("Content-Type", "application/json")]
+    await answer(writer, 200, fields, json.dumps(body).encode())
+
+
+async def fetch(source):
+    """Fetch the memory under a handle; return whose it is, or None if it is gone."""
+    address, _, handle = source.partition("/")
+    host, _, port = address.partition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(http11.head_bytes(f"GET /fetch/{handle} HTTP/1.1", []))
+        found = await http11.read_message(reader)
+        writer.close()
+    except OSError:
+        return None
+    if found is None or found.start[1] != "200":
+        return None
+    return found.body.decode()
+
+
 async def stream(writer, request, fields):
+    owner = request.get("x-request-id")
+    if source := request.get("x-kv-source"):
+        owner = await fetch(source)
+        log("fetch", request.get("x-request-id"), source=source, owner=owner)
+        if owner is None:
+            await answer(writer, 503, [("X-Not-Executed", "1")])
+            return
     first = int(request.get("last-event-id", "0") or "0") + 1
     log("run", request.get("x-request-id"), first=first)
     fields = [
@@ -40,7 +79,7 @@
     ]
     writer.write(http11.head_bytes("HTTP/1.1 200 OK", fields))
     for number in range(first, OPTIONS.get("events", 40) + 1):
-        event = f"id: {number}\ndata: piece {number}\n\n"
+        event = f"id: {number}\ndata: piece {number} of {owner}\n\n"
         if OPTIONS.get("comments"):
             event += ": 1 token\n\n"
         data = event.encode()
@@ -52,6 +91,7 @@
 
 
 async def respond(writer, request):
+    global SHED
     method, target, _ = request.start
     request_id = request.get("x-request-id")
     if request.get("x-expect-instance", ID) != ID:
@@ -68,6 +108,7 @@
             "kv_total": 500000,
             "handles": len(HANDLES),
             "runs": [[name, 10, 1, 5] for name in RUNNING],
+            **BORN,
         }
         await answer(
             writer,
@@ -79,9 +120,31 @@
         await answer(writer, 200, [("X-Instance-Id", ID)])
     elif target == "/v1/order":
         await answer(writer, 400, [])
+    elif target.startswith("/fetch/"):
+        # Between servers; a handle is taken once.
+        owner = HANDLES.get(target.rsplit("/", 1)[-1])
+        if owner is None:
+            await answer(writer, 404, [])
+        else:
+            HANDLES[target.rsplit("/", 1)[-1]] = None
+            await answer(writer, 200, [], owner.encode())
     elif method == "DELETE":
-        HANDLES.pop(target.rsplit("/", 1)[-1], None)
+        handle = target.rsplit("/", 1)[-1]
+        log("free", request_id, handle=handle, owner=HANDLES.get(handle), **BORN)
+        if handle in HANDLES:
+            HANDLES[handle] = None
         await answer(writer, 200, [])
+    elif request.get("x-stage") == "prefill":
+        if STAGE == "prefill":
+            await prefill(writer, request)
+        else:
+            await answer(writer, 421, [("X-Instance-Id", ID)])
+    elif STAGE == "decode" and SHED:
+        SHED -= 1
+        log("shed", request_id)
+        rest = ("Retry-After", str(OPTIONS["rest_s"]))
+        fields = [("X-Request-Id", request_id), ("X-Not-Executed", "1"), rest]
+        await answer(writer, 503, fields)
     else:
         seal = [("X-Request-Id", request_id), ("X-Response-Seal", f"seal.{ID}")]
         if STAGE is None:
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -80,8 +80,10 @@
         self.store.write("config", "main", spec)
         self.record.write(f"operator: configuration {version} written")
 
-    async def start_server(self, name, service, stage=None, host=None, **options):
-        """Start a server as a process and list it; return its host."""
+    async def start_server(
+        self, name, service, stage=None, host=None, list_after_s=0.0, **options
+    ):
+        """Start a server as a process and list it, maybe later; return its host."""
         host = host or self.host()
         settings = {
             "id": name,
@@ -114,9 +116,19 @@
         if stage is not None:
             entry["stage"] = stage
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
-        self.store.write("servers", name, entry)
+        if "born" in options:
+            entry["born"] = options["born"]
+        if list_after_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(list_after_s, self._check_in, name, entry)
+        else:
+            self._check_in(name, entry)
         return host
 
+    def _check_in(self, name, entry):
+        self.store.write("servers", name, entry)
+        self.record.write(f"store: entry of {name}, born {entry.get('born')}")
+
     def server_log(self, name):
         """Return what a server has recorded."""
         path = pathlib.Path(self.folder.name) / f"{name}.jsonl"
