--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -5,6 +5,9 @@
 after each event), `work_s` (time to answer a plain request), `born` (start of this
 lifetime), `shed` (number of decode requests that it turns away first, as a full server
 does) with `rest_s` (what it asks for then).
+With `extra`, a list of request ids, their answers are sent once more on the channel, where
+the next answer is due. `slow`: request ids whose first event takes `slow_s`; a request
+goes on when its channel closes.
 A prefill engine numbers its handles from 1 in each lifetime. Its memory names the request
 whose prompt it is; a decode engine that fetches it goes on with what it fetched.
 It writes a line to the log for each request that it gets.
@@ -13,6 +16,7 @@
 import asyncio
 import json
 import sys
+import time
 
 import http11
 
@@ -64,6 +68,7 @@
 
 async def stream(writer, request, fields):
     owner = request.get("x-request-id")
+    is_slow = owner in OPTIONS.get("slow", ())
     if source := request.get("x-kv-source"):
         owner = await fetch(source)
         log("fetch", request.get("x-request-id"), source=source, owner=owner)
@@ -71,7 +76,9 @@
             await answer(writer, 503, [("X-Not-Executed", "1")])
             return
     first = int(request.get("last-event-id", "0") or "0") + 1
-    log("run", request.get("x-request-id"), first=first)
+    log("run", request.get("x-request-id"), first=first, at=time.monotonic())
+    if is_slow:
+        await asyncio.sleep(OPTIONS["slow_s"])
     fields = [
         *fields,
         ("Content-Type", "text/event-stream"),
@@ -84,8 +91,11 @@
             event += ": 1 token\n\n"
         data = event.encode()
         writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-        await writer.drain()
+        if not is_slow:
+            await writer.drain()
         await asyncio.sleep(OPTIONS.get("pause_s", 0.03))
+    if is_slow:
+        log("end", request.get("x-request-id"), at=time.monotonic())
     writer.write(b"0\r\n\r\n")
     await writer.drain()
 
@@ -161,8 +171,23 @@
 
 async def serve(reader, writer):
     try:
+        extra = b""
         while (request := await http11.read_message(reader)) is not None:
+            if extra:
+                log("extra", request.get("x-request-id"), target=request.start[1])
+            writer.write(extra)
+            extra = b""
+            request_id = request.get("x-request-id")
             await respond(writer, request)
+            if request_id in OPTIONS.get("extra", ()):
+                fields = [
+                    ("X-Request-Id", request_id),
+                    ("X-Response-Seal", f"seal.{ID}"),
+                    ("Content-Type", "text/event-stream"),
+                    ("Content-Length", "21"),
+                ]
+                head = http11.head_bytes("HTTP/1.1 200 OK", fields)
+                extra = head + b"id: 1\ndata: piece 1\n\n"
     except (ConnectionError, asyncio.IncompleteReadError):
         pass
     finally:
