Review: case 5, a server that has left is used again

Cause: a late first check-in of a server that has left is taken for a new server by an instance that started since.

--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -6,15 +6,17 @@
 lifetime), `shed` (number of decode requests that it turns away first, as a full server
 does) with `rest_s` (what it asks for then).
 With `extra`, a list of request ids, their answers are sent once more on the channel, where
-the next answer is due. `slow`: request ids whose first event takes `slow_s`; a request
-goes on when its channel closes.
+the next answer is due. `slow`: request ids whose first event takes `slow_s`. A request is
+dropped when its channel closes, unless `goes_on` is set.
 A prefill engine numbers its handles from 1 in each lifetime. Its memory names the request
 whose prompt it is; a decode engine that fetches it goes on with what it fetched.
+After SIGUSR1 it is leaving: it fails its health check and serves on.
 It writes a line to the log for each request that it gets.
 """
 
 import asyncio
 import json
+import signal
 import sys
 import time
 
@@ -23,10 +25,12 @@
 OPTIONS = json.loads(sys.argv[1])
 ID, STAGE = OPTIONS["id"], OPTIONS["stage"]
 LOG = open(OPTIONS["log"], "a", encoding="utf-8")  # noqa: SIM115
-RUNNING = set()
+RUNNING = []
 HANDLES = {}
 BORN = {"born": OPTIONS["born"]} if "born" in OPTIONS else {}
 SHED = OPTIONS.get("shed", 0)
+SLOW_UNTIL = {}
+LEAVING = asyncio.Event()
 
 
 def log(what, request_id, **more):
@@ -36,6 +40,8 @@
 
 async def answer(writer, status, fields, body=b""):
     fields = [*fields, ("Content-Length", str(len(body)))]
+    if LEAVING.is_set():
+        fields.append(("Connection", "close"))
     writer.write(http11.head_bytes(f"HTTP/1.1 {status} X", fields) + body)
     await writer.drain()
 
@@ -66,7 +72,19 @@
     return found.body.decode()
 
 
-async def stream(writer, request, fields):
+async def wait_slow(reader):
+    """Wait as long as a slow request takes; False if it is dropped before."""
+    closed = asyncio.create_task(reader.read(1))
+    await asyncio.wait({closed}, timeout=OPTIONS["slow_s"])
+    dropped = closed.done() and not OPTIONS.get("goes_on")
+    if closed.done() and not dropped:
+        await asyncio.sleep(max(0.0, SLOW_UNTIL[reader] - time.monotonic()))
+    closed.cancel()
+    await asyncio.wait({closed})
+    return not dropped
+
+
+async def stream(reader, writer, request, fields):
     owner = request.get("x-request-id")
     is_slow = owner in OPTIONS.get("slow", ())
     if source := request.get("x-kv-source"):
@@ -78,7 +96,10 @@
     first = int(request.get("last-event-id", "0") or "0") + 1
     log("run", request.get("x-request-id"), first=first, at=time.monotonic())
     if is_slow:
-        await asyncio.sleep(OPTIONS["slow_s"])
+        SLOW_UNTIL[reader] = time.monotonic() + OPTIONS["slow_s"]
+        if not await wait_slow(reader):
+            log("end", request.get("x-request-id"), at=time.monotonic(), dropped=True)
+            raise ConnectionError("the channel was closed")
     fields = [
         *fields,
         ("Content-Type", "text/event-stream"),
@@ -100,7 +121,7 @@
     await writer.drain()
 
 
-async def respond(writer, request):
+async def respond(reader, writer, request):
     global SHED
     method, target, _ = request.start
     request_id = request.get("x-request-id")
@@ -127,7 +148,9 @@
             json.dumps(report).encode(),
         )
     elif target == "/health":
-        await answer(writer, 200, [("X-Instance-Id", ID)])
+        status = 503 if LEAVING.is_set() else 200
+        log("health", request_id, status=status)
+        await answer(writer, status, [("X-Instance-Id", ID)])
     elif target == "/v1/order":
         await answer(writer, 400, [])
     elif target.startswith("/fetch/"):
@@ -158,15 +181,15 @@
     else:
         seal = [("X-Request-Id", request_id), ("X-Response-Seal", f"seal.{ID}")]
         if STAGE is None:
-            log("run", request_id, body=request.body.decode("latin-1"))
+            log("run", request_id, at=time.monotonic())
             await asyncio.sleep(OPTIONS.get("work_s", 0.02))
             await answer(writer, 200, seal, b"done " + request.body)
             return
-        RUNNING.add(request_id)
+        RUNNING.append(request_id)
         try:
-            await stream(writer, request, seal)
+            await stream(reader, writer, request, seal)
         finally:
-            RUNNING.discard(request_id)
+            RUNNING.remove(request_id)
 
 
 async def serve(reader, writer):
@@ -178,7 +201,7 @@
             writer.write(extra)
             extra = b""
             request_id = request.get("x-request-id")
-            await respond(writer, request)
+            await respond(reader, writer, request)
             if request_id in OPTIONS.get("extra", ()):
                 fields = [
                     ("X-Request-Id", request_id),
@@ -195,6 +218,7 @@
 
 
 async def main():
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, LEAVING.set)
     server = await asyncio.start_server(serve, OPTIONS["host"], OPTIONS["port"])
     print("ready", flush=True)
     await server.serve_forever()
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -191,7 +191,8 @@
             if await self.is_ready(name):
                 return
             await asyncio.sleep(0.05)
-        raise CannotRunError(f"{name} is not ready")
+        end_of_log = self.gateway_log(name)[-1500:]
+        raise CannotRunError(f"{name} is not ready: {end_of_log}")
 
     async def is_ready(self, name):
         """Ask as the balancer does."""
@@ -275,7 +276,7 @@
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except (CannotRunError, OSError, TimeoutError, subprocess.SubprocessError) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
