Review: scripts draw free ports

Cause: the scripts listened on fixed ports of loopback addresses.

Change: each run draws 24 ports that nobody listens on.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,7 @@
     ]
     body = f"prompt of {name}".encode()
     status, _, got, complete = await w.request(
-        host, 8149, "POST", "/digest/2f", fields, body
+        host, w.CLIENTS, "POST", "/digest/2f", fields, body
     )
     owners = set(re.findall(r"data: piece \d+ of (\w+)", got.decode()))
     results[name] = owners
@@ -70,7 +70,7 @@
         )
     hosts = [world.add_gateway(name) for name in ("gw-1", "gw-2")]
     for gateway in world.gateways.values():
-        gateway["fields"]["peers"]["seeds"] = [f"{host}:7380" for host in hosts]
+        gateway["fields"]["peers"]["seeds"] = [f"{host}:{w.PEERS}" for host in hosts]
     for name in world.gateways:
         world.start_gateway(name)
     for name in world.gateways:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,7 +46,7 @@
         ("X-Deadline-Ms", "10000"),
     ]
     status, _, body, complete = await w.request(
-        host, 8149, "POST", "/digest/2f", fields, b"x" * 200
+        host, w.CLIENTS, "POST", "/digest/2f", fields, b"x" * 200
     )
     pieces = [int(n) for n in re.findall(rb"data: piece (\d+)", body)]
     results[name] = (status, complete, pieces)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -40,7 +40,7 @@
         name = f"{number:08x}{count:08x}"
         fields = [("X-Request-Id", name), ("X-Deadline-Ms", "1000")]
         status, _, _, _ = await w.request(
-            host, 8149, "POST", "/print/2f", fields, name.encode(), timeout_s=1.0
+            host, w.CLIENTS, "POST", "/print/2f", fields, name.encode(), timeout_s=1.0
         )
         answers[name] = status
         await asyncio.sleep(0.1)
--- a/review/lib/control.py
+++ b/review/lib/control.py
@@ -18,10 +18,10 @@
         self._record = record
         self._server = None
 
-    async def start(self, host):
+    async def start(self, host, port):
         """Listen; return host and port."""
-        self._server = await asyncio.start_server(self._serve, host, 8160)
-        return host, 8160
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return host, port
 
     def close(self):
         """Stop listening."""
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -7,7 +7,9 @@
 import json
 import os
 import pathlib
+import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +25,31 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+def _free_ports(count):
+    """Return the first of some consecutive ports that nobody listens on."""
+    for _ in range(100):
+        first = random.randrange(20000, 31000)
+        opened = []
+        try:
+            for number in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    opened.append(socket.socket(socket.AF_INET, kind))
+                    opened[-1].bind(("", number))
+            return first
+        except OSError:
+            continue
+        finally:
+            for found in opened:
+                found.close()
+    raise OSError("no free ports")
+
+
+# The same on all machines.
+_FIRST = _free_ports(24)
+CLIENTS, READY, METRICS, SERVER, STORE, CONTROL, RELAY, PEERS = range(_FIRST, _FIRST + 8)
+PEERS_LAST = PEERS + 15
+
+
 class CannotRunError(Exception):
     """The case could not be set up."""
 
@@ -60,7 +87,7 @@
 
     async def start_store(self):
         """Start the store."""
-        self.store_address = await self.store.start(self.host(), 8142)
+        self.store_address = await self.store.start(self.host(), STORE)
 
     def configure(self, version, routes, services, tenants=None):
         """Write a configuration, as the operator does."""
@@ -88,7 +115,7 @@
         settings = {
             "id": name,
             "host": host,
-            "port": 8080,
+            "port": SERVER,
             "stage": stage,
             "log": str(pathlib.Path(self.folder.name) / f"{name}.jsonl"),
             **options,
@@ -105,7 +132,7 @@
         self.servers[name] = popen
         entry = {
             "service": service,
-            "address": f"{host}:8080",
+            "address": f"{host}:{SERVER}",
             "zone": "here",
             "version": "v1",
             "slots": 64,
@@ -143,10 +170,10 @@
         fields = {
             "instance": name,
             "failure_domain": domain,
-            "clients": f"{host}:8149",
-            "readiness": f"{host}:8141",
-            "metrics": f"{host}:9464",
-            "peers": {"host": host, "ports": [7380, 7395], "seeds": seeds or []},
+            "clients": f"{host}:{CLIENTS}",
+            "readiness": f"{host}:{READY}",
+            "metrics": f"{host}:{METRICS}",
+            "peers": {"host": host, "ports": [PEERS, PEERS_LAST], "seeds": seeds or []},
             "store": {"address": store or self.store_address},
             "bounds": {
                 "stop_grace_s": 8,
@@ -199,7 +226,7 @@
         try:
             async with asyncio.timeout(1):
                 reader, writer = await asyncio.open_connection(
-                    self.gateways[name]["host"], 8141
+                    self.gateways[name]["host"], READY
                 )
                 writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 line = await reader.readline()
