Log which incarnation gave a KV handle, and whether its connection is open

They now have `handle`, `handle_from`, `handle_started_ms` (from the prefill engine's own answer, whose `born` was not read so far), `handle_age_ms` and `handle_connected`.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -196,6 +196,11 @@
             and self._parser.their_state is h11.DONE
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection, as far as is known here."""
+        return not self._stream.at_end
+
     @property
     def idle(self) -> bool:
         """Whether an unused connection is still open and has received nothing."""
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -78,7 +78,9 @@
             opened = await self._open(generation, prefilled)
             progress.outcome_pending = False
             progress.withheld = isinstance(opened, dispatch.Withheld)
-            self._context.log_sent(request, engine, "run", opened, sent_at)
+            self._context.log_sent(
+                request, engine, "run", opened, sent_at, prefilled=prefilled
+            )
             if prefilled is not None:
                 prefilled.transferred = isinstance(opened, dispatch.OpenResponse)
                 prefilled.possibly_transferred = isinstance(
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -87,11 +87,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FullResponse:
-    """A complete response of the server, whatever its status."""
+    """A complete response of the server, whatever its status.
+
+    Attributes:
+        link: Connection that it came over, for a response to a request. It belongs to
+            the pool, and other requests may use it.
+    """
 
     status: int
     head: http_headers.ResponseHeaders
     body: bytes
+    link: channel.Channel | None = dataclasses.field(
+        default=None, repr=False, compare=False
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -328,7 +336,7 @@
                 body = await opened.link.read_body(MAX_BODY_BYTES)
             except channel.BrokenError as error:
                 return OutcomeUnknown(str(error), server_crashed=True)
-        return FullResponse(opened.status, opened.head, body)
+        return FullResponse(opened.status, opened.head, body, opened.link)
 
     @contextlib.contextmanager
     def returned_to_pool(
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -18,6 +18,7 @@
     takeover,
 )
 from pimentolatch.platform import engines, http_headers
+from pimentolatch.routes import servers
 
 __all__ = ["PrefillClient"]
 
@@ -80,7 +81,10 @@
             outcome = await self._outcome(request, place, progress, options)
         finally:
             engine.prefill_tokens[place.level] -= cost
-        self._context.log_sent(request, engine, "read", outcome, sent_at)
+        prefilled = self._prefilled_prompt(engine, outcome)
+        self._context.log_sent(
+            request, engine, "read", outcome, sent_at, prefilled=prefilled
+        )
         if isinstance(outcome, dispatch.Withdrawn):
             progress.reason = dispatch.describe(outcome)
             return outcome
@@ -88,7 +92,6 @@
         if isinstance(outcome, dispatch.Withheld):
             progress.reason = dispatch.describe(outcome)
             return None
-        prefilled = self._prefilled_prompt(engine, outcome)
         now = self._context.clock.monotonic()
         if prefilled is None:
             progress.failed.add(engine.server.incarnation)
@@ -169,10 +172,11 @@
     def _prefilled_prompt(
         self,
         engine: engine_loads.EngineLoad,
-        outcome: _Outcome,
+        outcome: _Outcome | dispatch.Withdrawn,
     ) -> request_progress.PrefilledPrompt | None:
         if not isinstance(outcome, dispatch.FullResponse) or outcome.status != 200:
             return None
+        assert outcome.link is not None
         try:
             read = engines.decode_prefill_result(outcome.body)
         except ValueError as error:
@@ -181,7 +185,19 @@
                 reason=str(error),
             )
             return None
-        return request_progress.PrefilledPrompt(engine, read.handle)
+        server = engine.server
+        incarnation = (
+            server.incarnation
+            if read.started_ms is None
+            else servers.shared_incarnation(server.server_id, read.started_ms)
+        )
+        return request_progress.PrefilledPrompt(
+            engine,
+            read.handle,
+            incarnation,
+            self._context.clock.monotonic(),
+            outcome.link,
+        )
 
     async def _release(self, prefilled: request_progress.PrefilledPrompt) -> None:
         target = engines.release_target(prefilled.handle)
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -47,6 +47,8 @@
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
+        *("handle", "handle_from", "handle_started_ms"),
+        *("handle_age_ms", "handle_connected"),
     ),
     RESUMED: ("origin", "outcome", "ms"),
     FORWARDED: ("peer", "outcome", "ms"),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import datetime
+import typing
 
 from pimentolatch import clock, results, settings
+from pimentolatch.backend import channel
 from pimentolatch.decisions import (
     engine_loads,
     placement_types,
@@ -117,6 +119,7 @@
         outcome: dispatch.Outcome,
         since: datetime.timedelta,
         events: int | None = None,
+        prefilled: "PrefilledPrompt | None" = None,
     ) -> None:
         """Log one dispatch and its outcome.
 
@@ -127,6 +130,7 @@
             outcome: The outcome of the dispatch.
             since: When it was sent.
             events: Number of the last event that the client received, for streams.
+            prefilled: The prompt that the engine has prefilled, or was to fetch.
         """
         failed = not isinstance(outcome, dispatch.FullResponse | dispatch.OpenResponse)
         assert request.head.prompt is not None
@@ -142,8 +146,27 @@
             events=events,
             parts=request.head.prompt.shared_names if failed else None,
             kept_ms=self.fleet.kept_ms(since, engine.server.server_id),
+            **({} if prefilled is None else self._handle_fields(prefilled, since)),
         )
 
+    def _handle_fields(
+        self, prefilled: "PrefilledPrompt", since: datetime.timedelta
+    ) -> dict[str, typing.Any]:
+        """Return what tells in the log whose KV cache a handle named when it was sent.
+
+        Args:
+            prefilled: The prompt.
+            since: When the handle was sent, or asked for.
+        """
+        age = max(datetime.timedelta(), since - prefilled.given_at)
+        return {
+            "handle": prefilled.handle,
+            "handle_from": prefilled.engine.server.server_id,
+            "handle_started_ms": prefilled.incarnation.started_ms,
+            "handle_age_ms": round(age / datetime.timedelta(milliseconds=1)),
+            "handle_connected": prefilled.link.is_open,
+        }
+
 
 @dataclasses.dataclass(slots=True)
 class PrefilledPrompt:
@@ -152,6 +175,10 @@
     Attributes:
         engine: The prefill engine.
         handle: Names the KV cache at that engine.
+        incarnation: The incarnation of the engine that gave the handle, by its own
+            answer. The server list learns of a restart later.
+        given_at: When the handle was received.
+        link: Connection that the handle was received over.
         transferred: A decode engine has fetched it.
         possibly_transferred: A decode engine may have fetched it. It is offered to no
             other engine and released.
@@ -159,6 +186,9 @@
 
     engine: engine_loads.EngineLoad
     handle: str
+    incarnation: servers.Incarnation
+    given_at: datetime.timedelta
+    link: channel.Channel
     transferred: bool = False
     possibly_transferred: bool = False
 
--- a/src/pimentolatch/platform/engines.py
+++ b/src/pimentolatch/platform/engines.py
@@ -27,10 +27,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefillResult:
-    """Result of a prefill whose KV cache an engine holds for another engine."""
+    """Result of a prefill whose KV cache an engine holds for another engine.
+
+    Attributes:
+        handle: Names the KV cache at the engine, in its current incarnation only.
+        tokens: Number of prompt tokens.
+        started_ms: Unix time of the engine's start, in milliseconds; None if it does
+            not report one.
+    """
 
     handle: str
     tokens: int
+    started_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +64,11 @@
     """Decode the response to a prefill-only request; raises `ValueError`."""
     try:
         fields = json.loads(body)
-        return PrefillResult(str(fields["kv_handle"]), int(fields["tokens"]))
+        return PrefillResult(
+            str(fields["kv_handle"]),
+            int(fields["tokens"]),
+            _checked_born(fields.get("born")),
+        )
     except (LookupError, OverflowError, RecursionError, TypeError) as error:
         raise ValueError(f"response has no valid KV handle: {body[:60]!r}") from error
 
