Do not send a KV handle after its engine may have started again

Cause: a prefill engine that starts again under its id gives the same handles anew. An instance asked only the server list whether the engine was still the one that had given a handle, and the list learns that with the next check-in, up to 1.2 s later.

Mend: a handle bears the incarnation that the engine's own answer named, and the connection that it came over. Where that connection has closed without notice, or the handle has waited for 0.5 s, the engine is asked for its report: `born`, or an answer over a connection from before the handle, proves that it is the same. Else the prompt is prefilled again. The connection is looked at again at the moment of sending. It works because a connection does not outlive the process at its other end; what an open connection can't show, a loss of power, the question does.

On related paths: the release of an unused handle could free another request's KV cache, and goes over a connection from before the handle now; a handle of an incarnation that the list did not show yet was thrown away when it did, and is used now.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -176,6 +176,8 @@
         self._parsed_bytes = 0
         self._body_bytes = 0
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
+        # Time at which it is known to have been open; None before its first release.
+        self.opened_by: datetime.timedelta | None = None
 
     @property
     def reusable(self) -> bool:
@@ -201,6 +203,11 @@
         """Whether neither side has closed the connection, as far as is known here."""
         return not self._stream.at_end
 
+    @property
+    def close_announced(self) -> bool:
+        """Whether the last response said that the server closes the connection."""
+        return self._parser.their_state in (h11.MUST_CLOSE, h11.CLOSED)
+
     @property
     def idle(self) -> bool:
         """Whether an unused connection is still open and has received nothing."""
@@ -397,6 +404,7 @@
         *,
         max_idle: datetime.timedelta | None = None,
         reuse: bool = True,
+        opened_before: datetime.timedelta | None = None,
     ) -> Channel:
         """Return an idle connection or a new one; raises `ConnectError`.
 
@@ -406,7 +414,10 @@
             now: The current time.
             max_idle: Connections that were idle for longer are not reused.
             reuse: Whether an idle connection may be returned.
+            opened_before: Return only an idle connection that was open at this time.
         """
+        if opened_before is not None:
+            return self._idle_since(server, now, opened_before)
         if not reuse:
             return await self._open(address, connection_reuse.Opening.REQUIRED)
         why = connection_reuse.Opening.NONE_IDLE
@@ -426,6 +437,8 @@
     ) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
         idle_connections = self._idle.setdefault(server, [])
+        if channel.opened_by is None:
+            channel.opened_by = now
         if channel.reusable and len(idle_connections) < _MAX_IDLE_PER_SERVER:
             idle_connections.append(_IdleConnection(channel, now))
         else:
@@ -441,6 +454,20 @@
         """Close all idle connections."""
         self.retain(())
 
+    def _idle_since(
+        self, server: abc.Hashable, now: datetime.timedelta, at: datetime.timedelta
+    ) -> Channel:
+        """Take an idle connection that was open at a time; raises `ConnectError`."""
+        idle_connections = self._idle.get(server, [])
+        for entry in reversed(idle_connections):
+            opened_by = entry.channel.opened_by
+            if opened_by is None or opened_by > at:
+                continue
+            if entry.obstacle(now, None) is None:
+                idle_connections.remove(entry)
+                return entry.channel
+        raise ConnectError(f"no idle connection that was open at {at}")
+
     async def _open(
         self, address: settings.Address, why: connection_reuse.Opening
     ) -> Channel:
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -10,6 +10,7 @@
     client_request,
     dispatch,
     event_relay,
+    kv_handles,
     request_progress,
     takeover,
 )
@@ -30,15 +31,18 @@
     Args:
         context: Components that all requests share.
         takeovers: Tells whether a request may leave a silent engine.
+        handles: Tells whether a prefilled prompt may be fetched.
     """
 
     def __init__(
         self,
         context: request_progress.Context,
         takeovers: takeover.TakeoverFinder,
+        handles: kv_handles.KvHandles,
     ) -> None:
         self._context = context
         self._takeovers = takeovers
+        self._handles = handles
 
     async def generate(
         self,
@@ -158,6 +162,9 @@
             request,
             options,
             new_connection=progress.unanswered,
+            may_send=lambda: (
+                prefilled is None or not self._handles.is_doubtful(prefilled)
+            ),
         )
         if not request.route.repeatable:
             return await call
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -90,8 +90,8 @@
     """A complete response of the server, whatever its status.
 
     Attributes:
-        link: Connection that it came over, for a response to a request. It belongs to
-            the pool, and other requests may use it.
+        link: Connection that it came over. It belongs to the pool, and other requests
+            may use it.
     """
 
     status: int
@@ -231,6 +231,7 @@
         options: http_headers.DispatchOptions,
         *,
         new_connection: bool = False,
+        may_send: abc.Callable[[], bool] = lambda: True,
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
 
@@ -247,6 +248,7 @@
             options: Options of this dispatch.
             new_connection: Use no kept connection. A request that has got no answer
                 before may have met a silent one, and the next may be silent as well.
+            may_send: Asked last; the request is withheld if this returns False.
         """
         max_idle = (
             None
@@ -270,7 +272,8 @@
             labelled = dataclasses.replace(options, customer=request.customer_name)
             fields = http_headers.request_fields(request.fields, labelled)
             await self._wait_until_current()
-            if not self._accepts(server) or not self._flow.take(server):
+            may_send_now = self._accepts(server) and may_send()
+            if not may_send_now or not self._flow.take(server):
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
             sent_at = self._clock.monotonic()
@@ -377,11 +380,27 @@
 
     @contextlib.asynccontextmanager
     async def session(
-        self, server: servers.Server, *, new_connection: bool = False
+        self,
+        server: servers.Server,
+        *,
+        new_connection: bool = False,
+        opened_before: datetime.timedelta | None = None,
     ) -> abc.AsyncGenerator["Session", None]:
-        """Make several calls to a server's own interface over one connection."""
+        """Make several calls to a server's own interface over one connection.
+
+        Args:
+            server: The server.
+            new_connection: Use no kept connection; the new one is kept.
+            opened_before: Use only a kept connection that was open at this time, so
+                that the calls reach the process that the server was then, or none.
+        """
         calls = Session(
-            server, self._pool, self._flow, self._clock, new_connection=new_connection
+            server,
+            self._pool,
+            self._flow,
+            self._clock,
+            new_connection=new_connection,
+            opened_before=opened_before,
         )
         try:
             yield calls
@@ -451,8 +470,10 @@
         time: clock.Clock,
         *,
         new_connection: bool = False,
+        opened_before: datetime.timedelta | None = None,
     ) -> None:
         self._new_connection = new_connection
+        self._opened_before = opened_before
         self._server = server
         self._pool = pool
         self._flow = flow
@@ -486,11 +507,12 @@
                 content = await link.read_body(_MAX_CALL_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
-            return OutcomeUnknown(repr(error))
+            crashed = isinstance(error, channel.BrokenError)
+            return OutcomeUnknown(repr(error), server_crashed=crashed)
         except BaseException:
             link.close()
             raise
-        return FullResponse(start.status, head, content)
+        return FullResponse(start.status, head, content, link)
 
     def end(self) -> None:
         """Return the connection to the pool, or close it if it can't be reused."""
@@ -505,6 +527,7 @@
                 self._server.address,
                 self._clock.monotonic(),
                 reuse=not self._new_connection,
+                opened_before=self._opened_before,
             )
         elif not self._link.reusable:
             raise channel.ConnectError("connection was closed after the previous call")
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -284,12 +284,17 @@
         )
 
     def is_replaced(self, incarnation: servers.Incarnation) -> bool:
-        """Tell whether another incarnation of the same server is listed instead.
+        """Tell whether a later incarnation of the same server is listed instead.
 
-        False for a server that is not listed: it may still serve running requests.
+        False for a server that is not listed: it may still serve running requests. An
+        incarnation that is known from its answers may be later than the listed one.
         """
         server = self.servers.get(incarnation.server_id)
-        return server is not None and server.incarnation != incarnation
+        if server is None:
+            return False
+        if server.started_ms is None or incarnation.started_ms is None:
+            return server.incarnation != incarnation
+        return server.started_ms > incarnation.started_ms
 
     def loads_by_service(self) -> abc.Mapping[str, engine_loads.EngineLoads]:
         """Return the engine loads of every model service, by service name."""
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -1,7 +1,6 @@
 """Has prompts prefilled by one engine for decoding on another one."""
 
 import asyncio
-import datetime
 
 import logbook
 
@@ -23,7 +22,6 @@
 __all__ = ["PrefillClient"]
 
 _log = logbook.Logger("reading")
-_RELEASE_TIMEOUT = datetime.timedelta(seconds=1)
 _Outcome = (
     dispatch.FullResponse
     | dispatch.NotSent
@@ -34,7 +32,7 @@
 
 
 class PrefillClient:
-    """Dispatches prompts to prefill engines and releases KV cache that is not used.
+    """Dispatches prompts to prefill engines.
 
     Args:
         context: Components that all requests share.
@@ -48,7 +46,6 @@
     ) -> None:
         self._context = context
         self._takeovers = takeovers
-        self._background: set[asyncio.Task[None]] = set()
 
     async def prefill(
         self,
@@ -160,15 +157,6 @@
         except TimeoutError:
             return dispatch.Withdrawn()
 
-    def release(self, prefilled: request_progress.PrefilledPrompt) -> None:
-        """Release the KV cache of a prompt that no engine will fetch."""
-        if self._context.fleet.is_replaced(prefilled.engine.server.incarnation):
-            # After a restart the handle may name another request's prompt.
-            return
-        task = asyncio.create_task(self._release(prefilled))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
     def _prefilled_prompt(
         self,
         engine: engine_loads.EngineLoad,
@@ -191,16 +179,7 @@
             if read.started_ms is None
             else servers.shared_incarnation(server.server_id, read.started_ms)
         )
+        now = self._context.clock.monotonic()
         return request_progress.PrefilledPrompt(
-            engine,
-            read.handle,
-            incarnation,
-            self._context.clock.monotonic(),
-            outcome.link,
-        )
-
-    async def _release(self, prefilled: request_progress.PrefilledPrompt) -> None:
-        target = engines.release_target(prefilled.handle)
-        await self._context.client.call(
-            prefilled.engine.server, "DELETE", target, limit=_RELEASE_TIMEOUT
+            engine, read.handle, incarnation, now, outcome.link, proven_at=now
         )
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -178,7 +178,9 @@
         incarnation: The incarnation of the engine that gave the handle, by its own
             answer. The server list learns of a restart later.
         given_at: When the handle was received.
-        link: Connection that the handle was received over.
+        link: Connection that last reached this incarnation; at first the one that the
+            handle was received over.
+        proven_at: When this incarnation last answered.
         transferred: A decode engine has fetched it.
         possibly_transferred: A decode engine may have fetched it. It is offered to no
             other engine and released.
@@ -189,6 +191,7 @@
     incarnation: servers.Incarnation
     given_at: datetime.timedelta
     link: channel.Channel
+    proven_at: datetime.timedelta
     transferred: bool = False
     possibly_transferred: bool = False
 
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -19,6 +19,7 @@
     dispatch_check,
     fleet_state,
     flow_control,
+    kv_handles,
     late_answers,
     peer_forwarder,
     prefill_client,
@@ -41,6 +42,7 @@
 # Decode engines that a prefilled prompt is offered to. An engine may decline because
 # the KV cache is no longer available, in which case a third one would decline as well.
 _MAX_TRANSFERS = 2
+_HANDLE_LOST = "the engine that prefilled the prompt may have started again"
 
 
 class StreamForwarder:
@@ -88,8 +90,11 @@
         )
         self._placer = prompt_placer.PromptPlacer(self._context, own_domain)
         takeovers = takeover.TakeoverFinder(self._context, self._placer, budget)
+        self._handles = kv_handles.KvHandles(self._context)
         self._prefill_client = prefill_client.PrefillClient(self._context, takeovers)
-        self._decode_client = decode_client.DecodeClient(self._context, takeovers)
+        self._decode_client = decode_client.DecodeClient(
+            self._context, takeovers, self._handles
+        )
         self._handover = stream_handover.StreamHandover(self._context, budget)
         self._sizes = prompt_sizes.PromptSizes()
         self._budget = budget
@@ -210,7 +215,7 @@
             )
         finally:
             if not prefilled.transferred:
-                self._prefill_client.release(prefilled)
+                self._handles.release(prefilled)
 
     async def _transfer_to_decode(
         self,
@@ -228,15 +233,18 @@
         """
         offers = 0
         while offers < _MAX_TRANSFERS:
-            if self._context.fleet.is_replaced(prefilled.engine.server.incarnation):
-                progress.reason = "the engine that read the prompt started again"
-                return False
             decode_engine = self._placer.choose_decode_engine(
                 request, prefilled, progress
             )
             while decode_engine is None and await self._placer.wait(request, progress):
                 if self._context.peers.may_forward(request):
                     return False
+                # Found out now, the prompt is prefilled again while it would wait.
+                if self._handles.is_doubtful(
+                    prefilled
+                ) and not await self._handles.confirm(prefilled):
+                    progress.reason = _HANDLE_LOST
+                    return False
                 decode_engine = self._placer.choose_decode_engine(
                     request, prefilled, progress
                 )
@@ -246,6 +254,9 @@
                 progress.retry_after = self._placer.retry_after(request)
             if decode_engine is None or not self._may_send(request, progress):
                 return await self._give_up(response, progress)
+            if not await self._handles.confirm(prefilled):
+                progress.reason = _HANDLE_LOST
+                return False
             chosen = dataclasses.replace(place, engine=decode_engine)
             if await self._decode_client.generate(
                 request, response, progress, chosen, prefilled
@@ -256,7 +267,8 @@
             # A server that accepts nothing now says nothing about the KV cache.
             server = decode_engine.server
             closed = self._context.flow.withheld([server])
-            offers += not (progress.withheld or closed)
+            doubtful = self._handles.is_doubtful(prefilled)
+            offers += doubtful or not (progress.withheld or closed)
         return False
 
     def _may_send(
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -146,6 +146,7 @@
         self.awake.set()
         self.port = 0
         self._check_ins = 0
+        self._restarts = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,19 +183,29 @@
         await asyncio.sleep(seconds)
         self.awake.set()
 
-    def restart(self, started_ms: int, version: str | None = None) -> None:
+    def restart(
+        self,
+        started_ms: int | None,
+        version: str | None = None,
+        *,
+        silently: bool = False,
+    ) -> None:
         """Start a new incarnation with the same id and address.
 
         Args:
-            started_ms: Unix time of the start in milliseconds.
+            started_ms: Unix time of the start in milliseconds; None if not reported.
             version: Version of its software; None for the same as before.
+            silently: Whether open connections are not reset before their next request,
+                as after a loss of power.
         """
         self.started_ms = started_ms
         self.version = version or self.version
         self.orders = []
         self._check_ins = 0
+        self._restarts += 1
         self.queued, self.running = set(), set()
-        self.reset_connections()
+        if not silently:
+            self.reset_connections()
 
     def entry(self) -> dict[str, typing.Any]:
         """Return the entry that its next check-in writes to the store."""
@@ -233,8 +244,12 @@
             reader, writer, self.notices, self.notified, self.awake
         )
         self._connections.add(connection)
+        incarnation = self._restarts
         try:
             while (request := await connection.read_request()) is not None:
+                if self._restarts != incarnation:
+                    connection.reset()
+                    break
                 if not await self._respond(connection, request):
                     break
         except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
@@ -313,7 +328,9 @@
             rest = (b"retry-after", self.retry_after.encode())
             await connection.send(503, [*headers, (b"x-not-executed", b"1"), rest], b"")
             return True
-        handle_suffix = "" if self.started_ms is None else f"-{self.started_ms}"
+        started_ms = self.started_ms
+        lifetime = started_ms or self._restarts
+        handle_suffix = f"-{lifetime}" if lifetime else ""
         if fault == "decline":
             self.received.pop()
             self.arrival_times.pop()
@@ -350,11 +367,13 @@
             ]
             await connection.send(200, foreign_headers, b"not yours", expected=False)
         if request.kind == "prefill":
-            handle = {
+            handle: dict[str, typing.Any] = {
                 "kv_handle": f"h-{request_id}{handle_suffix}",
                 "tokens": 1,
                 "version": 1,
             }
+            if started_ms is not None:
+                handle["born"] = started_ms
             await connection.send(200, headers, json.dumps(handle).encode())
             return True
         if fault != "no proof":
