Read the position in a stream off all its blocks, and split all line ends

Cause: the event relay took the position from the last block of a read only, and a comment has none. With a comment after each event the instance never knew what the client had: the log says `events=0` for streams of which the clients had 14 events, and the next engine was not told where to go on. An engine that does not heed the number is ruled out.

Mend: the position is the highest number of all blocks that were written. `gateway.sse` splits by lines as the format asks: LF, CR LF and CR, split anywhere between two reads, the last id of an event, comments between events as blocks of their own. So neither the order of what a read holds nor its form decides what is known.

On related paths: streams with CR LF or CR were never forwarded; a comment line was joined to the next engine's first event; a byte order mark of the second engine came within the stream; a comment before the first event started the response, counted as the first event and as a run for the customer's usage; repeated events without a number came twice; a last comment broke a stream off. Comments have a limit of their own.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -12,6 +12,7 @@
     event_relay,
     kv_handles,
     request_progress,
+    sse,
     takeover,
 )
 from pimentolatch.platform import http_headers
@@ -291,12 +292,13 @@
         )
         last = self._context.clock.monotonic()
         while data := await self._read(generation, opened):
-            if not (events := relay.take(data)):
+            if not (blocks := relay.take(data)):
                 continue
-            now = self._context.clock.monotonic()
-            self._record_event(generation, now - last, now)
-            last = now
-            await relay.write(events)
+            if sse.has_event(blocks):
+                now = self._context.clock.monotonic()
+                self._record_event(generation, now - last, now)
+                last = now
+            await relay.write(blocks)
         await relay.finish()
 
     async def _read(
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -104,8 +104,8 @@
             self._context.clock,
         )
         while data := await opened.read():
-            if events := relay.take(data):
-                await relay.write(events)
+            if blocks := relay.take(data):
+                await relay.write(blocks)
         await relay.finish()
         return True
 
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -16,6 +16,7 @@
 __all__ = [
     "DEFAULT_VERSION",
     "EVENT_COUNT",
+    "EVENT_FORMAT",
     "EVENT_PAUSE_S",
     "ReceivedRequest",
     "RouteServer",
@@ -24,6 +25,7 @@
 HEALTH_TARGET = "/health"
 DEFAULT_VERSION = "v1"
 EVENT_COUNT = 6
+EVENT_FORMAT = "id: {number}\ndata: {mark}piece {number}\n\n"
 EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
 _RESPONSE_DELAYS_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
@@ -69,8 +71,9 @@
             the middle of an event), `no proof` (response without a seal),
             `other first` (preceded by a response to another request), `fail` (500),
             `silent` (no response), `slow` and `late` (delayed response), `late cut`
-            (both), `stuck` (queued for longer than any client waits), `from the start`
-            (a resumed stream starts at its first event).
+            (both), `comment only` (then a reset), `stuck` (queued for longer than any
+            client waits), `from the start` (a resumed stream starts at its first
+            event).
         received: Received requests, in order.
         arrival_times: Times of their arrival, by the event loop's clock.
         advertised_address: Address to list the server under, if it is not its own.
@@ -81,6 +84,11 @@
         unresponsive: Whether requests for its report get no response either.
         started_ms: Unix time of its start in milliseconds; None if not reported.
         event_count: Number of events of a stream.
+        event_format: Format of an event, with the fields `number` and `mark`.
+        stream_prefix: Bytes before the first event of each stream.
+        stream_suffix: Bytes after the last event of each stream.
+        chunk_bytes: Size of the chunks that streams are sent in; None for one chunk an
+            event.
         event_pause_s: Time between two events of a stream.
         slowness: Factor of that time.
         first_event_delay_s: Time from the head of a stream to its first event.
@@ -127,6 +135,9 @@
         self.unresponsive = False
         self.started_ms: int | None = None
         self.event_count = EVENT_COUNT
+        self.event_format = EVENT_FORMAT
+        self.stream_prefix = self.stream_suffix = b""
+        self.chunk_bytes: int | None = None
         self.event_pause_s = EVENT_PAUSE_S
         self.slowness = 1.0
         self.first_event_delay_s = 0.0
@@ -402,6 +413,10 @@
         if fault == "from the start":
             first = 1
         await connection.send_head(200, fields)
+        if fault == "comment only":
+            await connection.send_chunk(b": waiting\n\n")
+            connection.reset()
+            return False
         await asyncio.sleep(self.first_event_delay_s)
         if self.fatal_parts & request.parts:
             await asyncio.sleep(_CRASH_DELAY_S)
@@ -410,13 +425,18 @@
         is_cut = fault.endswith("cut") or (self.cuts_new_streams and first == 1)
         mark = "" if self.version == DEFAULT_VERSION else f"{self.version} "
         for number in range(first, self.event_count + 1):
-            event = f"id: {number}\ndata: {mark}piece {number}\n\n".encode()
+            event = self.event_format.format(number=number, mark=mark).encode()
+            if number == first:
+                event = self.stream_prefix + event
             if is_cut and number == first + 2:
                 await connection.send_chunk(event[: len(event) // 2])
                 connection.reset()
                 return False
-            await connection.send_chunk(event)
+            size = self.chunk_bytes or len(event)
+            for start in range(0, len(event), size):
+                await connection.send_chunk(event[start : start + size])
             await asyncio.sleep(self.event_pause_s * self.slowness)
+        await connection.send_chunk(self.stream_suffix)
         await connection.send_end()
         return True
 
