Ask a server whether it is ready before a new instance relies on its entry

Cause: an instance took what it had never listed for new. The server had left before the instance started, and its first check-in, which got no answer then, was carried out late. No field of an entry tells such a check-in from that of a server that starts now; the server was not asked (no health check in the record, no doubt in the log).

Mend: a server that appears is asked by its health check before it is used, as one that returns, while another one of its service and stage is there. If more appear than are known, the fleet has started or is back from an outage, and nothing changes. What the first list of an instance has is used, and asked meanwhile, each server by one of the instances that know of each other; on "not ready" it is left out while others remain, and peers ask too. It works because only the server knows, and says so.

On related paths: an entry that was written before the instance started, and all instances started at once.

--- a/src/pimentolatch/decisions/departures.py
+++ b/src/pimentolatch/decisions/departures.py
@@ -13,10 +13,21 @@
 An instance that was cut off, or stood still, may have missed that a server left. If its
 entry was created after the revision that the instance knew, it was removed in between.
 If it was written after that and says what it said before, it said something else in
-between, since a check-in that changes nothing is not written. An instance that has
-never listed the server sees that its entry was not created by its first check-in. If
-one of these holds for most servers, there was an outage of the store, and they are not
-asked.
+between, since a check-in that changes nothing is not written. If one of these holds for
+most servers, there was an outage of the store, and they are not asked.
+
+An instance that has never listed a server knows nothing of it. The server may be new,
+or have left before the instance started: its first check-in, written late, looks like
+that of a new one. So a server that appears is asked before it is used, as one that
+returns. A new server is idle and answers at once. If more servers appear than are
+known, the fleet has started or comes back from an outage, and only those are asked
+whose entries were not created by their first check-ins.
+
+What an instance finds listed when it starts is used, and asked meanwhile: it has
+nothing else to use, and a full fleet must not lose the servers that are too busy to
+answer. One of these is left out once it says that it is not ready, while others remain.
+An instance asks only those that are its share among its peers: peers that have been
+there for longer tell it what they know.
 
 Leaving is final: a server that has said that it drains is used again only as another
 incarnation. A removed entry is not, since entries also expire while a server works but
@@ -47,6 +58,8 @@
     LEAVING = "ready after it drained"
     OUTDATED = "older than known"
     UNCONFIRMED = "listed again after its removal"
+    NEW = "listed for the first time"
+    PRESUMED = "listed when this instance started"
 
 
 class Departures:
@@ -57,14 +70,25 @@
         # incarnation.
         self._departed: dict[servers.Incarnation, bool] = {}
         self._unconfirmed: set[servers.Incarnation] = set()
+        self._presumed: set[servers.Incarnation] = set()
         self._denied: set[servers.Incarnation] = set()
         self._confirmed: set[servers.Incarnation] = set()
 
     @property
     def unconfirmed(self) -> abc.Set[servers.Incarnation]:
-        """Listed servers that have not said that they are ready since their removal."""
+        """Listed servers that are not used before they say that they are ready."""
         return self._unconfirmed
 
+    @property
+    def presumed(self) -> abc.Set[servers.Incarnation]:
+        """Listed servers that are used until they say that they are not ready."""
+        return self._presumed
+
+    @property
+    def doubted(self) -> abc.Set[servers.Incarnation]:
+        """Listed servers that peers must ask too."""
+        return self._unconfirmed | (self._presumed & self._denied)
+
     def missed_changes(
         self,
         entries: abc.Iterable[servers.Server],
@@ -91,26 +115,31 @@
         survived = len(known) - len(found)
         return found if len(found) <= survived else []
 
-    def created_again(
+    def judge_new(
         self,
-        entries: abc.Collection[servers.Server],
+        entries: abc.Iterable[servers.Server],
         known: abc.Mapping[str, servers.Server],
-    ) -> frozenset[servers.Incarnation]:
-        """Return the new servers that a later check-in than their first one has listed.
+        *,
+        is_first_list: bool,
+    ) -> dict[servers.Incarnation, Standing]:
+        """Return how entries of servers count that have never been listed.
 
         Args:
             entries: The entries that have been read.
             known: The servers that were listed, by id.
+            is_first_list: Whether this instance has had no list before.
         """
-        found = frozenset(
-            entry.incarnation
-            for entry in entries
-            if entry.server_id not in known
-            and (entry.check_in or 0) > _FIRST_CHECK_IN
-            and entry.created_revision == entry.revision > 0
-        )
-        others = sum(entry.server_id not in known for entry in entries) - len(found)
-        return found if len(found) <= others + len(known) else frozenset()
+        new = [entry for entry in entries if entry.server_id not in known]
+        others = Standing.CURRENT
+        if is_first_list:
+            others = Standing.PRESUMED
+        elif len(new) <= len(known):
+            others = Standing.NEW
+        standings = {entry.incarnation: others for entry in new}
+        again = [entry.incarnation for entry in new if _is_created_again(entry)]
+        if len(again) <= len(new) - len(again) + len(known):
+            standings.update(dict.fromkeys(again, Standing.UNCONFIRMED))
+        return standings
 
     def judge(self, entry: servers.Server, known: servers.Server | None) -> Standing:
         """Return how an entry counts; an outdated one must not replace the known one.
@@ -130,8 +159,10 @@
 
     def enlist(self, server: servers.Server, standing: Standing) -> None:
         """Record that a server is listed, with the standing of its entry."""
-        if standing is Standing.UNCONFIRMED:
+        if standing in (Standing.UNCONFIRMED, Standing.NEW):
             self._unconfirmed.add(server.incarnation)
+        elif standing is Standing.PRESUMED:
+            self._presumed.add(server.incarnation)
         elif server.draining:
             self._settle(server.incarnation)
 
@@ -157,6 +188,7 @@
         """
         if server in self._confirmed or server in self._unconfirmed:
             return False
+        self._presumed.discard(server)
         self._unconfirmed.add(server)
         return True
 
@@ -165,44 +197,46 @@
 
         It may have left while its answer was on the way.
         """
-        if server not in self._unconfirmed:
+        if server not in self._unconfirmed | self._presumed:
             return
         self._settle(server)
         self._departed.pop(server, None)
         self._confirmed.add(server)
 
     def deny(self, server: servers.Incarnation) -> None:
-        """Record that an unconfirmed server has said that it is not ready."""
-        if server in self._unconfirmed:
+        """Record that a server that was asked has said that it is not ready."""
+        if server in self._unconfirmed | self._presumed:
             self._denied.add(server)
 
     def withheld(
         self, listed: abc.Collection[servers.Server]
     ) -> frozenset[servers.Incarnation]:
-        """Return the unconfirmed servers that must not be used.
+        """Return the servers that must not be used.
 
         Args:
             listed: All listed servers.
         """
-        if not self._unconfirmed:
+        if not self._unconfirmed and not self._denied:
             return frozenset()
-        confirmed = {
+        left_out = self._unconfirmed | self._denied
+        replaceable = {
             (server.service, server.stage)
             for server in listed
-            if not server.draining and server.incarnation not in self._unconfirmed
+            if not server.draining and server.incarnation not in left_out
         }
         return frozenset(
             server.incarnation
             for server in listed
-            if server.incarnation in self._denied
+            if server.incarnation in self._unconfirmed & self._denied
             or (
-                server.incarnation in self._unconfirmed
-                and (server.service, server.stage) in confirmed
+                server.incarnation in left_out
+                and (server.service, server.stage) in replaceable
             )
         )
 
     def _settle(self, server: servers.Incarnation) -> None:
         self._unconfirmed.discard(server)
+        self._presumed.discard(server)
         self._denied.discard(server)
 
     def _judge_change(self, entry: servers.Server, known: servers.Server) -> Standing:
@@ -213,5 +247,11 @@
         return Standing.CURRENT
 
 
+def _is_created_again(entry: servers.Server) -> bool:
+    """Tell whether a later check-in than its server's first one created an entry."""
+    is_later = (entry.check_in or 0) > _FIRST_CHECK_IN
+    return is_later and entry.created_revision == entry.revision > 0
+
+
 def _is_below(number: int | None, known: int | None) -> bool:
     return number is not None and known is not None and number < known
--- a/src/pimentolatch/gateway/capacity_controller.py
+++ b/src/pimentolatch/gateway/capacity_controller.py
@@ -129,7 +129,7 @@
 
     def _observe_size(self, service: str) -> int | None:
         """Return how many servers there were before any was ordered, once known."""
-        listed = self._fleet.servers.of_service(service)
+        listed = self._fleet.provided_servers(service)
         size = self._initial_sizes.setdefault(service, server_plan.InitialSize())
         ordered = sum(server.spot for server in listed) if size.highest else 0
         return size.observe(len(listed) - ordered, self._clock.monotonic())
@@ -239,7 +239,7 @@
 
     def _servers_by_domain(self, service: str) -> dict[str, server_plan.ServerCounts]:
         counts: dict[str, list[int]] = {}
-        for server in self._fleet.servers.of_service(service):
+        for server in self._fleet.provided_servers(service):
             counts.setdefault(server.failure_domain, [0, 0])[server.spot] += 1
         return {
             domain: server_plan.ServerCounts(on_demand, spot)
@@ -249,7 +249,7 @@
     def _stages(self, service: str) -> dict[str, int]:
         stages = (
             server.stage.value
-            for server in self._fleet.servers.of_service(service)
+            for server in self._fleet.provided_servers(service)
             if server.stage is not None
         )
         return dict(collections.Counter(stages))
--- a/src/pimentolatch/gateway/departure_exchange.py
+++ b/src/pimentolatch/gateway/departure_exchange.py
@@ -38,7 +38,7 @@
 
     def unconfirmed(self) -> Reports:
         """Return the servers that have not said that they are ready; mostly none."""
-        return _by_service(self._fleet.unconfirmed_servers)
+        return _by_service(self._fleet.doubted_servers)
 
     def receive(self, beacon: beacons.Beacon) -> None:
         """Apply what a peer reports."""
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -108,15 +108,37 @@
 
     @property
     def unconfirmed_servers(self) -> list[servers.Server]:
-        """Servers that are listed again and have not said that they are ready."""
+        """Servers that are not used before they say that they are ready."""
         return self._listed.unconfirmed
 
+    @property
+    def presumed_servers(self) -> list[servers.Server]:
+        """Servers that are used until they say that they are not ready."""
+        return self._listed.presumed
+
+    @property
+    def doubted_servers(self) -> list[servers.Server]:
+        """Servers that peers must ask too."""
+        return self._listed.doubted
+
     def listed_servers(self) -> list[servers.Server]:
         """Return the servers to tell peers, with those that are not confirmed here."""
         if not self._said_leaving:
             return list(self._listed.all())
         return [self._as_said(server) for server in self._listed.all()]
 
+    def provided_servers(self, service: str) -> list[servers.Server]:
+        """Return the servers of a service that are listed and do not leave.
+
+        Some may be unconfirmed. They get no requests, but are there and paid for: if
+        they did not count, others would be ordered in their place.
+        """
+        return [
+            server
+            for server in self.listed_servers()
+            if server.service == service and not server.draining
+        ]
+
     def overruled_servers(self) -> list[servers.Server]:
         """Return the servers that leave although their entries say they are ready."""
         # Asked for each beacon, mostly while there are none.
--- a/src/pimentolatch/gateway/listed_servers.py
+++ b/src/pimentolatch/gateway/listed_servers.py
@@ -15,6 +15,13 @@
 __all__ = ["ListedServers"]
 
 _log = logbook.Logger("watch")
+_CONSISTENT = frozenset(
+    {
+        departures.Standing.CURRENT,
+        departures.Standing.NEW,
+        departures.Standing.PRESUMED,
+    }
+)
 
 
 class ListedServers:
@@ -31,14 +38,22 @@
         self._logged: dict[servers.Incarnation, departures.Standing] = {}
         self._overruled: set[servers.Incarnation] = set()
         self._revision = 0
+        self._listed_before = False
 
     @property
     def unconfirmed(self) -> list[servers.Server]:
-        """Servers that are listed again and have not said that they are ready."""
-        found = self._departures.unconfirmed
-        if not found:
-            return []
-        return [s for s in self._entries.values() if s.incarnation in found]
+        """Servers that are not used before they say that they are ready."""
+        return self._among(self._departures.unconfirmed)
+
+    @property
+    def presumed(self) -> list[servers.Server]:
+        """Servers that are used until they say that they are not ready."""
+        return self._among(self._departures.presumed)
+
+    @property
+    def doubted(self) -> list[servers.Server]:
+        """Servers that peers must ask too."""
+        return self._among(self._departures.doubted)
 
     @property
     def overruled(self) -> list[servers.Server]:
@@ -47,6 +62,11 @@
             return []
         return [s for s in self._entries.values() if s.incarnation in self._overruled]
 
+    def _among(self, found: abc.Set[servers.Incarnation]) -> list[servers.Server]:
+        if not found:
+            return []
+        return [s for s in self._entries.values() if s.incarnation in found]
+
     def mark_drained(self, server: servers.Incarnation) -> bool:
         """Apply a peer's word that a server drains; return whether that was new."""
         entry = self._entries.get(server.server_id)
@@ -126,9 +146,12 @@
         for server in self._departures.missed_changes(changed, known, self._revision):
             self._remove(server.server_id)
         self._revision = revision
-        again = self._departures.created_again(changed, self._entries)
+        new = self._departures.judge_new(
+            changed, self._entries, is_first_list=not self._listed_before
+        )
+        self._listed_before = True
         for server in changed:
-            self._apply(server, again, revision, source)
+            self._apply(server, new, revision, source)
         for name in removed:
             self._remove(name, departs=name not in unreadable)
 
@@ -144,15 +167,14 @@
     def _apply(
         self,
         entry: servers.Server,
-        again: abc.Container[servers.Incarnation],
+        new: abc.Mapping[servers.Incarnation, departures.Standing],
         revision: int,
         source: str,
     ) -> None:
         known = self._entries.get(entry.server_id)
         standing = self._departures.judge(entry, known)
-        is_ready = standing is departures.Standing.CURRENT and not entry.draining
-        if is_ready and entry.incarnation in again:
-            standing = departures.Standing.UNCONFIRMED
+        if standing is departures.Standing.CURRENT and not entry.draining:
+            standing = new.get(entry.incarnation, standing)
         self._log(entry, known, standing, revision, source)
         if standing is departures.Standing.OUTDATED:
             return
@@ -174,7 +196,7 @@
         source: str,
     ) -> None:
         """Log an entry that contradicts what is known, once while it is listed."""
-        if standing is departures.Standing.CURRENT:
+        if standing in _CONSISTENT:
             return
         if self._logged.get(entry.incarnation) is standing:
             return
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -87,7 +87,7 @@
             (b"content-length", b"%d" % len(body)),
             (_LIST_AGE, b"%d" % math.ceil(age / _MILLISECOND)),
         ]
-        if unconfirmed := self._fleet.unconfirmed_servers[:_MAX_NAMED]:
+        if unconfirmed := self._fleet.doubted_servers[:_MAX_NAMED]:
             names = ",".join(server.server_id for server in unconfirmed)
             fields.append((_UNCONFIRMED, names.encode()))
         status = 200 if body else 404
--- a/src/pimentolatch/gateway/peer_table.py
+++ b/src/pimentolatch/gateway/peer_table.py
@@ -121,7 +121,7 @@
         now = self._clock.monotonic()
         return peer is not None and now - peer.received_at <= _LIVENESS_TIMEOUT
 
-    def is_first_for(self, key: int) -> bool:
+    def is_first_for(self, key: int | str) -> bool:
         """Tell whether this instance is the first of all known ones for a key."""
         hosts = [place.host for place in self.places()]
         ranks = (rendezvous.rank(host, str(key)) for host in hosts)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -135,6 +135,7 @@
             self._fleet,
             returned_servers.HealthCheck(self._fleet, self._client),
             lambda: self._peer_table.instances,
+            self._peer_table.is_first_for,
             time,
             random.Random(),
         )
@@ -304,7 +305,7 @@
             ),
         )
         self._catch_up = catch_up.CatchUp(
-            watches, self._snapshot_fetcher, self._returned_servers.ask_all
+            watches, self._snapshot_fetcher, self._returned_servers.ask_unconfirmed
         )
         self._watch_controller = watch_controller.WatchController(
             chosen.instance, fleet, self._peer_table, watches, time
@@ -378,6 +379,7 @@
             self._monitor.run,
             self._pauses.run,
             self._returned_servers.run,
+            self._returned_servers.run_first_list,
             *self._leader_tasks.runners,
         ):
             supervised = tasks.keep_running(work.__qualname__, work, self._clock)
--- a/src/pimentolatch/gateway/returned_servers.py
+++ b/src/pimentolatch/gateway/returned_servers.py
@@ -1,8 +1,9 @@
-"""Asks servers whose entries are back after their removal whether they are ready.
+"""Asks servers whose entries do not tell whether they are ready.
 
 An entry that expired is back once its server reaches the store again. That of a server
-which has left comes back if an earlier check-in was held up on its way. Only the server
-itself knows.
+which has left comes back if an earlier check-in was held up on its way, and an instance
+that started since takes it for a new server. Only the server itself knows; see
+`decisions.departures`.
 """
 
 import asyncio
@@ -25,6 +26,8 @@
 # entry of one that has left expires after a few of them.
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
 _MAX_CONCURRENT = 8
+# Four times the interval of beacons.
+_PEERS_KNOWN_AFTER = datetime.timedelta(seconds=1)
 # Instances learn of an entry within some hundred milliseconds. In a large fleet they
 # ask one after the other, since each answer takes one of the server's slots.
 _SPREAD_PER_INSTANCE = datetime.timedelta(milliseconds=2)
@@ -82,12 +85,13 @@
 
 
 class ReturnedServers:
-    """Confirms the unconfirmed servers of a fleet once they say that they are ready.
+    """Confirms the servers of a fleet once they say that they are ready.
 
     Args:
         fleet: The listed servers.
         ask: Asks one of them.
         instances: Returns the number of instances of the fleet.
+        is_first_for: Tells whether this instance is the first one that asks a server.
         time: Clock of this instance.
         rng: Spreads the first questions of the instances.
     """
@@ -97,12 +101,14 @@
         fleet: fleet_state.FleetState,
         ask: Ask,
         instances: abc.Callable[[], int],
+        is_first_for: abc.Callable[[str], bool],
         time: clock.Clock,
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
-        self._ask = ask
+        self._health_check = ask
         self._instances = instances
+        self._is_first_for = is_first_for
         self._clock = time
         self._rng = rng
         self._any = asyncio.Event()
@@ -111,21 +117,34 @@
         fleet.on_change(self._wake)
 
     async def run(self) -> None:
-        """Ask whenever there are unconfirmed servers; runs until cancelled."""
+        """Ask whenever there are servers to be asked; runs until cancelled."""
         while True:
             await self._any.wait()
             await self._clock.sleep(
                 self._rng.random() * self._instances() * _SPREAD_PER_INSTANCE
             )
             self._any.clear()
-            await self.ask_all()
+            await self.ask_unconfirmed()
             if self._fleet.unconfirmed_servers:
                 await self._clock.sleep(_RETRY_INTERVAL)
                 self._any.set()
 
-    async def ask_all(self) -> None:
+    async def run_first_list(self) -> None:
+        """Ask the servers of this instance's first list; runs until cancelled.
+
+        Instances that start together each ask a part and tell peers who is not ready.
+        """
+        await self._clock.sleep(_PEERS_KNOWN_AFTER)
+        while True:
+            presumed = self._fleet.presumed_servers
+            await self._ask(s for s in presumed if self._is_first_for(s.server_id))
+            await self._clock.sleep(_RETRY_INTERVAL)
+
+    async def ask_unconfirmed(self) -> None:
         """Ask all unconfirmed servers once; return when they have answered."""
-        asked = self._fleet.unconfirmed_servers
+        await self._ask(self._fleet.unconfirmed_servers)
+
+    async def _ask(self, asked: abc.Iterable[servers.Server]) -> None:
         await asyncio.gather(*(self._ask_one(server) for server in asked))
 
     def _wake(self) -> None:
@@ -136,11 +155,11 @@
 
     async def _ask_one(self, server: servers.Server) -> None:
         async with self._slots:
-            answer = await self._ask(server)
+            answer = await self._health_check(server)
         if self._answers.get(server.incarnation) is not answer:
             self._answers[server.incarnation] = answer
             _log.info(
-                "server asked that is listed again",
+                "server asked whether it is ready",
                 server=server.server_id,
                 started_ms=server.started_ms,
                 answer=answer.value,
--- a/tests/features/older_entries.feature
+++ b/tests/features/older_entries.feature
@@ -185,3 +185,83 @@
       | leave                                |
       | report to the store that they drain  |
       | leave, and their entries are removed |
+
+  # Guards against an instance that takes a server which left before it started for new:
+  # the server's first check-in, which got no answer then, is carried out late.
+  Scenario Outline: An instance that started since asks a server whose entry is written late
+    Given outage: 4 servers and <instances> instances
+    When outage: "s1" leaves
+    And outage: "s1" says that it is not ready when it is asked
+    And outage: 1 seconds pass
+    And outage: all instances start again
+    And outage: its first check-in of "s1" is written
+    And outage: 1 seconds pass
+    Then outage: no instance uses "s1"
+
+    Examples:
+      | instances |
+      | 1         |
+      | 7         |
+
+  # Guards against the same where the entry is written before the instance starts.
+  Scenario Outline: Instances ask the servers that they find listed when they start
+    Given outage: 4 servers and <instances> instances
+    When outage: "s1" leaves
+    And outage: "s1" says that it is not ready when it is asked
+    And outage: 1 seconds pass
+    And outage: its first check-in of "s1" is written
+    And outage: all instances start again
+    And outage: 2 seconds pass
+    Then outage: no instance uses "s1"
+    And outage: "s0" was asked once
+
+    Examples:
+      | instances |
+      | 1         |
+      | 7         |
+
+  # Guards against a health check that is wrong, or too busy, which would take all servers
+  # of a service away from an instance that has just started.
+  Scenario Outline: An instance that starts uses what is listed if no server <says> ready
+    Given outage: 4 servers and 1 instances
+    When outage: all servers <answer>
+    And outage: all instances start again
+    And outage: 1 seconds pass
+    Then outage: all instances use all servers
+
+    Examples:
+      | says        | answer                                  |
+      | says it is  | say that they are not ready             |
+      | can say     | do not answer                           |
+
+  # Guards against a server that does not answer, which may have left.
+  Scenario: A new server that does not answer is not used while others are
+    Given outage: 4 servers and 2 instances
+    When outage: "s9" does not answer when it is asked
+    And outage: its first check-in of "s9" is written
+    And outage: 2 seconds pass
+    Then outage: no instance uses "s9"
+    When outage: "s9" says that it is ready when it is asked
+    And outage: 1 seconds pass
+    Then outage: each instance uses "s9"
+
+  # Guards against new servers that idle: they are needed, and have to be in use as soon
+  # as they were before they were asked.
+  Scenario Outline: A server that is new is used at once
+    Given outage: 4 servers and <instances> instances
+    When outage: its first check-in of "s9" is written
+    And outage: 0.4 seconds pass
+    Then outage: each instance uses "s9"
+
+    Examples:
+      | instances |
+      | 1         |
+      | 7         |
+
+  # Guards against a question to each server of a fleet that comes back as a whole.
+  Scenario: Servers are not asked if more are new than known
+    Given outage: 4 servers and 2 instances
+    When outage: 6 new servers appear at once
+    And outage: 0.4 seconds pass
+    Then outage: no server was asked
+    And outage: all instances use 10 servers
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -172,3 +172,48 @@
 @behave.when("silence: the entries are written as they were before")
 def written_as_before(context):
     context.world.runner.run(context.world.write_as_before())
+
+
+@behave.when("outage: all instances start again")
+def start_again(context):
+    world = context.world
+    hosts = {name: i.host for name, i in world.instances.items()}
+    world.instances.clear()
+    world.asked.clear()
+    for name, host in hosts.items():
+        world.add_instance(name, host)
+    world.advance(1)
+
+
+@behave.when("outage: all servers say that they are not ready")
+def all_say_not_ready(context):
+    answers = dict.fromkeys(context.servers, returned_servers.Answer.NOT_READY)
+    context.world.answers.update(answers)
+
+
+@behave.when("outage: all servers do not answer")
+def all_do_not_answer(context):
+    none_answers(context)
+
+
+@behave.when("outage: {count:d} new servers appear at once")
+def appear(context, count):
+    for number in range(count):
+        context.world.write(f"new-{number}", **FIRST)
+
+
+@behave.then('outage: each instance uses "{name}"')
+def each_uses(context, name):
+    users = context.world.users(name)
+    assert users == set(context.world.instances), users
+
+
+@behave.then("outage: all instances use {count:d} servers")
+def use_count(context, count):
+    used = [len(i.used()) for i in context.world.instances.values()]
+    assert set(used) == {count}, used
+
+
+@behave.then('outage: "{name}" was asked once')
+def asked_once(context, name):
+    assert context.world.asked.count(name) == 1, context.world.asked
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -164,7 +164,7 @@
     judge = departures.Departures
     judge.judge = lambda self, entry, known: departures.Standing.CURRENT
     judge.missed_changes = lambda self, entries, known, known_revision: []
-    judge.created_again = lambda self, entries, known: frozenset()
+    judge.judge_new = lambda self, entries, known, is_first_list: {}
 
 
 def _use_unconfirmed():
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -106,6 +106,8 @@
         self.instances = {instance.name: instance for instance in built}
         self.runner.run(self._start(built))
         self.advance(1)
+        # Instances ask what they find listed when they start.
+        self.asked.clear()
 
     def _instance(self, name, host):
         fleet = fleet_state.FleetState(
@@ -135,7 +137,12 @@
             ),
             peer_snapshots.SnapshotEndpoint(fleet, expired, self.clock),
             returned_servers.ReturnedServers(
-                fleet, self._ask, lambda: 1, self.clock, random.Random(name)
+                fleet,
+                self._ask,
+                lambda: 1,
+                peers.is_first_for,
+                self.clock,
+                random.Random(name),
             ),
             departure_exchange.DepartureExchange(fleet),
         )
@@ -169,6 +176,7 @@
                 instance.expired.run,
                 instance.fetcher.run,
                 instance.returned.run,
+                instance.returned.run_first_list,
             ):
                 self._tasks.append(asyncio.create_task(work()))
 
