Name the readiness checks by what they do, and ask new servers in the tests' worlds

Two worlds followed a store without the part that asks, so that a new server was never confirmed there (routes_store, routes_entries); they have it now, and their checks are as they were. The safeguards that the soak switches off, and one step, used the old names of the stream splitter.

routes_logic, routes_store, routes_entries and older_entries pass; without each of four safeguards two of two runs of the soak break a promise, as they must ("no event twice", "whole events only", "questions to returned servers", "judgement of entries").

--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -35,9 +35,9 @@
     plain_forwarder,
     quarantine,
     reachability_monitor,
+    readiness_checks,
     request_log,
     resumptions,
-    returned_servers,
     route_metrics,
     settings,
     silence_exchange,
@@ -131,9 +131,9 @@
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._fleet, self._client, chosen.failure_domain, time, random.Random()
         )
-        self._returned_servers = returned_servers.ReturnedServers(
+        self._readiness_checks = readiness_checks.ReadinessChecks(
             self._fleet,
-            returned_servers.HealthCheck(self._fleet, self._client),
+            readiness_checks.HealthCheck(self._fleet, self._client),
             lambda: self._peer_table.instances,
             self._peer_table.is_first_for,
             time,
@@ -305,7 +305,7 @@
             ),
         )
         self._catch_up = catch_up.CatchUp(
-            watches, self._snapshot_fetcher, self._returned_servers.ask_unconfirmed
+            watches, self._snapshot_fetcher, self._readiness_checks.ask_unconfirmed
         )
         self._watch_controller = watch_controller.WatchController(
             chosen.instance, fleet, self._peer_table, watches, time
@@ -378,8 +378,8 @@
             self._quarantine.review,
             self._monitor.run,
             self._pauses.run,
-            self._returned_servers.run,
-            self._returned_servers.run_first_list,
+            self._readiness_checks.run,
+            self._readiness_checks.run_first_list,
             *self._leader_tasks.runners,
         ):
             supervised = tasks.keep_running(work.__qualname__, work, self._clock)
--- a/src/pimentolatch/gateway/returned_servers.py
+++ b/src/pimentolatch/gateway/readiness_checks.py
@@ -18,7 +18,7 @@
 from pimentolatch.gateway import dispatch, fleet_state
 from pimentolatch.routes import servers
 
-__all__ = ["Answer", "Ask", "HealthCheck", "ReturnedServers"]
+__all__ = ["Answer", "Ask", "HealthCheck", "ReadinessChecks"]
 
 _log = logbook.Logger("watch")
 _TIME_LIMIT = datetime.timedelta(milliseconds=500)
@@ -84,7 +84,7 @@
         return _ANY_TARGET if service is None else service.health_target
 
 
-class ReturnedServers:
+class ReadinessChecks:
     """Confirms the servers of a fleet once they say that they are ready.
 
     Args:
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -4,7 +4,7 @@
 
 from pimentolatch import settings
 from pimentolatch.decisions import departures
-from pimentolatch.gateway import returned_servers
+from pimentolatch.gateway import readiness_checks
 from pimentolatch.routes import servers
 from tests.support import silent_world, watch_world
 
@@ -39,22 +39,22 @@
 
 @behave.when('outage: "{name}" says that it is ready when it is asked')
 def says_ready(context, name):
-    context.world.answers[name] = returned_servers.Answer.READY
+    context.world.answers[name] = readiness_checks.Answer.READY
 
 
 @behave.when('outage: "{name}" says that it is not ready when it is asked')
 def says_not_ready(context, name):
-    context.world.answers[name] = returned_servers.Answer.NOT_READY
+    context.world.answers[name] = readiness_checks.Answer.NOT_READY
 
 
 @behave.when('outage: "{name}" does not answer when it is asked')
 def says_nothing(context, name):
-    context.world.answers[name] = returned_servers.Answer.NONE
+    context.world.answers[name] = readiness_checks.Answer.NONE
 
 
 @behave.when("outage: no server answers when it is asked")
 def none_answers(context):
-    answers = dict.fromkeys(context.servers, returned_servers.Answer.NONE)
+    answers = dict.fromkeys(context.servers, readiness_checks.Answer.NONE)
     context.world.answers.update(answers)
 
 
@@ -187,7 +187,7 @@
 
 @behave.when("outage: all servers say that they are not ready")
 def all_say_not_ready(context):
-    answers = dict.fromkeys(context.servers, returned_servers.Answer.NOT_READY)
+    answers = dict.fromkeys(context.servers, readiness_checks.Answer.NOT_READY)
     context.world.answers.update(answers)
 
 
--- a/tests/features/steps/routes_logic_steps.py
+++ b/tests/features/steps/routes_logic_steps.py
@@ -373,7 +373,7 @@
 @behave.when('"{text}" arrives')
 def arrives(context, text):
     if not hasattr(context, "cutter"):
-        context.cutter = sse.EventSplitter()
+        context.cutter = sse.BlockSplitter()
     data = text.replace("\\n", "\n").encode()
     context.events = context.cutter.feed(data)
 
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -1,12 +1,19 @@
 import asyncio
 import datetime
+import random
 
 import behave
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
 from pimentolatch.decisions import watch_schedule
-from pimentolatch.gateway import expired_entries, fleet_state, lease, store_watch
+from pimentolatch.gateway import (
+    expired_entries,
+    fleet_state,
+    lease,
+    readiness_checks,
+    store_watch,
+)
 from pimentolatch.gateway import settings as gateway_settings
 from standins import memory_store, object_table
 from tests.support import observed_connection, route_world
@@ -301,11 +308,23 @@
         self.configuration = store_watch.ConfigurationWatch(
             link, self.known, self.clock, bounds.configuration_watch
         )
+        self.readiness = readiness_checks.ReadinessChecks(
+            self.known,
+            self._ask_server,
+            lambda: 1,
+            lambda server_id: True,
+            self.clock,
+            random.Random(1),
+        )
         self.tasks = []
 
+    async def _ask_server(self, server):
+        return readiness_checks.Answer.READY
+
     def start(self, *others):
         async def begin():
-            for work in (self.watch.run, self.expired.run, *others):
+            parts = (self.watch.run, self.expired.run, self.readiness.run)
+            for work in (*parts, *others):
                 self.tasks.append(asyncio.create_task(work()))
 
         self.runner.run(begin())
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -4,6 +4,7 @@
 and runs the daemon.
 """
 
+import dataclasses
 import datetime
 import sys
 
@@ -67,21 +68,21 @@
 
 def _forward_duplicate_events():
     """Forwards events again that the client has already received."""
-    split = sse.EventSplitter.feed
+    split = sse.BlockSplitter.feed
 
     def feed(self, data):
-        return [sse.Event(None, event.data) for event in split(self, data)]
+        return [dataclasses.replace(b, number=None) for b in split(self, data)]
 
-    sse.EventSplitter.feed = feed
+    sse.BlockSplitter.feed = feed
 
 
 def _forward_incomplete_events():
     """Forwards the incomplete event that a server crash leaves."""
 
     def feed(self, data):
-        return [sse.Event(None, data)]
+        return [sse.Block(None, data, is_event=True)]
 
-    sse.EventSplitter.feed = feed
+    sse.BlockSplitter.feed = feed
 
 
 def _send_to_draining():
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -14,7 +14,7 @@
     fleet_state,
     peer_snapshots,
     peer_table,
-    returned_servers,
+    readiness_checks,
     settings,
     store_watch,
 )
@@ -59,7 +59,7 @@
     peers: peer_table.PeerTable
     fetcher: peer_snapshots.SnapshotFetcher
     endpoint: peer_snapshots.SnapshotEndpoint
-    returned: returned_servers.ReturnedServers
+    returned: readiness_checks.ReadinessChecks
     departures: departure_exchange.DepartureExchange
 
     def used(self):
@@ -136,7 +136,7 @@
                 fleet, peers, expired, PEERS_PORT, self.clock, self._fetch
             ),
             peer_snapshots.SnapshotEndpoint(fleet, expired, self.clock),
-            returned_servers.ReturnedServers(
+            readiness_checks.ReadinessChecks(
                 fleet,
                 self._ask,
                 lambda: 1,
@@ -150,7 +150,7 @@
     async def _ask(self, server):
         """Return what a server says of itself."""
         self.asked.append(server.server_id)
-        return self.answers.get(server.server_id, returned_servers.Answer.READY)
+        return self.answers.get(server.server_id, readiness_checks.Answer.READY)
 
     def _hold_answers(self, link, name):
         answer = link.watch
