--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -70,9 +70,9 @@
             blocks = self._splitter.feed(data)
         except sse.OversizedEventError as error:
             raise channel.BrokenError(str(error)) from error
-        events = sum(block.is_event for block in blocks)
-        self._events += events
-        self._other_blocks += len(blocks) - events
+        for block in blocks:
+            self._events += block.is_event
+            self._other_blocks += not block.is_event
         if self._events > self._max_events:
             raise channel.BrokenError(f"more than {self._max_events} events came")
         if self._other_blocks > self._max_other_blocks:
@@ -90,18 +90,20 @@
         Raises:
             BrokenError: Too much came before the first event.
         """
-        if not self._response.started and not sse.has_event(blocks):
-            self._hold(blocks)
-            return
         if sse.has_event(blocks):
             self._measure()
+        elif not self._response.started:
+            self._hold(blocks)
+            return
         await self._start()
-        written = [*self._held, *blocks]
-        self._held = []
-        await self._response.write(b"".join(block.data for block in written))
+        if self._held:
+            blocks = [*self._held, *blocks]
+            self._held = []
+        await self._response.write(b"".join([block.data for block in blocks]))
         self._progress.trace.timeline.written(self._clock.monotonic())
-        numbers = (block.number for block in written if block.number is not None)
-        self._progress.last_event = max(numbers, default=self._progress.last_event)
+        for block in blocks:
+            if block.number is not None and block.number > self._progress.last_event:
+                self._progress.last_event = block.number
 
     async def finish(self) -> None:
         """Write the end of the response.
--- a/src/pimentolatch/gateway/sse.py
+++ b/src/pimentolatch/gateway/sse.py
@@ -16,12 +16,10 @@
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 _COMMENT = b":"
 _CR, _LF = b"\r", b"\n"
-_LINE_ENDS = _CR + _LF
-_LINE_END = re.compile(rb"\r\n|\n|\r")
-_ID = b"id"
-_DATA = b"data"
+_LINE_ENDS = (_LF, _CR, _CR + _LF)
+_DATA_LINE = re.compile(rb"data[:\r\n]")
 # Numbers of events, and no longer digits, which would take long to convert.
-_NUMBER = re.compile(rb" ?([0-9]{1,18})", re.ASCII)
+_NUMBER_LINE = re.compile(rb"id: ?([0-9]{1,18})", re.ASCII)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,8 +62,8 @@
     def __init__(self, *, keeps_mark: bool = True) -> None:
         self._keeps_mark = keeps_mark
         self._at_start = True
-        self._mark = b""
-        self._event = bytearray()
+        self._event: list[bytes] = []
+        self._event_bytes = 0
         self._number: int | None = None
         self._has_data = False
         self._partial = b""
@@ -91,62 +89,62 @@
         Raises:
             OversizedEventError: The next event is too large.
         """
-        scanned = len(self._partial) if not self._at_start else 0
         buffer = self._partial + data
         if self._at_start:
-            if len(buffer) < len(_BYTE_ORDER_MARK) and _BYTE_ORDER_MARK.startswith(
-                buffer
-            ):
-                self._partial = buffer
+            without_mark = self._without_mark(buffer)
+            if without_mark is None:
                 return []
-            self._at_start = False
-            if buffer.startswith(_BYTE_ORDER_MARK):
-                buffer = buffer[len(_BYTE_ORDER_MARK) :]
-                self._mark = _BYTE_ORDER_MARK if self._keeps_mark else b""
+            buffer = without_mark
         blocks = []
-        end = 0
         if self._after_cr and buffer.startswith(_LF):
             # The second half of a line end whose first half ended the last read.
-            end = 1
+            buffer = buffer[1:]
             if self._event:
-                self._event += _LF
+                self._event.append(_LF)
             else:
                 blocks.append(Block(None, _LF))
-        for match in _LINE_END.finditer(buffer, max(end, scanned)):
-            line, end = buffer[end : match.end()], match.end()
-            if (block := self._take_line(line)) is not None:
-                blocks.append(block)
-        self._partial = buffer[end:]
-        if buffer:
-            self._after_cr = not self._partial and buffer.endswith(_CR)
-        if len(self._event) + len(self._partial) > _MAX_EVENT_BYTES:
+        lines = buffer.splitlines(keepends=True)
+        self._partial = b""
+        if lines and not lines[-1].endswith((_LF, _CR)):
+            self._partial = lines.pop()
+        for line in lines:
+            if line in _LINE_ENDS or (line.startswith(_COMMENT) and not self._event):
+                blocks.append(self._finish_block(line))
+            else:
+                self._add_line(line)
+        self._after_cr = data.endswith(_CR)
+        if self._event_bytes + len(self._partial) > _MAX_EVENT_BYTES:
             raise OversizedEventError(
                 f"an event exceeds {_MAX_EVENT_BYTES} bytes without an end"
             )
         return blocks
 
-    def _take_line(self, line: bytes) -> Block | None:
-        """Return the block that a line completes, if it does."""
-        content = line.rstrip(_LINE_ENDS)
-        if content and (self._event or not content.startswith(_COMMENT)):
-            self._event += self._take_mark() + line
-            self._read_field(content)
+    def _without_mark(self, buffer: bytes) -> bytes | None:
+        """Take a byte order mark off; None if there may be more of it to come."""
+        if len(buffer) < len(_BYTE_ORDER_MARK) and _BYTE_ORDER_MARK.startswith(buffer):
+            self._partial = buffer
             return None
-        block = Block(
-            self._number, self._take_mark() + bytes(self._event) + line, self._has_data
-        )
-        self._event.clear()
+        self._at_start = False
+        if not buffer.startswith(_BYTE_ORDER_MARK):
+            return buffer
+        if self._keeps_mark:
+            self._event.append(_BYTE_ORDER_MARK)
+        return buffer[len(_BYTE_ORDER_MARK) :]
+
+    def _add_line(self, line: bytes) -> None:
+        self._event.append(line)
+        self._event_bytes += len(line)
+        if _DATA_LINE.match(line):
+            self._has_data = True
+        elif (found := _NUMBER_LINE.fullmatch(line.rstrip())) is not None:
+            self._number = int(found.group(1))
+
+    def _finish_block(self, line: bytes) -> Block:
+        """Return the block that ends with a line."""
+        self._event.append(line)
+        block = Block(self._number, b"".join(self._event), self._has_data)
+        self._event = []
+        self._event_bytes = 0
         self._number = None
         self._has_data = False
         return block
-
-    def _take_mark(self) -> bytes:
-        mark, self._mark = self._mark, b""
-        return mark
-
-    def _read_field(self, content: bytes) -> None:
-        name, _, value = content.partition(b":")
-        if name == _DATA:
-            self._has_data = True
-        elif name == _ID and (found := _NUMBER.fullmatch(value)) is not None:
-            self._number = int(found.group(1))
