--- a/src/pimentolatch/gateway/readiness_checks.py
+++ b/src/pimentolatch/gateway/readiness_checks.py
@@ -26,7 +26,7 @@
 # entry of one that has left expires after a few of them.
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
 _MAX_CONCURRENT = 8
-# Four times the interval of beacons.
+# By then an instance has heard its peers, so that each server is asked by one of them.
 _PEERS_KNOWN_AFTER = datetime.timedelta(seconds=1)
 # Instances learn of an entry within some hundred milliseconds. In a large fleet they
 # ask one after the other, since each answer takes one of the server's slots.
