Complete a fake connection, and wait for health checks before a notice is observed

Four of server_connections used a fake connection without the time that the pool records now. One of server_notices observed a limit of a server by hand, and the answer to the health check of the first list, a second after the instance's start, ended it, as an answer without a limit does; the scenario waits for it first now.

--- a/tests/features/steps/server_connections_steps.py
+++ b/tests/features/steps/server_connections_steps.py
@@ -21,6 +21,7 @@
     idle: bool = True
     reusable: bool = True
     keep_alive: datetime.timedelta = KEEP_ALIVE
+    opened_by: datetime.timedelta | None = None
 
     def close(self):
         self.idle = False
--- a/tests/features/steps/server_notices_steps.py
+++ b/tests/features/steps/server_notices_steps.py
@@ -174,6 +174,8 @@
     async def ask():
         world = context.world
         _, instance = world.instances["i1"]
+        # The answer to a health check would end the limit that is observed below.
+        await world.until(lambda: not instance.fleet.presumed_servers)
         world.servers["p1"].faults.append("slow")
         asked = asyncio.create_task(world.ask("digest", "r1", name="i1"))
         await world.until(lambda: world.servers["p1"].received)
