Log and measure for how long an instance has been behind its peers

An instance that does not read the store hears in beacons that a peer has a newer list, and fetches it over a connection. Nothing told for how long such a fetch had been failing: the log had one line a second for each failed call, and the newest revision that peers announced stood nowhere. The users' record of late requests can't be judged for that reason.

Now the lines placed and sent bear list_announced and list_behind_ms, the log says once that the instance is behind its peers and once that it has caught up, and two metrics give the time. They tell three hypotheses apart: behind and told so, behind and not told, or not behind.

--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc
 
-from pimentolatch.decisions import engine_loads, server_speeds
+from pimentolatch.decisions import engine_loads, peer_lag, server_speeds
 from pimentolatch.gateway import listed_servers
 from pimentolatch.routes import route_table, servers
 
@@ -24,11 +24,15 @@
         revision: Store revision that the list reflects.
         source: Where it was read: `STORE`, or the name of a peer.
         age_ms: Time since it was last known to match the store.
+        announced: Newest revision that peers announce; None if it is not newer.
+        behind_ms: For how long peers have announced a newer one; None if they do not.
     """
 
     revision: int
     source: str
     age_ms: int
+    announced: int | None
+    behind_ms: int | None
 
 
 class FleetState:
@@ -57,6 +61,8 @@
         servers_read_at: Time at which what the table holds was read from the store, by
             this instance or by the peer that it is from.
         configuration_confirmed_at: The same for the configuration.
+        servers_lag: Whether peers have newer servers, and since when.
+        configuration_lag: The same for the configuration.
     """
 
     def __init__(
@@ -81,6 +87,8 @@
         self.servers_confirmed_at = datetime.timedelta()
         self.servers_read_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
+        self.servers_lag = peer_lag.PeerLag()
+        self.configuration_lag = peer_lag.PeerLag()
         self._kept_until: abc.Mapping[str, datetime.timedelta] = {}
         self._loads: dict[str, engine_loads.EngineLoads] = {}
         self._engines: dict[servers.Incarnation, engine_loads.EngineLoad] = {}
@@ -154,8 +162,14 @@
     def server_list_status(self, now: datetime.timedelta) -> ServerListStatus:
         """Return what a decision that is taken now rests on."""
         age = now - self.servers_confirmed_at
+        lag = self.servers_lag
+        is_behind = lag.since is not None
         return ServerListStatus(
-            self.servers_revision, self.servers_source, round(age / _MILLISECOND)
+            self.servers_revision,
+            self.servers_source,
+            round(age / _MILLISECOND),
+            lag.announced if is_behind else None,
+            round(lag.lasts(now) / _MILLISECOND) if is_behind else None,
         )
 
     def kept_ms(self, now: datetime.timedelta, *server_ids: str) -> int | None:
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -40,6 +40,8 @@
 # An instance that watches the store fetches only after a peer has been ahead for this
 # long: a working watch lags by at most this much.
 _MAX_WATCH_LAG = datetime.timedelta(milliseconds=400)
+# Far longer than a fetch takes.
+_LOGGED_LAG = datetime.timedelta(seconds=1)
 # Peers asked one after the other by an instance that has to catch up.
 _MAX_ASKED = 3
 # A list of 3,800 servers has some 500 kB.
@@ -138,22 +140,19 @@
         self._expired = expired_servers
         self._port = port
         self._clock = time
-        self._behind_since: datetime.timedelta | None = None
         self._last_failed: str | None = None
+        self._behind_logged = False
 
     async def run(self) -> None:
         """Fetch from peers that are ahead; runs until cancelled."""
         while True:
             await self._clock.sleep(_INTERVAL)
             newer_configuration, newer_servers = self._ahead()
-            now = self._clock.monotonic()
+            lag = self._observe_lag()
             if newer_configuration is None and newer_servers is None:
-                self._behind_since = None
                 continue
-            if self._behind_since is None:
-                self._behind_since = now
             waits = self._fleet.watches_store and self._fleet.complete
-            if waits and now - self._behind_since < _MAX_WATCH_LAG:
+            if waits and lag < _MAX_WATCH_LAG:
                 continue
             if newer_configuration is not None:
                 await self._fetch(
@@ -163,6 +162,40 @@
                 path = f"{_SERVERS}?{_VERSIONS}"
                 await self._fetch(newer_servers, path, self._apply_servers)
 
+    def _observe_lag(self) -> datetime.timedelta:
+        """Return for how long peers have announced something newer."""
+        fleet, now = self._fleet, self._clock.monotonic()
+        announced = [peer.beacon for peer in self._table.live()]
+        fleet.servers_lag.observe(
+            fleet.servers_revision,
+            max((beacon.servers for beacon in announced), default=0),
+            now,
+        )
+        fleet.configuration_lag.observe(
+            fleet.version,
+            max((beacon.configuration for beacon in announced), default=0),
+            now,
+        )
+        lag = max(fleet.servers_lag.lasts(now), fleet.configuration_lag.lasts(now))
+        self._log_lag(lag)
+        return lag
+
+    def _log_lag(self, lag: datetime.timedelta) -> None:
+        """Log once that this instance stays behind, and once that it no longer is."""
+        if lag >= _LOGGED_LAG and not self._behind_logged:
+            _log.warn(
+                "behind peers",
+                ms=round(lag / _MILLISECOND),
+                servers=self._fleet.servers_revision,
+                announced_servers=self._fleet.servers_lag.announced,
+                configuration=self._fleet.version,
+                announced_configuration=self._fleet.configuration_lag.announced,
+            )
+            self._behind_logged = True
+        elif not lag and self._behind_logged:
+            _log.info("caught up with peers", servers=self._fleet.servers_revision)
+            self._behind_logged = False
+
     async def catch_up(self) -> bool:
         """Fetch everything from one peer; return whether its list is current.
 
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -417,6 +417,8 @@
             list_revision=listed.revision,
             list_source=listed.source,
             list_age_ms=listed.age_ms,
+            list_announced=listed.announced,
+            list_behind_ms=listed.behind_ms,
             kept_ms=kept_ms,
         )
         return outcome
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -267,6 +267,8 @@
                 list_revision=listed.revision,
                 list_source=listed.source,
                 list_age_ms=listed.age_ms,
+                list_announced=listed.announced,
+                list_behind_ms=listed.behind_ms,
             )
             return
         prefill_engine = (
@@ -293,6 +295,8 @@
             list_revision=listed.revision,
             list_source=listed.source,
             list_age_ms=listed.age_ms,
+            list_announced=listed.announced,
+            list_behind_ms=listed.behind_ms,
             kept_ms=fleet.kept_ms(now, *chosen),
         )
 
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -39,6 +39,7 @@
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
         *("urgency", "expected_ms", "withheld", "version", "after"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
+        *("list_announced", "list_behind_ms"),
     ),
     DOUBTED: (
         *("server", "verdict", "queued", "running", "listed"),
@@ -47,6 +48,7 @@
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
+        *("list_announced", "list_behind_ms"),
         *("handle", "handle_from", "handle_started_ms"),
         *("handle_age_ms", "handle_connected"),
     ),
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -277,6 +277,16 @@
                 "Time since the configuration was known to match the store.",
                 (now - fleet.configuration_confirmed_at).total_seconds(),
             ),
+            (
+                "servers_behind_seconds",
+                "Time since peers have announced newer servers.",
+                fleet.servers_lag.lasts(now).total_seconds(),
+            ),
+            (
+                "configuration_behind_seconds",
+                "Time since peers have announced a newer configuration.",
+                fleet.configuration_lag.lasts(now).total_seconds(),
+            ),
             ("reads_store", "Whether it reads the store.", fleet.watches_store),
             (
                 "store_lost",
