--- a/src/pimentolatch/decisions/peer_lag.py
+++ b/src/pimentolatch/decisions/peer_lag.py
@@ -2,9 +2,9 @@
 
 Load pattern: beacons are datagrams, while configurations and lists of servers come over
 connections. Either may work without the other, or in one direction only. An instance
-then hears that there is news and does not get it. Without the time for which this lasts,
-its log shows single failed calls, and nothing tells whether a late request was sent by
-an instance that knew that it was behind.
+then hears that there is news and does not get it. Without the time for which this has
+lasted, its log shows single failed calls, and nothing tells whether a late request was
+sent by an instance that knew that it was behind.
 """
 
 import dataclasses
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""TCP relays that can block, lose, delay or reset traffic.
+"""Relays that can block, lose, delay or reset traffic.
 
 A cut behaves like a network partition: connections stay open, no data gets through, and
 data sent meanwhile arrives after the partition heals, since TCP retransmits it. A relay
@@ -7,6 +7,8 @@
 A silenced connection behaves like one whose state a middlebox has lost, or whose peer
 process hangs: it stays open, keep-alive probes are answered, and what is sent on it is
 lost for good. New connections work.
+
+Datagrams are relayed too; a cut loses them.
 """
 
 import asyncio
@@ -50,6 +52,45 @@
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
+class _DatagramRelay(asyncio.DatagramProtocol):
+    """A socket that receives datagrams for a host and sends those of the same host.
+
+    Args:
+        relays: Decide what becomes of a datagram.
+        name: Name of the relay.
+        port: Port on which all relays of these datagrams listen.
+        target: Where the host listens.
+    """
+
+    def __init__(
+        self, relays: "Relays", name: str, port: int, target: tuple[str, int]
+    ) -> None:
+        self._relays = relays
+        self._name = name
+        self._port = port
+        self._target = target
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Relay a datagram."""
+        sender = (addr[0], self._port)
+        self._relays.forward_datagram(self._name, data, sender, self._target)
+
+    def send(self, data: bytes, target: tuple[str, int]) -> None:
+        """Send a datagram of this relay's host."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, target)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
 class Relays:
     """All relays of a scenario, in a thread with an event loop of its own.
 
@@ -69,6 +110,7 @@
         self._cuts_changed = asyncio.Condition()
         self._servers: dict[str, asyncio.Server] = {}
         self._full: dict[str, tuple[socket.socket, ...]] = {}
+        self._datagrams: dict[tuple[str, int], _DatagramRelay] = {}
         self.failures: list[str] = []
 
     def start(
@@ -77,6 +119,16 @@
         """Start a relay from the address `listen` to `target`."""
         self._call(self._start(name, listen, target))
 
+    def start_datagrams(
+        self, name: str, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        """Start a relay of datagrams from the address `listen` to `target`.
+
+        A datagram arrives from the address at which the relay with the same port and
+        the sender's host listens, as if that had sent it.
+        """
+        self._call(self._start_datagrams(name, listen, target))
+
     def cut(self, name: str, direction: str, source: str | None = None) -> None:
         """Block the traffic of a relay in one direction.
 
@@ -149,6 +201,24 @@
 
         self._servers[name] = await asyncio.start_server(serve, *listen)
 
+    async def _start_datagrams(
+        self, name: str, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        _, relay = await self._loop.create_datagram_endpoint(
+            lambda: _DatagramRelay(self, name, listen[1], target), local_addr=listen
+        )
+        self._datagrams[listen] = relay
+
+    def forward_datagram(
+        self, name: str, data: bytes, sender: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        """Send a datagram on in its sender's name, unless it is to be lost."""
+        relay = self._datagrams.get(sender)
+        if relay is None or self._is_cut(name, sender[0], TO_SERVER):
+            return
+        delay = self._delays.get(name, 0.0)
+        self._loop.call_later(delay, relay.send, data, target)
+
     async def _fill_backlog(self, name: str) -> None:
         """Replace a listener by one that accepts none; the kernel drops all others."""
         address = self._servers[name].sockets[0].getsockname()
@@ -265,6 +335,8 @@
     async def _stop(self) -> None:
         for server in self._servers.values():
             server.close()
+        for relay in self._datagrams.values():
+            relay.close()
         for opened in itertools.chain.from_iterable(self._full.values()):
             opened.close()
         current = asyncio.current_task()
--- a/tests/support/bound_gateway.py
+++ b/tests/support/bound_gateway.py
@@ -8,10 +8,12 @@
 from pimentolatch.gateway import daemon
 from pimentolatch.platform import http_headers
 
-__all__ = ["main"]
+__all__ = ["BoundLoop", "main"]
 
 
-class _BoundLoop(asyncio.SelectorEventLoop):
+class BoundLoop(asyncio.SelectorEventLoop):
+    """Event loop whose connections come from one host."""
+
     def __init__(self, host):
         super().__init__()
         self._host = host
@@ -29,7 +31,7 @@
 
     def new_event_loop(self):
         """See `asyncio.AbstractEventLoopPolicy.new_event_loop`."""
-        return _BoundLoop(self._host)
+        return BoundLoop(self._host)
 
 
 def main():
