Have an instance read the store itself once its state is overdue

What callers saw: requests reached servers that had left, and were served by old routes, limits and keys, for as long as an instance that does not read the store could not fetch from peers.

Cause: hearing readers stood for having what they read. An instance that heard three readers of its failure domain did not read the store, and counted its configuration as confirmed by their offers. But offers are datagrams, lists come over connections. When only the former arrived, or nothing it sent arrived, nothing led back to the store. The same held if the readers' own watches had ended.

Now a beacon tells how long ago its sender's servers and configuration last matched the store. A receiver that knows all that the sender knows is confirmed at that time, and only then. Once three quarters of the time in which a change must be in force have passed since, it reads the store itself. The time runs from the last confirmation, which no unseen change can follow, so all delays before it (a silent watch, coalescing, beacons, failed fetches) are covered without a sum of limits. It goes on reading for two seconds, and twice as long each time that it happens again, or it would list everything anew for each change. The age of a list that peers are told is the same time now; the second time stamp beside it is gone.

Earlier releases ignore the new columns of a beacon's row and are heard as before; an instance that hears only such reads the store itself.

A step of expired_servers.feature set the time stamp by hand to show that readers who have newer servers do not renew an old list. It now receives such a reader's beacon, which is the same claim about the code that decides it.

--- a/src/pimentolatch/decisions/store_readers.py
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -11,13 +11,18 @@
 expires. So a domain that is partitioned, or whose readers are rejected while others are
 served, finds new readers without coordination, and an instance without peers reads for
 itself.
+
+An offer shows that a reader lives, not that its changes arrive. An instance whose state
+is overdue reads too (`watch_schedule`). If it left the store again at the next beacon,
+it would list everything anew each few seconds while the paths from its peers are
+harmed, so it stays longer each time that this happens again.
 """
 
 import dataclasses
 import datetime
 from collections import abc
 
-__all__ = ["Reader", "is_reader", "select"]
+__all__ = ["Reader", "Stay", "is_reader", "select"]
 
 # Two readers may be frozen or rejected at the same time. In domains of up to three
 # instances all of them read.
@@ -25,6 +30,12 @@
 # Beacons are sent four times a second and take two hops through a domain; three lost
 # ones are tolerated. The shortest limit for applying a change is two seconds.
 _READER_LIFETIME = datetime.timedelta(milliseconds=1500)
+# A reader stops only after it has not been needed for this long: one that stopped and
+# started with each lost beacon would list everything again each time.
+_SHORTEST_STAY = datetime.timedelta(seconds=2)
+# Twice as long each time, up to the length of a usual partition.
+_STAY_FACTOR = 2
+_LONGEST_STAY = datetime.timedelta(seconds=64)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,3 +69,39 @@
     """Return whether an instance has to read the store itself."""
     before = [reader for reader in select(known, now) if reader.name < own_name]
     return len(before) < _READER_COUNT
+
+
+class Stay:
+    """For how long an instance goes on reading the store after it was needed."""
+
+    def __init__(self) -> None:
+        self._is_reading = False
+        self._needed_at = datetime.timedelta()
+        self._length = _SHORTEST_STAY
+
+    def reads(
+        self, now: datetime.timedelta, *, is_reader: bool, is_overdue: bool
+    ) -> bool:
+        """Return whether an instance reads the store from now on.
+
+        Args:
+            now: Monotonic time.
+            is_reader: Whether it is one of the readers of its failure domain.
+            is_overdue: Whether its state may be too old.
+        """
+        if is_reader or is_overdue:
+            if not self._is_reading:
+                self._adapt(now, is_overdue=is_overdue and not is_reader)
+            self._is_reading = True
+            self._needed_at = now
+        elif now - self._needed_at >= self._length:
+            self._is_reading = False
+        return self._is_reading
+
+    def _adapt(self, now: datetime.timedelta, *, is_overdue: bool) -> None:
+        """Set the length of a new stay by that of the last one, if it was recent."""
+        is_recent = now - self._needed_at <= self._length + _LONGEST_STAY
+        if is_overdue and is_recent and self._needed_at:
+            self._length = min(_STAY_FACTOR * self._length, _LONGEST_STAY)
+        else:
+            self._length = _SHORTEST_STAY
--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -23,6 +23,13 @@
 may be as old as the pause. After a pause longer than a part of that time it asks the
 store, or a peer, before it uses what it knows.
 
+Most instances do not read the store: they learn from peers that do. To hear such a peer
+does not show that its changes arrive here: beacons and lists take different paths, and
+its own watch may be silent. So an instance counts from the last time at which its state
+is known to have matched the store, and reads the store itself once a change since then
+might be in force too late. In calm times a peer renews that time with each answer of
+its watch, and it arrives with the next beacon or the one after.
+
 Each answer is a call, of which the store limits and bills the number: 2.5 a second for
 an instance that watches two kinds, at two seconds until a change must be in force.
 """
@@ -37,6 +44,9 @@
 _ANSWER_SHARE = 0.2
 _RETRY_SHARE = 0.25
 _PAUSE_SHARE = 0.25
+# The rest is for a listing. A watch of a peer that answers at its end, two beacons of a
+# large fleet and the allowance for their way take two thirds of the shortest time.
+_UNCONFIRMED_SHARE = 0.75
 # A store that slows down further needs more time than it took for its last answer.
 _LATENCY_FACTOR = 2
 # Longest wait that the platform accepts.
@@ -51,11 +61,14 @@
         wait: The store answers after this time even if nothing has changed.
         answer: Further time that an answer may take unless the store is slow.
         longest_pause: Bound of the pause before a failed call is repeated.
+        unconfirmed: Time since the state last matched the store after which an instance
+            that learns from peers reads the store itself.
     """
 
     wait: datetime.timedelta
     answer: datetime.timedelta
     longest_pause: datetime.timedelta
+    unconfirmed: datetime.timedelta
 
     def answer_limit(self, latency: datetime.timedelta) -> datetime.timedelta:
         """Return when the connection counts as silent, from the end of the wait.
@@ -76,6 +89,7 @@
         wait=min(_WAIT_SHARE * in_force_within, MAX_WAIT),
         answer=_ANSWER_SHARE * in_force_within,
         longest_pause=_RETRY_SHARE * in_force_within,
+        unconfirmed=_UNCONFIRMED_SHARE * in_force_within,
     )
 
 
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -19,6 +19,7 @@
     load_exchange,
     peer_table,
     quarantine,
+    reader_exchange,
     silence_exchange,
     speed_exchange,
     speed_log,
@@ -108,6 +109,7 @@
         self._demands = demands
         self._silence = silence
         self._departures = departures
+        self._readers = reader_exchange.ReaderExchange(own_name, fleet, table, time)
         self._clock = time
         self._seeds = {seed.host for seed in chosen.seeds} - {chosen.host}
         self._load_exchange = load_exchange.LoadExchange(fleet, own_domain, updates)
@@ -155,6 +157,7 @@
         )
         self._silence.receive(beacon)
         self._departures.receive(beacon)
+        self._readers.receive(beacon)
         self._leadership.receive(beacon.leader)
         self._flow.receive(beacon.server_limits, self._fleet.servers)
 
@@ -242,7 +245,7 @@
             configuration=self._fleet.version,
             servers=self._fleet.servers_revision,
             stopping=self.stopping,
-            readers=self._readers(),
+            readers=self._readers.rows(stopping=self.stopping),
             members=self._table.sample_members(members),
             loads=self._load_exchange.own(),
             cached=cached,
@@ -277,17 +280,3 @@
                 )
             )
         return tuple(rows)
-
-    def _readers(self) -> tuple[beacons.Reader, ...]:
-        now = self._clock.monotonic()
-        reported = [
-            beacons.Reader(reader.name, _milliseconds(now - reader.last_seen))
-            for reader in self._table.readers()
-        ]
-        if not self._fleet.store_unreachable and not self.stopping:
-            reported.append(beacons.Reader(self._name, 0))
-        return tuple(reported)
-
-
-def _milliseconds(span: datetime.timedelta) -> int:
-    return int(span / datetime.timedelta(milliseconds=1))
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -57,9 +57,8 @@
         watches_store: Whether this instance watches the store itself.
         store_unreachable: This instance watches the store and the last call failed.
         servers_confirmed_at: Time at which the server table last matched the store, as
-            far as is known: readers of the failure domain that still read it count.
-        servers_read_at: Time at which what the table holds was read from the store, by
-            this instance or by the peer that it is from.
+            far as is known: by an answer of the store to this instance, or to a peer
+            whose servers are all known here.
         configuration_confirmed_at: The same for the configuration.
         servers_lag: Whether peers have newer servers, and since when.
         configuration_lag: The same for the configuration.
@@ -85,7 +84,6 @@
         self.watches_store = False
         self.store_unreachable = False
         self.servers_confirmed_at = datetime.timedelta()
-        self.servers_read_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
         self.servers_lag = peer_lag.PeerLag()
         self.configuration_lag = peer_lag.PeerLag()
@@ -250,10 +248,17 @@
         self._change(changed, [*removed, *unreadable], unreadable)
         return True
 
+    def has_servers(self, revision: int) -> bool:
+        """Tell whether the server table reflects at least this revision."""
+        return self.servers_listed and self.servers_revision >= revision
+
     def confirm_servers(self, at: datetime.timedelta) -> None:
-        """Record that the server table was read from the store at this time."""
+        """Record that the server table matched the store at this time."""
         self.servers_confirmed_at = max(self.servers_confirmed_at, at)
-        self.servers_read_at = max(self.servers_read_at, at)
+
+    def confirm_configuration(self, at: datetime.timedelta) -> None:
+        """Record that the configuration matched the store at this time."""
+        self.configuration_confirmed_at = max(self.configuration_confirmed_at, at)
 
     def confirm_server(self, server: servers.Incarnation) -> None:
         """Use a server again that has said that it is ready."""
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -84,7 +84,7 @@
         """Serve one request; 404 if there is nothing to serve."""
         versions = scope.get("query_string", b"") == _VERSIONS.encode()
         body = self._body(scope["path"], versions=versions)
-        age = self._clock.monotonic() - self._fleet.servers_read_at
+        age = self._clock.monotonic() - self._fleet.servers_confirmed_at
         fields = [
             (b"content-length", b"%d" % len(body)),
             (_LIST_AGE, b"%d" % math.ceil(age / _MILLISECOND)),
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -74,6 +74,17 @@
         self._latency = datetime.timedelta()
         self.unreachable = False
 
+    @property
+    def confirmed_at(self) -> datetime.timedelta:
+        """Time at which what is known of the kind last matched the store."""
+        raise NotImplementedError
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether what is known of the kind may be too old for an unseen change."""
+        age = self._clock.monotonic() - self.confirmed_at
+        return age >= self.limits.unconfirmed
+
     async def catch_up(self) -> bool:
         """List the kind once; return whether the store has answered."""
         return await self._list() is None
@@ -165,7 +176,12 @@
 
     def _on_response(self) -> None:
         super()._on_response()
-        self._fleet.configuration_confirmed_at = self._answered_at
+        self._fleet.confirm_configuration(self._answered_at)
+
+    @property
+    def confirmed_at(self) -> datetime.timedelta:
+        """See `Watch.confirmed_at`."""
+        return self._fleet.configuration_confirmed_at
 
     def _apply_listing(self, listing: store.Listing) -> None:
         self._apply(listing.objects)
@@ -193,6 +209,11 @@
     kind = server_entries.SERVER_KIND
     coalesce_interval = _COALESCE_INTERVAL
 
+    @property
+    def confirmed_at(self) -> datetime.timedelta:
+        """See `Watch.confirmed_at`."""
+        return self._fleet.servers_confirmed_at
+
     def __init__(
         self,
         source: objects.ObjectStore,
@@ -250,8 +271,8 @@
         )
 
     def _list_age(self) -> datetime.timedelta:
-        """Return the time since the known list was read from the store."""
-        return self._clock.monotonic() - self._fleet.servers_read_at
+        """Return the time since the known list matched the store."""
+        return self._clock.monotonic() - self._fleet.servers_confirmed_at
 
     def _log_kept(self, kept: list[servers.Server], listing: store.Listing) -> None:
         _log.warn(
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -1,7 +1,7 @@
 """Watches the platform's store while this instance is one of its domain's watchers.
 
 Only a few instances of each failure domain watch the store; they pass changes on to the
-others by beacons and snapshots.
+others by beacons and snapshots. An instance that these do not reach watches it too.
 """
 
 import asyncio
@@ -21,10 +21,8 @@
 # watch of every instance. Meanwhile the first listing is used, and newer state is
 # fetched from peers.
 _SETTLING = datetime.timedelta(seconds=1)
-_CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
-# A watcher stops only after it has not been needed for this long: one that stopped and
-# started with each lost beacon would list everything again each time.
-_STOP_DELAY = datetime.timedelta(seconds=2)
+# A part of the time that is left for a listing once the state is overdue.
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class WatchController:
@@ -52,7 +50,7 @@
         self._watches = watches
         self._clock = time
         self._running: list[asyncio.Task[None]] = []
-        self._needed_at = datetime.timedelta()
+        self._stay = store_readers.Stay()
 
     def apply(self, bounds: settings.BoundSettings) -> None:
         """Apply new settings; a watch that waits keeps the limits that it has."""
@@ -73,28 +71,19 @@
 
     def _check(self) -> None:
         now = self._clock.monotonic()
-        readers = self._table.readers()
-        if store_readers.is_reader(self._name, readers, now):
-            self._needed_at = now
+        is_reader = store_readers.is_reader(self._name, self._table.readers(), now)
+        overdue = [watch.kind for watch in self._watches if watch.is_overdue]
+        if overdue and not is_reader and not self._running:
+            _log.warn("peers do not confirm what is known", kinds=overdue)
+        if self._stay.reads(now, is_reader=is_reader, is_overdue=bool(overdue)):
             self._start()
         else:
-            # Readers that lose the store withdraw their offers.
-            confirmed_at = max(reader.last_seen for reader in readers)
-            if not self._is_behind():
-                self._fleet.servers_confirmed_at = confirmed_at
-            self._fleet.configuration_confirmed_at = confirmed_at
-            if now - self._needed_at >= _STOP_DELAY:
-                self._stop()
+            self._stop()
         self._fleet.watches_store = bool(self._running)
         self._fleet.store_unreachable = any(
             watch.unreachable for watch in self._watches
         )
 
-    def _is_behind(self) -> bool:
-        """Return whether a peer has a newer list of servers."""
-        revision = self._fleet.servers_revision
-        return any(peer.beacon.servers > revision for peer in self._table.live())
-
     def _start(self) -> None:
         if self._running:
             return
--- a/src/pimentolatch/protocol/beacon_codec.py
+++ b/src/pimentolatch/protocol/beacon_codec.py
@@ -52,7 +52,7 @@
         beacon.configuration,
         beacon.servers,
         beacon.stopping,
-        [[reader.instance, reader.age_ms] for reader in beacon.readers],
+        [_reader_row(reader) for reader in beacon.readers],
         [[m.host, m.failure_domain, m.age_ms] for m in beacon.members],
         [[engine.server_id, engine.started_ms] for engine in engines.numbered],
         loads,
@@ -85,8 +85,18 @@
         return self.numbered.setdefault(engine, len(self.numbered))
 
 
+def _reader_row(reader: beacons.Reader) -> list[typing.Any]:
+    """Return the row of a reader; earlier releases ignore all but two columns."""
+    row: list[typing.Any] = [reader.instance, reader.age_ms]
+    if reader.servers_age_ms is None or reader.configuration_age_ms is None:
+        return row
+    return [*row, reader.servers_age_ms, reader.configuration_age_ms]
+
+
 def _reader(row: typing.Any) -> beacons.Reader:
-    return beacons.Reader(fields.text(row[0]), fields.count(row[1]))
+    return beacons.Reader(
+        fields.text(row[0]), fields.count(row[1]), *fields.counts(row[2:4])
+    )
 
 
 def _member(row: typing.Any) -> beacons.Member:
@@ -201,10 +211,7 @@
             fields.count(rows[4]),
             fields.count(rows[5]),
             bool(rows[6]),
-            tuple(
-                beacons.Reader(fields.text(row[0]), fields.count(row[1]))
-                for row in rows[7]
-            ),
+            tuple(_reader(row) for row in rows[7]),
             tuple(_member(row) for row in rows[8]),
             tuple(_load(row, engines) for row in rows[10]),
             tuple(_cached_prefix(row, engines) for row in rows[11]),
--- a/src/pimentolatch/protocol/beacons.py
+++ b/src/pimentolatch/protocol/beacons.py
@@ -170,10 +170,15 @@
 
     Attributes:
         age_ms: Time since it reported so.
+        servers_age_ms: Maximum time since the sender's servers matched the store; None
+            in rows of other instances than the sender.
+        configuration_age_ms: The same for the sender's configuration.
     """
 
     instance: str
     age_ms: int
+    servers_age_ms: int | None = None
+    configuration_age_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -16,3 +16,59 @@
       | path         |
       | connections  |
       | all to peers |
+
+  # Guards against a path that is believed in although nothing comes by it: an instance
+  # that hears readers but can't fetch, that hears nobody, or whose readers have nothing.
+  Scenario Outline: A change is known everywhere in time, whatever path from peers fails
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: <harm>
+    And readers: a server drains and a configuration is written <later> seconds later
+    Then readers: all instances know of both within 2 seconds
+
+    Examples:
+      | harm                                                      | later |
+      | "a-4 a-5" cannot fetch from "all"                         | 0.0   |
+      | "a-4 a-5" cannot fetch from "all"                         | 7.3   |
+      | "a" cannot fetch from "b"                                 | 0.4   |
+      | "a-3 a-4 a-5" cannot fetch from "a-0 a-1 a-2"             | 0.9   |
+      | "all" cannot fetch from "all"                             | 1.6   |
+      | beacons from "all" to "a-4 a-5" are lost                  | 0.0   |
+      | beacons from "all" to "a-4 a-5" are lost                  | 5.0   |
+      | beacons from "a-0 a-1 a-2" to "a-4 a-5" are lost          | 1.1   |
+      | beacons from "a-4 a-5" to "all" are lost                  | 0.3   |
+      | open connections of all to the store fall silent          | 0.2   |
+      | the watches of "a-0 a-1 a-2" end without their noticing   | 0.0   |
+      | the watches of "a-0 a-1 a-2" end without their noticing   | 9.7   |
+      | the watches of "all" end without their noticing           | 0.0   |
+
+  # Guards against a fleet that reads the store with every instance in calm times.
+  Scenario: Instances that peers keep up to date do not call the store
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: a server changes each 0.5 seconds for 60 seconds
+    Then readers: "a-3 a-4 a-5 b-3 b-4" have not called the store
+
+  # Guards against an instance that lists everything anew at each change it can't fetch.
+  Scenario: An instance that can't fetch goes on reading the store, and stops in the end
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: "a-4 a-5" cannot fetch from "all"
+    And readers: a server changes each 0.5 seconds for 60 seconds
+    Then readers: "a-4 a-5" have listed the servers 6 times each at most
+    When readers: all paths work again
+    And readers: a server changes each 0.5 seconds for 70 seconds
+    And readers: calls are counted anew
+    And readers: a server changes each 0.5 seconds for 20 seconds
+    Then readers: "a-4 a-5" have not called the store
+
+  # Guards against an instance that counts its configuration as current while a peer that
+  # it can't fetch from announces a newer one.
+  Scenario: An instance behind its peers counts neither list nor configuration as current
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: "a-5" cannot fetch from "all"
+    And readers: "a-5" does not reach the store
+    And readers: a server drains and a configuration is written 0.0 seconds later
+    And readers: 10 seconds pass
+    Then readers: "a-5" has not confirmed its list and configuration for 9 seconds
+    And readers: "a-5" knows for 9 seconds that it is behind
+    When readers: "a-5" reaches the store again
+    And readers: 1 seconds pass
+    Then readers: "a-5" is not behind
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -4,6 +4,8 @@
 import behave
 
 from pimentolatch.decisions import missing_servers
+from pimentolatch.gateway import reader_exchange
+from pimentolatch.protocol import beacons
 from tests.support import watch_world
 
 # Servers of a world are called s0, s1 and so on.
@@ -251,8 +253,15 @@
     'outage: "{name}" hears that readers of its failure domain have read the store'
 )
 def hears_of_readers(context, name):
-    fleet = context.world.instances[name].fleet
-    fleet.servers_confirmed_at = context.world.clock.monotonic()
+    instance = context.world.instances[name]
+    exchange = reader_exchange.ReaderExchange(
+        name, instance.fleet, instance.peers, context.world.clock
+    )
+    revision = context.world.table.revision
+    row = beacons.Reader("reader", 0, 0, 0)
+    exchange.receive(
+        beacons.Beacon("reader", "here", "1", 1, revision, False, (row,), ())
+    )
 
 
 @behave.then(
@@ -272,7 +281,7 @@
 @behave.then('outage: the list of "{name}" is older than {seconds:g} seconds')
 def older(context, name, seconds):
     fleet = context.world.instances[name].fleet
-    age = context.world.clock.monotonic() - fleet.servers_read_at
+    age = context.world.clock.monotonic() - fleet.servers_confirmed_at
     assert age > datetime.timedelta(seconds=seconds), age
 
 
