Do not refuse for good what a newer configuration may allow

What callers saw: 404 for a route, or 401 for a key, that the operator had just added, from an instance that knew of the newer configuration and had not got it yet. Neither answer is repeated by clients. It lasted for as long as the instance could not fetch, now for some hundred milliseconds.

Cause: whether an answer by the configuration in force is final was judged by whether the store answers this instance. One that does not read the store is never told otherwise, although the beacons of its peers announce a newer version.

Now an unknown key and an unknown route get 503 with Retry-After while peers announce a newer configuration. That is true: nothing ran, and another instance, or this one in a moment, can tell.

Evidence: two scenarios of customers.feature fail before (401, 404) and pass now.

--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -107,6 +107,11 @@
         """Version of the configuration; 0 without one."""
         return 0 if self.configuration is None else self.configuration.version
 
+    @property
+    def configuration_behind(self) -> bool:
+        """Whether peers have a newer configuration."""
+        return self.configuration_lag.announced > self.version
+
     @property
     def complete(self) -> bool:
         """Whether requests can be served."""
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -171,13 +171,17 @@
             return refusals.no_configuration()
         path = target.partition(b"?")[0].decode("latin-1")
         route = configuration.select(head.host, path)
+        if route is None and self._fleet.configuration_behind:
+            return refusals.configuration_behind()
         if route is None:
             return refusals.no_route(head.host, path)
         allowed = access.authorize(
             configuration,
             route,
             head.api_keys,
-            current=not self._fleet.store_unreachable,
+            current=not (
+                self._fleet.store_unreachable or self._fleet.configuration_behind
+            ),
         )
         if isinstance(allowed, access.Denial):
             return _refusal_for(allowed)
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -10,6 +10,7 @@
 __all__ = [
     "body_too_large",
     "body_too_slow",
+    "configuration_behind",
     "deadline_passed",
     "key_possibly_new",
     "no_configuration",
@@ -37,6 +38,16 @@
     )
 
 
+def configuration_behind() -> results.Refusal:
+    """Refuse what a newer configuration, which peers have, may allow."""
+    return results.Refusal(
+        results.ResultCode.NO_CONFIGURATION,
+        "this instance waits for a newer configuration",
+        results.Execution.NOT_RUN,
+        _NO_CONFIGURATION_RETRY,
+    )
+
+
 def no_route(host: str, path: str) -> results.Refusal:
     """Refuse a request that no route matches."""
     return results.Refusal(
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -77,6 +77,17 @@
     When customers: the store goes away and an unknown key is tried
     Then customers: it may come back later
 
+  # Guards against a route or key that is refused for good by an instance which knows that
+  # its peers have a newer configuration.
+  Scenario Outline: What a newer configuration may allow is not refused for good
+    When customers: a peer announces a newer configuration and <what> is tried
+    Then customers: it may come back later
+
+    Examples:
+      | what             |
+      | an unknown key   |
+      | an unknown route |
+
   # Guards against a customer's order in the queues that only some places know of.
   Scenario Outline: A customer's rank goes before its route's
     When customers: "<customer>" asks for "digest"
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -7,7 +7,7 @@
 import logbook
 
 from pimentolatch.gateway import store_watch
-from pimentolatch.protocol import beacon_codec
+from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.routes import notices
 from tests.features.steps import routes_serving_steps
 from tests.support import route_world
@@ -265,6 +265,25 @@
     context.reply = context.run(both())
 
 
+@behave.when("customers: a peer announces a newer configuration and {what} is tried")
+def tried_while_behind(context, what):
+    place, key = {
+        "an unknown key": ("notify", UNKNOWN),
+        "an unknown route": ("added-later", KEYS["north"][0]),
+    }[what]
+
+    async def announce_and_ask():
+        _, instance = context.world.instances["one"]
+        version = instance.fleet.version + 1
+        instance.peers.receive(
+            "127.0.0.9", beacons.Beacon("two", "here", "1", version, 0, False, (), ())
+        )
+        await context.world.until(lambda: instance.fleet.configuration_behind)
+        return await ask(context, place, key)
+
+    context.reply = context.run(announce_and_ask())
+
+
 @behave.then("customers: it may come back later")
 def comes_back(context):
     assert context.reply.status == 503, context.reply
