Harm the paths between gateways in the soak

No run on real processes harmed what passes between instances: relays carried the store, servers and clients.

The new kind (--paths) has ten gateways in two failure domains, so that some learn from others, and draws lost, delayed and reset connections and datagrams, each way by itself, beside leavings, new routes and restarts. Nothing but a gateway's own start excuses a late request or a late route.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -20,7 +20,7 @@
 import typing
 from collections import abc
 
-__all__ = ["Relays"]
+__all__ = ["Cut", "Relays"]
 
 _CHUNK = 65_536
 _Result = typing.TypeVar("_Result")
@@ -29,7 +29,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Cut:
+class Cut:
+    """Traffic through a relay that is blocked.
+
+    Attributes:
+        relay: Name of the relay.
+        source: Host of the client whose connections are affected; None for all.
+        direction: `TO_SERVER` or `TO_CLIENT`.
+    """
+
     relay: str
     source: str | None
     direction: str
@@ -104,7 +112,7 @@
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._targets: dict[str, tuple[str, int]] = {}
-        self._cuts: set[_Cut] = set()
+        self._cuts: set[Cut] = set()
         self._delays: dict[str, float] = {}
         self._connections: dict[str, list[_Connection]] = {}
         self._cuts_changed = asyncio.Condition()
@@ -137,7 +145,15 @@
             direction: `TO_SERVER` or `TO_CLIENT`.
             source: Host of the client whose connections are affected; None for all.
         """
-        self._call(self._set_cuts(self._cuts | {_Cut(name, source, direction)}))
+        self._call(self._set_cuts(self._cuts | {Cut(name, source, direction)}))
+
+    def add_cuts(self, cuts: abc.Iterable[Cut]) -> None:
+        """Block the traffic of several relays."""
+        self._call(self._set_cuts(self._cuts.union(cuts)))
+
+    def remove_cuts(self, cuts: abc.Iterable[Cut]) -> None:
+        """Let traffic through again that was blocked."""
+        self._call(self._set_cuts(self._cuts.difference(cuts)))
 
     def heal(self, name: str | None = None) -> None:
         """Remove the cuts and delays of one relay, or of all."""
@@ -313,7 +329,7 @@
 
     def _is_cut(self, name: str, source: str, direction: str) -> bool:
         return any(
-            _Cut(name, client, direction) in self._cuts for client in (source, None)
+            Cut(name, client, direction) in self._cuts for client in (source, None)
         )
 
     async def _reset(self, name: str) -> None:
@@ -327,7 +343,7 @@
             connection.silent |= directions or {TO_SERVER, TO_CLIENT}
         return len(open_connections)
 
-    async def _set_cuts(self, cuts: set[_Cut]) -> None:
+    async def _set_cuts(self, cuts: set[Cut]) -> None:
         async with self._cuts_changed:
             self._cuts = cuts
             self._cuts_changed.notify_all()
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -8,6 +8,8 @@
 MARGIN_S = 60.0
 # Enough for a busy machine, and far below the longest wait of a watch.
 SILENCE_MARGIN_S = 6.0
+# The same, within the time for which a server that left goes on serving.
+PATHS_MARGIN_S = 3.0
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
@@ -55,6 +57,15 @@
     context.result = asyncio.run(played)
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of harmed paths between"
+    " gateways"
+)
+def play_paths(context, seed, seconds):
+    played = soak.run_seed(seed, float(seconds), PATHS_MARGIN_S, paths=True)
+    context.result = asyncio.run(played)
+
+
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of uneven engines")
 def play_uneven(context, seed, seconds):
     played = soak.run_seed(seed, float(seconds), MARGIN_S, uneven=True)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,6 +9,7 @@
 `--entries` has earlier check-ins of servers reach the store after their leaving, and
 gateways stand still around it; one failure domain has a single gateway.
 `--uneven` lets engines differ in speed and failure domains fall silent in turn.
+`--paths` harms the paths between gateways, of which some learn only from others.
 Each run also prints how its requests ended.
 """
 
@@ -23,6 +24,7 @@
 import time
 
 from tests.support import (
+    path_world,
     safeguard_removal,
     soak_checks,
     soak_clients,
@@ -30,6 +32,7 @@
     soak_entries,
     soak_faults,
     soak_outages,
+    soak_paths,
     soak_pauses,
     soak_uneven,
     soak_world,
@@ -69,6 +72,7 @@
     outages=False,
     uneven=False,
     entries=False,
+    paths=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -83,8 +87,9 @@
         outages: Outages of the store, leaving servers and restarts are injected.
         uneven: Engines differ in speed, and failure domains fall silent in turn.
         entries: Check-ins reach the store late, and gateways stand still.
+        paths: Paths between gateways are harmed, and servers leave.
     """
-    world = _make_world(disabled_safeguard)
+    world = _make_world(disabled_safeguard, paths=paths)
     clock = asyncio.get_running_loop().time
     alone = (silence and seed % 2) or ((pauses or outages or entries) and seed % 4 == 0)
     if pauses:
@@ -101,6 +106,11 @@
         clients = _clients(world, seed, clock)
         injector = soak_entries.EntryInjector(world, clock, clients)
         faults = soak_entries.draw(seed, seconds, alone=alone)
+    elif paths:
+        world.failure_domains = soak_paths.FAILURE_DOMAINS
+        clients = _clients(world, seed, clock)
+        injector = soak_paths.PathInjector(world, clock, clients)
+        faults = soak_paths.draw(seed, seconds)
     elif uneven:
         soak_uneven.prepare(world)
         injector = soak_uneven.UnevenInjector(world, clock)
@@ -118,8 +128,7 @@
         if uneven:
             await world.start(soak_uneven.GATEWAYS, **soak_uneven.SERVERS)
         else:
-            several = soak_entries.GATEWAYS if entries else GATEWAYS
-            await world.start(1 if alone else several)
+            await world.start(_gateway_count(alone, entries, paths))
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
         doubted = []
         if fatal:
@@ -160,6 +169,8 @@
         violations += soak_entries.late_violations(
             attempts, servers, injector, margin_s
         )
+    if paths:
+        violations += soak_paths.late_violations(attempts, servers, injector, margin_s)
     if uneven:
         violations += soak_uneven.avoidance_violations(servers, injector, margin_s)
     after_faults = [
@@ -202,7 +213,18 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _make_world(disabled_safeguard):
+def _gateway_count(alone, entries, paths):
+    if paths:
+        return soak_paths.GATEWAYS
+    if alone:
+        return 1
+    return soak_entries.GATEWAYS if entries else GATEWAYS
+
+
+def _make_world(disabled_safeguard, *, paths):
+    if paths:
+        names = () if disabled_safeguard is None else (disabled_safeguard,)
+        return path_world.PathWorld(names)
     if disabled_safeguard is None:
         return soak_world.SoakWorld()
     return soak_world.SoakWorld(
@@ -251,6 +273,7 @@
     parser.add_argument("--outages", action="store_true")
     parser.add_argument("--uneven", action="store_true")
     parser.add_argument("--entries", action="store_true")
+    parser.add_argument("--paths", action="store_true")
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -273,6 +296,7 @@
             options.outages,
             options.uneven,
             options.entries,
+            options.paths,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/path_world.py
+++ b/tests/support/path_world.py
@@ -5,20 +5,26 @@
 """
 
 import asyncio
+import itertools
 
 from standins import relay
 from tests.support import relayed_gateway, silent_world, soak_world
 
 __all__ = ["PathWorld", "Paths"]
 
-_CONNECTIONS = ("lists", "forwarding")
 _DATAGRAMS = ("beacons", "usage", "origins")
 # Time in which instances hear that peers read the store, and stop to read it.
 SETTLE_S = 4.0
 
 
 class PathWorld(soak_world.SoakWorld):
-    """A world whose gateways reach each other through relays."""
+    """A world whose gateways reach each other through relays.
+
+    Args:
+        arguments: Names of safeguards that the gateways run without.
+    """
+
+    CONNECTIONS = ("lists", "forwarding")
 
     def __init__(self, arguments=()):
         super().__init__("tests.support.relayed_gateway", arguments)
@@ -36,26 +42,33 @@
     def _ends(self, host, port):
         return (host, port), (host, port + relayed_gateway.SHIFT)
 
-    def cut_datagrams(self, sender, receiver):
-        """Lose the datagrams that a gateway sends to another one."""
+    def datagram_cuts(self, sender, receiver):
+        """Return the cuts that lose the datagrams of a gateway to another one."""
         host = self.gateways[sender].host
-        for what in _DATAGRAMS:
-            self.relays.cut(f"{what} of {receiver}", relay.TO_SERVER, host)
-
-    def cut_connections(self, sender, receiver):
-        """Hold what a gateway sends to another one over connections of either."""
-        for what in _CONNECTIONS:
-            self.relays.cut(
-                f"{what} of {receiver}", relay.TO_SERVER, self.gateways[sender].host
-            )
-            self.relays.cut(
-                f"{what} of {sender}", relay.TO_CLIENT, self.gateways[receiver].host
+        return [
+            relay.Cut(f"{what} of {receiver}", host, relay.TO_SERVER)
+            for what in _DATAGRAMS
+        ]
+
+    def connection_cuts(self, sender, receiver):
+        """Return the cuts that hold what a gateway sends to another one.
+
+        It may be over a connection of either.
+        """
+        own, other = self.gateways[sender].host, self.gateways[receiver].host
+        return [
+            cut
+            for what in self.CONNECTIONS
+            for cut in (
+                relay.Cut(f"{what} of {receiver}", own, relay.TO_SERVER),
+                relay.Cut(f"{what} of {sender}", other, relay.TO_CLIENT),
             )
+        ]
 
     def heal_paths(self):
         """End all cuts between gateways."""
         for name in self.gateways:
-            for what in (*_CONNECTIONS, *_DATAGRAMS):
+            for what in (*self.CONNECTIONS, *_DATAGRAMS):
                 self.relays.heal(f"{what} of {name}")
 
 
@@ -74,16 +87,17 @@
     def harm(self, names, kind):
         """Harm the paths between some gateways and all others, in one of four ways."""
         others = [name for name in self.world.gateways if name not in names]
-        for name in names:
-            for other in others:
-                if kind != "datagrams from peers":
-                    self.world.cut_connections(name, other)
-                if kind == "connections":
-                    self.world.cut_connections(other, name)
-                if kind == "all to peers":
-                    self.world.cut_datagrams(name, other)
-                if kind == "datagrams from peers":
-                    self.world.cut_datagrams(other, name)
+        cuts = []
+        for name, other in itertools.product(names, others):
+            if kind != "datagrams from peers":
+                cuts += self.world.connection_cuts(name, other)
+            if kind == "connections":
+                cuts += self.world.connection_cuts(other, name)
+            if kind == "all to peers":
+                cuts += self.world.datagram_cuts(name, other)
+            if kind == "datagrams from peers":
+                cuts += self.world.datagram_cuts(other, name)
+        self.world.relays.add_cuts(cuts)
 
     async def until_configured(self):
         """Wait until all gateways have the newest configuration."""
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -27,6 +27,7 @@
     refusals,
     settings,
     sse,
+    store_watch,
     takeover,
 )
 from pimentolatch.platform import configuration, server_entries
@@ -184,6 +185,16 @@
     pause_monitor.PauseMonitor.wait_until_current = no_wait
 
 
+def _never_read_when_overdue():
+    """Leaves the store to the readers of the failure domain, however old the state."""
+    store_watch.Watch.is_overdue = property(lambda self: False)
+
+
+def _believe_readers():
+    """Takes each peer that offers to read the store for a proof of the own state."""
+    fleet_state.FleetState.has_servers = lambda self, revision: True
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -203,6 +214,8 @@
     "judgement of entries": _believe_older_entries,
     "questions to returned servers": _use_unconfirmed,
     "catching up after pauses": _serve_on_after_pauses,
+    "reading of an overdue store": _never_read_when_overdue,
+    "confirmation by known changes": _believe_readers,
 }
 
 
