Show that no stream goes on at another version after all instances were killed

A report from a system like ours: all instances were killed at once and came back, clients took up their streams, and the answers were joined from two software versions.

That can't happen here in what was tried: a new process has seen the list for a shorter time than a stream lasts, so it names no sole version, and a stream without a record is refused as not run. Three scenarios with processes: all killed at once, or three of four 0.2 s before; engines of the old version stay, or leave while all are down. 0 of 24 joined in each. With the check of how long the list has been seen switched off (trial) 11 of 24 are joined in the two in which the old version leaves, so the scenarios notice it.

What remains: all these take-ups are refused, also where only one version has been in use; that costs their callers the rest of the answer.

--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -21,6 +21,22 @@
     Then versions: no stream holds events of two versions
     And versions: streams are resumed at least half as often as new ones begin
 
+  # Guards against instances that all start again without a record of any stream, and go
+  # on with a stream of another version since they know of one version only.
+  Scenario Outline: No stream goes on at another version after all instances were killed
+    Given versions: 4 gateway processes and 6 decode engines, half of each version
+    And versions: engines send an event every 100 ms
+    When versions: clients begin 24 streams and all instances are killed <kill>
+    And versions: the engines of "v1" leave <leave>
+    And versions: all instances start again and clients come back 3 times
+    Then versions: no stream holds events of two versions
+
+    Examples:
+      | kill                   | leave              |
+      | at once                | not at all         |
+      | at once                | while all are down |
+      | some before the others | while all are down |
+
   # Guards against an id that is looked up by the attempt before the last one.
   Scenario: A stream that its client resumes twice continues on its version
     Given versions: 4 instances and 6 decode engines, half of each version
--- a/tests/features/steps/software_versions_steps.py
+++ b/tests/features/steps/software_versions_steps.py
@@ -5,6 +5,9 @@
 from tests.support import version_world
 
 VERSIONS = ("v1", "v2")
+# Shorter than a stream, so that those that the last instances serve are cut as well.
+BETWEEN_KILLS_S = 0.2
+BETWEEN_RETURNS_S = 1.0
 # The bound of the users, as a share of that of new streams that begin.
 MIN_SHARE = 0.5
 
@@ -114,6 +117,45 @@
     context.left = [other for other in context.world.instances if other != name]
 
 
+@behave.when(
+    "versions: clients begin {count:d} streams and all instances are killed {how}"
+)
+def begin_and_kill_all(context, count, how):
+    async def kill():
+        world = context.world
+        begun = asyncio.create_task(world.begin(count))
+        await world.until(lambda: all_have_begun(world, count))
+        names = list(world.instances)
+        earlier = {"at once": [], "some before the others": names[1:]}[how]
+        for name in earlier:
+            world.kill(name)
+        if earlier:
+            await asyncio.sleep(BETWEEN_KILLS_S)
+        for name in names:
+            world.kill(name)
+        return [stream for stream in await begun if not stream.whole]
+
+    context.begun = context.route_runner.run(kill())
+
+
+@behave.when('versions: the engines of "{version}" leave {when}')
+def engines_leave(context, version, when):
+    leave = {"not at all": False, "while all are down": True}[when]
+    if leave:
+        context.route_runner.run(context.world.remove_engines(version))
+
+
+@behave.when(
+    "versions: all instances start again and clients come back {times:d} times"
+)
+def start_again(context, times):
+    world = context.world
+    context.route_runner.run(world.restart_all())
+    for _ in range(times):
+        unfinished = [stream for stream in context.begun if not stream.whole]
+        context.route_runner.run(world.resume(unfinished, pause_s=BETWEEN_RETURNS_S))
+
+
 @behave.when("versions: they resume at the instances that are left after {pause:d} ms")
 def resume_at_left(context, pause):
     resume(context, names=context.left, pause_s=pause / 1000)
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -379,6 +379,20 @@
         """Kill an instance, without a word to its peers."""
         self.instances[name].popen.kill()
 
+    async def restart_all(self):
+        """Start all instances again, which have been killed."""
+        for name, instance in self.instances.items():
+            await self.until(lambda by=instance: not by.running)
+            self._world.restart(name)
+        for name in self.instances:
+            await self._world.wait_until_ready(name)
+
+    async def remove_engines(self, version):
+        """Remove the engines of a version, and their entries."""
+        leaving = [n for n, s in self.servers.items() if s.version == version]
+        for name in leaving:
+            await self._world.remove_server(name)
+
     async def until(self, condition):
         await self._world.wait_until(condition)
 
