Wait for health checks before a customer's request is left without a permit

Traced: the step observes a limit of 0 for a plain server that was listed just before. The answer to the health check of that new server, which names no limit, ends the limit if it comes later, and the request gets its permit before the key goes. The product is not at fault: an answer without a limit ends it. The step waits for the questions now, as those of server_notices.feature and server_connections.feature do. No check has changed.

--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -220,6 +220,9 @@
 def goes_while_without_permit(context):
     async def both():
         _, instance = context.world.instances["one"]
+        # The answer to a health check would end the limit that is observed below.
+        await context.world.until(lambda: not instance.fleet.unconfirmed_servers)
+        await context.world.until(lambda: not instance.fleet.presumed_servers)
         server = instance.fleet.servers.get("a1")
         notice = notices.Notice(notices.RateLimit(0.0))
         now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
