Do not count a store without the history asked for as a confirmation

A watch that is answered that its history is gone has missed changes. The answer counted as if the store had shown that nothing has changed. If the listing that follows fails, the instance, and now also the peers that it tells its age, took a list for current that is not.

Now only changes that were applied confirm. A listing confirms from the begin of its call, since its pages may have been read at any time from then on.

Evidence: a scenario of instances_behind.feature in virtual time fails before and passes now.

--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -122,7 +122,9 @@
         self._latency = self._clock.monotonic() - begun
         self._revision = listing.revision
         self._apply_listing(listing)
-        self._on_response()
+        self._answered_at = self._clock.monotonic()
+        # Its pages may have been read since the call began.
+        self._confirm(begun)
         return None
 
     async def _watch(self) -> store.Unavailable | None:
@@ -137,7 +139,7 @@
         )
         if isinstance(outcome, store.Unavailable):
             return outcome
-        self._on_response()
+        self._answered_at = self._clock.monotonic()
         # Not after a listing: a store that answers no watch in time would be asked for
         # a listing of everything again and again without a pause.
         self._pause.reset()
@@ -147,6 +149,7 @@
             return None
         self._revision = outcome.revision
         self._apply_changes(outcome)
+        self._confirm(self._answered_at)
         if not outcome.changed and not outcome.removed:
             self._latency = self._clock.monotonic() - begun - limits.wait
         elif self.coalesce_interval:
@@ -164,9 +167,9 @@
         silence = self._clock.monotonic() - self._answered_at
         return round(silence / _MILLISECOND)
 
-    def _on_response(self) -> None:
-        """Handle a successful call to the store."""
-        self._answered_at = self._clock.monotonic()
+    def _confirm(self, at: datetime.timedelta) -> None:
+        """Record that what is known of the kind matched the store at this time."""
+        raise NotImplementedError
 
 
 class ConfigurationWatch(Watch):
@@ -174,9 +177,8 @@
 
     kind = configuration.CONFIGURATION_KIND
 
-    def _on_response(self) -> None:
-        super()._on_response()
-        self._fleet.confirm_configuration(self._answered_at)
+    def _confirm(self, at: datetime.timedelta) -> None:
+        self._fleet.confirm_configuration(at)
 
     @property
     def confirmed_at(self) -> datetime.timedelta:
@@ -285,9 +287,8 @@
             list_age_ms=round(self._list_age() / _MILLISECOND),
         )
 
-    def _on_response(self) -> None:
-        super()._on_response()
-        self._fleet.confirm_servers(self._answered_at)
+    def _confirm(self, at: datetime.timedelta) -> None:
+        self._fleet.confirm_servers(at)
 
     def _apply_changes(self, changes: store.Changes) -> None:
         self._unusable -= set(changes.removed)
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -73,6 +73,14 @@
     And readers: 1 seconds pass
     Then readers: "a-5" is not behind
 
+  # Guards against an instance that has missed changes and tells its peers that it is
+  # current, since the store has answered that it no longer has them.
+  Scenario: An answer that the history is gone confirms nothing
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: the history of the store is gone and all listings fail from then on
+    And readers: 2 seconds pass
+    Then readers: "all" have not confirmed their list since then
+
   # Guards against fetches from peers that do not answer while another one could be asked.
   Scenario Outline: An instance fetches from the peers that it reaches
     Given readers: 6 instances in domain "a" and 5 in domain "b"
--- a/tests/features/steps/store_readers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -68,6 +68,22 @@
     context.world.faults.cut.discard(name)
 
 
+@behave.when(
+    "readers: the history of the store is gone and all listings fail from then on"
+)
+def history_gone(context):
+    context.world.fail_listings = True
+    context.forgotten_at = context.world.now()
+    context.route_runner.run(context.world.forget_history())
+
+
+@behave.then('readers: "{names}" have not confirmed their list since then')
+def lists_unconfirmed(context, names):
+    for name in named(context, names):
+        fleet = context.world.instances[name].fleet
+        assert fleet.servers_confirmed_at < context.forgotten_at, name
+
+
 @behave.when("readers: all paths work again")
 def heal(context):
     context.world.failed_fetches.clear()
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -68,6 +68,7 @@
         failed_fetches: Pairs of instance and peer from which it can't fetch.
         fetched: Pairs of instance and peer of all fetches that were answered.
         calls: Calls to the store, as pairs of an instance and a name.
+        fail_listings: Whether the store is away from the next listing on.
         longest_behind: For how long each instance was behind its peers at most.
     """
 
@@ -80,6 +81,7 @@
         self.failed_fetches = set()
         self.fetched = []
         self.calls = []
+        self.fail_listings = False
         self.longest_behind = collections.defaultdict(datetime.timedelta)
         self._tasks = []
         self.instances = {}
@@ -91,6 +93,8 @@
         async def count_call(point):
             if not point.endswith("done"):
                 self.calls.append((name, point))
+            if self.fail_listings and point.startswith("list"):
+                self.faults.outage = True
 
         link = memory_store.MemoryStore(
             self.table, time=time, link=name, faults=self.faults, pause=count_call
@@ -197,6 +201,11 @@
         """Write the entry of a server."""
         await self._put("servers", name, watch_world.entry(name) | fields)
 
+    async def forget_history(self):
+        """Change a server, and have the store drop its history at the same time."""
+        await self.write_server("s2", slots=9)
+        self.table.compact_history()
+
     async def _put(self, kind, name, value):
         current = self.table.get(kind, name)
         await self.table.put(
