Name the reading hysteresis and the duration of a lag by what they are

Read once more as a newcomer: a stay was the time for which an instance goes on reading the store, and lasts the duration of a lag. Names only; instances_behind.feature run, 23 scenarios, passes.

--- a/src/pimentolatch/decisions/peer_lag.py
+++ b/src/pimentolatch/decisions/peer_lag.py
@@ -2,7 +2,7 @@
 
 Load pattern: beacons are datagrams, while configurations and lists of servers come over
 connections. Either may work without the other, or in one direction only. An instance
-then hears that there is news and does not get it. Without the time for which this has
+then hears of a newer version and does not get it. Without the time for which this has
 lasted, its log shows single failed calls, and nothing tells whether a late request was
 sent by an instance that knew that it was behind.
 """
@@ -34,6 +34,6 @@
         elif self.since is None:
             self.since = now
 
-    def lasts(self, now: datetime.timedelta) -> datetime.timedelta:
+    def duration(self, now: datetime.timedelta) -> datetime.timedelta:
         """Return for how long this instance has been behind."""
         return datetime.timedelta() if self.since is None else now - self.since
--- a/src/pimentolatch/decisions/store_readers.py
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -22,7 +22,7 @@
 import datetime
 from collections import abc
 
-__all__ = ["Reader", "Stay", "is_reader", "select"]
+__all__ = ["Reader", "ReadingHysteresis", "is_reader", "select"]
 
 # Two readers may be frozen or rejected at the same time. In domains of up to three
 # instances all of them read.
@@ -32,10 +32,10 @@
 _READER_LIFETIME = datetime.timedelta(milliseconds=1500)
 # A reader stops only after it has not been needed for this long: one that stopped and
 # started with each lost beacon would list everything again each time.
-_SHORTEST_STAY = datetime.timedelta(seconds=2)
+_SHORTEST_HOLD = datetime.timedelta(seconds=2)
 # Twice as long each time, up to the length of a usual partition.
-_STAY_FACTOR = 2
-_LONGEST_STAY = datetime.timedelta(seconds=64)
+_HOLD_FACTOR = 2
+_LONGEST_HOLD = datetime.timedelta(seconds=64)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,13 +71,13 @@
     return len(before) < _READER_COUNT
 
 
-class Stay:
+class ReadingHysteresis:
     """For how long an instance goes on reading the store after it was needed."""
 
     def __init__(self) -> None:
         self._is_reading = False
         self._needed_at = datetime.timedelta()
-        self._length = _SHORTEST_STAY
+        self._length = _SHORTEST_HOLD
 
     def reads(
         self, now: datetime.timedelta, *, is_reader: bool, is_overdue: bool
@@ -99,9 +99,9 @@
         return self._is_reading
 
     def _adapt(self, now: datetime.timedelta, *, is_overdue: bool) -> None:
-        """Set the length of a new stay by that of the last one, if it was recent."""
-        is_recent = now - self._needed_at <= self._length + _LONGEST_STAY
+        """Set the length of a new hold by that of the last one, if it was recent."""
+        is_recent = now - self._needed_at <= self._length + _LONGEST_HOLD
         if is_overdue and is_recent and self._needed_at:
-            self._length = min(_STAY_FACTOR * self._length, _LONGEST_STAY)
+            self._length = min(_HOLD_FACTOR * self._length, _LONGEST_HOLD)
         else:
-            self._length = _SHORTEST_STAY
+            self._length = _SHORTEST_HOLD
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -172,7 +172,7 @@
             self.servers_source,
             round(age / _MILLISECOND),
             lag.announced if is_behind else None,
-            round(lag.lasts(now) / _MILLISECOND) if is_behind else None,
+            round(lag.duration(now) / _MILLISECOND) if is_behind else None,
         )
 
     def kept_ms(self, now: datetime.timedelta, *server_ids: str) -> int | None:
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -204,7 +204,7 @@
             live, now = self._table.live(), self._clock.monotonic()
             announced = max((kind.announced(peer.beacon) for peer in live), default=0)
             kind.lag.observe(kind.known(), announced, now)
-            lag = kind.lag.lasts(now)
+            lag = kind.lag.duration(now)
             self._log_lag(kind, lag)
             waits = self._fleet.watches_store and self._fleet.complete
             if kind.lag.since is None or (waits and lag < _MAX_WATCH_LAG):
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -280,12 +280,12 @@
             (
                 "servers_behind_seconds",
                 "Time since peers have announced newer servers.",
-                fleet.servers_lag.lasts(now).total_seconds(),
+                fleet.servers_lag.duration(now).total_seconds(),
             ),
             (
                 "configuration_behind_seconds",
                 "Time since peers have announced a newer configuration.",
-                fleet.configuration_lag.lasts(now).total_seconds(),
+                fleet.configuration_lag.duration(now).total_seconds(),
             ),
             ("reads_store", "Whether it reads the store.", fleet.watches_store),
             (
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -50,7 +50,7 @@
         self._watches = watches
         self._clock = time
         self._running: list[asyncio.Task[None]] = []
-        self._stay = store_readers.Stay()
+        self._hysteresis = store_readers.ReadingHysteresis()
 
     def apply(self, bounds: settings.BoundSettings) -> None:
         """Apply new settings; a watch that waits keeps the limits that it has."""
@@ -75,7 +75,7 @@
         overdue = [watch.kind for watch in self._watches if watch.is_overdue]
         if overdue and not is_reader and not self._running:
             _log.warn("peers do not confirm what is known", kinds=overdue)
-        if self._stay.reads(now, is_reader=is_reader, is_overdue=bool(overdue)):
+        if self._hysteresis.reads(now, is_reader=is_reader, is_overdue=bool(overdue)):
             self._start()
         else:
             self._stop()
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -1,7 +1,7 @@
 # Five gateways of one failure domain as processes: three read the store, two learn from
 # them. Beacons are datagrams, lists and configurations come over connections. All reach
 # the store, the servers and their clients; only paths between gateways are harmed.
-Feature: Instances that cannot get their peers' news
+Feature: Instances that cannot fetch what their peers announce
 
   # Guards against an instance that hears of a newer list, fails to fetch it and sends
   # requests to servers that left, by routes that are gone, for as long as this lasts.
--- a/tests/features/steps/store_readers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -156,7 +156,7 @@
     status = fleet.server_list_status(now)
     assert status.announced > status.revision, status
     assert status.behind_ms >= seconds * 1000, status
-    lag = fleet.configuration_lag.lasts(now)
+    lag = fleet.configuration_lag.duration(now)
     assert lag >= datetime.timedelta(seconds=seconds), lag
 
 
@@ -165,7 +165,7 @@
     fleet, now = context.world.instances[name].fleet, context.world.now()
     status = fleet.server_list_status(now)
     assert status.announced is None and status.behind_ms is None, status
-    assert not fleet.configuration_lag.lasts(now)
+    assert not fleet.configuration_lag.duration(now)
 
 
 @behave.then('readers: "{names}" were behind for {seconds:g} seconds at most')
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -169,7 +169,7 @@
             await asyncio.sleep(OBSERVED_INTERVAL_S)
             now = self.clock.monotonic()
             for name, instance in self.instances.items():
-                lag = instance.fleet.servers_lag.lasts(now)
+                lag = instance.fleet.servers_lag.duration(now)
                 self.longest_behind[name] = max(self.longest_behind[name], lag)
 
     async def _fetch(self, name, host, path):
