--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
-# The lock's hash names the stamp, so that a changed lock installs anew.
+# The lock's hash and the kind of machine name the stamp, so that a changed lock or a
+# folder from another kind of machine installs anew.
 VENV ?= .venv
 LOCK := $(shell sha256sum requirements.lock | cut -c1-16)
-STAMP := $(VENV)/.installed-$(LOCK)
+STAMP := $(VENV)/.installed-$(LOCK)-$(shell uname -m)
 PYTHON := PYTHONPATH=src:. $(VENV)/bin/python
 
 .PHONY: demo test format lint types features overhead cost bench slopes faults soak clean
