Log that a limit ends a connection with unread input

A connection that its idle limit closed left no line, so that a request which lay unread in its socket was lost without a trace.

--- a/src/pimentolatch/backend/sockets.py
+++ b/src/pimentolatch/backend/sockets.py
@@ -7,7 +7,7 @@
 
 from pimentolatch.decisions import request_delivery
 
-__all__ = ["enable_keepalive", "reset_on_close", "transmission"]
+__all__ = ["enable_keepalive", "reset_on_close", "transmission", "unread_bytes"]
 
 # Probes free the sockets of peers that are gone. They end a connection a minute after
 # the last byte received at the earliest: later than a request on it times out, since a
@@ -56,3 +56,9 @@
         unacknowledged_bytes=_C_INT.unpack(queued)[0],
         segments_in_flight=_UNACKED.unpack_from(info, _UNACKED_OFFSET)[0],
     )
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the kernel has received and this process has not read."""
+    unread = fcntl.ioctl(sock, termios.FIONREAD, bytes(_C_INT.size))
+    return int(_C_INT.unpack(unread)[0])
--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -13,9 +13,11 @@
 import json
 import typing
 
+import logbook
 from uvicorn.protocols.http import httptools_impl
 
 from pimentolatch import results
+from pimentolatch.backend import sockets
 
 __all__ = [
     "ABORT_EXTENSION",
@@ -24,6 +26,7 @@
     "BoundedHttpProtocol",
 ]
 
+_log = logbook.Logger("connection")
 # ASGI extension: aborts the connection at once, for callers that stop reading.
 ABORT_EXTENSION = "pimentolatch.abort"
 # ASGI extension: closes the connection once written data is sent, for responses that
@@ -177,6 +180,7 @@
         if left > 0 and not self.transport.is_closing():
             self._schedule_idle_timeout(left)
         else:
+            self._report_unread_input("idle", overdue_seconds=-left)
             super().timeout_keep_alive_handler()
 
     def _begin_idle(self) -> None:
@@ -190,6 +194,22 @@
             seconds, self.timeout_keep_alive_handler
         )
 
+    def _report_unread_input(self, limit: str, *, overdue_seconds: float) -> None:
+        """Log that a limit ends a connection whose client has sent more.
+
+        The client may have sent a whole request in time, and gets no answer to it.
+        """
+        if self.transport.is_closing():
+            return
+        unread = sockets.unread_bytes(self.transport.get_extra_info("socket"))
+        if unread:
+            _log.warn(
+                "closed with unread input",
+                limit=limit,
+                overdue_ms=round(overdue_seconds * 1000),
+                unread=unread,
+            )
+
     def _head_too_large_message(self) -> str:
         return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
 
@@ -235,6 +255,11 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
+        assert self._timer is not None
+        self._report_unread_input(
+            "head" if self._in_head else "message",
+            overdue_seconds=self.loop.time() - self._timer.when(),
+        )
         if self._in_head:
             self._refuse(
                 408, f"request head did not arrive within {self.head_seconds:g} s"
