Read the store's responses although one object can't be read

Another writer's entry among those of the servers, nested 100,000 levels deep or with a number of 100,000 digits, made each response that had it unreadable: the whole list, and each watch. All instances stopped following the servers until it was gone, instances that started got no list from the store, and no line named the entry. The response was read by one json.loads, which gives up the text at a RecursionError or at an integer of over 4,300 digits.

bounded_json reads a sound response in one pass with pydantic_core, a dependency already. If that fails, a second pass cuts out what is nested more than 256 levels deep, which needs only the brackets, and has the standard library read the rest; integers that it can't represent become `Unreadable` through its hooks. The second pass accepts all that the first one does, so whether an object is readable does not depend on the others. An object with an unreadable part has `Unreadable` for its value, which the decoders reject like any invalid value. A response of another form than expected is that of an unavailable store instead of an exception that ends the task.

--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -4,6 +4,7 @@
 import typing
 from collections import abc
 
+from pimentolatch import bounded_json
 from pimentolatch.routes import customers, route_table
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "DECODE_ERRORS", "decode"]
@@ -17,12 +18,14 @@
 _Fields = abc.Mapping[str, typing.Any]
 
 
-def decode(spec: _Fields) -> route_table.Configuration:
+def decode(spec: _Fields | bounded_json.Unreadable) -> route_table.Configuration:
     """Decode a spec into a configuration.
 
     Raises:
         One of `DECODE_ERRORS`: The spec is not a valid configuration.
     """
+    if isinstance(spec, bounded_json.Unreadable):
+        raise ValueError(spec.reason)
     services = (_service(fields) for fields in spec["services"])
     return route_table.Configuration(
         int(spec["version"]),
--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -1,4 +1,9 @@
-"""Client of the platform's object store."""
+"""Client of the platform's object store.
+
+Many write to the store, so a response may have an object that no reader can represent.
+It costs only itself: its value is `bounded_json.Unreadable`, which each decoder of a
+kind rejects like any other invalid value.
+"""
 
 import asyncio
 import dataclasses
@@ -6,16 +11,25 @@
 import json
 import typing
 import urllib.parse
+from collections import abc
+
+import logbook
 
-from pimentolatch import clock, settings, store
+from pimentolatch import bounded_json, clock, settings, store
 from pimentolatch.backend import channel
 from pimentolatch.platform import http_headers
 
 __all__ = ["ObjectStore"]
 
+_log = logbook.Logger("store")
 # A page of a list is about 1 MB; changes of some thousand objects come at once.
 _MAX_RESPONSE_BYTES = 16_000_000
 _JSON = [(b"content-type", b"application/json")]
+# Exceptions raised by reading a response that has another form than expected.
+_FORM_ERRORS = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
+
+
+_Decoded = typing.TypeVar("_Decoded")
 
 
 class ObjectStore:
@@ -49,15 +63,19 @@
             response = await self._call("GET", _path(kind, query=query))
             if isinstance(response, store.Unavailable):
                 return response
-            body = response.body
-            found += [_object(item) for item in body["items"]]
+            page = _decoded(_page, response)
+            if isinstance(page, store.Unavailable):
+                return page
+            found += page.objects
             # Between two pages, an object can move from a later page to an earlier one
             # and be missed. So changes are watched from the first page's revision.
-            revision = revision or int(body["as_of"])
-            if not body["has_more"] or not body["items"]:
+            revision = revision or page.revision
+            if page.is_last:
                 kept = (item for item in found if item.name.startswith(prefix))
                 return store.Listing(revision, tuple(kept))
-            after = found[-1].name
+            if not page.objects or page.objects[-1].name == after:
+                return store.Unavailable("a page without a next one", False)
+            after = page.objects[-1].name
 
     async def watch(
         self,
@@ -76,13 +94,7 @@
             return response
         if response.status == 410:
             return store.HistoryGone()
-        events = response.body["events"]
-        latest = {event["object"]["metadata"]["name"]: event for event in events}
-        return store.Changes(
-            int(response.body["as_of"]),
-            tuple(_object(e["object"]) for e in latest.values() if not e["deleted"]),
-            tuple(name for name, e in latest.items() if e["deleted"]),
-        )
+        return _decoded(_changes, response)
 
     async def get(
         self, kind: str, name: str
@@ -93,7 +105,7 @@
             return response
         if response.status == 404:
             return store.Absent(name)
-        return _object(response.body)
+        return _decoded(_single, response)
 
     async def put(
         self, kind: str, name: str, value: store.Json, *, if_version: int
@@ -110,9 +122,8 @@
         if isinstance(response, store.Unavailable):
             return response
         if response.status in (404, 409):
-            current = (response.body or {}).get("metadata", {})
-            return store.Conflict(int(current.get("revision", 0)))
-        return store.Written(int(response.body["metadata"]["revision"]))
+            return _decoded(_conflict, response, effect_unknown=False)
+        return _decoded(_written, response, effect_unknown=True)
 
     async def delete(
         self, kind: str, name: str, *, if_version: int
@@ -124,22 +135,16 @@
             return response
         if response.status == 404:
             return store.Absent(name)
-        version = int(((response.body or {}).get("metadata") or {}).get("revision", 0))
-        return (
-            store.Conflict(version)
-            if response.status == 409
-            else store.Written(version)
-        )
+        if response.status == 409:
+            return _decoded(_conflict, response, effect_unknown=False)
+        return _decoded(_deleted, response, effect_unknown=True)
 
     async def instances(self) -> tuple[store.Instance, ...] | store.Unavailable:
         """See `store.Store.instances`."""
         response = await self._call("GET", "/v1/instances")
         if isinstance(response, store.Unavailable):
             return response
-        rows = response.body["instances"]
-        return tuple(
-            store.Instance(**{**row, "ended": tuple(row["ended"])}) for row in rows
-        )
+        return _decoded(_instances, response)
 
     async def _call(
         self,
@@ -169,19 +174,13 @@
                 link.send(method, target.encode(), [(b"host", host), *_JSON], data)
                 start = await link.read_head()
                 content = await link.read_body(_MAX_RESPONSE_BYTES)
-            # Invalid UTF-8 in one object must not make all others unreadable.
-            text = content.decode("utf-8", "replace")
-            parsed = json.loads(text) if text else None
+            parsed = bounded_json.loads(content or b"null")
         except TimeoutError:
             reason = f"no answer within {limit.total_seconds():g} s"
             return self._silent(link, reason, is_write)
         except channel.UndeliveredError as error:
             return self._silent(link, str(error), is_write)
-        except (
-            channel.BrokenError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except (channel.BrokenError, ValueError) as error:
             link.close()
             return store.Unavailable(repr(error), effect_unknown=is_write)
         except BaseException:
@@ -206,11 +205,22 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Response:
     status: int
-    body: typing.Any
+    document: bounded_json.Document
+
+    @property
+    def body(self) -> typing.Any:
+        return self.document.value
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    revision: int
+    objects: tuple[store.Found, ...]
+    is_last: bool
 
 
 def _check_status(
-    start: channel.ResponseHead, parsed: typing.Any, is_write: bool
+    start: channel.ResponseHead, parsed: bounded_json.Document, is_write: bool
 ) -> _Response | store.Unavailable:
     if start.status in (200, 201, 404, 409, 410):
         return _Response(start.status, parsed)
@@ -223,14 +233,92 @@
     return store.Unavailable(f"status {start.status}", unknown, retry_after)
 
 
-def _object(item: typing.Any) -> store.Found:
+def _decoded(
+    decode: abc.Callable[[_Response], _Decoded],
+    response: _Response,
+    *,
+    effect_unknown: bool = False,
+) -> _Decoded | store.Unavailable:
+    """Decode a response; one of another form is that of an unavailable store."""
+    try:
+        return decode(response)
+    except _FORM_ERRORS as error:
+        reason = f"status {response.status} with an unexpected body: {error!r:.100}"
+        return store.Unavailable(reason, effect_unknown)
+
+
+def _page(response: _Response) -> _Page:
+    body = response.body
+    found = [_object_or_none(item, response) for item in body["items"]]
+    return _Page(
+        int(body["as_of"]),
+        tuple(item for item in found if item is not None),
+        is_last=not body["has_more"] or not found,
+    )
+
+
+def _changes(response: _Response) -> store.Changes:
+    latest: dict[str, store.Found | None] = {}
+    for event in response.body["events"]:
+        item = _object_or_none(event["object"], response)
+        if item is not None:
+            latest[item.name] = None if event["deleted"] else item
+    return store.Changes(
+        int(response.body["as_of"]),
+        tuple(item for item in latest.values() if item is not None),
+        tuple(name for name, item in latest.items() if item is None),
+    )
+
+
+def _single(response: _Response) -> store.Found:
+    return _object(response.body, response)
+
+
+def _conflict(response: _Response) -> store.Conflict:
+    return store.Conflict(_revision(response.body))
+
+
+def _deleted(response: _Response) -> store.Written:
+    return store.Written(_revision(response.body))
+
+
+def _written(response: _Response) -> store.Written:
+    return store.Written(int(response.body["metadata"]["revision"]))
+
+
+def _revision(body: typing.Any) -> int:
+    """Return the revision of a response's object; 0 if it has none."""
+    return int(((body or {}).get("metadata") or {}).get("revision", 0))
+
+
+def _instances(response: _Response) -> tuple[store.Instance, ...]:
+    rows = response.body["instances"]
+    return tuple(
+        store.Instance(**{**row, "ended": tuple(row["ended"])}) for row in rows
+    )
+
+
+def _object_or_none(item: typing.Any, response: _Response) -> store.Found | None:
+    """Decode an object; one without a readable name and revision is logged."""
+    try:
+        return _object(item, response)
+    except _FORM_ERRORS as error:
+        _log.warn("object passed over", reason=f"{error!r:.200}")
+        return None
+
+
+def _object(item: typing.Any, response: _Response) -> store.Found:
     metadata = item["metadata"]
+    name = metadata["name"]
+    # It is needed to ask for the next page.
+    if not isinstance(name, str) or bounded_json.first_unreadable(name) is not None:
+        raise ValueError("the name is not a text")
     # Another writer may have omitted the spec; decoders then reject the None.
+    value = item.get("spec")
+    if not response.document.is_whole:
+        value = bounded_json.first_unreadable(value) or value
     return store.Found(
-        metadata["name"],
-        int(metadata["revision"]),
-        item.get("spec"),
-        int(metadata.get("created", 0)),
+        name, int(metadata["revision"]), value, int(metadata.get("created", 0))
     )
 
 
--- a/src/pimentolatch/platform/server_entries.py
+++ b/src/pimentolatch/platform/server_entries.py
@@ -11,7 +11,7 @@
 import datetime
 import typing
 
-from pimentolatch import settings
+from pimentolatch import bounded_json, settings
 from pimentolatch.routes import servers
 
 __all__ = ["SERVER_KIND", "InvalidEntry", "decode"]
@@ -49,6 +49,8 @@
         created_revision: Revision of the store at its creation.
         revision: Revision of the store at its last change.
     """
+    if isinstance(spec, bounded_json.Unreadable):
+        return InvalidEntry(spec.reason)
     if not isinstance(spec, dict):
         return InvalidEntry(f"not a JSON object but {type(spec).__name__}")
     try:
--- a/src/pimentolatch/store.py
+++ b/src/pimentolatch/store.py
@@ -32,6 +32,8 @@
 
     Attributes:
         version: Revision of the store at its last write.
+        value: What is stored; `bounded_json.Unreadable` if another writer has stored
+            what can't be read.
         created: Revision of the store at its creation; an object that was removed and
             written again has a new one.
     """
--- a/standins/object_table.py
+++ b/standins/object_table.py
@@ -6,7 +6,13 @@
 import json
 import typing
 
-__all__ = ["ObjectTable", "Row", "ValueTooLargeError", "VersionConflictError"]
+__all__ = [
+    "ObjectTable",
+    "RawJson",
+    "Row",
+    "ValueTooLargeError",
+    "VersionConflictError",
+]
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -27,6 +33,13 @@
     """The value exceeds `MAX_VALUE_BYTES`."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawJson:
+    """A value that is served as it is, since no encoder here would write it."""
+
+    text: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
     """An object.
@@ -34,7 +47,7 @@
     Attributes:
         version: Revision of the store at the object's last write; orders all writes.
         created: Revision of the store at its creation.
-        value: JSON value; None if the object is deleted.
+        value: JSON value or `RawJson`; None if the object is deleted.
     """
 
     name: str
@@ -88,7 +101,8 @@
             VersionConflictError: If the object has another version.
             ValueTooLargeError: If the value is too large.
         """
-        if len(json.dumps(value)) > MAX_VALUE_BYTES:
+        text = value.text if isinstance(value, RawJson) else json.dumps(value)
+        if len(text) > MAX_VALUE_BYTES:
             raise ValueTooLargeError
         current = self._rows.get(kind, {}).get(name)
         present = current is not None and current.value is not None
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import typing
+import uuid
 
 import uvicorn
 from starlette import applications, requests, responses, routing
@@ -15,11 +16,30 @@
 
 __all__ = ["build", "main"]
 
-JsonResponse = responses.JSONResponse
 _DISCONNECT_CHECK_S = 0.5
 _PAGE_SIZE = 500
 
 
+class JsonResponse(responses.JSONResponse):
+    """Response whose content may have `object_table.RawJson` in it."""
+
+    def render(self, content: typing.Any) -> bytes:
+        """Return the body."""
+        raw: list[bytes] = []
+        mark = uuid.uuid4().hex
+
+        def hold_place(value: object_table.RawJson) -> str:
+            raw.append(value.text)
+            return mark
+
+        parts = (
+            json.dumps(content, default=hold_place)
+            .encode()
+            .split(b'"%b"' % mark.encode())
+        )
+        return b"".join(b"%b%b" % pair for pair in zip(parts, [*raw, b""], strict=True))
+
+
 class TokenBucket:
     """Rate limit in calls per second, with a burst of one second's calls."""
 
