Reject addresses whose port is not written in plain digits

Entries with 127.0.0.1:+80, :8_0, ': 80' or ':80 ' named a server, since int() takes signs, underscores and spaces; whoever reads such an entry otherwise would send elsewhere or not at all. Only ASCII digits make a port now.

--- a/src/pimentolatch/settings.py
+++ b/src/pimentolatch/settings.py
@@ -43,6 +43,9 @@
     def from_text(cls, text: str) -> typing.Self:
         """Parse `HOST:PORT`; raises `ValueError` if the text is malformed."""
         host, _, port = text.rpartition(":")
+        # `int` also takes signs, spaces, underscores and digits of other scripts.
+        if not (port.isascii() and port.isdigit()):
+            raise ValueError(f"not a port: {port!r:.20}")
         return cls(host=host, port=int(port))
 
     @property
--- a/tests/features/routes_entries.feature
+++ b/tests/features/routes_entries.feature
@@ -4,31 +4,38 @@
     Then entries: one <changed> is unusable
 
     Examples:
-      | changed                     |
-      | without its service         |
-      | without its address         |
-      | without its state           |
-      | without its slots           |
-      | without its zone            |
-      | with state "sleeping"       |
-      | with state 7                |
-      | with service 7              |
-      | with slots -5               |
-      | with slots true             |
-      | with slots 1e400            |
-      | with zone null              |
-      | with address 8080           |
-      | with address "here"         |
-      | with address "10.0.0.1:0"   |
-      | with stage "sleep"          |
-      | with stage ["decode"]       |
-      | with born "1000"            |
-      | with born 1.5               |
-      | with cold_remaining_ms "x"  |
-      | with cold_remaining_ms NaN  |
-      | that is a list              |
-      | that is a text              |
-      | that is null                |
+      | changed                       |
+      | without its service           |
+      | without its address           |
+      | without its state             |
+      | without its slots             |
+      | without its zone              |
+      | with state "sleeping"         |
+      | with state 7                  |
+      | with service 7                |
+      | with slots -5                 |
+      | with slots true               |
+      | with slots 1e400              |
+      | with zone null                |
+      | with address 8080             |
+      | with address "here"           |
+      | with address "10.0.0.1:0"     |
+      | with address "10.0.0.1:65536" |
+      | with address "10.0.0.1:+80"   |
+      | with address "10.0.0.1:8_0"   |
+      | with address "10.0.0.1:80 "   |
+      | with address "10.0.0.1: 80"   |
+      | with address "10.0.0.1:"      |
+      | with address "10.0.0.1:٨٠"    |
+      | with stage "sleep"            |
+      | with stage ["decode"]         |
+      | with born "1000"              |
+      | with born 1.5                 |
+      | with cold_remaining_ms "x"    |
+      | with cold_remaining_ms NaN    |
+      | that is a list                |
+      | that is a text                |
+      | that is null                  |
 
   Scenario: An entry without a birth is one of a server that never starts again
     Then entries: one without its born is usable
