Take no cut answer of the first daemon's plain calls for whole

What callers saw: a call to a plain service, or one that an instance forwarded to the owner of its key, succeeded with an empty 204 although the server had stopped in the middle of its answer's head and closed. For a key this success was stored. The other way round, an answer without a length, or one behind an interim answer, was whole and counted as lost.

Cause: the HTTP library takes the end of the connection for the end of a head, and an interim answer for the answer, and tells neither. The check added for this asked for a stated length or chunks, which a 204 has not. Class: an answer whose end the library does not tell.

Mend: both clients use the channel of the other daemon, through backend.full_response, so that the framing alone decides. The check is gone, and so is the library's client for connections that are used once.

The scenarios of late answers and of "not run" that tested the library's connections through plain calls now test the channel; the same ones for transfers and streams, which still use the library, are new. Without the two safeguards of these connections both scenarios of late handles fail.

--- a/src/pimentolatch/backend/connections.py
+++ b/src/pimentolatch/backend/connections.py
@@ -1,4 +1,9 @@
-"""HTTP client for backend servers, and the errors that its calls raise."""
+"""HTTP client for engines, and the errors that its calls raise.
+
+To the library, a response that is cut within its head is one without a body, and an
+interim response is the response. So it serves only calls whose responses show by their
+content that they are complete. Others use `backend.full_response`.
+"""
 
 import datetime
 import typing
@@ -17,14 +22,11 @@
     "CONNECT_FAILURES",
     "ConnectError",
     "client",
-    "has_framed_body",
     "has_unread",
     "timeouts",
 ]
 
 _POOL_SIZE = 1024
-_NO_REUSE = 0
-_BODILESS = (204, 304)
 
 
 class ConnectError(aiosonic.exceptions.AiosonicError):
@@ -84,11 +86,6 @@
             return False
         return not self.has_unread and not (self.reader and self.reader.at_eof())
 
-    def keep_alive(self) -> None:
-        """Keep the connection open after this response, unless it is for one use."""
-        if self.pool.conf.max_conn_requests != _NO_REUSE:
-            super().keep_alive()
-
     async def __aexit__(
         self, exc_type: typing.Any, exc: typing.Any, traceback: typing.Any
     ) -> None:
@@ -97,17 +94,9 @@
         await super().__aexit__(exc_type, exc, traceback)
 
 
-def client(*, reuse: bool) -> aiosonic.HTTPClient:
-    """Return a client that reuses its connections, or uses each one once.
-
-    An idle connection can be closed while a request is sent on it, and then it is
-    unknown whether the request ran. Calls that are not repeatable therefore use each
-    connection once. (The library counts from zero: a limit of 1 allows two uses.)
-    """
-    if reuse:
-        pool = aiosonic.pools.PoolConfig(size=_POOL_SIZE)
-    else:
-        pool = aiosonic.pools.PoolConfig(size=_POOL_SIZE, max_conn_requests=_NO_REUSE)
+def client() -> aiosonic.HTTPClient:
+    """Return a client that reuses its connections."""
+    pool = aiosonic.pools.PoolConfig(size=_POOL_SIZE)
     connector = aiosonic.connectors.TCPConnector(
         pool_configs={":default": pool}, connection_cls=_Connection
     )
@@ -132,14 +121,3 @@
     """Return whether received bytes of a response's body have not been read."""
     connection = getattr(response, "_connection", None)
     return isinstance(connection, _Connection) and connection.has_unread
-
-
-def has_framed_body(response: aiosonic.HttpResponse) -> bool:
-    """Return whether a response states where its body ends.
-
-    To the library, a response truncated within its headers looks like one without a
-    body. Accepting it as complete would return an empty success to the caller.
-    """
-    if response.status_code in _BODILESS or response.chunked:
-        return True
-    return str(response.headers.get("content-length", "")).isdigit()
--- a/src/pimentolatch/backend/engine_client.py
+++ b/src/pimentolatch/backend/engine_client.py
@@ -74,7 +74,7 @@
         response_timeout: datetime.timedelta = datetime.timedelta(seconds=600),
     ) -> None:
         self._headers = _HEADERS | {"x-instance": sender}
-        self._client = connections.client(reuse=True)
+        self._client = connections.client()
         self._timeouts = connections.timeouts(
             connect=connect, response_timeout=response_timeout
         )
--- a/src/pimentolatch/backend/instance_client.py
+++ b/src/pimentolatch/backend/instance_client.py
@@ -1,14 +1,11 @@
 """Client of other entry instances: forwards a call to the owner of its key."""
 
-import asyncio
 import dataclasses
 import datetime
 import json
 
-import aiosonic
-
-from pimentolatch import results, settings
-from pimentolatch.backend import connections, outcomes
+from pimentolatch import clock, results, settings
+from pimentolatch.backend import full_response, outcomes
 
 __all__ = [
     "FORWARDED_HEADER",
@@ -43,21 +40,27 @@
 
 
 class InstanceClient:
-    """Forwards calls to other entry instances."""
+    """Forwards calls to other entry instances.
+
+    Args:
+        sender: Name of this instance.
+        time: Clock of this instance.
+        connect: Time limit for opening a connection.
+    """
 
     def __init__(
         self,
         sender: str,
+        time: clock.Clock,
         *,
         connect: datetime.timedelta = datetime.timedelta(seconds=1),
     ) -> None:
         self._sender = sender
-        self._connect = connect
-        self._client = connections.client(reuse=True)
+        self._client = full_response.FullResponseClient(time, connect=connect)
 
-    async def aclose(self) -> None:
-        """Close the connections."""
-        await self._client.connector.cleanup()
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._client.close()
 
     async def forward(
         self, address: settings.Address, call: Forward
@@ -69,7 +72,7 @@
         Sending it twice is harmless, since the owner runs each key once. Connections
         may therefore be reused.
         """
-        headers = {
+        fields = {
             "content-type": call.content_type,
             "idempotency-key": call.idempotency_key,
             "x-request-timeout-ms": str(
@@ -79,35 +82,28 @@
             REQUEST_ID_HEADER: call.request_id,
         }
         if call.authorization is not None:
-            headers["authorization"] = call.authorization
-        connect = min(self._connect, call.time_limit / 2)
-        timeouts = connections.timeouts(
-            connect=connect, response_timeout=call.time_limit
+            fields["authorization"] = call.authorization
+        response = await self._client.post(
+            address,
+            f"/v1/services/{call.service}/{call.operation}",
+            fields,
+            call.body,
+            time_limit=call.time_limit,
+            reuse=True,
         )
-        url = f"{address.url}/v1/services/{call.service}/{call.operation}"
-        try:
-            async with asyncio.timeout(call.time_limit.total_seconds()):
-                response = await self._client.post(
-                    url, data=call.body, headers=headers, timeouts=timeouts
-                )
-                body = await response.content()
-        except connections.CONNECT_FAILURES as error:
-            return outcomes.NotRun(repr(error), reached=False)
-        except connections.ANSWER_FAILURES as error:
-            return outcomes.OutcomeUnknown(repr(error))
-        return _parse_response(response, body)
+        if not isinstance(response, full_response.FullResponse):
+            return response
+        return _parse_response(response)
 
 
 def _parse_response(
-    response: aiosonic.HttpResponse, body: bytes
+    response: full_response.FullResponse,
 ) -> outcomes.Response | results.Refusal | outcomes.OutcomeUnknown:
-    if not connections.has_framed_body(response):
-        return outcomes.OutcomeUnknown("response truncated within its headers")
-    if results.RESULT_HEADER not in response.headers:
-        content_type = str(response.headers.get("content-type", ""))
-        return outcomes.Response(response.status_code, body, content_type)
+    if not response.field(results.RESULT_HEADER):
+        content_type = response.field("content-type")
+        return outcomes.Response(response.status, response.body, content_type)
     try:
-        error = json.loads(body)["error"]
+        error = json.loads(response.body)["error"]
         seconds = error.get("retry_after_seconds")
         return results.Refusal(
             results.ResultCode(error["code"]),
--- a/src/pimentolatch/backend/kv_client.py
+++ b/src/pimentolatch/backend/kv_client.py
@@ -45,7 +45,7 @@
     ) -> None:
         self._headers = {"content-type": "application/json", "x-instance": sender}
         self._connect = connect
-        self._client = connections.client(reuse=True)
+        self._client = connections.client()
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/src/pimentolatch/backend/plain_client.py
+++ b/src/pimentolatch/backend/plain_client.py
@@ -1,14 +1,11 @@
 """Client of the servers of plain services."""
 
-import asyncio
 import dataclasses
 import datetime
 import json
 
-import aiosonic
-
-from pimentolatch import settings
-from pimentolatch.backend import connections, outcomes
+from pimentolatch import clock, settings
+from pimentolatch.backend import full_response, outcomes
 
 __all__ = ["Call", "PlainClient"]
 
@@ -38,24 +35,23 @@
 
     Args:
         sender: Name of this instance, for the servers' logs.
+        time: Clock of this instance.
         connect: Time limit for opening a connection.
     """
 
     def __init__(
         self,
         sender: str,
+        time: clock.Clock,
         *,
         connect: datetime.timedelta = datetime.timedelta(seconds=1),
     ) -> None:
         self._sender = sender
-        self._reusing = connections.client(reuse=True)
-        self._single_use = connections.client(reuse=False)
-        self._connect = connect
+        self._client = full_response.FullResponseClient(time, connect=connect)
 
-    async def aclose(self) -> None:
-        """Close the connections."""
-        await self._reusing.connector.cleanup()
-        await self._single_use.connector.cleanup()
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._client.close()
 
     async def call(
         self, address: settings.Address, call: Call
@@ -65,45 +61,35 @@
         Returns:
             `NotRun` only if no byte was sent or the server reports it.
         """
-        client = self._reusing if call.repeatable else self._single_use
-        headers = {
+        fields = {
             "content-type": call.content_type,
             _DISPATCH_HEADER: call.dispatch_id,
             "x-instance": self._sender,
         }
-        url = f"{address.url}/v1/services/{call.service}/{call.operation}"
-        # Connecting gets half of the time at most, so that a time-out while connecting
-        # is reported as such and not taken for a lost response.
-        connect = min(self._connect, call.time_limit / 2)
-        timeouts = connections.timeouts(
-            connect=connect, response_timeout=call.time_limit
+        response = await self._client.post(
+            address,
+            f"/v1/services/{call.service}/{call.operation}",
+            fields,
+            call.body,
+            time_limit=call.time_limit,
+            reuse=call.repeatable,
         )
-        try:
-            async with asyncio.timeout(call.time_limit.total_seconds()):
-                response = await client.post(
-                    url, data=call.body, headers=headers, timeouts=timeouts
-                )
-                body = await response.content()
-        except connections.CONNECT_FAILURES as error:
-            return outcomes.NotRun(repr(error), reached=False)
-        except connections.ANSWER_FAILURES as error:
-            return outcomes.OutcomeUnknown(repr(error))
-        return _parse_response(call, response, body)
+        if not isinstance(response, full_response.FullResponse):
+            return response
+        return _parse_response(call, response)
 
 
 def _parse_response(
-    call: Call, response: aiosonic.HttpResponse, body: bytes
+    call: Call, response: full_response.FullResponse
 ) -> outcomes.ServiceOutcome:
-    if not connections.has_framed_body(response):
-        return outcomes.OutcomeUnknown("response truncated within its headers")
-    dispatch_id = response.headers.get(_DISPATCH_HEADER, call.dispatch_id)
-    if dispatch_id != call.dispatch_id:
+    if response.field(_DISPATCH_HEADER, call.dispatch_id) != call.dispatch_id:
         return outcomes.OutcomeUnknown("response to another dispatch")
-    if response.status_code == 503 and _says_not_run(body):
+    if response.status == 503 and _says_not_run(response.body):
         return outcomes.NotRun(
             "the server refused the call without running it", reached=True
         )
-    return outcomes.Response(response.status_code, body, _content_type(response))
+    content_type = response.field("content-type", "application/octet-stream")
+    return outcomes.Response(response.status, response.body, content_type)
 
 
 def _says_not_run(body: bytes) -> bool:
@@ -112,7 +98,3 @@
     except ValueError:
         return False
     return isinstance(parsed, dict) and parsed.get("ran") is False
-
-
-def _content_type(response: aiosonic.HttpResponse) -> str:
-    return str(response.headers.get("content-type", "application/octet-stream"))
--- a/src/pimentolatch/entry/process.py
+++ b/src/pimentolatch/entry/process.py
@@ -50,7 +50,7 @@
         self._fleet = fleet.Fleet()
         self._metrics = metrics.Metrics()
         self._work = outstanding_work.OutstandingWork()
-        self._clients = clients.BackendClients(chosen.instance)
+        self._clients = clients.BackendClients(chosen.instance, time)
         self._completions = completion.CompletionRunner(
             own_fleet=self._fleet,
             own_domain=chosen.failure_domain,
--- a/tests/features/requests_answers.feature
+++ b/tests/features/requests_answers.feature
@@ -13,6 +13,17 @@
       | before the late answer   |
       | after the late answer    |
 
+  # Guards against a late answer that the next call gets from the HTTP library.
+  Scenario Outline: A late handle is never given to the next transfer, sent <when>
+    Given requests meet a server that gives the second handle late
+    When requests make three transfers, the second without time, the next <when> the late
+    Then requests receive "one", no handle, and "three"
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
   # A badge is printed twice or not at all: the server closes a kept connection just as
   # the next request is written to it, and nobody knows whether it ran. Only the
   # first request on a connection is free of this.
@@ -47,10 +58,32 @@
 
   # Guards against "not run" for a call that the server has read, if the caller's process
   # stood still while it connected and its time-out ended at the same moment.
-  Scenario: A caller that stands still is not told "not run" of a call that was read
-    When requests make calls and stand still at each step of connecting
+  Scenario Outline: A caller that stands still hears "not run" of no <what> that was read
+    When requests make a <what> and stand still at each step of connecting
     Then requests see "not run" for some, and the server has seen none of these
 
+    Examples:
+      | what   |
+      | call   |
+      | stream |
+
+  # Guards against the same for streams, which are sent by the HTTP library.
+  Scenario Outline: A stream is said not to have run only if that is certain
+    Given requests meet a server that <trouble>
+    When requests ask for a stream
+    Then requests see "<outcome>" and the server has seen <count> requests
+
+    Examples:
+      | trouble                                 | outcome       | count |
+      | is not there                            | not run       | 0     |
+      | accepts no connection                   | not run       | 0     |
+      | says that it did not run the call       | not run       | 1     |
+      | says nothing and closes                 | may have run  | 1     |
+      | cuts its answer inside the status line  | may have run  | 1     |
+      | cuts its answer inside the headers      | may have run  | 1     |
+      | answers something other than HTTP       | may have run  | 1     |
+      | answers an error that says nothing      | may have run  | 1     |
+
   # The caller saw tokens of a stranger, or its own twice: answers cross and repeat on
   # the way. Every event names its dispatch and its place; what doesn't fit is dropped,
   # and what is missing breaks the stream, so that it is resumed there.
--- a/tests/features/steps/requests_answers_steps.py
+++ b/tests/features/steps/requests_answers_steps.py
@@ -7,8 +7,8 @@
 
 import behave
 
-from pimentolatch import settings
-from pimentolatch.backend import engine_client, outcomes, plain_client
+from pimentolatch import clock, settings
+from pimentolatch.backend import engine_client, kv_client, outcomes, plain_client
 from tests.support import raw_server
 
 SECOND = datetime.timedelta(seconds=1)
@@ -33,7 +33,7 @@
 
 
 async def send(address, *calls, connect=AMPLE, pause_s=0.0):
-    client = plain_client.PlainClient("test", connect=connect)
+    client = plain_client.PlainClient("test", clock.SystemClock(), connect=connect)
     try:
         found = []
         for one in calls:
@@ -41,7 +41,7 @@
             await asyncio.sleep(pause_s)
         return found
     finally:
-        await client.aclose()
+        client.close()
 
 
 def answers(*bodies):
@@ -84,6 +84,40 @@
     assert third.body == b"three", third
 
 
+@behave.given("requests meet a server that gives the second handle late")
+def late_handle(context):
+    one, two, three = answers(b'{"kv": "one"}', b'{"kv": "two"}', b'{"kv": "three"}')
+    late = raw_server.ScriptedResponse(two.raw, delay_s=0.3)
+    context.server = raw_server.RawServer(one, late, three)
+
+
+@behave.when(
+    "requests make three transfers, the second without time, the next {when} the late"
+)
+def three_transfers(context, when):
+    importer = raw_server.RawServer(*answers(b"{}", b"{}", b"{}"))
+
+    async def run():
+        client = kv_client.KvClient("test", connect=AMPLE)
+        async with context.server.listening() as one, importer.listening() as other:
+            found = []
+            for limit in (AMPLE, SECOND / 10, AMPLE):
+                found.append(await client.transfer(one, other, "m", "p", limit))
+                await asyncio.sleep(0.3 if when == "after" else 0.0)
+        await client.aclose()
+        return found
+
+    context.outcomes = asyncio.run(run())
+
+
+@behave.then('requests receive "one", no handle, and "three"')
+def received_handles(context):
+    first, second, third = context.outcomes
+    assert first == kv_client.Handle("one"), first
+    assert isinstance(second, kv_client.NotTransferred), second
+    assert third == kv_client.Handle("three"), third
+
+
 @behave.given("requests meet a server that answers three calls")
 def patient_server(context):
     context.server = raw_server.RawServer(*answers(b"one", b"two", b"three"))
@@ -185,6 +219,29 @@
     [context.outcome] = asyncio.run(run())
 
 
+async def ask_for_stream(address, connect):
+    """Return the last event of a stream, or what is said in its place."""
+    client = engine_client.EngineClient("test", connect=connect, response_timeout=AMPLE)
+    dispatch = engine_client.Dispatch(DISPATCH, "m", "p", 4)
+    *_, last = [event async for event in client.generate(address, dispatch)]
+    await client.aclose()
+    return last
+
+
+@behave.when("requests ask for a stream")
+def one_stream(context):
+    async def run():
+        if context.server is None:
+            address = settings.Address(host="127.0.0.1", port=context.port)
+            return await ask_for_stream(address, SHORT_CONNECT)
+        async with context.server.listening() as address:
+            found = await ask_for_stream(address, AMPLE)
+            await asyncio.sleep(0.05)
+            return found
+
+    context.outcome = asyncio.run(run())
+
+
 @behave.then('requests see "{outcome}" and the server has seen {count:d} requests')
 def outcome_is(context, outcome, count):
     kinds = {
@@ -197,29 +254,37 @@
     assert seen == count, context.server.requests
 
 
-async def call_with_pauses(passes):
-    """Make a call, and block the event loop repeatedly after some passes of it.
+async def ask_for_call(address, connect):
+    [outcome] = await send(address, call(b"x", repeatable=False), connect=connect)
+    return outcome
+
+
+ASKING = {"call": ask_for_call, "stream": ask_for_stream}
+
+
+async def asked_with_pauses(ask, passes):
+    """Ask, and block the event loop repeatedly after some passes of it.
 
     Returns:
         The outcome, and the number of requests that the server has seen.
     """
     server = raw_server.RawServer(*answers(b"one"))
     async with server.listening() as address:
-        one = call(b"x", repeatable=False)
-        asked = asyncio.create_task(send(address, one, connect=PAUSE))
+        asked = asyncio.create_task(ask(address, PAUSE))
         for _ in range(passes):
             await asyncio.sleep(0)
         for _ in range(PAUSES):
             time.sleep(1.5 * PAUSE.total_seconds())  # noqa: ASYNC251
             await asyncio.sleep(0)
-        [outcome] = await asked
+        outcome = await asked
         await asyncio.sleep(0.05)
     return outcome, len(server.requests)
 
 
-@behave.when("requests make calls and stand still at each step of connecting")
-def calls_with_pauses(context):
-    context.calls = [asyncio.run(call_with_pauses(n)) for n in range(PASSES)]
+@behave.when("requests make a {what} and stand still at each step of connecting")
+def calls_with_pauses(context, what):
+    asked = [asyncio.run(asked_with_pauses(ASKING[what], n)) for n in range(PASSES)]
+    context.calls = asked
 
 
 @behave.then('requests see "not run" for some, and the server has seen none of these')
