Give a head that begins beside an earlier response the limit of heads

What callers saw: a client that had begun to send its next request while the response to the one before was written had its connection closed without a 408, once it counted as idle; or it got the 408 after the limit of refused bodies, five seconds, although its limit for heads was longer.

Cause: at the end of a response the idle timeout began, and the limit of the rest of a refused body, whatever had begun to arrive. The same cause elsewhere: after empty lines between requests, or the rest of a refused body, a connection had no idle timeout at all, as the library ends it with each read; it stayed open for good.

Evidence: the new scenario's examples and the one with an empty line failed before (200 and a close for both heads; the connection stayed open for ten seconds) and pass now.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -111,6 +111,9 @@
                 self._start_timer(MESSAGE_SECONDS)
         else:
             self._cancel_timer()
+            if not self._response_pending():
+                # Nothing but empty lines, for which the library ends the idle timeout.
+                self.timeout_keep_alive_handler()
 
     def eof_received(self) -> bool | None:  # type: ignore[override]
         """Handle a caller that closed its sending side.
@@ -177,7 +180,10 @@
         super().on_response_complete()
         if self.timeout_keep_alive_task is not None:
             self._begin_idle()
-        if self._in_message and not self.transport.is_closing():
+        if self._in_head:
+            # The next request has begun to arrive; its own limit applies.
+            self._unset_keepalive_if_required()
+        elif self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
 
     def shutdown(self) -> None:
--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -31,6 +31,18 @@
     Then kept: the instance closes the connection
 
     Examples:
-      | begins                |
-      | has been answered     |
-      | has opened connection |
+      | begins                 |
+      | has been answered      |
+      | has opened connection  |
+      | has sent an empty line |
+
+  # Guards against a head that gets the limit of idle connections, and no 408.
+  Scenario Outline: A head that begins beside an earlier response has the head's limit
+    Given kept: a server with limits of 0.2 s while idle and of 0.8 s for a head
+    When kept: a client sends a request and a half, and the rest <when>
+    Then kept: it gets statuses <statuses>
+
+    Examples:
+      | when        | statuses |
+      | after 0.4 s | 200, 200 |
+      | never       | 200, 408 |
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -1,7 +1,10 @@
 import asyncio
+import re
 
 import behave
 
+from pimentolatch.entry import bounded_http
+from tests.features.steps import unanswered_requests_steps
 from tests.support import route_world
 
 
@@ -31,6 +34,8 @@
         context.link = await context.world.connect()
         if begins == "has been answered":
             await ask(context, "kept-1")
+        elif begins == "has sent an empty line":
+            context.link[1].write(b"\r\n")
         await asyncio.sleep(idle_ms / 1000)
 
     context.route_runner.run(use())
@@ -68,6 +73,44 @@
     assert context.route_runner.run(read()) == b""
 
 
+@behave.given(
+    "kept: a server with limits of {idle:g} s while idle and of {head:g} s for a head"
+)
+def limits(context, idle, head):
+    for name, limit in (
+        ("IDLE_SECONDS", idle),
+        ("LINGER_SECONDS", idle),
+        ("HEAD_SECONDS", head),
+    ):
+        context.add_cleanup(setattr, bounded_http, name, getattr(bounded_http, name))
+        setattr(bounded_http, name, limit)
+
+
+@behave.when("kept: a client sends a request and a half, and the rest {when}")
+def and_a_half(context, when):
+    request = unanswered_requests_steps.REQUEST
+    half = len(request) // 2
+
+    async def send():
+        application = unanswered_requests_steps.echo
+        async with unanswered_requests_steps.served(application) as (_, address):
+            link = unanswered_requests_steps.connected(address)
+            link.sendall(request + request[:half])
+            if when != "never":
+                await asyncio.sleep(float(when.split()[1]))
+                link.sendall(request[half:])
+            context.raw = await unanswered_requests_steps.received(link, until=None)
+            link.close()
+
+    asyncio.run(send())
+
+
+@behave.then("kept: it gets statuses {statuses}")
+def gets_statuses(context, statuses):
+    found = re.findall(rb"HTTP/1.1 (\d+)", context.raw)
+    assert b", ".join(found).decode() == statuses, context.raw
+
+
 async def ask(context, request_id):
     """Return the reply to a request; None if the connection was closed instead."""
     reader, writer = context.link
