Close the connection of a malformed head after its refusal

What operators saw: a client that sent a malformed head and did not close its side kept its connection for good, and after ten seconds an exception was printed.

Cause: the refusal starts the timer that aborts the connection; back in the handler of the same read, the limit of the head took its place, whose refusal then failed, as the sending side was closed already.

Evidence: the new scenario failed before (the connection still took data after twice the limit) and passes now.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -100,6 +100,8 @@
             return
         was_in_head, was_in_message = self._in_head, self._in_message
         super().data_received(data)
+        if self._discarding_input:
+            return
         if self._in_head:
             self._head_bytes += len(data)
             if self._head_bytes > self.head_limit_bytes:
--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -46,3 +46,10 @@
       | when        | statuses |
       | after 0.4 s | 200, 200 |
       | never       | 200, 408 |
+
+  # Guards against refused connections that stay open for as long as their clients like.
+  Scenario: A connection whose head was malformed is closed
+    Given kept: a server with limits of 0.2 s while idle and of 0.8 s for a head
+    When kept: a client sends a malformed head and goes on for 0.4 s
+    Then kept: it gets statuses 400
+    And kept: its connection is closed
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -105,6 +105,33 @@
     asyncio.run(send())
 
 
+@behave.when("kept: a client sends a malformed head and goes on for {seconds:g} s")
+def malformed_head(context, seconds):
+    async def send():
+        application = unanswered_requests_steps.echo
+        async with unanswered_requests_steps.served(application) as (_, address):
+            link = unanswered_requests_steps.connected(address)
+            link.sendall(b"GET / HTTP/1.1\r\n:\r\n")
+            context.raw = await unanswered_requests_steps.received(link, until=None)
+            await asyncio.sleep(seconds)
+            context.closed = False
+            # The first one is answered by a reset if the connection is closed.
+            for _ in range(2):
+                try:
+                    link.sendall(b"more")
+                except ConnectionError:
+                    context.closed = True
+                await asyncio.sleep(route_world.POLL_S)
+            link.close()
+
+    asyncio.run(send())
+
+
+@behave.then("kept: its connection is closed")
+def is_closed(context):
+    assert context.closed
+
+
 @behave.then("kept: it gets statuses {statuses}")
 def gets_statuses(context, statuses):
     found = re.findall(rb"HTTP/1.1 (\d+)", context.raw)
