Log the requests that end with their connection, without an answer

What operators saw: a request whose client left within its head or body, that waited behind another one on its connection, or that was refused behind one or within its response, ended without a line and without a counter.

Each now leaves the line unanswered with its id and reason, within the budget of log lines, and counts in pimentolatch_unanswered_requests_total.

Evidence: the scenario on connections that end within a request failed before (no line within ten seconds, both examples) and passes now.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -10,8 +10,10 @@
 """
 
 import asyncio
+import enum
 import json
 import typing
+from collections import abc
 
 import logbook
 from uvicorn.protocols.http import httptools_impl
@@ -24,6 +26,7 @@
     "CLOSE_EXTENSION",
     "TARGET_EXTENSION",
     "BoundedHttpProtocol",
+    "Unanswered",
 ]
 
 _log = logbook.Logger("connection")
@@ -49,6 +52,15 @@
 _SERVICE_PATHS = "/v1/services/"
 
 
+class Unanswered(enum.StrEnum):
+    """Why a request got no response."""
+
+    CUT_WITHIN = "the connection ended within the request"
+    CUT_BEHIND = "the connection ended before its turn"
+    REFUSED_BEHIND = "it was refused behind an earlier request"
+    REFUSED_WITHIN = "it was refused after its response had begun"
+
+
 class _HeadTooLargeError(Exception):
     """The head of a request is over the limit."""
 
@@ -87,8 +99,9 @@
         self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
+        """Cancel the timer, and report requests that got no response."""
         self._cancel_timer()
+        self._report_cut_requests()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -188,6 +201,16 @@
         elif self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
 
+    def report_unanswered(
+        self, reason: Unanswered, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Report a request without a response; subclasses log it.
+
+        Args:
+            reason: Why it has none.
+            headers: Its header fields, as far as they have arrived.
+        """
+
     def shutdown(self) -> None:
         """Close the connection once the requests that its client has sent are answered.
 
@@ -251,6 +274,15 @@
     def _head_too_large_message(self) -> str:
         return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
 
+    def _report_cut_requests(self) -> None:
+        waiting = [cycle for cycle, _ in self.pipeline]
+        for cycle in reversed(waiting):
+            headers = cycle.scope["headers"]
+            self.report_unanswered(Unanswered.CUT_BEHIND, headers)
+        arriving = self._in_head or (self._in_message and self._response_pending())
+        if arriving and not self._discarding_input and self.cycle not in waiting:
+            self.report_unanswered(Unanswered.CUT_WITHIN, self.headers)
+
     def _has_unread_input(self) -> bool:
         return sockets.unread_bytes(self.transport.get_extra_info("socket")) > 0
 
@@ -277,12 +309,14 @@
         self._cancel_timer()
         if self.pipeline or (self._in_head and self._response_pending()):
             # The response to an earlier request of the connection is still being sent.
+            self.report_unanswered(Unanswered.REFUSED_BEHIND, self.headers)
             self.cycle.keep_alive = False
             return
         if self._response_pending():
             self.cycle.disconnected = True
             self.cycle.message_event.set()
             if self.cycle.response_started:
+                self.report_unanswered(Unanswered.REFUSED_WITHIN, self.headers)
                 self.transport.close()
                 return
         body = json.dumps(results.invalid(message).to_json())
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -118,7 +118,7 @@
         if isinstance(request, results.Refusal):
             self._request_log.write(
                 request_log.ANSWERED,
-                _request_id(scope),
+                http_headers.request_id(scope["headers"]),
                 wrong=True,
                 status=request.http_status,
                 outcome=request.message,
@@ -319,13 +319,6 @@
     return dataclasses.replace(route, max_attempts=left)
 
 
-def _request_id(scope: Scope) -> str:
-    try:
-        return http_headers.parse_client_headers(scope["headers"]).request_id
-    except ValueError:
-        return ""
-
-
 def _refusal_for(denial: access.Denial) -> results.Refusal:
     if denial is access.Denial.OUT_OF_DATE:
         return refusals.key_possibly_new()
--- a/src/pimentolatch/gateway/http_protocol.py
+++ b/src/pimentolatch/gateway/http_protocol.py
@@ -2,9 +2,11 @@
 
 import functools
 import typing
+from collections import abc
 
 from pimentolatch.entry import bounded_http
-from pimentolatch.gateway import fleet_state
+from pimentolatch.gateway import fleet_state, request_log
+from pimentolatch.platform import http_headers
 from pimentolatch.protocol import forwarding
 
 __all__ = ["ForwardedProtocol", "RouteProtocol", "protocol_class"]
@@ -14,10 +16,15 @@
     """One client connection; the newest limits apply."""
 
     def __init__(
-        self, *args: typing.Any, fleet: fleet_state.FleetState, **named: typing.Any
+        self,
+        *args: typing.Any,
+        fleet: fleet_state.FleetState,
+        log: request_log.RequestLog,
+        **named: typing.Any,
     ) -> None:
         super().__init__(*args, **named)
         self._fleet = fleet
+        self._request_log = log
 
     @property
     def head_limit_bytes(self) -> int:
@@ -44,6 +51,19 @@
         """Return False: a client that closes its side has disconnected."""
         return False
 
+    def report_unanswered(
+        self,
+        reason: bounded_http.Unanswered,
+        headers: abc.Iterable[tuple[bytes, bytes]],
+    ) -> None:
+        """Log a request without a response."""
+        self._request_log.write(
+            request_log.UNANSWERED,
+            http_headers.request_id(headers),
+            wrong=True,
+            reason=reason.value,
+        )
+
 
 class ForwardedProtocol(RouteProtocol):
     """One connection of a peer that forwards its clients' requests."""
@@ -55,7 +75,9 @@
 
 
 def protocol_class(
-    fleet: fleet_state.FleetState, kind: type[RouteProtocol] = RouteProtocol
+    fleet: fleet_state.FleetState,
+    log: request_log.RequestLog,
+    kind: type[RouteProtocol] = RouteProtocol,
 ) -> typing.Callable[..., typing.Any]:
     """Return the factory of the protocol of each connection."""
-    return functools.partial(kind, fleet=fleet)
+    return functools.partial(kind, fleet=fleet, log=log)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -197,13 +197,15 @@
         self._face = http_server.HttpServer(
             self._front_end(None),
             chosen.clients,
-            http_protocol.protocol_class(self._fleet),
+            http_protocol.protocol_class(self._fleet, self._request_log),
             grace,
         )
         self._peer_face = http_server.HttpServer(
             self._front_end(forwarded_admission.ForwardedAdmission(self._monitor)),
             chosen.peers.forwarding_address,
-            http_protocol.protocol_class(self._fleet, http_protocol.ForwardedProtocol),
+            http_protocol.protocol_class(
+                self._fleet, self._request_log, http_protocol.ForwardedProtocol
+            ),
             grace,
         )
         self._readiness = http_server.HttpServer(self._ready, chosen.readiness)
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -17,6 +17,7 @@
     "PLACED",
     "RESUMED",
     "SENT",
+    "UNANSWERED",
     "WAITED",
     "EventCounter",
     "RequestLog",
@@ -32,6 +33,7 @@
 FORWARDED = "forwarded"
 LATE = "late"
 ANSWERED = "answered"
+UNANSWERED = "unanswered"
 # Every event with its fields; `explain` parses them and docs/OPERATIONS.md lists them.
 EVENTS: dict[str, tuple[str, ...]] = {
     WAITED: ("ms", "in_vain", "withheld"),
@@ -64,6 +66,7 @@
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
         *("digest", "cut"),
     ),
+    UNANSWERED: ("reason",),
 }
 
 
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -88,6 +88,12 @@
             "Answers whose connection this instance closed before their end.",
             registry=self.registry,
         )
+        self._unanswered = prometheus_client.Counter(
+            _PREFIX + "unanswered_requests",
+            "Requests that ended with their connection, without an answer.",
+            ["reason"],
+            registry=self.registry,
+        )
         self._prompts = self._counter("prompts", "Prompts, by where they are read.")
         self._prompts_ended = self._counter(
             "prompts_ended",
@@ -146,6 +152,8 @@
             self._resumptions.labels(fields["outcome"]).inc()
         elif event == request_log.LATE:
             self._late.labels(fields["cause"], fields["route"]).inc()
+        elif event == request_log.UNANSWERED:
+            self._unanswered.labels(fields["reason"]).inc()
         elif event == request_log.PLACED:
             self._count_placement(fields)
 
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -20,6 +20,7 @@
     "parse_client_headers",
     "parse_retry_after",
     "request_fields",
+    "request_id",
     "without_api_keys",
 ]
 
@@ -207,6 +208,12 @@
     )
 
 
+def request_id(fields: abc.Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the id of a client's request; empty if its header has none."""
+    found = (value for name, value in fields if name.lower() == _REQUEST_ID)
+    return next(found, b"").decode("latin-1")
+
+
 def _milliseconds(value: bytes) -> datetime.timedelta:
     return datetime.timedelta(milliseconds=float(value))
 
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -1,8 +1,11 @@
 import asyncio
 import contextlib
+import re
 import socket
+import struct
 
 import behave
+import logbook
 
 from pimentolatch import settings
 from pimentolatch.entry import http_server
@@ -96,3 +99,121 @@
 def answered(context, count):
     assert context.raw.count(b"HTTP/1.1 200") == count, context.raw
     assert context.stopped
+
+
+def start(context, *faults, time=None):
+    """Start a world with one instance and one server that has these faults."""
+    context.logged = logbook.TestHandler(bubble=True)
+    context.logged.push_application()
+    context.add_cleanup(context.logged.pop_application)
+    context.route_runner = asyncio.Runner()
+    context.world = route_world.RouteWorld()
+
+    async def start_world():
+        await context.world.start_store()
+        await context.world.configure(1)
+        context.server = await context.world.add_server("plain", "app")
+        context.server.faults.extend(faults)
+        context.instance = await context.world.add_instance(time=time)
+
+    context.route_runner.run(start_world())
+
+
+@behave.given("unanswered: an instance that is about to stop")
+def about_to_stop(context):
+    time = route_world.HeldClock()
+    start(context, time=time)
+
+    async def announce():
+        context.stopping = asyncio.create_task(context.instance.stop())
+        await context.world.until(lambda: time.held)
+
+    context.route_runner.run(announce())
+
+
+@behave.given("unanswered: an instance with a server that does not answer")
+def with_stuck_server(context):
+    start(context, "stuck")
+
+
+@behave.when("unanswered: a client pipelines two requests")
+def pipelines(context):
+    async def send():
+        reader, writer = await context.world.connect()
+        for name in ("first", "second"):
+            writer.write(route_world.request("notify", name, name.encode()))
+        async with asyncio.timeout(route_world.WAIT_S):
+            context.raw = await reader.read()
+        writer.close()
+
+    context.route_runner.run(send())
+
+
+@behave.then(
+    "unanswered: both are answered, and only the last answer closes the connection"
+)
+def both_answered(context):
+    heads = re.findall(rb"HTTP/1.1 200.*?\r\n\r\n", context.raw, re.DOTALL)
+    assert [b"connection: close" in head for head in heads] == [False, True], heads
+    assert re.findall(rb"answer of (first|second)", context.raw) == [
+        b"first",
+        b"second",
+    ]
+
+
+@behave.when("unanswered: a client pipelines two requests and leaves")
+def pipelines_and_leaves(context):
+    async def send():
+        _, writer = await context.world.connect()
+        for name in ("first", "second"):
+            writer.write(route_world.request("notify", name, name.encode()))
+        await context.world.until(lambda: context.server.count_runs("first"))
+        writer.close()
+
+    context.route_runner.run(send())
+
+
+@behave.then("unanswered: the server is told that the first one is cancelled")
+def first_cancelled(context):
+    until(context, lambda: "first" in context.server.cancelled)
+
+
+@behave.then('unanswered: "{reason}" is logged for the second one')
+def second_logged(context, reason):
+    until(context, lambda: ("second", reason) in unanswered(context))
+
+
+@behave.when(
+    "unanswered: a client sends the {part} of a request and its connection is reset"
+)
+def reset_within(context, part):
+    raw = route_world.request("notify", "partial", b"12")
+    sent = raw[:-1] if "body" in part else raw[: raw.index(b"\r\n\r\n")]
+
+    async def send():
+        _, writer = await context.world.connect()
+        writer.write(sent)
+        await asyncio.sleep(LATE_S)
+        link = writer.get_extra_info("socket")
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.close()
+
+    context.route_runner.run(send())
+
+
+@behave.then('unanswered: "{reason}" is logged')
+def logged(context, reason):
+    until(context, lambda: ("partial", reason) in unanswered(context))
+
+
+def until(context, condition):
+    context.route_runner.run(context.world.until(condition))
+
+
+def unanswered(context):
+    """Return the requests that were logged as unanswered, with the reasons."""
+    return [
+        (record.kwargs["id"], record.kwargs["reason"])
+        for record in context.logged.records
+        if record.message == "unanswered"
+    ]
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -15,3 +15,14 @@
       | 1 requests | on a new connection                    |
       | 1 requests | on a connection that is being accepted |
       | 1 requests | on a connection that has just opened   |
+
+  # Guards against connections that end within a request and leave no line.
+  Scenario Outline: A connection that ends within a request is logged
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: a client sends the <part> of a request and its connection is reset
+    Then unanswered: "the connection ended within the request" is logged
+
+    Examples:
+      | part                      |
+      | head without its end      |
+      | head with half of a body  |
