Stop the work for a client that leaves behind pipelined requests

What servers saw: they worked on for a client that had left, if further requests of its connection waited behind the one that they ran.

Cause: the library tells the newest request of a connection that it has ended, not the one that runs. And beside a waiting request it reads no further, so that the end is not noticed before the response.

Now the running request is told too, and a connection is read on beside up to eight waiting requests; a body that waits is still bounded as before.

Evidence: the new scenario failed before (nothing was cancelled within ten seconds) and passes now.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -49,6 +49,8 @@
 LINGER_SECONDS = 5.0
 # Time that a connection without a request has to send one once the server stops.
 FIRST_REQUEST_SECONDS = 1.0
+# Pipelined requests beside which a connection is still read, to notice that it ends.
+_MAX_READ_AHEAD = 8
 _SERVICE_PATHS = "/v1/services/"
 
 
@@ -91,6 +93,7 @@
     _idle_since = 0.0
     _stopping = False
     _last_cycle: httptools_impl.RequestResponseCycle | None = None
+    _running_cycle: httptools_impl.RequestResponseCycle | None = None
     _timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: typing.Any) -> None:
@@ -99,10 +102,15 @@
         self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer, and report requests that got no response."""
+        """Cancel the timer, and what runs for the client."""
         self._cancel_timer()
         self._report_cut_requests()
         super().connection_lost(exc)
+        # The library tells the newest request only, which may be a pipelined one.
+        running = self._running_cycle
+        if running is not None and not running.response_complete:
+            running.disconnected = True
+            running.message_event.set()
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, and start the timeout of a request that is incomplete.
@@ -184,6 +192,9 @@
         super().on_headers_complete()
         if self._stopping:
             self._close_after(self.cycle)
+        if 0 < len(self.pipeline) < _MAX_READ_AHEAD:
+            # The library reads no further, and would not notice that the client leaves.
+            self.flow.resume_reading()
 
     def on_message_complete(self) -> None:
         """Record that the request is complete."""
@@ -274,6 +285,12 @@
     def _head_too_large_message(self) -> str:
         return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
 
+    def _start_asgi_task(
+        self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
+    ) -> None:
+        self._running_cycle = cycle
+        super()._start_asgi_task(cycle, app)
+
     def _report_cut_requests(self) -> None:
         waiting = [cycle for cycle, _ in self.pipeline]
         for cycle in reversed(waiting):
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -16,6 +16,13 @@
       | 1 requests | on a connection that is being accepted |
       | 1 requests | on a connection that has just opened   |
 
+  # Guards against work for clients that left while further requests of theirs waited.
+  Scenario: A client that leaves with pipelined requests ends the work on the first one
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: a client pipelines two requests and leaves
+    Then unanswered: the server is told that the first one is cancelled
+    And unanswered: "the connection ended before its turn" is logged for the second one
+
   # Guards against connections that end within a request and leave no line.
   Scenario Outline: A connection that ends within a request is logged
     Given unanswered: an instance with a server that does not answer
