Announce the close of a connection in its last pipelined response

What callers saw: during a planned stop the second of two pipelined requests, both read whole, got no answer: the first response said Connection: close, and the connection closed behind it.

Cause: every response that began after the stop's notice bore Connection: close, whatever waited behind it. Now one with requests behind it does not; the last one does. The first daemon added the field in the same way, and is changed alike.

Evidence: the new scenario failed before (one answer, with Connection: close) and passes now (two, the second with it); for the first daemon there is no scenario of its own, and requests_http and requests_stop pass.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -24,9 +24,11 @@
 __all__ = [
     "ABORT_EXTENSION",
     "CLOSE_EXTENSION",
+    "PIPELINE_EXTENSION",
     "TARGET_EXTENSION",
     "BoundedHttpProtocol",
     "Unanswered",
+    "is_pipelined_behind",
 ]
 
 _log = logbook.Logger("connection")
@@ -35,6 +37,8 @@
 # ASGI extension: closes the connection once written data is sent, for responses that
 # end early.
 CLOSE_EXTENSION = "pimentolatch.close"
+# ASGI extension: the requests of the connection that wait for the response.
+PIPELINE_EXTENSION = "pimentolatch.pipeline"
 # ASGI extension: the request target as received, in bytes.
 TARGET_EXTENSION = "pimentolatch.target"
 
@@ -179,6 +183,7 @@
         self.scope["extensions"] = {
             ABORT_EXTENSION: {"call": self.transport.abort},
             CLOSE_EXTENSION: {"call": self.transport.close},
+            PIPELINE_EXTENSION: {"waiting": self.pipeline},
         }
 
     def on_headers_complete(self) -> None:
@@ -368,3 +373,8 @@
         elif not self._response_pending():
             # The rest of a refused body did not arrive.
             self.transport.abort()
+
+
+def is_pipelined_behind(scope: typing.MutableMapping[str, typing.Any]) -> bool:
+    """Whether further requests of a request's connection wait for its response."""
+    return bool(scope["extensions"][PIPELINE_EXTENSION]["waiting"])
--- a/src/pimentolatch/entry/caller_front_end.py
+++ b/src/pimentolatch/entry/caller_front_end.py
@@ -12,7 +12,12 @@
 
 from pimentolatch import clock, document_index, fleet, metrics, results, settings
 from pimentolatch.backend import instance_client, outcomes
-from pimentolatch.entry import graceful_shutdown, http_responses, request_parsing
+from pimentolatch.entry import (
+    bounded_http,
+    graceful_shutdown,
+    http_responses,
+    request_parsing,
+)
 from pimentolatch.requests import completion, completion_stream, identity, service_call
 
 __all__ = ["CallerFrontEnd", "TicketIssuer"]
@@ -255,7 +260,8 @@
 
         A caller with a keep-alive connection would otherwise send its next request to
         an instance that has stopped, and see it cut. It now reconnects through the
-        load balancer, which picks an instance that is ready.
+        load balancer, which picks an instance that is ready. Pipelined requests that
+        have arrived already are answered first.
         """
 
         async def wrapped(
@@ -269,6 +275,7 @@
                 if (
                     message["type"] == "http.response.start"
                     and not self._shutdown.ready
+                    and not bounded_http.is_pipelined_behind(scope)
                 ):
                     message["headers"] = [*message["headers"], _CLOSE_HEADER]
                 return send(message)
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -94,13 +94,20 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI)."""
         with self._shutdown.track_request():
-            await self._serve(scope, receive, self._announcing_shutdown(send))
+            await self._serve(scope, receive, self._announcing_shutdown(scope, send))
 
-    def _announcing_shutdown(self, send: Send) -> Send:
-        """Ask clients to close their connection once this instance is stopping."""
+    def _announcing_shutdown(self, scope: Scope, send: Send) -> Send:
+        """Ask clients to close their connection once this instance is stopping.
+
+        Pipelined requests that have arrived already are answered first.
+        """
 
         async def announcing(message: Message) -> None:
-            if message["type"] == "http.response.start" and not self._shutdown.ready:
+            if (
+                message["type"] == "http.response.start"
+                and not self._shutdown.ready
+                and not bounded_http.is_pipelined_behind(scope)
+            ):
                 message["headers"] = [*message["headers"], _CLOSE]
             await send(message)
 
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -16,6 +16,12 @@
       | 1 requests | on a connection that is being accepted |
       | 1 requests | on a connection that has just opened   |
 
+  # Guards against pipelined requests that an announced stop drops after one response.
+  Scenario: A response says that its connection closes only if no request is behind it
+    Given unanswered: an instance that is about to stop
+    When unanswered: a client pipelines two requests
+    Then unanswered: both are answered, and only the last answer closes the connection
+
   # Guards against work for clients that left while further requests of theirs waited.
   Scenario: A client that leaves with pipelined requests ends the work on the first one
     Given unanswered: an instance with a server that does not answer
