Describe the kinds of soak runs in a table

run_seed had one flag for each kind and as many branches. A kind is now a frozen description of what is drawn, injected and checked, so that more kinds need no branches; flags and steps stay as they were, but two kinds at once are rejected now, where the first one was taken silently.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 import behave
 
 from tests import soak
+from tests.support import soak_kinds
 
 # What is told within seconds is judged by the soak that is run by hand.
 MARGIN_S = 60.0
@@ -14,7 +15,7 @@
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
 def play(context, seed, seconds):
-    context.result = asyncio.run(soak.run_seed(seed, float(seconds), MARGIN_S))
+    _play(context, seed, seconds, soak_kinds.STANDARD)
 
 
 @behave.when(
@@ -22,30 +23,26 @@
     " with a request that ends servers"
 )
 def play_fatal(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), MARGIN_S, fatal=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.STANDARD, fatal=True)
 
 
 @behave.when(
     "the soak plays seed {seed:d} for {seconds:d} seconds of silence and changes"
 )
 def play_silence(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), SILENCE_MARGIN_S, silence=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["silence"], SILENCE_MARGIN_S)
 
 
 @behave.when(
     "the soak plays seed {seed:d} for {seconds:d} seconds of pauses and changes"
 )
 def play_pauses(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), MARGIN_S, pauses=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["pauses"])
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of outages")
 def play_outages(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), MARGIN_S, outages=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["outages"])
 
 
 @behave.when(
@@ -53,8 +50,7 @@
     " of gateways"
 )
 def play_entries(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), MARGIN_S, entries=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["entries"])
 
 
 @behave.when(
@@ -62,14 +58,12 @@
     " gateways"
 )
 def play_paths(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), PATHS_MARGIN_S, paths=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["paths"], PATHS_MARGIN_S)
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds of uneven engines")
 def play_uneven(context, seed, seconds):
-    played = soak.run_seed(seed, float(seconds), MARGIN_S, uneven=True)
-    context.result = asyncio.run(played)
+    _play(context, seed, seconds, soak_kinds.KINDS["uneven"])
 
 
 @behave.then("no promise was broken and most requests were served")
@@ -78,3 +72,8 @@
     assert not result.violations, result.violations[:5]
     assert result.faults > 5
     assert result.served > 0.8 * result.requests > 0
+
+
+def _play(context, seed, seconds, kind, margin_s=MARGIN_S, *, fatal=False):
+    played = soak.run_seed(seed, float(seconds), margin_s, kind, fatal=fatal)
+    context.result = asyncio.run(played)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,23 +24,14 @@
 import time
 
 from tests.support import (
-    path_world,
     safeguard_removal,
     soak_checks,
     soak_clients,
     soak_endings,
-    soak_entries,
     soak_faults,
-    soak_outages,
-    soak_paths,
-    soak_pauses,
-    soak_uneven,
-    soak_world,
+    soak_kinds,
 )
 
-GATEWAYS = 4
-CLIENTS = 12
-FAULT_INTERVAL_S = 0.4
 # Once the last fault has ended, gateways have SETTLE_S to recover. Of the requests sent
 # in the next RECOVERY_CHECK_S, at least MIN_SERVED_SHARE must succeed.
 SETTLE_S = 5.0
@@ -65,14 +56,9 @@
     seed,
     seconds,
     margin_s,
+    kind=soak_kinds.STANDARD,
     disabled_safeguard=None,
     fatal=False,
-    silence=False,
-    pauses=False,
-    outages=False,
-    uneven=False,
-    entries=False,
-    paths=False,
 ):
     """Run gateways under the faults of one seed and check what clients received.
 
@@ -80,57 +66,23 @@
         seed: Seed of the faults and of the clients' requests.
         seconds: Time for which new faults begin.
         margin_s: Added to the time bounds of the checks.
+        kind: Kind of the run.
         disabled_safeguard: Name of a safeguard that the gateways run without.
         fatal: One client repeats a request that crashes each server that runs it.
-        silence: Only silence and planned changes are injected.
-        pauses: Only pauses of servers and planned changes are injected.
-        outages: Outages of the store, leaving servers and restarts are injected.
-        uneven: Engines differ in speed, and failure domains fall silent in turn.
-        entries: Check-ins reach the store late, and gateways stand still.
-        paths: Paths between gateways are harmed, and servers leave.
     """
-    world = _make_world(disabled_safeguard, paths=paths)
+    world = kind.world(disabled_safeguard)
     clock = asyncio.get_running_loop().time
-    alone = (silence and seed % 2) or ((pauses or outages or entries) and seed % 4 == 0)
-    if pauses:
-        soak_pauses.prepare(world, seed)
-        injector = soak_pauses.PauseInjector(world, clock)
-        faults = soak_pauses.draw(seed, seconds)
-        clients = soak_pauses.clients(world, seed, clock)
-    elif outages:
-        injector = soak_outages.OutageInjector(world, clock)
-        faults = soak_outages.draw(seed, seconds)
-        clients = _clients(world, seed, clock)
-    elif entries:
-        world.failure_domains = soak_entries.FAILURE_DOMAINS
-        clients = _clients(world, seed, clock)
-        injector = soak_entries.EntryInjector(world, clock, clients)
-        faults = soak_entries.draw(seed, seconds, alone=alone)
-    elif paths:
-        world.failure_domains = soak_paths.FAILURE_DOMAINS
-        clients = _clients(world, seed, clock)
-        injector = soak_paths.PathInjector(world, clock, clients)
-        faults = soak_paths.draw(seed, seconds)
-    elif uneven:
-        soak_uneven.prepare(world)
-        injector = soak_uneven.UnevenInjector(world, clock)
-        faults = soak_uneven.draw(seed, seconds)
-        clients = _clients(world, seed, clock, soak_uneven.CLIENTS)
-    else:
-        injector = soak_faults.FaultInjector(world, clock)
-        faults = _draw_faults(seed, seconds, silence)
-        clients = _clients(world, seed, clock)
+    kind.prepare(world, seed)
+    clients = kind.clients(world, seed, clock)
+    injector = kind.injector(world, clock, clients)
+    faults = kind.draw(seed, seconds)
     stop = asyncio.Event()
     if fatal:
         world.fatal_body = soak_clients.FATAL_BODY
-        clients.append(soak_clients.FatalClient(world, CLIENTS, seed, clock))
+        clients.append(soak_clients.FatalClient(world, len(clients), seed, clock))
     try:
-        if uneven:
-            await world.start(soak_uneven.GATEWAYS, **soak_uneven.SERVERS)
-        else:
-            await world.start(_gateway_count(alone, entries, paths))
+        await world.start(kind.gateway_count(seed), **kind.servers)
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
-        doubted = []
         if fatal:
             tasks.append(asyncio.create_task(world.replace_crashed(stop)))
         await _inject_faults(injector, faults, clients, clock)
@@ -139,8 +91,7 @@
         await asyncio.sleep(RECOVERY_CHECK_S)
         stop.set()
         await asyncio.gather(*tasks)
-        if entries:
-            doubted = await soak_entries.unconfirmed_violations(world)
+        seen_at_end = await kind.check_end(world)
         logs = world.logs()
     finally:
         await world.stop()
@@ -154,25 +105,14 @@
         if s.crashed
     ]
     endings = soak_endings.Endings(world, injector)
-    violations = [*doubted, *endings.violations(attempts)]
+    violations = [*seen_at_end, *endings.violations(attempts)]
     violations += soak_checks.violations(
         attempts, servers, injector, logs, margin_s, endings.unanswerable
     )
     violations += soak_checks.quarantine_violations(
         attempts, servers, injector, margin_s
     )
-    if outages:
-        violations += soak_outages.late_violations(
-            attempts, servers, injector, margin_s
-        )
-    if entries:
-        violations += soak_entries.late_violations(
-            attempts, servers, injector, margin_s
-        )
-    if paths:
-        violations += soak_paths.late_violations(attempts, servers, injector, margin_s)
-    if uneven:
-        violations += soak_uneven.avoidance_violations(servers, injector, margin_s)
+    violations += kind.check(attempts, servers, injector, margin_s)
     after_faults = [
         attempt
         for attempt in attempts
@@ -198,40 +138,6 @@
     )
 
 
-def _clients(world, seed, clock, count=CLIENTS):
-    return [
-        soak_clients.Client(world, number, seed * 1000 + number, clock)
-        for number in range(count)
-    ]
-
-
-def _draw_faults(seed, seconds, silence):
-    faults = soak_faults.draw_notices(seed, seconds)
-    faults += soak_faults.draw_silence(seed, seconds)
-    if not silence:
-        faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
-    return sorted(faults, key=lambda fault: fault.at)
-
-
-def _gateway_count(alone, entries, paths):
-    if paths:
-        return soak_paths.GATEWAYS
-    if alone:
-        return 1
-    return soak_entries.GATEWAYS if entries else GATEWAYS
-
-
-def _make_world(disabled_safeguard, *, paths):
-    if paths:
-        names = () if disabled_safeguard is None else (disabled_safeguard,)
-        return path_world.PathWorld(names)
-    if disabled_safeguard is None:
-        return soak_world.SoakWorld()
-    return soak_world.SoakWorld(
-        "tests.support.safeguard_removal", (disabled_safeguard,)
-    )
-
-
 async def _inject_faults(injector, faults, clients, clock):
     """Inject each fault at its time and wait until the last one has ended."""
     started_at = clock()
@@ -268,12 +174,10 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--margin", type=float, default=1.0)
     parser.add_argument("--fatal", action="store_true")
-    parser.add_argument("--silence", action="store_true")
-    parser.add_argument("--pauses", action="store_true")
-    parser.add_argument("--outages", action="store_true")
-    parser.add_argument("--uneven", action="store_true")
-    parser.add_argument("--entries", action="store_true")
-    parser.add_argument("--paths", action="store_true")
+    parser.set_defaults(kind=soak_kinds.STANDARD)
+    flags = parser.add_mutually_exclusive_group()
+    for name, kind in soak_kinds.KINDS.items():
+        flags.add_argument(f"--{name}", action="store_const", dest="kind", const=kind)
     parser.add_argument("--without", choices=sorted(safeguard_removal.SAFEGUARDS))
     parser.add_argument("--list", action="store_true")
     options = parser.parse_args()
@@ -289,14 +193,9 @@
             seed,
             options.seconds,
             options.margin,
+            options.kind,
             options.without,
             options.fatal,
-            options.silence,
-            options.pauses,
-            options.outages,
-            options.uneven,
-            options.entries,
-            options.paths,
         )
         result = asyncio.run(coroutine)
         failed_runs += bool(result.violations)
--- a/tests/support/soak_entries.py
+++ b/tests/support/soak_entries.py
@@ -15,11 +15,11 @@
 from tests.support import soak_clients, soak_faults, soak_outages, soak_world
 
 __all__ = [
-    "FAILURE_DOMAINS",
     "GATEWAYS",
     "EntryInjector",
     "draw",
     "late_violations",
+    "prepare",
     "unconfirmed_violations",
 ]
 
@@ -52,6 +52,11 @@
 HEARS_PEERS_S = 1.0
 
 
+def prepare(world, seed):
+    """Give a world a failure domain with a single gateway."""
+    world.failure_domains = FAILURE_DOMAINS
+
+
 def draw(seed, seconds, *, alone):
     """Return the faults of a run, in order; a single gateway is not restarted."""
     rng = random.Random(f"entries of {seed}")
@@ -84,17 +89,10 @@
 
 
 class EntryInjector(soak_outages.OutageInjector):
-    """Injects late check-ins, expired entries and pauses around leavings.
-
-    Args:
-        world: The gateways.
-        clock: Returns the time in seconds.
-        clients: Clients of the run; those of pauses are added.
-    """
+    """Injects late check-ins, expired entries and pauses around leavings."""
 
     def __init__(self, world, clock, clients):
-        super().__init__(world, clock)
-        self._clients = clients
+        super().__init__(world, clock, clients)
         self._restarting = asyncio.Lock()
         self._claimed = set()
         self._ready_at = {}
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -183,6 +183,11 @@
 class FaultInjector:
     """Injects faults and records their effect.
 
+    Args:
+        world: The gateways.
+        clock: Returns the time in seconds.
+        clients: Clients of the run, to which some faults add.
+
     Attributes:
         injected: The faults injected so far.
         drains_started_at: Time at which each drain began, by server id.
@@ -195,9 +200,10 @@
         rests: Rest that a server asks for in seconds, by server id.
     """
 
-    def __init__(self, world, clock):
+    def __init__(self, world, clock, clients):
         self._world = world
         self._clock = clock
+        self._clients = clients
         self.injected = []
         self.drains_started_at = {}
         self.routes_added_at = {}
--- /dev/null
+++ b/tests/support/soak_kinds.py
@@ -0,0 +1,165 @@
+"""The kinds of runs of the soak: what each draws, injects and checks."""
+
+import collections.abc
+import dataclasses
+
+from tests.support import (
+    path_world,
+    soak_clients,
+    soak_entries,
+    soak_faults,
+    soak_outages,
+    soak_paths,
+    soak_pauses,
+    soak_uneven,
+    soak_world,
+)
+
+__all__ = ["KINDS", "STANDARD", "Kind"]
+
+GATEWAYS = 4
+CLIENTS = 12
+FAULT_INTERVAL_S = 0.4
+
+
+def _draw(seed, seconds):
+    faults = _draw_silence(seed, seconds)
+    faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw_silence(seed, seconds):
+    faults = soak_faults.draw_notices(seed, seconds)
+    faults += soak_faults.draw_silence(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw_entries(seed, seconds):
+    return soak_entries.draw(seed, seconds, alone=_every_fourth(seed))
+
+
+def _never(seed):
+    return False
+
+
+def _every_other(seed):
+    return seed % 2 == 1
+
+
+def _every_fourth(seed):
+    return seed % 4 == 0
+
+
+def _clients(world, seed, clock, count=CLIENTS):
+    return [
+        soak_clients.Client(world, number, seed * 1000 + number, clock)
+        for number in range(count)
+    ]
+
+
+def _uneven_clients(world, seed, clock):
+    return _clients(world, seed, clock, soak_uneven.CLIENTS)
+
+
+def _world(disabled_safeguard):
+    if disabled_safeguard is None:
+        return soak_world.SoakWorld()
+    return soak_world.SoakWorld(
+        "tests.support.safeguard_removal", (disabled_safeguard,)
+    )
+
+
+def _path_world(disabled_safeguard):
+    names = () if disabled_safeguard is None else (disabled_safeguard,)
+    return path_world.PathWorld(names)
+
+
+def _unprepared(world, seed):
+    pass
+
+
+def _unchecked(attempts, servers, injector, margin_s):
+    return ()
+
+
+async def _unchecked_at_end(world):
+    return ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """One kind of runs.
+
+    Attributes:
+        draw: Returns the faults of a seed, for so many seconds.
+        injector: Class of what injects them.
+        clients: Returns the clients for a world, a seed and a clock.
+        world: Makes a world whose gateways lack the safeguard of a name, or none.
+        prepare: Changes a world before it starts, by a seed.
+        gateways: Number of gateways.
+        is_alone: Tells whether a seed has one gateway only.
+        servers: Numbers of servers that differ from the usual ones.
+        check: Returns more violations for attempts, servers, injector and margin.
+        check_end: Returns violations that a world shows before it is stopped.
+    """
+
+    draw: collections.abc.Callable
+    injector: type = soak_faults.FaultInjector
+    clients: collections.abc.Callable = _clients
+    world: collections.abc.Callable = _world
+    prepare: collections.abc.Callable = _unprepared
+    gateways: int = GATEWAYS
+    is_alone: collections.abc.Callable = _never
+    servers: dict = dataclasses.field(default_factory=dict)
+    check: collections.abc.Callable = _unchecked
+    check_end: collections.abc.Callable = _unchecked_at_end
+
+    def gateway_count(self, seed):
+        """Return the number of gateways of a run."""
+        return 1 if self.is_alone(seed) else self.gateways
+
+
+STANDARD = Kind(draw=_draw)
+# By the name of the command's flag.
+KINDS = {
+    "silence": Kind(draw=_draw_silence, is_alone=_every_other),
+    "pauses": Kind(
+        draw=soak_pauses.draw,
+        injector=soak_pauses.PauseInjector,
+        clients=soak_pauses.clients,
+        prepare=soak_pauses.prepare,
+        is_alone=_every_fourth,
+    ),
+    "outages": Kind(
+        draw=soak_outages.draw,
+        injector=soak_outages.OutageInjector,
+        is_alone=_every_fourth,
+        check=soak_outages.late_violations,
+    ),
+    "uneven": Kind(
+        draw=soak_uneven.draw,
+        injector=soak_uneven.UnevenInjector,
+        clients=_uneven_clients,
+        prepare=soak_uneven.prepare,
+        gateways=soak_uneven.GATEWAYS,
+        servers=soak_uneven.SERVERS,
+        check=soak_uneven.avoidance_violations,
+    ),
+    "entries": Kind(
+        draw=_draw_entries,
+        injector=soak_entries.EntryInjector,
+        prepare=soak_entries.prepare,
+        gateways=soak_entries.GATEWAYS,
+        is_alone=_every_fourth,
+        check=soak_entries.late_violations,
+        check_end=soak_entries.unconfirmed_violations,
+    ),
+    "paths": Kind(
+        draw=soak_paths.draw,
+        injector=soak_paths.PathInjector,
+        world=_path_world,
+        prepare=soak_paths.prepare,
+        gateways=soak_paths.GATEWAYS,
+        check=soak_paths.late_violations,
+    ),
+}
--- a/tests/support/soak_outages.py
+++ b/tests/support/soak_outages.py
@@ -63,8 +63,8 @@
         outages: Outages of the store that have ended.
     """
 
-    def __init__(self, world, clock):
-        super().__init__(world, clock)
+    def __init__(self, world, clock, clients):
+        super().__init__(world, clock, clients)
         self.left_at = {}
         self.outages = []
         self._away = 0
--- a/tests/support/soak_paths.py
+++ b/tests/support/soak_paths.py
@@ -13,7 +13,7 @@
 
 from tests.support import soak_checks, soak_entries, soak_faults
 
-__all__ = ["FAILURE_DOMAINS", "GATEWAYS", "PathInjector", "draw", "late_violations"]
+__all__ = ["GATEWAYS", "PathInjector", "draw", "late_violations", "prepare"]
 
 FAILURE_DOMAINS = ("here", "there")
 GATEWAYS = 10
@@ -41,6 +41,11 @@
 NO_ROUTE_CODES = ("102", "205")
 
 
+def prepare(world, seed):
+    """Spread gateways and servers over failure domains."""
+    world.failure_domains = FAILURE_DOMAINS
+
+
 def draw(seed, seconds):
     """Return the faults of a run, in order."""
     rng = random.Random(f"paths of {seed}")
--- a/tests/support/soak_pauses.py
+++ b/tests/support/soak_pauses.py
@@ -118,8 +118,8 @@
 class PauseInjector(soak_faults.FaultInjector):
     """Injects pauses of servers and new configurations of all kinds."""
 
-    def __init__(self, world, clock):
-        super().__init__(world, clock)
+    def __init__(self, world, clock, clients):
+        super().__init__(world, clock, clients)
         self._awake_at = {}
         self._requested = list(soak_clients.ROUTES)
         self._changing = asyncio.Lock()
--- a/tests/support/soak_uneven.py
+++ b/tests/support/soak_uneven.py
@@ -63,7 +63,7 @@
     end: float
 
 
-def prepare(world):
+def prepare(world, seed):
     """Give a world failure domains and engines that differ in speed."""
     world.failure_domains = FAILURE_DOMAINS
     world.slowness = itertools.cycle(SLOWNESS)
@@ -98,8 +98,8 @@
         domain_silences: Spans of silence that have ended.
     """
 
-    def __init__(self, world, clock):
-        super().__init__(world, clock)
+    def __init__(self, world, clock, clients):
+        super().__init__(world, clock, clients)
         self.domain_silences = []
 
     async def _domain_silent(self, fault, injected):
@@ -126,7 +126,7 @@
         engine.slowness /= SPELL_SLOWNESS
 
 
-def avoidance_violations(servers, injector, margin_s):
+def avoidance_violations(attempts, servers, injector, margin_s):
     """Yield a line for each domain that is back and whose servers get no request.
 
     All servers of a service are looked at together: prompts stay at the engine that has
