Have the soak draw standstills of gateways beside short limits

Callers saw connections closed without a byte after an instance had stood still, and no test drew a limit on idle connections under 15 s. Three gateways now stand still for 0.5 to 3 s, alone, in series and together, while limits on idle connections and heads change between 0.6 and 3 s. Clients stay within four fifths of the shortest limit that may be in force, so a standstill excuses neither a close nor a 408.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -66,6 +66,14 @@
     _play(context, seed, seconds, soak_kinds.KINDS["uneven"])
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of standstills and short"
+    " limits"
+)
+def play_standstills(context, seed, seconds):
+    _play(context, seed, seconds, soak_kinds.KINDS["standstills"])
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,7 @@
 gateways stand still around it; one failure domain has a single gateway.
 `--uneven` lets engines differ in speed and failure domains fall silent in turn.
 `--paths` harms the paths between gateways, of which some learn only from others.
+`--standstills` has gateways stand still while short limits are in force.
 Each run also prints how its requests ended.
 """
 
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -110,7 +110,8 @@
         reusable = False
         try:
             async with asyncio.timeout(DEADLINE_S + 1):
-                writer.write(route_world.request(route, request_id, body))
+                data = route_world.request(route, request_id, body)
+                await self._write(writer, attempt, data)
                 reusable = await self._read_response(reader, attempt)
         except TimeoutError:
             attempt.gave_up = True
@@ -125,6 +126,9 @@
             writer.transport.abort()
             self._connection = None
 
+    async def _write(self, writer, attempt, data):
+        writer.write(data)
+
     def _body(self, request_id):
         return request_id.encode()
 
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -11,6 +11,7 @@
     soak_outages,
     soak_paths,
     soak_pauses,
+    soak_standstills,
     soak_uneven,
     soak_world,
 )
@@ -162,4 +163,12 @@
         gateways=soak_paths.GATEWAYS,
         check=soak_paths.late_violations,
     ),
+    "standstills": Kind(
+        draw=soak_standstills.draw,
+        injector=soak_standstills.StandstillInjector,
+        clients=soak_standstills.clients,
+        prepare=soak_standstills.prepare,
+        gateways=soak_standstills.GATEWAYS,
+        check=soak_standstills.limit_violations,
+    ),
 }
