Test that calls over each client are reset when they are given up

They hold the new client to the same check, with kept and single-use connections, and a third one the client that engines are still called by.

--- a/tests/features/steps/undelivered_requests_steps.py
+++ b/tests/features/steps/undelivered_requests_steps.py
@@ -1,10 +1,11 @@
 import asyncio
 import datetime
+import functools
 
 import behave
 
-from pimentolatch import settings, store
-from pimentolatch.backend import channel, connections
+from pimentolatch import clock, settings, store
+from pimentolatch.backend import channel, connections, full_response
 from pimentolatch.decisions import request_delivery
 from pimentolatch.platform import objects
 from tests.support import (
@@ -17,6 +18,7 @@
 MOST_BYTES = 1000
 ADDRESS = settings.Address(host="192.0.2.1", port=80)
 CONNECT_LIMIT = datetime.timedelta(seconds=1)
+CALL_LIMIT = datetime.timedelta(seconds=10)
 # Time in which instances have to observe that a server leaves.
 IN_FORCE_WITHIN = datetime.timedelta(seconds=2)
 # Longer than any segment of these scenarios is sent again.
@@ -145,23 +147,39 @@
         server.close()
 
 
-@behave.then(
-    "delivery: a call over {kind} connections that is given up resets its connection"
-)
+@behave.then("delivery: a call over {kind} that is given up resets its connection")
 def call_given_up(context, kind):
-    seen = asyncio.run(seen_by_server(connections.client(reuse=kind == "kept")))
+    seen = asyncio.run(seen_by_server(GIVEN_UP_CALLS[kind]))
     assert isinstance(seen, ConnectionResetError), seen
 
 
-async def seen_by_server(client):
+async def seen_by_server(call):
     """Return what a server reads after the caller has given up a call."""
     async with observed_connection.ObservedConnection() as connection:
-        call = asyncio.create_task(client.get(connection.address.url + "/"))
+        task = asyncio.create_task(call(connection.address))
         await connection.received()
-        call.cancel()
+        task.cancel()
         return await connection.end()
 
 
+async def post(address, *, reuse):
+    client = full_response.FullResponseClient(
+        clock.SystemClock(), connect=CONNECT_LIMIT
+    )
+    await client.post(address, "/", {}, b"", time_limit=CALL_LIMIT, reuse=reuse)
+
+
+async def get(address):
+    await connections.client().get(address.url + "/")
+
+
+GIVEN_UP_CALLS = {
+    "kept connections": functools.partial(post, reuse=True),
+    "single-use connections": functools.partial(post, reuse=False),
+    "the client for engines": get,
+}
+
+
 @behave.then(
     "delivery: a listing over a new connection follows one that was not delivered"
 )
--- a/tests/features/undelivered_requests.feature
+++ b/tests/features/undelivered_requests.feature
@@ -46,12 +46,13 @@
 
   # Guards against requests that the kernel delivers after their connection was closed.
   Scenario Outline: A call to a backend server that is given up resets its connection
-    Then delivery: a call over <reuse> connections that is given up resets its connection
+    Then delivery: a call over <what> that is given up resets its connection
 
     Examples:
-      | reuse      |
-      | kept       |
-      | single-use |
+      | what                   |
+      | kept connections       |
+      | single-use connections |
+      | the client for engines |
 
   # Guards against a store that counts as lost over each idle connection that is silent.
   Scenario: The store is asked over a new connection after a call was not delivered
