Resume streams without a record only by a list the store has just confirmed

Streams that had begun at servers of a new software version through other instances broke, were resumed at an instance that was cut off, and went on at a server of the old version.

Cause: `Resumptions` took "one version is listed" for "one version can have begun this stream" as long as the list had been confirmed within two seconds. A list from before the stream's first event says nothing about it, and a release takes less than that: other instances send streams to new servers half a second after their entries are written.

Now the store is asked for the changes since the known list, by a call that begins after the client came back. An instance can use a server only after its entry was written, so a linearizable read that begins later shows the version. The log line `resumed` and the metric tell why a version is unknown.

--- a/src/pimentolatch/decisions/version_history.py
+++ b/src/pimentolatch/decisions/version_history.py
@@ -8,23 +8,37 @@
 version could have begun it. If only the current list of servers were consulted, a
 stream would go on at the new version right after the last server of the old one left.
 
+An observation tells of streams that began before the list was read. Whoever resumes a
+stream therefore has the list confirmed by the store first, by the answer to a call that
+was made after the client came back.
+
 Grounds: a version that was listed within `stream_origins.LIFETIME` may have begun a
 stream that a client still resumes. An instance that has observed the list for a shorter
 time doesn't know which versions were listed before.
 """
 
 import datetime
+import enum
 from collections import abc
 
 from pimentolatch.decisions import stream_origins
 
-__all__ = ["VersionHistory"]
+__all__ = ["Ambiguity", "VersionHistory"]
 
 # Removed versions that are kept of a service: each one evicted was removed before two
 # others, which rule out a sole version for longer than it would.
 _MAX_REMOVED = 2
 
 
+class Ambiguity(enum.Enum):
+    """Why it can't be told which version began a stream."""
+
+    NOT_OBSERVED = "list not observed for long enough"
+    SEVERAL = "several versions"
+    NONE = "no version known"
+    NOT_CONFIRMED = "list not confirmed by the store"
+
+
 class VersionHistory:
     """Software versions of each service that are or were recently listed."""
 
@@ -61,7 +75,7 @@
         service: str,
         now: datetime.timedelta,
         within: datetime.timedelta = stream_origins.LIFETIME,
-    ) -> str | None:
+    ) -> str | Ambiguity:
         """Return the only version that can have begun a stream that is resumed now.
 
         Args:
@@ -71,13 +85,16 @@
                 `stream_origins.LIFETIME`.
 
         Returns:
-            None if there may have been several versions or the version is unknown.
+            Why it can't be told if there may have been several versions or the version
+            is unknown.
         """
         if self._since is None or now - self._since < within:
-            return None
+            return Ambiguity.NOT_OBSERVED
         versions = self._listed.get(service, frozenset())
         versions |= self._recently_removed(service, now, within)
-        return next(iter(versions)) or None if len(versions) == 1 else None
+        if len(versions) > 1:
+            return Ambiguity.SEVERAL
+        return next(iter(versions), "") or Ambiguity.NONE
 
     def _update_removed(
         self, service: str, current: frozenset[str], now: datetime.timedelta
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -27,6 +27,7 @@
     front_end,
     http_protocol,
     leader_tasks,
+    list_confirmation,
     origin_exchange,
     pause_monitor,
     peer_forwarder,
@@ -160,6 +161,11 @@
         self._origins = origin_exchange.OriginExchange(
             chosen.peers.origins_address, self._peer_table.reachable_places, time
         )
+        self._list_confirmation = list_confirmation.ListConfirmation(
+            lambda: self._server_watch,
+            lambda: self._peer_table.instances,
+            time,
+        )
         self._stream_forwarder = stream_forwarder.StreamForwarder(
             self._fleet,
             self._client,
@@ -176,7 +182,11 @@
             self._monitor,
             self._peer_forwarder,
             resumptions.Resumptions(
-                self._fleet, self._origins, self._request_log, time
+                self._fleet,
+                self._origins,
+                self._list_confirmation,
+                self._request_log,
+                time,
             ),
         )
         self._plain_forwarder = plain_forwarder.PlainForwarder(
@@ -294,17 +304,18 @@
             peer_snapshots.SnapshotEndpoint(fleet, self._expired_servers, time),
             chosen.peers.address,
         )
+        self._server_watch = store_watch.ServerWatch(
+            self._store,
+            fleet,
+            self._expired_servers,
+            time,
+            chosen.bounds.server_watch,
+        )
         watches = (
             store_watch.ConfigurationWatch(
                 self._store, fleet, time, chosen.bounds.configuration_watch
             ),
-            store_watch.ServerWatch(
-                self._store,
-                fleet,
-                self._expired_servers,
-                time,
-                chosen.bounds.server_watch,
-            ),
+            self._server_watch,
         )
         self._catch_up = catch_up.CatchUp(
             watches, self._snapshot_fetcher, self._readiness_checks.ask_unconfirmed
@@ -472,6 +483,7 @@
                 server.abort()
         self._beacon_exchange.close()
         self._origins.close()
+        self._list_confirmation.close()
         self._leader_tasks.close()
         self._client.close()
         self._peer_forwarder.close()
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -54,7 +54,10 @@
         *("handle", "handle_from", "handle_started_ms"),
         *("handle_age_ms", "handle_connected"),
     ),
-    RESUMED: ("origin", "outcome", "ms"),
+    RESUMED: (
+        *("origin", "outcome", "reason", "ms", "confirm_ms"),
+        *("list_revision", "list_source", "list_age_ms"),
+    ),
     FORWARDED: ("peer", "outcome", "ms"),
     LATE: (
         *("cause", "over_ms", "route", "customer", "size", "reader", "writer"),
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -14,6 +14,7 @@
 from pimentolatch.gateway import (
     client_request,
     fleet_state,
+    list_confirmation,
     origin_exchange,
     request_log,
 )
@@ -21,9 +22,6 @@
 
 __all__ = ["Resumptions"]
 
-# The list of servers is confirmed about once a second. An older one may lack a version
-# that other instances use already.
-_MAX_LIST_AGE = datetime.timedelta(seconds=2)
 # An instance learns within this time that a server has started again. Until then what
 # the new process writes counts as written by the old one's version.
 _MAX_LIST_LAG = datetime.timedelta(seconds=5)
@@ -58,6 +56,7 @@
     Args:
         fleet: The listed servers.
         exchange: Keeps the records, at peers too.
+        confirmation: Has the store confirm the list of servers.
         log: Log of requests.
         time: Clock of this instance.
     """
@@ -66,11 +65,13 @@
         self,
         fleet: fleet_state.FleetState,
         exchange: origin_exchange.OriginExchange,
+        confirmation: list_confirmation.ListConfirmation,
         log: request_log.RequestLog,
         time: clock.Clock,
     ) -> None:
         self._fleet = fleet
         self._exchange = exchange
+        self._confirmation = confirmation
         self._request_log = log
         self._clock = time
         self._history = version_history.VersionHistory()
@@ -101,21 +102,33 @@
     async def find(self, request: client_request.ClientRequest) -> int | None:
         """Return the build that began a stream; None if it can't be found out."""
         since = self._clock.monotonic()
-        build = None
+        build, outcome, reason = None, _RECORDED, None
         if request.origin_id:
             origin = stream_origins.origin_key(request.origin_id)
             build = await self._exchange.find(origin)
-        outcome = _RECORDED
+        asked_at = self._clock.monotonic()
         if build is None:
-            build = self._sole_build(request)
-            outcome = _UNKNOWN if build is None else _SOLE_VERSION
+            version = await self._sole_version(request)
+            if isinstance(version, version_history.Ambiguity):
+                outcome, reason = _UNKNOWN, version.value
+            else:
+                outcome = _SOLE_VERSION
+                build = stream_origins.build_key(request.service.name, version)
+        listed = self._fleet.server_list_status(self._clock.monotonic())
         self._request_log.write(
             request_log.RESUMED,
             request.request_id,
             wrong=build is None,
             origin=request.origin_id,
             outcome=outcome,
+            reason=reason,
             ms=self._request_log.elapsed_ms(since),
+            confirm_ms=None
+            if outcome == _RECORDED
+            else self._request_log.elapsed_ms(asked_at),
+            list_revision=listed.revision,
+            list_source=listed.source,
+            list_age_ms=listed.age_ms,
         )
         return build
 
@@ -132,14 +145,28 @@
             if server.stage is servers.Stage.DECODE and _build_of(server) != build
         )
 
-    def _sole_build(self, request: client_request.ClientRequest) -> int | None:
-        """Return the build of the only version that can have begun a stream."""
+    async def _sole_version(
+        self, request: client_request.ClientRequest
+    ) -> str | version_history.Ambiguity:
+        """Return the only version that can have begun a stream.
+
+        Another instance may have begun it at a server that was listed a moment ago, so
+        the list must be confirmed as of a time after the client came back.
+        """
+        known = self._listed_version(request)
+        if isinstance(known, version_history.Ambiguity):
+            return known
+        if not await self._confirmation.confirm():
+            return version_history.Ambiguity.NOT_CONFIRMED
+        return self._listed_version(request)
+
+    def _listed_version(
+        self, request: client_request.ClientRequest
+    ) -> str | version_history.Ambiguity:
         now = self._clock.monotonic()
-        if now - self._fleet.servers_confirmed_at > _MAX_LIST_AGE:
-            return None
-        service = request.service.name
-        version = self._history.sole_version(service, now, request.route.timeout)
-        return None if version is None else stream_origins.build_key(service, version)
+        return self._history.sole_version(
+            request.service.name, now, request.route.timeout
+        )
 
     def _record(
         self, origin: int, build: int, lifetime: datetime.timedelta, service: str
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -104,7 +104,9 @@
             "doubts", "Silent engines asked, by verdict."
         )
         self._resumptions = self._counter(
-            "resumptions", "Streams resumed, by how their software version was found."
+            "resumptions",
+            "Streams resumed, by how their software version was found, or why not.",
+            "reason",
         )
         self._expected = self._histogram(
             "expected_first_event_seconds",
@@ -149,7 +151,7 @@
         elif event == request_log.DOUBTED:
             self._stall_checks.labels(fields["verdict"]).inc()
         elif event == request_log.RESUMED:
-            self._resumptions.labels(fields["outcome"]).inc()
+            self._resumptions.labels(fields["outcome"], fields["reason"] or "").inc()
         elif event == request_log.LATE:
             self._late.labels(fields["cause"], fields["route"]).inc()
         elif event == request_log.UNANSWERED:
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -228,6 +228,39 @@
         self._expired = expired_servers
         self._unusable: set[str] = set()
 
+    async def read_changes(
+        self, limit: datetime.timedelta
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
+        """Read and apply what has changed since the known list, without waiting.
+
+        Args:
+            limit: How long the store may take to answer.
+
+        Returns:
+            `store.HistoryGone` if everything was listed anew instead.
+        """
+        begun = self._clock.monotonic()
+        outcome = await self.changes_since(self._fleet.servers_revision, limit)
+        if isinstance(outcome, store.HistoryGone):
+            return await self._list() or outcome
+        if isinstance(outcome, store.Changes):
+            self._apply_changes(outcome)
+            self._confirm(begun)
+        return outcome
+
+    async def changes_since(
+        self, revision: int, limit: datetime.timedelta
+    ) -> store.Changes | store.HistoryGone | store.Unavailable:
+        """Read what has changed since a revision, without applying it.
+
+        Args:
+            revision: The revision.
+            limit: How long the store may take to answer.
+        """
+        return await self._store.watch(
+            self.kind, after=revision, wait=_MILLISECOND, answer_limit=limit
+        )
+
     def _apply_listing(self, listing: store.Listing) -> None:
         named = {item.name for item in listing.objects}
         self._unusable &= named
--- /dev/null
+++ b/tests/features/resumptions_out_of_step.feature
@@ -0,0 +1,35 @@
+# The instances know nothing of each other, so none has a record of another one's streams.
+# Engines don't check whose stream they resume.
+Feature: Streams resumed by an instance whose server list is old
+
+  # Guards against a list from before a stream began that counts as knowing its version.
+  Scenario Outline: An instance cut off from the store refuses streams resumed with <value>
+    Given out of step: two instances that have seen one version for long
+    When out of step: the late instance loses the store
+    And out of step: engines of "v2" join and those of "v1" drain
+    And out of step: clients begin 12 streams and resume them at the late one with <value>
+    Then out of step: no stream holds events of two versions
+    And out of step: all are refused as not run, with a time to come back
+
+    Examples:
+      | value                       |
+      | the id of its first attempt |
+      | nothing                     |
+
+  # Guards against refusals that last for the time limit of the route after each outage.
+  Scenario: Streams of the only version go on once the store is back
+    Given out of step: two instances that have seen one version for long
+    When out of step: the late instance loses the store
+    And out of step: clients begin 12 streams
+    And out of step: 3 seconds pass
+    And out of step: the late instance regains the store
+    And out of step: they resume at the late one with nothing
+    Then out of step: all are resumed
+
+  # Guards against a call to the store for each stream that is resumed.
+  Scenario: Many streams that are resumed at once take a few calls to the store
+    Given out of step: two instances that have seen one version for long
+    When out of step: clients begin 30 streams
+    And out of step: they resume at the late one with nothing
+    Then out of step: all are resumed
+    And out of step: the store received fewer calls meanwhile than a third of them
--- /dev/null
+++ b/tests/features/steps/out_of_step_steps.py
@@ -0,0 +1,95 @@
+import asyncio
+
+import behave
+
+from tests.support import out_of_step_world
+
+ENGINES = 4
+
+
+def run(context, work):
+    return context.route_runner.run(work)
+
+
+@behave.given("out of step: two instances that have seen one version for long")
+def start(context):
+    context.route_runner = asyncio.Runner()
+    context.world = out_of_step_world.OutOfStepWorld()
+    run(context, context.world.start_engines(ENGINES))
+    run(context, context.world.until_resumable())
+
+
+@behave.when("out of step: the late instance loses the store")
+def lose_store(context):
+    run(context, context.world.lose_store())
+
+
+@behave.when('out of step: engines of "{new}" join and those of "{old}" drain')
+def release(context, new, old):
+    async def replace():
+        world = context.world
+        await world.add_version(new, ENGINES)
+        await world.set_state(old, "draining")
+        await world.until_followed(out_of_step_world.PROMPT)
+
+    run(context, replace())
+
+
+@behave.when("out of step: clients begin {count:d} streams")
+def begin(context, count):
+    context.begun = run(context, context.world.begin_at_prompt(count))
+    assert len(context.begun) == count, context.world.describe(context.begun)
+
+
+@behave.when("out of step: they resume at the late one with {value}")
+def resume(context, value):
+    world = context.world
+    calls = world.store_calls()
+    run(context, world.resume_at_late(context.begun, value))
+    context.calls = world.store_calls() - calls
+
+
+@behave.when(
+    "out of step: clients begin {count:d} streams and resume them at the late one with"
+    " {value}"
+)
+def begin_and_resume(context, count, value):
+    begin(context, count)
+    resume(context, value)
+
+
+@behave.when("out of step: {seconds:d} seconds pass")
+def wait(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@behave.when("out of step: the late instance regains the store")
+def regain_store(context):
+    run(context, context.world.regain_store())
+
+
+@behave.then("out of step: no stream holds events of two versions")
+def none_joined(context):
+    world = context.world
+    assert not world.joined(), world.describe(context.begun)
+    assert not world.out_of_order(), world.out_of_order()
+    assert not world.refused_and_run(), world.refused_and_run()
+
+
+@behave.then("out of step: all are refused as not run, with a time to come back")
+def all_refused(context):
+    figures = context.world.describe(context.begun)
+    assert all(s.attempts[-1].refused for s in context.begun), figures
+
+
+@behave.then("out of step: all are resumed")
+def all_resumed(context):
+    figures = context.world.describe(context.begun)
+    assert all(s.resumed and s.whole for s in context.begun), figures
+
+
+@behave.then(
+    "out of step: the store received fewer calls meanwhile than a third of them"
+)
+def few_calls(context):
+    assert context.calls < len(context.begun) / 3, context.calls
--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -241,16 +241,23 @@
         context.history.observe(picture | {"other": {"v9"}}, int(second) * SECOND)
 
 
+def sole_version(history, seconds):
+    """Return the sole version after some seconds, or None."""
+    found = history.sole_version(SERVICE, seconds * SECOND)
+    return None if isinstance(found, version_history.Ambiguity) else found
+
+
 @behave.then('origins: after {seconds:d} seconds the sole version is "{sole}"')
 def sole_version_is(context, seconds, sole):
-    found = context.history.sole_version(SERVICE, seconds * SECOND)
+    found = sole_version(context.history, seconds)
     assert found == (None if sole == "none" else sole), found
 
 
 @behave.then("origins: a history without observations has no sole version")
 def no_history(context):
     history = version_history.VersionHistory()
-    assert history.sole_version(SERVICE, 1000 * SECOND) is None
+    found = history.sole_version(SERVICE, 1000 * SECOND)
+    assert found is version_history.Ambiguity.NOT_OBSERVED, found
 
 
 def complete_sole_version(pictures, now):
@@ -282,7 +289,7 @@
         for pause, versions in steps:
             for now in range(second, second + pause if pictures else 0):
                 expected = complete_sole_version(pictures, now)
-                assert history.sole_version(SERVICE, now * SECOND) == expected
+                assert sole_version(history, now) == expected
                 results.add(expected)
             second += pause
             pictures.append((second, versions))
--- /dev/null
+++ b/tests/support/out_of_step_world.py
@@ -0,0 +1,121 @@
+"""Instances that know nothing of each other, each with its own path to the store."""
+
+import datetime
+
+from pimentolatch.gateway import settings
+from standins import relay
+from tests.support import route_world, version_world
+
+__all__ = ["FIRST", "SECOND", "OutOfStepWorld"]
+
+FIRST, SECOND = "v1", "v2"
+LATE, PROMPT = "late", "prompt"
+# Time limit of the route, for which an instance must have seen one version only.
+ROUTE_TIMEOUT_MS = 2000
+_FRESH = datetime.timedelta(milliseconds=60)
+
+
+class OutOfStepWorld(version_world.VersionWorld):
+    """Two instances; the list of the late one does not follow the store."""
+
+    def __init__(self):
+        super().__init__()
+        self.relays = relay.Relays()
+        self._store_ports = {}
+
+    async def start_engines(self, engines):
+        """Start the instances and engines of the first version."""
+        await self.start_store()
+        routes = [
+            route | {"timeout_ms": ROUTE_TIMEOUT_MS} for route in route_world.ROUTES
+        ]
+        await self.configure(1, routes)
+        await self.add_version(FIRST, engines)
+        for number, name in enumerate((LATE, PROMPT)):
+            self._domains[name] = version_world.DOMAINS[number]
+            self._store_ports[name] = port = route_world.free_port()
+            store = (route_world.HOST, self.store_port)
+            self.relays.start(name, (route_world.HOST, port), store)
+            await self.add_instance(name, host=f"127.0.1.{number + 1}")
+
+    def settings(self, name, seeds=(), host=route_world.HOST):
+        """See `route_world.RouteWorld.settings`."""
+        chosen = super().settings(name, seeds, host)
+        address = f"{route_world.HOST}:{self._store_ports[name]}"
+        store = settings.StoreSettings.model_validate({"address": address})
+        return chosen.model_copy(update={"store": store})
+
+    def fleet(self, name):
+        """Return what an instance knows of the fleet."""
+        _, instance = self.instances[name]
+        return instance.fleet
+
+    async def add_version(self, version, engines):
+        """Start decode engines of a version and one that prefills for them."""
+        await self.add_engine(f"prefill-{version}", "prefill", version)
+        for number in range(engines):
+            await self.add_engine(f"decode-{version}-{number}", "decode", version)
+
+    async def set_state(self, version, state):
+        """Have all engines of a version say that they are ready, or that they leave."""
+        for engine in self.engines(version):
+            engine.state = state
+            await self.write("servers", engine.server_id, engine.entry())
+
+    async def unlist(self, version):
+        """Remove the entries of the engines of a version."""
+        for engine in self.engines(version):
+            name = engine.server_id
+            current = self.platform.table.get("servers", name)
+            await self.platform.table.delete("servers", name, current.version)
+
+    async def until_followed(self, name):
+        """Wait until an instance knows the store's newest change of a server."""
+        newest = max(
+            row.version
+            for kind, row in self.platform.table.history
+            if kind == "servers"
+        )
+        await self.until(lambda: self.fleet(name).has_servers(newest))
+
+    async def lose_store(self):
+        """Have the late instance lose the store just after the store has answered."""
+        _, instance = self.instances[LATE]
+        clock = instance._clock
+        confirmed = self.fleet(LATE).servers_confirmed_at
+        await self.until(lambda: self.fleet(LATE).servers_confirmed_at > confirmed)
+        assert clock.monotonic() - self.fleet(LATE).servers_confirmed_at < _FRESH
+        for direction in (relay.TO_SERVER, relay.TO_CLIENT):
+            self.relays.cut(LATE, direction)
+
+    async def regain_store(self):
+        """Have the late instance reach the store again, and wait until it follows."""
+        _, instance = self.instances[LATE]
+        since = instance._clock.monotonic()
+        self.relays.heal(LATE)
+        await self.until(lambda: self.fleet(LATE).servers_confirmed_at > since)
+        await self.until_followed(LATE)
+
+    async def begin_at_prompt(self, count):
+        """Begin streams of which the clients have two events."""
+        return await self.begin(count, 2, [PROMPT])
+
+    async def resume_at_late(self, streams, resumes):
+        """Resume streams at once."""
+        await self.resume(streams, None, resumes, [LATE], pause_s=0.0)
+
+    async def until_resumable(self):
+        """Wait until the late instance goes on with streams of the only version."""
+        (stream,) = await self.begin_at_prompt(1)
+        await self.resume_until_accepted(stream, "nothing", LATE)
+        assert stream.whole, stream
+
+    def store_calls(self):
+        """Return how many calls the store has received."""
+        return self.platform.calls["arrived"]
+
+    async def stop(self):
+        """See `route_world.RouteWorld.stop`."""
+        await super().stop()
+        self.relays.heal()
+        self.relays.stop()
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -180,14 +180,14 @@
         chosen = name or names[(before + 1) % len(names)]
         await self._attempt(stream, chosen, events, resumes)
 
-    async def resume_until_accepted(self, stream, resumes):
+    async def resume_until_accepted(self, stream, resumes, name=None):
         """Resume a stream each time that a refusal says when to come back."""
         async with asyncio.timeout(route_world.WAIT_S):
-            await self._resume(stream, None, resumes)
+            await self._resume(stream, None, resumes, name)
             while stream.attempts[-1].refused:
                 fields = stream.attempts[-1].fields
                 await asyncio.sleep(float(fields["retry-after"]))
-                await self._resume(stream, None, resumes)
+                await self._resume(stream, None, resumes, name)
 
     async def _attempt(self, stream, name, events, resumes=None):
         attempt = Attempt(f"{self._random.getrandbits(64):016x}", name)
