Refuse streams of a version that came and went while no list arrived

Streams that had begun at a release which was undone again went on at the version before, at an instance that had been cut off for some seconds and had the newest list when they were resumed.

Cause: the versions in the lists that an instance has had were taken for all that were in use. A gap between two lists hides a version that was listed within it only.

Now gaps of over 2.5 s are noted, shorter than the entry of a server exists. When a stream without a record is resumed, the changes since the list before the gap tell whether a server was removed that no list has shown. If so, or if the store has dropped that history, the versions before the gap's end count as unknown. Forgetting them after each gap would have refused streams of the only version for the time limit of their route after each outage of the store; a scenario guards against that.

--- a/src/pimentolatch/decisions/version_history.py
+++ b/src/pimentolatch/decisions/version_history.py
@@ -70,6 +70,15 @@
             if not self._recently_removed(service, now):
                 del self._removed[service]
 
+    def restart(self, at: datetime.timedelta) -> None:
+        """Apply that servers of any version may have been listed until `at`, unseen.
+
+        Args:
+            at: Monotonic time.
+        """
+        if self._since is not None:
+            self._since = max(self._since, at)
+
     def sole_version(
         self,
         service: str,
--- a/src/pimentolatch/gateway/list_confirmation.py
+++ b/src/pimentolatch/gateway/list_confirmation.py
@@ -13,7 +13,8 @@
 import logbook
 
 from pimentolatch import clock, store
-from pimentolatch.gateway import store_watch
+from pimentolatch.decisions import list_continuity
+from pimentolatch.gateway import fleet_state, store_watch
 
 __all__ = ["ListConfirmation"]
 
@@ -33,6 +34,7 @@
     """Reads the changes of the servers on demand, once for all who wait.
 
     Args:
+        fleet: State that the changes are applied to.
         watch: Returns what reads the servers from the store.
         instances: Returns the number of instances in the fleet.
         time: Clock of this instance.
@@ -40,18 +42,30 @@
 
     def __init__(
         self,
+        fleet: fleet_state.FleetState,
         watch: abc.Callable[[], store_watch.ServerWatch],
         instances: abc.Callable[[], int],
         time: clock.Clock,
     ) -> None:
+        self._fleet = fleet
         self._watch = watch
         self._instances = instances
         self._clock = time
+        self._continuity = list_continuity.ListContinuity()
+        self._on_unseen: list[abc.Callable[[datetime.timedelta], None]] = []
         self._one_at_a_time = asyncio.Lock()
         self._next: asyncio.Task[bool] | None = None
         self._tasks: set[asyncio.Task[bool]] = set()
         self._next_at = datetime.timedelta()
         self._failing_until = datetime.timedelta()
+        fleet.on_change(self._observe)
+
+    def on_unseen(self, call: abc.Callable[[datetime.timedelta], None]) -> None:
+        """Register a callback for servers that may have been listed unseen.
+
+        It gets the monotonic time until which they may have been.
+        """
+        self._on_unseen.append(call)
 
     async def confirm(self) -> bool:
         """Have the list confirmed as of a time after this call.
@@ -102,4 +116,32 @@
 
     async def _read(self) -> store.Unavailable | None:
         outcome = await self._watch().read_changes(_READ_LIMIT)
-        return outcome if isinstance(outcome, store.Unavailable) else None
+        if isinstance(outcome, store.Unavailable):
+            return outcome
+        gap = self._continuity.gap
+        return None if gap is None else await self._look_into(gap)
+
+    async def _look_into(self, gap: list_continuity.Gap) -> store.Unavailable | None:
+        """Find out whether servers came and went in a gap between two lists."""
+        outcome = await self._watch().changes_since(gap.revision, _READ_LIMIT)
+        if isinstance(outcome, store.Unavailable):
+            return outcome
+        if isinstance(outcome, store.HistoryGone):
+            self._continuity.drop(gap)
+            unseen = True
+        else:
+            unseen = self._continuity.close(gap, outcome.removed)
+        if unseen:
+            _log.info("servers may have come and gone unseen", after=gap.revision)
+            for call in self._on_unseen:
+                call(gap.ended_at)
+        return None
+
+    def _observe(self) -> None:
+        fleet = self._fleet
+        self._continuity.observe(
+            fleet.servers_revision,
+            (server.server_id for server in fleet.servers.all()),
+            fleet.servers_confirmed_at,
+            self._clock.monotonic(),
+        )
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -162,6 +162,7 @@
             chosen.peers.origins_address, self._peer_table.reachable_places, time
         )
         self._list_confirmation = list_confirmation.ListConfirmation(
+            self._fleet,
             lambda: self._server_watch,
             lambda: self._peer_table.instances,
             time,
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -79,6 +79,7 @@
             maxlen=_MAX_RECENT
         )
         fleet.on_change(self._observe_servers)
+        confirmation.on_unseen(self._history.restart)
 
     def begin(
         self, request: client_request.ClientRequest, server: servers.Server
--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -16,6 +16,19 @@
       | the id of its first attempt |
       | nothing                     |
 
+  # Guards against a version that came and went while an instance learned nothing.
+  Scenario: A stream of a version that was withdrawn meanwhile is refused
+    Given out of step: two instances that have seen one version for long
+    When out of step: the late instance loses the store
+    And out of step: engines of "v2" join and those of "v1" drain
+    And out of step: clients begin 12 streams
+    And out of step: the release is undone
+    And out of step: 3 seconds pass
+    And out of step: the late instance regains the store
+    And out of step: they resume at the late one with nothing
+    Then out of step: no stream holds events of two versions
+    And out of step: all are refused as not run, with a time to come back
+
   # Guards against refusals that last for the time limit of the route after each outage.
   Scenario: Streams of the only version go on once the store is back
     Given out of step: two instances that have seen one version for long
@@ -26,6 +39,20 @@
     And out of step: they resume at the late one with nothing
     Then out of step: all are resumed
 
+  # Guards against history that the store has dropped counting as no change.
+  Scenario: Without the store's history of an outage streams are refused
+    Given out of step: two instances that have seen one version for long
+    When out of step: the late instance loses the store
+    And out of step: engines of "v2" join and those of "v1" drain
+    And out of step: clients begin 12 streams
+    And out of step: the release is undone
+    And out of step: 3 seconds pass
+    And out of step: the store drops its history
+    And out of step: the late instance regains the store
+    And out of step: they resume at the late one with nothing
+    Then out of step: no stream holds events of two versions
+    And out of step: all are refused as not run, with a time to come back
+
   # Guards against a call to the store for each stream that is resumed.
   Scenario: Many streams that are resumed at once take a few calls to the store
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -35,6 +35,16 @@
     run(context, replace())
 
 
+@behave.when("out of step: the release is undone")
+def undo(context):
+    async def withdraw():
+        world = context.world
+        await world.set_state(out_of_step_world.FIRST, "ready")
+        await world.unlist(out_of_step_world.SECOND)
+
+    run(context, withdraw())
+
+
 @behave.when("out of step: clients begin {count:d} streams")
 def begin(context, count):
     context.begun = run(context, context.world.begin_at_prompt(count))
@@ -63,6 +73,11 @@
     run(context, asyncio.sleep(seconds))
 
 
+@behave.when("out of step: the store drops its history")
+def drop_history(context):
+    context.world.platform.table.compact_history()
+
+
 @behave.when("out of step: the late instance regains the store")
 def regain_store(context):
     run(context, context.world.regain_store())
--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -13,7 +13,12 @@
 import logbook
 
 from pimentolatch import clock, settings
-from pimentolatch.decisions import neighbours, stream_origins, version_history
+from pimentolatch.decisions import (
+    list_continuity,
+    neighbours,
+    stream_origins,
+    version_history,
+)
 from pimentolatch.gateway import origin_exchange
 from pimentolatch.protocol import origin_messages
 
@@ -767,3 +772,50 @@
             await until(lambda: len(asyncio.all_tasks()) == 1)
 
     asyncio.run(play())
+
+
+# Lists between which servers may come and go
+
+
+def names_of(text):
+    return [] if text == "nothing" else text.split(",")
+
+
+@behave.when('origins: servers are listed as "{listed}"')
+def list_servers(context, listed):
+    context.continuity = list_continuity.ListContinuity()
+    confirmed_at = 0.0 * SECOND
+    for revision, observation in enumerate(listed.split(), start=1):
+        second, names = observation.split("=")
+        now = float(second) * SECOND
+        context.continuity.observe(revision, names_of(names), confirmed_at, now)
+        confirmed_at = now
+    context.listed_at = [float(item.split("=")[0]) for item in listed.split()]
+
+
+@behave.when('origins: since the gap the entries of "{removed}" were removed')
+def removed_since(context, removed):
+    gap = context.continuity.gap
+    context.unseen = context.continuity.close(gap, names_of(removed))
+
+
+@behave.when("origins: servers may have been listed unseen until {second:d}")
+def listed_unseen(context, second):
+    context.history.restart(second * SECOND)
+
+
+@behave.then("origins: there is no gap")
+def no_gap(context):
+    assert context.continuity.gap is None, context.continuity.gap
+
+
+@behave.then("origins: there is a gap after {after:g} until {until:g}")
+def gap_is(context, after, until):
+    gap = context.continuity.gap
+    assert context.listed_at[gap.revision - 1] == after, gap
+    assert gap.ended_at == until * SECOND, gap
+
+
+@behave.then("origins: servers were {seen}")
+def servers_were(context, seen):
+    assert context.unseen == (seen == "unseen"), context.unseen
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -200,3 +200,38 @@
     Given origins: a peer that answers and one that is silent
     When origins: a stream that nobody recorded is looked up
     Then origins: when the lookup is cancelled, no question and no task is left
+
+  # Guards against versions of which a list shows nothing, before and after.
+  Scenario Outline: Between lists that are far apart servers may come and go unseen
+    When origins: servers are listed as "<listed>"
+    Then origins: there is <gap>
+
+    Examples:
+      | listed                  | gap                            |
+      | 0.0=a,b 2.5=a,b         | no gap                         |
+      | 0.0=a,b 2.6=a,b         | a gap after 0.0 until 2.6      |
+      | 0.0=a 2.6=a 4.0=b       | a gap after 0.0 until 2.6      |
+      | 0.0=a 2.6=a 9.0=b       | a gap after 0.0 until 9.0      |
+      | 0.0=a 1.0=b 4.0=c       | a gap after 1.0 until 4.0      |
+      | 9.0=a                   | no gap                         |
+
+  Scenario Outline: The changes since tell whether servers came and went in a gap
+    When origins: servers are listed as "<listed>"
+    And origins: since the gap the entries of "<removed>" were removed
+    Then origins: servers were <seen>
+    And origins: there is no gap
+
+    Examples:
+      | listed              | removed | seen   |
+      | 0.0=a,b 3.0=a       | nothing | seen   |
+      | 0.0=a,b 3.0=a       | b       | seen   |
+      | 0.0=a,b 3.0=a,c     | c       | seen   |
+      | 0.0=a 3.0=b 4.0=c   | a,b     | seen   |
+      | 0.0=a,b 3.0=a       | b,c     | unseen |
+      | 0.0=a 1.0=b 4.0=b   | a       | unseen |
+
+  Scenario: Versions before a gap count as unknown until its end is long ago
+    When origins: versions are listed as "0=v1"
+    And origins: servers may have been listed unseen until 70
+    Then origins: after 129 seconds the sole version is "none"
+    And origins: after 130 seconds the sole version is "v1"
