Correct the version of streams however late a server's restart is learned

Streams that an instance out of reach of the store had begun at engines which had started again under their ids at another version went on at the version that the engines had had before.

Cause: the instance records the version that it believes the engine to have, and corrects the record when the list shows the restart, but only that of streams begun within the last five seconds. An instance may be cut off for longer, while clients resume for up to a minute.

Now each beginning is kept as long as its stream may be resumed. It is corrected once, and the correction is sent twice; before, it was sent at each change of the list.

--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -22,11 +22,9 @@
 
 __all__ = ["Resumptions"]
 
-# An instance learns within this time that a server has started again. Until then what
-# the new process writes counts as written by the old one's version.
-_MAX_LIST_LAG = datetime.timedelta(seconds=5)
 # Start times are those of the servers' clocks.
 _CLOCK_TOLERANCE = datetime.timedelta(milliseconds=500)
+# Streams of 60 seconds at four times the design size.
 _MAX_RECENT = 4096
 _RECORDED = "recorded"
 _SOLE_VERSION = "sole version"
@@ -35,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Beginning:
-    """A stream that has begun lately.
+    """A stream that may still be resumed.
 
     Attributes:
         at: When its first event arrived.
@@ -189,21 +187,34 @@
     def _correct_origins(self) -> None:
         """Record the version of servers that had started again before a stream began.
 
-        The two records contradict each other, so the stream goes on nowhere: events of
-        both versions may have been sent.
+        An instance that was out of reach of the store may learn of it late. Until then
+        what the new process writes counts as written by the old one's version. The two
+        records contradict each other, so the stream goes on nowhere: events of both
+        versions may have been sent.
         """
         now = self._clock.now()
-        while self._recent and now - self._recent[0].at > _MAX_LIST_LAG:
+        while self._recent and now - self._recent[0].at > stream_origins.LIFETIME:
             self._recent.popleft()
-        for beginning in self._recent:
-            server = self._fleet.servers.get(beginning.server.server_id)
-            if server is None or server.incarnation == beginning.server:
-                continue
-            build = _build_of(server)
-            if build is not None and _had_started(server, beginning.at):
-                self._record(
-                    beginning.origin, build, beginning.lifetime, server.service
-                )
+        wrong = {
+            beginning: build
+            for beginning in self._recent
+            if (build := self._later_build(beginning)) is not None
+        }
+        if not wrong:
+            return
+        right = [beginning for beginning in self._recent if beginning not in wrong]
+        self._recent = collections.deque(right, maxlen=_MAX_RECENT)
+        for beginning, build in wrong.items():
+            self._exchange.record(
+                beginning.origin, build, beginning.lifetime, repeat=True
+            )
+
+    def _later_build(self, beginning: _Beginning) -> int | None:
+        """Return the build that a server had started again with; None if it had not."""
+        server = self._fleet.servers.get(beginning.server.server_id)
+        if server is None or server.incarnation == beginning.server:
+            return None
+        return _build_of(server) if _had_started(server, beginning.at) else None
 
     def _observe_versions(self) -> None:
         versions: dict[str, set[str]] = {}
--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -53,6 +53,19 @@
     Then out of step: no stream holds events of two versions
     And out of step: all are refused as not run, with a time to come back
 
+  # Guards against streams that count as begun by the version that an engine had before
+  # it started again, once their instance has learned of it.
+  Scenario: A stream begun at an engine that had started again joins no other version
+    Given out of step: two instances that have seen one version for long
+    When out of step: the late instance loses the store
+    And out of step: half of the decode engines restart at "v2" under their ids
+    And out of step: clients begin 12 streams at the late instance
+    And out of step: 6 seconds pass
+    And out of step: the late instance regains the store
+    And out of step: they resume at the late one with the id of its first attempt
+    Then out of step: no stream holds events of two versions
+    And out of step: engines of both versions have begun some
+
   # Guards against a call to the store for each stream that is resumed.
   Scenario: Many streams that are resumed at once take a few calls to the store
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -51,6 +51,19 @@
     assert len(context.begun) == count, context.world.describe(context.begun)
 
 
+@behave.when("out of step: clients begin {count:d} streams at the late instance")
+def begin_at_late(context, count):
+    context.begun = run(context, context.world.begin_at_late(count))
+    assert len(context.begun) == count, context.world.describe(context.begun)
+
+
+@behave.when(
+    'out of step: half of the decode engines restart at "{version}" under their ids'
+)
+def restart(context, version):
+    run(context, context.world.restart_half(version))
+
+
 @behave.when("out of step: they resume at the late one with {value}")
 def resume(context, value):
     world = context.world
@@ -97,6 +110,12 @@
     assert all(s.attempts[-1].refused for s in context.begun), figures
 
 
+@behave.then("out of step: engines of both versions have begun some")
+def both_began(context):
+    begun = {stream.events[0].version for stream in context.begun}
+    assert begun == {out_of_step_world.FIRST, out_of_step_world.SECOND}, begun
+
+
 @behave.then("out of step: all are resumed")
 def all_resumed(context):
     figures = context.world.describe(context.begun)
--- a/tests/support/out_of_step_world.py
+++ b/tests/support/out_of_step_world.py
@@ -12,6 +12,8 @@
 LATE, PROMPT = "late", "prompt"
 # Time limit of the route, for which an instance must have seen one version only.
 ROUTE_TIMEOUT_MS = 2000
+# How long clients wait; records of their streams count as long.
+CLIENT_TIMEOUT_MS = "20000"
 _FRESH = datetime.timedelta(milliseconds=60)
 
 
@@ -45,6 +47,12 @@
         store = settings.StoreSettings.model_validate({"address": address})
         return chosen.model_copy(update={"store": store})
 
+    def _request(self, stream, attempt, resumes):
+        data = super()._request(stream, attempt, resumes)
+        line = b"x-deadline-ms: "
+        assert line in data
+        return data.replace(line + b"6000", line + CLIENT_TIMEOUT_MS.encode(), 1)
+
     def fleet(self, name):
         """Return what an instance knows of the fleet."""
         _, instance = self.instances[name]
@@ -100,6 +108,17 @@
         """Begin streams of which the clients have two events."""
         return await self.begin(count, 2, [PROMPT])
 
+    async def begin_at_late(self, count):
+        """Begin streams at the instance that does not follow the store."""
+        return await self.begin(count, 2, [LATE])
+
+    async def restart_half(self, version):
+        """Start every second decode engine again, and list it."""
+        engines = [s for s in self.engines(FIRST) if s.stage == "decode"]
+        for engine in engines[::2]:
+            self.restart_unlisted(engine.server_id, version)
+            await self.write("servers", engine.server_id, engine.entry())
+
     async def resume_at_late(self, streams, resumes):
         """Resume streams at once."""
         await self.resume(streams, None, resumes, [LATE], pause_s=0.0)
