Accept no number that peers' beacons can't have

An entry with a start time of 2**53 or more was used as a server, a configuration could have such a version, and a client could send a prompt of 10**17 tokens. Each became part of this instance's beacons, whose receivers accept whole numbers below 2**53 and reject the whole beacon for a larger one: the instance was mute to its peers, after one such request for as long as the prefix counted as cached. A prompt of 10**400 tokens got 502, a time limit of 1e400 an exception.

The numbers are bounded where they come in: the entry is passed over, the configuration is not understood (the last one stays), the request is refused with 400. A client's guess of the answer's length is only a hint, and is clamped.

--- a/src/pimentolatch/platform/configuration.py
+++ b/src/pimentolatch/platform/configuration.py
@@ -11,6 +11,8 @@
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
+# Peers reject the whole beacon for a larger number.
+_MAX_VERSION = 2**53 - 1
 
 # Exceptions that `decode` raises for an invalid spec.
 DECODE_ERRORS = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
@@ -28,7 +30,7 @@
         raise ValueError(spec.reason)
     services = (_service(fields) for fields in spec["services"])
     return route_table.Configuration(
-        int(spec["version"]),
+        _version(spec["version"]),
         [_route(fields) for fields in spec["routes"]],
         {service.name: service for service in services},
         _limits(spec["limits"]),
@@ -36,6 +38,13 @@
     )
 
 
+def _version(value: typing.Any) -> int:
+    version = int(value)
+    if not 0 <= version <= _MAX_VERSION:
+        raise ValueError(f"the version {value!r:.60} is out of bounds")
+    return version
+
+
 def _route(fields: _Fields) -> route_table.Route:
     return route_table.Route(
         name=fields["name"],
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -56,6 +56,9 @@
 
 # Characters of an invalid value that are quoted in the log.
 _MAX_QUOTED = 60
+# Far above all real prompts. Sums are reported to peers, which reject the whole beacon
+# for a number that is too large.
+_MAX_TOKENS = 1_000_000_000
 # Decimal numbers up to the largest that is plausible; longer ones are not parsed.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 
@@ -215,7 +218,23 @@
 
 
 def _milliseconds(value: bytes) -> datetime.timedelta:
-    return datetime.timedelta(milliseconds=float(value))
+    try:
+        return datetime.timedelta(milliseconds=float(value))
+    except OverflowError as error:
+        raise ValueError(f"not a time: {value!r:.60}") from error
+
+
+def _tokens(value: bytes) -> int:
+    """Return a number of tokens; raises `ValueError` if it is out of bounds."""
+    tokens = int(value)
+    if not 0 <= tokens <= _MAX_TOKENS:
+        raise ValueError(f"not a number of tokens: {value!r:.60}")
+    return tokens
+
+
+def _expected_tokens(hint: bytes) -> int:
+    """Return the number of tokens that a client expects, which may be far off."""
+    return int(min(max(float(hint), 0), _MAX_TOKENS))
 
 
 def _prompt(found: dict[bytes, bytes]) -> prompts.Prompt | None:
@@ -226,9 +245,11 @@
     hint = found.get(_LENGTH_HINT)
     return prompts.Prompt(
         model=found.get(_MODEL, b"").decode("latin-1"),
-        tokens=int(tokens),
-        max_output=int(max_output),
-        expected_output=int(max_output) if hint is None else int(float(hint)),
+        tokens=_tokens(tokens),
+        max_output=_tokens(max_output),
+        expected_output=(
+            _tokens(max_output) if hint is None else _expected_tokens(hint)
+        ),
         parts=_parts(found.get(_PROMPT_PARTS, b"")),
     )
 
@@ -238,7 +259,7 @@
     for entry in value.split(b","):
         if entry.strip():
             name, tokens = entry.strip().split(b":")
-            parts.append(prompts.Part(name.decode("latin-1"), int(tokens)))
+            parts.append(prompts.Part(name.decode("latin-1"), _tokens(tokens)))
     return tuple(parts)
 
 
--- a/src/pimentolatch/platform/server_entries.py
+++ b/src/pimentolatch/platform/server_entries.py
@@ -24,7 +24,8 @@
 # in less than an hour.
 _MAX_SLOTS = 1_000_000
 _MAX_COLD_MS = 3_600_000
-_MAX_NUMBER = 2**63
+# Peers reject the whole beacon for a larger number.
+_MAX_NUMBER = 2**53 - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/routes_bad_input.feature
+++ b/tests/features/routes_bad_input.feature
@@ -57,3 +57,21 @@
     When routes: 300 connections send half a header and then nothing
     Then routes: a client beside it is served
     And routes: all of them are ended
+
+  # Guards against a request after which peers reject all beacons of its instance, since
+  # they have a number in them that no beacon may have; and against one that gets a 502.
+  Scenario Outline: A <field> that nothing can be counted with is refused
+    When routes: a client sends <field> "<value>"
+    Then routes: the answer is 400
+    And routes: no server got anything of it
+    And routes: a client beside it is served
+
+    Examples:
+      | field           | value                   |
+      | x-token-counts  | 100000000000000000,20   |
+      | x-token-counts  | 1200,100000000000000000 |
+      | x-token-counts  | -1200,20                |
+      | x-prompt-prefix | aa:100000000000000000   |
+      | x-prompt-prefix | aa:-800                 |
+      | x-deadline-ms   | 1e400                   |
+      | x-deadline-ms   | 1e300                   |
--- a/tests/features/routes_entries.feature
+++ b/tests/features/routes_entries.feature
@@ -40,6 +40,24 @@
   Scenario: An entry without a birth is one of a server that never starts again
     Then entries: one without its born is usable
 
+  # Guards against an entry whose numbers make all beacons of an instance unreadable.
+  Scenario Outline: Peers can read what an entry with <field> <value> leads to
+    Then entries: one with <field> <value> is unusable or can be told to peers
+
+    Examples:
+      | field             | value               |
+      | born              | 9007199254740991    |
+      | born              | 9007199254740992    |
+      | born              | 9223372036854775808 |
+      | slots             | 1000000             |
+      | sequence          | 9007199254740992    |
+      | cold_remaining_ms | 3600000             |
+
+  # Guards against a version that makes all beacons of an instance unreadable.
+  Scenario: A configuration with a version that no peer reads is not understood
+    Then entries: a configuration of version 9007199254740991 is understood
+    And entries: a configuration of version 9007199254740992 is not understood
+
   # A faulty writer replaces the entry of a server that is in use. Its old form must not
   # stay in force: nobody knows any more what it was worth.
   Scenario: An entry that can't be read any more names no server
--- a/tests/features/steps/routes_bad_input_steps.py
+++ b/tests/features/steps/routes_bad_input_steps.py
@@ -57,6 +57,12 @@
     context.reply, context.rest = context.run(sent)
 
 
+@behave.when('routes: a client sends {field} "{value}"')
+def send_field(context, field, value):
+    fields = {"x_token_counts": "1200,20"} | {field.replace("-", "_"): value}
+    context.reply = context.run(context.world.ask("notify", "bad", **fields))
+
+
 @behave.then("routes: the answer is {status:d} and the connection ends")
 def answered_and_ended(context, status):
     assert context.reply.status == status, context.reply
--- a/tests/features/steps/routes_entries_steps.py
+++ b/tests/features/steps/routes_entries_steps.py
@@ -52,6 +52,38 @@
     assert decoded.reason and len(decoded.reason) < 200
 
 
+@behave.then("entries: one with {field} {value:d} is unusable or can be told to peers")
+def told_to_peers(context, field, value):
+    server = server_entries.decode("e1", an_entry() | {field: value})
+    if isinstance(server, server_entries.InvalidEntry):
+        return
+    told = routes_logic_steps.a_beacon()
+    demand = beacons.Demand("lm", 0, 0, 0, leaving=(server.incarnation,))
+    told = dataclasses.replace(told, demands=(demand,))
+    assert beacon_codec.decode(beacon_codec.encode(told)) == told
+    listed = snapshots.Servers(7, (server,), {})
+    assert snapshots.decode_servers(snapshots.encode_servers(listed)) == listed
+
+
+@behave.then('entries: the entry named "{name}" is unusable')
+def unusable_name(context, name):
+    # Examples lose their outer spaces.
+    decoded = server_entries.decode(name.replace("_", " "), an_entry())
+    assert isinstance(decoded, server_entries.InvalidEntry), decoded
+
+
+@behave.then("entries: a configuration of version {version:d} is understood")
+def understood(context, version):
+    spec = route_world.configuration(version, route_world.ROUTES)
+    assert configuration.decode(spec).version == version
+
+
+@behave.then("entries: a configuration of version {version:d} is not understood")
+def not_understood(context, version):
+    found = decode_configuration(route_world.configuration(version, route_world.ROUTES))
+    assert isinstance(found, Exception), found
+
+
 @behave.then("entries: one without its born is usable")
 def usable(context):
     decoded = server_entries.decode("e1", changed_entry("without its born"))
