Use no server whose name no header can have

An entry named " e1" or "e1 " that held the address of a running server was used, and each request to it ended with 502 (40 of 40 while it was the service's only server): requests name their server in a header, and a header's value can't begin or end with a space. Such an entry is passed over now. Both examples fail on the code before.

--- a/src/pimentolatch/platform/server_entries.py
+++ b/src/pimentolatch/platform/server_entries.py
@@ -55,7 +55,7 @@
     if not isinstance(spec, dict):
         return InvalidEntry(f"not a JSON object but {type(spec).__name__}")
     try:
-        server = _server(_checked_text("name", name), spec)
+        server = _server(_name(name), spec)
     except _WrongFieldError as error:
         return InvalidEntry(str(error))
     return dataclasses.replace(
@@ -84,6 +84,14 @@
     )
 
 
+def _name(value: object) -> str:
+    name = _checked_text("name", value)
+    # Requests name their server in a header, whose value can't begin or end so.
+    if name != name.strip():
+        raise _WrongFieldError(f"name {name!r:.60} begins or ends with a space")
+    return name
+
+
 def _stage(value: object) -> servers.Stage | None:
     """Return the stage of an engine; None for other servers."""
     if value is None:
--- a/tests/features/routes_entries.feature
+++ b/tests/features/routes_entries.feature
@@ -53,6 +53,15 @@
       | sequence          | 9007199254740992    |
       | cold_remaining_ms | 3600000             |
 
+  # Guards against requests that fail since no header can name their server.
+  Scenario Outline: A server named "<name>" is not used
+    Then entries: the entry named "<name>" is unusable
+
+    Examples:
+      | name |
+      | _e1  |
+      | e1_  |
+
   # Guards against a version that makes all beacons of an instance unreadable.
   Scenario: A configuration with a version that no peer reads is not understood
     Then entries: a configuration of version 9007199254740991 is understood
