Keep a leader although another writer has changed its records

The lease, the number of servers that suffice and the record of usage reports are objects of the instances, but others can write to the store too. Decoding what is not of their form raised: no instance became the leader, nothing was ordered for any service, or no window was reported any more, with one exception logged a second, for as long as the object stayed. A lease with a fence of 2**53 or more made beacons unreadable for peers.

An invalid lease counts as one of an unknown holder: it is taken over once it has stayed as it is for as long as any other, with a fence above the store's revision at its write, which no earlier fence can exceed, since each raise took a write. An invalid number of servers ends the orders of its service only. Windows that can't be read are dropped from the record of usage.

--- a/src/pimentolatch/gateway/capacity_controller.py
+++ b/src/pimentolatch/gateway/capacity_controller.py
@@ -18,6 +18,8 @@
 _log = logbook.Logger("capacity")
 _KIND = "pimentolatch-capacity"
 _INTERVAL = datetime.timedelta(milliseconds=500)
+# Far above all real numbers of servers.
+_MAX_SIZE = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,7 @@
         self._clock = time
         self._needs: dict[str, server_need.SeenNeed] = {}
         self._initial_sizes: dict[str, server_plan.InitialSize] = {}
+        self._unreadable_sizes: set[str] = set()
         self._planners: dict[str, server_plan.ServerPlanner] = {}
 
     @property
@@ -204,13 +207,23 @@
             return None
         found = await self._store.get(_KIND, service)
         if isinstance(found, store.Found):
-            return int(found.value["servers"])
+            return self._stored_size(service, found)
         if isinstance(found, store.Unavailable):
             return None
         value = {"servers": size}
         outcome = await self._store.put(_KIND, service, value, if_version=0)
         return size if isinstance(outcome, store.Written) else None
 
+    def _stored_size(self, service: str, found: store.Found) -> int | None:
+        fields = found.value if isinstance(found.value, dict) else {}
+        size = fields.get("servers")
+        if isinstance(size, int) and 0 <= size <= _MAX_SIZE:
+            return size
+        if service not in self._unreadable_sizes:
+            self._unreadable_sizes.add(service)
+            _log.error("stored number of servers not understood", service=service)
+        return None
+
     async def _send(
         self, service: str, order: server_plan.Order, scaling: route_table.Scaling
     ) -> control_api.Outcome:
--- a/src/pimentolatch/gateway/lease.py
+++ b/src/pimentolatch/gateway/lease.py
@@ -1,7 +1,9 @@
 """The lease in the platform's store by which one instance at a time is the leader."""
 
 import asyncio
+import dataclasses
 import datetime
+import typing
 
 import logbook
 
@@ -16,6 +18,8 @@
 # Allows for the latency of a call: a leader may still have a call in flight when its
 # lease ends.
 _MARGIN = datetime.timedelta(milliseconds=500)
+# Peers reject the whole beacon for a larger number.
+_MAX_FENCE = 2**53 - 1
 
 
 class LeaderLease:
@@ -103,14 +107,13 @@
             return False
         if isinstance(found, store.Absent):
             return await self._write(0, 1, self._holder)
-        fence = int(found.value["fence"])
-        holder, previous = found.value["holder"], found.value.get("previous")
-        if holder == self._holder:
-            return await self._write(found.version, fence + 1, previous)
-        released = fence == released_fence and previous != self._holder
+        record = _decode(found)
+        if record.holder == self._holder:
+            return await self._write(found.version, record.fence + 1, record.previous)
+        released = record.fence == released_fence and record.previous != self._holder
         if not released and not self._is_abandoned(found.version):
             return False
-        return await self._write(found.version, fence + 1, holder)
+        return await self._write(found.version, record.fence + 1, record.holder)
 
     def _is_abandoned(self, version: int) -> bool:
         """Tell whether the lease has been unchanged for long enough to take over."""
@@ -140,3 +143,34 @@
         self._previous = previous
         self._valid_until = sent + self._handover_gap - _MARGIN
         return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    """Content of the store; the holder is None if it can't be read."""
+
+    fence: int
+    holder: str | None
+    previous: str | None
+
+
+def _decode(found: store.Found) -> _Record:
+    """Decode the lease; of an invalid one only an upper bound of the fence is known.
+
+    Each raise of the fence took a write, so the revision of the store is no lower.
+    """
+    fields = found.value if isinstance(found.value, dict) else {}
+    fence, holder = fields.get("fence"), fields.get("holder")
+    if _is_fence(fence) and isinstance(holder, str):
+        previous = fields.get("previous")
+        return _Record(fence, holder, previous if isinstance(previous, str) else None)
+    _log.warn("lease not understood", revision=found.version)
+    return _Record(found.version, None, None)
+
+
+def _is_fence(value: typing.Any) -> typing.TypeGuard[int]:
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and 0 <= value < _MAX_FENCE
+    )
--- a/src/pimentolatch/gateway/usage_reports.py
+++ b/src/pimentolatch/gateway/usage_reports.py
@@ -26,6 +26,8 @@
 _MAX_UNREACHABLE_CALLS = 2
 
 _Counts = dict[str, int]
+# Exceptions raised by decoding a record that another writer has changed.
+_DECODE_ERRORS = (AttributeError, OverflowError, TypeError, ValueError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,13 +211,20 @@
 def _record_of(found: store.Found | store.Absent) -> _Record:
     if isinstance(found, store.Absent):
         return _Record(0, {})
-    windows: dict[int, _Counts] = {
-        int(number): {str(name): int(count) for name, count in counts.items()}
-        for number, counts in _windows(found.value).items()
-    }
+    windows: dict[int, _Counts] = {}
+    for number, counts in _windows(found.value).items():
+        try:
+            windows[int(number)] = {
+                str(name): int(count) for name, count in counts.items()
+            }
+        except _DECODE_ERRORS as error:
+            _log.error("usage record not understood", reason=f"{error!r:.100}")
     return _Record(found.version, windows)
 
 
 def _windows(value: typing.Any) -> dict[str, typing.Any]:
     windows = value.get("windows") if isinstance(value, dict) else None
-    return windows if isinstance(windows, dict) else {}
+    if isinstance(windows, dict):
+        return windows
+    _log.error("usage record not understood", reason="no windows")
+    return {}
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -11,7 +11,7 @@
 import typing
 from collections import abc
 
-from pimentolatch import clock, store
+from pimentolatch import bounded_json, clock, store
 from standins import object_table
 
 __all__ = ["MemoryStore", "Pause", "StoreFaults", "no_pause"]
@@ -105,7 +105,7 @@
         await self._pause(f"get {kind} done")
         if row is None:
             return store.Absent(name)
-        return store.Found(name, row.version, row.value)
+        return store.Found(name, row.version, _value(row))
 
     async def put(
         self, kind: str, name: str, value: store.Json, *, if_version: int
@@ -225,4 +225,11 @@
 
 
 def _found(row: object_table.Row) -> store.Found:
-    return store.Found(row.name, row.version, row.value, row.created)
+    return store.Found(row.name, row.version, _value(row), row.created)
+
+
+def _value(row: object_table.Row) -> typing.Any:
+    if not isinstance(row.value, object_table.RawJson):
+        return row.value
+    value = bounded_json.loads(row.value.text).value
+    return bounded_json.first_unreadable(value) or value
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -24,3 +24,38 @@
   # Guards against any content of one object that hides others, from whatever reads them.
   Scenario: Generated objects hide nothing from lists, watches and reads
     Then odd: beside 150 generated objects a sound one is listed, watched and read
+
+  # Guards against a fleet without a leader for as long as another writer's lease stays.
+  Scenario Outline: A lease that is <oddity> is taken over
+    Given lease: instances "one" and "two" on one store
+    When lease: "one" asks for the lease
+    And odd: another writer makes the lease <oddity>
+    And lease: "two" asks for the lease again and again for 5 seconds
+    Then lease: "two" does not hold it
+    When lease: "two" asks for the lease again and again for 4 seconds
+    Then odd: "two" holds the lease with a higher fence, which peers can read
+    And lease: "one" does not hold it
+
+    Examples:
+      | oddity           |
+      | unreadable       |
+      | a list           |
+      | without a holder |
+      | with a huge fence |
+
+  # Guards against a service whose stored number ends the orders for all services.
+  Scenario: A stored number of servers that is no number ends nothing
+    Given capacity: a keeper before 8 dear servers of a service
+    When capacity: it holds the duties until the cheap ones stand
+    And odd: another writer makes the stored number of servers a list
+    And capacity: another keeper holds them for 20 seconds
+    Then capacity: the same numbers are ordered
+
+  # Guards against a record that ends the reports of usage for good.
+  Scenario Outline: A usage record that is <oddity> ends no reports
+    Then odd: usage is reported on after its record is <oddity>
+
+    Examples:
+      | oddity                   |
+      | unreadable               |
+      | without readable windows |
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -12,7 +12,7 @@
 from pimentolatch import bounded_json, clock, settings, store
 from pimentolatch.platform import objects
 from standins import object_table, platform, route_server
-from tests.support import restartable_store, route_world
+from tests.support import restartable_store, route_world, usage_world
 
 HOSTS = {"one": "127.0.0.1", "two": "127.0.0.2", "three": "127.0.0.3"}
 
@@ -178,3 +178,52 @@
         client.close()
         runner.run(served.stop())
     assert min(kinds[True], kinds[False]) > count / 4, kinds
+
+
+def overwrite(table, kind, name, value):
+    """Replace an object of the instances, as another writer would."""
+    version = table.get(kind, name).version
+    asyncio.run(table.put(kind, name, value, version))
+
+
+UNREADABLE = object_table.RawJson(b"[" * 1000 + b"]" * 1000)
+LEASES = {
+    "unreadable": UNREADABLE,
+    "a list": ["one", 1],
+    "without a holder": {"fence": 1},
+    "with a huge fence": {"holder": "one", "fence": 10**30},
+}
+
+
+@behave.when("odd: another writer makes the lease {oddity}")
+def odd_lease(context, oddity):
+    overwrite(context.lease_table, "pimentolatch-leases", "stages", LEASES[oddity])
+
+
+@behave.then('odd: "{name}" holds the lease with a higher fence, which peers can read')
+def higher_fence(context, name):
+    held = context.leases[name]
+    assert held.valid() and 1 < held.fence < 2**53, held.fence
+
+
+@behave.when("odd: another writer makes the stored number of servers a list")
+def odd_number(context):
+    (row,) = context.fleet.table.list_objects("pimentolatch-capacity")
+    overwrite(context.fleet.table, "pimentolatch-capacity", row.name, [8])
+
+
+USAGE_RECORDS = {
+    "unreadable": UNREADABLE,
+    "without readable windows": {"windows": {"x": {"a": 1}, "1": 7, "2": {"a": []}}},
+}
+
+
+@behave.then("odd: usage is reported on after its record is {oddity}")
+def usage_goes_on(context, oddity):
+    world = usage_world.UsageWorld(1, faulty=False)
+    asyncio.run(world.play(60))
+    overwrite(world.table, "pimentolatch-usage", "windows", USAGE_RECORDS[oddity])
+    before = {call.window for call in world.receiver.accepted}
+    asyncio.run(world.play(60))
+    after = {call.window for call in world.receiver.accepted}
+    assert before and max(after) > max(before), (before, after)
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -26,11 +26,11 @@
 def two_instances(context):
     context.clock = clock.ManualClock()
     context.faults = memory_store.StoreFaults()
-    table = object_table.ObjectTable()
+    context.lease_table = object_table.ObjectTable()
     context.leases = {}
     for name in ("one", "two"):
         link = memory_store.MemoryStore(
-            table, time=context.clock, link=name, faults=context.faults
+            context.lease_table, time=context.clock, link=name, faults=context.faults
         )
         context.leases[name] = lease.LeaderLease(
             link, name, "life", BETWEEN, context.clock
