Hold what an instance does with an unreadable configuration

It keeps the last configuration that it has understood; one that starts meanwhile takes that from its peers, and without any it is not ready and answers 503 until another version is written.

--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -59,3 +59,23 @@
       | oddity                   |
       | unreadable               |
       | without readable windows |
+
+  # Guards against an instance that forgets its configuration for one it can't read, and
+  # against one that is ready without any.
+  Scenario: An unreadable configuration keeps the last one
+    Given routes: a store with a configuration
+    And odd: instances "one" and "two"
+    And odd: a plain server "a1" starts
+    And odd: "one" and "two" use "a1"
+    When odd: the configuration becomes unreadable
+    Then odd: "one" still serves with version 1
+    When odd: an instance "three" starts
+    Then odd: "three" still serves with version 1
+
+  Scenario: An instance that knows an unreadable configuration only waits for another one
+    Given routes: a store with a configuration
+    And odd: the configuration becomes unreadable
+    When odd: an instance "one" starts without a configuration
+    Then odd: "one" is not ready and refuses requests as not run
+    When odd: a configuration of version 2 is written
+    Then odd: "one" becomes ready with version 2
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -58,7 +58,7 @@
     context.run(context.world.write("servers", "odd", ODDITIES[oddity]))
 
 
-@behave.when('odd: a plain server "{name}" starts')
+@behave.step('odd: a plain server "{name}" starts')
 def start_server(context, name):
     context.run(context.world.add_server(name, "app"))
 
@@ -68,7 +68,7 @@
     start_instance(context, name)
 
 
-@behave.then('odd: "one" and "two" use "{server_id}"')
+@behave.step('odd: "one" and "two" use "{server_id}"')
 def both_use(context, server_id):
     uses(context, "one", server_id)
     uses(context, "two", server_id)
@@ -227,3 +227,46 @@
     asyncio.run(world.play(60))
     after = {call.window for call in world.receiver.accepted}
     assert before and max(after) > max(before), (before, after)
+
+
+@behave.step("odd: the configuration becomes unreadable")
+def odd_configuration(context):
+    text = object_table.RawJson(
+        b'{"version":2,"routes":' + b"[" * 1000 + b"]" * 1000 + b"}"
+    )
+    context.run(context.world.write("config", "main", text))
+
+
+@behave.when('odd: an instance "{name}" starts without a configuration')
+def starts_without(context, name):
+    context.run(context.world.add_instance(name, host=HOSTS[name], ready=False))
+    instance = context.world.instances[name][1]
+    context.run(context.world.until(lambda: instance.fleet.servers_listed))
+
+
+@behave.then('odd: "{name}" still serves with version {version:d}')
+def still_serves(context, name, version):
+    context.run(asyncio.sleep(1))
+    assert context.world.instances[name][1].fleet.version == version
+    assert context.run(context.world.ask_ready(name)) == 200
+    uses(context, name, "a1")
+    reply = context.run(context.world.ask("notify", f"r-{name}", name=name))
+    assert reply.status == 200, reply
+
+
+@behave.then('odd: "{name}" is not ready and refuses requests as not run')
+def not_ready(context, name):
+    assert context.run(context.world.ask_ready(name)) == 503
+    reply = context.run(context.world.ask("notify", "r1", name=name))
+    assert reply.status == 503 and "retry-after" in reply.fields, reply
+
+
+@behave.when("odd: a configuration of version {version:d} is written")
+def write_configuration(context, version):
+    context.run(context.world.configure(version))
+
+
+@behave.then('odd: "{name}" becomes ready with version {version:d}')
+def becomes_ready(context, name, version):
+    context.run(context.world.until_ready(name))
+    assert context.world.instances[name][1].fleet.version == version
