Count a peer's failure as a run though its body was cut

What callers saw: an instance without a path to the servers forwarded a stream request that must not run twice to a peer. The peer answered 502, "the request may have run", and its connection ended within the body of that answer. The request was forwarded again, up to five times, and its caller was then told 503, "not run".

Cause: what the head of the answer says was taken into account only after its body had been read, and the error of the cut body left before that. Class: a statement of a head that is lost with its body.

Mend: a refusal of a peer that does not promise "not run" counts as a run as soon as its head has arrived. Plain requests counted any broken answer as a run already.

Evidence: peers' answers in five forms, cut after every byte, ended in order and by a reset, 14 scenarios. Before, "own failures" of "draft" gave a false 503 at 25 of 156 cuts, all within the body; now at none. The other scenarios passed before and pass now.

--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -82,6 +82,9 @@
         opened: peer_forwarder.OpenedForward,
     ) -> bool:
         if opened.refusal is not None:
+            if opened.status not in dispatch.NOT_RUN_STATUSES:
+                # Its head says so already, should its body be cut.
+                request_progress.count_run(request, progress)
             return await self._refuse(response, progress, opened)
         request_progress.count_run(request, progress)
         if not 200 <= opened.status < 300:
--- a/tests/features/cut_answers.feature
+++ b/tests/features/cut_answers.feature
@@ -28,3 +28,40 @@
       | a forwarded call      | interim answers  |
       | a forwarded call      | bare line feeds  |
       | a forwarded call      | an older version |
+
+  # Guards against a stream, a handle or a document that was cut and counts as whole.
+  Scenario Outline: <call> succeeds only by the whole of <content> with <form>
+    Given cut answers: <content> with <form> is cut after every byte
+    When cut answers: <call> is answered so
+    Then cut answers: nothing counts as whole without all of its content
+    And cut answers: the whole one succeeds
+
+    Examples:
+      | call                    | content            | form     |
+      | a stream                | a stream of tokens | chunks   |
+      | a stream                | a refusal          | a length |
+      | a stream                | a refusal          | chunks   |
+      | an export of a KV cache | a handle           | a length |
+      | an export of a KV cache | a handle           | chunks   |
+      | an import of a KV cache | a handle           | a length |
+      | an import of a KV cache | a handle           | chunks   |
+      | an operator's call      | a document         | a length |
+      | an operator's call      | a document         | chunks   |
+
+  # Guards against the same where the HTTP library does not find the end of an answer.
+  Scenario Outline: <call> does not succeed by a part of <content> with <form>
+    Given cut answers: <content> with <form> is cut after every byte
+    When cut answers: <call> is answered so
+    Then cut answers: nothing counts as whole without all of its content
+
+    Examples:
+      | call                    | content            | form            |
+      | a stream                | a stream of tokens | a length        |
+      | a stream                | a stream of tokens | no length       |
+      | a stream                | a stream of tokens | no body         |
+      | a stream                | a stream of tokens | interim answers |
+      | a stream                | a refusal          | no length       |
+      | an export of a KV cache | a handle           | no length       |
+      | an export of a KV cache | a handle           | no body         |
+      | an import of a KV cache | a handle           | interim answers |
+      | an operator's call      | a document         | no length       |
--- /dev/null
+++ b/tests/features/cut_routes.feature
@@ -0,0 +1,28 @@
+# A server or a peer stops after any byte of its answer to a request on a route, and its
+# connection is closed or reset.
+Feature: Answers on routes that are cut after any byte
+
+  # Guards against a cut answer of a peer that a client gets as a whole one, or as "not
+  # run".
+  Scenario Outline: Of a peer's <answers> with <form>, "<route>" passes on the whole ones
+    Given cut routes: a peer whose <answers> with <form> are cut
+    When cut routes: "<route>" is asked for with each cut
+    Then cut routes: each client is told the truth
+    And cut routes: each request has reached the server, once at most if unsafe
+
+    Examples:
+      | route | answers      | form            |
+      | print | answers      | a length        |
+      | print | answers      | chunks          |
+      | print | answers      | no length       |
+      | print | answers      | no body         |
+      | print | answers      | interim answers |
+      | print | failures     | a length        |
+      | print | own failures | a length        |
+      | print | own refusals | a length        |
+      | draft | streams      | chunks          |
+      | draft | streams      | no length       |
+      | draft | streams      | interim answers |
+      | draft | failures     | a length        |
+      | draft | own failures | a length        |
+      | draft | own refusals | a length        |
--- a/tests/support/cutting_server.py
+++ b/tests/support/cutting_server.py
@@ -8,7 +8,16 @@
 from pimentolatch import settings
 from pimentolatch.backend import sockets
 
-__all__ = ["ENDINGS", "Cut", "CuttingServer", "Form", "cut_name", "plain_forms"]
+__all__ = [
+    "COMMENT",
+    "ENDINGS",
+    "Cut",
+    "CuttingEngine",
+    "CuttingServer",
+    "Form",
+    "cut_name",
+    "plain_forms",
+]
 
 ENDINGS = ("closed", "reset")
 # A request names its cut in any field of its head.
@@ -19,7 +28,8 @@
 SPLIT_S = 0.001
 HEALTHY = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 PIECES = (b"first, ", b"second", b" and last")
-BODY = b"".join(PIECES)
+# What an engine sends before it goes on with a stream.
+COMMENT = b": here it goes on\n\n"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +48,26 @@
     body: bytes
     ends_with_connection: bool = False
 
+    @property
+    def is_success(self):
+        """Whether it says that the request succeeded."""
+        return b" 20" in self.final_line
+
+    @property
+    def is_refusal(self):
+        """Whether it says that the request has not run."""
+        return b" 503 " in self.final_line
+
+    @property
+    def is_failure(self):
+        """Whether it says that the request failed."""
+        return b" 50" in self.final_line and not self.is_refusal
+
+    @property
+    def final_line(self):
+        """Its status line, after those of interim answers."""
+        return re.findall(rb"HTTP/1\..*", self.head)[-1]
+
     def whole_body(self, cut):
         """Return the body of the answer if a client may take it for whole, or None."""
         sent = len(self.raw) if cut is None else cut.sent
@@ -101,7 +131,7 @@
 
 
 class CuttingServer:
-    """Answers one request on each connection, as far as the request's name tells.
+    """Answers requests as far as their names tell.
 
     A request without such a name is taken for a health check.
 
@@ -135,6 +165,14 @@
         """Stop listening."""
         self._server.close()
 
+    def entry(self, service, stage=None):
+        """Return its entry in the store."""
+        address = f"{self.address.host}:{self.address.port}"
+        entry = {"service": service, "address": address, "zone": "here"}
+        entry |= {"version": "v1", "slots": 64, "state": "ready", "sequence": 1}
+        entry |= {"cold_remaining_ms": 0}
+        return entry if stage is None else entry | {"stage": stage}
+
     def answer(self, head):
         """Return the answer to a request and where it stops."""
         if not self._names_cuts:
@@ -147,18 +185,55 @@
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            if length := re.search(rb"content-length: (\d+)", head.lower()):
-                await reader.readexactly(int(length[1]))
-            raw, cut = self.answer(head)
-            sent = len(raw) if cut is None else cut.sent
-            writer.write(raw[: sent // 2])
-            await writer.drain()
-            await asyncio.sleep(SPLIT_S)
-            writer.write(raw[sent // 2 : sent])
-            await writer.drain()
-            if cut is not None and cut.ending == "reset":
-                await asyncio.sleep(RESET_AFTER_S)
-                sockets.reset_on_close(writer.get_extra_info("socket"))
-                writer.transport.abort()
+            while await self._exchange(reader, writer):
+                pass
         writer.close()
+
+    async def _exchange(self, reader, writer):
+        """Answer a request; return whether its connection stays open."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        if length := re.search(rb"content-length: (\d+)", head.lower()):
+            await reader.readexactly(int(length[1]))
+        raw, cut = self.answer(head)
+        sent = len(raw) if cut is None else cut.sent
+        writer.write(raw[: sent // 2])
+        await writer.drain()
+        await asyncio.sleep(SPLIT_S)
+        writer.write(raw[sent // 2 : sent])
+        await writer.drain()
+        if cut is not None and cut.ending == "reset":
+            await asyncio.sleep(RESET_AFTER_S)
+            sockets.reset_on_close(writer.get_extra_info("socket"))
+            writer.transport.abort()
+            return False
+        return sent >= len(raw) and not self._form.ends_with_connection
+
+
+class CuttingEngine(CuttingServer):
+    """Cuts its answer to the first dispatch of each request, and resumes streams.
+
+    Args:
+        form_name: One of `plain_forms`.
+        events: The events of each stream, one after the other.
+        started: Names of the cuts that an engine has made, shared by several.
+    """
+
+    def __init__(self, form_name, fields, events, started):
+        self._form_name = form_name
+        self._fields = fields
+        self._events = events
+        self._started = started
+        super().__init__(self._rest(0))
+
+    def answer(self, head):
+        """Return the answer to a request and where it stops."""
+        raw, cut = super().answer(head)
+        if cut is None or cut not in self._started:
+            self._started.add(cut)
+            return raw, cut
+        last = re.search(rb"last-event-id: (\d+)", head.lower())
+        return self._rest(int(last[1]) if last else 0, COMMENT).raw, None
+
+    def _rest(self, last, *before):
+        pieces = [*before, *self._events[last:]]
+        return plain_forms(self._fields, pieces)[self._form_name]
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -314,9 +314,14 @@
     while (line := (await reader.readline()).strip()) != b"":
         name, _, value = line.decode().partition(":")
         fields[name.lower()] = value.strip()
+    if status in (204, 304):
+        return Reply(status, fields, b"", True)
     if "content-length" in fields:
-        body = await reader.readexactly(int(fields["content-length"]))
-        return Reply(status, fields, body, True)
+        length = int(fields["content-length"])
+        try:
+            return Reply(status, fields, await reader.readexactly(length), True)
+        except asyncio.IncompleteReadError as error:
+            return Reply(status, fields, error.partial, False)
     body = b""
     try:
         while size := int(await reader.readline(), 16):
