Frame answers on routes by their own length alone

What clients saw: each answer of a server with a length bore two lengths, and to HEAD two different ones, which is malformed; strict clients refuse it. A stream whose first server had stated a length kept that length: when it broke and went on at another engine that sent anything else besides the same bytes, such as a comment, the rest did not fit, and the connection was closed.

Cause: the server's Content-Length was among the fields that are passed on, though it concerns the framing of one connection. Class: framing of one connection that is used on another one.

Mend: the field is dropped with the others of that kind. An answer that is written whole gets its length, one to HEAD or with 204 or 304 none.

Evidence: streams cut after every byte that go on after a comment.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -21,6 +21,7 @@
 # Outcome of a server's response that was forwarded completely.
 PASSED_ON = "passed on"
 Fields = abc.Sequence[tuple[bytes, bytes]]
+_BODILESS = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +133,11 @@
 
     async def send_full(self, status: int, fields: Fields, body: bytes) -> None:
         """Write a response whose body is complete."""
-        await self.start(status, [*fields, (b"content-length", b"%d" % len(body))])
+        length = [(b"content-length", b"%d" % len(body))]
+        if status in _BODILESS or self._scope["method"] == "HEAD":
+            # A length would tell that of another body, or be malformed.
+            length = []
+        await self.start(status, [*fields, *length])
         await self.finish(body)
 
     async def pass_on_refusal(
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -346,7 +346,7 @@
         status: Status of the response, on which the meaning of some fields depends.
     """
     found = {name.lower(): value for name, value in fields}
-    dropped = (_CONNECTION_FIELDS - {b"content-length"}) | _named_by_connection(fields)
+    dropped = _CONNECTION_FIELDS | _named_by_connection(fields)
     dropped |= {_NOT_RUN, _SERVER_ID}
     return ResponseHeaders(
         request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
--- a/tests/features/cut_routes.feature
+++ b/tests/features/cut_routes.feature
@@ -2,6 +2,34 @@
 # connection is closed or reset.
 Feature: Answers on routes that are cut after any byte
 
+  # Guards against events that are missing or come twice where a stream goes on.
+  Scenario Outline: A cut stream with <form> goes on at another engine
+    Given cut routes: two engines whose first streams with <form> are cut
+    When cut routes: "digest" is asked for with each cut
+    Then cut routes: each client has each event once, and the end
+
+    Examples:
+      | form            |
+      | a length        |
+      | chunks          |
+      | no length       |
+      | interim answers |
+
+  # Guards against an answer with two lengths, which is malformed, or a wrong one.
+  Scenario Outline: An answer of <form> to <method> has one length at most
+    Given cut routes: a plain server whose answers with <form> are cut
+    When cut routes: the whole answer is asked for by <method>
+    Then cut routes: it has <lengths>
+
+    Examples:
+      | form      | method | lengths     |
+      | a length  | POST   | one length  |
+      | chunks    | POST   | one length  |
+      | no body   | POST   | no length   |
+      | a length  | HEAD   | no length   |
+      | chunks    | HEAD   | no length   |
+      | no body   | HEAD   | no length   |
+
   # Guards against a cut answer of a peer that a client gets as a whole one, or as "not
   # run".
   Scenario Outline: Of a peer's <answers> with <form>, "<route>" passes on the whole ones
--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -2,6 +2,7 @@
 import collections
 import datetime
 import json
+import re
 import types
 from unittest import mock
 
@@ -268,3 +269,33 @@
 
     report(context, is_right)
     assert any(map(is_success, context.replies.values()))
+
+
+@behave.when("cut routes: the whole answer is asked for by {method}")
+def ask_by(context, method):
+    whole = cutting_server.Cut(len(context.form.raw), "closed")
+    sent = route_world.request(
+        "print", cutting_server.cut_name(whole), connection="close"
+    )
+
+    async def asking():
+        reader, writer = await context.world.connect()
+        writer.write(sent.replace(b"POST", method.encode(), 1))
+        async with asyncio.timeout(route_world.WAIT_S):
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
+    context.head = context.route_runner.run(asking())
+
+
+LENGTHS = {
+    "no length": [],
+    "one length": [b"%d" % len(b"".join(cutting_server.PIECES))],
+}
+
+
+@behave.then("cut routes: it has {lengths}")
+def lengths_are(context, lengths):
+    found = re.findall(rb"content-length: (.*)\r", context.head)
+    assert found == LENGTHS[lengths], context.head
