--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -4,11 +4,13 @@
 and runs the daemon.
 """
 
+import asyncio
 import dataclasses
 import datetime
+import selectors
 import sys
 
-from pimentolatch import clock
+from pimentolatch import clock, event_loop
 from pimentolatch.decisions import (
     departures,
     missing_servers,
@@ -195,6 +197,12 @@
     fleet_state.FleetState.has_servers = lambda self, revision: True
 
 
+def _run_timers_before_input():
+    """Runs timers as the standard event loop does, before late input is read."""
+    event_loop.InputFirstEventLoop.call_at = asyncio.SelectorEventLoop.call_at
+    event_loop._Selector.select = selectors.DefaultSelector.select
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -216,6 +224,7 @@
     "catching up after pauses": _serve_on_after_pauses,
     "reading of an overdue store": _never_read_when_overdue,
     "confirmation by known changes": _believe_readers,
+    "input before timers": _run_timers_before_input,
 }
 
 
