Have the soak release software beside a gateway that is out of step

Four gateways run with relays on the paths between them; one is cut off from its peers and the store, or stands still, while engines of another version join and the earlier ones drain, or all engines start again under their ids at the other version. Clients disconnect from streams and resume them, mostly there; nothing excuses events of two versions.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -74,6 +74,14 @@
     _play(context, seed, seconds, soak_kinds.KINDS["standstills"])
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of releases beside a gateway"
+    " out of step"
+)
+def play_releases(context, seed, seconds):
+    _play(context, seed, seconds, soak_kinds.KINDS["releases"])
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,7 @@
 gateways stand still around it; one failure domain has a single gateway.
 `--uneven` lets engines differ in speed and failure domains fall silent in turn.
 `--paths` harms the paths between gateways, of which some learn only from others.
+`--releases` has streams resumed at a gateway that knows the servers' versions late.
 `--standstills` has gateways stand still while short limits are in force.
 Each run also prints how its requests ended.
 """
@@ -119,16 +120,14 @@
         for attempt in attempts
         if attempt.sent_at >= recovered_at and attempt.body != soak_clients.FATAL_BODY
     ]
-    succeeded = sum(
-        attempt.status == 200 and attempt.complete for attempt in after_faults
-    )
+    succeeded = sum(attempt.served for attempt in after_faults)
     if not after_faults or succeeded < MIN_SERVED_SHARE * len(after_faults):
         violations.append(
             f"only {succeeded} of {len(after_faults)} were served after the faults"
         )
     if violations:
         _save_failure(seed, disabled_safeguard, violations, logs, world.relays.failures)
-    served = sum(attempt.status == 200 and attempt.complete for attempt in attempts)
+    served = sum(attempt.served for attempt in attempts)
     return Result(
         seed,
         len(attempts),
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -150,8 +150,9 @@
     if attempt.route in soak_clients.STREAMS:
         text = attempt.response_body.decode(errors="replace")
         event_ids = re.findall(r"^id: (\d+)$", text, re.MULTILINE)
-        due = event_count if attempt.complete else min(event_count, len(event_ids))
-        expected = [str(number) for number in range(1, due + 1)]
+        received = attempt.after + len(event_ids)
+        due = event_count if attempt.complete else min(event_count, received)
+        expected = [str(number) for number in range(attempt.after + 1, due + 1)]
         if event_ids != expected:
             yield (
                 f"{attempt.request_id} got events {event_ids}, "
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -27,6 +27,8 @@
         status: HTTP status; NO_RESPONSE if there was none.
         complete: Whether the response was received to its end.
         gave_up: Whether the client stopped waiting for it.
+        after: Number of the event after which it resumes a stream.
+        left: Whether the client disconnected in the midst of the response.
         reset: Whether the connection was reset, as by an instance that closes it with
             data unread.
         ended_at: When the response, or the connection, ended.
@@ -40,12 +42,19 @@
     body: bytes
     status: int = NO_RESPONSE
     complete: bool = False
+    after: int = 0
+    left: bool = False
     gave_up: bool = False
     reset: bool = False
     response_body: bytes = b""
     headers: dict = dataclasses.field(default_factory=dict)
     ended_at: float = 0.0
 
+    @property
+    def served(self):
+        """Whether it was answered for as long as its client wanted."""
+        return self.status == 200 and (self.complete or self.left)
+
 
 class Client:
     """Keeps its connection until it is closed, as clients of the load balancer do.
@@ -102,15 +111,22 @@
             return
         gateway = self._world.gateways[self._gateway]
         body = self._body(request_id)
+        fields = self._fields()
         attempt = Attempt(
-            request_id, route, gateway.name, gateway.incarnation, self._clock(), body
+            request_id,
+            route,
+            gateway.name,
+            gateway.incarnation,
+            self._clock(),
+            body,
+            after=int(fields.get("last_event_id", 0)),
         )
         self.attempts.append(attempt)
         reader, writer = self._connection
         reusable = False
         try:
             async with asyncio.timeout(DEADLINE_S + 1):
-                data = route_world.request(route, request_id, body)
+                data = route_world.request(route, request_id, body, **fields)
                 await self._write(writer, attempt, data)
                 reusable = await self._read_response(reader, attempt)
         except TimeoutError:
@@ -129,6 +145,14 @@
     async def _write(self, writer, attempt, data):
         writer.write(data)
 
+    def _fields(self):
+        """Return more header fields of the next request."""
+        return {}
+
+    def _leaves(self, attempt):
+        """Return whether to disconnect with what was received so far."""
+        return False
+
     def _body(self, request_id):
         return request_id.encode()
 
@@ -148,6 +172,8 @@
             while size := int(await reader.readline(), 16):
                 attempt.response_body += await reader.readexactly(size)
                 await reader.readline()
+                if self._leaves(attempt):
+                    return False
             await reader.readline()
         attempt.complete = True
         return attempt.headers.get("connection", "").lower() != "close"
--- a/tests/support/soak_endings.py
+++ b/tests/support/soak_endings.py
@@ -33,6 +33,7 @@
     REFUSED = "refused as not run"
     FAILED = "failed (5xx)"
     DENIED = "denied (4xx)"
+    LEFT = "left by its client"
     CROSSED = "crossed a close"
     EXCUSED = "hit by a fault"
     TIME_UP = "out of time"
@@ -61,6 +62,8 @@
         """Return how a request ended."""
         if attempt.complete:
             return _complete_ending(attempt.status)
+        if attempt.left:
+            return Ending.LEFT
         if self._crossed_close(attempt):
             return Ending.CROSSED
         if self._hit(attempt) or self._silenced(attempt):
@@ -115,8 +118,8 @@
         )
 
     def unanswerable(self, attempt):
-        """Return whether time was up, or a server that it reached out of reach."""
-        return self.time_up(attempt) or self._silenced(attempt)
+        """Return whether its client or its server left, or time was up."""
+        return attempt.left or self.time_up(attempt) or self._silenced(attempt)
 
     def _silenced(self, attempt):
         servers = self._servers(attempt)
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -11,6 +11,7 @@
     soak_outages,
     soak_paths,
     soak_pauses,
+    soak_releases,
     soak_standstills,
     soak_uneven,
     soak_world,
@@ -163,6 +164,15 @@
         gateways=soak_paths.GATEWAYS,
         check=soak_paths.late_violations,
     ),
+    "releases": Kind(
+        draw=soak_releases.draw,
+        injector=soak_releases.ReleaseInjector,
+        clients=soak_releases.clients,
+        world=_path_world,
+        prepare=soak_releases.prepare,
+        gateways=soak_releases.GATEWAYS,
+        check=soak_releases.version_violations,
+    ),
     "standstills": Kind(
         draw=soak_standstills.draw,
         injector=soak_standstills.StandstillInjector,
--- a/tests/support/soak_world.py
+++ b/tests/support/soak_world.py
@@ -80,6 +80,7 @@
         second_services: Whether each service has a copy.
         event_count, event_pause_s: Length and pace of the servers' streams.
         failure_domains: Those of gateways and servers, filled evenly.
+        first_start_ms: Time of their start that servers report; None for none.
         slowness: Factors of the pace of the engines, one after the other.
         configurations: All versions of the configuration, in order.
         removed_at: Time at which each removed server was stopped, by server id.
@@ -104,6 +105,7 @@
         self.event_count = route_server.EVENT_COUNT
         self.event_pause_s = route_server.EVENT_PAUSE_S
         self.failure_domains = ("here",)
+        self.first_start_ms = None
         self.slowness = itertools.repeat(1.0)
         self.configurations = []
         self.removed_at = {}
@@ -160,6 +162,7 @@
         server = route_server.RouteServer(name, service, domain, stage, version)
         server.fatal_body = self.fatal_body
         server.event_count = self.event_count
+        server.started_ms = self.first_start_ms
         server.event_pause_s = self.event_pause_s
         server.slowness = next(self.slowness)
         await server.start()
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -10,7 +10,14 @@
 from standins import route_server
 from tests.support import route_world, soak_world
 
-__all__ = ["RESUMES", "Attempt", "ProcessWorld", "Stream", "VersionWorld"]
+__all__ = [
+    "RESUMES",
+    "Attempt",
+    "ProcessWorld",
+    "Stream",
+    "VersionWorld",
+    "events_of",
+]
 
 DOMAINS = ("east", "west")
 EVENT_PAUSE_S = 0.03
@@ -68,8 +75,7 @@
     @property
     def events(self):
         """Whole events that were received."""
-        *whole, _ = self.body.split(b"\n\n") if self.status == 200 else [b""]
-        return [_parse_event(text) for text in whole]
+        return events_of(self.body) if self.status == 200 else []
 
     @property
     def refused(self):
@@ -400,6 +406,12 @@
         await self._world.stop()
 
 
+def events_of(body):
+    """Return the whole events of a stream's body."""
+    *whole, _ = body.split(b"\n\n")
+    return [_parse_event(text) for text in whole]
+
+
 def _parse_event(text):
     number, version, piece = _EVENT.fullmatch(text).groups()
     assert number == piece, text
