Answer clients that close their sending side behind their request

What callers saw: a client that closed its sending side behind a whole request, which HTTP allows, got nothing on routes; its request was cancelled, though a server may have run it by then. Pipelined requests before such a close were lost too.

Cause: the FIN of a client that waits is that of one that has left, and the gateway took each for the latter. The two can't be told apart on the wire before something is written. They differ in when they close: one that sends no more closes right behind its request, one that gives up has waited. So a plain request whose client closed within 100 ms goes on for 250 ms, half of the time in which servers have to stop; one that must not be repeated finishes at the server that has it. Generations and later closes are cancelled as before, and all that is cancelled is answered, with 503 only if no server can have received it.

The time is the kernel's, so that a request that is read late, with the FIN of its client behind it, is not passed on any more. Without that, such a request was sent to a server before it was cancelled.

--- a/src/pimentolatch/backend/sockets.py
+++ b/src/pimentolatch/backend/sockets.py
@@ -1,5 +1,6 @@
 """Options and state of TCP sockets."""
 
+import datetime
 import fcntl
 import socket
 import struct
@@ -7,7 +8,13 @@
 
 from pimentolatch.decisions import request_delivery
 
-__all__ = ["enable_keepalive", "reset_on_close", "transmission", "unread_bytes"]
+__all__ = [
+    "enable_keepalive",
+    "reset_on_close",
+    "since_last_data",
+    "transmission",
+    "unread_bytes",
+]
 
 # Probes free the sockets of peers that are gone. They end a connection a minute after
 # the last byte received at the earliest: later than a request on it times out, since a
@@ -21,6 +28,9 @@
 # Offset of `tcpi_unacked` in Linux's `struct tcp_info`: eight bytes, then four words.
 _UNACKED_OFFSET = 24
 _UNACKED = struct.Struct("I")
+# Offset of `tcpi_last_data_recv`, in milliseconds; seven words later.
+_LAST_DATA_OFFSET = 52
+_LAST_DATA = struct.Struct("I")
 
 
 def reset_on_close(sock: socket.socket) -> None:
@@ -58,6 +68,15 @@
     )
 
 
+def since_last_data(sock: socket.socket) -> datetime.timedelta:
+    """Return how long ago the kernel received the last data of the peer."""
+    info = sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_OFFSET + _LAST_DATA.size
+    )
+    passed_ms = _LAST_DATA.unpack_from(info, _LAST_DATA_OFFSET)[0]
+    return datetime.timedelta(milliseconds=passed_ms)
+
+
 def unread_bytes(sock: socket.socket) -> int:
     """Return how many bytes the kernel has received and this process has not read."""
     unread = fcntl.ioctl(sock, termios.FIONREAD, bytes(_C_INT.size))
--- a/src/pimentolatch/cli/explanation.py
+++ b/src/pimentolatch/cli/explanation.py
@@ -7,7 +7,7 @@
 
 from pimentolatch import results
 from pimentolatch.decisions import lateness
-from pimentolatch.gateway import request_log
+from pimentolatch.gateway import client_request, request_log
 
 __all__ = ["Line", "explain", "read_lines"]
 
@@ -71,8 +71,8 @@
     answer = answers[-1].fields
     outcome, status = str(answer.get("outcome", "")), answer.get("status", 0)
     bad = _last_bad_sending(lines)
-    if outcome == "client left":
-        return "the client left before its response was complete" + _while(lines, bad)
+    if outcome in (client_request.CLIENT_LEFT, client_request.CLIENT_CLOSED):
+        return f"the {outcome} before its response was complete" + _while(lines, bad)
     if outcome == "passed on" and 200 <= status < 300:
         return "none: the response was forwarded completely" + _late(lines)
     if outcome == "passed on":
--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import dataclasses
+import datetime
 import enum
 import json
 import typing
@@ -24,9 +26,11 @@
 __all__ = [
     "ABORT_EXTENSION",
     "CLOSE_EXTENSION",
+    "HALF_CLOSE_EXTENSION",
     "PIPELINE_EXTENSION",
     "TARGET_EXTENSION",
     "BoundedHttpProtocol",
+    "HalfClose",
     "Unanswered",
     "is_pipelined_behind",
 ]
@@ -37,6 +41,8 @@
 # ASGI extension: closes the connection once written data is sent, for responses that
 # end early.
 CLOSE_EXTENSION = "pimentolatch.close"
+# ASGI extension, set once the caller has closed its sending side: a `HalfClose`.
+HALF_CLOSE_EXTENSION = "pimentolatch.half_close"
 # ASGI extension: the requests of the connection that wait for the response.
 PIPELINE_EXTENSION = "pimentolatch.pipeline"
 # ASGI extension: the request target as received, in bytes.
@@ -67,6 +73,19 @@
     REFUSED_WITHIN = "it was refused after its response had begun"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HalfClose:
+    """A caller has closed its sending side and may wait for its response.
+
+    Attributes:
+        after: Time from the last byte of the caller until this was noticed.
+        at: When it was noticed, by the clock of the event loop in seconds.
+    """
+
+    after: datetime.timedelta
+    at: float
+
+
 class _HeadTooLargeError(Exception):
     """The head of a request is over the limit."""
 
@@ -152,22 +171,32 @@
         Returns:
             True to keep the transport open for the response.
         """
-        if self._discarding_input:
-            return None
-        if self._in_message:
+        if self._in_message and not self._discarding_input:
             self._refuse(400, "connection closed before the end of the request")
+        running = self._running_cycle
+        if running is None or running.response_complete or running.disconnected:
             return None
-        if not self._response_pending():
-            return None
-        if not self.continues_after_eof(self.cycle.scope["path"]):
+        if not self.continues_after_eof(running.scope["path"]):
             return None
-        self.cycle.keep_alive = False
+        self._close_after(self.cycle)
+        self._announce_half_close(running)
         return True
 
     def continues_after_eof(self, path: str) -> bool:
         """Whether a request continues after its caller closed its sending side."""
         return path.startswith(_SERVICE_PATHS)
 
+    def _announce_half_close(
+        self, running: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Tell the applications of all requests, and wake the one that runs."""
+        since = sockets.since_last_data(self.transport.get_extra_info("socket"))
+        half_close = HalfClose(since, self.loop.time())
+        for cycle in (running, *(waiting for waiting, _ in self.pipeline)):
+            extensions = typing.cast(typing.Any, cycle.scope["extensions"])
+            extensions[HALF_CLOSE_EXTENSION] = half_close
+        running.message_event.set()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request without corrupting an earlier response."""
         if self._head_too_large:
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -14,12 +14,22 @@
 from pimentolatch.requests import digests
 from pimentolatch.routes import route_table
 
-__all__ = ["PASSED_ON", "ClientRequest", "ClientResponse", "Fields"]
+__all__ = [
+    "CLIENT_CLOSED",
+    "CLIENT_LEFT",
+    "PASSED_ON",
+    "ClientRequest",
+    "ClientResponse",
+    "Fields",
+]
 
 Scope = typing.MutableMapping[str, typing.Any]
 Send = typing.Callable[[typing.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
 # Outcome of a server's response that was forwarded completely.
 PASSED_ON = "passed on"
+# Outcomes of requests whose client ended the connection, or its sending side only.
+CLIENT_LEFT = "client left"
+CLIENT_CLOSED = "client closed its sending side"
 Fields = abc.Sequence[tuple[bytes, bytes]]
 _BODILESS = (204, 304)
 
@@ -99,6 +109,8 @@
         finished: Whether nothing more can be written.
         outcome: Outcome of the request, for the log.
         aborted: Whether this instance closed the connection within the response.
+        dispatched: Whether a server may have received the request.
+        is_last_dispatch: Whether the request goes to no further server.
     """
 
     def __init__(self, scope: Scope, send: Send) -> None:
@@ -108,6 +120,8 @@
         self.finished = False
         self.outcome = PASSED_ON
         self.aborted = False
+        self.dispatched = False
+        self.is_last_dispatch = False
 
     @property
     def started(self) -> bool:
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -10,7 +10,7 @@
 import logbook
 
 from pimentolatch import clock, results
-from pimentolatch.decisions import access, repeat_budget
+from pimentolatch.decisions import access, half_closes, repeat_budget
 from pimentolatch.entry import bounded_http, graceful_shutdown
 from pimentolatch.gateway import (
     client_request,
@@ -146,7 +146,7 @@
         if self._admission is not None:
             counted = self._admission.counted()
         with counted:
-            await self._forward(request, response, receive)
+            await self._forward(request, response, scope, receive)
 
     def _refusal(self, request: client_request.ClientRequest) -> results.Refusal | None:
         """Return why a request is not served; None if it is."""
@@ -261,22 +261,32 @@
         self,
         request: client_request.ClientRequest,
         response: client_request.ClientResponse,
+        scope: Scope,
         receive: Receive,
     ) -> None:
         """Forward a request until its response is finished or its client disconnects.
 
         When the client disconnects, the connection to the server is closed at once, so
-        that no server continues a response that no client will receive.
+        that no server continues a response that no client will receive. When it closes
+        its sending side, `half_closes` decides.
         """
         engines = request.head.prompt is not None and request.service.engine is not None
         forwarder = self._prompts if engines else self._plain
-        work = asyncio.create_task(forwarder.run(request, response))
-        disconnect = asyncio.create_task(_wait_for_disconnect(receive))
+        work = asyncio.create_task(
+            _run(forwarder, request, response, scope, generation=engines)
+        )
+        disconnect = asyncio.create_task(_wait_for_disconnect(scope, receive))
         try:
             await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
-                response.outcome = "client left"
-                work.cancel()
+                half_close = scope["extensions"].get(bounded_http.HALF_CLOSE_EXTENSION)
+                if half_close is None:
+                    response.outcome = client_request.CLIENT_LEFT
+                    work.cancel()
+                else:
+                    await self._end_half_closed(
+                        request, response, work, half_close, generation=engines
+                    )
             await asyncio.wait({work})
             if not work.cancelled() and (error := work.exception()) is not None:
                 _log.error("request failed", id=request.request_id, reason=repr(error))
@@ -286,6 +296,39 @@
             work.cancel()
             self._log_response(request, response)
 
+    async def _end_half_closed(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        work: asyncio.Task[None],
+        half_close: bounded_http.HalfClose,
+        *,
+        generation: bool,
+    ) -> None:
+        """End the work on a request whose client closed its sending side.
+
+        Whoever is left on the other side gets the response, or a refusal.
+        """
+        left = _time_left(half_close, generation=generation)
+        await asyncio.wait({work}, timeout=left.total_seconds())
+        if work.done():
+            return
+        ending = half_closes.ending(
+            closed_after=half_close.after,
+            dispatched=response.dispatched,
+            repeatable=request.route.repeatable,
+        )
+        if ending is half_closes.Ending.FINISH:
+            response.is_last_dispatch = True
+            return
+        work.cancel()
+        await asyncio.wait({work})
+        if response.started:
+            response.abort(client_request.CLIENT_CLOSED)
+        elif work.cancelled():
+            dispatched = generation or response.dispatched
+            await _refuse_closed(response, dispatched=dispatched)
+
     def _log_response(
         self,
         request: client_request.ClientRequest,
@@ -316,6 +359,40 @@
         await response.refuse(refusals.outcome_unknown("internal error"))
 
 
+async def _run(
+    forwarder: Forwarder,
+    request: client_request.ClientRequest,
+    response: client_request.ClientResponse,
+    scope: Scope,
+    *,
+    generation: bool,
+) -> None:
+    """Forward a request, unless its client had given up when it was read."""
+    half_close = scope["extensions"].get(bounded_http.HALF_CLOSE_EXTENSION)
+    if half_close is not None and not _time_left(half_close, generation=generation):
+        await _refuse_closed(response, dispatched=False)
+        return
+    await forwarder.run(request, response)
+
+
+def _time_left(
+    half_close: bounded_http.HalfClose, *, generation: bool
+) -> datetime.timedelta:
+    closed_for = asyncio.get_running_loop().time() - half_close.at
+    return half_closes.time_left(
+        closed_after=half_close.after,
+        closed_for=datetime.timedelta(seconds=closed_for),
+        generation=generation,
+    )
+
+
+async def _refuse_closed(
+    response: client_request.ClientResponse, *, dispatched: bool
+) -> None:
+    await response.refuse(refusals.client_closed(dispatched=dispatched))
+    response.outcome = client_request.CLIENT_CLOSED
+
+
 def _route_for(
     route: route_table.Route, forwarded: forwarding.ForwardOptions | None
 ) -> route_table.Route:
@@ -354,6 +431,8 @@
     return http_headers.without_api_keys(fields)
 
 
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
+async def _wait_for_disconnect(scope: Scope, receive: Receive) -> None:
+    """Wait until the client ends the connection, or its sending side."""
+    while bounded_http.HALF_CLOSE_EXTENSION not in scope["extensions"]:
+        if (await receive())["type"] == "http.disconnect":
+            return
--- a/src/pimentolatch/gateway/http_protocol.py
+++ b/src/pimentolatch/gateway/http_protocol.py
@@ -48,8 +48,8 @@
         return self._fleet.configuration.limits.idle_timeout.total_seconds()
 
     def continues_after_eof(self, path: str) -> bool:
-        """Return False: a client that closes its side has disconnected."""
-        return False
+        """Return True: the front end decides how long it goes on."""
+        return True
 
     def report_unanswered(
         self,
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -110,13 +110,14 @@
         outcome: _Outcome | None = None
         last: _Outcome | None = None
         while attempts < _MAX_ATTEMPTS:
-            if self._is_out_of_time(request):
+            if self._is_out_of_time(request) or response.is_last_dispatch:
                 break
             # A dispatch that was withheld has not used its charge.
             is_charged = not dispatches or isinstance(outcome, dispatch.Withheld)
             if not is_charged and not repeats.spend():
                 break
             if self._peers.may_forward(request):
+                response.dispatched = True
                 forwarded = await self._forward(
                     request, response, possible_runs, trace.timeline
                 )
@@ -147,6 +148,7 @@
             may_leave = may_repeat and attempts + 1 < _MAX_ATTEMPTS
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
+            response.dispatched = True
             outcome = await self._send(
                 server,
                 request,
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -10,6 +10,7 @@
 __all__ = [
     "body_too_large",
     "body_too_slow",
+    "client_closed",
     "configuration_behind",
     "deadline_passed",
     "key_possibly_new",
@@ -24,6 +25,7 @@
 ]
 
 _NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
+_CLIENT_CLOSED = "the client closed its sending side"
 _NO_SERVER_RETRY = datetime.timedelta(milliseconds=500)
 _VERSION_RETRY = datetime.timedelta(seconds=1)
 
@@ -132,6 +134,22 @@
     )
 
 
+def client_closed(*, dispatched: bool) -> results.Refusal:
+    """Refuse a request that was cancelled as its client sends no more.
+
+    Args:
+        dispatched: Whether a server may have received it.
+    """
+    if dispatched:
+        return outcome_unknown(_CLIENT_CLOSED)
+    return results.Refusal(
+        results.ResultCode.NO_BACKEND_SERVER,
+        _CLIENT_CLOSED,
+        results.Execution.NOT_RUN,
+        _NO_SERVER_RETRY,
+    )
+
+
 def body_too_large(limit: int) -> results.Refusal:
     """Refuse a body over the limit."""
     return results.Refusal(
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -134,7 +134,10 @@
                 if fields["outcome"] == client_request.PASSED_ON
                 else "instance"
             )
-            self._answers.labels(_status_class(int(fields["status"])), by).inc()
+            # A refusal that was written in vain is none that a client got.
+            ended = fields["outcome"] == client_request.CLIENT_CLOSED
+            status = 0 if ended else int(fields["status"])
+            self._answers.labels(_status_class(status), by).inc()
             if fields["outcome"] == results.ResultCode.QUARANTINED.name.lower():
                 self._quarantined.inc()
             if fields.get("cut"):
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -28,7 +28,13 @@
 EVENT_FORMAT = "id: {number}\ndata: {mark}piece {number}\n\n"
 EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
-_RESPONSE_DELAYS_S = {"slow": 0.5, "late": 1.3, "late cut": 1.3, "stuck": 30.0}
+_RESPONSE_DELAYS_S = {
+    "slow": 0.5,
+    "slow decline": 0.5,
+    "late": 1.3,
+    "late cut": 1.3,
+    "stuck": 30.0,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,10 +76,10 @@
             empty string is no fault. `decline` (503, not executed), `reset`, `cut` (in
             the middle of an event), `no proof` (response without a seal),
             `other first` (preceded by a response to another request), `fail` (500),
-            `silent` (no response), `slow` and `late` (delayed response), `late cut`
-            (both), `comment only` (then a reset), `stuck` (queued for longer than any
-            client waits), `from the start` (a resumed stream starts at its first
-            event).
+            `silent` (no response), `slow decline` (the first after a while), `slow` and
+            `late` (delayed response), `late cut` (both), `comment only` (then a reset),
+            `stuck` (queued for longer than any client waits), `from the start` (a
+            resumed stream starts at its first event).
         received: Received requests, in order.
         arrival_times: Times of their arrival, by the event loop's clock.
         advertised_address: Address to list the server under, if it is not its own.
@@ -343,8 +349,7 @@
         lifetime = started_ms or self._restarts
         handle_suffix = f"-{lifetime}" if lifetime else ""
         if fault == "decline":
-            self.received.pop()
-            self.arrival_times.pop()
+            self._forget_last()
             await connection.send(503, [*headers, (b"x-not-executed", b"1")], b"")
             return True
         if fault == "reset":
@@ -362,6 +367,10 @@
                 return False
             closed.cancel()
             await asyncio.wait({closed})
+        if fault == "slow decline":
+            self._forget_last()
+            await connection.send(503, [*headers, (b"x-not-executed", b"1")], b"")
+            return True
         if fault == "fail":
             await connection.send(
                 500, [*headers, (b"x-response-seal", b"f")], b"failed"
@@ -398,6 +407,10 @@
         finally:
             self.running.discard(request_id)
 
+    def _forget_last(self) -> None:
+        self.received.pop()
+        self.arrival_times.pop()
+
     async def _wait_cancelled(self, connection: "_Connection", request_id: str) -> None:
         await connection.wait_closed()
         self.cancelled.append(request_id)
