Tell the end of the grace period from a client that left in the log

What operators saw: a request that was cut off at the end of a stop's grace period was logged as one whose client had left, or, when its task was cancelled first, as passed on with status 0; and explain said of a request with no answered line that the instance had terminated.

Now its outcome names the stop and it counts as cut, and explain gives the reason of the line unanswered.

Evidence: the scenario failed before (outcome client left, not cut) and passes now, as does the new story of explain.

--- a/src/pimentolatch/cli/explanation.py
+++ b/src/pimentolatch/cli/explanation.py
@@ -66,6 +66,9 @@
 
 def _cause(lines: abc.Sequence[Line]) -> str:
     answers = [line for line in lines if line.event == request_log.ANSWERED]
+    unanswered = [line for line in lines if line.event == request_log.UNANSWERED]
+    if unanswered:
+        return f"no answer: {unanswered[-1].fields['reason']}"
     if not answers:
         return "no response was logged: the instance terminated during the request"
     answer = answers[-1].fields
--- a/src/pimentolatch/entry/graceful_shutdown.py
+++ b/src/pimentolatch/entry/graceful_shutdown.py
@@ -23,6 +23,7 @@
         self._in_flight = 0
         self._stopping = False
         self._announced = False
+        self._aborting = False
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -36,6 +37,11 @@
         """Whether new requests are refused."""
         return self._stopping
 
+    @property
+    def aborting(self) -> bool:
+        """Whether requests in flight are being cut off."""
+        return self._aborting
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send requests to this instance."""
@@ -49,6 +55,10 @@
         """Refuse new requests from now on."""
         self._stopping = True
 
+    def announce_abort(self) -> None:
+        """Record that requests in flight are being cut off."""
+        self._aborting = True
+
     def refusal(self, *, forwarded: bool = False) -> results.Refusal | None:
         """Return the refusal of a new request, or None if it is admitted.
 
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -17,6 +17,7 @@
 __all__ = [
     "CLIENT_CLOSED",
     "CLIENT_LEFT",
+    "CUT_OFF",
     "PASSED_ON",
     "ClientRequest",
     "ClientResponse",
@@ -30,6 +31,8 @@
 # Outcomes of requests whose client ended the connection, or its sending side only.
 CLIENT_LEFT = "client left"
 CLIENT_CLOSED = "client closed its sending side"
+# Outcome of requests that this instance did not complete before it stopped.
+CUT_OFF = "cut off by the stop of this instance"
 Fields = abc.Sequence[tuple[bytes, bytes]]
 _BODILESS = (204, 304)
 
@@ -180,3 +183,9 @@
         self.aborted = True
         self.finished = True
         self._scope["extensions"][bounded_http.CLOSE_EXTENSION]["call"]()
+
+    def cut_off(self) -> None:
+        """Record that this instance stops without completing the response."""
+        self.outcome = CUT_OFF
+        self.aborted = True
+        self.finished = True
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -280,7 +280,10 @@
             await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 half_close = scope["extensions"].get(bounded_http.HALF_CLOSE_EXTENSION)
-                if half_close is None:
+                if self._shutdown.aborting:
+                    response.cut_off()
+                    work.cancel()
+                elif half_close is None:
                     response.outcome = client_request.CLIENT_LEFT
                     work.cancel()
                 else:
@@ -291,6 +294,9 @@
             if not work.cancelled() and (error := work.exception()) is not None:
                 _log.error("request failed", id=request.request_id, reason=repr(error))
                 await self._finish_failed(response)
+        except asyncio.CancelledError:
+            response.cut_off()
+            raise
         finally:
             disconnect.cancel()
             work.cancel()
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -470,6 +470,7 @@
 
     async def abort(self) -> None:
         """Stop immediately, aborting all requests."""
+        self._shutdown.announce_abort()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/features/routes_operations.feature
+++ b/tests/features/routes_operations.feature
@@ -28,6 +28,7 @@
       | is in quarantine                | quarantine: servers crashed under earlier attempts, digest 00a1b2c3d4e5 |
       | broke midway                    | server d1 broke off            |
       | was left by its client          | the client left                |
+      | ended with its connection       | no answer: the connection ended before its turn |
       | was answered by a failing server | the server answered 500       |
       | was served                      | none                           |
       | was served late                 | late by 120 ms, cause queue (held 2 ms, queue 400 ms, prefill 90 ms, longest gap 30 ms) |
--- a/tests/features/steps/routes_operations_steps.py
+++ b/tests/features/steps/routes_operations_steps.py
@@ -137,6 +137,9 @@
         line(1, "placed", reader="p1", writer="d1", expected_ms=2500),
         line(4, "answered", status=0, outcome="client left"),
     ],
+    "ended with its connection": [
+        line(1, "unanswered", reason="the connection ended before its turn"),
+    ],
     "was answered by a failing server": [
         line(1, "sent", server="a1", what="run", outcome="answered 500", ms=20),
         line(1.02, "answered", status=500, outcome="passed on"),
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -206,6 +206,31 @@
     until(context, lambda: ("partial", reason) in unanswered(context))
 
 
+@behave.when("unanswered: the instance aborts as a request runs")
+def abort_beside(context):
+    async def send():
+        _, writer = await context.world.connect()
+        writer.write(route_world.request("notify", "cut"))
+        await context.world.until(lambda: context.server.count_runs("cut"))
+        await context.instance.abort()
+        writer.close()
+
+    context.route_runner.run(send())
+
+
+@behave.then('unanswered: its outcome is logged as "{outcome}"')
+def outcome_logged(context, outcome):
+    def lines():
+        return [
+            record.kwargs
+            for record in context.logged.records
+            if record.message == "answered" and record.kwargs["id"] == "cut"
+        ]
+
+    until(context, lines)
+    assert [(line["outcome"], line["cut"]) for line in lines()] == [(outcome, True)]
+
+
 def until(context, condition):
     context.route_runner.run(context.world.until(condition))
 
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -39,3 +39,9 @@
       | part                      |
       | head without its end      |
       | head with half of a body  |
+
+  # Guards against requests that a stop cuts off and that the log puts on their clients.
+  Scenario: The log tells which requests the end of the grace period has cut off
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: the instance aborts as a request runs
+    Then unanswered: its outcome is logged as "cut off by the stop of this instance"
