--- a/tests/features/event_loop.feature
+++ b/tests/features/event_loop.feature
@@ -15,6 +15,12 @@
       | asyncio.wait      |
       | a reusable timeout |
 
+  # Guards against limits that discard large responses, which are read in parts.
+  Scenario: A large response that came while a process was blocked is read whole
+    Given event loop: a server that answers with 300000 bytes
+    When event loop: the process is blocked and its response comes before a limit
+    Then event loop: the response was received
+
   # Guards against limits that end nothing any more.
   Scenario Outline: Without input <wait> ends as it falls due
     Given event loop: a connection whose input is awaited by a chain of tasks
