Count runs of brackets at once where an object is nested too deeply

The second pass over a response took a step for each bracket: 136 ms for a page of 500 servers with one entry of 100,000 levels, and 0.6 s for a megabyte of opening brackets, in which the event loop serves nobody.

--- a/src/pimentolatch/bounded_json.py
+++ b/src/pimentolatch/bounded_json.py
@@ -25,11 +25,12 @@
 _MAX_DEPTH = 256
 # Stands for a value that was cut out. JSON has no infinity, so no sound value is lost.
 _CUT = "Infinity"
-# Text without brackets outside of strings, and then a bracket or the end. Its groups
-# never give back what they have matched, which keeps the time linear; a string that
-# does not end is taken to extend to the end.
+# Text without brackets outside of strings, and then a run of opening or of closing
+# brackets or the end. Its groups never give back what they have matched, which keeps
+# the time linear; a string that does not end is taken to extend to the end.
 _SECTION = re.compile(
-    r"""((?:[^][{}"]++|"[^"\\]*+(?:\\(?:.|\Z)[^"\\]*+)*+(?:"|\Z))*+)([][{}]|\Z)""",
+    r"""((?:[^\[\]{}"]++|"[^"\\]*+(?:\\(?:.|\Z)[^"\\]*+)*+(?:"|\Z))*+)"""
+    r"""([\[{]++|[\]}]++|\Z)""",
     re.DOTALL,
 )
 _OPENING = ("[", "{")
@@ -87,19 +88,22 @@
     kept = []
     depth = 0
     for section in _SECTION.finditer(text):
-        between, bracket = section.groups()
+        between, brackets = section.groups()
+        is_opening = brackets[:1] in _OPENING
         if depth <= _MAX_DEPTH:
             kept.append(between)
-        if bracket in _OPENING:
-            depth += 1
-            if depth <= _MAX_DEPTH:
-                kept.append(bracket)
-            elif depth == _MAX_DEPTH + 1:
+        elif is_opening:
+            depth += len(brackets)
+            continue
+        if is_opening:
+            deepest = depth + len(brackets)
+            kept.append(brackets[: max(0, _MAX_DEPTH - depth)])
+            if deepest > _MAX_DEPTH:
                 kept.append(_CUT)
+            depth = deepest
         else:
-            if depth <= _MAX_DEPTH:
-                kept.append(bracket)
-            depth -= bool(bracket)
+            kept.append(brackets[max(0, depth - _MAX_DEPTH) :])
+            depth -= len(brackets)
     return "".join(kept)
 
 
