Use a peer's list of servers although one of its rows is odd

A row that describes no server to the receiver, such as one with a stage that its release does not know, made the whole list malformed: the receiver stayed behind, and one that starts had no list. Rows are decoded one by one now, a line tells how many were left out, and start times and slots are bounded like those of beacons. The scenario fails on the code before.

--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -318,6 +318,13 @@
                 reason=snapshot.reason,
             )
             return
+        if snapshot.passed_over:
+            _log.warn(
+                "servers passed over in snapshot from peer",
+                peer=name,
+                servers=len(snapshot.passed_over),
+                reason=snapshot.passed_over[0],
+            )
         expired = self._still_used(snapshot.expired)
         listed = [
             server
--- a/src/pimentolatch/protocol/snapshots.py
+++ b/src/pimentolatch/protocol/snapshots.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from pimentolatch import settings
+from pimentolatch.protocol import fields
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -46,11 +47,13 @@
         revision: Revision of the store up to which they are known.
         listed: The servers.
         expired: Remaining grace period of servers whose entries the store lacks.
+        passed_over: Reasons why rows of a received list were left out.
     """
 
     revision: int
     listed: tuple[servers.Server, ...]
     expired: dict[str, datetime.timedelta]
+    passed_over: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,10 +93,12 @@
     """Return the list of servers of a body."""
     try:
         revision, rows, expired = cbor2.loads(body)
+        found = [_server_or_reason(row) for row in rows]
         return Servers(
             int(revision),
-            tuple(_server(row) for row in rows),
+            tuple(item for item in found if isinstance(item, servers.Server)),
             {str(name): float(span) * _MS for name, span in expired.items()},
+            tuple(item for item in found if isinstance(item, str)),
         )
     except _DECODE_ERRORS as error:
         return Malformed(repr(error))
@@ -115,6 +120,14 @@
     return [*row, server.version] if versions else row
 
 
+def _server_or_reason(row: typing.Any) -> servers.Server | str:
+    """Decode a row; returns the reason if it describes no server."""
+    try:
+        return _server(row)
+    except _DECODE_ERRORS as error:
+        return f"{error!r:.200}"
+
+
 def _server(row: typing.Any) -> servers.Server:
     (
         name,
@@ -136,9 +149,9 @@
         failure_domain=_text(domain),
         draining=bool(draining),
         stage=None if stage is None else servers.Stage(stage),
-        slots=int(slots),
+        slots=fields.count(slots),
         remaining_warm_up=float(warm_up) * _MS,
-        started_ms=None if started_ms is None else int(started_ms),
+        started_ms=None if started_ms is None else fields.count(started_ms),
         spot=bool(spot),
         version=_text(*version) if version else "",
     )
--- a/tests/features/routes_entries.feature
+++ b/tests/features/routes_entries.feature
@@ -106,3 +106,8 @@
     Given entries: a server of software version "v2"
     Then entries: peers that ask for versions read "v2" in its list
     And entries: peers of an earlier release get rows of 10 fields, without a version
+
+  # Guards against instances that stay behind since one row of a peer's list is odd.
+  Scenario: A row that can't be read hides no other server of a peer's list
+    Given entries: a server of software version "v2"
+    Then entries: its list with any field of another row made odd has it
--- a/tests/features/steps/routes_entries_steps.py
+++ b/tests/features/steps/routes_entries_steps.py
@@ -325,3 +325,19 @@
     assert len(row) == count, row
     (read,) = snapshots.decode_servers(body).listed
     assert read.version == "", read
+
+
+@behave.then("entries: its list with any field of another row made odd has it")
+def odd_rows(context):
+    body = snapshots.encode_servers(context.snapshot)
+    revision, (row,), expired = cbor2.loads(body)
+    passed_over = 0
+    for place in range(len(row)):
+        for odd in (10**400, "x" * 300, [[]], {}, float("nan")):
+            changed = replaced_at(row, place, odd)
+            listed = cbor2.dumps([revision, [changed, None, row], expired])
+            read = snapshots.decode_servers(listed)
+            assert isinstance(read, snapshots.Servers), (place, odd, read)
+            assert context.snapshot.listed[0] in read.listed, (place, odd)
+            passed_over += len(read.passed_over) == 2
+    assert passed_over > len(row), passed_over
