Take a nested view or document head from a peer for malformed

Both are JSON within a message; one that is nested deeply raised RecursionError where only other errors were expected, out of the link's receiver. The scenario of the view fails on the code before; the head has the same form and no test.

--- a/src/pimentolatch/control/document_exchange.py
+++ b/src/pimentolatch/control/document_exchange.py
@@ -162,7 +162,13 @@
             return
         try:
             head = heads.Head.from_json(json.loads(message.value))
-        except (ValueError, KeyError, TypeError) as error:
+        except (
+            AttributeError,
+            KeyError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             self._network.close(link, f"invalid document head: {error!r}")
             return
         if head.number <= self._document.known_number:
--- a/src/pimentolatch/membership/view_table.py
+++ b/src/pimentolatch/membership/view_table.py
@@ -88,7 +88,7 @@
         return views.DomainView.from_json(
             stored.failure_domain, stored.number, json.loads(stored.value)
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
 
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -79,3 +79,7 @@
     Then odd: "one" is not ready and refuses requests as not run
     When odd: a configuration of version 2 is written
     Then odd: "one" becomes ready with version 2
+
+  # Guards against a peer's view that ends the link it came over.
+  Scenario: A nested view from a peer is malformed
+    Then odd: a peer's view nested 100000 levels deep is malformed
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -10,7 +10,9 @@
 import logbook
 
 from pimentolatch import bounded_json, clock, settings, store
+from pimentolatch.membership import view_table
 from pimentolatch.platform import objects
+from pimentolatch.protocol import messages
 from standins import object_table, platform, route_server
 from tests.support import restartable_store, route_world, usage_world
 
@@ -270,3 +272,9 @@
 def becomes_ready(context, name, version):
     context.run(context.world.until_ready(name))
     assert context.world.instances[name][1].fleet.version == version
+
+
+@behave.then("odd: a peer's view nested {depth:d} levels deep is malformed")
+def nested_view(context, depth):
+    stored = messages.StoredView("here", 1, "[" * depth + "]" * depth)
+    assert view_table.view_from_message(stored) is None
