--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -92,7 +92,8 @@
 @behave.given("cut routes: a prefill engine whose {answers} with {form} are cut")
 def prefill_engine(context, answers, form):
     chosen = form_of(answers, form)
-    prefill = cutting_server.CuttingServer(chosen)
+    # A handle is not used if its connection has ended.
+    prefill = cutting_server.CuttingServer(chosen, keeps_open=True)
     start(context, chosen, (prefill, "lm", "prefill"))
     world = context.world
     added = world.add_server("decode", "lm", "decode")
--- a/tests/support/cutting_server.py
+++ b/tests/support/cutting_server.py
@@ -135,13 +135,20 @@
 
     A request without such a name is taken for a health check.
 
+    Args:
+        form: The answer.
+        cut: See below.
+        names_cuts: Whether requests name their cuts.
+        keeps_open: Whether a connection stays open after a whole answer.
+
     Attributes:
         cut: Where answers stop whose requests have no name; None for nowhere.
         seen: Heads of the requests that have named a cut.
     """
 
-    def __init__(self, form, cut=None, *, names_cuts=True):
+    def __init__(self, form, cut=None, *, names_cuts=True, keeps_open=False):
         self._form = form
+        self._keeps_open = keeps_open
         self._names_cuts = names_cuts
         self.cut = cut
         self.seen = []
@@ -184,10 +191,13 @@
         return self._form.raw, Cut(int(found[1]), found[2].decode())
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        try:
             while await self._exchange(reader, writer):
                 pass
-        writer.close()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
 
     async def _exchange(self, reader, writer):
         """Answer a request; return whether its connection stays open."""
@@ -206,7 +216,7 @@
             sockets.reset_on_close(writer.get_extra_info("socket"))
             writer.transport.abort()
             return False
-        return sent >= len(raw) and not self._form.ends_with_connection
+        return self._keeps_open and sent >= len(raw)
 
 
 class CuttingEngine(CuttingServer):
