Have the soak add odd entries among those of the servers

Instances stopped following the servers while one entry could not be read, and the soak wrote entries of servers only. They are drawn apart from the others, whose seeds go on drawing what they drew.

--- a/tests/support/soak_entries.py
+++ b/tests/support/soak_entries.py
@@ -4,20 +4,28 @@
 earlier check-ins is written, and stays for as long as the store keeps an entry that
 nobody renews. Other entries expire and are written again by servers that work. Gateways
 stand still while servers leave, and requests come meanwhile that wait for no answer.
-One failure domain has a single gateway. Gateways restart one at a time, read their
-settings, the store rejects reads, and routes are added.
+Another writer adds odd entries, which must cost nothing but themselves. One failure
+domain has a single gateway. Gateways restart one at a time, read their settings, the
+store rejects reads, and routes are added.
 """
 
 import asyncio
 import random
 import signal
 
-from tests.support import soak_clients, soak_faults, soak_outages, soak_world
+from tests.support import (
+    odd_entries,
+    soak_clients,
+    soak_faults,
+    soak_outages,
+    soak_world,
+)
 
 __all__ = [
     "GATEWAYS",
     "EntryInjector",
     "draw",
+    "draw_odd",
     "late_violations",
     "prepare",
     "unconfirmed_violations",
@@ -36,6 +44,9 @@
 )
 OTHER_KINDS = ("term", "kill", "hup", "configure", "configure", "store rejects briefly")
 ENTRY_INTERVAL_S = 1.0
+# Between two odd entries, and how long each stays.
+ODD_INTERVAL_S = (0.3, 1.5)
+ODD_LIFE_S = (1.0, 5.0)
 OTHER_INTERVAL_S = 1.6
 # When an earlier check-in is written after a leaving, and how long it stays.
 UNDONE_AFTER_S = (0.2, 2.5)
@@ -75,6 +86,21 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_odd(seed, seconds):
+    """Return the odd entries of a run.
+
+    They are drawn apart from the others, whose seeds go on drawing what they drew.
+    """
+    rng = random.Random(f"odd entries of {seed}")
+    faults = []
+    at = rng.uniform(*ODD_INTERVAL_S)
+    while at < seconds:
+        life_s = rng.uniform(*ODD_LIFE_S)
+        faults.append(soak_faults.Fault(at, "odd entry", rng.random(), life_s))
+        at += rng.uniform(*ODD_INTERVAL_S)
+    return faults
+
+
 class _PinnedClient(soak_clients.Client):
     """Sends a request to one gateway, whether or not that reads it."""
 
@@ -133,6 +159,13 @@
             await self._remove(server.server_id)
             await self._undo(server, earlier, fault)
 
+    async def _odd_entry(self, fault, injected):
+        name = f"odd-{fault.selector:.12f}"
+        entry = odd_entries.draw(random.Random(fault.selector), name)
+        await self._world.store.write("servers", name, entry)
+        await asyncio.sleep(fault.duration_s)
+        await self._remove(name)
+
     def _leaver(self, fault):
         """Return a server that no other fault has chosen, or None."""
         free = [
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -37,7 +37,9 @@
 
 
 def _draw_entries(seed, seconds):
-    return soak_entries.draw(seed, seconds, alone=_every_fourth(seed))
+    faults = soak_entries.draw(seed, seconds, alone=_every_fourth(seed))
+    faults += soak_entries.draw_odd(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def _never(seed):
