Play a gateway process that is cut off while servers of a new version join

A scenario with four gateways as processes, one of which loses its peers and the store; streams begin elsewhere at the second version and are resumed there at once.

`Clients.begin` returned the last streams of all that were begun at the same time, so two callers at once got each other's. It returns its own now.

--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -16,6 +16,15 @@
       | the id of its first attempt |
       | nothing                     |
 
+  # Guards against the same in a fleet that exchanges records and lists.
+  Scenario: A gateway process cut off during a release refuses streams begun elsewhere
+    Given out of step: 4 gateway processes that have seen one version for long
+    When out of step: one of them loses its peers and the store
+    And out of step: engines of the second version replace those of the first
+    And out of step: clients begin 60 streams elsewhere, and resume them there
+    Then out of step: no stream holds events of two versions
+    And out of step: all are refused as not run, with a time to come back
+
   # Guards against a version that came and went while an instance learned nothing.
   Scenario: A stream of a version that was withdrawn meanwhile is refused
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -5,6 +5,7 @@
 from tests.support import out_of_step_world
 
 ENGINES = 4
+BEGIN_PAUSE_S = 0.02
 
 
 def run(context, work):
@@ -19,6 +20,33 @@
     run(context, context.world.until_resumable())
 
 
+@behave.given(
+    "out of step: {count:d} gateway processes that have seen one version for long"
+)
+def start_processes(context, count):
+    context.route_runner = asyncio.Runner()
+    context.world = out_of_step_world.CutOffGateways()
+    run(context, context.world.start_settled(count, ENGINES))
+
+
+@behave.when("out of step: one of them loses its peers and the store")
+def cut_off(context):
+    context.world.cut_off()
+
+
+@behave.when("out of step: engines of the second version replace those of the first")
+def replace_engines(context):
+    run(context, context.world.release(ENGINES))
+
+
+@behave.when(
+    "out of step: clients begin {count:d} streams elsewhere, and resume them there"
+)
+def begin_elsewhere(context, count):
+    context.begun = run(context, context.world.begin_and_resume(count, BEGIN_PAUSE_S))
+    assert context.begun
+
+
 @behave.when("out of step: the late instance loses the store")
 def lose_store(context):
     run(context, context.world.lose_store())
--- a/tests/support/out_of_step_world.py
+++ b/tests/support/out_of_step_world.py
@@ -1,12 +1,18 @@
-"""Instances that know nothing of each other, each with its own path to the store."""
+"""Instances whose list of servers is old while others know a new version.
 
+In one process they know nothing of each other, and each has its own path to the store.
+As processes they know each other until one loses its peers and the store.
+"""
+
+import asyncio
 import datetime
+import itertools
 
 from pimentolatch.gateway import settings
 from standins import relay
-from tests.support import route_world, version_world
+from tests.support import path_world, route_world, version_world
 
-__all__ = ["FIRST", "SECOND", "OutOfStepWorld"]
+__all__ = ["FIRST", "SECOND", "CutOffGateways", "OutOfStepWorld"]
 
 FIRST, SECOND = "v1", "v2"
 LATE, PROMPT = "late", "prompt"
@@ -138,3 +144,77 @@
         await super().stop()
         self.relays.heal()
         self.relays.stop()
+
+
+class CutOffGateways(version_world.ProcessWorld):
+    """Gateways as processes, of which one loses its peers and the store."""
+
+    def __init__(self):
+        super().__init__()
+        self._world = path_world.PathWorld()
+        self._world.routes = [
+            route | {"timeout_ms": ROUTE_TIMEOUT_MS} for route in route_world.ROUTES
+        ]
+
+    @property
+    def late(self):
+        """Name of the gateway that is cut off."""
+        return next(iter(self.instances))
+
+    @property
+    def others(self):
+        """Names of the other gateways."""
+        return [name for name in self.instances if name != self.late]
+
+    async def start_settled(self, count, engines):
+        """Start gateways, and wait until one version counts as the only one."""
+        await self.start(count, engines, [FIRST])
+        (stream,) = await self.begin(1, 2, self.others)
+        await self.resume_until_accepted(stream, "nothing", self.late)
+        assert stream.whole, stream
+
+    def cut_off(self):
+        """Have nothing pass between one gateway, its peers and the store."""
+        world = self._world
+        pairs = [(self.late, other) for other in self.others]
+        pairs += [(other, own) for own, other in pairs]
+        cuts = [
+            relay.Cut(f"store of {self.late}", None, direction)
+            for direction in (relay.TO_SERVER, relay.TO_CLIENT)
+        ]
+        for pair in pairs:
+            cuts += world.connection_cuts(*pair) + world.datagram_cuts(*pair)
+        world.relays.add_cuts(cuts)
+
+    async def release(self, engines):
+        """Start engines of the second version; those of the first drain."""
+        world = self._world
+        old = [server for server in self.servers.values() if server.service == "lm"]
+        world.versions = itertools.repeat(SECOND)
+        for stage in ["prefill"] + ["decode"] * engines:
+            await world.add_server("lm", stage)
+        for server in old:
+            server.state = "draining"
+            await world.list_server(server.server_id)
+
+    async def begin_and_resume(self, count, pause_s):
+        """Begin streams one after the other; resume those of the second version."""
+        names = itertools.cycle(self.others)
+        moved = []
+        for name in itertools.islice(names, count):
+            moved.append(asyncio.create_task(self._begin_and_resume(name)))
+            await asyncio.sleep(pause_s)
+        return [stream for stream in await asyncio.gather(*moved) if stream]
+
+    async def _begin_and_resume(self, name):
+        for stream in await self.begin(1, 2, [name]):
+            if stream.versions == {SECOND}:
+                await self.resume([stream], names=[self.late], pause_s=0.0)
+                return stream
+        return None
+
+    async def stop(self):
+        """See `version_world.ProcessWorld.stop`."""
+        self._world.heal_paths()
+        self._world.relays.heal(f"store of {self.late}")
+        await super().stop()
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -146,15 +146,16 @@
             The streams of which the client has an event, in the order of their begin.
         """
         names = names or list(self.instances)
-        begun = []
+        begun, streams = [], []
         for number in range(count):
             stream = Stream(f"{self._random.getrandbits(64):016x}")
+            streams.append(stream)
             self.streams.append(stream)
             name = names[number % len(names)]
             begun.append(asyncio.create_task(self._attempt(stream, name, events)))
             await asyncio.sleep(BEGIN_PAUSE_S)
         await asyncio.gather(*begun)
-        return [stream for stream in self.streams[-count:] if stream.events]
+        return [stream for stream in streams if stream.events]
 
     async def resume(
         self,
