--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -75,6 +75,17 @@
     Then out of step: no stream holds events of two versions
     And out of step: engines of both versions have begun some
 
+  # Guards against a version that is forgotten while clients still come back.
+  Scenario: A stream resumed for longer than its route's time limit joins no other version
+    Given out of step: two instances that have seen one version for long
+    When out of step: clients begin 6 streams
+    And out of step: engines of "v2" join and those of "v1" drain
+    And out of step: the engines of "v1" are listed no more
+    And out of step: they resume at the late one with nothing
+    And out of step: 3 seconds pass
+    And out of step: they resume at the late one with nothing
+    Then out of step: no stream holds events of two versions
+
   # Guards against a call to the store for each stream that is resumed.
   Scenario: Many streams that are resumed at once take a few calls to the store
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -63,6 +63,15 @@
     run(context, replace())
 
 
+@behave.when('out of step: the engines of "{version}" are listed no more')
+def unlist(context, version):
+    async def remove():
+        await context.world.unlist(version)
+        await context.world.until_followed(out_of_step_world.LATE)
+
+    run(context, remove())
+
+
 @behave.when("out of step: the release is undone")
 def undo(context):
     async def withdraw():
