Have the soak cut answers of servers at any byte

The soak cut answers between two parts or in the midst of an event only. A server now closes in order or resets after any number of bytes of an answer, its head included, six answers at a time. The cuts are drawn apart from the other faults, whose seeds go on drawing what they drew.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -9,6 +9,9 @@
 import contextlib
 import dataclasses
 import json
+import re
+import socket
+import struct
 import typing
 
 import h11
@@ -28,6 +31,9 @@
 EVENT_FORMAT = "id: {number}\ndata: {mark}piece {number}\n\n"
 EVENT_PAUSE_S = 0.005
 _CRASH_DELAY_S = 0.05
+_CUT = re.compile("(?P<how>ends|reset) after (?P<bytes>[0-9]+)")
+# Option of a socket that is reset when it is closed.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _RESPONSE_DELAYS_S = {
     "slow": 0.5,
     "slow decline": 0.5,
@@ -79,7 +85,8 @@
             `silent` (no response), `slow decline` (the first after a while), `slow` and
             `late` (delayed response), `late cut` (both), `comment only` (then a reset),
             `stuck` (queued for longer than any client waits), `from the start` (a
-            resumed stream starts at its first event).
+            resumed stream starts at its first event), `ends after N` and `reset after
+            N` (the connection is closed or reset after so many bytes of the response).
         received: Received requests, in order.
         arrival_times: Times of their arrival, by the event loop's clock.
         advertised_address: Address to list the server under, if it is not its own.
@@ -355,6 +362,8 @@
         if fault == "reset":
             connection.reset()
             return False
+        if cut := _CUT.fullmatch(fault):
+            connection.cut_after(int(cut["bytes"]), resets=cut["how"] == "reset")
         if fault == "silent":
             await self._wait_cancelled(connection, request_id)
             return False
@@ -479,9 +488,35 @@
         self._reader = reader
         self._writer = writer
         self._parser = h11.Connection(h11.SERVER)
+        self._left: int | None = None
+        self._resets = False
+
+    def cut_after(self, size: int, *, resets: bool) -> None:
+        """Close or reset the connection after so many bytes of the next response."""
+        self._left = size
+        self._resets = resets
+
+    def _write(self, data: bytes) -> None:
+        """Write data, up to where the response is cut.
+
+        Raises:
+            ConnectionError: If the response is cut here.
+        """
+        part = data[: self._left]
+        self._writer.write(part)
+        if self._left is None:
+            return
+        self._left -= len(part)
+        if len(part) < len(data):
+            if self._resets:
+                link = self._writer.get_extra_info("socket")
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+                self.reset()
+            raise ConnectionAbortedError
 
     async def read_request(self) -> ReceivedRequest | None:
         """Return the next request, or None at the end of the connection."""
+        self._left = None
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         head: h11.Request | None = None
@@ -523,7 +558,7 @@
         if not expected:
             head = b"".join(n + b": " + v + b"\r\n" for n, v in fields)
             length = b"content-length: %d\r\n\r\n" % len(body)
-            self._writer.write(b"HTTP/1.1 %d \r\n" % status + head + length + body)
+            self._write(b"HTTP/1.1 %d \r\n" % status + head + length + body)
             await self._writer.drain()
             return
         await self.send_head(status, [*fields, (b"content-length", b"%d" % len(body))])
@@ -539,20 +574,20 @@
             now = asyncio.get_running_loop().time()
             self._notified.append((request_id, now))
         response = h11.Response(status_code=status, headers=headers)
-        self._writer.write(self._parser.send(response) or b"")
+        self._write(self._parser.send(response) or b"")
         await self._writer.drain()
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
         await self._awake.wait()
         if data:
-            self._writer.write(self._parser.send(h11.Data(data)) or b"")
+            self._write(self._parser.send(h11.Data(data)) or b"")
             await self._writer.drain()
 
     async def send_end(self) -> None:
         """Send the end of the body."""
         await self._awake.wait()
-        self._writer.write(self._parser.send(h11.EndOfMessage()) or b"")
+        self._write(self._parser.send(h11.EndOfMessage()) or b"")
         await self._writer.drain()
 
     async def wait_closed(self) -> None:
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -49,7 +49,7 @@
 STORE_FAULTS = frozenset({"store down", "store forgets"})
 # Faults that may abort a response.
 ABORTS_RESPONSES = (
-    frozenset({*soak_faults.KINDS, soak_faults.CRASHED_BY_REQUEST})
+    frozenset({*soak_faults.KINDS, "answers cut", soak_faults.CRASHED_BY_REQUEST})
     - {*soak_faults.PLANNED, "store forgets"}
 ) | soak_faults.SILENCE_ABORTS
 # Log lines that report an error of the gateway itself.
--- a/tests/support/soak_endings.py
+++ b/tests/support/soak_endings.py
@@ -17,7 +17,9 @@
 CONFIGURE_S = 3.0
 # A fault of these kinds acts for as long as there are requests that it was drawn for,
 # or connections that it silenced.
-LASTING = frozenset({"server misbehaves", "server silent", "clients silent"})
+LASTING = frozenset(
+    {"server misbehaves", "answers cut", "server silent", "clients silent"}
+)
 # Without the store an instance has to go on as it did.
 EXCUSES = soak_checks.ABORTS_RESPONSES - {
     "store cut",
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -131,6 +131,23 @@
     return faults
 
 
+# About the size of plain answers and of streams, of which some are cut at any byte.
+ANSWER_BYTES = (100, 400)
+CUT_INTERVAL_S = 2.0
+CUTS = 6
+
+
+def draw_cuts(seed, seconds):
+    """Return the faults of a run in which answers of a server are cut at any byte."""
+    rng = random.Random(f"cuts of {seed}")
+    faults = []
+    at = rng.uniform(0.3, CUT_INTERVAL_S)
+    while at < seconds:
+        faults.append(Fault(at, "answers cut", rng.random(), 0.0))
+        at += rng.uniform(0.2, 2 * CUT_INTERVAL_S)
+    return faults
+
+
 # Faults that silence open connections for good.
 SILENCE_KINDS = (
     "store silent",
@@ -335,6 +352,12 @@
         rng = random.Random(fault.selector)
         server.faults.extend(rng.choices(SERVER_FAULTS, k=CONSECUTIVE_FAULTS))
 
+    async def _answers_cut(self, fault, injected):
+        rng = random.Random(fault.selector)
+        for _ in range(CUTS):
+            how, size = rng.choice(("ends", "reset")), rng.choice(ANSWER_BYTES)
+            self._server(fault).faults.append(f"{how} after {rng.randint(0, size)}")
+
     async def _drain(self, fault, injected):
         server = self._server(fault)
         if not self._has_alternative(server):
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -27,6 +27,7 @@
 def _draw(seed, seconds):
     faults = _draw_silence(seed, seconds)
     faults += soak_faults.draw(seed, seconds, FAULT_INTERVAL_S)
+    faults += soak_faults.draw_cuts(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
