Count a watch's answer from before a pause from the watch's begin

What was seen: since late timers wait for the input, the answer of a watch that came early in a standstill is accepted after it, and the list counted as matching the store at the time of its reading, 2.4 s later than the store had sent it in a trial. A gateway stopped for 4 s across an outage in which the entries expired then kept no server (30 of 30 requests 503).

Cause: an answer was dated when it was read. Now it is dated at the begin of its call if the instance has stood still since, as listings are.

Evidence: the scenario of an answer from before a pause fails on the code before (one of two examples), and passes now. The play with processes was not repeated.

--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -42,8 +42,14 @@
         self._catch_up = catch_up
         self._clock = time
         self._seen_at = time.monotonic()
+        self._resumed_at: datetime.timedelta | None = None
         self._catching_up: asyncio.Task[None] | None = None
 
+    def has_stood_still_since(self, moment: datetime.timedelta) -> bool:
+        """Tell whether this instance went on after a pause since a moment."""
+        self._look()
+        return self._resumed_at is not None and self._resumed_at >= moment
+
     async def run(self) -> None:
         """Look at the clock; runs until cancelled."""
         self._seen_at = self._clock.monotonic()
@@ -67,6 +73,7 @@
         self._seen_at = now
         if pause <= self.limit:
             return
+        self._resumed_at = now
         _log.warn("process stood still", ms=round(pause / _MILLISECOND))
         if self._catching_up is not None:
             # What it has asked may have been answered before this pause.
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -311,10 +311,15 @@
             self._expired_servers,
             time,
             chosen.bounds.server_watch,
+            self._pauses.has_stood_still_since,
         )
         watches = (
             store_watch.ConfigurationWatch(
-                self._store, fleet, time, chosen.bounds.configuration_watch
+                self._store,
+                fleet,
+                time,
+                chosen.bounds.configuration_watch,
+                self._pauses.has_stood_still_since,
             ),
             self._server_watch,
         )
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 import typing
+from collections import abc
 
 import logbook
 
@@ -31,6 +32,10 @@
 _MAX_LOGGED = 10
 
 
+def _runs_always(since: datetime.timedelta) -> bool:
+    return False
+
+
 class Watch:
     """Lists a kind, then watches its changes; lists again after an interruption.
 
@@ -43,6 +48,8 @@
         fleet: State that the objects are applied to.
         time: Clock of this instance.
         limits: How long the store may take to answer a watch.
+        has_stood_still_since: Tells whether this instance went on after a pause since a
+            moment.
 
     Attributes:
         kind: Kind of the watched objects.
@@ -60,7 +67,9 @@
         fleet: fleet_state.FleetState,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
+        has_stood_still_since: abc.Callable[[datetime.timedelta], bool] = _runs_always,
     ) -> None:
+        self._has_stood_still_since = has_stood_still_since
         self._store = source
         self._fleet = fleet
         self._clock = time
@@ -140,6 +149,8 @@
         if isinstance(outcome, store.Unavailable):
             return outcome
         self._answered_at = self._clock.monotonic()
+        # An answer that came while this instance stood still is older than it seems.
+        matched_at = begun if self._has_stood_still_since(begun) else self._answered_at
         # Not after a listing: a store that answers no watch in time would be asked for
         # a listing of everything again and again without a pause.
         self._pause.reset()
@@ -149,7 +160,7 @@
             return None
         self._revision = outcome.revision
         self._apply_changes(outcome)
-        self._confirm(self._answered_at)
+        self._confirm(matched_at)
         if not outcome.changed and not outcome.removed:
             self._latency = self._clock.monotonic() - begun - limits.wait
         elif self.coalesce_interval:
@@ -206,6 +217,7 @@
         expired_servers: Receives the servers missing from a listing after an outage.
         time: Clock of this instance.
         limits: How long the store may take to answer a watch.
+        has_stood_still_since: See `Watch`.
     """
 
     kind = server_entries.SERVER_KIND
@@ -223,8 +235,9 @@
         expired_servers: expired_entries.ExpiredServers,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
+        has_stood_still_since: abc.Callable[[datetime.timedelta], bool] = _runs_always,
     ) -> None:
-        super().__init__(source, fleet, time, limits)
+        super().__init__(source, fleet, time, limits, has_stood_still_since)
         self._expired = expired_servers
         self._unusable: set[str] = set()
 
--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -38,3 +38,15 @@
       | is listed as draining      |
       | is listed no more          |
       | is listed as started again |
+
+  # Guards against lists that pass for current since an answer from before a pause is
+  # read after it.
+  Scenario Outline: A watch that is answered <when> counts from its <moment>
+    Given pauses: a watch of the servers, which the store answers
+    When pauses: the instance reads the answer <ms> ms after the watch began
+    Then pauses: the list counts as confirmed at the watch's <moment>
+
+    Examples:
+      | when              | ms   | moment |
+      | at once           | 50   | answer |
+      | before a pause    | 2000 | begin  |
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -5,9 +5,19 @@
 
 import behave
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, settings, store
 from pimentolatch.decisions import neighbours
-from pimentolatch.gateway import dispatch, fleet_state, flow_control
+from pimentolatch.gateway import (
+    dispatch,
+    expired_entries,
+    fleet_state,
+    flow_control,
+    pause_monitor,
+    store_watch,
+)
+from pimentolatch.gateway import (
+    settings as gateway_settings,
+)
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
 from standins import route_server
@@ -107,3 +117,68 @@
 def withheld(context):
     assert isinstance(context.outcome, dispatch.Withheld), context.outcome
     assert not context.server.received
+
+
+class AnsweringStore:
+    """Answers one watch, some time after it began, and then none."""
+
+    def __init__(self, time):
+        self._clock = time
+        self._finished = asyncio.Event()
+        self.takes = datetime.timedelta()
+        self.moments = {}
+
+    async def list_objects(self, kind):
+        return store.Listing(1, ())
+
+    async def watch(self, kind, **options):
+        if self.moments:
+            self._finished.set()
+            await asyncio.Event().wait()
+        self.moments["begin"] = self._clock.monotonic()
+        self._clock.advance(self.takes)
+        self.moments["answer"] = self._clock.monotonic()
+        return store.Changes(1, (), ())
+
+    async def finished(self):
+        await self._finished.wait()
+
+
+@behave.given("pauses: a watch of the servers, which the store answers")
+def watch_of_servers(context):
+    time = clock.ManualClock()
+    limit = gateway_settings.BoundSettings().pause_limit
+    pauses = pause_monitor.PauseMonitor(limit, no_catch_up, time)
+    context.store = AnsweringStore(time)
+    context.fleet = fleet_state.FleetState()
+    context.watch = store_watch.ServerWatch(
+        context.store,
+        context.fleet,
+        expired_entries.ExpiredServers(context.fleet, time),
+        time,
+        gateway_settings.BoundSettings().server_watch,
+        pauses.has_stood_still_since,
+    )
+
+
+async def no_catch_up():
+    """Learn nothing."""
+
+
+@behave.when("pauses: the instance reads the answer {ms:d} ms after the watch began")
+def read_answer(context, ms):
+    context.store.takes = datetime.timedelta(milliseconds=ms)
+    asyncio.run(watch_once(context))
+
+
+async def watch_once(context):
+    watching = asyncio.create_task(context.watch.run())
+    async with asyncio.timeout(SECOND.total_seconds()):
+        await context.store.finished()
+    watching.cancel()
+
+
+@behave.then("pauses: the list counts as confirmed at the watch's {moment}")
+def confirmed_at(context, moment):
+    expected = context.store.moments[moment]
+    assert context.watch.confirmed_at == expected, context.watch.confirmed_at
