Read answers whose Keep-Alive states a number too large

What callers saw: an answer of a server that states a Keep-Alive time-out of 20 digits or more was lost: reading it raised OverflowError, or ValueError from 4,300 digits on, which no caller of the connection expects.

Cause: the number was converted without a bound. Now one with more digits than the longest usable time counts as that time.

Evidence: two of four examples fail before and pass now. The class is that of odd entries (a number too large to be represented); found by reading for it.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -301,10 +301,7 @@
                 for item in value.split(b","):
                     key, _, seconds = item.strip().partition(b"=")
                     if key.lower() == b"timeout" and seconds.isdigit():
-                        stated = datetime.timedelta(seconds=int(seconds))
-                        self.keep_alive = min(
-                            stated - _KEEP_ALIVE_MARGIN, _MAX_KEEP_ALIVE
-                        )
+                        self.keep_alive = _usable_keep_alive(seconds)
 
     async def _event(self) -> typing.Any:
         while True:
@@ -330,6 +327,16 @@
             raise BrokenError(str(error)) from error
 
 
+def _usable_keep_alive(digits: bytes) -> datetime.timedelta:
+    """Return how long a connection may stay idle, by the seconds its server states."""
+    digits = digits.lstrip(b"0") or b"0"
+    # A number with more digits is larger, and may be too large to be represented.
+    if len(digits) > len(str(_MAX_KEEP_ALIVE // datetime.timedelta(seconds=1))):
+        return _MAX_KEEP_ALIVE
+    stated = datetime.timedelta(seconds=int(digits))
+    return min(stated - _KEEP_ALIVE_MARGIN, _MAX_KEEP_ALIVE)
+
+
 async def connect(
     address: settings.Address,
     limit: datetime.timedelta,
--- a/tests/features/server_connections.feature
+++ b/tests/features/server_connections.feature
@@ -31,3 +31,14 @@
     And routes: a plain server "a1"
     When routes: a client asks for "notify" as "r1"
     Then connections: the instance's metrics count one as "none idle"
+
+  # Guards against answers that are lost since a field of theirs has a number too large.
+  Scenario Outline: An answer whose Keep-Alive states <seconds> seconds is read
+    Then connections: an answer that may be kept alive for "<seconds>" seconds is read
+
+    Examples:
+      | seconds              |
+      | 5                    |
+      | 00000000000000000005 |
+      | 99999999999999999999 |
+      | a digit 5,000 times  |
--- a/tests/features/steps/server_connections_steps.py
+++ b/tests/features/steps/server_connections_steps.py
@@ -8,7 +8,10 @@
 from pimentolatch import settings
 from pimentolatch.backend import channel
 from pimentolatch.gateway import dispatch
+from tests.support import raw_server
 
+CONNECT_LIMIT = datetime.timedelta(seconds=10)
+MOST_BYTES = 100
 KEEP_ALIVE = datetime.timedelta(seconds=9.3)
 SERVER = "server"
 ADDRESS = settings.Address(host="127.0.0.1", port=1)
@@ -118,3 +121,24 @@
     found = context.run(context.world.ask_metrics())
     name = f'pimentolatch_server_connections_opened_total{{why="{why}"}}'
     assert found.get(name) == 1, found
+
+
+@behave.then(
+    'connections: an answer that may be kept alive for "{seconds}" seconds is read'
+)
+def answer_is_read(context, seconds):
+    digits = "9" * 5000 if seconds.startswith("a digit") else seconds
+    raw = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=%s\r\n\r\nok"
+    answer = raw_server.ScriptedResponse(raw % digits.encode())
+    assert asyncio.run(ask(raw_server.RawServer(answer))) == b"ok"
+
+
+async def ask(server):
+    async with server.listening() as address:
+        link = await channel.connect(address, CONNECT_LIMIT)
+        try:
+            link.send("GET", b"/", [(b"host", b"x")], b"")
+            await link.read_head()
+            return await link.read_body(MOST_BYTES)
+        finally:
+            link.close()
