--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -32,7 +32,7 @@
 _MAX_LOGGED = 10
 
 
-def _runs_always(since: datetime.timedelta) -> bool:
+def _never_stood_still(since: datetime.timedelta) -> bool:
     return False
 
 
@@ -67,7 +67,9 @@
         fleet: fleet_state.FleetState,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
-        has_stood_still_since: abc.Callable[[datetime.timedelta], bool] = _runs_always,
+        has_stood_still_since: abc.Callable[
+            [datetime.timedelta], bool
+        ] = _never_stood_still,
     ) -> None:
         self._has_stood_still_since = has_stood_still_since
         self._store = source
@@ -235,7 +237,9 @@
         expired_servers: expired_entries.ExpiredServers,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
-        has_stood_still_since: abc.Callable[[datetime.timedelta], bool] = _runs_always,
+        has_stood_still_since: abc.Callable[
+            [datetime.timedelta], bool
+        ] = _never_stood_still,
     ) -> None:
         super().__init__(source, fleet, time, limits, has_stood_still_since)
         self._expired = expired_servers
