Name the limit that ended a cut stream in its log line

The line did not tell which limit ended each, whose it was, or how far the stream had come, so a lowered limit of the route, a client's own deadline and a limit of an earlier configuration could not be told apart.

The line of an answer that is cut now has the limit, its source, the version of the configuration that the request was read with, the last event sent and the number of tokens that the client expected.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 import json
 import typing
 from collections import abc
@@ -22,6 +23,8 @@
     "ClientRequest",
     "ClientResponse",
     "Fields",
+    "LimitSource",
+    "TimeLimit",
 ]
 
 Scope = typing.MutableMapping[str, typing.Any]
@@ -37,6 +40,40 @@
 _BODILESS = (204, 304)
 
 
+class LimitSource(enum.Enum):
+    """Who set the time limit of a request."""
+
+    CLIENT = "client"
+    ROUTE = "route"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimit:
+    """Time limit of a request.
+
+    Attributes:
+        duration: Longest time from the request's header to the end of its response.
+        source: Whose limit it is: the shorter of the two counts.
+        version: Version of the configuration that the request was read with.
+    """
+
+    duration: datetime.timedelta
+    source: LimitSource
+    version: int
+
+    @classmethod
+    def shorter_of(
+        cls,
+        route_timeout: datetime.timedelta,
+        client_limit: datetime.timedelta | None,
+        version: int,
+    ) -> typing.Self:
+        """Return the limit that a route and a client, if it named one, set together."""
+        if client_limit is None or route_timeout <= client_limit:
+            return cls(route_timeout, LimitSource.ROUTE, version)
+        return cls(client_limit, LimitSource.CLIENT, version)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientRequest:
     """A request as the client sent it.
@@ -45,8 +82,7 @@
         target: Path and query, byte for byte.
         fields: The header, byte for byte, without the customer's key.
         arrived_at: When its header was read.
-        deadline: When its response is due: the client's deadline or the route's
-            timeout, whichever comes first.
+        time_limit: Within which its response is due, from `arrived_at` on.
         digest: Identifies the request; the same for each attempt of the client.
         part_digests: Identify the parts of its prompt that other requests may share.
         access: Customer and priority of the request.
@@ -61,12 +97,17 @@
     route: route_table.Route
     service: route_table.Service
     arrived_at: datetime.timedelta
-    deadline: datetime.timedelta
+    time_limit: TimeLimit
     digest: digests.RequestDigest
     access: access.Access
     part_digests: tuple[digests.RequestDigest, ...] = ()
     forwarded: forwarding.ForwardOptions | None = None
 
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """When its response is due."""
+        return self.arrived_at + self.time_limit.duration
+
     @property
     def jitter(self) -> float:
         """Uniform random number from 0 to 1, the same on all instances."""
@@ -113,6 +154,8 @@
         outcome: Outcome of the request, for the log.
         aborted: Whether this instance closed the connection within the response.
         dispatched: Whether a server may have received the request.
+        last_event: Number of the last event that was written; 0 before, and for other
+            responses than streams.
         is_last_dispatch: Whether the request goes to no further server.
     """
 
@@ -124,6 +167,7 @@
         self.outcome = PASSED_ON
         self.aborted = False
         self.dispatched = False
+        self.last_event = 0
         self.is_last_dispatch = False
 
     @property
--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -104,6 +104,7 @@
         for block in blocks:
             if block.number is not None and block.number > self._progress.last_event:
                 self._progress.last_event = block.number
+        self._response.last_event = self._progress.last_event
 
     async def finish(self) -> None:
         """Write the end of the response.
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -197,10 +197,14 @@
         service = configuration.services.get(service_name)
         if service is None:
             return refusals.no_server(route.name)
-        deadline = arrived_at + route.timeout
-        if head.time_left is not None:
-            deadline = min(deadline, arrived_at + head.time_left)
-        body = await self._read_body(receive, configuration.limits.body_bytes, deadline)
+        time_limit = client_request.TimeLimit.shorter_of(
+            route.timeout, head.time_left, configuration.version
+        )
+        body = await self._read_body(
+            receive,
+            configuration.limits.body_bytes,
+            arrived_at + time_limit.duration,
+        )
         if not isinstance(body, bytes):
             return body
         method = scope["method"]
@@ -221,7 +225,7 @@
             route=_route_for(route, forwarded),
             service=service,
             arrived_at=arrived_at,
-            deadline=deadline,
+            time_limit=time_limit,
             digest=digest,
             access=allowed,
             part_digests=self._part_digests(head),
@@ -354,6 +358,7 @@
             servers=self._fleet.servers_revision,
             digest=digests.digest_text(request.digest),
             cut=response.aborted,
+            **(_limit_fields(request, response) if response.aborted else {}),
         )
 
     async def _finish_failed(self, response: client_request.ClientResponse) -> None:
@@ -409,6 +414,20 @@
     return dataclasses.replace(route, max_attempts=left)
 
 
+def _limit_fields(
+    request: client_request.ClientRequest, response: client_request.ClientResponse
+) -> dict[str, typing.Any]:
+    """Return what tells in the log how far a cut response was from its limit."""
+    limit, prompt = request.time_limit, request.head.prompt
+    return {
+        "limit_ms": round(limit.duration / datetime.timedelta(milliseconds=1)),
+        "limit_source": limit.source.value,
+        "limit_version": limit.version,
+        "events": response.last_event,
+        "expected_tokens": None if prompt is None else prompt.expected_output,
+    }
+
+
 def _refusal_for(denial: access.Denial) -> results.Refusal:
     if denial is access.Denial.OUT_OF_DATE:
         return refusals.key_possibly_new()
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -67,7 +67,8 @@
     ),
     ANSWERED: (
         *("route", "service", "status", "outcome", "ms", "version", "servers"),
-        *("digest", "cut"),
+        *("digest", "cut", "limit_ms", "limit_source", "limit_version"),
+        *("events", "expected_tokens"),
     ),
     UNANSWERED: ("reason",),
 }
