Show that a second pause ends requests that wait after a first one

Callers get a bare 500 ("Internal Server Error") for whole requests that no server has seen, and neither `answered` nor `unanswered` is logged for them. A request waits after a pause until the instance has learnt what it missed. If the next pause comes meanwhile, the instance cancels that work and begins it anew; `asyncio.shield` keeps a request from cancelling the work, but hands the cancellation of the work to each request that waits.

The scenario fails in both rows: one of two and two of three requests end with CancelledError.

--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -50,3 +50,15 @@
       | when              | ms   | moment |
       | at once           | 50   | answer |
       | before a pause    | 2000 | begin  |
+
+  # Guards against requests that end with an error since a second pause comes while
+  # they wait to learn what the first one hid.
+  Scenario Outline: Requests that wait as a <nth> pause comes go on after it
+    Given pauses: an instance that learns what it missed in a pause
+    When pauses: requests wait for that and <count> more pauses come
+    Then pauses: all requests go on, once it was learnt after the last pause
+
+    Examples:
+      | nth    | count |
+      | second | 1     |
+      | third  | 2     |
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -182,3 +182,56 @@
 def confirmed_at(context, moment):
     expected = context.store.moments[moment]
     assert context.watch.confirmed_at == expected, context.watch.confirmed_at
+
+
+class CatchUp:
+    """Learns what was missed once it may.
+
+    Attributes:
+        begun_at: When each of its runs began.
+    """
+
+    def __init__(self, time):
+        self._clock = time
+        self.may_end = asyncio.Event()
+        self.begun_at = []
+
+    async def run(self):
+        self.begun_at.append(self._clock.monotonic())
+        await self.may_end.wait()
+
+
+@behave.given("pauses: an instance that learns what it missed in a pause")
+def learning_instance(context):
+    context.clock = clock.ManualClock()
+    context.catch_up = CatchUp(context.clock)
+    limit = gateway_settings.BoundSettings().pause_limit
+    context.pauses = pause_monitor.PauseMonitor(
+        limit, context.catch_up.run, context.clock
+    )
+
+
+@behave.when("pauses: requests wait for that and {count:d} more pauses come")
+def more_pauses(context, count):
+    context.outcomes = asyncio.run(wait_through(context, count))
+
+
+async def wait_through(context, count):
+    waiting = []
+    for _ in range(1 + count):
+        context.clock.advance(SECOND)
+        waiting.append(asyncio.create_task(context.pauses.wait_until_current()))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    context.early = [task.done() for task in waiting]
+    context.catch_up.may_end.set()
+    async with asyncio.timeout(SECOND.total_seconds()):
+        return await asyncio.gather(*waiting, return_exceptions=True)
+
+
+@behave.then("pauses: all requests go on, once it was learnt after the last pause")
+def all_go_on(context):
+    failed = [outcome for outcome in context.outcomes if outcome is not None]
+    assert not failed, failed
+    assert not any(context.early), context.early
+    assert context.catch_up.begun_at[-1] == context.clock.monotonic()
