Have requests that wait through a second pause go on after it

What callers saw: a bare 500 of the server library, for whole requests that no server had seen, and no line in the log: 17 of 2,502 requests in a trial with processes that stand still beside configurations, at one gateway within milliseconds of its third pause.

Cause: a request that comes after a pause waits for the task that learns what was missed. The next pause replaces that task and cancels the earlier one. `asyncio.shield` keeps a request from cancelling the task, but hands the task's cancellation to each request that waits for it.

Requests wait for the end of the task, whatever it is, and then for the one that has replaced it, so none goes on before what the last pause hid is known. An error in learning it is logged instead of ending the requests that wait.

--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -63,9 +63,10 @@
         Requests are often the first that is handled after a pause, before `run`.
         """
         self._look()
-        if self._catching_up is not None:
-            # A request that is cancelled must not cancel what others wait for.
-            await asyncio.shield(self._catching_up)
+        # Another pause replaces the task. Awaited itself, the replaced one would end
+        # each waiting request with its cancellation.
+        while self._catching_up is not None:
+            await asyncio.wait({self._catching_up})
 
     def _look(self) -> None:
         now = self._clock.monotonic()
@@ -83,6 +84,8 @@
     async def _learn(self, since: datetime.timedelta) -> None:
         try:
             await self._catch_up()
+        except Exception as error:
+            _log.error("what was missed is not known", reason=repr(error))
         finally:
             if self._catching_up is asyncio.current_task():
                 self._catching_up = None
