Count the events of streams, and bound what is predicted of them

What callers could see: a bare 500 for streams whose client expects very many tokens, and refusals of all streams of a route whose engines do not number their events from one.

Cause: the length of a stream was read off the number of its last event, which says how many there were only if the first is one. And a fit to a few streams that expect nearly the same may have any slope, so that the prediction for 10^9 tokens overflows.

The events that were written are counted, of streams that began here. The scenario with absurd values ends with an OverflowError without either bound.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -41,6 +41,9 @@
 # slow when its last stream ended would be refused every long stream, and nothing would
 # show that it is fast again.
 _PACE_EXPIRY = datetime.timedelta(seconds=1)
+# No time limit is as long: a day. The number of events follows what clients expect,
+# which has no bound that a duration could hold.
+_MAX_STREAM_MS = 86_400_000.0
 # Relative steps of the learned figures after a prefill that was faster or slower than
 # they predict. Queueing makes a prefill late and nothing makes it early, so fast ones
 # are better evidence: with these steps the figures follow the fastest fourteenth. A
@@ -160,7 +163,8 @@
         """
         if now - self.event_gap_at > _PACE_EXPIRY:
             return datetime.timedelta()
-        return datetime.timedelta(milliseconds=events * self.event_gap_ms)
+        milliseconds = min(events * self.event_gap_ms, _MAX_STREAM_MS)
+        return datetime.timedelta(milliseconds=milliseconds)
 
     def domain_load(self, now: datetime.timedelta) -> peer_loads.PeerLoad:
         """Return the outstanding work of this failure domain's instances here.
--- a/src/pimentolatch/decisions/stream_lengths.py
+++ b/src/pimentolatch/decisions/stream_lengths.py
@@ -62,15 +62,21 @@
 
     @property
     def slope(self) -> float:
-        """Slope of the line; 0 if it cannot be told."""
+        """Slope of the line, from 0 to 1; 0 if it cannot be told.
+
+        Who expects twice as many tokens gets at most twice as many events. A few
+        streams that expect nearly the same could show any other slope.
+        """
         if self.variance_x < _MIN_VARIANCE:
             return 0.0
-        return self.covariance / self.variance_x
+        return min(max(self.covariance / self.variance_x, 0.0), 1.0)
 
     @property
     def spread(self) -> float:
         """Standard deviation of the streams from the line."""
-        return math.sqrt(max(0.0, self.variance_y - self.slope * self.covariance))
+        slope = self.slope
+        explained = slope * (2 * self.covariance - slope * self.variance_x)
+        return math.sqrt(max(0.0, self.variance_y - explained))
 
     def predict(self, x: float) -> float:
         """Return the point of the line at `x`."""
@@ -103,8 +109,7 @@
         Args:
             route: Name of the route.
             expected_tokens: Tokens that its client expected.
-            events: Events that it had; those without a number are not counted, so 0
-                teaches nothing.
+            events: Events that it had; 0 teaches nothing.
             whole: Whether it reached its end.
         """
         if events <= 0 or expected_tokens <= 0:
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -157,8 +157,7 @@
         outcome: Outcome of the request, for the log.
         aborted: Whether this instance closed the connection within the response.
         dispatched: Whether a server may have received the request.
-        last_event: Number of the last event that was written; 0 before, and for other
-            responses than streams.
+        events: Number of events of a stream that were written.
         is_last_dispatch: Whether the request goes to no further server.
     """
 
@@ -170,7 +169,7 @@
         self.outcome = PASSED_ON
         self.aborted = False
         self.dispatched = False
-        self.last_event = 0
+        self.events = 0
         self.is_last_dispatch = False
 
     @property
--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -102,9 +102,9 @@
         await self._response.write(b"".join([block.data for block in blocks]))
         self._progress.trace.timeline.written(self._clock.monotonic())
         for block in blocks:
+            self._response.events += block.is_event
             if block.number is not None and block.number > self._progress.last_event:
                 self._progress.last_event = block.number
-        self._response.last_event = self._progress.last_event
 
     async def finish(self) -> None:
         """Write the end of the response.
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -423,7 +423,7 @@
         "limit_ms": round(limit.duration / datetime.timedelta(milliseconds=1)),
         "limit_source": limit.source.value,
         "limit_version": limit.version,
-        "events": response.last_event,
+        "events": response.events,
         "expected_tokens": None if prompt is None else prompt.expected_output,
     }
 
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -143,10 +143,13 @@
         expected_tokens: int,
     ) -> None:
         """Learn the length of a stream, unless its client or its engine ended it."""
+        if request.head.last_event:
+            # The events before are not known.
+            return
         whole = response.outcome == client_request.PASSED_ON
         if whole or response.outcome == client_request.CUT_AT_LIMIT:
             self._lengths.observe(
-                request.route.name, expected_tokens, response.last_event, whole=whole
+                request.route.name, expected_tokens, response.events, whole=whole
             )
 
     async def _run(
--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -22,6 +22,7 @@
 # Standard deviations of logarithms: of the lengths, and of the clients' errors.
 LENGTHS_SPREAD = 0.6
 ERRORS_SPREAD = 0.5
+MAX_TOKENS = 10**9
 MS = datetime.timedelta(milliseconds=1)
 NOW = datetime.timedelta(seconds=100)
 TRAITS = route_table.EngineTraits(64, 500_000, datetime.timedelta(seconds=1))
@@ -69,6 +70,30 @@
     observe(context, count, typical, kind, limit)
 
 
+@behave.given("lengths: streams whose expectations and lengths are absurd")
+def absurd_streams(context):
+    context.lengths = stream_lengths.StreamLengths()
+    rng = random.Random(SEED)
+    for number in range(400):
+        # Expectations that hardly differ, with lengths that differ much.
+        expected = 101 - number % 2
+        events = rng.choice([1, 10**6]) if number % 2 else 10**6
+        whole = rng.random() < 0.5
+        context.lengths.observe(ROUTE, expected, events, whole=whole)
+
+
+@behave.then("lengths: the time for the stream can be computed for any expectation")
+def computable(context):
+    loads = engine_loads.EngineLoads()
+    address = settings.Address.from_text("127.0.0.1:80")
+    loads.update([servers.Server("d1", "lm", address, "here", False, None, 8)])
+    engine = loads.get("d1")
+    loads.record_event_gap(engine, datetime.timedelta(hours=1), NOW)
+    for expected in (0, 1, 1000, MAX_TOKENS):
+        events = context.lengths.least_events(ROUTE, expected)
+        assert engine.stream_time(events, NOW) >= datetime.timedelta(), expected
+
+
 @behave.then("lengths: nothing is predicted")
 def nothing_predicted(context):
     assert context.lengths.least_events(ROUTE, 270) == 0.0
--- a/tests/features/stream_lengths.feature
+++ b/tests/features/stream_lengths.feature
@@ -20,6 +20,11 @@
       | the same for all    | 18 to 29 | 18 to 29  |
       | of no relation      | 17 to 32 | 17 to 32  |
 
+  # Guards against requests that fail since what clients or engines send is out of bounds.
+  Scenario: Absurd expectations and lengths give a prediction that can be used
+    Given lengths: streams whose expectations and lengths are absurd
+    Then lengths: the time for the stream can be computed for any expectation
+
   # Guards against long streams that look short since most of them are cut.
   Scenario: Streams that are cut at 40 events do not count as short
     Given lengths: 400 streams of about 30 events, cut at 40, with expectations that are accurate
