Give each test process a block of ports of its own

Two runs of the suite on one machine could end with "address already in use": a process took its ports from a block that followed from its process id modulo 200, and nothing kept another process with the same remainder from that block.

A process now holds the first port of its block bound for as long as it runs, and takes the next block if that one is held. The kernel ends the claim with the process.

--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -3,40 +3,27 @@
 import asyncio
 import dataclasses
 import datetime
-import itertools
-import os
-import socket
+import functools
 
 from pimentolatch import clock
 from pimentolatch.gateway import process, settings
 from standins import platform, route_server
-from tests.support import restartable_store
+from tests.support import port_blocks, restartable_store
 
 HOST = "127.0.0.1"
 WAIT_S = 10.0
 POLL_S = 0.01
+PEER_PORTS = 3
 
 
-# Below the ephemeral port range: a free port from that range could be taken by an
-# outgoing connection of another process before the test had bound it.
-FIRST_PORT = 10_000
-PORTS_OF_PROCESS = 100
-PEER_PORTS = 3
-_ports = itertools.count()
+@functools.cache
+def _ports():
+    return port_blocks.PortBlock(HOST)
 
 
 def free_port():
-    """Return a free port from a range that depends on this process's id."""
-    first = FIRST_PORT + os.getpid() % 200 * PORTS_OF_PROCESS
-    for _ in range(PORTS_OF_PROCESS):
-        port = first + next(_ports) % PORTS_OF_PROCESS
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError(f"no port is free from {first} on")
+    """Return a free port that no other process of the tests uses."""
+    return _ports().free_port()
 
 
 def free_port_range():
