Do not take an instance's own standstill for an outage of the store

An instance that went on after a standstill of some seconds listed the servers and, if as many known ones were missing as survived, kept the missing ones as if their entries had expired. They had left meanwhile, and got requests for as long as the instance kept them.

The age of the known list, by which an outage is recognized, was compared with a clock that advances during a standstill.

Time for which the instance itself did not run shows no outage of the store, so it no longer counts. As the store may have been away in just that time, and nothing else would tell, missing servers are still kept after it if they are at least four times as many as those that survived: an outage of that length leaves hardly any entry, and planned changes replace fewer servers. Time in which the instance ran counts as before, also if it stood still besides. The pause monitor tells for how long it did.

Both new scenarios failed before and pass now, and so do two new rows of the verdict.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -14,6 +14,11 @@
 they do not count as survivors. In a short outage a few entries expire; these servers
 are not used until their entries are back, since most others are listed.
 
+Time for which the instance itself stood still does not show an outage of the store
+either: servers may have left meanwhile as at any time. But the store may have been away
+during just that time. So if the instance ran for too short a time without the store,
+entries may have expired only if hardly any survived.
+
 The grace period runs from the store's return. An instance notices that up to a call's
 time limit and a pause later, so the begin of the last unanswered call, which lies
 before the return, serves as a lower bound. If most servers are still missing when the
@@ -37,6 +42,9 @@
 # An entry expires after three missed heartbeats. An outage of the store that is shorter
 # than this makes no entry of a running server expire.
 _MIN_EXPIRY = datetime.timedelta(seconds=2.5)
+# Missing servers for each that survived, from which on an outage is assumed in a time
+# that nothing is known of. Planned changes replace fewer servers in some seconds.
+_MIN_MISSING_PER_SURVIVOR = 4
 # Entries of running servers are back within this time of the store's return.
 _RETURN_TIME = datetime.timedelta(seconds=2)
 # Longest time between the begin of the last unanswered call and of the next one: the
@@ -53,18 +61,24 @@
 
     Attributes:
         list_age: Time since the known list was read from the store.
+        stood_still: Part of this time for which the instance itself did not run.
         missing: Number of known servers without an entry.
         survived: Number of known servers whose entries were never removed.
     """
 
     list_age: datetime.timedelta
+    stood_still: datetime.timedelta
     missing: int
     survived: int
 
 
 def may_have_expired(gap: ListingGap) -> bool:
     """Return whether the entries may have expired; otherwise the servers have left."""
-    return gap.list_age >= _MIN_EXPIRY and gap.missing >= gap.survived
+    if gap.list_age < _MIN_EXPIRY:
+        return False
+    if gap.list_age - gap.stood_still >= _MIN_EXPIRY:
+        return gap.missing >= gap.survived
+    return gap.missing >= _MIN_MISSING_PER_SURVIVOR * gap.survived
 
 
 def is_current(list_age: datetime.timedelta) -> bool:
--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import collections
+import dataclasses
 import datetime
 from collections import abc
 
@@ -18,6 +20,21 @@
 _log = logbook.Logger("gateway")
 _INTERVAL = datetime.timedelta(milliseconds=50)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_NO_TIME = datetime.timedelta()
+# What is asked for lies some seconds back; pauses are rarer than that.
+_MAX_KEPT = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pause:
+    """An interval in which this process did not run, by its monotonic clock."""
+
+    began_at: datetime.timedelta
+    ended_at: datetime.timedelta
+
+    def duration_since(self, moment: datetime.timedelta) -> datetime.timedelta:
+        """Return how much of it lies after a moment."""
+        return max(_NO_TIME, self.ended_at - max(self.began_at, moment))
 
 
 class PauseMonitor:
@@ -42,13 +59,13 @@
         self._catch_up = catch_up
         self._clock = time
         self._seen_at = time.monotonic()
-        self._resumed_at: datetime.timedelta | None = None
+        self._pauses: collections.deque[_Pause] = collections.deque(maxlen=_MAX_KEPT)
         self._catching_up: asyncio.Task[None] | None = None
 
-    def has_stood_still_since(self, moment: datetime.timedelta) -> bool:
-        """Tell whether this instance went on after a pause since a moment."""
+    def stood_still_since(self, moment: datetime.timedelta) -> datetime.timedelta:
+        """Return for how long this instance stood still since a moment."""
         self._look()
-        return self._resumed_at is not None and self._resumed_at >= moment
+        return sum((pause.duration_since(moment) for pause in self._pauses), _NO_TIME)
 
     async def run(self) -> None:
         """Look at the clock; runs until cancelled."""
@@ -74,7 +91,7 @@
         self._seen_at = now
         if pause <= self.limit:
             return
-        self._resumed_at = now
+        self._pauses.append(_Pause(now - pause, now))
         _log.warn("process stood still", ms=round(pause / _MILLISECOND))
         if self._catching_up is not None:
             # What it has asked may have been answered before this pause.
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -311,7 +311,7 @@
             self._expired_servers,
             time,
             chosen.bounds.server_watch,
-            self._pauses.has_stood_still_since,
+            self._pauses.stood_still_since,
         )
         watches = (
             store_watch.ConfigurationWatch(
@@ -319,7 +319,7 @@
                 fleet,
                 time,
                 chosen.bounds.configuration_watch,
-                self._pauses.has_stood_still_since,
+                self._pauses.stood_still_since,
             ),
             self._server_watch,
         )
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -32,8 +32,8 @@
 _MAX_LOGGED = 10
 
 
-def _never_stood_still(since: datetime.timedelta) -> bool:
-    return False
+def _never_stood_still(since: datetime.timedelta) -> datetime.timedelta:
+    return datetime.timedelta()
 
 
 class Watch:
@@ -48,7 +48,7 @@
         fleet: State that the objects are applied to.
         time: Clock of this instance.
         limits: How long the store may take to answer a watch.
-        has_stood_still_since: Tells whether this instance went on after a pause since a
+        stood_still_since: Returns for how long this instance stood still since a
             moment.
 
     Attributes:
@@ -67,11 +67,11 @@
         fleet: fleet_state.FleetState,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
-        has_stood_still_since: abc.Callable[
-            [datetime.timedelta], bool
+        stood_still_since: abc.Callable[
+            [datetime.timedelta], datetime.timedelta
         ] = _never_stood_still,
     ) -> None:
-        self._has_stood_still_since = has_stood_still_since
+        self._stood_still_since = stood_still_since
         self._store = source
         self._fleet = fleet
         self._clock = time
@@ -152,7 +152,7 @@
             return outcome
         self._answered_at = self._clock.monotonic()
         # An answer that came while this instance stood still is older than it seems.
-        matched_at = begun if self._has_stood_still_since(begun) else self._answered_at
+        matched_at = begun if self._stood_still_since(begun) else self._answered_at
         # Not after a listing: a store that answers no watch in time would be asked for
         # a listing of everything again and again without a pause.
         self._pause.reset()
@@ -219,7 +219,7 @@
         expired_servers: Receives the servers missing from a listing after an outage.
         time: Clock of this instance.
         limits: How long the store may take to answer a watch.
-        has_stood_still_since: See `Watch`.
+        stood_still_since: See `Watch`.
     """
 
     kind = server_entries.SERVER_KIND
@@ -237,11 +237,11 @@
         expired_servers: expired_entries.ExpiredServers,
         time: clock.Clock,
         limits: watch_schedule.WatchLimits,
-        has_stood_still_since: abc.Callable[
-            [datetime.timedelta], bool
+        stood_still_since: abc.Callable[
+            [datetime.timedelta], datetime.timedelta
         ] = _never_stood_still,
     ) -> None:
-        super().__init__(source, fleet, time, limits, has_stood_still_since)
+        super().__init__(source, fleet, time, limits, stood_still_since)
         self._expired = expired_servers
         self._unusable: set[str] = set()
 
@@ -308,7 +308,10 @@
         if not missing:
             return until
         gap = missing_servers.ListingGap(
-            self._list_age(), len(missing), self._count_survivors(known, listing)
+            self._list_age(),
+            self._stood_still_since(self._fleet.servers_confirmed_at),
+            len(missing),
+            self._count_survivors(known, listing),
         )
         if missing_servers.may_have_expired(gap):
             for name in missing:
@@ -335,6 +338,9 @@
             revision=listing.revision,
             silent_ms=self._silent_ms(),
             list_age_ms=round(self._list_age() / _MILLISECOND),
+            stood_still_ms=round(
+                self._stood_still_since(self._fleet.servers_confirmed_at) / _MILLISECOND
+            ),
         )
 
     def _confirm(self, at: datetime.timedelta) -> None:
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -4,15 +4,35 @@
 
   # Guards against a verdict on missing servers that an instance's own outage decides.
   Scenario Outline: Missing servers may have expired if most entries did not survive
-    Then outage: with a list of <age> s, <missing> missing and <survived> survived entries may <expired> expired
+    Then outage: with a list of <age> s, <still> s of them without running, <missing> missing and <survived> survived entries may <expired> expired
 
     Examples:
-      | age  | missing | survived | expired  |
-      | 2.4  | 6       | 0        | not have |
-      | 2.5  | 6       | 0        | have     |
-      | 30.0 | 3       | 3        | have     |
-      | 30.0 | 2       | 3        | not have |
-      | 30.0 | 1       | 0        | have     |
+      | age  | still | missing | survived | expired  |
+      | 2.4  | 0.0   | 6       | 0        | not have |
+      | 2.5  | 0.0   | 6       | 0        | have     |
+      | 30.0 | 0.0   | 3       | 3        | have     |
+      | 30.0 | 0.0   | 2       | 3        | not have |
+      | 30.0 | 0.0   | 1       | 0        | have     |
+      | 6.4  | 4.9   | 6       | 6        | not have |
+      | 6.4  | 4.9   | 7       | 2        | not have |
+      | 6.4  | 4.9   | 8       | 2        | have     |
+      | 6.4  | 4.9   | 6       | 0        | have     |
+      | 7.4  | 4.9   | 6       | 6        | have     |
+      | 7.4  | 4.9   | 5       | 6        | not have |
+
+  # Guards against a standstill of the instance that counts as an outage of the store.
+  Scenario: Servers that left while an instance stood still are not used after it
+    Given outage: 6 servers and 1 instances
+    When outage: the answers to watches of "i0" are held up
+    And outage: all instances stand still for 3 seconds and 3 servers leave
+    Then outage: "i0" uses only listed servers
+
+  # Guards against a standstill of the instance that prolongs a short outage of the store.
+  Scenario: Servers that left while an instance stood still after an outage are not used
+    Given outage: 6 servers and 1 instances
+    When outage: the store rejects all reads for 1 seconds
+    And outage: all instances stand still for 5 seconds and 3 servers leave
+    Then outage: "i0" uses only listed servers
 
   # Guards against an instance of an earlier release that does not tell its list's age.
   Scenario: A list without an age is taken and does not renew that of the instance
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -55,6 +55,15 @@
     context.world.faults.outage = False
 
 
+@behave.when(
+    "outage: all instances stand still for {seconds:g} seconds and {count:d} servers"
+    " leave"
+)
+def stand_still_and_leave(context, seconds, count):
+    context.world.remove(*context.servers[:count])
+    context.world.stand_still(seconds)
+
+
 @behave.when('outage: "{name}" leaves {seconds:g} seconds later')
 def leaves_later(context, name, seconds):
     advance(context, seconds)
@@ -265,11 +274,16 @@
 
 
 @behave.then(
-    "outage: with a list of {age:g} s, {missing:d} missing and {survived:d} survived"
-    " entries may {expired} expired"
+    "outage: with a list of {age:g} s, {still:g} s of them without running,"
+    " {missing:d} missing and {survived:d} survived entries may {expired} expired"
 )
-def verdict(context, age, missing, survived, expired):
-    gap = missing_servers.ListingGap(datetime.timedelta(seconds=age), missing, survived)
+def verdict(context, age, still, missing, survived, expired):
+    gap = missing_servers.ListingGap(
+        datetime.timedelta(seconds=age),
+        datetime.timedelta(seconds=still),
+        missing,
+        survived,
+    )
     assert missing_servers.may_have_expired(gap) == (expired == "have")
 
 
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -157,7 +157,7 @@
         expired_entries.ExpiredServers(context.fleet, time),
         time,
         gateway_settings.BoundSettings().server_watch,
-        pauses.has_stood_still_since,
+        pauses.stood_still_since,
     )
 
 
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -12,6 +12,7 @@
     departure_exchange,
     expired_entries,
     fleet_state,
+    pause_monitor,
     peer_snapshots,
     peer_table,
     readiness_checks,
@@ -56,6 +57,7 @@
     fleet: fleet_state.FleetState
     expired: expired_entries.ExpiredServers
     watch: store_watch.ServerWatch
+    pauses: pause_monitor.PauseMonitor
     peers: peer_table.PeerTable
     fetcher: peer_snapshots.SnapshotFetcher
     endpoint: peer_snapshots.SnapshotEndpoint
@@ -122,7 +124,10 @@
             self.table, time=self.clock, link=name, faults=self.faults
         )
         self._hold_answers(link, name)
-        limits = settings.BoundSettings().server_watch
+        bounds = settings.BoundSettings()
+        pauses = pause_monitor.PauseMonitor(
+            bounds.pause_limit, lambda: self._catch_up(name), self.clock
+        )
         place = neighbours.Place(host, DOMAIN)
         peers = peer_table.PeerTable(name, place, self.clock, random.Random(name))
         return Instance(
@@ -130,7 +135,15 @@
             host,
             fleet,
             expired,
-            store_watch.ServerWatch(link, fleet, expired, self.clock, limits),
+            store_watch.ServerWatch(
+                link,
+                fleet,
+                expired,
+                self.clock,
+                bounds.server_watch,
+                pauses.stood_still_since,
+            ),
+            pauses,
             peers,
             peer_snapshots.SnapshotFetcher(
                 fleet, peers, expired, PEERS_PORT, self.clock, self._fetch
@@ -147,6 +160,9 @@
             departure_exchange.DepartureExchange(fleet),
         )
 
+    async def _catch_up(self, name):
+        await self.instances[name].watch.catch_up()
+
     async def _ask(self, server):
         """Return what a server says of itself."""
         self.asked.append(server.server_id)
@@ -173,6 +189,7 @@
         for instance in instances:
             for work in (
                 instance.watch.run,
+                instance.pauses.run,
                 instance.expired.run,
                 instance.fetcher.run,
                 instance.returned.run,
@@ -208,6 +225,11 @@
             self._exchange_beacons()
         self.runner.run(self._rounds())
 
+    def stand_still(self, seconds):
+        """Let time pass in which no instance runs, and then let them go on."""
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+        self.runner.run(self._rounds())
+
     async def _rounds(self):
         for _ in range(ROUNDS):
             await asyncio.sleep(0)
