Keep servers whose entries expired during a standstill until they can be back

An instance that stood still while the store was away, so that all entries expired, had no server left a moment after it went on, and refused all requests until the entries were written again, up to two seconds later.

The servers were kept as they should be, but their grace period was over at once. It is counted from the last unanswered call, and extended by the time in which an instance notices the store's return. That bound supposes that the instance goes on calling: after a standstill the last unanswered call lies as far back as the standstill is long, or long before the outage if none failed.

A grace period now begins no earlier than the list last matched the store, which was there then. While more servers are kept than listed, it ends no earlier than the notice delay and the standstill require, and no later than two seconds after the store has answered. If most are listed, the earlier end holds as before.

A second scenario checks the other end: a server that does not come back is used for two seconds and not longer.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -22,7 +22,8 @@
 The grace period runs from the store's return. An instance notices that up to a call's
 time limit and a pause later, so the begin of the last unanswered call, which lies
 before the return, serves as a lower bound. If most servers are still missing when the
-period ends by this bound, it is extended by the longest possible error.
+period ends by this bound, it is extended by the longest possible error. If the instance
+stood still meanwhile, it noticed the return later by as much.
 
 If the store is down again before the entries are back, an instance can't learn of them.
 So a grace period ends only while the list is current, and begins anew after the outage.
@@ -33,6 +34,7 @@
 
 __all__ = [
     "ListingGap",
+    "extended_until",
     "extension",
     "grace_ends_at",
     "is_current",
@@ -95,6 +97,22 @@
     return unanswered_since + _RETURN_TIME
 
 
+def extended_until(
+    unanswered_since: datetime.timedelta,
+    stood_still: datetime.timedelta,
+    answered_at: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return until when servers are used after a standstill if most are missing.
+
+    Args:
+        unanswered_since: When the last call began that the store did not answer.
+        stood_still: For how long this instance has not run since.
+        answered_at: When the store has answered.
+    """
+    noticed_by = unanswered_since + _MAX_NOTICE_DELAY + stood_still
+    return min(noticed_by, answered_at) + _RETURN_TIME
+
+
 def extension(*, kept: int, listed: int) -> datetime.timedelta:
     """Return for how much longer servers are used.
 
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -33,6 +33,7 @@
         self._fleet = fleet
         self._clock = time
         self._until: dict[str, datetime.timedelta] = {}
+        self._extended_until = datetime.timedelta()
         self._any = asyncio.Event()
         fleet.kept_until = self._until
 
@@ -45,13 +46,19 @@
             if not self._until:
                 self._any.clear()
 
-    def replace(self, until: abc.Mapping[str, datetime.timedelta]) -> None:
+    def replace(
+        self,
+        until: abc.Mapping[str, datetime.timedelta],
+        extended_until: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         """Replace the servers that are kept.
 
         Args:
             until: End of the grace period by server, by this instance's clock.
+            extended_until: Earliest end while most servers are kept.
         """
         self._until = dict(until)
+        self._extended_until = max(self._extended_until, extended_until)
         self._fleet.kept_until = self._until
         if self._until:
             self._any.set()
@@ -92,6 +99,8 @@
             kept=kept, listed=len(self._fleet.servers.all()) - kept
         )
         now = self._clock.monotonic()
+        if extension and now < self._extended_until:
+            return
         over = [name for name, at in self._until.items() if now >= at + extension]
         for name in over:
             del self._until[name]
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -283,6 +283,7 @@
         self._unusable &= named
         listed = self._decode_usable(listing.objects)
         until = self._grace_periods(listing)
+        extended_until = self._extended_until()
         known = self._fleet.servers.all()
         kept = [server for server in known if server.server_id in until]
         if kept:
@@ -291,12 +292,12 @@
         if self._fleet.replace_servers(
             listing.revision, [*listed, *kept], unreadable=named - usable
         ):
-            self._expired.replace(until)
+            self._expired.replace(until, extended_until)
 
     def _grace_periods(self, listing: store.Listing) -> dict[str, datetime.timedelta]:
         """Return until when servers without an entry are kept, by server id."""
         named = {item.name for item in listing.objects}
-        grace_ends_at = missing_servers.grace_ends_at(self._unanswered_since)
+        grace_ends_at = missing_servers.grace_ends_at(self._away_since())
         # A listing soon after another one does not end what that one has granted.
         until = {
             name: at for name, at in self._expired.until().items() if name not in named
@@ -318,6 +319,20 @@
                 until.setdefault(name, grace_ends_at)
         return until
 
+    def _away_since(self) -> datetime.timedelta:
+        """Return a time before which the store's last outage did not end."""
+        return max(self._unanswered_since, self._fleet.servers_confirmed_at)
+
+    def _extended_until(self) -> datetime.timedelta:
+        """Return until when servers are kept while most are; zero without a pause."""
+        away_since = self._away_since()
+        stood_still = self._stood_still_since(away_since)
+        if not stood_still:
+            return datetime.timedelta()
+        return missing_servers.extended_until(
+            away_since, stood_still, self._clock.monotonic()
+        )
+
     def _count_survivors(self, known: set[str], listing: store.Listing) -> int:
         """Return how many known servers' entries have never been removed."""
         revision = self._fleet.servers_revision
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -34,6 +34,30 @@
     And outage: all instances stand still for 5 seconds and 3 servers leave
     Then outage: "i0" uses only listed servers
 
+  # Guards against a grace period that passes while the instance stands still.
+  Scenario Outline: Servers whose entries expired during a standstill are used
+    Given outage: 6 servers and 1 instances
+    When outage: the store is away for <away> seconds and for <still> more in which all instances stand still, and all entries expire
+    And outage: the servers are listed again, the last after <back> seconds
+    Then outage: at each moment each instance used at least 3 servers
+    And outage: all instances use all servers
+
+    Examples:
+      | away | still | back |
+      | 0.0  | 4.0   | 1.5  |
+      | 1.0  | 4.0   | 1.5  |
+      | 3.0  | 4.0   | 1.5  |
+      | 6.0  | 20.0  | 1.9  |
+
+  # Guards against a grace period that outlasts the return of the entries.
+  Scenario: A server that left while the store and the instance stood still is given up
+    Given outage: 6 servers and 1 instances
+    When outage: the store is away for 1 seconds and for 4 more in which all instances stand still, and all entries expire
+    And outage: 1.9 seconds pass
+    Then outage: "i0" uses "s1"
+    When outage: 0.2 seconds pass
+    Then outage: no instance uses "s1"
+
   # Guards against an instance of an earlier release that does not tell its list's age.
   Scenario: A list without an age is taken and does not renew that of the instance
     Given outage: 6 servers and 2 instances
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -64,6 +64,20 @@
     context.world.stand_still(seconds)
 
 
+@behave.when(
+    "outage: the store is away for {away:g} seconds and for {still:g} more in which all"
+    " instances stand still, and all entries expire"
+)
+def away_and_stand_still(context, away, still):
+    context.world.faults.outage = True
+    advance(context, away)
+    # Watches that wait as the store goes away are never answered.
+    context.world.faults.silenced += 1
+    context.world.remove(*context.servers)
+    context.world.faults.outage = False
+    context.world.stand_still(still)
+
+
 @behave.when('outage: "{name}" leaves {seconds:g} seconds later')
 def leaves_later(context, name, seconds):
     advance(context, seconds)
