Resume streams only at engines that are proven to be the listed ones

Streams were resumed at another software version: an engine started again under its id at the other version, and went on with streams, or began some that were recorded with the earlier version, until the list showed its new start. That took seconds at an instance that was cut off from the store, and up to the age of the list elsewhere.

Neither the list nor the header of an answer tells which start of an engine answers. Its report does (born), and a connection does not outlive the process at its other end. So a decode engine is asked once over each connection over which a resumable stream is sent. A stream goes on only where the report has the listed start; one that begins at another start is recorded as one that goes on nowhere. Engines without a start time are not asked, as each start has a new id there.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -178,6 +178,8 @@
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
         # Time at which it is known to have been open; None before its first release.
         self.opened_by: datetime.timedelta | None = None
+        # Start time that the process at its end has reported over it; None if unknown.
+        self.started_ms: int | None = None
 
     @property
     def reusable(self) -> bool:
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -166,6 +166,7 @@
             may_send=lambda: (
                 prefilled is None or not self._handles.is_doubtful(prefilled)
             ),
+            incarnation_check=_incarnation_check(request, progress),
         )
         if not request.route.repeatable:
             return await call
@@ -202,6 +203,8 @@
         if isinstance(outcome, dispatch.Declined):
             loads.declined(engine, now)
             return False
+        if isinstance(outcome, dispatch.NotSent) and outcome.replaced:
+            return False
         loads.failed(engine, now)
         if isinstance(outcome, dispatch.OutcomeUnknown):
             progress.unanswered = True
@@ -296,7 +299,7 @@
                 continue
             if sse.has_event(blocks):
                 now = self._context.clock.monotonic()
-                self._record_event(generation, now - last, now)
+                self._record_event(generation, opened, now - last, now)
                 last = now
             await relay.write(blocks)
         await relay.finish()
@@ -339,6 +342,7 @@
     def _record_event(
         self,
         generation: request_progress.Generation,
+        opened: dispatch.OpenResponse,
         since: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
@@ -349,18 +353,22 @@
             engine.prefill_tokens[generation.place.level] -= generation.unprefilled
             generation.unprefilled = 0
             self._context.record_cached_prompt(generation.request, engine)
-            self._record_origin(generation)
+            self._record_origin(generation, opened)
             self._count_usage(generation)
             return
         self._context.loads(generation.request).record_event_gap(engine, since, now)
 
-    def _record_origin(self, generation: request_progress.Generation) -> None:
+    def _record_origin(
+        self, generation: request_progress.Generation, opened: dispatch.OpenResponse
+    ) -> None:
         """Record the build that begins a stream, before the client has an event."""
         progress = generation.progress
         if progress.build is None:
             server = generation.place.engine.server
             resumptions = self._context.resumptions
-            progress.build = resumptions.begin(generation.request, server)
+            progress.build = resumptions.begin(
+                generation.request, server, proven=opened.proves(server)
+            )
 
     def _is_proven(self, generation: request_progress.Generation) -> bool:
         """Tell whether an engine has sent events of a response for a while."""
@@ -374,3 +382,14 @@
             generation.progress.usage_counted = True
             name = generation.request.customer_name
             self._context.usage.record_start(name, self._context.clock.now())
+
+
+def _incarnation_check(
+    request: client_request.ClientRequest, progress: request_progress.Progress
+) -> dispatch.IncarnationCheck:
+    """Return whether the version of the engine's software matters to a request."""
+    if progress.last_event:
+        return dispatch.IncarnationCheck.REQUIRE
+    if request.route.repeatable:
+        return dispatch.IncarnationCheck.ASK
+    return dispatch.IncarnationCheck.NONE
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import datetime
+import enum
 import functools
 from collections import abc
 
@@ -11,7 +12,7 @@
 from pimentolatch.backend import channel
 from pimentolatch.decisions import connection_reuse, reachability
 from pimentolatch.gateway import client_request, flow_control
-from pimentolatch.platform import http_headers
+from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -21,6 +22,7 @@
     "RETURN_TIME",
     "Declined",
     "FullResponse",
+    "IncarnationCheck",
     "NotSent",
     "OpenResponse",
     "Outcome",
@@ -45,7 +47,10 @@
 # again, which is not worth waiting for.
 _MAX_REFUSAL_BYTES = 65_536
 _REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=100)
+_OK = 200
 _MISDIRECTED = 421
+# Reports take milliseconds.
+_REPORT_TIMEOUT = datetime.timedelta(milliseconds=700)
 # Time reserved for returning the response to the client.
 RETURN_TIME = datetime.timedelta(milliseconds=10)
 # Statuses that tell a client that its request did not run. A server's response with one
@@ -53,16 +58,33 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class IncarnationCheck(enum.Enum):
+    """Whether a request asks which incarnation its connection leads to.
+
+    Only an engine's own report tells, and a connection does not outlive the process at
+    its other end. So one report proves all requests that are sent over a connection.
+    """
+
+    NONE = enum.auto()
+    # Ask, and send the request whatever the answer is.
+    ASK = enum.auto()
+    # Ask, and send the request to the listed incarnation only.
+    REQUIRE = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
     """The server was not reached, so the request did not run.
 
     Attributes:
         unresponsive: The server did not even refuse the connection.
+        replaced: The server was reached, but is not proven to be the listed
+            incarnation, which the request required.
     """
 
     reason: str
     unresponsive: bool = False
+    replaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +132,14 @@
     head: http_headers.ResponseHeaders
     link: channel.Channel
 
+    def proves(self, server: servers.Server) -> bool:
+        """Tell whether it is known to come from the listed incarnation.
+
+        A server without a start time has a new id at each start, and declines requests
+        for another id.
+        """
+        return server.started_ms is None or self.link.started_ms == server.started_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdrawn:
@@ -232,6 +262,7 @@
         *,
         new_connection: bool = False,
         may_send: abc.Callable[[], bool] = lambda: True,
+        incarnation_check: IncarnationCheck = IncarnationCheck.NONE,
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
 
@@ -249,6 +280,8 @@
             new_connection: Use no kept connection. A request that has got no answer
                 before may have met a silent one, and the next may be silent as well.
             may_send: Asked last; the request is withheld if this returns False.
+            incarnation_check: Whether the server may be another incarnation than the
+                listed one.
         """
         max_idle = (
             None
@@ -268,6 +301,10 @@
             if error.unresponsive:
                 _notify(self._on_silence, server)
             return NotSent(str(error), error.unresponsive)
+        if incarnation_check is not IncarnationCheck.NONE:
+            unusable = await self._check_incarnation(server, link, incarnation_check)
+            if unusable is not None:
+                return unusable
         try:
             labelled = dataclasses.replace(options, customer=request.customer_name)
             fields = http_headers.request_fields(request.fields, labelled)
@@ -288,6 +325,43 @@
             link.close()
             raise
 
+    async def _check_incarnation(
+        self, server: servers.Server, link: channel.Channel, check: IncarnationCheck
+    ) -> NotSent | None:
+        """Learn the incarnation at the end of a connection; None if it may be used."""
+        if server.started_ms is None:
+            return None
+        if link.started_ms is None:
+            try:
+                async with asyncio.timeout(_REPORT_TIMEOUT.total_seconds()):
+                    await self._read_incarnation(server, link)
+            except (channel.BrokenError, TimeoutError) as error:
+                link.close()
+                if isinstance(error, channel.UndeliveredError):
+                    _notify(self._on_silence, server)
+                unresponsive = not isinstance(error, channel.BrokenError)
+                return NotSent(f"no report: {error!r}", unresponsive)
+            except BaseException:
+                link.close()
+                raise
+        if not link.reusable:
+            link.close()
+            return NotSent("connection was closed after the report")
+        if check is IncarnationCheck.REQUIRE and link.started_ms != server.started_ms:
+            self._pool.release(server.incarnation, link, self._clock.monotonic())
+            return NotSent("another incarnation than the listed one", replaced=True)
+        return None
+
+    async def _read_incarnation(
+        self, server: servers.Server, link: channel.Channel
+    ) -> None:
+        host = f"{server.address.host}:{server.address.port}".encode()
+        link.send("GET", engines.REPORT_TARGET, [(b"host", host)], b"")
+        start = await link.read_head()
+        content = await link.read_body(_MAX_CALL_BYTES)
+        report = engines.decode_report(content) if start.status == _OK else None
+        link.started_ms = None if report is None else report.started_ms
+
     async def probe(
         self, server: servers.Server, target: bytes, limit: datetime.timedelta
     ) -> reachability.ProbeResult:
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -26,6 +26,8 @@
 _CLOCK_TOLERANCE = datetime.timedelta(milliseconds=500)
 # Streams of 60 seconds at four times the design size.
 _MAX_RECENT = 4096
+# No server with a version has this one.
+_NO_VERSION = ""
 _RECORDED = "recorded"
 _SOLE_VERSION = "sole version"
 _UNKNOWN = "unknown"
@@ -80,19 +82,31 @@
         confirmation.on_unseen(self._history.restart)
 
     def begin(
-        self, request: client_request.ClientRequest, server: servers.Server
+        self,
+        request: client_request.ClientRequest,
+        server: servers.Server,
+        *,
+        proven: bool,
     ) -> int | None:
         """Record the server that sends the first event of a stream.
 
+        Args:
+            request: The request.
+            server: The server, as it is listed.
+            proven: Whether the listed incarnation sent the event. Another one may have
+                any version, so the stream is recorded as one that goes on nowhere.
+
         Returns:
             The build that the stream has to go on at; None if it is not known.
         """
         build = _build_of(server)
+        if not proven:
+            build = stream_origins.build_key(server.service, _NO_VERSION)
         if build is not None and not request.head.last_event:
             origin = stream_origins.origin_key(request.request_id)
             lifetime = request.head.time_left or request.route.timeout
             self._record(origin, build, lifetime, server.service)
-            if server.started_ms is not None:
+            if proven and server.started_ms is not None:
                 self._recent.append(
                     _Beginning(self._clock.now(), origin, server.incarnation, lifetime)
                 )
--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -75,6 +75,25 @@
     Then out of step: no stream holds events of two versions
     And out of step: engines of both versions have begun some
 
+  # Guards against an engine that is taken for its earlier incarnation.
+  Scenario: A stream joins no engine that has started again at another version, unlisted
+    Given out of step: two instances that have seen one version for long
+    When out of step: clients begin 12 streams at the late instance
+    And out of step: half of the decode engines restart at "v2" under their ids, unlisted
+    And out of step: they resume at the late one with the id of its first attempt
+    Then out of step: no stream holds events of two versions
+    And out of step: all are resumed
+
+  # Guards against streams that are recorded as begun by an earlier incarnation.
+  Scenario: A stream that an unlisted incarnation has begun goes on nowhere
+    Given out of step: two instances that have seen one version for long
+    When out of step: half of the decode engines restart at "v2" under their ids, unlisted
+    And out of step: clients begin 12 streams at the late instance
+    And out of step: they resume at the late one with the id of its first attempt
+    Then out of step: no stream holds events of two versions
+    And out of step: engines of both versions have begun some
+    And out of step: those that "v1" began are resumed
+
   # Guards against a version that is forgotten while clients still come back.
   Scenario: A stream resumed for longer than its route's time limit joins no other version
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -101,6 +101,14 @@
     run(context, context.world.restart_half(version))
 
 
+@behave.when(
+    'out of step: half of the decode engines restart at "{version}" under their ids,'
+    " unlisted"
+)
+def restart_unlisted(context, version):
+    context.world.restart_half_unlisted(version)
+
+
 @behave.when("out of step: they resume at the late one with {value}")
 def resume(context, value):
     world = context.world
@@ -164,3 +172,10 @@
 )
 def few_calls(context):
     assert context.calls < len(context.begun) / 3, context.calls
+
+
+@behave.then('out of step: those that "{version}" began are resumed')
+def begun_resumed(context, version):
+    begun = [s for s in context.begun if s.events[0].version == version]
+    assert begun
+    assert all(s.resumed and s.whole for s in begun), context.world.describe(begun)
--- a/tests/support/out_of_step_world.py
+++ b/tests/support/out_of_step_world.py
@@ -120,10 +120,15 @@
 
     async def restart_half(self, version):
         """Start every second decode engine again, and list it."""
+        for engine in self.restart_half_unlisted(version):
+            await self.write("servers", engine.server_id, engine.entry())
+
+    def restart_half_unlisted(self, version):
+        """Start every second decode engine again; return them."""
         engines = [s for s in self.engines(FIRST) if s.stage == "decode"]
         for engine in engines[::2]:
             self.restart_unlisted(engine.server_id, version)
-            await self.write("servers", engine.server_id, engine.entry())
+        return engines[::2]
 
     async def resume_at_late(self, streams, resumes):
         """Resume streams at once."""
