Refuse requests that an instance fails on before it forwards them

What callers saw: "500 Internal Server Error" of the HTTP library, a closed connection, and no line in the log with the request's id.

Cause: failures of a request are handled around its forwarding only. Whatever fails before, such as the wait after a pause, the reading of the request or a check of it, left the application and was answered by the library, which knows nothing of refusals.

Nothing has been sent to a server by then, so the caller can be told truthfully that the request has not run, and when to come back.

--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -114,13 +114,54 @@
         return announcing
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request, which gets a response whatever fails here."""
+        response = client_request.ClientResponse(scope, send)
+        try:
+            request = await self._accept(scope, receive, response)
+        except Exception as error:
+            await self._refuse_failed(scope, response, error)
+            return
+        if request is None:
+            return
+        counted: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
+        if self._admission is not None:
+            counted = self._admission.counted()
+        with counted:
+            await self._forward(request, response, scope, receive)
+
+    async def _refuse_failed(
+        self,
+        scope: Scope,
+        response: client_request.ClientResponse,
+        error: Exception,
+    ) -> None:
+        """Refuse a request that failed before it was forwarded."""
+        request_id = http_headers.request_id(scope["headers"])
+        _log.error("request failed", id=request_id, reason=repr(error))
+        if not response.started:
+            await response.refuse(refusals.failed_before_dispatch())
+        self._request_log.write(
+            request_log.ANSWERED,
+            request_id,
+            wrong=True,
+            status=response.status,
+            outcome=response.outcome,
+            version=self._fleet.version,
+        )
+
+    async def _accept(
+        self,
+        scope: Scope,
+        receive: Receive,
+        response: client_request.ClientResponse,
+    ) -> client_request.ClientRequest | None:
+        """Return a request that is to be forwarded; None if it has been refused."""
         arrived_at = self._clock.monotonic()
         await self._wait_until_current()
-        response = client_request.ClientResponse(scope, send)
         configuration = self._fleet.configuration
         if configuration is None or not self._fleet.complete:
             await response.refuse(refusals.no_configuration())
-            return
+            return None
         request = await self._read_request(scope, receive, configuration, arrived_at)
         if isinstance(request, results.Refusal):
             self._request_log.write(
@@ -132,21 +173,17 @@
                 version=configuration.version,
             )
             await response.refuse(request)
-            return
+            return None
         if request is None:
-            return
+            return None
         if self._admission is None:
             # The peer has counted a forwarded request.
             self._budget.count_request(request.service.name, arrived_at)
         if (refusal := self._refusal(request)) is not None:
             await response.refuse(refusal)
             self._log_response(request, response)
-            return
-        counted: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
-        if self._admission is not None:
-            counted = self._admission.counted()
-        with counted:
-            await self._forward(request, response, scope, receive)
+            return None
+        return request
 
     def _refusal(self, request: client_request.ClientRequest) -> results.Refusal | None:
         """Return why a request is not served; None if it is."""
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -13,6 +13,7 @@
     "client_closed",
     "configuration_behind",
     "deadline_passed",
+    "failed_before_dispatch",
     "key_possibly_new",
     "no_configuration",
     "no_route",
@@ -28,6 +29,7 @@
 _CLIENT_CLOSED = "the client closed its sending side"
 _NO_SERVER_RETRY = datetime.timedelta(milliseconds=500)
 _VERSION_RETRY = datetime.timedelta(seconds=1)
+_FAILED_RETRY = datetime.timedelta(milliseconds=500)
 
 
 def no_configuration() -> results.Refusal:
@@ -98,11 +100,21 @@
     )
 
 
+def failed_before_dispatch() -> results.Refusal:
+    """Refuse a request that this instance failed on before it forwarded it."""
+    return results.Refusal(
+        results.ResultCode.FAILED_BEFORE_DISPATCH,
+        "this instance failed before it forwarded the request",
+        results.Execution.NOT_RUN,
+        _FAILED_RETRY,
+    )
+
+
 def overloaded(retry_after: datetime.timedelta) -> results.Refusal:
-    """Refuse a request whose response would start too late."""
+    """Refuse a request whose response would start or end too late."""
     return results.Refusal(
         results.ResultCode.OVERLOADED,
-        "the answer would start too late",
+        "the answer would be too late",
         results.Execution.NOT_RUN,
         retry_after,
     )
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -1,14 +1,17 @@
 import asyncio
 import contextlib
+import json
 import re
 import socket
 import struct
+from unittest import mock
 
 import behave
 import logbook
 
-from pimentolatch import settings
+from pimentolatch import results, settings
 from pimentolatch.entry import http_server
+from pimentolatch.gateway import dispatch_check
 from tests.support import route_world
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -231,6 +234,35 @@
     assert [(line["outcome"], line["cut"]) for line in lines()] == [(outcome, True)]
 
 
+@behave.when("unanswered: a request comes that the instance fails on")
+def fails_on(context):
+    failure = mock.patch.object(
+        dispatch_check.DispatchCheck, "refusal", side_effect=RuntimeError("no rule")
+    )
+    with failure:
+        context.reply = context.route_runner.run(context.world.ask("notify", "failed"))
+
+
+@behave.then("unanswered: it is refused as not run, with a time to come back")
+def refused_not_run(context):
+    assert context.reply.status == 503, context.reply
+    body = json.loads(context.reply.body)["error"]
+    assert body["execution"] == results.Execution.NOT_RUN.value, body
+    assert float(context.reply.fields["retry-after"]) > 0
+    assert not context.server.count_runs("failed")
+
+
+@behave.then("unanswered: the reason and the answer are logged")
+def failure_logged(context):
+    lines = {
+        record.message: record.kwargs
+        for record in context.logged.records
+        if record.kwargs.get("id") == "failed"
+    }
+    assert "no rule" in lines["request failed"]["reason"], lines
+    assert lines["answered"]["status"] == 503, lines
+
+
 def until(context, condition):
     context.route_runner.run(context.world.until(condition))
 
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -45,3 +45,10 @@
     Given unanswered: an instance with a server that does not answer
     When unanswered: the instance aborts as a request runs
     Then unanswered: its outcome is logged as "cut off by the stop of this instance"
+
+  # Guards against failures of an instance that end in an answer of the HTTP library.
+  Scenario: A request that an instance fails on before it forwards it is refused
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: a request comes that the instance fails on
+    Then unanswered: it is refused as not run, with a time to come back
+    And unanswered: the reason and the answer are logged
