Remember a version for as long as its streams may be resumed

Streams without a record were resumed at another version by clients that came back later than the time limit of their route after the version had left, also by those that named the attempt that began the stream: the record had expired with the time limit of that one attempt.

An attempt to resume a stream has a time limit of its own, and a client may be refused several times in between. So neither the route's limit nor the client's bounds how long ago a stream began.

After a release, or if servers came and went unseen, streams without a record are refused for 60 s instead of the time limit of their route. An instance that has just started waits for that time limit only, as before: what it can't know of an earlier version may still join streams there.

--- a/src/pimentolatch/decisions/list_continuity.py
+++ b/src/pimentolatch/decisions/list_continuity.py
@@ -6,8 +6,8 @@
 
 Without this decision the instance would take the versions in its lists for all that
 were in use. If each interruption counted as hiding a version, no stream without a
-record would be resumed for the time limit of its route after each outage of the store,
-although the store's history nearly always shows that no server came and went.
+record would be resumed for a minute after each outage of the store, although the
+store's history nearly always shows that no server came and went.
 
 Grounds: the entry of a server is there for some seconds at least. That of a server that
 crashes expires after three missed heartbeats, and a planned end is announced seconds
--- a/src/pimentolatch/decisions/version_history.py
+++ b/src/pimentolatch/decisions/version_history.py
@@ -13,8 +13,13 @@
 was made after the client came back.
 
 Grounds: a version that was listed within `stream_origins.LIFETIME` may have begun a
-stream that a client still resumes. An instance that has observed the list for a shorter
-time doesn't know which versions were listed before.
+stream that a client still resumes. Each attempt to resume it has a time limit of its
+own, so neither the route's limit nor the client's bounds how long ago it began.
+
+An instance that has just started doesn't know which versions were listed before. If it
+refused streams for as long, all instances would do so after each start of the fleet,
+although there is rarely a release just then. So it refuses them for the time limit of
+one attempt only.
 """
 
 import datetime
@@ -45,6 +50,7 @@
     def __init__(self) -> None:
         self._since: datetime.timedelta | None = None
         self._listed: dict[str, frozenset[str]] = {}
+        self._unseen_until: datetime.timedelta | None = None
         # Versions with the time of their removal, in its order.
         self._removed: dict[str, dict[str, datetime.timedelta]] = {}
 
@@ -76,8 +82,9 @@
         Args:
             at: Monotonic time.
         """
-        if self._since is not None:
-            self._since = max(self._since, at)
+        self._unseen_until = (
+            at if self._unseen_until is None else max(self._unseen_until, at)
+        )
 
     def sole_version(
         self,
@@ -90,21 +97,26 @@
         Args:
             service: The service.
             now: Monotonic time.
-            within: How long ago the stream began at most; up to
+            within: For how long the list must have been observed; up to
                 `stream_origins.LIFETIME`.
 
         Returns:
             Why it can't be told if there may have been several versions or the version
             is unknown.
         """
-        if self._since is None or now - self._since < within:
+        if self._since is None or now - self._since < within or self._unseen(now):
             return Ambiguity.NOT_OBSERVED
         versions = self._listed.get(service, frozenset())
-        versions |= self._recently_removed(service, now, within)
+        versions |= self._recently_removed(service, now)
         if len(versions) > 1:
             return Ambiguity.SEVERAL
         return next(iter(versions), "") or Ambiguity.NONE
 
+    def _unseen(self, now: datetime.timedelta) -> bool:
+        """Tell whether versions may have been listed lately that were not seen."""
+        until = self._unseen_until
+        return until is not None and now - until < stream_origins.LIFETIME
+
     def _update_removed(
         self, service: str, current: frozenset[str], now: datetime.timedelta
     ) -> None:
@@ -117,14 +129,11 @@
             del removed[next(iter(removed))]
 
     def _recently_removed(
-        self,
-        service: str,
-        now: datetime.timedelta,
-        within: datetime.timedelta = stream_origins.LIFETIME,
+        self, service: str, now: datetime.timedelta
     ) -> frozenset[str]:
         removed = self._removed.get(service, {})
         return frozenset(
             version
             for version, removed_at in removed.items()
-            if now - removed_at < within
+            if now - removed_at < stream_origins.LIFETIME
         )
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -41,13 +41,11 @@
         at: When its first event arrived.
         origin: Key of the request.
         server: Incarnation that sent the event, as far as was known then.
-        lifetime: How long a client may resume the stream.
     """
 
     at: datetime.datetime
     origin: int
     server: servers.Incarnation
-    lifetime: datetime.timedelta
 
 
 class Resumptions:
@@ -104,11 +102,10 @@
             build = stream_origins.build_key(server.service, _NO_VERSION)
         if build is not None and not request.head.last_event:
             origin = stream_origins.origin_key(request.request_id)
-            lifetime = request.head.time_left or request.route.timeout
-            self._record(origin, build, lifetime, server.service)
+            self._record(origin, build, server.service)
             if proven and server.started_ms is not None:
                 self._recent.append(
-                    _Beginning(self._clock.now(), origin, server.incarnation, lifetime)
+                    _Beginning(self._clock.now(), origin, server.incarnation)
                 )
         return build
 
@@ -176,16 +173,15 @@
     def _listed_version(
         self, request: client_request.ClientRequest
     ) -> str | version_history.Ambiguity:
-        now = self._clock.monotonic()
         return self._history.sole_version(
-            request.service.name, now, request.route.timeout
+            request.service.name,
+            self._clock.monotonic(),
+            min(request.route.timeout, stream_origins.LIFETIME),
         )
 
-    def _record(
-        self, origin: int, build: int, lifetime: datetime.timedelta, service: str
-    ) -> None:
+    def _record(self, origin: int, build: int, service: str) -> None:
         several = len(self._versions(service)) > 1
-        self._exchange.record(origin, build, lifetime, repeat=several)
+        self._exchange.record(origin, build, stream_origins.LIFETIME, repeat=several)
 
     def _versions(self, service: str) -> frozenset[str]:
         return frozenset(
@@ -220,7 +216,7 @@
         self._recent = collections.deque(right, maxlen=_MAX_RECENT)
         for beginning, build in wrong.items():
             self._exchange.record(
-                beginning.origin, build, beginning.lifetime, repeat=True
+                beginning.origin, build, stream_origins.LIFETIME, repeat=True
             )
 
     def _later_build(self, beginning: _Beginning) -> int | None:
