Have tests of routes wait until a new server gets requests

"An unsafe call that a server declines runs on another one" failed once with 503 no_backend_server instead of the second server's answer.

The test's own race: its step waited until the second server was known. A server that is listed after others is first asked whether it is ready, and is withheld until it has answered if another one of its service is in use. The request could come before that answer, and the refusal, with "not run", was true.

The step waits now until the server accepts requests and is not to be asked any more. That checks more before the request and the same after it.

--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -239,7 +239,7 @@
 @behave.when("customers: the key goes before the stream of its request breaks")
 def goes_before_break(context):
     context.shared_faults = [["late cut"], []]
-    context.run(routes_serving_steps.listed(context, "d2"))
+    context.run(routes_serving_steps.accepted(context, "d2"))
     routes_serving_steps.share_faults(context)
 
     async def both():
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -61,9 +61,7 @@
 @behave.given('routes: a plain server "{name}"')
 def add_plain(context, name):
     context.run(context.world.add_server(name, "app"))
-    _, instance = context.world.instances["one"]
-    known = instance.fleet
-    context.run(context.world.until(lambda: known.servers.get(name) is not None))
+    context.run(accepted(context, name))
 
 
 @behave.given("routes: an instance")
@@ -94,7 +92,7 @@
 
 @behave.given('routes: two streams in a row end by "decline"')
 def two_decline(context):
-    context.run(listed(context, "d3"))
+    context.run(accepted(context, "d3"))
     context.shared_faults = [["decline", "decline"]]
     share_faults(context)
 
@@ -147,15 +145,22 @@
 
 @behave.given('routes: the next prompt of each reader ends by "{fault}"')
 def fault_of_readers(context, fault):
-    context.run(listed(context, "p2"))
+    context.run(accepted(context, "p2"))
     for server in context.world.servers.values():
         if server.stage == "prefill":
             server.faults.append(fault)
 
 
-async def listed(context, name):
-    _, instance = context.world.instances["one"]
-    await context.world.until(lambda: instance.fleet.servers.get(name) is not None)
+async def accepted(context, name):
+    """Wait until a server gets requests: a new one is asked first if it is ready."""
+    fleet = context.world.instances["one"][1].fleet
+
+    def accepts():
+        server = fleet.servers.get(name)
+        asked = {other.server_id for other in fleet.unconfirmed_servers}
+        return server is not None and name not in asked and fleet.accepts(server)
+
+    await context.world.until(accepts)
 
 
 @behave.given('routes: the next prompt of "{name}" ends by "{fault}"')
@@ -241,7 +246,7 @@
 
 
 def queue_elsewhere(context, name, tokens):
-    context.run(listed(context, "p2"))
+    context.run(accepted(context, "p2"))
     _, instance = context.world.instances["one"]
     for engine in instance.fleet.loads("lm").all():
         if engine.server.server_id not in (name, "d1", "d2"):
