Have a gateway process stand still twice while requests come

Callers whose requests wait as a gateway stands still a second time get a 500 of the server library and no line. The scenario plays it with a gateway process and whole requests over kept connections.

--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -62,3 +62,9 @@
       | nth    | count |
       | second | 1     |
       | third  | 2     |
+
+  # Guards against errors for all requests of a pause that another one follows.
+  Scenario: A gateway that stands still twice answers what came meanwhile
+    Given silence: 1 gateways and clients that go on asking
+    When silence: the store gets out of reach of a gateway that stands still twice and requests come
+    Then silence: all are answered
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -56,6 +56,15 @@
     context.answers = world.runner.run(world.ask_in_pause(world.leave, cut=True))
 
 
+@behave.when(
+    "silence: the store gets out of reach of a gateway that stands still twice and"
+    " requests come"
+)
+def two_pauses(context):
+    world = context.world
+    context.answers = world.runner.run(world.ask_in_two_pauses())
+
+
 @behave.then("silence: the servers that left got none of these requests")
 def got_none(context):
     assert not context.world.reached("paused"), context.world.reached("paused")
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -37,6 +37,9 @@
 # Longer than a leaving server may get requests.
 PAUSE_S = 2.9
 LEAVE_AFTER_S = 0.1
+# Shorter than an instance asks a store that is out of its reach what it missed.
+BETWEEN_PAUSES_S = 0.15
+EACH_PAUSE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -200,6 +203,28 @@
         gateway.popen.send_signal(signal.SIGCONT)
         return await asking
 
+    async def ask_in_two_pauses(self):
+        """Stop the first gateway twice; send it requests meanwhile.
+
+        It has no way to the store from then on, so that the second pause comes while
+        it asks what it missed in the first one.
+
+        Returns:
+            The answers.
+        """
+        name, gateway = next(iter(self.world.gateways.items()))
+        for direction in (relay.TO_SERVER, relay.TO_CLIENT):
+            self.world.relays.cut(f"store of {name}", direction)
+        gateway.popen.send_signal(signal.SIGSTOP)
+        asking = asyncio.create_task(self.ask_at_once("paused", KEPT, KEPT))
+        await asyncio.sleep(EACH_PAUSE_S)
+        gateway.popen.send_signal(signal.SIGCONT)
+        await asyncio.sleep(BETWEEN_PAUSES_S)
+        gateway.popen.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(EACH_PAUSE_S)
+        gateway.popen.send_signal(signal.SIGCONT)
+        return await asking
+
     def reached(self, prefix):
         """Return the requests whose ids begin so and that servers got which left."""
         return [
