Show that a last answer resets connections whose body still arrives

A client whose body is still on its way gets a reset instead of the rest of its connection as soon as the answer is written, if that answer announces the close: at a stop, or because the client asked for it. The library closes the transport with the response; refusals of the protocol itself discard what arrives for some seconds first, so that they are read.

--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -274,3 +274,46 @@
         for record in context.logged.records
         if record.message == "unanswered"
     ]
+
+
+CHUNK = b"5\r\nbytes\r\n"
+# More than enough for a reset to arrive on this machine.
+RESET_S = 0.1
+
+
+@behave.when("unanswered: a client {does} and sends a body on after the answer")
+def send_on(context, does):
+    context.answer, context.outcome = asyncio.run(
+        send_body_on(context.application, stops="stop" in does)
+    )
+
+
+async def send_body_on(application, *, stops):
+    """Return the answer to a part of a request, and how sending the rest ended."""
+    loop = asyncio.get_running_loop()
+    field = b"" if stops else b"connection: close\r\n"
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n"
+    async with served(application) as (server, address):
+        link = connected(address)
+        await asyncio.sleep(RESET_S)
+        stopping = asyncio.create_task(server.stop() if stops else asyncio.sleep(0))
+        await asyncio.sleep(RESET_S)
+        await loop.sock_sendall(link, head + field + b"\r\n" + CHUNK)
+        answer = await received(link)
+        try:
+            for data in (CHUNK, CHUNK, b"0\r\n\r\n"):
+                await loop.sock_sendall(link, data)
+                await asyncio.sleep(RESET_S)
+            outcome = await loop.sock_recv(link, 1)
+        except ConnectionError as error:
+            outcome = repr(error)
+        link.close()
+        await stopping
+    return answer, outcome
+
+
+@behave.then("unanswered: it has the answer, and its connection was not reset")
+def not_reset(context):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer
+    assert b"\r\nconnection: close\r\n" in context.answer.lower(), context.answer
+    assert context.outcome == b"", context.outcome
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -52,3 +52,14 @@
     When unanswered: a request comes that the instance fails on
     Then unanswered: it is refused as not run, with a time to come back
     And unanswered: the reason and the answer are logged
+
+  # Guards against answers that a reset drops, since their request's body still arrives.
+  Scenario Outline: A last answer does not reset the connection of a client that <does>
+    Given unanswered: an HTTP server
+    When unanswered: a client <does> and sends a body on after the answer
+    Then unanswered: it has the answer, and its connection was not reset
+
+    Examples:
+      | does                                  |
+      | asks to close the connection          |
+      | sends a request as the server stops   |
