Discard the rest of a body before a last answer closes its connection

What callers saw: a reset instead of an answer that the log has as sent.

Cause: with the last answer of a connection the library closes the transport at once. If the body still arrives, or lies unread, the kernel resets the connection, and the client's side drops the answer that it has not read yet.

A response now leaves the end of its connection to the protocol, which closes the sending side and discards what arrives until the client closes, or for the time that refusals of the protocol have. A stop leaves such connections this time too.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -90,6 +90,25 @@
     """The head of a request is over the limit."""
 
 
+class _ResponseTransport:
+    """A connection's transport, as a response sees it.
+
+    The library closes it with the last response of a connection. Here the protocol
+    decides how the connection ends.
+    """
+
+    def __init__(self, protocol: "BoundedHttpProtocol") -> None:
+        self._protocol = protocol
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the response."""
+        self._protocol.transport.write(data)
+
+    def close(self) -> None:
+        """End the connection after the response."""
+        self._protocol.close_after_response()
+
+
 class BoundedHttpProtocol(httptools_impl.HttpToolsProtocol):
     """A caller's connection; subclasses override the bounds."""
 
@@ -224,6 +243,7 @@
         self._in_head = False
         self.scope["extensions"][TARGET_EXTENSION] = {"bytes": self.url}
         super().on_headers_complete()
+        self.cycle.transport = typing.cast(typing.Any, _ResponseTransport(self))
         if self._stopping:
             self._close_after(self.cycle)
         if 0 < len(self.pipeline) < _MAX_READ_AHEAD:
@@ -237,6 +257,9 @@
 
     def on_response_complete(self) -> None:
         """Start the idle timeout, and shorten that of a body that still arrives."""
+        if self._discarding_input:
+            self.server_state.total_requests += 1
+            return
         super().on_response_complete()
         if self.timeout_keep_alive_task is not None:
             self._begin_idle()
@@ -246,6 +269,18 @@
         elif self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
 
+    def close_after_response(self) -> None:
+        """End the connection, after the rest of a body that still arrives.
+
+        Unread bytes would reset the connection, and the caller would lose the response.
+        """
+        if self.transport.is_closing():
+            return
+        if self._in_message or self._has_unread_input():
+            self._discard_input()
+        else:
+            self.transport.close()
+
     def report_unanswered(
         self, reason: Unanswered, headers: abc.Iterable[tuple[bytes, bytes]]
     ) -> None:
@@ -265,8 +300,9 @@
         """
         self._stopping = True
         if self._discarding_input:
-            super().shutdown()
-        elif self._response_pending():
+            # Its caller may not have read the response yet; the connection ends soon.
+            return
+        if self._response_pending():
             self._close_after(self.cycle)
         elif self._in_message or self._has_unread_input():
             return
@@ -377,6 +413,13 @@
             f"{results.RESULT_HEADER}: {int(results.ResultCode.INVALID_REQUEST)}\r\n"
             f"\r\n{body}".encode()
         )
+        self._discard_input()
+
+    def _discard_input(self) -> None:
+        """Close the sending side, and discard what still arrives for a while."""
+        self._discarding_input = True
+        self._cancel_timer()
+        self.flow.resume_reading()
         self.transport.write_eof()
         self._timer = self.loop.call_later(LINGER_SECONDS, self.transport.abort)
 
