Show four faults of the prediction of ends of streams

Each scenario fails and is listed:

- beside prefill engines only the cheapest decode engine of a domain is weighed, so streams are refused though another engine would end them in time;
- where clients expect nearly the same, the line is steep without bound: an expectation a fifth higher ends with 502 (OverflowError) though no server got the request;
- a stream whose client closes its connection is learned as a whole one;
- the pace of an engine is the time between reads, not between events.

--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -2,6 +2,7 @@
 import datetime
 import math
 import random
+import unittest.mock
 
 import behave
 
@@ -183,8 +184,10 @@
     assert context.place.retry_after > datetime.timedelta()
 
 
-@behave.given("lengths: an instance with an engine that sends an event every 50 ms")
-def instance(context):
+@behave.given(
+    "lengths: an instance with an engine that sends an event every {pause_ms:d} ms"
+)
+def instance(context, pause_ms):
     context.world = route_world.RouteWorld()
     context.route_runner = asyncio.Runner()
 
@@ -193,12 +196,47 @@
         await world.start_store()
         await world.configure(1)
         context.engine = await world.add_server("d1", "lm", stage="decode")
-        context.engine.event_pause_s = 0.05
+        context.engine.event_pause_s = pause_ms / 1000
         context.instance = await world.add_instance()
 
     context.route_runner.run(start())
 
 
+@behave.given("lengths: a prefill engine")
+def prefill_engine(context):
+    address = settings.Address.from_text("127.0.0.1:80")
+    listed = [engine.server for engine in context.loads.all()]
+    stage = servers.Stage.PREFILL
+    reader = servers.Server("reader", "lm", address, "here", False, stage, 8)
+    context.loads.update([*listed, reader])
+
+
+@behave.when(
+    "lengths: a stream of {events:d} events with a prompt of {tokens:d} tokens is due"
+    " in {due:d} ms"
+)
+def place_long_prompt(context, events, tokens, due):
+    prompt = prompts.Prompt("m", tokens, 500, 500, (prompts.Part("own", tokens),))
+    request = placement_types.PlacementRequest(
+        prompt,
+        0,
+        False,
+        time_to_target=1000 * MS,
+        time_to_deadline=4000 * MS,
+        jitter=0.5,
+        least_events=events,
+        time_to_end=due * MS,
+    )
+    chooser = placement.Placement(context.loads, "here")
+    context.place = chooser.choose(request, TRAITS, context.now)
+
+
+@behave.then("lengths: its stream goes to the {name} engine")
+def decoded_at(context, name):
+    assert isinstance(context.place, placement_types.Disaggregated), context.place
+    assert context.place.engine.server.server_id == name
+
+
 async def ask(context, request_id, events):
     """Ask for a stream of so many events."""
     tokens = str(TOKENS_PER_EVENT * events)
@@ -260,3 +298,116 @@
         assert float(reply.fields["retry-after"]) > 0
     ran = [context.engine.count_runs(f"long-{n}") for n in range(6)]
     assert not any(ran), ran
+
+
+async def ask_expecting(context, request_id, tokens, events):
+    """Ask for a stream of so many events with an expectation of its own."""
+    context.engine.event_count = events
+    return await context.world.ask(
+        ROUTE, request_id, x_length_hint=str(tokens), x_token_counts="100,2000"
+    )
+
+
+@behave.given(
+    "lengths: it has served streams of 5 to 20 events whose clients expected 1000 to"
+    " 1003"
+)
+def served_alike(context):
+    async def serve():
+        for group in range(4):
+            replies = await asyncio.gather(
+                *(
+                    ask_expecting(
+                        context, f"alike-{group}-{n}", 1000 + group, 5 + 5 * group
+                    )
+                    for n in range(8)
+                )
+            )
+            assert all(reply.complete for reply in replies), replies
+
+    context.route_runner.run(serve())
+
+
+@behave.when(
+    "lengths: clients that expect 1200, 2000, 1000000000 and 1 ask for 10 events"
+)
+def ask_far_off(context):
+    async def ask_all():
+        context.replies = {}
+        for tokens in (1200, 2000, 1_000_000_000, 1):
+            # Shows the present pace of the engine.
+            await ask_expecting(context, f"pace-{tokens}", 1001, 10)
+            reply = await ask_expecting(context, f"far-{tokens}", tokens, 10)
+            context.replies[tokens] = reply.status, reply.complete
+
+    context.route_runner.run(ask_all())
+
+
+@behave.then("lengths: each is answered whole, or refused as not run")
+def answered_or_refused(context):
+    wrong = {
+        tokens: reply
+        for tokens, reply in context.replies.items()
+        if reply not in ((200, True), (503, True))
+    }
+    assert not wrong, wrong
+
+
+@behave.when("lengths: a client leaves within a stream of 40 events")
+def client_leaves(context):
+    context.observed = []
+
+    def observe(lengths, route, expected_tokens, events, *, whole):
+        context.observed.append((route, expected_tokens, events, whole))
+
+    replaced = unittest.mock.patch.object(
+        stream_lengths.StreamLengths, "observe", observe
+    )
+
+    async def leave():
+        context.engine.event_count = 40
+        reader, writer = await context.world.connect()
+        writer.write(
+            route_world.request(
+                ROUTE, "leaves", x_length_hint="360", x_token_counts="100,2000"
+            )
+        )
+        await reader.readuntil(b"id: 5\n")
+        writer.close()
+        await context.world.until(lambda: not context.engine.running)
+
+    with replaced:
+        context.route_runner.run(leave())
+
+
+@behave.then("lengths: no length was learned")
+def nothing_learned(context):
+    assert not context.observed, context.observed
+
+
+@behave.given("lengths: it sends 5 events at a time")
+def several_at_a_time(context):
+    event = "id: {number}DIGIT\ndata: {mark}piece {number}\n\n"
+    events = (event.replace("DIGIT", str(n)) for n in range(5))
+    context.engine.event_format = "".join(events)
+
+
+@behave.when("lengths: a stream is read to its end")
+def read_whole(context):
+    async def read():
+        # Each sends 16 times, so that the mean has settled.
+        context.engine.event_count = 16
+        asked = (
+            context.world.ask(ROUTE, f"settle-{n}", x_token_counts="100,2000")
+            for n in range(6)
+        )
+        replies = await asyncio.gather(*asked)
+        assert all(reply.complete for reply in replies), replies
+
+    context.route_runner.run(read())
+
+
+@behave.then("lengths: its pace is known as {low:d} to {high:d} ms")
+def pace_known(context, low, high):
+    engine = context.instance.fleet.loads("lm").get("d1")
+    assert low <= engine.event_gap_ms <= high, engine.event_gap_ms
--- a/tests/features/stream_lengths.feature
+++ b/tests/features/stream_lengths.feature
@@ -70,3 +70,30 @@
     And lengths: clients ask for 6 streams of 60 events and for 6 of 5 events
     Then lengths: the short ones are answered whole
     And lengths: the long ones are refused, and no engine got them
+
+  # Guards against refusals by the pace of the cheapest engine while another is in time.
+  Scenario: A prompt for a prefill engine is decoded where its stream ends in time
+    Given lengths: a near engine with 150 ms between events and a far one with 50 ms
+    And lengths: a prefill engine
+    When lengths: a stream of 60 events with a prompt of 6000 tokens is due in 5000 ms
+    Then lengths: its stream goes to the far engine
+
+  # Guards against lines through clouds of points that lead to numbers without bound.
+  Scenario: An expectation far off from all others fails no request
+    Given lengths: an instance with an engine that sends an event every 10 ms
+    And lengths: it has served streams of 5 to 20 events whose clients expected 1000 to 1003
+    When lengths: clients that expect 1200, 2000, 1000000000 and 1 ask for 10 events
+    Then lengths: each is answered whole, or refused as not run
+
+  # Guards against parts of streams that look like short ones.
+  Scenario: Streams whose clients leave teach nothing
+    Given lengths: an instance with an engine that sends an event every 50 ms
+    When lengths: a client leaves within a stream of 40 events
+    Then lengths: no length was learned
+
+  # Guards against engines that look slow since several events arrive at a time.
+  Scenario: The pace of an engine is that of its events, however many arrive at a time
+    Given lengths: an instance with an engine that sends an event every 250 ms
+    And lengths: it sends 5 events at a time
+    When lengths: a stream is read to its end
+    Then lengths: its pace is known as 40 to 60 ms
