Show that a limit ends a connection whose input came in the same iteration

A gateway closes kept connections as idle, or ends another wait, although a request lies unread in their socket. The event loop puts late timers off until the input has been handled, but it decides by what its last poll saw. If the process stands still, or another callback blocks, between that poll and the timer, which then runs in the same iteration, what came meanwhile is not known, and the timer runs at once.

--- a/tests/features/event_loop.feature
+++ b/tests/features/event_loop.feature
@@ -15,6 +15,13 @@
       | asyncio.wait      |
       | a reusable timeout |
 
+  # Guards against limits that discard input which came between the last poll and the
+  # moment at which they are judged.
+  Scenario: Input that comes while another timer blocks a process is handled first
+    Given event loop: a connection whose input is awaited by a chain of tasks
+    When event loop: its input comes as a timer that is due with a limit blocks
+    Then event loop: the input was received
+
   # Guards against limits that discard large responses, which are read in parts.
   Scenario: A large response that came while a process was blocked is read whole
     Given event loop: a server that answers with 300000 bytes
--- a/tests/features/steps/event_loop_steps.py
+++ b/tests/features/steps/event_loop_steps.py
@@ -15,6 +15,8 @@
 INPUT = b"x"
 # Time after which the timers of a busy loop count as starved.
 STARVED_S = 10.0
+# Time after which what a blocked process missed has been handled.
+SETTLED_S = 1.0
 HOST = "127.0.0.1"
 CONNECT_LIMIT = datetime.timedelta(seconds=10)
 
@@ -76,6 +78,30 @@
     context.received = context.runner.run(receive(WAITS[wait], b""))
 
 
+@behave.when("event loop: its input comes as a timer that is due with a limit blocks")
+def blocked_between_timers(context):
+    context.received = context.runner.run(receive_between_timers())
+
+
+async def receive_between_timers():
+    """Return what is received before a limit is judged; None if nothing is."""
+    loop = asyncio.get_running_loop()
+    own, peer = socket.socketpair()
+
+    def block():
+        peer.send(INPUT)
+        time.sleep(BLOCKED_S)
+
+    with contextlib.closing(peer):
+        transport, protocol = await loop.create_connection(Connection, sock=own)
+        due_at = loop.time() + LIMIT_S
+        loop.call_at(due_at, block)
+        loop.call_at(due_at, transport.abort)
+        done, _ = await asyncio.wait({protocol.received}, timeout=SETTLED_S)
+        transport.abort()
+        return protocol.received.result() if done else None
+
+
 @behave.then("event loop: the input was received")
 def was_received(context):
     assert context.received == INPUT, context.received
