Weigh each decode engine's pace beside prefill engines too

What callers saw: long streams refused although another engine of the same failure domain would have ended them in time.

Cause: of the decode engines of a domain only the one of least cost was paired with a prefill engine, whatever its pace. If a stream could not end there in time, all candidates of the domain were late, and the stream was refused.

The least cost is now looked for among the engines at whose pace the stream ends in time, if there are any.

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -157,7 +157,7 @@
         without: frozenset[servers.Incarnation] = frozenset(),
         event_gap_target: datetime.timedelta = _NO_TARGET,
         least_events: float = 0.0,
-        time_to_end: datetime.timedelta = datetime.timedelta.max,
+        time_to_end: datetime.timedelta | None = None,
     ) -> engine_loads.EngineLoad | None:
         """Return the decode engine for a prompt that was just prefilled.
 
@@ -169,18 +169,13 @@
         decode_engines = self._loads.usable(servers.Stage.DECODE, now, without)
         if not decode_engines:
             return None
-        in_time = [
-            engine
-            for engine in decode_engines
-            if engine.stream_time(least_events, now) <= time_to_end
-        ]
-        decode_engines = in_time or decode_engines
+        in_time = _in_time(decode_engines, least_events, time_to_end, now)
         costs = {
             w.server.server_id: self._decode_cost(w, traits, now, event_gap_target)
-            for w in decode_engines
+            for w in in_time
         }
         return _best_decode_engine(
-            decode_engines, costs, prompt, prefill_engine.server.failure_domain
+            in_time, costs, prompt, prefill_engine.server.failure_domain
         )[1]
 
     def _candidates(
@@ -220,13 +215,16 @@
                 yield costs[decode_engine.server.server_id] + colocated[0], colocated[1]
         if not decode_engines:
             return
+        in_time = _in_time(
+            decode_engines, request.least_events, request.time_to_end, now
+        )
         best: dict[str, tuple[float, engine_loads.EngineLoad]] = {}
         found: list[tuple[float, placement_types.Disaggregated]] = []
         for prefill_engine in prefill_engines:
             domain = prefill_engine.server.failure_domain
             if domain not in best:
                 best[domain] = _best_decode_engine(
-                    decode_engines, costs, request.prompt, domain
+                    in_time, costs, request.prompt, domain
                 )
             base, decode_engine = best[domain]
             cost, place = self._disaggregated(
@@ -408,6 +406,19 @@
     return cost(decode_engine), decode_engine
 
 
+def _in_time(
+    decode_engines: abc.Sequence[engine_loads.EngineLoad],
+    events: float,
+    time_to_end: datetime.timedelta | None,
+    now: datetime.timedelta,
+) -> abc.Sequence[engine_loads.EngineLoad]:
+    """Return the engines at whose pace so many events end in time, or all if none."""
+    if time_to_end is None or not events:
+        return decode_engines
+    found = [e for e in decode_engines if e.stream_time(events, now) <= time_to_end]
+    return found or decode_engines
+
+
 def _overrun(
     place: placement_types.Colocated | placement_types.Disaggregated,
     request: placement_types.PlacementRequest,
