Learn no lengths from streams whose clients have left

What callers saw: long streams started that can't end in time, as before, on routes whose clients often leave early.

Cause: the work on a request is cancelled when its client leaves, and the outcome of its response still says "passed on" then, so the part that was sent counted as a whole stream.

A stream counts as whole only if the end of its response was written.

--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -132,7 +132,8 @@
             self._context.metrics.prompt_ended(
                 size,
                 response.status,
-                whole=response.outcome == client_request.PASSED_ON,
+                whole=response.finished
+                and response.outcome == client_request.PASSED_ON,
             )
             late_answers.report(self._context.log, request, response, progress.trace)
 
@@ -146,7 +147,7 @@
         if request.head.last_event:
             # The events before are not known.
             return
-        whole = response.outcome == client_request.PASSED_ON
+        whole = response.finished and response.outcome == client_request.PASSED_ON
         if whole or response.outcome == client_request.CUT_AT_LIMIT:
             self._lengths.observe(
                 request.route.name, expected_tokens, response.events, whole=whole
