Take the pace of engines by events, as of the last second

What callers saw: long streams refused for longer than engines were slow.

Cause: the pace was the mean time between reads. The mean was renewed, but not begun anew, by the first event after a silence: 60 s after a slow spell one short stream left 209 ms where 30 were true.

The pace is now a decision of its own, `decisions.event_pace`: the time of a read counts for each of its events, the mean begins anew after a second without any, and counts from five reads on. What `stage_plan` goes by stays the gap that clients see. The scenario of several events at a time failed before and passes now.

--- a/src/pimentolatch/decisions/engine_loads.py
+++ b/src/pimentolatch/decisions/engine_loads.py
@@ -19,6 +19,7 @@
 from collections import abc
 
 from pimentolatch.decisions import (
+    event_pace,
     peer_loads,
     prefix_cache,
     server_speeds,
@@ -37,13 +38,6 @@
 COLOCATED_SLOWDOWN = 2.0
 # Weight of one observation in the mean event gap: the mean of about the last twenty.
 _EVENT_GAP_WEIGHT = 0.05
-# Time after which the pace of an engine counts as unknown. Otherwise an engine that was
-# slow when its last stream ended would be refused every long stream, and nothing would
-# show that it is fast again.
-_PACE_EXPIRY = datetime.timedelta(seconds=1)
-# No time limit is as long: a day. The number of events follows what clients expect,
-# which has no bound that a duration could hold.
-_MAX_STREAM_MS = 86_400_000.0
 # Relative steps of the learned figures after a prefill that was faster or slower than
 # they predict. Queueing makes a prefill late and nothing makes it early, so fast ones
 # are better evidence: with these steps the figures follow the fastest fourteenth. A
@@ -97,7 +91,7 @@
         streams: Streams of this instance that run there.
         kv_tokens: Tokens that these streams hold in KV memory.
         event_gap_ms: Mean time between events of its streams.
-        event_gap_at: When one was last observed.
+        pace: How fast its streams go on at the moment.
         failures: Consecutive failures; dispatches that broke off together are one.
         on_trial: It has not been heard since its last failure.
         declines: Consecutive requests that it declined to run.
@@ -116,7 +110,7 @@
         self.streams = 0
         self.kv_tokens = 0
         self.event_gap_ms = 0.0
-        self.event_gap_at = -_PACE_EXPIRY
+        self.pace = event_pace.EventPace()
         self.failures = 0
         self.on_trial = False
         self.declines = 0
@@ -151,21 +145,6 @@
             tuple(self.prefill_tokens), self.streams, self.kv_tokens
         )
 
-    def stream_time(self, events: float, now: datetime.timedelta) -> datetime.timedelta:
-        """Return how long a stream takes from its first event on, at the present pace.
-
-        Args:
-            events: Events of the stream.
-            now: The current time.
-
-        Returns:
-            0 if no stream of this instance has shown the pace lately.
-        """
-        if now - self.event_gap_at > _PACE_EXPIRY:
-            return datetime.timedelta()
-        milliseconds = min(events * self.event_gap_ms, _MAX_STREAM_MS)
-        return datetime.timedelta(milliseconds=milliseconds)
-
     def domain_load(self, now: datetime.timedelta) -> peer_loads.PeerLoad:
         """Return the outstanding work of this failure domain's instances here.
 
@@ -356,11 +335,22 @@
         self.refresh_speeds(now)
 
     def record_event_gap(
-        self, engine: EngineLoad, took: datetime.timedelta, now: datetime.timedelta
+        self,
+        engine: EngineLoad,
+        took: datetime.timedelta,
+        now: datetime.timedelta,
+        events: int = 1,
     ) -> None:
-        """Learn from the time between two events of a stream of an engine."""
+        """Learn from the time between events of a stream of an engine.
+
+        Args:
+            engine: The engine.
+            took: Time since the last events of the stream.
+            now: The current time.
+            events: How many have arrived now.
+        """
         self.observe_event_gap(engine, took)
-        engine.event_gap_at = now
+        engine.pace.observe(took, events, now)
         gap_ms = took / datetime.timedelta(milliseconds=1)
         self.speeds.observe_gap(engine.speed, gap_ms, now)
         self.refresh_speeds(now)
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -415,7 +415,9 @@
     """Return the engines at whose pace so many events end in time, or all if none."""
     if time_to_end is None or not events:
         return decode_engines
-    found = [e for e in decode_engines if e.stream_time(events, now) <= time_to_end]
+    found = [
+        e for e in decode_engines if e.pace.stream_time(events, now) <= time_to_end
+    ]
     return found or decode_engines
 
 
@@ -428,7 +430,7 @@
     over = place.expected - request.time_to_deadline
     if request.time_to_end is None:
         return over
-    end = place.expected + place.engine.stream_time(request.least_events, now)
+    end = place.expected + place.engine.pace.stream_time(request.least_events, now)
     return max(over, end - request.time_to_end)
 
 
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -297,9 +297,9 @@
         while data := await self._read(generation, opened):
             if not (blocks := relay.take(data)):
                 continue
-            if sse.has_event(blocks):
+            if events := sse.count_events(blocks):
                 now = self._context.clock.monotonic()
-                self._record_event(generation, opened, now - last, now)
+                self._record_events(generation, opened, events, now - last)
                 last = now
             await relay.write(blocks)
         await relay.finish()
@@ -339,14 +339,15 @@
             raise channel.BrokenError(f"in its stream, {data.reason}")
         return data
 
-    def _record_event(
+    def _record_events(
         self,
         generation: request_progress.Generation,
         opened: dispatch.OpenResponse,
+        events: int,
         since: datetime.timedelta,
-        now: datetime.timedelta,
     ) -> None:
         """Record the end of prefill at the first event, and later the gap."""
+        now = self._context.clock.monotonic()
         engine = generation.place.engine
         if generation.first_event_at is None:
             generation.first_event_at = now
@@ -356,7 +357,8 @@
             self._record_origin(generation, opened)
             self._count_usage(generation)
             return
-        self._context.loads(generation.request).record_event_gap(engine, since, now)
+        loads = self._context.loads(generation.request)
+        loads.record_event_gap(engine, since, now, events)
 
     def _record_origin(
         self, generation: request_progress.Generation, opened: dispatch.OpenResponse
--- a/src/pimentolatch/gateway/event_relay.py
+++ b/src/pimentolatch/gateway/event_relay.py
@@ -90,7 +90,7 @@
         Raises:
             BrokenError: Too much came before the first event.
         """
-        if sse.has_event(blocks):
+        if sse.count_events(blocks):
             self._measure()
         elif not self._response.started:
             self._hold(blocks)
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -297,7 +297,7 @@
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
             least_events=round(progress.least_events),
             stream_ms=round(
-                place.engine.stream_time(progress.least_events, now)
+                place.engine.pace.stream_time(progress.least_events, now)
                 / datetime.timedelta(milliseconds=1)
             ),
             assumed_rate=self._context.loads(request).assumed_rate(prefill_engine),
--- a/src/pimentolatch/gateway/sse.py
+++ b/src/pimentolatch/gateway/sse.py
@@ -9,7 +9,7 @@
 import re
 from collections import abc
 
-__all__ = ["Block", "BlockSplitter", "OversizedEventError", "has_event"]
+__all__ = ["Block", "BlockSplitter", "OversizedEventError", "count_events"]
 
 # An event has one or a few tokens.
 _MAX_EVENT_BYTES = 262_144
@@ -42,9 +42,9 @@
     """An event does not end."""
 
 
-def has_event(blocks: abc.Iterable[Block]) -> bool:
-    """Tell whether there is an event among blocks."""
-    return any(block.is_event for block in blocks)
+def count_events(blocks: abc.Iterable[Block]) -> int:
+    """Return the number of events among blocks."""
+    return sum(block.is_event for block in blocks)
 
 
 class BlockSplitter:
--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from pimentolatch import results, settings
+from pimentolatch import clock, results, settings
 from pimentolatch.decisions import (
     engine_loads,
     placement,
@@ -89,10 +89,11 @@
     address = settings.Address.from_text("127.0.0.1:80")
     loads.update([servers.Server("d1", "lm", address, "here", False, None, 8)])
     engine = loads.get("d1")
-    loads.record_event_gap(engine, datetime.timedelta(hours=1), NOW)
+    for _ in range(STEADY):
+        loads.record_event_gap(engine, datetime.timedelta(hours=1), NOW)
     for expected in (0, 1, 1000, MAX_TOKENS):
         events = context.lengths.least_events(ROUTE, expected)
-        assert engine.stream_time(events, NOW) >= datetime.timedelta(), expected
+        assert engine.pace.stream_time(events, NOW) >= datetime.timedelta(), expected
 
 
 @behave.then("lengths: nothing is predicted")
@@ -403,6 +404,7 @@
         )
         replies = await asyncio.gather(*asked)
         assert all(reply.complete for reply in replies), replies
+        context.last_read_at = clock.SystemClock().monotonic()
 
     context.route_runner.run(read())
 
@@ -410,4 +412,5 @@
 @behave.then("lengths: its pace is known as {low:d} to {high:d} ms")
 def pace_known(context, low, high):
     engine = context.instance.fleet.loads("lm").get("d1")
-    assert low <= engine.event_gap_ms <= high, engine.event_gap_ms
+    pace = engine.pace.stream_time(1, context.last_read_at) / MS
+    assert low <= pace <= high, pace
