Have streams that would end too late come back in a second

Cause: the time until room is expected for a first event was extended to the overrun of the last one. If the first event would be in time at some engine, the time to come back is now that in which the pace may change. `placed` tells the two cases apart (`late_end`). A stream that may leave a silent engine goes to another one whatever that one's pace is: a slow engine is better than a silent one. An instance that fails to learn what it missed in a pause no longer logs that it has caught up.

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -67,6 +67,10 @@
 # No queue gets shorter sooner than the minimum.
 _MIN_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 _RETRY_JITTER = 0.5
+# When a stream should be retried that no engine would end in time: the pace of the
+# engines may have changed then. Waiting as long as it would overrun takes away the time
+# that it needs.
+_PACE_RETRY = datetime.timedelta(seconds=1)
 # Above this share of its slots or memory an engine preempts streams or queues them. The
 # charge grows so steeply that such an engine is chosen only if all others are as full.
 _HIGH_UTILIZATION = 0.85
@@ -79,7 +83,6 @@
 _MAX_PAUSE_CHARGE = 4.0
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _NO_TARGET = datetime.timedelta()
-_NO_TIME = datetime.timedelta()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,15 +140,22 @@
         # The charge for missing the preferred engine may exceed the time to the
         # deadline: by cost alone a request would be refused because of its preferred
         # engine's queue while other engines are idle.
-        overruns = [_overrun(place, request, now) for _, place in found]
-        on_time = [
-            item for item, over in zip(found, overruns, strict=True) if over <= _NO_TIME
+        begin_in_time = [
+            item for item in found if item[1].expected <= request.time_to_deadline
         ]
-        if on_time:
-            return min(on_time, key=lambda item: item[0])[1]
-        over = min(overruns)
+        in_time = [
+            item for item in begin_in_time if _ends_in_time(item[1], request, now)
+        ]
+        if in_time:
+            return min(in_time, key=lambda item: item[0])[1]
+        if begin_in_time:
+            retry_after = _PACE_RETRY
+        else:
+            first = min(place.expected for _, place in found)
+            retry_after = max(first - request.time_to_deadline, _MIN_RETRY_AFTER)
         return placement_types.Infeasible(
-            max(over, _MIN_RETRY_AFTER) * (1 + _RETRY_JITTER * request.jitter)
+            retry_after * (1 + _RETRY_JITTER * request.jitter),
+            late_end=bool(begin_in_time),
         )
 
     def choose_decode_engine(
@@ -421,17 +431,16 @@
     return found or decode_engines
 
 
-def _overrun(
+def _ends_in_time(
     place: placement_types.Colocated | placement_types.Disaggregated,
     request: placement_types.PlacementRequest,
     now: datetime.timedelta,
-) -> datetime.timedelta:
-    """Return by how much the first or the last event would be too late."""
-    over = place.expected - request.time_to_deadline
+) -> bool:
+    """Tell whether the last event is in time at the present pace of the engine."""
     if request.time_to_end is None:
-        return over
-    end = place.expected + place.engine.pace.stream_time(request.least_events, now)
-    return max(over, end - request.time_to_end)
+        return True
+    stream_time = place.engine.pace.stream_time(request.least_events, now)
+    return place.expected + stream_time <= request.time_to_end
 
 
 def _transfer_cost(
--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -64,9 +64,11 @@
 
     Attributes:
         retry_after: Time until the queue is expected to have room.
+        late_end: The first event would be in time at some engine, the last at none.
     """
 
     retry_after: datetime.timedelta
+    late_end: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/pimentolatch/gateway/pause_monitor.py
+++ b/src/pimentolatch/gateway/pause_monitor.py
@@ -103,8 +103,9 @@
             await self._catch_up()
         except Exception as error:
             _log.error("what was missed is not known", reason=repr(error))
+        else:
+            took = self._clock.monotonic() - since
+            _log.info("caught up after a pause", ms=round(took / _MILLISECOND))
         finally:
             if self._catching_up is asyncio.current_task():
                 self._catching_up = None
-        took = self._clock.monotonic() - since
-        _log.info("caught up after a pause", ms=round(took / _MILLISECOND))
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -74,8 +74,9 @@
         """Return where a request could run now without an engine; see `takeover`."""
         now = self._context.clock.monotonic()
         left_out = frozenset({engine.server.incarnation})
+        withheld = self._current_withheld(request)
         return self._find_place(
-            request, progress, now, self._current_withheld(request), left_out
+            request, progress, now, withheld, left_out, least_events=0.0
         )
 
     def choose_decode_engine(
@@ -161,7 +162,9 @@
         now: datetime.timedelta,
     ) -> placement_types.PlacementResult:
         withheld = self._current_withheld(request)
-        place = self._find_place(request, progress, now, withheld)
+        place = self._find_place(
+            request, progress, now, withheld, least_events=_least_events(progress)
+        )
         if not progress.demand_counted:
             progress.demand_counted = True
             self._count_demand(request, place)
@@ -182,6 +185,8 @@
         now: datetime.timedelta,
         withheld: frozenset[servers.Incarnation],
         left_out: frozenset[servers.Incarnation] = frozenset(),
+        *,
+        least_events: float,
     ) -> placement_types.PlacementResult:
         assert request.head.prompt is not None and request.service.engine is not None
         chooser = placement.Placement(self._context.loads(request), self._domain)
@@ -196,7 +201,7 @@
                 jitter=request.jitter,
                 route_rank=request.route_rank,
                 event_gap_target=request.route.event_gap_target,
-                least_events=_least_events(progress),
+                least_events=least_events,
                 time_to_end=request.deadline - now,
             ),
             request.service.engine,
@@ -266,6 +271,7 @@
                 request.request_id,
                 wrong=True,
                 refused_for_ms=round(wait),
+                late_end=place.late_end,
                 prompt=request.head.prompt.tokens,
                 size=progress.size.value,
                 least_events=round(progress.least_events),
