Answer requests whose work ends with what it waited for

Cause: work that was cancelled was taken for work that this instance had cancelled since its client had left, whoever had done it.

Cancelled work is a failure unless it was ended here. The request gets 502, or its connection is closed within the answer, and the log says so.

--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -319,7 +319,8 @@
         disconnect = asyncio.create_task(_wait_for_disconnect(scope, receive))
         try:
             await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
+            is_ended_here = not work.done()
+            if is_ended_here:
                 half_close = scope["extensions"].get(bounded_http.HALF_CLOSE_EXTENSION)
                 if self._shutdown.aborting:
                     response.cut_off()
@@ -332,8 +333,9 @@
                         request, response, work, half_close, generation=engines
                     )
             await asyncio.wait({work})
-            if not work.cancelled() and (error := work.exception()) is not None:
-                _log.error("request failed", id=request.request_id, reason=repr(error))
+            reason = _failure(work, may_be_cancelled=is_ended_here)
+            if reason is not None:
+                _log.error("request failed", id=request.request_id, reason=reason)
                 await self._finish_failed(response)
         except asyncio.CancelledError:
             response.cut_off()
@@ -423,6 +425,20 @@
     await forwarder.run(request, response)
 
 
+def _failure(work: asyncio.Task[None], *, may_be_cancelled: bool) -> str | None:
+    """Return why the work on a request failed; None if it did not.
+
+    Args:
+        work: The finished work.
+        may_be_cancelled: Whether it was cancelled on purpose. Otherwise it has awaited
+            something that was.
+    """
+    if work.cancelled():
+        return None if may_be_cancelled else "what it waited for was cancelled"
+    error = work.exception()
+    return None if error is None else repr(error)
+
+
 def _time_left(
     half_close: bounded_http.HalfClose, *, generation: bool
 ) -> datetime.timedelta:
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -11,7 +11,7 @@
 
 from pimentolatch import results, settings
 from pimentolatch.entry import http_server
-from pimentolatch.gateway import dispatch_check
+from pimentolatch.gateway import dispatch_check, plain_forwarder
 from tests.support import route_world
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -243,6 +243,28 @@
         context.reply = context.route_runner.run(context.world.ask("notify", "failed"))
 
 
+@behave.when("unanswered: a request comes whose work is cancelled from within")
+def cancelled_within(context):
+    cancelled = mock.patch.object(
+        plain_forwarder.PlainForwarder, "run", side_effect=asyncio.CancelledError
+    )
+    with cancelled:
+        context.reply = context.route_runner.run(
+            context.world.ask("notify", "cancelled")
+        )
+
+
+@behave.then("unanswered: it is answered with 502, and so it is logged")
+def answered_502(context):
+    assert context.reply.status == 502, context.reply
+    (line,) = (
+        record.kwargs
+        for record in context.logged.records
+        if record.message == "answered" and record.kwargs["id"] == "cancelled"
+    )
+    assert (line["status"], line["outcome"]) == (502, "outcome_unknown"), line
+
+
 @behave.then("unanswered: it is refused as not run, with a time to come back")
 def refused_not_run(context):
     assert context.reply.status == 503, context.reply
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -63,3 +63,9 @@
       | does                                  |
       | asks to close the connection          |
       | sends a request as the server stops   |
+
+  # Guards against work that ends with what it waited for, and leaves its client waiting.
+  Scenario: A request whose work is cancelled from within gets an answer and a true line
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: a request comes whose work is cancelled from within
+    Then unanswered: it is answered with 502, and so it is logged
