List streams that join a version at an instance that started late

A client resumes a stream, without naming the attempt that began it, at an instance that started after the engines of the stream's version had left. It would have to refuse all such streams for 60 s after each start, at all instances of a fleet that starts, or learn from peers what has left.

--- a/tests/features/resumptions_out_of_step.feature
+++ b/tests/features/resumptions_out_of_step.feature
@@ -105,6 +105,17 @@
     And out of step: they resume at the late one with nothing
     Then out of step: no stream holds events of two versions
 
+  # Guards against a version that an instance doesn't know since it started afterwards.
+  Scenario: A stream joins no other version at an instance that started after it left
+    Given out of step: two instances that have seen one version for long
+    When out of step: clients begin 6 streams
+    And out of step: engines of "v2" join and those of "v1" drain
+    And out of step: the engines of "v1" are listed no more
+    And out of step: another instance starts
+    And out of step: 3 seconds pass
+    And out of step: they resume at it with nothing
+    Then out of step: no stream holds events of two versions
+
   # Guards against a call to the store for each stream that is resumed.
   Scenario: Many streams that are resumed at once take a few calls to the store
     Given out of step: two instances that have seen one version for long
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -109,11 +109,22 @@
     context.world.restart_half_unlisted(version)
 
 
+@behave.when("out of step: another instance starts")
+def start_another(context):
+    run(context, context.world.start_instance(out_of_step_world.NEW))
+
+
+@behave.when("out of step: they resume at it with {value}")
+def resume_at_new(context, value):
+    world = context.world
+    run(context, world.resume_at_once(context.begun, value, out_of_step_world.NEW))
+
+
 @behave.when("out of step: they resume at the late one with {value}")
 def resume(context, value):
     world = context.world
     calls = world.store_calls()
-    run(context, world.resume_at_late(context.begun, value))
+    run(context, world.resume_at_once(context.begun, value, out_of_step_world.LATE))
     context.calls = world.store_calls() - calls
 
 
--- a/tests/support/out_of_step_world.py
+++ b/tests/support/out_of_step_world.py
@@ -12,10 +12,10 @@
 from standins import relay
 from tests.support import path_world, route_world, version_world
 
-__all__ = ["FIRST", "SECOND", "CutOffGateways", "OutOfStepWorld"]
+__all__ = ["FIRST", "LATE", "NEW", "SECOND", "CutOffGateways", "OutOfStepWorld"]
 
 FIRST, SECOND = "v1", "v2"
-LATE, PROMPT = "late", "prompt"
+LATE, PROMPT, NEW = "late", "prompt", "new"
 # Time limit of the route, for which an instance must have seen one version only.
 ROUTE_TIMEOUT_MS = 2000
 # How long clients wait; records of their streams count as long.
@@ -39,12 +39,17 @@
         ]
         await self.configure(1, routes)
         await self.add_version(FIRST, engines)
-        for number, name in enumerate((LATE, PROMPT)):
-            self._domains[name] = version_world.DOMAINS[number]
-            self._store_ports[name] = port = route_world.free_port()
-            store = (route_world.HOST, self.store_port)
-            self.relays.start(name, (route_world.HOST, port), store)
-            await self.add_instance(name, host=f"127.0.1.{number + 1}")
+        for name in (LATE, PROMPT):
+            await self.start_instance(name)
+
+    async def start_instance(self, name):
+        """Start an instance that knows no other and has its own path to the store."""
+        number = len(self.instances)
+        self._domains[name] = version_world.DOMAINS[number % len(version_world.DOMAINS)]
+        self._store_ports[name] = port = route_world.free_port()
+        store = (route_world.HOST, self.store_port)
+        self.relays.start(name, (route_world.HOST, port), store)
+        await self.add_instance(name, host=f"127.0.1.{number + 1}")
 
     def settings(self, name, seeds=(), host=route_world.HOST):
         """See `route_world.RouteWorld.settings`."""
@@ -130,9 +135,9 @@
             self.restart_unlisted(engine.server_id, version)
         return engines[::2]
 
-    async def resume_at_late(self, streams, resumes):
-        """Resume streams at once."""
-        await self.resume(streams, None, resumes, [LATE], pause_s=0.0)
+    async def resume_at_once(self, streams, resumes, name):
+        """Resume streams at an instance, without a pause."""
+        await self.resume(streams, None, resumes, [name], pause_s=0.0)
 
     async def until_resumable(self):
         """Wait until the late instance goes on with streams of the only version."""
