Put timers off if the process stood still since its last poll

What callers saw: a connection that holds a whole request is closed by its idle limit, as the process goes on after a standstill.

Cause: a timer is put off if the last poll shows that input may have waited. If the process is stopped, or blocked by a callback, between that poll and the timer in the same iteration, the poll is from before and shows nothing.

Timers are now also put off if the last poll returned longer ago than a standstill lasts.

--- a/src/pimentolatch/event_loop.py
+++ b/src/pimentolatch/event_loop.py
@@ -59,6 +59,11 @@
         self.found_nothing = False
         self.input_may_have_waited = False
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether the process stood still since the last call, or was blocked."""
+        return time.monotonic() - self._returned_at > _STANDSTILL_SECONDS
+
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
@@ -117,7 +122,7 @@
             Whether the timer was put off; it has to run at once otherwise.
         """
         if not self._deferred:
-            if not self._polls.input_may_have_waited:
+            if not (self._polls.input_may_have_waited or self._polls.is_outdated):
                 return False
             self._deferred_since = self.time()
             self._iterations = 0
