Ask the next peer after a pause before the first one is given up

An instance that stood still and can't reach the store answered what came meanwhile by its old list if the peer that it heard last was silent, although others would have answered.

It asked up to three peers one after the other, each with a time limit of a second per kind, while requests wait for 300 ms in all. So one silent peer used up the time, and the second was never asked.

The next peer is asked after 50 ms without a current answer, while the first goes on, and the first current answer ends all. Of the three rows of the new outline, those with one and with two silent peers failed before (no list) and pass now.

--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -42,8 +42,11 @@
 _MAX_WATCH_LAG = datetime.timedelta(milliseconds=400)
 # Far longer than a fetch takes.
 _LOGGED_LAG = datetime.timedelta(seconds=1)
-# Peers asked one after the other by an instance that has to catch up.
+# Peers asked by an instance that has to catch up. The next one is asked after this time
+# without a current answer: longer than an answer takes, and short against the time for
+# which requests wait.
 _MAX_ASKED = 3
+_NEXT_ASKED_AFTER = datetime.timedelta(milliseconds=50)
 # A list of 3,800 servers has some 500 kB.
 _MAX_BYTES = 16_000_000
 _FETCH_TIMEOUT = datetime.timedelta(seconds=1)
@@ -255,16 +258,30 @@
             kind.lag_logged = False
 
     async def catch_up(self) -> bool:
-        """Fetch everything from one peer; return whether its list is current.
+        """Fetch everything from peers; return whether one's list is current.
 
         Peers that were heard last are asked even if that was long ago: after a pause of
         this process all beacons are old.
         """
-        for peer in self._table.last_heard(_MAX_ASKED):
-            responses = [await self._fetch(peer, kind) for kind in self._kinds]
-            if all(responses) and self._is_current(responses[-1]):
-                return True
-        return False
+        asked = [
+            asyncio.create_task(self._catch_up_from(peer, place * _NEXT_ASKED_AFTER))
+            for place, peer in enumerate(self._table.last_heard(_MAX_ASKED))
+        ]
+        try:
+            for answer in asyncio.as_completed(asked):
+                if await answer:
+                    return True
+            return False
+        finally:
+            for task in asked:
+                task.cancel()
+
+    async def _catch_up_from(
+        self, peer: peer_table.Peer, after: datetime.timedelta
+    ) -> bool:
+        await self._clock.sleep(after)
+        responses = [await self._fetch(peer, kind) for kind in self._kinds]
+        return all(responses) and self._is_current(responses[-1])
 
     def _is_current(self, response: Response | None) -> bool:
         age = None if response is None else _list_age(response)
--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -21,6 +21,18 @@
     Then silence: all are answered
     And silence: the servers that left got none of these requests
 
+  # Guards against a silent peer that uses up the time in which another would answer.
+  Scenario Outline: A gateway that stood still learns from a peer although <count> are silent
+    Given pauses: an instance that the store does not answer, and 3 peers it has heard
+    When pauses: it catches up while the <count> peers it heard last are silent
+    Then pauses: it has the list of the peer that answers
+
+    Examples:
+      | count |
+      | 0     |
+      | 1     |
+      | 2     |
+
   # Guards against an instance that waits for an answer that nobody can give it.
   Scenario: A gateway that stood still serves by what it knows if nobody answers
     Given silence: 1 gateways and clients that go on asking
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import dataclasses
 import datetime
+import random
 import types
 
 import behave
@@ -8,21 +9,26 @@
 from pimentolatch import clock, settings, store
 from pimentolatch.decisions import neighbours
 from pimentolatch.gateway import (
+    catch_up,
     dispatch,
     expired_entries,
     fleet_state,
     flow_control,
     pause_monitor,
+    peer_snapshots,
+    peer_table,
     store_watch,
 )
 from pimentolatch.gateway import (
     settings as gateway_settings,
 )
 from pimentolatch.platform import http_headers
+from pimentolatch.protocol import beacons, snapshots
 from pimentolatch.routes import servers
 from standins import route_server
 
 SECOND = datetime.timedelta(seconds=1)
+REVISION = 5
 CHANGES = {
     "is listed as draining": {"draining": True},
     "is listed as started again": {"started_ms": 2000},
@@ -128,6 +134,65 @@
     assert not context.server.received
 
 
+class SilentWatch:
+    """A watch whose listing the store does not answer."""
+
+    async def catch_up(self):
+        await asyncio.Event().wait()
+
+
+@behave.given(
+    "pauses: an instance that the store does not answer, and {count:d} peers it has"
+    " heard"
+)
+def heard_peers(context, count):
+    time = clock.ManualClock()
+    place = neighbours.Place("10.0.0.9", "here")
+    context.peer_table = peer_table.PeerTable("own", place, time, random.Random(1))
+    context.hosts = [f"10.0.0.{number}" for number in range(count)]
+    for host in context.hosts:
+        time.advance(SECOND)
+        beacon = beacons.Beacon(f"of {host}", "here", "1", 0, REVISION, False, (), ())
+        context.peer_table.receive(host, beacon)
+    context.fleet = fleet_state.FleetState()
+
+
+@behave.when("pauses: it catches up while the {count:d} peers it heard last are silent")
+def catch_up_by_peers(context, count):
+    silent = context.hosts[len(context.hosts) - count :]
+    context.answering = context.hosts[len(context.hosts) - count - 1]
+    asyncio.run(catch_up_beside(context, silent))
+
+
+async def catch_up_beside(context, silent):
+    time = clock.SystemClock()
+
+    async def fetch(address, path):
+        if address.host in silent:
+            await asyncio.Event().wait()
+        body = snapshots.encode_configuration(snapshots.Configuration(None))
+        if path.startswith("/v1/servers"):
+            body = snapshots.encode_servers(snapshots.Servers(REVISION, (), {}))
+        return peer_snapshots.Response(((b"list-age-ms", b"1"),), body)
+
+    fetcher = peer_snapshots.SnapshotFetcher(
+        context.fleet,
+        context.peer_table,
+        expired_entries.ExpiredServers(context.fleet, time),
+        1,
+        time,
+        fetch,
+    )
+    await catch_up.CatchUp([SilentWatch()], fetcher, no_catch_up)()
+
+
+@behave.then("pauses: it has the list of the peer that answers")
+def has_list(context):
+    assert context.fleet.servers_revision == REVISION, context.fleet.servers_revision
+    source = context.fleet.servers_source
+    assert source == f"of {context.answering}", source
+
+
 class AnsweringStore:
     """Answers one watch, some time after it began, and then none."""
 
