Count a peer's list that is read after a pause from when it was asked for

A peer tells the age of its list as it answers. An instance that stood still before it read the answer subtracted that age from the time of reading, so a list as old as the pause passed for current, and servers that the peer kept were kept for longer by as much.

The age counts from the begin of the fetch now, as the store's answers do: the peer can't have answered before it. Without a pause the list counts as older by the duration of the fetch.

--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -130,7 +130,7 @@
         lag: For how long peers have been ahead.
         announced: Returns the version that a beacon announces.
         known: Returns the version that is known here.
-        apply: Applies a response of a peer.
+        apply: Applies a response of a peer to a fetch that began at a time.
         lag_logged: Whether the log says that this instance is behind.
         pending: Number of fetches that have not ended.
         attempted_at: When the last one began.
@@ -141,7 +141,7 @@
     lag: peer_lag.PeerLag
     announced: abc.Callable[[beacons.Beacon], int]
     known: abc.Callable[[], int]
-    apply: abc.Callable[[str, Response], None]
+    apply: abc.Callable[[str, Response, datetime.timedelta], None]
     lag_logged: bool = False
     pending: int = 0
     attempted_at: datetime.timedelta = datetime.timedelta()
@@ -290,12 +290,13 @@
     async def _fetch(self, peer: peer_table.Peer, kind: "_Kind") -> Response | None:
         """Fetch and apply a snapshot; return the response if there was one."""
         name = peer.beacon.instance
-        self._sources.record_attempt(name, self._clock.monotonic())
+        begun = self._clock.monotonic()
+        self._sources.record_attempt(name, begun)
         address = settings.Address(host=peer.host, port=self._port)
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
                 response = await self._fetch_from(address, kind.path)
-            kind.apply(name, response)
+            kind.apply(name, response, begun)
             self._sources.record_answer(name)
             return response
         except (
@@ -311,7 +312,9 @@
             )
             return None
 
-    def _apply_configuration(self, name: str, response: Response) -> None:
+    def _apply_configuration(
+        self, name: str, response: Response, begun: datetime.timedelta
+    ) -> None:
         snapshot = snapshots.decode_configuration(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
@@ -326,7 +329,9 @@
                 version=self._fleet.version,
             )
 
-    def _apply_servers(self, name: str, response: Response) -> None:
+    def _apply_servers(
+        self, name: str, response: Response, begun: datetime.timedelta
+    ) -> None:
         snapshot = snapshots.decode_servers(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
@@ -348,14 +353,14 @@
             for server in snapshot.listed
             if server.server_id in expired or server.server_id not in snapshot.expired
         ]
-        now = self._clock.monotonic()
         if self._fleet.replace_servers(
             snapshot.revision, listed, name, unconfirmed=_unconfirmed(response)
         ):
             age = _list_age(response)
             if age is not None:
-                self._fleet.confirm_servers(now - age)
-            self._expired.replace({n: now + left for n, left in expired.items()})
+                # The response may have waited here while this process stood still.
+                self._fleet.confirm_servers(begun - age)
+            self._expired.replace({n: begun + left for n, left in expired.items()})
             _log.info(
                 "servers from peer",
                 peer=name,
--- a/tests/features/pauses.feature
+++ b/tests/features/pauses.feature
@@ -51,6 +51,12 @@
       | is listed no more          |
       | is listed as started again |
 
+  # Guards against a peer's list that passes for current since it is read after a pause.
+  Scenario: A peer's list that is read after a pause counts from when it was asked for
+    Given pauses: an instance that the store does not answer, and 1 peers it has heard
+    When pauses: it fetches the list of the peer, and stands still before it reads it
+    Then pauses: the list counts as confirmed before the pause
+
   # Guards against lists that pass for current since an answer from before a pause is
   # read after it.
   Scenario Outline: A watch that is answered <when> counts from its <moment>
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -186,6 +186,40 @@
     await catch_up.CatchUp([SilentWatch()], fetcher, no_catch_up)()
 
 
+@behave.when(
+    "pauses: it fetches the list of the peer, and stands still before it reads it"
+)
+def stand_still_in_fetch(context):
+    time = clock.ManualClock()
+    # So that the age of the list lies after the clock's origin.
+    time.advance(SECOND)
+    context.asked_at = time.monotonic()
+
+    async def fetch(address, path):
+        body = snapshots.encode_configuration(snapshots.Configuration(None))
+        if path.startswith("/v1/servers"):
+            body = snapshots.encode_servers(snapshots.Servers(REVISION, (), {}))
+            time.advance(3 * SECOND)
+        return peer_snapshots.Response(((b"list-age-ms", b"1"),), body)
+
+    fetcher = peer_snapshots.SnapshotFetcher(
+        context.fleet,
+        context.peer_table,
+        expired_entries.ExpiredServers(context.fleet, time),
+        1,
+        time,
+        fetch,
+    )
+    asyncio.run(fetcher.catch_up())
+
+
+@behave.then("pauses: the list counts as confirmed before the pause")
+def confirmed_before(context):
+    assert context.fleet.servers_revision == REVISION
+    confirmed_at = context.fleet.servers_confirmed_at
+    assert datetime.timedelta() < confirmed_at <= context.asked_at, confirmed_at
+
+
 @behave.then("pauses: it has the list of the peer that answers")
 def has_list(context):
     assert context.fleet.servers_revision == REVISION, context.fleet.servers_revision
