Run the relays of tests in a process of their own

The relays are now a process that is asked over a socket pair and ends with it, so also when its parent is killed. New scenarios: data passes while the parent stands still (failed before), and the relays end with their parent.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,18 +1,23 @@
-"""Relays that can block, lose, delay or reset traffic, in a thread of their own.
+"""Relays that can block, lose, delay or reset traffic, in a process of their own.
 
-See `relay_engine` for what becomes of traffic.
+Traffic does not wait for the process that starts them, however busy it is. See
+`relay_engine` for what becomes of traffic.
 """
 
-import asyncio
+import socket
+import subprocess
+import sys
 import threading
 import typing
 from collections import abc
+from multiprocessing import connection
 
-from standins import relay_engine
+from standins import relay_calls, relay_engine, relay_process
 from standins.relay_engine import TO_CLIENT, TO_SERVER, Address, Cut
 
 __all__ = ["TO_CLIENT", "TO_SERVER", "Cut", "Relays"]
 
+_STOP_TIMEOUT_S = 10.0
 _Arguments = typing.ParamSpec("_Arguments")
 _Result = typing.TypeVar("_Result")
 _Engine = relay_engine.RelayEngine
@@ -22,10 +27,15 @@
     """All relays of a scenario."""
 
     def __init__(self) -> None:
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._thread.start()
-        self._engine = relay_engine.RelayEngine()
+        own, other = socket.socketpair()
+        with other:
+            handle = other.fileno()
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", relay_process.__name__, str(handle)],
+                pass_fds=(handle,),
+            )
+        self._connection = connection.Connection(own.detach())
+        self._calling = threading.Lock()
         self._last_failures: list[str] = []
 
     @property
@@ -34,10 +44,15 @@
 
         Each has the relay's name and the reason.
         """
-        if not self._loop.is_closed():
+        if not self._connection.closed:
             self._last_failures = self._call(_Engine.failures)
         return self._last_failures
 
+    @property
+    def process_id(self) -> int:
+        """Process id of the relays."""
+        return self._process.pid
+
     def start(self, name: str, listen: Address, target: Address) -> None:
         """Start a relay from the address `listen` to `target`."""
         self._call(_Engine.start, name, listen, target)
@@ -103,10 +118,8 @@
     def stop(self) -> None:
         """Stop all relays and close their connections."""
         self._last_failures = self.failures
-        self._call(_Engine.stop)
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
-        self._loop.close()
+        self._connection.close()
+        self._process.wait(_STOP_TIMEOUT_S)
 
     def _call(
         self,
@@ -115,7 +128,11 @@
             abc.Coroutine[typing.Any, typing.Any, _Result],
         ],
         *arguments: _Arguments.args,
-        **options: _Arguments.kwargs,
+        **_: _Arguments.kwargs,
     ) -> _Result:
-        called = method(self._engine, *arguments, **options)
-        return asyncio.run_coroutine_threadsafe(called, self._loop).result()
+        with self._calling:
+            self._connection.send(relay_calls.Call(method, arguments))
+            reply: relay_calls.Reply = self._connection.recv()
+        if reply.error is not None:
+            raise reply.error
+        return typing.cast(_Result, reply.result)
--- a/standins/relay_engine.py
+++ b/standins/relay_engine.py
@@ -17,7 +17,6 @@
 import contextlib
 import dataclasses
 import functools
-import itertools
 import socket
 import struct
 import typing
@@ -145,11 +144,6 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, target)
 
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
 
 class RelayEngine:
     """All relays of a process, in the event loop that runs its methods."""
@@ -261,20 +255,6 @@
         """
         return list(self._failures)
 
-    async def stop(self) -> None:
-        """Stop all relays and close their connections."""
-        for server in self._servers.values():
-            server.close()
-        for relay in self._datagrams.values():
-            relay.close()
-        for opened in itertools.chain.from_iterable(self._full.values()):
-            opened.close()
-        current = asyncio.current_task()
-        tasks = [task for task in asyncio.all_tasks() if task is not current]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
     async def _listen(self, name: str, listen: Address) -> None:
         serve = functools.partial(self._serve, name)
         self._servers[name] = await asyncio.start_server(serve, *listen)
--- a/tests/features/relays.feature
+++ b/tests/features/relays.feature
@@ -73,3 +73,13 @@
       | server | client | sends "first" and closes its sending side |
       | client | server | resets the connection                      |
       | server | client | resets the connection                      |
+
+  # Guards against requests that are late as the process of the test is busy.
+  Scenario: Data passes while the process that started the relays stands still
+    When relays: a process that has started a relay is stopped
+    Then relays: what a client sends through it arrives
+
+  # Guards against relays that go on when the test that started them was killed.
+  Scenario: The relays end with the process that started them
+    When relays: a process that has started a relay is killed
+    Then relays: the relay's port refuses connections
--- a/tests/features/steps/relays_steps.py
+++ b/tests/features/steps/relays_steps.py
@@ -1,6 +1,9 @@
 import select
+import signal
 import socket
 import struct
+import subprocess
+import sys
 import time
 
 import behave
@@ -14,7 +17,7 @@
 POLL_S = 0.02
 NAME = "path"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-DIRECTIONS = {"client": relay.TO_SERVER, "server": relay.TO_CLIENT}
+SIGNALS = {"stopped": signal.SIGSTOP, "killed": signal.SIGKILL}
 DIRECTIONS = {"client": relay.TO_SERVER, "server": relay.TO_CLIENT}
 # Starts a relay, tells that it listens, and waits to be killed.
 PROGRAM = """
@@ -80,6 +83,46 @@
     context.relays.heal(NAME)
 
 
+@behave.when("relays: a process that has started a relay is {fate}")
+def starter(context, fate):
+    context.address = (route_world.HOST, route_world.free_port())
+    context.listener = socket.create_server((route_world.HOST, 0))
+    context.add_cleanup(context.listener.close)
+    context.listener.settimeout(WAIT_S)
+    ports = [str(context.address[1]), str(context.listener.getsockname()[1])]
+    started = subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, *ports],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    context.add_cleanup(end, started)
+    assert started.stdout.readline()
+    socket.create_connection(context.address, WAIT_S).close()
+    started.send_signal(SIGNALS[fate])
+
+
+def end(started):
+    with started:
+        started.kill()
+
+
+@behave.then("relays: what a client sends through it arrives")
+def arrives(context):
+    with socket.create_connection(context.address, WAIT_S) as client:
+        client.sendall(b"first")
+        client.shutdown(socket.SHUT_WR)
+        # The first connection tells that the relay listens, and sends nothing.
+        texts = [accepted(context.listener), accepted(context.listener)]
+    assert sorted(texts) == [b"", b"first"], texts
+
+
+def accepted(listener):
+    server, _ = listener.accept()
+    server.settimeout(WAIT_S)
+    with server:
+        return received(server)
+
+
 @behave.then('relays: the {name} receives "{text}" and the end')
 def receives_all(context, name, text):
     assert received(context.sides[name]) == text.encode()
@@ -117,3 +160,19 @@
     except (ConnectionResetError, BrokenPipeError):
         return True
     return False
+
+
+@behave.then("relays: the relay's port refuses connections")
+def refused(context):
+    deadline = time.monotonic() + WAIT_S
+    while connects(context.address):
+        assert time.monotonic() < deadline
+        time.sleep(POLL_S)
+
+
+def connects(address):
+    try:
+        socket.create_connection(address, WAIT_S).close()
+    except ConnectionRefusedError:
+        return False
+    return True
