Compare connections of the relays by identity, and check for resets less often

The relay process compared the fields of all open connections of a relay for each one that ended, and looked for a reset of each half-closed one fifty times a second. Connections are now in sets by identity, and are checked ten times a second.

--- a/standins/relay_engine.py
+++ b/standins/relay_engine.py
@@ -27,7 +27,7 @@
 _CHUNK = 65_536
 # Interval at which a connection that one side has half-closed is checked for a reset,
 # which asyncio reports no earlier than on the next write.
-_RESET_CHECK_S = 0.02
+_RESET_CHECK_S = 0.1
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 TO_SERVER = "to server"
 TO_CLIENT = "to client"
@@ -50,7 +50,7 @@
     direction: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _End:
     """One end of a relayed connection.
 
@@ -80,7 +80,7 @@
         self.writer.transport.abort()
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Connection:
     """A relayed connection.
 
@@ -152,7 +152,7 @@
         self._cuts: frozenset[Cut] = frozenset()
         self._cuts_changed = asyncio.Event()
         self._delays: dict[str, float] = {}
-        self._connections: dict[str, list[_Connection]] = {}
+        self._connections: dict[str, set[_Connection]] = {}
         self._targets: dict[str, Address] = {}
         self._servers: dict[str, asyncio.Server] = {}
         self._full: dict[str, tuple[socket.socket, ...]] = {}
@@ -243,7 +243,7 @@
             The number of silenced connections.
         """
         lost = frozenset(directions) or {TO_SERVER, TO_CLIENT}
-        connections = self._connections.get(name, [])
+        connections = self._connections.get(name, set())
         for connection in connections:
             connection.silent |= lost
         return len(connections)
@@ -274,8 +274,8 @@
             return
         client_end = _End(reader, writer, TO_SERVER)
         connection = _Connection(name, source, client_end, _End(*server, TO_CLIENT))
-        connections = self._connections.setdefault(name, [])
-        connections.append(connection)
+        connections = self._connections.setdefault(name, set())
+        connections.add(connection)
         try:
             await self._forward_both(connection)
         finally:
