Name the events that a stream must have the time for by what they are

`least_events` read as a minimum length; `required_events` are those for which an engine must have the time. They are at most as many as the tokens that the client allows, since an event has a token at least: an expectation of 10^6 with 500 tokens allowed was predicted as 19,000 events (numbers of a review).

--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -166,7 +166,7 @@
         now: datetime.timedelta,
         without: frozenset[servers.Incarnation] = frozenset(),
         event_gap_target: datetime.timedelta = _NO_TARGET,
-        least_events: float = 0.0,
+        required_events: float = 0.0,
         time_to_end: datetime.timedelta | None = None,
     ) -> engine_loads.EngineLoad | None:
         """Return the decode engine for a prompt that was just prefilled.
@@ -179,7 +179,7 @@
         decode_engines = self._loads.usable(servers.Stage.DECODE, now, without)
         if not decode_engines:
             return None
-        in_time = _in_time(decode_engines, least_events, time_to_end, now)
+        in_time = _in_time(decode_engines, required_events, time_to_end, now)
         costs = {
             w.server.server_id: self._decode_cost(w, traits, now, event_gap_target)
             for w in in_time
@@ -226,7 +226,7 @@
         if not decode_engines:
             return
         in_time = _in_time(
-            decode_engines, request.least_events, request.time_to_end, now
+            decode_engines, request.required_events, request.time_to_end, now
         )
         best: dict[str, tuple[float, engine_loads.EngineLoad]] = {}
         found: list[tuple[float, placement_types.Disaggregated]] = []
@@ -439,7 +439,7 @@
     """Tell whether the last event is in time at the present pace of the engine."""
     if request.time_to_end is None:
         return True
-    stream_time = place.engine.pace.stream_time(request.least_events, now)
+    stream_time = place.engine.pace.stream_time(request.required_events, now)
     return place.expected + stream_time <= request.time_to_end
 
 
--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -98,7 +98,7 @@
         route_rank: Rank of its route if `rank` is its customer's; None otherwise.
         event_gap_target: Longest time between two events that the route's clients
             accept; 0 if it is not known.
-        least_events: Events for which the stream must have the time; 0 if it is not
+        required_events: Events for which the stream must have the time; 0 if it is not
             known.
         time_to_end: Time left until its last event is due; None if that is not known.
     """
@@ -111,5 +111,5 @@
     jitter: float
     route_rank: int | None = None
     event_gap_target: datetime.timedelta = datetime.timedelta()
-    least_events: float = 0.0
+    required_events: float = 0.0
     time_to_end: datetime.timedelta | None = None
--- a/src/pimentolatch/decisions/stream_lengths.py
+++ b/src/pimentolatch/decisions/stream_lengths.py
@@ -124,7 +124,7 @@
             y = max(y, fit.predict(x)) + _CUT_SPREAD * fit.spread
         fit.add(x, y)
 
-    def least_events(self, route: str, expected_tokens: int) -> float:
+    def required_events(self, route: str, expected_tokens: int) -> float:
         """Return the number of events for which a stream must have the time to start.
 
         Args:
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -76,7 +76,7 @@
         left_out = frozenset({engine.server.incarnation})
         withheld = self._current_withheld(request)
         return self._find_place(
-            request, progress, now, withheld, left_out, least_events=0.0
+            request, progress, now, withheld, left_out, required_events=0.0
         )
 
     def choose_decode_engine(
@@ -96,7 +96,7 @@
             now,
             without=self._excluded(request, progress, now) | self._withheld(request),
             event_gap_target=request.route.event_gap_target,
-            least_events=_least_events(progress),
+            required_events=_required_events(progress),
             time_to_end=request.deadline - now,
         )
 
@@ -163,7 +163,7 @@
     ) -> placement_types.PlacementResult:
         withheld = self._current_withheld(request)
         place = self._find_place(
-            request, progress, now, withheld, least_events=_least_events(progress)
+            request, progress, now, withheld, required_events=_required_events(progress)
         )
         if not progress.demand_counted:
             progress.demand_counted = True
@@ -186,7 +186,7 @@
         withheld: frozenset[servers.Incarnation],
         left_out: frozenset[servers.Incarnation] = frozenset(),
         *,
-        least_events: float,
+        required_events: float,
     ) -> placement_types.PlacementResult:
         assert request.head.prompt is not None and request.service.engine is not None
         chooser = placement.Placement(self._context.loads(request), self._domain)
@@ -201,7 +201,7 @@
                 jitter=request.jitter,
                 route_rank=request.route_rank,
                 event_gap_target=request.route.event_gap_target,
-                least_events=least_events,
+                required_events=required_events,
                 time_to_end=request.deadline - now,
             ),
             request.service.engine,
@@ -274,7 +274,7 @@
                 late_end=place.late_end,
                 prompt=request.head.prompt.tokens,
                 size=progress.size.value,
-                least_events=round(progress.least_events),
+                required_events=round(progress.required_events),
                 list_revision=listed.revision,
                 list_source=listed.source,
                 list_age_ms=listed.age_ms,
@@ -301,9 +301,9 @@
             version=place.engine.server.version,
             after=progress.last_event or None,
             expected_ms=round(place.expected / datetime.timedelta(milliseconds=1)),
-            least_events=round(progress.least_events),
+            required_events=round(progress.required_events),
             stream_ms=round(
-                place.engine.pace.stream_time(progress.least_events, now)
+                place.engine.pace.stream_time(progress.required_events, now)
                 / datetime.timedelta(milliseconds=1)
             ),
             assumed_rate=self._context.loads(request).assumed_rate(prefill_engine),
@@ -333,12 +333,12 @@
         )
 
 
-def _least_events(progress: request_progress.Progress) -> float:
+def _required_events(progress: request_progress.Progress) -> float:
     """Return the events for which an engine must have the time; 0 for any number.
 
     A stream that has begun is better cut at its limit than not continued.
     """
-    return 0.0 if progress.last_event else progress.least_events
+    return 0.0 if progress.last_event else progress.required_events
 
 
 def _logged_ids(withheld: frozenset[servers.Incarnation]) -> list[str] | None:
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -40,7 +40,7 @@
     PLACED: (
         *("reader", "writer", "donor", "tokens", "prompt", "size"),
         *("urgency", "expected_ms", "withheld", "version", "after"),
-        *("least_events", "stream_ms", "late_end"),
+        *("required_events", "stream_ms", "late_end"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
         *("list_announced", "list_behind_ms"),
     ),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -202,7 +202,8 @@
 
     Attributes:
         size: Size class of its prompt among those of its route.
-        least_events: Events for which it must have the time to start; 0 if not known.
+        required_events: Events for which it must have the time to start; 0 if not
+            known.
         trace: Tells why its answer was late.
         failed: Engines that failed or declined it.
         possible_runs: Engines that may have started to decode.
@@ -226,7 +227,7 @@
     """
 
     size: prompt_sizes.SizeClass
-    least_events: float
+    required_events: float
     trace: late_answers.Trace
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -37,6 +37,7 @@
     takeover,
     usage_exchange,
 )
+from pimentolatch.requests import prompts
 
 __all__ = ["StreamForwarder"]
 
@@ -120,7 +121,7 @@
         size = self._sizes.classify(request.route.name, prompt.tokens)
         progress = request_progress.Progress(
             size,
-            self._lengths.least_events(request.route.name, prompt.expected_output),
+            self._required_events(request.route.name, prompt),
             late_answers.Trace(lateness.Timeline(request.arrived_at), size),
             last_event=request.head.last_event,
             usage_counted=request.forwarded is not None and request.forwarded.started,
@@ -137,6 +138,14 @@
             )
             late_answers.report(self._context.log, request, response, progress.trace)
 
+    def _required_events(self, route: str, prompt: prompts.Prompt) -> float:
+        """Return the events for which a stream must have the time to start.
+
+        An event has a token at least.
+        """
+        predicted = self._lengths.required_events(route, prompt.expected_output)
+        return min(predicted, prompt.max_output)
+
     def _observe_length(
         self,
         request: client_request.ClientRequest,
--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -92,20 +92,20 @@
     for _ in range(STEADY):
         loads.record_event_gap(engine, datetime.timedelta(hours=1), NOW)
     for expected in (0, 1, 1000, MAX_TOKENS):
-        events = context.lengths.least_events(ROUTE, expected)
+        events = context.lengths.required_events(ROUTE, expected)
         assert engine.pace.stream_time(events, NOW) >= datetime.timedelta(), expected
 
 
 @behave.then("lengths: nothing is predicted")
 def nothing_predicted(context):
-    assert context.lengths.least_events(ROUTE, 270) == 0.0
+    assert context.lengths.required_events(ROUTE, 270) == 0.0
 
 
 @behave.then(
     "lengths: {tokens:d} expected tokens need time for {low:d} to {high:d} events"
 )
 def predicted(context, tokens, low, high):
-    found = context.lengths.least_events(ROUTE, tokens)
+    found = context.lengths.required_events(ROUTE, tokens)
     assert low <= found <= high, found
 
 
@@ -145,7 +145,7 @@
         time_to_target=1000 * MS,
         time_to_deadline=4000 * MS,
         jitter=0.5,
-        least_events=events,
+        required_events=events,
         time_to_end=due * MS,
     )
     chooser = placement.Placement(context.loads, "here")
@@ -163,7 +163,7 @@
         prefill_engine,
         TRAITS,
         context.now,
-        least_events=events,
+        required_events=events,
         time_to_end=due * MS,
     )
 
@@ -225,7 +225,7 @@
         time_to_target=1000 * MS,
         time_to_deadline=4000 * MS,
         jitter=0.5,
-        least_events=events,
+        required_events=events,
         time_to_end=due * MS,
     )
     chooser = placement.Placement(context.loads, "here")
