Say once when a response was passed on, and how test streams are placed

Read again, the change computed twice whether a response was forwarded to its end, read the clock twice for the events of one read, and had three pairs of twins in steps: a prompt that is placed, a time limit that is lowered, and a fetcher of a peer's list.

`ClientResponse.passed_on` serves the metrics and the learned lengths; the time of a read is handed on, on the path of each event; the steps share a function each, and `RouteWorld` lowers time limits. No check, bound or expectation changed. Ruled out: one mean for `event_gap_ms` and `pace`, as one is the gap that clients see and the other the time of an event.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -177,6 +177,11 @@
         """Whether the status has been written."""
         return self.status != 0
 
+    @property
+    def passed_on(self) -> bool:
+        """Whether a server's response was forwarded to its end."""
+        return self.finished and self.outcome == PASSED_ON
+
     async def start(self, status: int, fields: Fields) -> None:
         """Write status and header of a response whose body follows in chunks."""
         self.status = status
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -299,7 +299,7 @@
                 continue
             if events := sse.count_events(blocks):
                 now = self._context.clock.monotonic()
-                self._record_events(generation, opened, events, now - last)
+                self._record_events(generation, opened, events, now - last, now)
                 last = now
             await relay.write(blocks)
         await relay.finish()
@@ -345,9 +345,9 @@
         opened: dispatch.OpenResponse,
         events: int,
         since: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> None:
         """Record the end of prefill at the first event, and later the gap."""
-        now = self._context.clock.monotonic()
         engine = generation.place.engine
         if generation.first_event_at is None:
             generation.first_event_at = now
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -133,8 +133,7 @@
             self._context.metrics.prompt_ended(
                 size,
                 response.status,
-                whole=response.finished
-                and response.outcome == client_request.PASSED_ON,
+                whole=response.passed_on,
             )
             late_answers.report(self._context.log, request, response, progress.trace)
 
@@ -156,10 +155,12 @@
         if request.head.last_event:
             # The events before are not known.
             return
-        whole = response.finished and response.outcome == client_request.PASSED_ON
-        if whole or response.outcome == client_request.CUT_AT_LIMIT:
+        if response.passed_on or response.outcome == client_request.CUT_AT_LIMIT:
             self._lengths.observe(
-                request.route.name, expected_tokens, response.events, whole=whole
+                request.route.name,
+                expected_tokens,
+                response.events,
+                whole=response.passed_on,
             )
 
     async def _run(
--- a/tests/features/steps/cut_streams_steps.py
+++ b/tests/features/steps/cut_streams_steps.py
@@ -40,12 +40,7 @@
 
 @behave.given("cut streams: a route with a limit of {limit:d} ms, lowered from 8000 ms")
 def lowered(context, limit):
-    async def configure():
-        routes = [item | {"timeout_ms": limit} for item in route_world.ROUTES]
-        await context.world.configure(2, routes)
-        await context.world.until(lambda: context.instance.fleet.version == 2)
-
-    context.route_runner.run(configure())
+    context.route_runner.run(context.world.limit_routes(context.instance, 2, limit))
 
 
 @behave.when("cut streams: a client that waits for {limit:d} ms asks for a stream")
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -164,18 +164,16 @@
     asyncio.run(catch_up_beside(context, silent))
 
 
-async def catch_up_beside(context, silent):
-    time = clock.SystemClock()
+def snapshot(path):
+    """Return a peer's current response."""
+    body = snapshots.encode_configuration(snapshots.Configuration(None))
+    if path.startswith("/v1/servers"):
+        body = snapshots.encode_servers(snapshots.Servers(REVISION, (), {}))
+    return peer_snapshots.Response(((b"list-age-ms", b"1"),), body)
 
-    async def fetch(address, path):
-        if address.host in silent:
-            await asyncio.Event().wait()
-        body = snapshots.encode_configuration(snapshots.Configuration(None))
-        if path.startswith("/v1/servers"):
-            body = snapshots.encode_servers(snapshots.Servers(REVISION, (), {}))
-        return peer_snapshots.Response(((b"list-age-ms", b"1"),), body)
 
-    fetcher = peer_snapshots.SnapshotFetcher(
+def snapshot_fetcher(context, time, fetch):
+    return peer_snapshots.SnapshotFetcher(
         context.fleet,
         context.peer_table,
         expired_entries.ExpiredServers(context.fleet, time),
@@ -183,6 +181,17 @@
         time,
         fetch,
     )
+
+
+async def catch_up_beside(context, silent):
+    time = clock.SystemClock()
+
+    async def fetch(address, path):
+        if address.host in silent:
+            await asyncio.Event().wait()
+        return snapshot(path)
+
+    fetcher = snapshot_fetcher(context, time, fetch)
     await catch_up.CatchUp([SilentWatch()], fetcher, no_catch_up)()
 
 
@@ -196,20 +205,11 @@
     context.asked_at = time.monotonic()
 
     async def fetch(address, path):
-        body = snapshots.encode_configuration(snapshots.Configuration(None))
         if path.startswith("/v1/servers"):
-            body = snapshots.encode_servers(snapshots.Servers(REVISION, (), {}))
             time.advance(3 * SECOND)
-        return peer_snapshots.Response(((b"list-age-ms", b"1"),), body)
+        return snapshot(path)
 
-    fetcher = peer_snapshots.SnapshotFetcher(
-        context.fleet,
-        context.peer_table,
-        expired_entries.ExpiredServers(context.fleet, time),
-        1,
-        time,
-        fetch,
-    )
+    fetcher = snapshot_fetcher(context, time, fetch)
     asyncio.run(fetcher.catch_up())
 
 
--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -133,11 +133,8 @@
     context.now += datetime.timedelta(seconds=seconds)
 
 
-@behave.when(
-    "lengths: a stream of {events:d} events is placed that is due in {due:d} ms"
-)
-def place(context, events, due):
-    prompt = prompts.Prompt("m", 100, 500, 500, (prompts.Part("own", 100),))
+def place_prompt(context, tokens, events, due):
+    prompt = prompts.Prompt("m", tokens, 500, 500, (prompts.Part("own", tokens),))
     request = placement_types.PlacementRequest(
         prompt,
         0,
@@ -152,6 +149,13 @@
     context.place = chooser.choose(request, TRAITS, context.now)
 
 
+@behave.when(
+    "lengths: a stream of {events:d} events is placed that is due in {due:d} ms"
+)
+def place(context, events, due):
+    place_prompt(context, 100, events, due)
+
+
 @behave.when(
     "lengths: an engine is chosen for {events:d} events that are due in {due:d} ms"
 )
@@ -217,19 +221,7 @@
     " in {due:d} ms"
 )
 def place_long_prompt(context, events, tokens, due):
-    prompt = prompts.Prompt("m", tokens, 500, 500, (prompts.Part("own", tokens),))
-    request = placement_types.PlacementRequest(
-        prompt,
-        0,
-        False,
-        time_to_target=1000 * MS,
-        time_to_deadline=4000 * MS,
-        jitter=0.5,
-        required_events=events,
-        time_to_end=due * MS,
-    )
-    chooser = placement.Placement(context.loads, "here")
-    context.place = chooser.choose(request, TRAITS, context.now)
+    place_prompt(context, tokens, events, due)
 
 
 @behave.then("lengths: its stream goes to the {name} engine")
@@ -262,12 +254,7 @@
 
 @behave.when("lengths: the limit of their route is lowered to {limit:d} ms")
 def lower(context, limit):
-    async def configure():
-        routes = [item | {"timeout_ms": limit} for item in route_world.ROUTES]
-        await context.world.configure(2, routes)
-        await context.world.until(lambda: context.instance.fleet.version == 2)
-
-    context.route_runner.run(configure())
+    context.route_runner.run(context.world.limit_routes(context.instance, 2, limit))
 
 
 @behave.when("lengths: clients ask for 6 streams of 60 events and for 6 of 5 events")
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -164,6 +164,12 @@
         chosen = ROUTES if routes is None else routes
         await self.write("config", "main", configuration(version, chosen, customers))
 
+    async def limit_routes(self, instance, version, timeout_ms):
+        """Configure a time limit for all routes; wait until an instance has it."""
+        routes = [item | {"timeout_ms": timeout_ms} for item in ROUTES]
+        await self.configure(version, routes)
+        await self.until(lambda: instance.fleet.version == version)
+
     async def write(self, kind, name, spec):
         await self.store.write(kind, name, spec)
 
