Log requests that are given up after they were written to a server

The record of late requests can't tell a request that lay unread at its server from one that was sent late or held up on the way. A request that is cancelled between its writing and the head of an answer now leaves a line `abandoned`: how long ago it was written, whether the server's machine had acknowledged all of it (a reset recalls nothing then), whether its connection had been used before, and whether the server was still listed as one that accepts requests. Counted by `acknowledged`.

Only observed; no decision changes.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -205,6 +205,11 @@
         """Whether neither side has closed the connection, as far as is known here."""
         return not self._stream.at_end
 
+    @property
+    def acknowledged(self) -> bool:
+        """Whether a reset can no longer recall what was sent; False if closed."""
+        return self._delivery.acknowledged
+
     @property
     def close_announced(self) -> bool:
         """Whether the last response said that the server closes the connection."""
--- a/src/pimentolatch/backend/delivery_timer.py
+++ b/src/pimentolatch/backend/delivery_timer.py
@@ -35,6 +35,14 @@
         self._on_timeout = on_timeout
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def acknowledged(self) -> bool:
+        """Whether the peer's kernel has all that was written, read or not."""
+        return (
+            not self._transport.is_closing()
+            and not self._transmission().unacknowledged_bytes
+        )
+
     def begin(self) -> None:
         """Watch the request that has just been written."""
         self.end()
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -20,6 +20,7 @@
     "MAX_IDLE_FOR_UNREPEATABLE",
     "NOT_RUN_STATUSES",
     "RETURN_TIME",
+    "Abandonment",
     "Declined",
     "FullResponse",
     "IncarnationCheck",
@@ -151,6 +152,28 @@
     """The request was not sent: its server has asked for no more requests now."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandonment:
+    """A request that was written to a server and given up without an answer.
+
+    Attributes:
+        server: The server.
+        request_id: The request.
+        written_at: When it was written.
+        acknowledged: Whether the server's kernel had all of it, so that the server may
+            still read it although the connection is reset.
+        kept_connection: Whether the connection had been used before.
+        accepted: Whether the server was still listed and accepted requests.
+    """
+
+    server: servers.Server
+    request_id: str
+    written_at: datetime.timedelta
+    acknowledged: bool
+    kept_connection: bool
+    accepted: bool
+
+
 Outcome = (
     OpenResponse
     | FullResponse
@@ -214,6 +237,7 @@
         accepts: Tells whether a server is listed and accepts new requests.
         wait_until_current: Waits after a pause of this process until that is known.
         on_open: Called with the reason whenever a connection is opened.
+        on_abandoned: Called for each request that is given up after it was written.
     """
 
     def __init__(
@@ -225,9 +249,11 @@
         accepts: abc.Callable[[servers.Server], bool] = lambda server: True,
         wait_until_current: abc.Callable[[], abc.Awaitable[None]] = _no_wait,
         on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
+        on_abandoned: abc.Callable[[Abandonment], None] = lambda abandonment: None,
     ) -> None:
         self._clock = time
         self._flow = flow
+        self._on_abandoned = on_abandoned
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -315,7 +341,8 @@
                 return Withheld()
             sent_at = self._clock.monotonic()
             link.send(request.method, request.target, fields, request.body)
-            return await self._opened(server, request, link, sent_at)
+            with self._abandoned_on_cancel(server, request, link, sent_at):
+                return await self._opened(server, request, link, sent_at)
         except channel.BrokenError as error:
             link.close()
             if isinstance(error, channel.UndeliveredError):
@@ -325,6 +352,30 @@
             link.close()
             raise
 
+    @contextlib.contextmanager
+    def _abandoned_on_cancel(
+        self,
+        server: servers.Server,
+        request: client_request.ClientRequest,
+        link: channel.Channel,
+        written_at: datetime.timedelta,
+    ) -> abc.Generator[None, None, None]:
+        """Report a request that is cancelled while it waits for an answer."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            self._on_abandoned(
+                Abandonment(
+                    server,
+                    request.request_id,
+                    written_at,
+                    acknowledged=link.acknowledged,
+                    kept_connection=link.opened_by is not None,
+                    accepted=self._accepts(server),
+                )
+            )
+            raise
+
     async def _check_incarnation(
         self, server: servers.Server, link: channel.Channel, check: IncarnationCheck
     ) -> NotSent | None:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -90,6 +90,7 @@
         self._flow.on_leaving(self._fleet.mark_leaving)
         bounds = chosen.bounds
         self._metrics = route_metrics.RouteMetrics()
+        self._request_log = request_log.RequestLog(time, self._metrics)
         # The parts that learn from the store and from peers are built later.
         self._pauses = pause_monitor.PauseMonitor(
             bounds.pause_limit, lambda: self._catch_up(), time
@@ -101,6 +102,7 @@
             accepts=self._fleet.accepts,
             wait_until_current=self._pauses.wait_until_current,
             on_open=self._metrics.connection_opened,
+            on_abandoned=self._request_log.write_abandoned,
         )
         self._silence.observe(self._client)
         self._server_choice = server_choice.ServerChoice(
@@ -117,7 +119,6 @@
             time,
         )
         self._cache_updates = cache_updates.CacheUpdates()
-        self._request_log = request_log.RequestLog(time, self._metrics)
         self._incarnation = uuid.uuid4().hex
         self._peer_table = peer_table.PeerTable(
             chosen.instance,
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -7,8 +7,10 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import log_budget
+from pimentolatch.gateway import dispatch
 
 __all__ = [
+    "ABANDONED",
     "ANSWERED",
     "DOUBTED",
     "EVENTS",
@@ -28,6 +30,7 @@
 WAITED = "waited"
 PLACED = "placed"
 SENT = "sent"
+ABANDONED = "abandoned"
 DOUBTED = "doubted"
 RESUMED = "resumed"
 FORWARDED = "forwarded"
@@ -55,6 +58,7 @@
         *("handle", "handle_from", "handle_started_ms"),
         *("handle_age_ms", "handle_connected"),
     ),
+    ABANDONED: ("server", "ms", "acknowledged", "kept_connection", "accepted"),
     RESUMED: (
         *("origin", "outcome", "reason", "ms", "confirm_ms"),
         *("list_revision", "list_source", "list_age_ms"),
@@ -110,6 +114,18 @@
         write = _log.warn if wrong else _log.info
         write(event, id=request_id, **fields)
 
+    def write_abandoned(self, abandonment: dispatch.Abandonment) -> None:
+        """Write the line of a request that was given up after it was written."""
+        self.write(
+            ABANDONED,
+            abandonment.request_id,
+            server=abandonment.server.server_id,
+            ms=self.elapsed_ms(abandonment.written_at),
+            acknowledged=abandonment.acknowledged,
+            kept_connection=abandonment.kept_connection,
+            accepted=abandonment.accepted,
+        )
+
     def elapsed_ms(self, since: datetime.timedelta) -> int:
         """Return the time since `since` in whole milliseconds."""
         passed = self._clock.monotonic() - since
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -88,6 +88,13 @@
             "Answers whose connection this instance closed before their end.",
             registry=self.registry,
         )
+        self._abandoned = prometheus_client.Counter(
+            _PREFIX + "abandoned_dispatches",
+            "Requests given up after they were written to a server, by whether its"
+            " machine had acknowledged them.",
+            ["acknowledged"],
+            registry=self.registry,
+        )
         self._unanswered = prometheus_client.Counter(
             _PREFIX + "unanswered_requests",
             "Requests that ended with their connection, without an answer.",
@@ -149,6 +156,9 @@
             self._dispatches.labels(outcome, fields["what"]).inc()
             if fields.get("kept_ms") is not None:
                 self._dispatches_to_kept.inc()
+        elif event == request_log.ABANDONED:
+            arrived = "yes" if fields["acknowledged"] else "no"
+            self._abandoned.labels(arrived).inc()
         elif event == request_log.FORWARDED:
             self._forwards.labels("failed" if wrong else "answered").inc()
         elif event == request_log.DOUBTED:
