Show requests that a server reads seconds after it has left

Servers run as processes without a relay before them. One of each kind is stopped (SIGSTOP), leaves meanwhile by the store's word, with or without a report that it drains, and goes on (SIGCONT). What gateways had sent it before they noticed lies in its kernel, which has acknowledged it; the reset of the connection does not recall it.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import typing
+from collections import abc
 
 import h11
 
@@ -122,6 +123,7 @@
             by the event loop's clock.
         awake: Cleared while the server is silent: it accepts connections and reads and
             writes nothing.
+        on_request: Called with each received request.
     """
 
     def __init__(
@@ -168,6 +170,7 @@
         self.declined: list[tuple[str, float]] = []
         self.awake = asyncio.Event()
         self.awake.set()
+        self.on_request: abc.Callable[[ReceivedRequest], None] = lambda request: None
         self.port = 0
         self._check_ins = 0
         self._restarts = 0
@@ -289,6 +292,7 @@
         expected = request.fields.get("x-expect-instance", self.server_id)
         self.received.append(request)
         self.arrival_times.append(asyncio.get_running_loop().time())
+        self.on_request(request)
         if expected != self.server_id:
             await connection.send(421, [], b"")
             return True
--- /dev/null
+++ b/tests/features/stopped_servers.feature
@@ -0,0 +1,27 @@
+# Servers are processes that are stopped and go on (SIGSTOP, SIGCONT). Their kernels
+# accept connections and requests meanwhile, and a reset does not recall these.
+Feature: Servers that stand still while they leave
+
+  # Guards against requests that a server reads seconds after it has left.
+  Scenario Outline: A server that stood still as it left <how> reads no request later
+    Given stopped: <gateways> gateways before servers that are processes
+    When stopped: a server of each kind stands still for <stopped> s and <how> after <after> s
+    Then stopped: no request reaches it later than leaving servers may get one
+
+    Examples:
+      | gateways | how                     | after | stopped |
+      | 1        | reports that it drains  | 0.3   | 4       |
+      | 4        | reports that it drains  | 1.2   | 4       |
+      | 4        | has its entry removed   | 0.3   | 4       |
+      | 4        | has its entry removed   | 3.6   | 6.5     |
+
+  # Guards against callers who pay for a server that is kept from reading a request late.
+  Scenario Outline: Clients are served although a server stood still as it left
+    Given stopped: 4 gateways before servers that are processes
+    When stopped: a server of each kind stands still for 4 s and <how> after 0.3 s
+    Then stopped: all clients are served
+
+    Examples:
+      | how                    |
+      | reports that it drains |
+      | has its entry removed  |
--- /dev/null
+++ b/tests/support/stopped_servers.py
@@ -0,0 +1,145 @@
+"""Backend servers as processes that are stopped, leave meanwhile and go on.
+
+Gateways reach them without a relay: what the kernel of a stopped server has accepted is
+read when it goes on, even if the connection was reset meanwhile.
+"""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+
+from standins import route_server
+from tests.support import silent_world, soak_world
+
+__all__ = ["LateRequest", "StoppedServers"]
+
+# The operator allows two seconds from the store's word; the rest covers the way of a
+# request on a busy machine.
+LATE_S = 2.2
+POLL_S = 0.02
+# What a server reads when it goes on has arrived by then.
+WATCHED_S = 1.0
+RUNS = ("prefill", "run")
+
+
+@dataclasses.dataclass(frozen=True)
+class LateRequest:
+    """A request that reached a server too late, counted from when it left."""
+
+    server_id: str
+    kind: str
+    request_id: str
+    after_s: float
+
+
+class ServerProcess(route_server.RouteServer):
+    """A server that runs in a process of its own; this object only describes it."""
+
+    def __init__(self, folder, *description):
+        super().__init__(*description)
+        self._output = pathlib.Path(folder) / f"{self.server_id}.out"
+        self._popen = None
+
+    async def start(self):
+        """Start the process and wait until it listens."""
+        self._popen = self._spawn()
+        async with asyncio.timeout(soak_world.START_TIMEOUT_S):
+            while not (lines := self._lines()):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+        self.port = lines[0]["port"]
+        self.advertised_address = f"127.0.0.1:{self.port}"
+
+    async def stop(self):
+        """End the process."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def suspend(self):
+        """Have the process stand still."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Have the process go on."""
+        self._popen.send_signal(signal.SIGCONT)
+
+    def requests(self):
+        """Return its requests as they arrived: `kind`, `request_id` and `at`."""
+        return self._lines()[1:]
+
+    def _spawn(self):
+        description = [self.server_id, self.service, self.failure_domain]
+        command = [sys.executable, "-m", "standins.route_server_process", *description]
+        with self._output.open("wb") as output:
+            return subprocess.Popen([*command, self.stage or ""], stdout=output)
+
+    def _lines(self):
+        text = self._output.read_text(encoding="utf-8")
+        return [json.loads(line) for line in text.splitlines(True) if line[-1] == "\n"]
+
+
+class _World(soak_world.SoakWorld):
+    """A world whose servers are processes without a relay before them."""
+
+    async def add_server(self, service, stage):
+        name = f"{stage or service}-{next(self._numbers)}"
+        domain = self._emptiest_domain(service, stage)
+        server = ServerProcess(self._folder.name, name, service, domain, stage)
+        await server.start()
+        self.servers[name] = server
+        await self.list_server(name)
+        return server
+
+
+class StoppedServers(silent_world.Gateways):
+    """Gateways with clients that go on asking, before servers as processes."""
+
+    def __init__(self, runner):
+        super().__init__(runner)
+        self.world = _World()
+        self.left_at = 0.0
+        self.stopped = []
+
+    async def stop_servers(self, leave_after_s, seconds, *, listed):
+        """Stop a server of each kind, have them leave meanwhile, and let them go on.
+
+        Args:
+            leave_after_s: When they leave, after they have been stopped.
+            seconds: For how long they are stopped.
+            listed: Whether their entries stay and say that they drain.
+        """
+        kinds = {s.stage: s for s in self.world.servers.values()}
+        self.stopped = list(kinds.values())
+        for server in self.stopped:
+            server.suspend()
+        await asyncio.sleep(leave_after_s)
+        table = self.world.platform.table
+        for server in self.stopped:
+            if listed:
+                server.state = "draining"
+                await self.world.list_server(server.server_id)
+            else:
+                current = table.get("servers", server.server_id)
+                await table.delete("servers", server.server_id, current.version)
+        self.left_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(seconds - leave_after_s)
+        for server in self.stopped:
+            server.resume()
+        await asyncio.sleep(WATCHED_S)
+
+    def late_requests(self):
+        """Return the requests of clients that reached a server too late."""
+        return [
+            LateRequest(server.server_id, item["kind"], item["request_id"], after)
+            for server in self.stopped
+            for item in server.requests()
+            if item["kind"] in RUNS and (after := item["at"] - self.left_at) > LATE_S
+        ]
+
+    def failed(self):
+        """Return the requests that ended without success."""
+        ended = [a for c in self.clients for a in c.attempts if a.ended_at]
+        return [attempt for attempt in ended if attempt.status != 200]
