Send the body of a request once its server asks for it

What callers saw: nothing; other servers answered them. What servers saw: requests that arrived 2.8 to 3.7 s after the store had it that the server leaves (DRAIN).

Cause: a server that stands still has a kernel that goes on acknowledging. What instances send before they notice lies there whole, and a reset of the connection does not recall it. The server reads it when it goes on, however long it has left by then, and runs it beside its repeat. Class: a reset by the sender taken for a cancellation.

The head of a request with a body now announces that the body follows (Expect: 100-continue, RFC 9110 10.1.1). A server that reads the head asks for the body, and a server that stands still does not; when it goes on and asks, the list and the permit are looked at again, so that a server which has left gets nothing and the request goes elsewhere. A server that has asked once is waited for: its silence is then told from that of one that ignores.

Not covered: requests without a body, and the millisecond between the server's asking and the body's arrival.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -44,6 +44,8 @@
 # idle one can still be reset; see `sockets`.
 _MAX_KEEP_ALIVE = datetime.timedelta(seconds=30)
 _MAX_IDLE_PER_SERVER = 128
+_EXPECT_CONTINUE = (b"expect", b"100-continue")
+_CONTINUE = 100
 
 Fields = abc.Sequence[tuple[bytes, bytes]]
 
@@ -157,6 +159,8 @@
 class Channel:
     """One connection; `send`, `read_head` and `read` make up one exchange.
 
+    If `send` holds the body back, `await_body_request` and `send_body` follow it.
+
     Args:
         stream: The connection.
         acknowledgement_limit: How long the peer may leave a request without an
@@ -173,6 +177,11 @@
         )
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._held_body = b""
+        self._early_head: ResponseHead | None = None
+        # Whether the peer has asked for the body of the current request, and whether it
+        # has answered without it.
+        self.body_requested = self.answered_early = False
         self._parsed_bytes = 0
         self._body_bytes = 0
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
@@ -221,37 +230,81 @@
         stream = self._stream
         return not stream.at_end and not stream.received
 
-    def send(self, method: str, target: bytes, fields: Fields, body: bytes) -> None:
-        """Send a request; raises `ValueError`, sending nothing, if it is malformed."""
+    def send(
+        self,
+        method: str,
+        target: bytes,
+        fields: Fields,
+        body: bytes,
+        *,
+        holds_body: bool = False,
+    ) -> None:
+        """Send a request; raises `ValueError`, sending nothing, if it is malformed.
+
+        Args:
+            method: Its method.
+            target: Its target.
+            fields: Its header fields, without the length of the body.
+            body: Its body.
+            holds_body: Whether the body is held back until `send_body`; the head tells
+                the peer to ask for it.
+        """
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         self._parsed_bytes = self._body_bytes = 0
+        self._early_head = None
+        self.body_requested = self.answered_early = False
         headers = list(fields)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"content-length", b"%d" % len(body)))
+        if holds_body:
+            headers.append(_EXPECT_CONTINUE)
         try:
             self._request = h11.Request(method=method, target=target, headers=headers)
-            data = self._parser.send(self._request)
-            if body:
-                data += self._parser.send(h11.Data(body))
-            data += self._parser.send(h11.EndOfMessage())
+            data = self._parser.send(self._request) or b""
         except h11.LocalProtocolError as error:
             raise ValueError(str(error)) from error
+        if holds_body:
+            self._held_body = body
+        else:
+            data += self._encoded(body)
+        self._write(data)
+
+    async def await_body_request(self) -> bool:
+        """Wait until the peer asks for the body; False if it answers without it.
+
+        Raises:
+            BrokenError: The exchange failed.
+        """
+        while True:
+            event = await self._event()
+            self._delivery.end()
+            if not isinstance(event, h11.InformationalResponse):
+                self._early_head = self._response_head(event)
+                self.answered_early = True
+                return False
+            self._note_body_request(event)
+            if self.body_requested:
+                return True
+
+    def send_body(self) -> None:
+        """Send the body that was held back."""
+        body, self._held_body = self._held_body, b""
         assert self._stream.transport is not None
-        self._stream.transport.write(data)
-        self._delivery.begin()
+        if not self._stream.transport.is_closing():
+            self._write(self._encoded(body))
 
     async def read_head(self) -> ResponseHead:
         """Wait for the head of the response; raises `BrokenError`."""
+        if self._early_head is not None:
+            head, self._early_head = self._early_head, None
+            return head
         while True:
             event = await self._event()
             self._delivery.end()
-            if isinstance(event, h11.Response):
-                fields = tuple(event.headers)
-                self._read_keep_alive(fields)
-                return ResponseHead(event.status_code, fields)
             if not isinstance(event, h11.InformationalResponse):
-                raise BrokenError("connection closed before a response")
+                return self._response_head(event)
+            self._note_body_request(event)
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end; raises `BrokenError`."""
@@ -299,6 +352,27 @@
         if self._stream.transport is not None:
             self._stream.transport.abort()
 
+    def _encoded(self, body: bytes) -> bytes:
+        """Return the rest of a request whose head has been encoded."""
+        data = self._parser.send(h11.Data(body)) or b"" if body else b""
+        return data + (self._parser.send(h11.EndOfMessage()) or b"")
+
+    def _write(self, data: bytes) -> None:
+        assert self._stream.transport is not None
+        self._stream.transport.write(data)
+        self._delivery.begin()
+
+    def _note_body_request(self, response: h11.InformationalResponse) -> None:
+        if response.status_code == _CONTINUE:
+            self.body_requested = True
+
+    def _response_head(self, event: typing.Any) -> ResponseHead:
+        if not isinstance(event, h11.Response):
+            raise BrokenError("connection closed before a response")
+        fields = tuple(event.headers)
+        self._read_keep_alive(fields)
+        return ResponseHead(event.status_code, fields)
+
     def _time_out(self, reason: str) -> None:
         self._stream.abort(UndeliveredError(reason))
 
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -10,7 +10,7 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import connection_reuse, reachability
+from pimentolatch.decisions import body_requests, connection_reuse, reachability
 from pimentolatch.gateway import client_request, flow_control
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
@@ -50,6 +50,7 @@
 _REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=100)
 _OK = 200
 _MISDIRECTED = 421
+_EXPECTATION_FAILED = 417
 # Reports take milliseconds.
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=700)
 # Time reserved for returning the response to the client.
@@ -254,6 +255,7 @@
         self._clock = time
         self._flow = flow
         self._on_abandoned = on_abandoned
+        self._body_requests = body_requests.BodyRequests()
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -272,9 +274,10 @@
         """Register a callback for each request to which a server gave no sign."""
         self._on_silence.append(call)
 
-    def retain(self, incarnations: abc.Container[abc.Hashable]) -> None:
+    def retain(self, incarnations: abc.Container[servers.Incarnation]) -> None:
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
+        self._body_requests.retain(incarnations)
 
     def close(self) -> None:
         """Close all pooled connections."""
@@ -340,9 +343,30 @@
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
             sent_at = self._clock.monotonic()
-            link.send(request.method, request.target, fields, request.body)
+            holds_body = bool(request.body) and self._body_requests.are_expected(
+                server.incarnation
+            )
+            link.send(
+                request.method,
+                request.target,
+                fields,
+                request.body,
+                holds_body=holds_body,
+            )
             with self._abandoned_on_cancel(server, request, link, sent_at):
-                return await self._opened(server, request, link, sent_at)
+                if holds_body and not await self._send_body(server, link, may_send):
+                    link.close()
+                    return Withheld()
+                opened = await self._opened(server, request, link, sent_at)
+            if holds_body and not self._record_body_request(server, link, opened):
+                return await self.open(
+                    server,
+                    request,
+                    options,
+                    may_send=may_send,
+                    incarnation_check=incarnation_check,
+                )
+            return opened
         except channel.BrokenError as error:
             link.close()
             if isinstance(error, channel.UndeliveredError):
@@ -352,6 +376,46 @@
             link.close()
             raise
 
+    async def _send_body(
+        self,
+        server: servers.Server,
+        link: channel.Channel,
+        may_send: abc.Callable[[], bool],
+    ) -> bool:
+        """Send a body that the server asks for; False if it no longer may get it.
+
+        A server that stood still asks for it when it goes on. It may have left since.
+        """
+        limit = self._body_requests.limit(server.incarnation)
+        seconds = None if limit is None else limit.total_seconds()
+        try:
+            async with asyncio.timeout(seconds):
+                is_answered = not await link.await_body_request()
+        except TimeoutError:
+            is_answered = False
+        if not is_answered:
+            await self._wait_until_current()
+            if not (self._accepts(server) and may_send()):
+                return False
+        # Also after an early answer, so that the connection can be used again.
+        link.send_body()
+        return True
+
+    def _record_body_request(
+        self,
+        server: servers.Server,
+        link: channel.Channel,
+        opened: OpenResponse | Declined | OutcomeUnknown,
+    ) -> bool:
+        """Record whether a server asked for a body; False: send it without asking."""
+        if isinstance(opened, OpenResponse) and opened.status == _EXPECTATION_FAILED:
+            self._body_requests.reject(server.incarnation)
+            link.close()
+            return False
+        if isinstance(opened, OpenResponse) and not link.answered_early:
+            self._body_requests.record(server.incarnation, asked=link.body_requested)
+        return True
+
     @contextlib.contextmanager
     def _abandoned_on_cancel(
         self,
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -535,6 +535,8 @@
                 self._parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
+                if self._parser.they_are_waiting_for_100_continue:
+                    await self._ask_for_body()
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
@@ -542,6 +544,12 @@
             else:
                 return None
 
+    async def _ask_for_body(self) -> None:
+        await self._awake.wait()
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        self._writer.write(self._parser.send(interim) or b"")
+        await self._writer.drain()
+
     async def send(
         self,
         status: int,
--- a/standins/route_server_process.py
+++ b/standins/route_server_process.py
@@ -1,38 +1,54 @@
 """Runs a backend server of routes as a process of its own, which can stand still.
 
 A stopped process reads nothing, while its kernel goes on accepting connections and
-bytes. Each received request is printed as a JSON line.
+bytes. Its settings are one JSON argument. It prints JSON lines: its port, and then each
+request that it has received.
 """
 
 import asyncio
 import json
 import sys
+import typing
 
 from standins import route_server
 
 __all__ = ["main"]
 
 
-def _print(**fields: str | float) -> None:
+def _print(**fields: typing.Any) -> None:
     print(json.dumps(fields), flush=True)
 
 
-async def _serve(server: route_server.RouteServer) -> None:
-    loop = asyncio.get_running_loop()
-    server.on_request = lambda request: _print(
+def _print_request(request: route_server.ReceivedRequest, at: float) -> None:
+    _print(
+        at=at,
         kind=request.kind,
-        request_id=request.fields.get("x-request-id", ""),
-        at=loop.time(),
+        method=request.method,
+        target=request.target,
+        fields=request.fields,
+        body=request.body.decode("latin-1"),
     )
+
+
+async def _serve(server: route_server.RouteServer) -> None:
+    loop = asyncio.get_running_loop()
+    server.on_request = lambda request: _print_request(request, loop.time())
     await server.start()
     _print(port=server.port)
     await asyncio.Event().wait()
 
 
 def main() -> None:
-    """Serve until the process is ended; the arguments are those of `RouteServer`."""
-    server_id, service, failure_domain, stage = sys.argv[1:]
-    server = route_server.RouteServer(server_id, service, failure_domain, stage or None)
+    """Serve until the process is ended."""
+    settings = json.loads(sys.argv[1])
+    server = route_server.RouteServer(
+        settings["server_id"],
+        settings["service"],
+        settings["failure_domain"],
+        settings["stage"],
+    )
+    server.event_count = settings["event_count"]
+    server.event_pause_s = settings["event_pause_s"]
     asyncio.run(_serve(server))
 
 
--- a/tests/support/stopped_servers.py
+++ b/tests/support/stopped_servers.py
@@ -15,7 +15,7 @@
 from standins import route_server
 from tests.support import silent_world, soak_world
 
-__all__ = ["LateRequest", "StoppedServers"]
+__all__ = ["LateRequest", "ProcessWorld", "ServerProcess", "StoppedServers"]
 
 # The operator allows two seconds from the store's word; the rest covers the way of a
 # request on a busy machine.
@@ -32,12 +32,14 @@
 
     server_id: str
     kind: str
-    request_id: str
     after_s: float
 
 
 class ServerProcess(route_server.RouteServer):
-    """A server that runs in a process of its own; this object only describes it."""
+    """A server that runs in a process of its own.
+
+    This object describes it, and has its requests once they are loaded.
+    """
 
     def __init__(self, folder, *description):
         super().__init__(*description)
@@ -54,9 +56,10 @@
         self.advertised_address = f"127.0.0.1:{self.port}"
 
     async def stop(self):
-        """End the process."""
+        """End the process and load its requests."""
         self._popen.kill()
         self._popen.wait()
+        self.load_requests()
 
     def suspend(self):
         """Have the process stand still."""
@@ -66,28 +69,46 @@
         """Have the process go on."""
         self._popen.send_signal(signal.SIGCONT)
 
-    def requests(self):
-        """Return its requests as they arrived: `kind`, `request_id` and `at`."""
-        return self._lines()[1:]
+    def load_requests(self):
+        """Load the requests that the process has received so far."""
+        lines = self._lines()[1:]
+        self.arrival_times = [line.pop("at") for line in lines]
+        self.received = [
+            route_server.ReceivedRequest(
+                **line | {"body": line["body"].encode("latin-1")}
+            )
+            for line in lines
+        ]
 
     def _spawn(self):
-        description = [self.server_id, self.service, self.failure_domain]
-        command = [sys.executable, "-m", "standins.route_server_process", *description]
+        settings = {
+            "server_id": self.server_id,
+            "service": self.service,
+            "failure_domain": self.failure_domain,
+            "stage": self.stage,
+            "event_count": self.event_count,
+            "event_pause_s": self.event_pause_s,
+        }
+        module = "standins.route_server_process"
         with self._output.open("wb") as output:
-            return subprocess.Popen([*command, self.stage or ""], stdout=output)
+            return subprocess.Popen(
+                [sys.executable, "-m", module, json.dumps(settings)], stdout=output
+            )
 
     def _lines(self):
         text = self._output.read_text(encoding="utf-8")
         return [json.loads(line) for line in text.splitlines(True) if line[-1] == "\n"]
 
 
-class _World(soak_world.SoakWorld):
+class ProcessWorld(soak_world.SoakWorld):
     """A world whose servers are processes without a relay before them."""
 
     async def add_server(self, service, stage):
         name = f"{stage or service}-{next(self._numbers)}"
         domain = self._emptiest_domain(service, stage)
         server = ServerProcess(self._folder.name, name, service, domain, stage)
+        server.event_count = self.event_count
+        server.event_pause_s = self.event_pause_s
         await server.start()
         self.servers[name] = server
         await self.list_server(name)
@@ -99,7 +120,7 @@
 
     def __init__(self, runner):
         super().__init__(runner)
-        self.world = _World()
+        self.world = ProcessWorld()
         self.left_at = 0.0
         self.stopped = []
 
@@ -132,11 +153,13 @@
 
     def late_requests(self):
         """Return the requests of clients that reached a server too late."""
+        for server in self.stopped:
+            server.load_requests()
         return [
-            LateRequest(server.server_id, item["kind"], item["request_id"], after)
+            LateRequest(server.server_id, request.kind, after_s)
             for server in self.stopped
-            for item in server.requests()
-            if item["kind"] in RUNS and (after := item["at"] - self.left_at) > LATE_S
+            for request, at in zip(server.received, server.arrival_times, strict=True)
+            if request.kind in RUNS and (after_s := at - self.left_at) > LATE_S
         ]
 
     def failed(self):
