Play servers that stand still and leave beside stops of gateways

The soak paused servers for up to 1.4 s behind relays that acknowledge everything, and excused what reached them late by the pause.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -11,6 +11,8 @@
 SILENCE_MARGIN_S = 6.0
 # The same, within the time for which a server that left goes on serving.
 PATHS_MARGIN_S = 3.0
+# Below the time by which servers that stand still read requests late.
+STOPS_MARGIN_S = 1.0
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
@@ -82,6 +84,14 @@
     _play(context, seed, seconds, soak_kinds.KINDS["releases"])
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of servers and gateways that"
+    " stop"
+)
+def play_stops(context, seed, seconds):
+    _play(context, seed, seconds, soak_kinds.KINDS["stops"], STOPS_MARGIN_S)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,6 +12,7 @@
 `--paths` harms the paths between gateways, of which some learn only from others.
 `--releases` has streams resumed at a gateway that knows the servers' versions late.
 `--standstills` has gateways stand still while short limits are in force.
+`--stops` has servers stand still and leave while gateways are stopped in turn.
 Each run also prints how its requests ended.
 """
 
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -12,6 +12,7 @@
 
 from pimentolatch import clock, event_loop
 from pimentolatch.decisions import (
+    body_requests,
     departures,
     missing_servers,
     silent_servers,
@@ -203,6 +204,11 @@
     event_loop._Selector.select = selectors.DefaultSelector.select
 
 
+def _send_bodies_unasked():
+    """Sends whole requests to servers that may stand still."""
+    body_requests.BodyRequests.are_expected = lambda self, server: False
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -225,6 +231,7 @@
     "reading of an overdue store": _never_read_when_overdue,
     "confirmation by known changes": _believe_readers,
     "input before timers": _run_timers_before_input,
+    "bodies on request": _send_bodies_unasked,
 }
 
 
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -13,8 +13,10 @@
     soak_pauses,
     soak_releases,
     soak_standstills,
+    soak_stops,
     soak_uneven,
     soak_world,
+    stopped_servers,
 )
 
 __all__ = ["KINDS", "STANDARD", "Kind"]
@@ -79,6 +81,14 @@
     return path_world.PathWorld(names)
 
 
+def _process_world(disabled_safeguard):
+    if disabled_safeguard is None:
+        return stopped_servers.ProcessWorld()
+    return stopped_servers.ProcessWorld(
+        "tests.support.safeguard_removal", (disabled_safeguard,)
+    )
+
+
 def _unprepared(world, seed):
     pass
 
@@ -184,4 +194,13 @@
         gateways=soak_standstills.GATEWAYS,
         check=soak_standstills.limit_violations,
     ),
+    "stops": Kind(
+        draw=soak_stops.draw,
+        injector=soak_stops.StopInjector,
+        clients=soak_standstills.clients,
+        world=_process_world,
+        prepare=soak_stops.prepare,
+        gateways=soak_stops.GATEWAYS,
+        servers=soak_stops.SERVERS,
+    ),
 }
