Play interim responses without end before a body is asked for

Such a server is given up by the bound on framing, and its connection closed: passes at once, since the wait reads by the same bounded reader.

--- a/tests/features/body_requests.feature
+++ b/tests/features/body_requests.feature
@@ -60,3 +60,9 @@
     Given body: a server that closes
     When body: 1 requests are sent to it, one after the other
     Then body: their outcome is unknown
+
+  # Guards against an instance that keeps reading interim responses without end.
+  Scenario: A server that sends interim responses without end is given up
+    Given body: a server that sends hints without end
+    When body: 1 requests are sent to it, one after the other
+    Then body: their outcome is unknown
--- a/tests/support/interim_server.py
+++ b/tests/support/interim_server.py
@@ -29,7 +29,8 @@
 
     Args:
         manner: `asks` for the body, `hints and asks`, `ignores` that it is announced,
-            `rejects` that, `declines` before the body, or `closes` before it.
+            `rejects` that, `declines` before the body, `closes` before it, or `sends
+            hints without end` instead of asking.
 
     Attributes:
         requests: Received heads, in order.
@@ -82,6 +83,9 @@
             raise ConnectionAbortedError
         if self.manner == "closes":
             raise ConnectionAbortedError
+        while self.manner == "sends hints without end":
+            writer.write(_HINT)
+            await writer.drain()
         if self.manner == "declines":
             writer.write(_DECLINE)
         elif request.announced and self.manner != "ignores":
