Count a deadline of the soak's clients from a request's first byte

An instance counts from the head, which may be whole in the first part, and a client's deadline is what it says when it sends that.

--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -27,6 +27,8 @@
         status: HTTP status; NO_RESPONSE if there was none.
         complete: Whether the response was received to its end.
         gave_up: Whether the client stopped waiting for it.
+        begun_at: When its first byte was sent, from which an instance may count its
+            deadline; 0 for `sent_at`.
         after: Number of the event after which it resumes a stream.
         left: Whether the client disconnected in the midst of the response.
         reset: Whether the connection was reset, as by an instance that closes it with
@@ -49,6 +51,7 @@
     response_body: bytes = b""
     headers: dict = dataclasses.field(default_factory=dict)
     ended_at: float = 0.0
+    begun_at: float = 0.0
 
     @property
     def served(self):
--- a/tests/support/soak_endings.py
+++ b/tests/support/soak_endings.py
@@ -141,7 +141,8 @@
             if route["name"] == attempt.route
         ]
         allowed_s = min([soak_clients.DEADLINE_S, *timeouts])
-        return not attempt.gave_up and attempt.ended_at - attempt.sent_at >= allowed_s
+        begun_at = attempt.begun_at or attempt.sent_at
+        return not attempt.gave_up and attempt.ended_at - begun_at >= allowed_s
 
     def _servers(self, attempt):
         return self._reached.get(attempt.request_id, set())
--- a/tests/support/soak_standstills.py
+++ b/tests/support/soak_standstills.py
@@ -94,6 +94,7 @@
             return
         split = self._rng.randrange(1, len(data))
         limit_s = soak_pauses.MAX_IDLE_SHARE * self._limit_s("header_timeout_ms")
+        attempt.begun_at = attempt.sent_at
         writer.write(data[:split])
         await asyncio.sleep(limit_s * self._rng.random())
         attempt.sent_at = self._clock()
