Keep a busy machine from putting the only peer of a test aside

Cause: the rows of 'a peer' have one peer, in the event loop of the instance. One connection to it that takes over 300 ms counts as a failure of the peer, which is then not used for a second; all other requests of that second are refused, truthfully.

The product is right: a peer that can't be reached is left alone. The rows are about what a client is told of a cut answer, so they switch the backoff off, as the rows of engines do with an engine's rest, and give connections ten seconds. The checks are the same.

--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -9,12 +9,14 @@
 import behave
 
 from pimentolatch import clock
-from pimentolatch.decisions import engine_loads
+from pimentolatch.backend import channel
+from pimentolatch.decisions import engine_loads, peer_choice
 from pimentolatch.gateway import peer_table
 from pimentolatch.protocol import beacons
 from tests.support import cutting_server, route_world
 
 SECOND = datetime.timedelta(seconds=1)
+CONNECT_LIMIT = datetime.timedelta(seconds=10)
 SEAL = b"x-response-seal: s\r\n"
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
 HANDLE = "handle"
@@ -114,8 +116,14 @@
     known = peer_table.Peer(
         server.address.host, beacon, clock.SystemClock().monotonic()
     )
+    # A peer that has failed is not used for a while, and other requests are refused.
+    no_backoff = mock.patch.object(peer_choice.PeerChoice, "failed")
+    no_backoff.start()
+    context.add_cleanup(no_backoff.stop)
     # The instance has lost the path to all servers, and one peer has not.
     forwarder = context.instance._peer_forwarder
+    # On a busy machine the peer, which shares the event loop, accepts late.
+    forwarder._pool = channel.ChannelPool(CONNECT_LIMIT)
     forwarder._monitor = types.SimpleNamespace(is_cut_off=lambda service: True)
     forwarder._table = types.SimpleNamespace(
         live=lambda: [known], is_live=lambda instance: True
