Probe no path for unrepeatable requests that a slow server has

The form before asked for the path to the servers at each look at a request that may not be repeated, although such a request stays once it was sent whole: a slow plain call would have cost a probe a look. It is looked at first now whether the request may leave.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -361,6 +361,7 @@
                 ):
                     link.close()
                     return Withheld()
+                # Nothing is awaited since, so a request that counts as unsent is.
                 delivery.sent_at = self._clock.monotonic()
                 opened = await self._opened(server, request, link, sent_at)
             if (
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -347,8 +347,10 @@
         to, leaving it would only cost the caller the answer. Whether it is the path to
         all servers that is silent is found out meanwhile.
         """
+        if not delivery.may_leave:
+            return False
         self._monitor.suspect(server)
-        if not delivery.may_leave or self._dispatch_check.refusal(request) is not None:
+        if self._dispatch_check.refusal(request) is not None:
             return False
         listed = self._untried(request, tried)
         elsewhere = self._peers.may_forward(request) or self._choose(
