Keep the record of a stream whose engine starts again after it began

What a caller saw: a resumed stream with events of two software versions (ORDER).

Timeline of one: g3, cut off from store and peers, begins a stream at decode-3 of v1, whose report over the connection proves that; 180 ms later decode-3 starts again at v2. The record 'v1' reaches no peer. Back in touch, g3 learns of the start, takes it for one from before the stream (it allows 500 ms for servers' clocks) and records 'v2' as well, to have two records contradict each other. Peers have got the second only, and the stream goes on at v2.

Cause: a correction of records that were made on trust, from before engines were asked which incarnation answers. Records of a version are only made with that proof now, others say that the stream goes on nowhere, so nothing is to be corrected; the correction can only be wrong. It goes, with the list of recent streams that it used.

--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -5,10 +5,6 @@
 when a client resumes it with another request at any instance.
 """
 
-import collections
-import dataclasses
-import datetime
-
 from pimentolatch import clock
 from pimentolatch.decisions import stream_origins, version_history
 from pimentolatch.gateway import (
@@ -22,10 +18,6 @@
 
 __all__ = ["Resumptions"]
 
-# Start times are those of the servers' clocks.
-_CLOCK_TOLERANCE = datetime.timedelta(milliseconds=500)
-# Streams of 60 seconds at four times the design size.
-_MAX_RECENT = 4096
 # No server with a version has this one.
 _NO_VERSION = ""
 _RECORDED = "recorded"
@@ -33,21 +25,6 @@
 _UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Beginning:
-    """A stream that may still be resumed.
-
-    Attributes:
-        at: When its first event arrived.
-        origin: Key of the request.
-        server: Incarnation that sent the event, as far as was known then.
-    """
-
-    at: datetime.datetime
-    origin: int
-    server: servers.Incarnation
-
-
 class Resumptions:
     """Records which software version begins each stream, and finds it out again.
 
@@ -73,10 +50,7 @@
         self._request_log = log
         self._clock = time
         self._history = version_history.VersionHistory()
-        self._recent: collections.deque[_Beginning] = collections.deque(
-            maxlen=_MAX_RECENT
-        )
-        fleet.on_change(self._observe_servers)
+        fleet.on_change(self._observe_versions)
         confirmation.on_unseen(self._history.restart)
 
     def begin(
@@ -103,10 +77,6 @@
         if build is not None and not request.head.last_event:
             origin = stream_origins.origin_key(request.request_id)
             self._record(origin, build, server.service)
-            if proven and server.started_ms is not None:
-                self._recent.append(
-                    _Beginning(self._clock.now(), origin, server.incarnation)
-                )
         return build
 
     async def find(self, request: client_request.ClientRequest) -> int | None:
@@ -190,42 +160,6 @@
             if server.service == service
         )
 
-    def _observe_servers(self) -> None:
-        self._observe_versions()
-        self._correct_origins()
-
-    def _correct_origins(self) -> None:
-        """Record the version of servers that had started again before a stream began.
-
-        An instance that was out of reach of the store may learn of it late. Until then
-        what the new process writes counts as written by the old one's version. The two
-        records contradict each other, so the stream goes on nowhere: events of both
-        versions may have been sent.
-        """
-        now = self._clock.now()
-        while self._recent and now - self._recent[0].at > stream_origins.LIFETIME:
-            self._recent.popleft()
-        wrong = {
-            beginning: build
-            for beginning in self._recent
-            if (build := self._later_build(beginning)) is not None
-        }
-        if not wrong:
-            return
-        right = [beginning for beginning in self._recent if beginning not in wrong]
-        self._recent = collections.deque(right, maxlen=_MAX_RECENT)
-        for beginning, build in wrong.items():
-            self._exchange.record(
-                beginning.origin, build, stream_origins.LIFETIME, repeat=True
-            )
-
-    def _later_build(self, beginning: _Beginning) -> int | None:
-        """Return the build that a server had started again with; None if it had not."""
-        server = self._fleet.servers.get(beginning.server.server_id)
-        if server is None or server.incarnation == beginning.server:
-            return None
-        return _build_of(server) if _had_started(server, beginning.at) else None
-
     def _observe_versions(self) -> None:
         versions: dict[str, set[str]] = {}
         for server in self._fleet.servers.all():
@@ -233,14 +167,6 @@
         self._history.observe(versions, self._clock.monotonic())
 
 
-def _had_started(server: servers.Server, at: datetime.datetime) -> bool:
-    """Tell whether a server's process may have been running at a moment."""
-    if server.started_ms is None:
-        return True
-    latest_ms = (at + _CLOCK_TOLERANCE).timestamp() * 1000
-    return server.started_ms <= latest_ms
-
-
 def _build_of(server: servers.Server) -> int | None:
     """Return the build of a server; None if its version is unknown."""
     if not server.version:
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -235,3 +235,10 @@
     And origins: servers may have been listed unseen until 70
     Then origins: after 129 seconds the sole version is "none"
     And origins: after 130 seconds the sole version is "v1"
+
+  # Guards against streams that join another version as their server starts again.
+  Scenario: A server that starts again soon after a stream began there does not change its record
+    Given resumptions: an instance that records streams, and an engine of version "v1"
+    When resumptions: the engine proves that it began a stream
+    And resumptions: the instance learns that it started again at "v2" 100 ms later
+    Then resumptions: the stream is recorded once, as one of "v1"
