Name what holds a body back by what it does

After a read of the change: wait_until_requested and is_held_back in place of until_due and holds, and a keyword for what a bare True meant. No behaviour changes.

--- a/src/pimentolatch/gateway/body_exchange.py
+++ b/src/pimentolatch/gateway/body_exchange.py
@@ -47,13 +47,13 @@
         self._probe = probe
         self._servers = body_requests.BodyRequests()
 
-    def holds(
+    def is_held_back(
         self, server: servers.Server, request: client_request.ClientRequest
     ) -> bool:
         """Tell whether only the head of a request is sent to a server at first."""
         return bool(request.body) and self._servers.are_expected(server.incarnation)
 
-    async def until_due(
+    async def wait_until_requested(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -347,7 +347,7 @@
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
             sent_at = self._clock.monotonic()
-            holds_body = self._bodies.holds(server, request)
+            holds_body = self._bodies.is_held_back(server, request)
             link.send(
                 request.method,
                 request.target,
@@ -399,7 +399,7 @@
 
         A server that stood still asks for it when it goes on. It may have left since.
         """
-        if await self._bodies.until_due(server, request, link):
+        if await self._bodies.wait_until_requested(server, request, link):
             await self._wait_until_current()
             if not (self._accepts(server) and may_send()):
                 return False
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -379,7 +379,9 @@
                 time_left -= self._clock.monotonic() - begun
                 if time_left > _NO_TIME and may_leave():
                     if delivery.sent_at is None:
-                        return dispatch.NotSent("not asked for the body", True)
+                        return dispatch.NotSent(
+                            "not asked for the body", unresponsive=True
+                        )
                     break
             return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
         finally:
--- a/tests/support/interim_server.py
+++ b/tests/support/interim_server.py
@@ -1,4 +1,4 @@
-"""A server that is told by the heads of requests that their bodies will follow."""
+"""A server of requests whose heads announce that their bodies follow on request."""
 
 import asyncio
 import dataclasses
