--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -316,10 +316,18 @@
             return b""
         raise BrokenError("connection closed within the response body")
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Return the rest of the body; raises `BrokenError`, also past `max_bytes`."""
+    async def read_body(
+        self, max_bytes: int, on_part: abc.Callable[[int], None] = lambda size: None
+    ) -> bytes:
+        """Return the rest of the body; raises `BrokenError`, also past `max_bytes`.
+
+        Args:
+            max_bytes: Largest body that is accepted.
+            on_part: Called with the size of each part that arrives, in bytes.
+        """
         content = bytearray()
         while part := await self.read():
+            on_part(len(part))
             content += part
             if len(content) > max_bytes:
                 raise BrokenError(f"response body exceeds {max_bytes} bytes")
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -21,7 +21,14 @@
 from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
 from pimentolatch.protocol import beacons, snapshots
 
-__all__ = ["Fetch", "Response", "SnapshotEndpoint", "SnapshotFetcher", "fetch"]
+__all__ = [
+    "Fetch",
+    "Progress",
+    "Response",
+    "SnapshotEndpoint",
+    "SnapshotFetcher",
+    "fetch",
+]
 
 _log = logbook.Logger("spread")
 _CONFIGURATION = "/v1/configuration"
@@ -69,7 +76,9 @@
     body: bytes
 
 
-Fetch = typing.Callable[[settings.Address, str], abc.Awaitable[Response]]
+# Called with the number of bytes whenever a part of a response has arrived.
+Progress = typing.Callable[[int], None]
+Fetch = typing.Callable[[settings.Address, str, Progress], abc.Awaitable[Response]]
 
 
 class SnapshotEndpoint:
@@ -291,11 +300,17 @@
         """Fetch and apply a snapshot; return the response if there was one."""
         name = peer.beacon.instance
         begun = self._clock.monotonic()
+        received = 0
+
+        def count(size: int) -> None:
+            nonlocal received
+            received += size
+
         self._sources.record_attempt(name, begun)
         address = settings.Address(host=peer.host, port=self._port)
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
-                response = await self._fetch_from(address, kind.path)
+                response = await self._fetch_from(address, kind.path, count)
             kind.apply(name, response, begun)
             self._sources.record_answer(name)
             return response
@@ -309,6 +324,8 @@
                 peer=name,
                 kind=kind.name,
                 reason=repr(error),
+                received_bytes=received,
+                ms=round((self._clock.monotonic() - begun) / _MILLISECOND),
             )
             return None
 
@@ -394,9 +411,20 @@
     return [name for name in names.split(",") if name]
 
 
-async def fetch(address: settings.Address, path: str) -> Response:
+def _ignore(size: int) -> None:
+    """Ignore that a part of a response has arrived."""
+
+
+async def fetch(
+    address: settings.Address, path: str, progress: Progress = _ignore
+) -> Response:
     """Fetch a snapshot over a new connection; one kept open may have fallen silent.
 
+    Args:
+        address: Address of the peer.
+        path: Path of the snapshot.
+        progress: Called for each part that arrives.
+
     Raises:
         channel.ConnectError: The peer can't be reached.
         channel.BrokenError: The connection ended before the response.
@@ -406,6 +434,7 @@
         host = f"{address.host}:{address.port}".encode()
         connection.send("GET", path.encode(), [(b"host", host)], b"")
         head = await connection.read_head()
-        return Response(tuple(head.fields), await connection.read_body(_MAX_BYTES))
+        body = await connection.read_body(_MAX_BYTES, progress)
+        return Response(tuple(head.fields), body)
     finally:
         connection.close()
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -186,7 +186,7 @@
 async def catch_up_beside(context, silent):
     time = clock.SystemClock()
 
-    async def fetch(address, path):
+    async def fetch(address, path, progress):
         if address.host in silent:
             await asyncio.Event().wait()
         return snapshot(path)
@@ -204,7 +204,7 @@
     time.advance(SECOND)
     context.asked_at = time.monotonic()
 
-    async def fetch(address, path):
+    async def fetch(address, path, progress):
         if path.startswith("/v1/servers"):
             time.advance(3 * SECOND)
         return snapshot(path)
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -110,7 +110,7 @@
             store_watch.ServerWatch(link, fleet, expired, time, bounds.server_watch),
         )
 
-        async def fetch(address, path):
+        async def fetch(address, path, progress):
             return await self._fetch(name, address.host, path)
 
         return Instance(
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -75,7 +75,7 @@
             self._fetch,
         )
 
-    async def _fetch(self, address, path):
+    async def _fetch(self, address, path, progress):
         self._asked.append(address.host)
         return await peer_snapshots.fetch(address, path)
 
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -197,7 +197,7 @@
             ):
                 self._tasks.append(asyncio.create_task(work()))
 
-    async def _fetch(self, address, path):
+    async def _fetch(self, address, path, progress):
         by_host = {instance.host: instance for instance in self.instances.values()}
         endpoint = by_host[address.host].endpoint
         path, _, query = path.partition("?")
