--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -17,7 +17,12 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.backend import channel
-from pimentolatch.decisions import missing_servers, peer_lag, peer_sources
+from pimentolatch.decisions import (
+    missing_servers,
+    peer_lag,
+    peer_sources,
+    snapshot_attempts,
+)
 from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
 from pimentolatch.protocol import beacons, snapshots
 
@@ -56,11 +61,7 @@
 _NEXT_ASKED_AFTER = datetime.timedelta(milliseconds=50)
 # A list of 3,800 servers has some 500 kB.
 _MAX_BYTES = 16_000_000
-_FETCH_TIMEOUT = datetime.timedelta(seconds=1)
-# A peer that has not answered by then may be out of reach, so another one is asked too.
-# Peers that take their whole time-out would use up the time for a change. With it, five
-# are asked at the same time at most.
-_NEXT_ATTEMPT_AFTER = datetime.timedelta(milliseconds=200)
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,8 +142,7 @@
         known: Returns the version that is known here.
         apply: Applies a response of a peer to a fetch that began at a time.
         lag_logged: Whether the log says that this instance is behind.
-        pending: Number of fetches that have not ended.
-        attempted_at: When the last one began.
+        pending: Attempts that have not ended, with their tasks.
     """
 
     name: str
@@ -152,8 +152,14 @@
     known: abc.Callable[[], int]
     apply: abc.Callable[[str, Response, datetime.timedelta], None]
     lag_logged: bool = False
-    pending: int = 0
-    attempted_at: datetime.timedelta = datetime.timedelta()
+    pending: dict[asyncio.Task[None], snapshot_attempts.Attempt] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def cancel(self) -> None:
+        """Cancel the attempts, as what they fetch is known."""
+        for task in self.pending:
+            task.cancel()
 
 
 class SnapshotFetcher:
@@ -219,21 +225,27 @@
             lag = kind.lag.duration(now)
             self._log_lag(kind, lag)
             waits = self._fleet.watches_store and self._fleet.complete
-            if kind.lag.since is None or (waits and lag < _MAX_WATCH_LAG):
+            if kind.lag.since is None:
+                kind.cancel()
+                continue
+            if waits and lag < _MAX_WATCH_LAG:
                 continue
-            if kind.pending and now - kind.attempted_at < _NEXT_ATTEMPT_AFTER:
+            if not snapshot_attempts.may_begin(kind.pending.values(), now):
                 continue
             peer = self._choose(kind, live, now)
             if peer is not None:
-                kind.attempted_at = now
-                attempts.create_task(self._attempt(peer, kind))
+                attempt = snapshot_attempts.Attempt(now)
+                task = attempts.create_task(self._attempt(peer, kind, attempt))
+                kind.pending[task] = attempt
+                task.add_done_callback(kind.pending.pop)
 
-    async def _attempt(self, peer: peer_table.Peer, kind: "_Kind") -> None:
-        kind.pending += 1
-        try:
-            await self._fetch(peer, kind)
-        finally:
-            kind.pending -= 1
+    async def _attempt(
+        self,
+        peer: peer_table.Peer,
+        kind: "_Kind",
+        attempt: snapshot_attempts.Attempt,
+    ) -> None:
+        await self._fetch(peer, kind, attempt)
 
     def _choose(
         self, kind: "_Kind", live: list[peer_table.Peer], now: datetime.timedelta
@@ -289,28 +301,28 @@
         self, peer: peer_table.Peer, after: datetime.timedelta
     ) -> bool:
         await self._clock.sleep(after)
-        responses = [await self._fetch(peer, kind) for kind in self._kinds]
+        responses = []
+        for kind in self._kinds:
+            attempt = snapshot_attempts.Attempt(self._clock.monotonic())
+            responses.append(await self._fetch(peer, kind, attempt))
         return all(responses) and self._is_current(responses[-1])
 
     def _is_current(self, response: Response | None) -> bool:
         age = None if response is None else _list_age(response)
         return age is not None and missing_servers.is_current(age)
 
-    async def _fetch(self, peer: peer_table.Peer, kind: "_Kind") -> Response | None:
+    async def _fetch(
+        self,
+        peer: peer_table.Peer,
+        kind: "_Kind",
+        attempt: snapshot_attempts.Attempt,
+    ) -> Response | None:
         """Fetch and apply a snapshot; return the response if there was one."""
-        name = peer.beacon.instance
-        begun = self._clock.monotonic()
-        received = 0
-
-        def count(size: int) -> None:
-            nonlocal received
-            received += size
-
+        name, begun = peer.beacon.instance, attempt.begun_at
         self._sources.record_attempt(name, begun)
         address = settings.Address(host=peer.host, port=self._port)
         try:
-            async with asyncio.timeout(_FETCH_TIMEOUT.total_seconds()):
-                response = await self._fetch_from(address, kind.path, count)
+            response = await self._receive(address, kind.path, attempt)
             kind.apply(name, response, begun)
             self._sources.record_answer(name)
             return response
@@ -324,11 +336,31 @@
                 peer=name,
                 kind=kind.name,
                 reason=repr(error),
-                received_bytes=received,
+                received_bytes=attempt.received_bytes,
                 ms=round((self._clock.monotonic() - begun) / _MILLISECOND),
             )
             return None
 
+    async def _receive(
+        self, address: settings.Address, path: str, attempt: snapshot_attempts.Attempt
+    ) -> Response:
+        """Fetch a snapshot for as long as it arrives.
+
+        Raises:
+            TimeoutError: Nothing more has arrived, or the fetch took too long.
+        """
+        silence = snapshot_attempts.LONGEST_SILENCE.total_seconds()
+        async with (
+            asyncio.timeout(snapshot_attempts.LONGEST_ATTEMPT.total_seconds()),
+            asyncio.timeout(silence) as limit,
+        ):
+
+            def record(size: int) -> None:
+                attempt.receive(size, self._clock.monotonic())
+                limit.reschedule(asyncio.get_running_loop().time() + silence)
+
+            return await self._fetch_from(address, path, record)
+
     def _apply_configuration(
         self, name: str, response: Response, begun: datetime.timedelta
     ) -> None:
@@ -429,7 +461,7 @@
         channel.ConnectError: The peer can't be reached.
         channel.BrokenError: The connection ended before the response.
     """
-    connection = await channel.connect(address, _FETCH_TIMEOUT)
+    connection = await channel.connect(address, _CONNECT_TIMEOUT)
     try:
         host = f"{address.host}:{address.port}".encode()
         connection.send("GET", path.encode(), [(b"host", host)], b"")
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -41,6 +41,23 @@
       | the watches of "a-0 a-1 a-2" end without their noticing   | 9.7   |
       | the watches of "all" end without their noticing           | 0.0   |
 
+  # Guards against fetches that share a slow link, end by their time-out and begin anew
+  # without an end, while the link delays all requests of the instance.
+  Scenario: A configuration that takes long to arrive is fetched in the end
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: "a-5" does not reach the store
+    And readers: links of "a-5" take 0.8 seconds for a configuration
+    And readers: a server drains and a configuration is written 0.0 seconds later
+    Then readers: all instances know of both within 2 seconds
+
+  # Guards against an instance that waits for peers whose links many fetch from.
+  Scenario: Peers that send slowly do not hold up a configuration
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: "a-5" does not reach the store
+    And readers: links of "a-0 b-0" take 20 seconds for a configuration
+    And readers: a server drains and a configuration is written 0.0 seconds later
+    Then readers: all instances know of both within 2 seconds
+
   # Guards against a fleet that reads the store with every instance in calm times.
   Scenario: Instances that peers keep up to date do not call the store
     Given readers: 6 instances in domain "a" and 5 in domain "b"
--- a/tests/features/steps/store_readers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -47,6 +47,12 @@
     }
 
 
+@behave.when('readers: links of "{names}" take {seconds:g} seconds for a configuration')
+def slow_links(context, names, seconds):
+    for name in named(context, names):
+        context.world.transfer_s[name] = seconds
+
+
 @behave.when("readers: open connections of all to the store fall silent")
 def silence(context):
     context.world.faults.silenced += 1
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -31,6 +31,9 @@
 PEERS_PORT = 8082
 BEACON_INTERVAL_S = 0.25
 FETCH_TIMEOUT_S = 1.0
+# Parts of a response; lists of servers are smaller than configurations here.
+PARTS = 30
+CONFIGURATION_BYTES = 900
 POLL_S = 0.01
 OBSERVED_INTERVAL_S = 0.05
 
@@ -68,6 +71,8 @@
         failed_fetches: Pairs of instance and peer from which it can't fetch.
         fetched: Pairs of instance and peer of all fetches that were answered.
         calls: Calls to the store, as pairs of an instance and a name.
+        transfer_s: How long the link of an instance, if not shared, takes for a
+            configuration; no time for others.
         fail_listings: Whether the store is away from the next listing on.
         longest_behind: For how long each instance was behind its peers at most.
     """
@@ -80,6 +85,8 @@
         self.lost_beacons = set()
         self.failed_fetches = set()
         self.fetched = []
+        self.transfer_s = {}
+        self._links = collections.defaultdict(asyncio.Lock)
         self.calls = []
         self.fail_listings = False
         self.longest_behind = collections.defaultdict(datetime.timedelta)
@@ -111,7 +118,9 @@
         )
 
         async def fetch(address, path, progress):
-            return await self._fetch(name, address.host, path)
+            response = await self._fetch(name, address.host, path)
+            await self._transfer(name, address.host, response, progress)
+            return response
 
         return Instance(
             name,
@@ -189,6 +198,17 @@
         start, body = sent
         return peer_snapshots.Response(tuple(start["headers"]), body["body"])
 
+    async def _transfer(self, name, host, response, progress):
+        """Pass on a response in parts, which all fetches by a link take in turn."""
+        peer = next(i.name for i in self.instances.values() if i.host == host)
+        link = name if name in self.transfer_s else peer
+        if link not in self.transfer_s or len(response.body) < CONFIGURATION_BYTES:
+            return
+        for _ in range(PARTS):
+            async with self._links[link]:
+                await asyncio.sleep(self.transfer_s[link] / PARTS)
+            progress(len(response.body) // PARTS)
+
     async def configure(self, version):
         """Write a version of the configuration."""
         await self._put(
