Write the last answer before the client leaves

What callers saw: 123 of 10,423 tries ended at their client's deadline with neither an answer nor a refusal, although the log had a 504 for most of them. The one that was traced: sent at 14.037, read 14 ms later behind other bodies on the instance's link (10 Mbit/s), limit 990 ms; the client left at 15.026, the 504 was written at 15.031.

Cause: the answer was due 10 ms before the deadline, counted from when the head was read; a client counts from when it sends. For streams it was due at the deadline itself, so that none of their refusals can ever have arrived. Class: two clocks for one deadline.

It is due earlier now by a twentieth of the deadline that the client has named, at least 10 and at most 100 ms; a stream that has begun goes on until the deadline. The largest prompts take 58 ms on such a link. The route's own limit, which clients outlast, keeps 10 ms.

--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -8,7 +8,7 @@
 from collections import abc
 
 from pimentolatch import results
-from pimentolatch.decisions import access, rendezvous, urgency
+from pimentolatch.decisions import access, answer_time, rendezvous, urgency
 from pimentolatch.entry import bounded_http
 from pimentolatch.platform import http_headers
 from pimentolatch.protocol import forwarding
@@ -56,11 +56,13 @@
 
     Attributes:
         duration: Longest time from the request's header to the end of its response.
+        answer_within: Time within which the last answer is written; see `answer_time`.
         source: Whose limit it is: the shorter of the two counts.
         version: Version of the configuration that the request was read with.
     """
 
     duration: datetime.timedelta
+    answer_within: datetime.timedelta
     source: LimitSource
     version: int
 
@@ -72,9 +74,13 @@
         version: int,
     ) -> typing.Self:
         """Return the limit that a route and a client, if it named one, set together."""
+        answer_within = route_timeout - answer_time.SHORTEST_RESERVE
+        if client_limit is not None:
+            client_end = client_limit - answer_time.reserve(client_limit)
+            answer_within = min(answer_within, client_end)
         if client_limit is None or route_timeout <= client_limit:
-            return cls(route_timeout, LimitSource.ROUTE, version)
-        return cls(client_limit, LimitSource.CLIENT, version)
+            return cls(route_timeout, answer_within, LimitSource.ROUTE, version)
+        return cls(client_limit, answer_within, LimitSource.CLIENT, version)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +117,11 @@
         """When its response is due."""
         return self.arrived_at + self.time_limit.duration
 
+    @property
+    def answer_due(self) -> datetime.timedelta:
+        """When its last answer is written, if nothing has been written before."""
+        return self.arrived_at + self.time_limit.answer_within
+
     @property
     def jitter(self) -> float:
         """Uniform random number from 0 to 1, the same on all instances."""
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -5,7 +5,12 @@
 import datetime
 
 from pimentolatch.backend import channel
-from pimentolatch.decisions import lateness, part_suspects, placement_types
+from pimentolatch.decisions import (
+    answer_time,
+    lateness,
+    part_suspects,
+    placement_types,
+)
 from pimentolatch.gateway import (
     body_exchange,
     client_request,
@@ -149,7 +154,7 @@
         resumed = progress.last_event > request.head.last_event
         options = http_headers.DispatchOptions(
             place.engine.server.server_id,
-            request.deadline - now - dispatch.RETURN_TIME,
+            request.deadline - now - answer_time.SHORTEST_RESERVE,
             urgency=place.level,
             prefill_source=None
             if prefilled is None
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -19,7 +19,6 @@
     "MAX_BODY_BYTES",
     "MAX_IDLE_FOR_UNREPEATABLE",
     "NOT_RUN_STATUSES",
-    "RETURN_TIME",
     "Abandonment",
     "Declined",
     "FullResponse",
@@ -52,8 +51,6 @@
 _MISDIRECTED = 421
 # Reports take milliseconds.
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=700)
-# Time reserved for returning the response to the client.
-RETURN_TIME = datetime.timedelta(milliseconds=10)
 # Statuses that tell a client that its request did not run. A server's response with one
 # of these is not forwarded, since the request may have run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/src/pimentolatch/gateway/peer_forwarder.py
+++ b/src/pimentolatch/gateway/peer_forwarder.py
@@ -261,7 +261,7 @@
             configuration=self._choice.required_configuration(self._fleet.version),
             started=possible_runs > 0,
         )
-        left = request.deadline - self._clock.monotonic() - dispatch.RETURN_TIME
+        left = request.answer_due - self._clock.monotonic()
         fields = http_headers.forwarded_fields(
             request.fields, request.head.api_keys, left, resumed
         )
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -206,7 +206,7 @@
     ) -> peer_forwarder.NotForwarded | dispatch.OutcomeUnknown | None:
         """Have a peer serve a request; None if its response is finished."""
         timeline.enter(lateness.Phase.PEER, self._clock.monotonic())
-        left = request.deadline - self._clock.monotonic() - dispatch.RETURN_TIME
+        left = request.answer_due - self._clock.monotonic()
         try:
             async with (
                 asyncio.timeout(left.total_seconds()),
@@ -331,7 +331,7 @@
                 self._crash_quarantine.record_completion(request)
 
     def _is_out_of_time(self, request: client_request.ClientRequest) -> bool:
-        return self._clock.monotonic() >= request.deadline - dispatch.RETURN_TIME
+        return self._clock.monotonic() >= request.answer_due
 
     def _may_leave(
         self,
@@ -402,7 +402,7 @@
         trace.timeline.enter(lateness.Phase.SERVER, now)
         listed = self._fleet.server_list_status(now)
         kept_ms = self._fleet.kept_ms(now, server.server_id)
-        left = request.deadline - now - dispatch.RETURN_TIME
+        left = request.answer_due - now
         options = http_headers.DispatchOptions(server.server_id, left)
         outcome: _Outcome = dispatch.OutcomeUnknown("cancelled")
         self._choice.begin(server)
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -65,7 +65,7 @@
         cost = loads.prefill_cost(place.tokens)
         options = http_headers.DispatchOptions(
             engine.server.server_id,
-            request.deadline - sent_at - dispatch.RETURN_TIME,
+            request.answer_due - sent_at,
             urgency=place.level,
             prefill_only=True,
             kv_source=request_progress.address_of(place.kv_source),
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -1,7 +1,10 @@
 """Forwards requests on stream routes to model engines."""
 
 import asyncio
+import contextlib
 import dataclasses
+import datetime
+from collections import abc
 
 from pimentolatch import clock
 from pimentolatch.decisions import (
@@ -169,25 +172,38 @@
         response: client_request.ClientResponse,
         progress: request_progress.Progress,
     ) -> None:
+        now = self._context.clock.monotonic()
+        due = _seconds_until(request.answer_due, now)
         try:
-            async with asyncio.timeout(
-                max(
-                    0.0,
-                    (
-                        request.deadline - self._context.clock.monotonic()
-                    ).total_seconds(),
-                )
-            ):
-                while progress.placements < request_progress.MAX_PLACEMENTS:
-                    if await self._attempt(request, response, progress):
-                        return
-                    now = self._context.clock.monotonic()
-                    progress.trace.timeline.dispatch_failed(now)
-                    progress.placements += not progress.withheld
+            async with asyncio.timeout(_seconds_until(request.deadline, now)) as limit:
+                with _ended_unless_started(response, limit, due):
+                    finished = await self._attempt_repeatedly(
+                        request, response, progress
+                    )
         except TimeoutError:
             await self._deadline_exceeded(request, response, progress)
             return
-        await request_progress.finish(response, progress)
+        if not finished:
+            await request_progress.finish(response, progress)
+
+    async def _attempt_repeatedly(
+        self,
+        request: client_request.ClientRequest,
+        response: client_request.ClientResponse,
+        progress: request_progress.Progress,
+    ) -> bool:
+        """Place and dispatch a request until its response is finished; see `_attempt`.
+
+        Returns:
+            Whether it is; False if no further attempt is allowed.
+        """
+        while progress.placements < request_progress.MAX_PLACEMENTS:
+            if await self._attempt(request, response, progress):
+                return True
+            now = self._context.clock.monotonic()
+            progress.trace.timeline.dispatch_failed(now)
+            progress.placements += not progress.withheld
+        return False
 
     async def _deadline_exceeded(
         self,
@@ -353,3 +369,29 @@
     ) -> bool:
         await request_progress.finish(response, progress)
         return True
+
+
+def _seconds_until(time: datetime.timedelta, now: datetime.timedelta) -> float:
+    return max(0.0, (time - now).total_seconds())
+
+
+@contextlib.contextmanager
+def _ended_unless_started(
+    response: client_request.ClientResponse, limit: asyncio.Timeout, seconds: float
+) -> abc.Generator[None, None, None]:
+    """End a time limit early if no response has been started by then.
+
+    A refusal at the limit itself would come when the client has left. A response that
+    has been started can't be refused any more, and may still end in time.
+    """
+
+    def end() -> None:
+        if not response.started and not limit.expired():
+            limit.reschedule(loop.time())
+
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(seconds, end)
+    try:
+        yield
+    finally:
+        timer.cancel()
--- /dev/null
+++ b/tests/features/answer_times.feature
@@ -0,0 +1,22 @@
+# A client counts its deadline from when it sends and leaves at that moment. The instance
+# reads the request later, and its answer takes a while to come back.
+Feature: Answers before the client leaves
+
+  # Guards against a 504 that is written when the client has left already.
+  Scenario Outline: A request at a silent server is answered before its client leaves
+    Given answers: a <kind> request with a deadline of <deadline> ms at a silent server
+    When answers: it takes <way> ms to arrive
+    Then answers: an answer that takes <way> ms to return finds the client there
+
+    Examples:
+      | kind   | deadline | way |
+      | plain  | 1000     | 15  |
+      | plain  | 2500     | 40  |
+      | stream | 1000     | 15  |
+      | stream | 8000     | 40  |
+
+  # Guards against streams that end early for the sake of an answer they have begun.
+  Scenario: A stream that has begun goes on until its deadline
+    Given answers: a stream request with a deadline of 8000 ms at a silent server
+    When answers: it has begun
+    Then answers: it ends at its deadline
--- /dev/null
+++ b/tests/features/steps/answer_times_steps.py
@@ -0,0 +1,142 @@
+import asyncio
+import datetime
+from unittest import mock
+
+import behave
+
+from pimentolatch.decisions import access
+from pimentolatch.gateway import client_request, plain_forwarder, stream_forwarder
+from pimentolatch.platform import configuration, http_headers
+from pimentolatch.requests import digests
+from tests.support import route_world, virtual_time
+
+MS = datetime.timedelta(milliseconds=1)
+KINDS = {"plain": "print", "stream": "draft"}
+
+
+def read_request(time, kind, deadline_ms):
+    """Return a request as the front end reads it now."""
+    spec = route_world.configuration(1, route_world.ROUTES)
+    known = configuration.decode(spec)
+    route = known.select("site.example", f"/{KINDS[kind]}/x")
+    fields = [
+        (b"x-request-id", b"r"),
+        (b"x-deadline-ms", b"%d" % deadline_ms),
+        (b"x-model", b"m"),
+        (b"x-token-counts", b"1200,20"),
+        (b"x-prompt-prefix", b"aa:800,r:400"),
+    ]
+    head = http_headers.parse_client_headers(fields)
+    return client_request.ClientRequest(
+        "POST",
+        b"/",
+        fields,
+        b"",
+        head,
+        route,
+        known.services[route.service_of("r")],
+        time.monotonic(),
+        client_request.TimeLimit.shorter_of(route.timeout, head.time_left, 1),
+        digests.RequestDigest(b"0" * 32),
+        access.Access(None, route.rank),
+    )
+
+
+class HeldStreams(stream_forwarder.StreamForwarder):
+    """Has each request at an engine that sends nothing more."""
+
+    begun = False
+
+    async def _attempt(self, request, response, progress):
+        progress.outcome_pending = True
+        if self.begun:
+            await response.start(200, [])
+        await asyncio.Event().wait()
+
+
+def plain_at_silent_server(time):
+    fleet, client, choice = mock.MagicMock(), mock.MagicMock(), mock.MagicMock()
+    flow, check, peers = mock.MagicMock(), mock.MagicMock(), mock.MagicMock()
+    fleet.servers.of_service.return_value = [choice.choose.return_value]
+    flow.withheld.return_value = frozenset()
+    check.refusal.return_value = None
+    peers.may_forward.return_value = False
+
+    async def fetch(server, request, options, *, delivery, **others):
+        delivery.sent_at = time.monotonic()
+        await asyncio.Event().wait()
+
+    client.fetch = fetch
+    others = [mock.MagicMock() for _ in range(5)]
+    budget, quarantine, usage, log, monitor = others
+    return plain_forwarder.PlainForwarder(
+        *(fleet, client, flow, choice, budget, quarantine, check),
+        *(usage, log, monitor, peers, time),
+    )
+
+
+def stream_at_silent_engine(time):
+    given = [mock.MagicMock() for _ in range(15)]
+    given[4] = time
+    return HeldStreams(*given)
+
+
+async def forward(context, way_ms):
+    """Forward a request that arrives late; note when something is written or ends."""
+    time, loop = virtual_time.LoopClock(), asyncio.get_running_loop()
+    context.sent_at = loop.time()
+    await asyncio.sleep(way_ms / 1000)
+    context.written_at = []
+
+    async def send(message):
+        context.written_at.append(loop.time())
+
+    scope = {"extensions": mock.MagicMock(), "method": "POST"}
+    response = client_request.ClientResponse(scope, send)
+    forwarder = (
+        stream_at_silent_engine(time)
+        if context.kind == "stream"
+        else plain_at_silent_server(time)
+    )
+    forwarder.begun = context.begun
+    request = read_request(time, context.kind, context.deadline_ms)
+    await forwarder.run(request, response)
+    context.status, context.ended_at = response.status, loop.time()
+
+
+def run(context, way_ms):
+    with asyncio.Runner(loop_factory=virtual_time.VirtualLoop) as runner:
+        runner.run(forward(context, way_ms))
+
+
+@behave.given(
+    "answers: a {kind} request with a deadline of {deadline:d} ms at a silent server"
+)
+def held(context, kind, deadline):
+    context.kind, context.deadline_ms, context.begun = kind, deadline, False
+
+
+@behave.when("answers: it takes {way:d} ms to arrive")
+def arrive(context, way):
+    run(context, way)
+
+
+@behave.when("answers: it has begun")
+def begin(context):
+    context.begun = True
+    run(context, 0)
+
+
+@behave.then(
+    "answers: an answer that takes {way:d} ms to return finds the client there"
+)
+def met(context, way):
+    assert context.status == 504, context.status
+    returned_after = context.written_at[-1] - context.sent_at + way / 1000
+    assert returned_after < context.deadline_ms / 1000, returned_after
+
+
+@behave.then("answers: it ends at its deadline")
+def at_deadline(context):
+    lasted = context.ended_at - context.sent_at
+    assert round(lasted * 1000) == context.deadline_ms, lasted
