--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peer_snapshots.py
@@ -24,7 +24,7 @@
     snapshot_attempts,
 )
 from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
-from pimentolatch.protocol import beacons, snapshots
+from pimentolatch.protocol import beacons, compression, snapshots
 
 __all__ = [
     "Fetch",
@@ -59,6 +59,8 @@
 # which requests wait.
 _MAX_ASKED = 3
 _NEXT_ASKED_AFTER = datetime.timedelta(milliseconds=50)
+# A smaller body fits into a few packets.
+_MIN_COMPRESSED_BYTES = 4096
 # A list of 3,800 servers has some 500 kB.
 _MAX_BYTES = 16_000_000
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -82,8 +84,25 @@
 Fetch = typing.Callable[[settings.Address, str, Progress], abc.Awaitable[Response]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Content:
+    """An encoded snapshot, as it is and, if it is large, compressed."""
+
+    plain: bytes
+    compressed: compression.CompressedBody | None
+
+    @classmethod
+    def of(cls, plain: bytes) -> typing.Self:
+        """Return the content with this encoded snapshot."""
+        is_large = len(plain) >= _MIN_COMPRESSED_BYTES
+        return cls(plain, compression.compress(plain) if is_large else None)
+
+
 class SnapshotEndpoint:
-    """ASGI application that serves this instance's snapshots to peers."""
+    """ASGI application that serves this instance's snapshots to peers.
+
+    A configuration is encoded once: dozens of peers fetch it within a second.
+    """
 
     def __init__(
         self,
@@ -94,17 +113,23 @@
         self._fleet = fleet
         self._expired = expired_servers
         self._clock = time
+        self._configuration = _Content(b"", None)
+        self._encoded_version: int | None = None
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one request; 404 if there is nothing to serve."""
         versions = scope.get("query_string", b"") == _VERSIONS.encode()
-        body = self._body(scope["path"], versions=versions)
+        content = self._content(scope["path"], versions=versions)
+        body, coding = content.plain, []
+        if content.compressed and compression.is_accepted(scope.get("headers", ())):
+            body, coding = content.compressed.content, [content.compressed.field]
         age = self._clock.monotonic() - self._fleet.servers_confirmed_at
         fields = [
             (b"content-length", b"%d" % len(body)),
             (_LIST_AGE, b"%d" % math.ceil(age / _MILLISECOND)),
+            *coding,
         ]
         if unconfirmed := self._fleet.doubted_servers[:_MAX_NAMED]:
             names = ",".join(server.server_id for server in unconfirmed)
@@ -114,20 +139,24 @@
         await send(start)
         await send({"type": "http.response.body", "body": body})
 
-    def _body(self, path: str, *, versions: bool) -> bytes:
+    def _content(self, path: str, *, versions: bool) -> _Content:
         fleet = self._fleet
         if path == _CONFIGURATION:
-            snapshot = snapshots.Configuration(fleet.configuration_spec)
-            return snapshots.encode_configuration(snapshot)
+            return self._encoded_configuration()
         if path == _SERVERS and fleet.servers_listed:
             listed = tuple(fleet.listed_servers())
-            return snapshots.encode_servers(
-                snapshots.Servers(
-                    fleet.servers_revision, listed, self._expired.remaining()
-                ),
-                versions=versions,
+            snapshot = snapshots.Servers(
+                fleet.servers_revision, listed, self._expired.remaining()
             )
-        return b""
+            return _Content.of(snapshots.encode_servers(snapshot, versions=versions))
+        return _Content(b"", None)
+
+    def _encoded_configuration(self) -> _Content:
+        if self._encoded_version != self._fleet.version:
+            snapshot = snapshots.Configuration(self._fleet.configuration_spec)
+            self._configuration = _Content.of(snapshots.encode_configuration(snapshot))
+            self._encoded_version = self._fleet.version
+        return self._configuration
 
 
 @dataclasses.dataclass(slots=True)
@@ -464,9 +493,14 @@
     connection = await channel.connect(address, _CONNECT_TIMEOUT)
     try:
         host = f"{address.host}:{address.port}".encode()
-        connection.send("GET", path.encode(), [(b"host", host)], b"")
+        fields = [(b"host", host), compression.ACCEPTED]
+        connection.send("GET", path.encode(), fields, b"")
         head = await connection.read_head()
-        body = await connection.read_body(_MAX_BYTES, progress)
+        content = await connection.read_body(_MAX_BYTES, progress)
+        try:
+            body = compression.decompress(content, head.fields, _MAX_BYTES)
+        except compression.CompressionError as error:
+            raise channel.BrokenError(f"snapshot: {error}") from error
         return Response(tuple(head.fields), body)
     finally:
         connection.close()
