Let a response of the store go on while it arrives

The limit now bounds the silence of the store: before the response as before, and then between its parts. A response that keeps arriving has five seconds more at most.

Evidence: the scenario of a listing in parts failed on the code before (no answer within 1 s); the one beside it guards against a store that stops in its midst, which ends the call as before.

--- a/src/pimentolatch/platform/objects.py
+++ b/src/pimentolatch/platform/objects.py
@@ -24,6 +24,9 @@
 _log = logbook.Logger("store")
 # A page of a list is about 1 MB; changes of some thousand objects come at once.
 _MAX_RESPONSE_BYTES = 16_000_000
+# A response that keeps arriving may take this much longer than one that is silent. On a
+# slow link, a call that is begun anew would take as long again.
+_LONGEST_TRANSFER = datetime.timedelta(seconds=5)
 _JSON = [(b"content-type", b"application/json")]
 # Exceptions raised by reading a response that has another form than expected.
 _FORM_ERRORS = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
@@ -37,7 +40,8 @@
 
     Args:
         address: Address of the store.
-        call_timeout: Time limit of a call; for a watch its wait is added.
+        call_timeout: How long the store may be silent within a call; for a watch its
+            wait is added before the response.
     """
 
     def __init__(
@@ -170,10 +174,15 @@
         except channel.ConnectError as error:
             return store.Unavailable(str(error), effect_unknown=False)
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with (
+                asyncio.timeout((limit + _LONGEST_TRANSFER).total_seconds()),
+                asyncio.timeout(limit.total_seconds()) as silence,
+            ):
                 link.send(method, target.encode(), [(b"host", host), *_JSON], data)
                 start = await link.read_head()
-                content = await link.read_body(_MAX_RESPONSE_BYTES)
+                content = await link.read_body(
+                    _MAX_RESPONSE_BYTES, lambda size: self._put_off(silence)
+                )
             parsed = bounded_json.loads(content or b"null")
         except TimeoutError:
             reason = f"no answer within {limit.total_seconds():g} s"
@@ -193,6 +202,11 @@
         """Close the pooled connections."""
         self._pool.close()
 
+    def _put_off(self, silence: asyncio.Timeout) -> None:
+        """Let a response go on that is still arriving."""
+        left = self._call_timeout.total_seconds()
+        silence.reschedule(asyncio.get_running_loop().time() + left)
+
     def _silent(
         self, link: channel.Channel, reason: str, is_write: bool
     ) -> store.Unavailable:
--- a/tests/features/large_snapshots.feature
+++ b/tests/features/large_snapshots.feature
@@ -33,3 +33,14 @@
       | cut in the middle  |
       | changed            |
       | larger than may be |
+
+  # Guards against a listing that a slow link can't carry within the limit of one call,
+  # so that it is begun anew without an end.
+  Scenario: A listing of the store that arrives slowly is read to its end
+    When snapshots: the store sends a listing in 8 parts, 0.2 seconds apart
+    Then snapshots: a reader that allows 1 second of silence has it
+
+  # Guards against a reader that waits for a store that has fallen silent.
+  Scenario: A listing of the store that stops in its midst ends the call
+    When snapshots: the store sends a listing in 2 parts, 60 seconds apart
+    Then snapshots: a reader that allows 1 second of silence goes without it
--- a/tests/features/steps/large_snapshots_steps.py
+++ b/tests/features/steps/large_snapshots_steps.py
@@ -1,13 +1,14 @@
 import asyncio
 import datetime
+import json
 
 import behave
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
 from pimentolatch.entry import http_server
 from pimentolatch.gateway import expired_entries, fleet_state, peer_snapshots
-from pimentolatch.platform import configuration
+from pimentolatch.platform import configuration, objects
 from pimentolatch.protocol import compression, snapshots
 from tests.support import route_world
 
@@ -97,3 +98,39 @@
     except compression.CompressionError:
         return
     raise AssertionError(len(whole))
+
+
+async def listed(count, pause_s):
+    """Return what a reader of a store gets that sends its listing in parts."""
+    body = json.dumps({"items": [], "has_more": False, "as_of": 7}).encode()
+    cuts = [len(body) * part // count for part in range(count + 1)]
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body))
+        for begin, end in zip(cuts, cuts[1:], strict=False):
+            writer.write(body[begin:end])
+            await asyncio.sleep(pause_s)
+
+    host, port = route_world.HOST, route_world.free_port()
+    async with await asyncio.start_server(answer, host, port):
+        address = settings.Address(host=host, port=port)
+        reader = objects.ObjectStore(address, SECOND, clock.SystemClock())
+        return await reader.list_objects("servers")
+
+
+@behave.when(
+    "snapshots: the store sends a listing in {count:d} parts, {pause:g} seconds apart"
+)
+def send_slowly(context, count, pause):
+    context.listing = asyncio.run(listed(count, pause))
+
+
+@behave.then("snapshots: a reader that allows 1 second of silence has it")
+def has_listing(context):
+    assert context.listing == store.Listing(7, ()), context.listing
+
+
+@behave.then("snapshots: a reader that allows 1 second of silence goes without it")
+def has_none(context):
+    assert isinstance(context.listing, store.Unavailable), context.listing
