--- /dev/null
+++ b/tests/features/steps/odd_answers_steps.py
@@ -0,0 +1,57 @@
+import asyncio
+
+import behave
+
+from tests.support import closing_server, route_world
+
+STREAMS = ("draft", "digest")
+HEADS = {
+    "a control character in a field": b"HTTP/1.1 200 OK\r\nx-note: a\x01b\r\n",
+    "the status 799": b"HTTP/1.1 799 Odd\r\n",
+}
+
+
+class OddServer(closing_server.ClosingServer):
+    """Answers with a head of its own."""
+
+    async def _answer(self, writer):
+        body = closing_server.PLAIN if self._stage is None else closing_server.EVENTS
+        writer.write(HEADS[self._ending] + closing_server.SEAL)
+        writer.write(b"\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+        await writer.drain()
+
+
+@behave.given('odd answers: a server whose answers of "{route}" have {oddity}')
+def server(context, route, oddity):
+    context.route_runner = asyncio.Runner()
+    context.world = route_world.RouteWorld()
+    service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
+    odd = OddServer("odd", service, stage, oddity)
+
+    async def start():
+        await context.world.start_store()
+        await context.world.configure(1)
+        await odd.start()
+        context.world.extra_servers.append(odd)
+        await context.world.write("servers", odd.name, odd.entry())
+        await context.world.add_instance()
+
+    context.route_runner.run(start())
+
+
+@behave.when('odd answers: "{route}" is asked for')
+def ask(context, route):
+    context.reply = context.route_runner.run(context.world.ask(route, "asked"))
+
+
+@behave.then("odd answers: the client gets a whole answer")
+def whole(context):
+    reply = context.reply
+    assert (reply.status, reply.complete) == (200, True), reply
+    assert reply.body in (closing_server.PLAIN, closing_server.EVENTS)
+    assert reply.fields["x-note"] == "a b"
+
+
+@behave.then("odd answers: the client gets 502")
+def unknown(context):
+    assert context.reply.status == 502, context.reply
