Refuse plain requests in time while a path to servers is probed

What callers saw: nothing until their deadline, and a refusal long after it. A request that reached no server waits for the probes of its servers' path, 0.7 s and 50 ms for each further one, and no deadline ended that wait; streams have one around everything.

Mend: the wait ends when the request is out of time.

--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests whose response is returned complete by one server."""
 
 import asyncio
+import contextlib
 import datetime
 import functools
 import typing
@@ -174,7 +175,7 @@
                 continue
             attempts += 1
             if isinstance(outcome, dispatch.NotSent):
-                await self._monitor.check(server)
+                await self._check_path(server, request)
                 continue
             dispatches += 1
             if isinstance(outcome, dispatch.Declined):
@@ -190,7 +191,7 @@
                 if self._is_out_of_time(request):
                     self._monitor.suspect(server)
                     break
-                await self._monitor.check(server)
+                await self._check_path(server, request)
         if possible_runs == 0 and await self._refused_by_limits(
             request, response, outcome
         ):
@@ -330,6 +331,15 @@
             if isinstance(outcome, dispatch.FullResponse) and _successful(outcome):
                 self._crash_quarantine.record_completion(request)
 
+    async def _check_path(
+        self, server: servers.Server, request: client_request.ClientRequest
+    ) -> None:
+        """Find out whether the path to servers is lost, while the request has time."""
+        left = request.answer_due - self._clock.monotonic()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left.total_seconds()):
+                await self._monitor.check(server)
+
     def _is_out_of_time(self, request: client_request.ClientRequest) -> bool:
         return self._clock.monotonic() >= request.answer_due
 
