Tell clients that a request has not run if no server got its body in time

What callers saw: 504, "the time limit passed while the request ran", for requests of which no server had more than the head: it stood still, or its connection was still being opened. 504 promises nothing, so a request that may not be repeated is lost, also where the route's limit ended it and its client had time left.

Cause: plain requests counted each dispatch without an answer as one that may have run, and streams each dispatch in flight; since bodies are held back, a whole request may not have been sent.

Mend: what has been sent decides, as it does where a request leaves a silent server. The refusal is 503 (code 202) with a time to come back.

Of refused_in_time.feature all four new rows fail on the code before (504).

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -82,12 +82,9 @@
         )
         try:
             sent_at = self._context.clock.monotonic()
-            # If the deadline passes before the outcome is known, the engine may be
-            # decoding, so the client must not be told that the request did not run.
-            progress.outcome_pending = True
             self._begin_phase(generation, prefilled, sent_at)
             opened = await self._open(generation, prefilled)
-            progress.outcome_pending = False
+            progress.delivery = None
             progress.withheld = isinstance(opened, dispatch.Withheld)
             self._context.log_sent(
                 request, engine, "run", opened, sent_at, prefilled=prefilled
@@ -165,7 +162,9 @@
             else None,
         )
         repeatable = request.route.repeatable
-        delivery = body_exchange.Delivery(repeatable)
+        # If the deadline passes before the outcome is known, an engine that was sent
+        # the whole request may be decoding.
+        progress.delivery = delivery = body_exchange.Delivery(repeatable)
         call = self._context.client.open(
             place.engine.server,
             request,
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -45,6 +45,7 @@
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=150)
 _NO_TIME = datetime.timedelta()
 _NO_ANSWER_IN_TIME = "no answer in time"
+_NOT_SENT_IN_TIME = "not sent whole in time"
 # Most attempts for one request: those that reached no server and those declined count,
 # those whose permit another request took first do not.
 _MAX_ATTEMPTS = 4
@@ -393,6 +394,8 @@
                             "not asked for the body", unresponsive=True
                         )
                     break
+            if delivery.sent_at is None:
+                return dispatch.NotSent(_NOT_SENT_IN_TIME, unresponsive=True)
             return dispatch.OutcomeUnknown(_NO_ANSWER_IN_TIME)
         finally:
             task.cancel()
@@ -511,6 +514,13 @@
             await response.send_full(last.status, last.head.fields, last.body)
             return
         await response.refuse(refusals.outcome_unknown(f"server status {last.status}"))
+    elif (
+        possible_runs == 0
+        and isinstance(last, dispatch.NotSent)
+        and last.reason == _NOT_SENT_IN_TIME
+    ):
+        retry_after = wait_policy.retry_after(request.jitter)
+        await response.refuse(refusals.not_run_in_time(retry_after))
     elif possible_runs == 0:
         await response.refuse(refusals.no_server(request.service.name))
     elif (
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -14,6 +14,7 @@
     wait_policy,
 )
 from pimentolatch.gateway import (
+    body_exchange,
     cache_updates,
     client_request,
     dispatch,
@@ -207,7 +208,7 @@
         trace: Tells why its answer was late.
         failed: Engines that failed or declined it.
         possible_runs: Engines that may have started to decode.
-        outcome_pending: A dispatch is in flight whose outcome is not known yet.
+        delivery: How far the dispatch in flight has got; None if its outcome is known.
         unanswered: A dispatch has got no answer, or only a part of it.
         withheld: The last dispatch was not sent, for want of a permit.
         placements: Placements that were tried, as `MAX_PLACEMENTS` counts them.
@@ -231,7 +232,7 @@
     trace: late_answers.Trace
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
-    outcome_pending: bool = False
+    delivery: body_exchange.Delivery | None = None
     unanswered: bool = False
     withheld: bool = False
     placements: int = 0
@@ -247,6 +248,11 @@
     demand_counted: bool = False
     usage_counted: bool = False
 
+    @property
+    def outcome_pending(self) -> bool:
+        """Whether a server may run the request that has not answered yet."""
+        return self.delivery is not None and self.delivery.sent_at is not None
+
 
 @dataclasses.dataclass(slots=True)
 class Generation:
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -3,6 +3,7 @@
 from pimentolatch.backend import channel
 from pimentolatch.decisions import lateness, repeat_budget
 from pimentolatch.gateway import (
+    body_exchange,
     client_request,
     dispatch,
     event_relay,
@@ -49,14 +50,14 @@
         resumed = None
         if progress.last_event > request.head.last_event:
             resumed = http_headers.Resumption(progress.last_event, request.origin_id)
-        progress.outcome_pending = True
+        progress.delivery = body_exchange.Delivery(sent_at=now)
         progress.trace.timeline.enter(lateness.Phase.PEER, now)
         async with self._context.peers.open(
             request,
             possible_runs=progress.possible_runs,
             resumed=resumed,
         ) as opened:
-            progress.outcome_pending = False
+            progress.delivery = None
             if isinstance(opened, peer_forwarder.NotForwarded):
                 progress.trace.timeline.dispatch_failed(self._context.clock.monotonic())
                 return None
--- a/tests/features/refused_in_time.feature
+++ b/tests/features/refused_in_time.feature
@@ -12,3 +12,16 @@
       | route  |
       | print  |
       | notify |
+
+  # Guards against "it may have run" for requests of which no server has got the body.
+  Scenario Outline: "<route>" is refused as not run if no server asks for its body
+    Given in time: an instance whose server of "<route>" reads nothing
+    When in time: "<route>" is asked for with 1 second left
+    Then in time: it is refused as not run
+
+    Examples:
+      | route  |
+      | print  |
+      | notify |
+      | draft  |
+      | digest |
--- a/tests/features/steps/refused_in_time_steps.py
+++ b/tests/features/steps/refused_in_time_steps.py
@@ -6,13 +6,32 @@
 
 from pimentolatch import results
 from pimentolatch.gateway import dispatch
-from tests.support import route_world
+from tests.support import closing_server, route_world
+
+STREAMS = ("draft", "digest")
 
 
 async def never(*_):
     await asyncio.Event().wait()
 
 
+class DeafServer(closing_server.ClosingServer):
+    """Accepts connections and reads nothing."""
+
+    async def start(self):
+        self._stopped = asyncio.Event()
+        await super().start()
+
+    async def stop(self):
+        await super().stop()
+        self._stopped.set()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader, writer):
+        await self._stopped.wait()
+        writer.close()
+
+
 def start(context):
     """Start a world with one instance; return its plain server."""
     context.route_runner = asyncio.Runner()
@@ -39,6 +58,25 @@
     context.add_cleanup(endless.stop)
 
 
+@behave.given('in time: an instance whose server of "{route}" reads nothing')
+def deaf(context, route):
+    context.route_runner = asyncio.Runner()
+    context.world = route_world.RouteWorld()
+    service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
+    context.route_runner.run(start_deaf(context.world, service, stage))
+
+
+async def start_deaf(world, service, stage):
+    """Start an instance with one server, which accepts connections."""
+    await world.start_store()
+    await world.configure(1)
+    server = DeafServer("deaf", service, stage, "")
+    await server.start()
+    world.extra_servers.append(server)
+    await world.write("servers", server.name, server.entry())
+    await world.add_instance()
+
+
 @behave.when('in time: "{route}" is asked for with 1 second left')
 def ask(context, route):
     asked = context.world.ask(route, "asked", body=b"body", x_deadline_ms="1000")
