Have waiting requests look again before they have to be refused

What callers saw: nothing until their deadline; the refusal left up to some 20 ms after it.

Cause: a request that waits for a server or an engine may do so while its client waits for over 200 ms more, but of a rank from 3 on it pauses for up to 225 ms before it looks again.

Mend: a pause ends when the request would be refused, after one more look.

The scenario's row of rank 3 and 201 ms had a pause of 225 ms on the code before (there the function does not know of the wait, so the rows fail with an error).

--- a/src/pimentolatch/decisions/wait_policy.py
+++ b/src/pimentolatch/decisions/wait_policy.py
@@ -91,15 +91,21 @@
             counts[rank] -= 1
 
 
-def recheck_interval(rank: int, jitter: float) -> datetime.timedelta:
+def recheck_interval(
+    rank: int, jitter: float, client_wait: datetime.timedelta
+) -> datetime.timedelta:
     """Return the pause before a waiting request checks for an engine again.
 
+    It ends before the request has to be refused.
+
     Args:
         rank: Rank of its route, 0 first.
         jitter: Uniform random number from 0 to 1 of the request.
+        client_wait: How much longer its client waits; see `may_wait`.
     """
     milliseconds = _RECHECK_MS + _RANK_MS * min(rank, _MAX_RANKS)
-    return datetime.timedelta(milliseconds=milliseconds * (0.75 + 0.5 * jitter))
+    pause = datetime.timedelta(milliseconds=milliseconds * (0.75 + 0.5 * jitter))
+    return min(pause, client_wait - _MARGIN)
 
 
 def client_timeout(
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -312,7 +312,7 @@
         if wait > left or not wait_policy.may_wait(left, self._waiting.total):
             return False
         with self._waiting.counted(request.service.name, request.rank):
-            pause = wait_policy.recheck_interval(request.rank, request.jitter)
+            pause = wait_policy.recheck_interval(request.rank, request.jitter, left)
             await self._clock.sleep(pause)
         return self._dispatch_check.refusal(request) is None
 
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -110,7 +110,7 @@
         if not wait_policy.may_wait(left, self._waiting.total):
             return False
         with self._waiting.counted(request.service.name, request.order):
-            pause = wait_policy.recheck_interval(request.rank, request.jitter)
+            pause = wait_policy.recheck_interval(request.rank, request.jitter, left)
             await self._context.clock.sleep(pause)
         # An engine that failed this request before may serve it now; engines that keep
         # failing are excluded for a while for all requests.
--- a/tests/features/routes_waiting.feature
+++ b/tests/features/routes_waiting.feature
@@ -72,6 +72,18 @@
   Scenario: Requests of a higher rank look for a returning engine more often
     Then waiting: rank 0 looks again sooner than rank 1 and rank 1 sooner than rank 2
 
+  # Guards against refusals after their clients have left, since the pause before them is
+  # longer than what is left for them.
+  Scenario Outline: A request looks again before it has to be refused
+    Then waiting: a request of rank <rank> whose client waits for <wait> ms looks again within <most> ms
+
+    Examples:
+      | rank | wait | most |
+      | 0    | 201  | 1    |
+      | 3    | 201  | 1    |
+      | 3    | 300  | 100  |
+      | 3    | 1000 | 225  |
+
   # More wait than an engine can serve when it is back: all of them would be late.
   Scenario: Only so many requests wait in one instance
     Then waiting: with 48 requests waiting one more is refused
--- a/tests/features/steps/routes_waiting_steps.py
+++ b/tests/features/steps/routes_waiting_steps.py
@@ -91,10 +91,20 @@
     "waiting: rank 0 looks again sooner than rank 1 and rank 1 sooner than rank 2"
 )
 def sooner(context):
-    pauses = [wait_policy.recheck_interval(rank, 0.5) for rank in range(3)]
+    pauses = [wait_policy.recheck_interval(rank, 0.5, SECOND) for rank in range(3)]
     assert pauses == sorted(pauses) and len(set(pauses)) == 3, pauses
 
 
+@behave.then(
+    "waiting: a request of rank {rank:d} whose client waits for {wait:d} ms looks "
+    "again within {most:d} ms"
+)
+def looks_in_time(context, rank, wait, most):
+    left = SECOND / 1000 * wait
+    assert wait_policy.may_wait(left, 0)
+    assert wait_policy.recheck_interval(rank, 1.0, left) <= SECOND / 1000 * most
+
+
 @behave.then("waiting: with {count:d} requests waiting one more is refused")
 def bounded(context, count):
     assert wait_policy.may_wait(SECOND, count - 1)
