Answer the requests that are left when the grace period of a stop ends

What callers saw: a connection that closes without an answer, 0.4 s before the end of the grace period, for requests that wait for room, for a connection or for an answer then.

Cause: the stop resets all connections at that time, whatever their requests wait for.

Mend: at that time the work on each request is cancelled and its client is told: 503 and not run if no server can have it, with a time to come back, else 502. The connections are reset once all are told, 0.1 s later at most. A response that has begun is cut, as before.

unanswered_requests.feature: both new rows fail on the code before (no byte came); its other rows pass on both.

--- a/src/pimentolatch/entry/graceful_shutdown.py
+++ b/src/pimentolatch/entry/graceful_shutdown.py
@@ -16,14 +16,16 @@
     """Admits requests until the instance stops, and waits for those in flight.
 
     A stop has two steps: `announce_stop` ends readiness while requests are still
-    served, and `stop` refuses new ones.
+    served, and `stop` refuses new ones. `end_requests` ends those that are left.
     """
 
     def __init__(self) -> None:
         self._in_flight = 0
         self._stopping = False
         self._announced = False
+        self._ending = False
         self._aborting = False
+        self._on_end: set[abc.Callable[[], object]] = set()
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -37,6 +39,11 @@
         """Whether new requests are refused."""
         return self._stopping
 
+    @property
+    def ending(self) -> bool:
+        """Whether requests in flight are being answered without their result."""
+        return self._ending
+
     @property
     def aborting(self) -> bool:
         """Whether requests in flight are being cut off."""
@@ -55,6 +62,23 @@
         """Refuse new requests from now on."""
         self._stopping = True
 
+    def end_requests(self) -> None:
+        """Have the requests in flight answered at once, whatever they wait for."""
+        self._ending = True
+        for call in tuple(self._on_end):
+            call()
+
+    @contextlib.contextmanager
+    def ended_by(self, call: abc.Callable[[], object]) -> abc.Iterator[None]:
+        """Name what `end_requests` has to call while the context is open."""
+        self._on_end.add(call)
+        if self._ending:
+            call()
+        try:
+            yield
+        finally:
+            self._on_end.discard(call)
+
     def announce_abort(self) -> None:
         """Record that requests in flight are being cut off."""
         self._aborting = True
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -318,13 +318,18 @@
         )
         disconnect = asyncio.create_task(_wait_for_disconnect(scope, receive))
         try:
-            await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
+            with self._shutdown.ended_by(disconnect.cancel):
+                await asyncio.wait(
+                    {work, disconnect}, return_when=asyncio.FIRST_COMPLETED
+                )
             is_ended_here = not work.done()
             if is_ended_here:
                 half_close = scope["extensions"].get(bounded_http.HALF_CLOSE_EXTENSION)
                 if self._shutdown.aborting:
                     response.cut_off()
                     work.cancel()
+                elif self._shutdown.ending:
+                    await self._end_at_stop(response, work, generation=engines)
                 elif half_close is None:
                     response.outcome = client_request.CLIENT_LEFT
                     work.cancel()
@@ -345,6 +350,24 @@
             work.cancel()
             self._log_response(request, response)
 
+    async def _end_at_stop(
+        self,
+        response: client_request.ClientResponse,
+        work: asyncio.Task[None],
+        *,
+        generation: bool,
+    ) -> None:
+        """End the work on a request for which this instance has no time left."""
+        work.cancel()
+        await asyncio.wait({work})
+        if not work.cancelled():
+            return
+        if response.started:
+            response.abort(client_request.CUT_OFF)
+        else:
+            dispatched = generation or response.dispatched
+            await response.refuse(refusals.stopped(dispatched=dispatched))
+
     async def _end_half_closed(
         self,
         request: client_request.ClientRequest,
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -59,6 +59,8 @@
 # The last requests are aborted this long before the grace period ends, so that the
 # process exits before it is killed.
 _ABORT_MARGIN = datetime.timedelta(milliseconds=400)
+# Time within that to write the last answers.
+_LAST_ANSWERS = datetime.timedelta(milliseconds=100)
 
 
 class GatewayInstance:
@@ -467,9 +469,11 @@
         await asyncio.wait({closing}, timeout=remaining.total_seconds())
         if not closing.done():
             _log.warn(
-                "requests aborted at the end of the grace period",
+                "requests ended at the end of the grace period",
                 n=self._shutdown.in_flight,
             )
+            self._shutdown.end_requests()
+            await self._shutdown.wait_drained(_LAST_ANSWERS)
             closing.cancel()
         await self.abort()
         _log.info("stopped")
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -21,12 +21,14 @@
     "not_run_in_time",
     "outcome_unknown",
     "overloaded",
+    "stopped",
     "unknown_key",
     "version_unavailable",
 ]
 
 _NO_CONFIGURATION_RETRY = datetime.timedelta(seconds=1)
 _CLIENT_CLOSED = "the client closed its sending side"
+_STOPPED = "this instance stopped before the request was answered"
 _NO_SERVER_RETRY = datetime.timedelta(milliseconds=500)
 _VERSION_RETRY = datetime.timedelta(seconds=1)
 _FAILED_RETRY = datetime.timedelta(milliseconds=500)
@@ -162,6 +164,22 @@
     )
 
 
+def stopped(*, dispatched: bool) -> results.Refusal:
+    """Refuse a request that this instance has no time to complete before it stops.
+
+    Args:
+        dispatched: Whether a server may have received it.
+    """
+    if dispatched:
+        return outcome_unknown(_STOPPED)
+    return results.Refusal(
+        results.ResultCode.STOPPING,
+        _STOPPED,
+        results.Execution.NOT_RUN,
+        _NO_SERVER_RETRY,
+    )
+
+
 def body_too_large(limit: int) -> results.Refusal:
     """Refuse a body over the limit."""
     return results.Refusal(
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import datetime
 import json
 import re
 import socket
@@ -16,6 +17,8 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 LATE_S = 0.15
+# Little more than an instance takes until it refuses new requests.
+GRACE_S = 3.5
 
 
 async def echo(scope, receive, send):
@@ -234,6 +237,37 @@
     assert [(line["outcome"], line["cut"]) for line in lines()] == [(outcome, True)]
 
 
+@behave.when("unanswered: the grace period ends as a request {waits}")
+def grace_ends(context, waits):
+    instance, flow = context.instance, context.instance.flow
+    chosen = context.world.settings("one")
+    bounds = chosen.bounds.model_copy(update={"stop_grace_s": GRACE_S})
+    chosen = chosen.model_copy(update={"bounds": bounds})
+    full = mock.patch.multiple(
+        flow,
+        withheld=lambda listed, **_: {server.incarnation for server in listed},
+        permit_wait=lambda listed, ahead: datetime.timedelta(),
+    )
+
+    async def stop():
+        instance.apply(chosen)
+        asked = asyncio.create_task(context.world.ask("notify", "waits"))
+        await context.world.until(lambda: instance.in_flight)
+        await instance.stop()
+        return await asked
+
+    with full if "room" in waits else contextlib.nullcontext():
+        context.reply = context.route_runner.run(stop())
+
+
+@behave.then("unanswered: it gets {status:d}, {execution}")
+def ended_with(context, status, execution):
+    assert context.reply.status == status, context.reply
+    error = json.loads(context.reply.body)["error"]
+    not_run = error["execution"] == results.Execution.NOT_RUN.value
+    assert not_run == (execution == "not run"), error
+
+
 @behave.when("unanswered: a request comes that the instance fails on")
 def fails_on(context):
     failure = mock.patch.object(
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -46,6 +46,18 @@
     When unanswered: the instance aborts as a request runs
     Then unanswered: its outcome is logged as "cut off by the stop of this instance"
 
+  # Guards against requests that get neither an answer nor a refusal, since the grace
+  # period ends while they wait.
+  Scenario Outline: A request that <waits> as the grace period ends gets <answer>
+    Given unanswered: an instance with a server that does not answer
+    When unanswered: the grace period ends as a request <waits>
+    Then unanswered: it gets <answer>
+
+    Examples:
+      | waits              | answer           |
+      | waits for room     | 503, not run     |
+      | waits for a server | 502, may have run |
+
   # Guards against failures of an instance that end in an answer of the HTTP library.
   Scenario: A request that an instance fails on before it forwards it is refused
     Given unanswered: an instance with a server that does not answer
