Send no body to a server that has answered and closes

Callers got 502, "outcome unknown", in place of a server's whole answer (413 or 200 here) if the server answered before it asked for the body, announced that it closes the connection, and was still sending. The body was sent after that answer all the same, so that the connection could be used again. It arrived at a connection that its server had closed; the server's kernel reset it, and the rest of the answer was lost. A short answer arrives whole before that.

The body stays unsent if the early answer has "connection: close" or ends with its connection. Nobody can use the connection afterwards, so nothing is lost; one that stays open gets the body as before.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -182,6 +182,8 @@
         # Whether the peer has asked for the body of the current request, and whether it
         # has answered without it.
         self.body_requested = self.answered_early = False
+        # Whether it closes the connection after that answer.
+        self.ends_early = False
         self._parsed_bytes = 0
         self._body_bytes = 0
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
@@ -253,7 +255,7 @@
             self._parser.start_next_cycle()
         self._parsed_bytes = self._body_bytes = 0
         self._early_head = None
-        self.body_requested = self.answered_early = False
+        self.body_requested = self.answered_early = self.ends_early = False
         headers = list(fields)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"content-length", b"%d" % len(body)))
@@ -282,6 +284,7 @@
             if not isinstance(event, h11.InformationalResponse):
                 self._early_head = self._response_head(event)
                 self.answered_early = True
+                self.ends_early = _ends_connection(self._early_head)
                 return False
             self._note_body_request(event)
             if self.body_requested:
@@ -426,6 +429,14 @@
     return min(stated - _KEEP_ALIVE_MARGIN, _MAX_KEEP_ALIVE)
 
 
+def _ends_connection(head: ResponseHead) -> bool:
+    """Return whether a peer closes the connection after a response."""
+    if any(n == b"connection" and b"close" in v.lower() for n, v in head.fields):
+        return True
+    framing = {b"content-length", b"transfer-encoding"}
+    return framing.isdisjoint(name for name, _ in head.fields)
+
+
 async def connect(
     address: settings.Address,
     limit: datetime.timedelta,
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -402,8 +402,10 @@
             await self._wait_until_current()
             if not (self._accepts(server) and may_send()):
                 return False
-        # Also after an early answer, so that the connection can be used again.
-        link.send_body()
+        # Also after an early answer, so that the connection can be used again. A server
+        # that closes it would reset it, and the rest of its answer would be lost.
+        if not link.ends_early:
+            link.send_body()
         return True
 
     @contextlib.contextmanager
--- a/tests/features/body_requests.feature
+++ b/tests/features/body_requests.feature
@@ -22,6 +22,12 @@
     When body: 3 requests are sent to it, one after the other
     Then body: all are declined, over 1 connection
 
+  # Guards against answers that are lost since the server resets a late body.
+  Scenario: A server that answers before the body and closes is heard to the end
+    Given body: a server that answers at length and closes
+    When body: 2 requests are sent to it, one after the other
+    Then body: both get the whole answer
+
   # Guards against servers that count as deaf since they declined their first request.
   Scenario: A server that declined its first request is still asked first
     Given body: a server that declines
--- a/tests/features/steps/body_requests_steps.py
+++ b/tests/features/steps/body_requests_steps.py
@@ -161,6 +161,13 @@
     assert {r.connection for r in context.world.server.requests} == {1}
 
 
+@behave.then("body: both get the whole answer")
+def whole_answers(context):
+    outcomes = context.world.outcomes
+    found = [(o.status, len(o.body)) for o in outcomes if hasattr(o, "body")]
+    assert found == [(413, interim_server.LONG_BODY_BYTES)] * 2, outcomes
+
+
 @behave.then("body: it gets no other body when it goes on")
 def no_other_body(context):
     server = context.world.server
--- a/tests/support/interim_server.py
+++ b/tests/support/interim_server.py
@@ -3,11 +3,18 @@
 import asyncio
 import dataclasses
 
-__all__ = ["InterimServer", "Received"]
+__all__ = ["LONG_BODY_BYTES", "InterimServer", "Received"]
+
+# More than is on its way at once, so that the server is still sending when it closes.
+LONG_BODY_BYTES = 1_000_000
 
 _ASK = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HINT = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 _ANSWER = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-length: 2\r\n\r\nok"
+_LONG_ANSWER = (
+    b"HTTP/1.1 413 Content Too Large\r\nconnection: close\r\n"
+    b"content-length: %d\r\n\r\n" % LONG_BODY_BYTES
+) + bytes(LONG_BODY_BYTES)
 _REJECT = b"HTTP/1.1 417 Expectation Failed\r\ncontent-length: 0\r\n\r\n"
 _DECLINE = (
     b"HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\n"
@@ -29,8 +36,8 @@
 
     Args:
         manner: `asks` for the body, `hints and asks`, `ignores` that it is announced,
-            `rejects` that, `declines` before the body, `closes` before it, or `sends
-            hints without end` instead of asking.
+            `rejects` that, `declines` before the body, `closes` before it, `answers at
+            length and closes` or `sends hints without end` instead of asking.
 
     Attributes:
         requests: Received heads, in order.
@@ -84,7 +91,9 @@
         if request.announced and self.manner == "rejects":
             writer.write(_REJECT)
             raise ConnectionAbortedError
-        if self.manner == "closes":
+        if self.manner.endswith("closes"):
+            if self.manner.startswith("answers"):
+                writer.write(_LONG_ANSWER)
             raise ConnectionAbortedError
         while self.manner == "sends hints without end":
             writer.write(_HINT)
