Record in the store which versions may have begun streams

The instance knew only what it had seen itself, and waited for the time limit of the route.

Cause: what a list no longer shows is known to running instances only. Peers may all be new, the store's history is dropped after some seconds, and its deletions have no version.

Now one instance, the first by rendezvous hash, keeps the versions that clients may still resume streams of in the store, by conditional writes: one when a version is first listed, one 60 s after it has left. An instance that has observed the list for less than 60 s reads the record once, with the first confirmation that needs it. What the list no longer shows counts as removed when the instance started. So a version is there long before it leaves, and a fleet that starts while no version has left refuses as long as before.

Left: a version listed and removed within the seconds in which no instance keeps the record, after its keeper ended.

--- a/src/pimentolatch/decisions/version_history.py
+++ b/src/pimentolatch/decisions/version_history.py
@@ -18,8 +18,14 @@
 
 An instance that has just started doesn't know which versions were listed before. If it
 refused streams for as long, all instances would do so after each start of the fleet,
-although there is rarely a release just then. So it refuses them for the time limit of
-one attempt only.
+although there is rarely a release just then. So it recalls what an instance that has
+observed the list for longer has recorded, and refuses streams for the time limit of
+one attempt.
+
+Grounds of the record: it changes when a version is first listed and `LIFETIME` after
+the last server of one has left. So it is never late for a version that leaves, and
+nearly always as it was for hours. What the list no longer shows when an instance
+starts has left before: it counts as removed when the list was first observed.
 """
 
 import datetime
@@ -28,11 +34,18 @@
 
 from pimentolatch.decisions import stream_origins
 
-__all__ = ["Ambiguity", "VersionHistory"]
+__all__ = ["Ambiguity", "Record", "VersionHistory"]
 
 # Removed versions that are kept of a service: each one evicted was removed before two
 # others, which rule out a sole version for longer than it would.
 _MAX_REMOVED = 2
+# Bounds on a record, whatever entries others write: with a few versions there is no
+# sole one.
+_MAX_RECORDED_VERSIONS = 4
+_MAX_RECORDED_SERVICES = 500
+
+# Recorded versions by service, both sorted.
+Record = abc.Mapping[str, tuple[str, ...]]
 
 
 class Ambiguity(enum.Enum):
@@ -86,6 +99,49 @@
             at if self._unseen_until is None else max(self._unseen_until, at)
         )
 
+    def observed_for(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return for how long the list has been observed; zero before the first list.
+
+        Args:
+            now: Monotonic time.
+        """
+        return datetime.timedelta() if self._since is None else now - self._since
+
+    def recall(self, record: Record) -> None:
+        """Apply the versions that another instance has recorded.
+
+        Args:
+            record: The record; it was read after the list was first observed.
+        """
+        if self._since is None:
+            return
+        for service, versions in record.items():
+            removed = self._removed.get(service, {})
+            seen = self._listed.get(service, frozenset()) | removed.keys()
+            earlier = dict.fromkeys(set(versions) - seen, self._since)
+            self._removed[service] = earlier | removed
+            self._limit_removed(service)
+
+    def next_record(self, record: Record, now: datetime.timedelta) -> Record:
+        """Return the versions to record: all that clients may still resume streams of.
+
+        Args:
+            record: The current record. Nothing is dropped from it while servers may
+                have been listed unseen.
+            now: Monotonic time.
+        """
+        drops = self.observed_for(now) >= stream_origins.LIFETIME
+        kept = {} if drops and not self._unseen(now) else record
+        chosen: dict[str, tuple[str, ...]] = {}
+        for service in sorted(self._listed.keys() | self._removed.keys() | kept.keys()):
+            listed = self._listed.get(service, frozenset())
+            left = self._recently_removed(service, now).union(kept.get(service, ()))
+            # The list shows those of the others that are still there.
+            versions = [*sorted(left - listed), *sorted(listed)]
+            if versions and len(chosen) < _MAX_RECORDED_SERVICES:
+                chosen[service] = tuple(sorted(versions[:_MAX_RECORDED_VERSIONS]))
+        return chosen
+
     def sole_version(
         self,
         service: str,
@@ -125,6 +181,10 @@
             removed.pop(version, None)
         for version in sorted(self._listed.get(service, frozenset()) - current):
             removed[version] = now
+        self._limit_removed(service)
+
+    def _limit_removed(self, service: str) -> None:
+        removed = self._removed[service]
         while len(removed) > _MAX_REMOVED:
             del removed[next(iter(removed))]
 
--- a/src/pimentolatch/gateway/list_confirmation.py
+++ b/src/pimentolatch/gateway/list_confirmation.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import datetime
+import typing
 from collections import abc
 
 import logbook
@@ -36,6 +37,7 @@
     Args:
         fleet: State that the changes are applied to.
         watch: Returns what reads the servers from the store.
+        recall: Reads what was listed before this instance started.
         instances: Returns the number of instances in the fleet.
         time: Clock of this instance.
     """
@@ -44,11 +46,15 @@
         self,
         fleet: fleet_state.FleetState,
         watch: abc.Callable[[], store_watch.ServerWatch],
+        recall: abc.Callable[
+            [], abc.Coroutine[typing.Any, typing.Any, store.Unavailable | None]
+        ],
         instances: abc.Callable[[], int],
         time: clock.Clock,
     ) -> None:
         self._fleet = fleet
         self._watch = watch
+        self._recall = recall
         self._instances = instances
         self._clock = time
         self._continuity = list_continuity.ListContinuity()
@@ -119,7 +125,8 @@
         if isinstance(outcome, store.Unavailable):
             return outcome
         gap = self._continuity.gap
-        return None if gap is None else await self._look_into(gap)
+        failure = None if gap is None else await self._look_into(gap)
+        return failure or await self._recall()
 
     async def _look_into(self, gap: list_continuity.Gap) -> store.Unavailable | None:
         """Find out whether servers came and went in a gap between two lists."""
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -45,6 +45,7 @@
     stage_controller,
     store_watch,
     stream_forwarder,
+    version_record,
     watch_controller,
 )
 from pimentolatch.platform import objects
@@ -167,9 +168,23 @@
         self._list_confirmation = list_confirmation.ListConfirmation(
             self._fleet,
             lambda: self._server_watch,
+            lambda: self._version_record.recall(),
             lambda: self._peer_table.instances,
             time,
         )
+        self._resumptions = resumptions.Resumptions(
+            self._fleet,
+            self._origins,
+            self._list_confirmation,
+            self._request_log,
+            time,
+        )
+        self._version_record = version_record.VersionRecord(
+            self._resumptions.history,
+            self._store,
+            self._peer_table.is_first_for,
+            time,
+        )
         self._stream_forwarder = stream_forwarder.StreamForwarder(
             self._fleet,
             self._client,
@@ -185,13 +200,7 @@
             self._metrics,
             self._monitor,
             self._peer_forwarder,
-            resumptions.Resumptions(
-                self._fleet,
-                self._origins,
-                self._list_confirmation,
-                self._request_log,
-                time,
-            ),
+            self._resumptions,
         )
         self._plain_forwarder = plain_forwarder.PlainForwarder(
             self._fleet,
@@ -394,6 +403,7 @@
             self._expired_servers.run,
             self._beacon_exchange.run,
             self._origins.run,
+            self._version_record.run,
             self._snapshot_fetcher.run,
             self._stage_controller.run,
             self._share_bounds,
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -53,6 +53,11 @@
         fleet.on_change(self._observe_versions)
         confirmation.on_unseen(self._history.restart)
 
+    @property
+    def history(self) -> version_history.VersionHistory:
+        """The versions that are or were listed."""
+        return self._history
+
     def begin(
         self,
         request: client_request.ClientRequest,
--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -3,8 +3,10 @@
 import contextlib
 import dataclasses
 import datetime
+import json
 import random
 import socket
+from unittest import mock
 
 import behave
 import cbor2
@@ -12,14 +14,14 @@
 import hypothesis.strategies as st
 import logbook
 
-from pimentolatch import clock, settings
+from pimentolatch import clock, settings, store
 from pimentolatch.decisions import (
     list_continuity,
     neighbours,
     stream_origins,
     version_history,
 )
-from pimentolatch.gateway import origin_exchange
+from pimentolatch.gateway import origin_exchange, version_record
 from pimentolatch.protocol import origin_messages
 
 SERVICE = "lm"
@@ -269,14 +271,19 @@
     """Return the sole version by all (second, versions) observations ever made."""
     if now - pictures[0][0] < 60:
         return None
+    found = resumable_versions(pictures, now)
+    return next(iter(found)) or None if len(found) == 1 else None
+
+
+def resumable_versions(pictures, now):
+    """Return the versions that were listed in the last 60 s, by all observations."""
     ends = [second for second, _ in pictures[1:]] + [now + 1]
     recent = [
         versions
         for (_, versions), end in zip(pictures, ends, strict=True)
         if now - end < 60
     ]
-    found = set().union(*recent)
-    return next(iter(found)) or None if len(found) == 1 else None
+    return set().union(*recent)
 
 
 @behave.then("origins: {count:d} drawn histories agree with one that forgets nothing")
@@ -304,6 +311,61 @@
     assert {None, "v1", "v2"} <= results, results
 
 
+@behave.then(
+    "origins: {count:d} drawn histories that begin late agree with one that forgets"
+    " nothing"
+)
+def late_histories_agree(context, count):
+    results = set()
+
+    @drawn(count)
+    @hypothesis.given(
+        st.lists(st.tuples(st.integers(1, 40), VERSIONS), min_size=2, max_size=12),
+        st.integers(0, 200),
+    )
+    def check(steps, start):
+        keeper, late = version_history.VersionHistory(), None
+        pictures, record = [], {}
+        seconds = (versions for pause, versions in steps for _ in range(pause))
+        for now, versions in enumerate(seconds):
+            pictures.append((now, versions))
+            keeper.observe({SERVICE: versions}, now * SECOND)
+            record = keeper.next_record(record, now * SECOND)
+            if now == start:
+                late = version_history.VersionHistory()
+                late.observe({SERVICE: versions}, now * SECOND)
+                late.recall(record)
+            elif late is not None:
+                late.observe({SERVICE: versions}, now * SECOND)
+                found = late.sole_version(SERVICE, now * SECOND, SECOND)
+                expected = resumable_versions(pictures, now)
+                if not isinstance(found, version_history.Ambiguity):
+                    assert {found} == expected, (found, expected)
+                results.add((found in expected, len(expected) == 1))
+
+    check()
+    # It must not refuse everything either.
+    assert {(True, True), (False, False)} <= results, results
+
+
+@behave.when("origins: the store's record is {value}")
+def write_record(context, value):
+    found = store.Found("streams", 1, json.loads(value))
+    source = mock.Mock(get=mock.AsyncMock(return_value=found))
+    context.history = mock.Mock(observed_for=lambda now: SECOND)
+    record = version_record.VersionRecord(
+        context.history, source, mock.Mock(), clock.SystemClock()
+    )
+    assert asyncio.run(record.recall()) is None
+
+
+@behave.then("origins: it is recalled as {record}")
+def recalled_as(context, record):
+    (call,) = context.history.recall.call_args_list
+    recalled = {name: list(versions) for name, versions in call.args[0].items()}
+    assert recalled == json.loads(record), recalled
+
+
 # Messages
 
 
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -115,6 +115,24 @@
   Scenario: A bounded history agrees with a complete one
     Then origins: 300 drawn histories agree with one that forgets nothing
 
+  # Guards against a version that an instance doesn't know since it left before its start.
+  Scenario: An instance that recalls the record knows the versions from before its start
+    Then origins: 300 drawn histories that begin late agree with one that forgets nothing
+
+  # Guards against a record that others have written and that ends the process or grows.
+  Scenario Outline: A record of <value> counts as <record>
+    When origins: the store's record is <value>
+    Then origins: it is recalled as <record>
+
+    Examples:
+      | value                                   | record               |
+      | null                                    | {}                   |
+      | [1]                                     | {}                   |
+      | {"services": 7}                         | {}                   |
+      | {"services": {"lm": 7, "ml": ["v1"]}}   | {"ml": ["v1"]}       |
+      | {"services": {"lm": [7, "v1"]}}         | {}                   |
+      | {"services": {"lm": ["v2", "v1"]}}      | {"lm": ["v1", "v2"]} |
+
   Scenario: Messages between instances are decoded as they were encoded
     Then origins: 200 drawn messages are decoded as they were encoded
     And origins: the longest announcement fits into 1200 bytes
