Count the store's calls once the versions are recorded

The scenario of many streams that are resumed at once bounds the calls that the resumptions take. The record of versions is written once, about two seconds after the start, and fell into the count in some runs. The world waits for it as it waits for the other settling events; the bound is unchanged.

--- a/tests/support/out_of_step_world.py
+++ b/tests/support/out_of_step_world.py
@@ -144,6 +144,9 @@
         (stream,) = await self.begin_at_prompt(1)
         await self.resume_until_accepted(stream, "nothing", LATE)
         assert stream.whole, stream
+        await self.until(
+            lambda: self.platform.table.get("pimentolatch-versions", "streams")
+        )
 
     def store_calls(self):
         """Return how many calls the store has received."""
