--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/beacon_exchange.py
@@ -15,7 +15,6 @@
     departure_exchange,
     fleet_state,
     flow_control,
-    leadership,
     load_exchange,
     peer_table,
     quarantine,
@@ -25,6 +24,7 @@
     speed_log,
 )
 from pimentolatch.gateway import settings as gateway_settings
+from pimentolatch.gateway.leader import leadership
 from pimentolatch.protocol import beacon_codec, beacons
 
 __all__ = ["BeaconExchange"]
--- a/src/pimentolatch/gateway/capacity_controller.py
+++ b/src/pimentolatch/gateway/leader/capacity_controller.py
@@ -9,7 +9,8 @@
 
 from pimentolatch import clock, store
 from pimentolatch.decisions import demand_rate, placement, server_need, server_plan
-from pimentolatch.gateway import fleet_state, leadership, peer_table
+from pimentolatch.gateway import fleet_state, peer_table
+from pimentolatch.gateway.leader import leadership
 from pimentolatch.platform import control_api, objects
 from pimentolatch.routes import route_table
 
--- a/src/pimentolatch/gateway/leader_tasks.py
+++ b/src/pimentolatch/gateway/leader/leader_tasks.py
@@ -6,14 +6,11 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, usage
-from pimentolatch.gateway import (
+from pimentolatch.gateway import fleet_state, peer_table, settings, usage_exchange
+from pimentolatch.gateway.leader import (
     capacity_controller,
-    fleet_state,
     leadership,
     lease,
-    peer_table,
-    settings,
-    usage_exchange,
     usage_reports,
 )
 from pimentolatch.platform import control_api, objects
--- a/src/pimentolatch/gateway/stage_controller.py
+++ b/src/pimentolatch/gateway/leader/stage_controller.py
@@ -7,13 +7,8 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, engine_loads, stage_plan
-from pimentolatch.gateway import (
-    dispatch,
-    fleet_state,
-    flow_control,
-    leadership,
-    peer_table,
-)
+from pimentolatch.gateway import dispatch, fleet_state, flow_control, peer_table
+from pimentolatch.gateway.leader import leadership
 from pimentolatch.platform import engines
 from pimentolatch.routes import route_table, servers
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -26,7 +26,6 @@
     forwarded_admission,
     front_end,
     http_protocol,
-    leader_tasks,
     list_confirmation,
     origin_exchange,
     pause_monitor,
@@ -42,12 +41,12 @@
     route_metrics,
     settings,
     silence_exchange,
-    stage_controller,
     store_watch,
     stream_forwarder,
     version_record,
     watch_controller,
 )
+from pimentolatch.gateway.leader import leader_tasks, stage_controller
 from pimentolatch.platform import objects
 
 __all__ = ["GatewayInstance", "reload", "run_until_signal"]
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -14,17 +14,16 @@
 from pimentolatch.decisions import connection_reuse, prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
-    capacity_controller,
     client_request,
     fleet_state,
     flow_control,
-    leadership,
     peer_table,
     quarantine,
     reachability_monitor,
     request_log,
     silence_exchange,
 )
+from pimentolatch.gateway.leader import capacity_controller, leadership
 
 __all__ = ["MetricsEndpoint", "RouteMetrics", "StateCollector"]
 
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -11,7 +11,8 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import demand_rate, server_need, server_plan
-from pimentolatch.gateway import capacity_controller, fleet_state
+from pimentolatch.gateway import fleet_state
+from pimentolatch.gateway.leader import capacity_controller
 from pimentolatch.platform import configuration, control_api
 from pimentolatch.routes import route_table, servers
 from standins import memory_store, object_table
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -21,14 +21,12 @@
     dispatch,
     fleet_state,
     flow_control,
-    leadership,
-    lease,
     peer_table,
     quarantine,
     silence_exchange,
-    stage_controller,
 )
 from pimentolatch.gateway import settings as gateway_settings
+from pimentolatch.gateway.leader import leadership, lease, stage_controller
 from pimentolatch.platform import configuration
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
--- a/tests/features/steps/routes_orders_steps.py
+++ b/tests/features/steps/routes_orders_steps.py
@@ -6,7 +6,7 @@
 import behave
 
 from pimentolatch import clock
-from pimentolatch.gateway import lease
+from pimentolatch.gateway.leader import lease
 from standins import memory_store, object_table
 
 LEASE = datetime.timedelta(seconds=3)
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -10,11 +10,11 @@
 from pimentolatch.gateway import (
     expired_entries,
     fleet_state,
-    lease,
     readiness_checks,
     store_watch,
 )
 from pimentolatch.gateway import settings as gateway_settings
+from pimentolatch.gateway.leader import lease
 from standins import memory_store, object_table
 from tests.support import observed_connection, route_world
 
--- a/tests/support/usage_world.py
+++ b/tests/support/usage_world.py
@@ -9,7 +9,8 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import usage
-from pimentolatch.gateway import leadership, lease, usage_exchange, usage_reports
+from pimentolatch.gateway import usage_exchange
+from pimentolatch.gateway.leader import leadership, lease, usage_reports
 from pimentolatch.platform import control_api
 from standins import memory_store, object_table
 
