Hold that a configuration is encoded once for all peers

What callers saw: nothing for up to some tenths of a second beside a new version, at instances that read the store: 81 of 84 instances fetch it from them within a beacon's interval, and each answer encoded it anew.

--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -64,6 +64,11 @@
     When readers: a server changes each 0.5 seconds for 60 seconds
     Then readers: "a-3 a-4 a-5 b-3 b-4" have not called the store
 
+  # Guards against instances that stand still for as long as a pause while dozens of peers
+  # fetch a large configuration.
+  Scenario: A configuration that many peers fetch is encoded once
+    Then paths: each version is encoded once for 30 peers that fetch it
+
   # Guards against an instance that lists everything anew at each change it can't fetch.
   Scenario: An instance that can't fetch goes on reading the store, and stops in the end
     Given readers: 6 instances in domain "a" and 5 in domain "b"
