Ask clients for the bodies that they announce

Each request with "Expect: 100-continue" (RFC 9110, section 10.1.1) was refused with 503, "this instance failed before it forwarded the request", on every instance and each time that its client came back: the HTTP library asks the transport whether it is closing before it asks the client for the body, and the wrapper that responses get instead of the transport did not know the question. All clients whose HTTP library announces longer bodies were concerned.

The wrapper answers the question for the transport now. In the scenario a client sends two announced bodies over one connection; before, it got 503 in place of 100.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -104,6 +104,10 @@
         """Write a part of the response."""
         self._protocol.transport.write(data)
 
+    def is_closing(self) -> bool:
+        """Return whether nothing more can be written, as no request for a body can."""
+        return self._protocol.transport.is_closing()
+
     def close(self) -> None:
         """End the connection after the response."""
         self._protocol.close_after_response()
--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -53,3 +53,9 @@
     When kept: a client sends a malformed head and goes on for 0.4 s
     Then kept: it gets statuses 400
     And kept: its connection is closed
+
+  # Guards against clients that are refused since they wait to be asked for bodies.
+  Scenario: A client that announces the bodies of its requests is asked for them
+    Given kept: an instance with an idle time of 15000 ms
+    When kept: a client sends 2 requests, whose bodies follow once it is asked for them
+    Then kept: it gets statuses 100, 200, 100, 200
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -127,6 +127,29 @@
     asyncio.run(send())
 
 
+@behave.when(
+    "kept: a client sends {count:d} requests, whose bodies follow once it is asked"
+    " for them"
+)
+def announces_bodies(context, count):
+    async def send():
+        reader, writer = await context.world.connect()
+        context.raw = b""
+        for number in range(count):
+            request = route_world.request(
+                "notify", f"kept-{number}", b"body", expect="100-continue"
+            )
+            writer.write(request.removesuffix(b"body"))
+            context.raw += (interim := await reader.readuntil(b"\r\n\r\n"))
+            if b" 100 " not in interim:
+                break
+            writer.write(b"body")
+            context.raw += b"HTTP/1.1 %d" % (await route_world.reply(reader)).status
+        writer.close()
+
+    context.route_runner.run(asyncio.wait_for(send(), route_world.WAIT_S))
+
+
 @behave.then("kept: its connection is closed")
 def is_closed(context):
     assert context.closed
