--- a/src/pimentolatch/gateway/catch_up.py
+++ b/src/pimentolatch/gateway/catch_up.py
@@ -10,7 +10,8 @@
 
 import logbook
 
-from pimentolatch.gateway import peer_snapshots, store_watch
+from pimentolatch.gateway import store_watch
+from pimentolatch.gateway.peers import peer_snapshots
 
 __all__ = ["CatchUp"]
 
--- a/src/pimentolatch/gateway/leader/capacity_controller.py
+++ b/src/pimentolatch/gateway/leader/capacity_controller.py
@@ -9,8 +9,9 @@
 
 from pimentolatch import clock, store
 from pimentolatch.decisions import demand_rate, placement, server_need, server_plan
-from pimentolatch.gateway import fleet_state, peer_table
+from pimentolatch.gateway import fleet_state
 from pimentolatch.gateway.leader import leadership
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.platform import control_api, objects
 from pimentolatch.routes import route_table
 
--- a/src/pimentolatch/gateway/leader/leader_tasks.py
+++ b/src/pimentolatch/gateway/leader/leader_tasks.py
@@ -6,13 +6,14 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, usage
-from pimentolatch.gateway import fleet_state, peer_table, settings, usage_exchange
+from pimentolatch.gateway import fleet_state, settings
 from pimentolatch.gateway.leader import (
     capacity_controller,
     leadership,
     lease,
     usage_reports,
 )
+from pimentolatch.gateway.peers import peer_table, usage_exchange
 from pimentolatch.platform import control_api, objects
 
 __all__ = ["LeaderTasks"]
--- a/src/pimentolatch/gateway/leader/leadership.py
+++ b/src/pimentolatch/gateway/leader/leadership.py
@@ -8,8 +8,8 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import leader_election
-from pimentolatch.gateway import peer_table
 from pimentolatch.gateway.leader import lease
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons
 
 __all__ = ["Leadership", "Listener"]
--- a/src/pimentolatch/gateway/leader/stage_controller.py
+++ b/src/pimentolatch/gateway/leader/stage_controller.py
@@ -7,8 +7,9 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, engine_loads, stage_plan
-from pimentolatch.gateway import dispatch, fleet_state, flow_control, peer_table
+from pimentolatch.gateway import dispatch, fleet_state, flow_control
 from pimentolatch.gateway.leader import leadership
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.platform import engines
 from pimentolatch.routes import route_table, servers
 
--- a/src/pimentolatch/gateway/leader/usage_reports.py
+++ b/src/pimentolatch/gateway/leader/usage_reports.py
@@ -8,8 +8,8 @@
 
 from pimentolatch import clock, store
 from pimentolatch.decisions import usage
-from pimentolatch.gateway import peer_table
 from pimentolatch.gateway.leader import leadership
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.platform import control_api, objects
 
 __all__ = ["UsageReporter"]
--- a/src/pimentolatch/gateway/beacon_exchange.py
+++ b/src/pimentolatch/gateway/peers/beacon_exchange.py
@@ -9,22 +9,19 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import demand_rate, neighbours
-from pimentolatch.gateway import (
+from pimentolatch.gateway import fleet_state, flow_control, quarantine, speed_log
+from pimentolatch.gateway import settings as gateway_settings
+from pimentolatch.gateway.leader import leadership
+from pimentolatch.gateway.peers import (
     cache_updates,
     datagrams,
     departure_exchange,
-    fleet_state,
-    flow_control,
     load_exchange,
     peer_table,
-    quarantine,
     reader_exchange,
     silence_exchange,
     speed_exchange,
-    speed_log,
 )
-from pimentolatch.gateway import settings as gateway_settings
-from pimentolatch.gateway.leader import leadership
 from pimentolatch.protocol import beacon_codec, beacons
 
 __all__ = ["BeaconExchange"]
--- a/src/pimentolatch/gateway/load_exchange.py
+++ b/src/pimentolatch/gateway/peers/load_exchange.py
@@ -5,7 +5,8 @@
 from collections import abc
 
 from pimentolatch.decisions import engine_loads, peer_loads, rendezvous
-from pimentolatch.gateway import cache_updates, fleet_state
+from pimentolatch.gateway import fleet_state
+from pimentolatch.gateway.peers import cache_updates
 from pimentolatch.protocol import beacons
 from pimentolatch.routes import servers
 
--- a/src/pimentolatch/gateway/origin_exchange.py
+++ b/src/pimentolatch/gateway/peers/origin_exchange.py
@@ -13,7 +13,7 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import neighbours, stream_origins
-from pimentolatch.gateway import datagrams
+from pimentolatch.gateway.peers import datagrams
 from pimentolatch.protocol import origin_messages
 
 __all__ = ["OriginExchange"]
--- a/src/pimentolatch/gateway/peer_forwarder.py
+++ b/src/pimentolatch/gateway/peers/peer_forwarder.py
@@ -19,10 +19,10 @@
     client_request,
     dispatch,
     fleet_state,
-    peer_table,
     reachability_monitor,
     request_log,
 )
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.platform import http_headers
 from pimentolatch.protocol import forwarding
 
--- a/src/pimentolatch/gateway/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peers/peer_snapshots.py
@@ -23,7 +23,8 @@
     peer_sources,
     snapshot_attempts,
 )
-from pimentolatch.gateway import expired_entries, fleet_state, peer_table, store_watch
+from pimentolatch.gateway import expired_entries, fleet_state, store_watch
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons, compression, snapshots
 
 __all__ = [
--- a/src/pimentolatch/gateway/reader_exchange.py
+++ b/src/pimentolatch/gateway/peers/reader_exchange.py
@@ -8,7 +8,8 @@
 import datetime
 
 from pimentolatch import clock
-from pimentolatch.gateway import fleet_state, peer_table
+from pimentolatch.gateway import fleet_state
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons
 
 __all__ = ["ReaderExchange"]
--- a/src/pimentolatch/gateway/usage_exchange.py
+++ b/src/pimentolatch/gateway/peers/usage_exchange.py
@@ -11,8 +11,8 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import rendezvous, usage
-from pimentolatch.gateway import datagrams, peer_table
 from pimentolatch.gateway.leader import leadership
+from pimentolatch.gateway.peers import datagrams, peer_table
 from pimentolatch.protocol import beacons, usage_rows
 
 __all__ = ["NullUsageCounter", "UsageCounter", "UsageExchange"]
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -18,13 +18,12 @@
     fleet_state,
     flow_control,
     late_answers,
-    peer_forwarder,
     quarantine,
     reachability_monitor,
     refusals,
     request_log,
-    usage_exchange,
 )
+from pimentolatch.gateway.peers import peer_forwarder, usage_exchange
 from pimentolatch.platform import http_headers
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -14,10 +14,7 @@
 from pimentolatch.decisions import neighbours, repeat_budget, server_choice
 from pimentolatch.entry import graceful_shutdown, http_server
 from pimentolatch.gateway import (
-    beacon_exchange,
-    cache_updates,
     catch_up,
-    departure_exchange,
     dispatch,
     dispatch_check,
     expired_entries,
@@ -27,11 +24,7 @@
     front_end,
     http_protocol,
     list_confirmation,
-    origin_exchange,
     pause_monitor,
-    peer_forwarder,
-    peer_snapshots,
-    peer_table,
     plain_forwarder,
     quarantine,
     reachability_monitor,
@@ -40,13 +33,22 @@
     resumptions,
     route_metrics,
     settings,
-    silence_exchange,
     store_watch,
     stream_forwarder,
     version_record,
     watch_controller,
 )
 from pimentolatch.gateway.leader import leader_tasks, stage_controller
+from pimentolatch.gateway.peers import (
+    beacon_exchange,
+    cache_updates,
+    departure_exchange,
+    origin_exchange,
+    peer_forwarder,
+    peer_snapshots,
+    peer_table,
+    silence_exchange,
+)
 from pimentolatch.platform import objects
 
 __all__ = ["GatewayInstance", "reload", "run_until_signal"]
--- a/src/pimentolatch/gateway/quarantine.py
+++ b/src/pimentolatch/gateway/quarantine.py
@@ -9,7 +9,8 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import crash_evidence, crash_suspects, part_suspects
-from pimentolatch.gateway import client_request, crash_exchange
+from pimentolatch.gateway import client_request
+from pimentolatch.gateway.peers import crash_exchange
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -15,14 +15,12 @@
 )
 from pimentolatch.gateway import (
     body_exchange,
-    cache_updates,
     client_request,
     dispatch,
     dispatch_check,
     fleet_state,
     flow_control,
     late_answers,
-    peer_forwarder,
     quarantine,
     reachability_monitor,
     refusals,
@@ -30,8 +28,8 @@
     resumptions,
     route_metrics,
     stall_checker,
-    usage_exchange,
 )
+from pimentolatch.gateway.peers import cache_updates, peer_forwarder, usage_exchange
 from pimentolatch.requests import digests
 from pimentolatch.routes import servers
 
--- a/src/pimentolatch/gateway/resumptions.py
+++ b/src/pimentolatch/gateway/resumptions.py
@@ -11,9 +11,9 @@
     client_request,
     fleet_state,
     list_confirmation,
-    origin_exchange,
     request_log,
 )
+from pimentolatch.gateway.peers import origin_exchange
 from pimentolatch.routes import servers
 
 __all__ = ["Resumptions"]
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -17,13 +17,12 @@
     client_request,
     fleet_state,
     flow_control,
-    peer_table,
     quarantine,
     reachability_monitor,
     request_log,
-    silence_exchange,
 )
 from pimentolatch.gateway.leader import capacity_controller, leadership
+from pimentolatch.gateway.peers import peer_table, silence_exchange
 
 __all__ = ["MetricsEndpoint", "RouteMetrics", "StateCollector"]
 
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -16,7 +16,6 @@
     stream_lengths,
 )
 from pimentolatch.gateway import (
-    cache_updates,
     client_request,
     decode_client,
     dispatch,
@@ -25,7 +24,6 @@
     flow_control,
     kv_handles,
     late_answers,
-    peer_forwarder,
     prefill_client,
     prompt_placer,
     quarantine,
@@ -38,8 +36,8 @@
     stall_checker,
     stream_handover,
     takeover,
-    usage_exchange,
 )
+from pimentolatch.gateway.peers import cache_updates, peer_forwarder, usage_exchange
 from pimentolatch.requests import prompts
 
 __all__ = ["StreamForwarder"]
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -7,10 +7,10 @@
     client_request,
     dispatch,
     event_relay,
-    peer_forwarder,
     refusals,
     request_progress,
 )
+from pimentolatch.gateway.peers import peer_forwarder
 from pimentolatch.platform import http_headers
 
 __all__ = ["StreamHandover"]
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -11,7 +11,8 @@
 
 from pimentolatch import clock, tasks
 from pimentolatch.decisions import store_readers
-from pimentolatch.gateway import fleet_state, peer_table, settings, store_watch
+from pimentolatch.gateway import fleet_state, settings, store_watch
+from pimentolatch.gateway.peers import peer_table
 
 __all__ = ["WatchController"]
 
--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -11,7 +11,7 @@
 from pimentolatch import clock
 from pimentolatch.backend import channel
 from pimentolatch.decisions import engine_loads, peer_choice
-from pimentolatch.gateway import peer_table
+from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons
 from tests.support import cutting_server, route_world
 
--- a/tests/features/steps/cut_state_steps.py
+++ b/tests/features/steps/cut_state_steps.py
@@ -6,7 +6,7 @@
 
 from pimentolatch import clock, store
 from pimentolatch.backend import channel
-from pimentolatch.gateway import peer_snapshots
+from pimentolatch.gateway.peers import peer_snapshots
 from pimentolatch.platform import control_api, objects
 from pimentolatch.protocol import snapshots
 from tests.support import cutting_server
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -6,7 +6,8 @@
 from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
 from pimentolatch.decisions import neighbours
-from pimentolatch.gateway import dispatch, flow_control, peer_snapshots
+from pimentolatch.gateway import dispatch, flow_control
+from pimentolatch.gateway.peers import peer_snapshots
 from pimentolatch.platform import control_api, engines, objects
 from pimentolatch.routes import servers
 from tests.support import flooding_server, route_world
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -4,7 +4,7 @@
 import behave
 
 from pimentolatch.decisions import missing_servers
-from pimentolatch.gateway import reader_exchange
+from pimentolatch.gateway.peers import reader_exchange
 from pimentolatch.protocol import beacons
 from tests.support import watch_world
 
--- a/tests/features/steps/instances_behind_steps.py
+++ b/tests/features/steps/instances_behind_steps.py
@@ -4,12 +4,8 @@
 import behave
 
 from pimentolatch import clock
-from pimentolatch.gateway import (
-    expired_entries,
-    fleet_state,
-    peer_snapshots,
-    store_watch,
-)
+from pimentolatch.gateway import expired_entries, fleet_state, store_watch
+from pimentolatch.gateway.peers import peer_snapshots
 from pimentolatch.protocol import snapshots
 from tests.support import path_world, route_world
 
--- a/tests/features/steps/large_snapshots_steps.py
+++ b/tests/features/steps/large_snapshots_steps.py
@@ -7,7 +7,8 @@
 from pimentolatch import clock, settings, store
 from pimentolatch.backend import channel
 from pimentolatch.entry import http_server
-from pimentolatch.gateway import expired_entries, fleet_state, peer_snapshots
+from pimentolatch.gateway import expired_entries, fleet_state
+from pimentolatch.gateway.peers import peer_snapshots
 from pimentolatch.platform import configuration, objects
 from pimentolatch.protocol import compression, snapshots
 from tests.support import route_world
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -15,13 +15,12 @@
     fleet_state,
     flow_control,
     pause_monitor,
-    peer_snapshots,
-    peer_table,
     store_watch,
 )
 from pimentolatch.gateway import (
     settings as gateway_settings,
 )
+from pimentolatch.gateway.peers import peer_snapshots, peer_table
 from pimentolatch.platform import http_headers
 from pimentolatch.protocol import beacons, snapshots
 from pimentolatch.routes import servers
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -14,7 +14,7 @@
     stall_check,
     store_readers,
 )
-from pimentolatch.gateway import cache_updates, peer_table
+from pimentolatch.gateway.peers import cache_updates, peer_table
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import engine_reports, route_table, servers
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -14,19 +14,16 @@
     stage_plan,
     stall_check,
 )
-from pimentolatch.gateway import (
+from pimentolatch.gateway import dispatch, fleet_state, flow_control, quarantine
+from pimentolatch.gateway import settings as gateway_settings
+from pimentolatch.gateway.leader import leadership, lease, stage_controller
+from pimentolatch.gateway.peers import (
     beacon_exchange,
     cache_updates,
     departure_exchange,
-    dispatch,
-    fleet_state,
-    flow_control,
     peer_table,
-    quarantine,
     silence_exchange,
 )
-from pimentolatch.gateway import settings as gateway_settings
-from pimentolatch.gateway.leader import leadership, lease, stage_controller
 from pimentolatch.platform import configuration
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
--- a/tests/features/steps/server_speeds_steps.py
+++ b/tests/features/steps/server_speeds_steps.py
@@ -15,7 +15,8 @@
     server_speeds,
     urgency,
 )
-from pimentolatch.gateway import fleet_state, settings, speed_exchange
+from pimentolatch.gateway import fleet_state, settings
+from pimentolatch.gateway.peers import speed_exchange
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import servers
--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -17,7 +17,8 @@
     server_choice,
     silent_servers,
 )
-from pimentolatch.gateway import dispatch, fleet_state, silence_exchange
+from pimentolatch.gateway import dispatch, fleet_state
+from pimentolatch.gateway.peers import silence_exchange
 from pimentolatch.platform import http_headers
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.routes import servers
--- a/tests/features/steps/stream_origins_steps.py
+++ b/tests/features/steps/stream_origins_steps.py
@@ -21,7 +21,8 @@
     stream_origins,
     version_history,
 )
-from pimentolatch.gateway import origin_exchange, version_record
+from pimentolatch.gateway import version_record
+from pimentolatch.gateway.peers import origin_exchange
 from pimentolatch.protocol import origin_messages
 
 SERVICE = "lm"
--- a/tests/support/fleet_parts.py
+++ b/tests/support/fleet_parts.py
@@ -15,12 +15,8 @@
     server_speeds,
     wait_policy,
 )
-from pimentolatch.gateway import (
-    cache_updates,
-    fleet_state,
-    load_exchange,
-    speed_exchange,
-)
+from pimentolatch.gateway import fleet_state
+from pimentolatch.gateway.peers import cache_updates, load_exchange, speed_exchange
 from pimentolatch.protocol import beacons
 from pimentolatch.requests import prompts
 from pimentolatch.routes import route_table, servers
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -14,13 +14,11 @@
 from pimentolatch.gateway import (
     expired_entries,
     fleet_state,
-    peer_snapshots,
-    peer_table,
-    reader_exchange,
     settings,
     store_watch,
     watch_controller,
 )
+from pimentolatch.gateway.peers import peer_snapshots, peer_table, reader_exchange
 from pimentolatch.platform import configuration
 from pimentolatch.protocol import beacon_codec, beacons
 from standins import memory_store, object_table
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -11,12 +11,8 @@
 from pimentolatch import clock, settings
 from pimentolatch.decisions import neighbours
 from pimentolatch.entry import http_server
-from pimentolatch.gateway import (
-    expired_entries,
-    fleet_state,
-    peer_snapshots,
-    peer_table,
-)
+from pimentolatch.gateway import expired_entries, fleet_state
+from pimentolatch.gateway.peers import peer_snapshots, peer_table
 from pimentolatch.protocol import beacons
 from standins import processes, relay
 from tests.support import route_world, soak_clients, soak_world
--- a/tests/support/usage_world.py
+++ b/tests/support/usage_world.py
@@ -9,8 +9,8 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import usage
-from pimentolatch.gateway import usage_exchange
 from pimentolatch.gateway.leader import leadership, lease, usage_reports
+from pimentolatch.gateway.peers import usage_exchange
 from pimentolatch.platform import control_api
 from standins import memory_store, object_table
 
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -9,16 +9,14 @@
 from pimentolatch import clock
 from pimentolatch.decisions import neighbours
 from pimentolatch.gateway import (
-    departure_exchange,
     expired_entries,
     fleet_state,
     pause_monitor,
-    peer_snapshots,
-    peer_table,
     readiness_checks,
     settings,
     store_watch,
 )
+from pimentolatch.gateway.peers import departure_exchange, peer_snapshots, peer_table
 from pimentolatch.protocol import beacon_codec, beacons
 from standins import memory_store, object_table
 from tests.support import route_world
