Refuse streams that no engine has been sent before their clients leave

What callers saw: nothing. A client of a stream leaves after a gap without an event, mostly two seconds, long before its deadline.

Cause: the time to seek another engine, to ask a silent one and to check the path to all adds up to over two seconds, and only waits for an engine counted the client's patience. It bounds all of them now, as long as no engine has been sent the request; one that has goes on, as its event may still come in time.

--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -251,6 +251,11 @@
         """Whether a server may run the request that has not answered yet."""
         return self.delivery is not None and self.delivery.sent_at is not None
 
+    @property
+    def may_run(self) -> bool:
+        """Whether a server may have started to decode."""
+        return self.possible_runs > 0 or self.outcome_pending
+
 
 @dataclasses.dataclass(slots=True)
 class Generation:
--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -8,6 +8,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import (
+    answer_time,
     demand_rate,
     lateness,
     placement_types,
@@ -172,9 +173,13 @@
     ) -> None:
         now = self._context.clock.monotonic()
         due = _seconds_until(request.answer_due, now)
+        leaving = _seconds_until(_refused_unsent_at(request, progress), now)
         try:
             async with asyncio.timeout(_seconds_until(request.deadline, now)) as limit:
-                with _ended_unless_started(response, limit, due):
+                with (
+                    _ended_early(limit, due, lambda: response.started),
+                    _ended_early(limit, leaving, lambda: progress.may_run),
+                ):
                     finished = await self._attempt_repeatedly(
                         request, response, progress
                     )
@@ -211,7 +216,7 @@
     ) -> None:
         if response.started:
             response.abort(client_request.CUT_AT_LIMIT)
-        elif progress.possible_runs or progress.outcome_pending:
+        elif progress.may_run:
             await response.refuse(refusals.deadline_passed())
         else:
             await response.refuse(
@@ -373,18 +378,27 @@
     return max(0.0, (time - now).total_seconds())
 
 
-@contextlib.contextmanager
-def _ended_unless_started(
-    response: client_request.ClientResponse, limit: asyncio.Timeout, seconds: float
-) -> abc.Generator[None, None, None]:
-    """End a time limit early if no response has been started by then.
+def _refused_unsent_at(
+    request: client_request.ClientRequest, progress: request_progress.Progress
+) -> datetime.timedelta:
+    """Return when a request is refused that no engine has been sent.
 
-    A refusal at the limit itself would come when the client has left. A response that
-    has been started can't be refused any more, and may still end in time.
+    Its client leaves without a first event, long before the deadline, and learns from a
+    refusal that it may come back. One that an engine has been sent goes on: the event
+    may still come in time.
     """
+    leaves_at = request_progress.client_gives_up_at(request, progress)
+    return leaves_at - answer_time.reserve(leaves_at - request.arrived_at)
+
+
+@contextlib.contextmanager
+def _ended_early(
+    limit: asyncio.Timeout, seconds: float, unless: abc.Callable[[], bool]
+) -> abc.Generator[None, None, None]:
+    """End a time limit early, unless a condition holds then."""
 
     def end() -> None:
-        if not response.started and not limit.expired():
+        if not unless() and not limit.expired():
             limit.reschedule(loop.time())
 
     loop = asyncio.get_running_loop()
--- a/tests/features/answer_times.feature
+++ b/tests/features/answer_times.feature
@@ -15,6 +15,19 @@
       | stream | 1000     | 15  |
       | stream | 8000     | 40  |
 
+  # Guards against clients that leave for want of a first event, and do not learn that
+  # their request has not run.
+  Scenario Outline: A stream that no engine has been sent is refused before its client leaves
+    Given answers: a stream request with a deadline of <deadline> ms at a silent server
+    And answers: no engine is sent it, and its client leaves after 2000 ms without an event
+    When answers: it takes <way> ms to arrive
+    Then answers: a refusal that takes <way> ms to return finds the client there
+
+    Examples:
+      | deadline | way |
+      | 8000     | 40  |
+      | 2100     | 15  |
+
   # Guards against streams that end early for the sake of an answer they have begun.
   Scenario: A stream that has begun goes on until its deadline
     Given answers: a stream request with a deadline of 8000 ms at a silent server
--- a/tests/features/steps/answer_times_steps.py
+++ b/tests/features/steps/answer_times_steps.py
@@ -51,9 +51,11 @@
     """Has each request at an engine that sends nothing more."""
 
     begun = False
+    sent = True
 
     async def _attempt(self, request, response, progress):
-        progress.delivery = body_exchange.Delivery(sent_at=request.arrived_at)
+        if self.sent:
+            progress.delivery = body_exchange.Delivery(sent_at=request.arrived_at)
         if self.begun:
             await response.start(200, [])
         await asyncio.Event().wait()
@@ -82,6 +84,7 @@
 
 def stream_at_silent_engine(time):
     given = [mock.MagicMock() for _ in range(15)]
+    given[2].permit_wait.return_value = datetime.timedelta()
     given[4] = time
     return HeldStreams(*given)
 
@@ -103,7 +106,7 @@
         if context.kind == "stream"
         else plain_at_silent_server(time)
     )
-    forwarder.begun = context.begun
+    forwarder.begun, forwarder.sent = context.begun, context.sent
     request = read_request(time, context.kind, context.deadline_ms)
     await forwarder.run(request, response)
     context.status, context.ended_at = response.status, loop.time()
@@ -118,7 +121,16 @@
     "answers: a {kind} request with a deadline of {deadline:d} ms at a silent server"
 )
 def held(context, kind, deadline):
-    context.kind, context.deadline_ms, context.begun = kind, deadline, False
+    context.kind, context.deadline_ms = kind, deadline
+    context.begun, context.sent = False, True
+
+
+@behave.given(
+    "answers: no engine is sent it, and its client leaves after {patience:d} ms without"
+    " an event"
+)
+def unsent(context, patience):
+    context.sent, context.patience_ms = False, patience
 
 
 @behave.when("answers: it takes {way:d} ms to arrive")
@@ -141,6 +153,15 @@
     assert returned_after < context.deadline_ms / 1000, returned_after
 
 
+@behave.then(
+    "answers: a refusal that takes {way:d} ms to return finds the client there"
+)
+def refused(context, way):
+    assert context.status == 503, context.status
+    returned_after = context.written_at[-1] - context.sent_at + way / 1000
+    assert returned_after < context.patience_ms / 1000, returned_after
+
+
 @behave.then("answers: it ends at its deadline")
 def at_deadline(context):
     lasted = context.ended_at - context.sent_at
