Run the instances of test worlds on the event loop of the daemons

Eight of 288 streams of a row of cut_routes.feature were once answered 502 ("not reached: TimeoutError()") on a busy machine.

Cause: worlds that run instances in the process of a test did so on the standard event loop, where a limit that fell due while the process was not scheduled ends what has come in time. The daemons run on `InputFirstEventLoop`. The kernel had opened the connections; only the timer of 0.7 s came first, and the other engine was the one that had cut the stream.

All worlds with instances in one process have the daemons' loop now. The new scenario on a connection that opens while a process is blocked fails on the standard loop.

--- a/tests/features/event_loop.feature
+++ b/tests/features/event_loop.feature
@@ -28,6 +28,12 @@
     When event loop: the process is blocked and its response comes before a limit
     Then event loop: the response was received
 
+  # Guards against servers that count as not reached since the process stood still.
+  Scenario: A connection that opens while a process is blocked opens in time
+    Given event loop: a server that accepts connections
+    When event loop: the process is blocked as a connection to it opens
+    Then event loop: the connection is open
+
   # Guards against limits that end nothing any more.
   Scenario Outline: Without input <wait> ends as it falls due
     Given event loop: a connection whose input is awaited by a chain of tasks
--- a/tests/features/steps/body_requests_steps.py
+++ b/tests/features/steps/body_requests_steps.py
@@ -10,7 +10,7 @@
 from pimentolatch.gateway import dispatch, fleet_state, flow_control
 from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
-from tests.support import interim_server
+from tests.support import interim_server, route_world
 
 LIMIT = datetime.timedelta(seconds=5)
 ALLOWED_S = 5.0
@@ -86,7 +86,7 @@
 
 @behave.given("body: a server that {manner}")
 def start(context, manner):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.answered_before = False
     context.world = World(manner)
     run(context, context.world.start())
--- a/tests/features/steps/closing_answers_steps.py
+++ b/tests/features/steps/closing_answers_steps.py
@@ -1,5 +1,3 @@
-import asyncio
-
 import behave
 
 from tests.support import closing_server, route_world
@@ -9,7 +7,7 @@
 
 @behave.given('closing: a server whose answers of "{route}" are {ending}')
 def server(context, route, ending):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
     closing = closing_server.ClosingServer("closing", service, stage, ending)
--- a/tests/features/steps/crashing_parts_steps.py
+++ b/tests/features/steps/crashing_parts_steps.py
@@ -1,8 +1,6 @@
-import asyncio
-
 import behave
 
-from tests.support import crash_world, part_world
+from tests.support import crash_world, part_world, route_world
 
 CALM_S = 3
 FATAL_S = 14
@@ -10,7 +8,7 @@
 
 @behave.given("parts: four instances, and engines that end under a part")
 def start(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = part_world.PartWorld()
     context.route_runner.run(context.world.start())
 
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -3,7 +3,7 @@
 import behave
 
 from pimentolatch.protocol import codec, messages
-from tests.support import completion_crashes, crash_world
+from tests.support import completion_crashes, crash_world, route_world
 
 # Within this time after the third crash every instance in touch has to know.
 CONTACT_S = 3.0
@@ -12,7 +12,7 @@
 
 @behave.given('crashes: four instances and servers that "{body}" ends')
 def fleet(context, body):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.run = context.route_runner.run
     context.world = crash_world.CrashWorld(body.encode())
     context.run(context.world.start())
--- a/tests/features/steps/cut_off_instances_steps.py
+++ b/tests/features/steps/cut_off_instances_steps.py
@@ -54,7 +54,7 @@
 
 @behave.given("cut: {count:d} gateway processes behind relays, and clients at each")
 def start_processes(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = partition_world.ProcessWorld()
     context.route_runner.run(context.world.start(count))
     context.all = list(context.world.instances)
--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -9,14 +9,12 @@
 import behave
 
 from pimentolatch import clock
-from pimentolatch.backend import channel
 from pimentolatch.decisions import engine_loads, peer_choice
 from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons
 from tests.support import cutting_server, route_world
 
 SECOND = datetime.timedelta(seconds=1)
-CONNECT_LIMIT = datetime.timedelta(seconds=10)
 SEAL = b"x-response-seal: s\r\n"
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
 HANDLE = "handle"
@@ -51,7 +49,7 @@
     no_rest = mock.patch.object(engine_loads.EngineLoads, "failed")
     no_rest.start()
     context.add_cleanup(no_rest.stop)
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = world = route_world.RouteWorld()
     context.servers = [server for server, *_ in servers]
 
@@ -122,8 +120,6 @@
     context.add_cleanup(no_backoff.stop)
     # The instance has lost the path to all servers, and one peer has not.
     forwarder = context.instance._peer_forwarder
-    # On a busy machine the peer, which shares the event loop, accepts late.
-    forwarder._pool = channel.ChannelPool(CONNECT_LIMIT)
     forwarder._monitor = types.SimpleNamespace(is_cut_off=lambda service: True)
     forwarder._table = types.SimpleNamespace(
         live=lambda: [known], is_live=lambda instance: True
--- a/tests/features/steps/cut_streams_steps.py
+++ b/tests/features/steps/cut_streams_steps.py
@@ -1,5 +1,3 @@
-import asyncio
-
 import behave
 import logbook
 
@@ -21,7 +19,7 @@
 @behave.given("cut streams: an engine that sends 20 events in two seconds")
 def slow_engine(context):
     context.world = route_world.RouteWorld()
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.logged = logbook.TestHandler()
     context.logged.push_application()
     context.add_cleanup(context.logged.pop_application)
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -43,7 +43,7 @@
 
 def start(context, kind, flood, first, then, pause_s=0.0):
     context.flood = flood
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = KINDS.get(kind, ("app", None))
     context.server = flooding_server.FloodingServer(
--- a/tests/features/steps/event_loop_steps.py
+++ b/tests/features/steps/event_loop_steps.py
@@ -139,6 +139,35 @@
             transport.close()
 
 
+@behave.given("event loop: a server that accepts connections")
+def accepting_server(context):
+    connection(context)
+    context.listener = socket.create_server((HOST, 0))
+    context.add_cleanup(context.listener.close)
+
+
+@behave.when("event loop: the process is blocked as a connection to it opens")
+def blocked_while_connecting(context):
+    port = context.listener.getsockname()[1]
+    address = settings.Address(host=HOST, port=port)
+
+    async def connecting():
+        asyncio.get_running_loop().call_soon(time.sleep, BLOCKED_S)
+        try:
+            link = await channel.connect(address, datetime.timedelta(seconds=LIMIT_S))
+        except channel.ConnectError as error:
+            return error
+        link.close()
+        return None
+
+    context.failure = context.runner.run(connecting())
+
+
+@behave.then("event loop: the connection is open")
+def connection_opened(context):
+    assert context.failure is None, context.failure
+
+
 @behave.given("event loop: a callback that is always ready")
 def busy(context):
     context.runner = asyncio.Runner(loop_factory=event_loop.InputFirstEventLoop)
--- a/tests/features/steps/event_streams_steps.py
+++ b/tests/features/steps/event_streams_steps.py
@@ -49,7 +49,7 @@
     "event streams: two engines that send {form}, in chunks of {size:d} bytes"
 )
 def two_engines(context, form, size):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = world = route_world.RouteWorld()
 
     async def build():
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -1,4 +1,3 @@
-import asyncio
 import datetime
 
 import behave
@@ -6,7 +5,7 @@
 from pimentolatch.decisions import missing_servers
 from pimentolatch.gateway.peers import reader_exchange
 from pimentolatch.protocol import beacons
-from tests.support import watch_world
+from tests.support import route_world, watch_world
 
 # Servers of a world are called s0, s1 and so on.
 REGAIN_S = 4.0
@@ -20,7 +19,7 @@
 
 @behave.given("outage: {servers:d} servers and {instances:d} instances")
 def start(context, servers, instances):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.servers = names(servers)
     context.world = watch_world.WatchWorld(
         context.route_runner, context.servers, instances
--- a/tests/features/steps/half_closed_clients_steps.py
+++ b/tests/features/steps/half_closed_clients_steps.py
@@ -19,7 +19,7 @@
 
 @behave.given("half: a server that {fault}")
 def server(context, fault):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
 
     async def start():
--- a/tests/features/steps/instances_behind_steps.py
+++ b/tests/features/steps/instances_behind_steps.py
@@ -15,7 +15,7 @@
 
 @behave.given("paths: {count:d} gateways, of which two learn from peers")
 def start(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = path_world.Paths(context.route_runner)
     context.world.start_settled(count)
     context.behind = sorted(context.world.world.gateways)[READERS:]
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -16,7 +16,7 @@
 
 @behave.given("kept: an instance with an idle time of {idle_ms:d} ms")
 def instance(context, idle_ms):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
 
     async def start():
--- a/tests/features/steps/kv_handles_steps.py
+++ b/tests/features/steps/kv_handles_steps.py
@@ -17,7 +17,7 @@
 
 @behave.given("handles: a reader {named} its start and a writer")
 def reader_and_writer(context, named):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = world = route_world.RouteWorld()
     context.started_ms = STARTED_MS if named == "that names" else None
     context.restarted_ms = RESTARTED_MS if named == "that names" else None
--- a/tests/features/steps/older_entries_steps.py
+++ b/tests/features/steps/older_entries_steps.py
@@ -1,12 +1,10 @@
-import asyncio
-
 import behave
 
 from pimentolatch import settings
 from pimentolatch.decisions import departures
 from pimentolatch.gateway import readiness_checks
 from pimentolatch.routes import servers
-from tests.support import silent_world, watch_world
+from tests.support import route_world, silent_world, watch_world
 
 FIRST = {"sequence": 1}
 BEFORE_REPORT = 5
@@ -156,7 +154,7 @@
     "silence: {count:d} gateways in two failure domains and clients that go on asking"
 )
 def gateways_in_domains(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = silent_world.Gateways(context.route_runner)
     context.world.world.failure_domains = ("here", "alone")
     context.world.start(count)
--- a/tests/features/steps/out_of_step_steps.py
+++ b/tests/features/steps/out_of_step_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from tests.support import out_of_step_world
+from tests.support import out_of_step_world, route_world
 
 ENGINES = 4
 BEGIN_PAUSE_S = 0.02
@@ -14,7 +14,7 @@
 
 @behave.given("out of step: two instances that have seen one version for long")
 def start(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = out_of_step_world.OutOfStepWorld()
     run(context, context.world.start_engines(ENGINES))
     run(context, context.world.until_resumable())
@@ -24,7 +24,7 @@
     "out of step: {count:d} gateway processes that have seen one version for long"
 )
 def start_processes(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = out_of_step_world.CutOffGateways()
     run(context, context.world.start_settled(count, ENGINES))
 
--- a/tests/features/steps/routes_fleet_steps.py
+++ b/tests/features/steps/routes_fleet_steps.py
@@ -1,4 +1,3 @@
-import asyncio
 import datetime
 import random
 
@@ -448,7 +447,7 @@
 
 @behave.given('fleet: a store and instances "a" to "d" of one domain')
 def three_instances(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     context.run = context.route_runner.run
 
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -204,7 +204,7 @@
 
 @behave.given('incarnations: a store, a reading engine "{name}" and a keeper of stages')
 def keeper_of_stages(context, name):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     context.server = route_server.RouteServer(name, "lm", "here", "prefill")
     context.server.started_ms = 1000
--- a/tests/features/steps/routes_serving_steps.py
+++ b/tests/features/steps/routes_serving_steps.py
@@ -24,7 +24,7 @@
 
 
 def start(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     context.run = context.route_runner.run
 
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -117,7 +117,7 @@
 
 @behave.given('watch: a store with servers "a1" and "a2"')
 def store_with_servers(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = Following(context.route_runner)
     for name in ("a1", "a2"):
         context.world.write(name)
--- a/tests/features/steps/silent_connections_steps.py
+++ b/tests/features/steps/silent_connections_steps.py
@@ -1,5 +1,3 @@
-import asyncio
-
 import behave
 
 from pimentolatch.decisions import stall_check
@@ -9,7 +7,7 @@
 
 @behave.given("silence: {count:d} gateways and clients that go on asking")
 def gateways(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = silent_world.Gateways(context.route_runner)
     context.world.start(count)
 
@@ -52,7 +50,7 @@
     " from a peer"
 )
 def learned(context, revision):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = silent_world.Peers(context.route_runner, ["peer"])
     context.world.start()
     context.world.tell(revision)
@@ -79,7 +77,7 @@
 
 @behave.given("silence: an instance with two peers, of which the first hangs")
 def first_hangs(context):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = silent_world.Peers(context.route_runner, ["first", "second"])
     context.world.start()
     context.world.relays.cut("first", relay.TO_SERVER)
--- a/tests/features/steps/silent_servers_left_steps.py
+++ b/tests/features/steps/silent_servers_left_steps.py
@@ -142,7 +142,7 @@
     " and {attempts:d} attempts"
 )
 def instance(context, decode, plain, attempts):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
 
     async def start():
--- a/tests/features/steps/silent_servers_steps.py
+++ b/tests/features/steps/silent_servers_steps.py
@@ -36,7 +36,7 @@
     " and {plain:d} plain servers"
 )
 def instance(context, decode, prefill, plain):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     context.silences = []
 
--- a/tests/features/steps/software_versions_steps.py
+++ b/tests/features/steps/software_versions_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from tests.support import version_world
+from tests.support import route_world, version_world
 
 VERSIONS = ("v1", "v2")
 # Shorter than a stream, so that those that the last instances serve are cut as well.
@@ -13,7 +13,7 @@
 
 
 def start(context, instances, decode_versions):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = version_world.VersionWorld()
     context.route_runner.run(context.world.start(instances, decode_versions))
 
@@ -53,7 +53,7 @@
     " each version"
 )
 def processes(context, instances, engines):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = version_world.ProcessWorld()
     context.route_runner.run(context.world.start(instances, engines, VERSIONS))
 
--- a/tests/features/steps/stopped_servers_steps.py
+++ b/tests/features/steps/stopped_servers_steps.py
@@ -1,13 +1,11 @@
-import asyncio
-
 import behave
 
-from tests.support import stopped_servers
+from tests.support import route_world, stopped_servers
 
 
 @behave.given("stopped: {count:d} gateways before servers that are processes")
 def start(context, count):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = stopped_servers.StoppedServers(context.route_runner)
     context.world.start(count)
 
--- a/tests/features/steps/stream_lengths_steps.py
+++ b/tests/features/steps/stream_lengths_steps.py
@@ -194,7 +194,7 @@
 )
 def instance(context, pause_ms):
     context.world = route_world.RouteWorld()
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
 
     async def start():
         world = context.world
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -112,7 +112,7 @@
     context.logged = logbook.TestHandler(bubble=True)
     context.logged.push_application()
     context.add_cleanup(context.logged.pop_application)
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
 
     async def start_world():
--- a/tests/support/partition_world.py
+++ b/tests/support/partition_world.py
@@ -5,6 +5,7 @@
 import contextvars
 import dataclasses
 
+from pimentolatch import event_loop
 from standins import relay
 from tests.support import route_world, soak_world
 
@@ -80,7 +81,7 @@
         return len(self._lost) * self._counts_lost + self._buffered()
 
 
-class PartitionedLoop(asyncio.SelectorEventLoop):
+class PartitionedLoop(event_loop.InputFirstEventLoop):
     """Event loop that partitions instances from servers, by the server's port."""
 
     def __init__(self):
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -5,7 +5,7 @@
 import datetime
 import functools
 
-from pimentolatch import clock
+from pimentolatch import clock, event_loop
 from pimentolatch.gateway import process, settings
 from standins import platform, route_server
 from tests.support import port_blocks, restartable_store
@@ -16,6 +16,15 @@
 PEER_PORTS = 3
 
 
+def runner():
+    """Return a runner with the event loop that the daemons run on.
+
+    On the standard one the limits of an instance end what has come in time whenever the
+    process, which its servers and clients share, is not scheduled for that long.
+    """
+    return asyncio.Runner(loop_factory=event_loop.InputFirstEventLoop)
+
+
 @functools.cache
 def _ports():
     return port_blocks.PortBlock(HOST)
