Read what has arrived before an idle limit closes a connection

What callers saw: a kept connection reset, with a whole request that had come in time lying unread in it; the gateway logged "closed with unread input". Who may not repeat a request has lost it for good.

Cause: the limit's timer runs in the same turn of the event loop in which the bytes come. The loop puts late timers behind input only after a standstill.

Mend: if bytes wait in the kernel as the limit falls due, the handler looks again after the next poll, once in each idle time, and closes then.

The new scenario of unanswered_requests.feature fails on the code before (no byte came). standstills and kept_connections pass.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -137,6 +137,7 @@
     _in_message = False
     _discarding_input = False
     _idle_since = 0.0
+    _looked_for_input = False
     _stopping = False
     _last_cycle: httptools_impl.RequestResponseCycle | None = None
     _running_cycle: httptools_impl.RequestResponseCycle | None = None
@@ -316,10 +317,18 @@
             super().shutdown()
 
     def timeout_keep_alive_handler(self) -> None:
-        """Close an idle connection, unless its bound has been raised meanwhile."""
+        """Close an idle connection, unless its bound has been raised meanwhile.
+
+        A request that has just arrived is read first, in the next turn of the loop.
+        """
         left = self._idle_since + self._idle_limit() - self.loop.time()
-        if left > 0 and not self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if left > 0:
             self._schedule_idle_timeout(left)
+        elif not self._looked_for_input and self._has_unread_input():
+            self._looked_for_input = True
+            self._schedule_idle_timeout(0.0)
         else:
             self._report_unread_input("idle", overdue_seconds=-left)
             super().timeout_keep_alive_handler()
@@ -327,6 +336,7 @@
     def _begin_idle(self) -> None:
         self._unset_keepalive_if_required()
         self._idle_since = self.loop.time()
+        self._looked_for_input = False
         self._schedule_idle_timeout(self._idle_limit())
 
     def _idle_limit(self) -> float:
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -107,6 +107,36 @@
     assert context.stopped
 
 
+@behave.when(
+    "unanswered: the idle limit of a kept connection falls due with a request unread"
+)
+def idle_limit_due(context):
+    context.raw, context.rest = asyncio.run(idle_limit_beside_request())
+
+
+async def idle_limit_beside_request():
+    async with served(echo) as (server, address):
+        link = connected(address)
+        link.sendall(REQUEST)
+        await received(link)
+        (protocol,) = server._server.server_state.connections
+        link.sendall(REQUEST)
+        protocol._idle_since -= protocol.idle_seconds
+        protocol.timeout_keep_alive_handler()
+        raw = await received(link)
+        protocol._idle_since -= protocol.idle_seconds
+        protocol.timeout_keep_alive_handler()
+        return raw, await received(link, until=None)
+
+
+@behave.then(
+    "unanswered: the request is answered, and the connection ends once it is idle"
+)
+def answered_then_ended(context):
+    assert context.raw.startswith(b"HTTP/1.1 200"), context.raw
+    assert not context.rest, context.rest
+
+
 def start(context, *faults, time=None):
     """Start a world with one instance and one server that has these faults."""
     context.logged = logbook.TestHandler(bubble=True)
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -16,6 +16,12 @@
       | 1 requests | on a connection that is being accepted |
       | 1 requests | on a connection that has just opened   |
 
+  # Guards against requests that lie unread in a connection as its idle limit closes it.
+  Scenario: A request that has arrived as an idle limit falls due is answered
+    Given unanswered: an HTTP server
+    When unanswered: the idle limit of a kept connection falls due with a request unread
+    Then unanswered: the request is answered, and the connection ends once it is idle
+
   # Guards against pipelined requests that an announced stop drops after one response.
   Scenario: A response says that its connection closes only if no request is behind it
     Given unanswered: an instance that is about to stop
