Let clients see at once that their idle connection is closed

A client's whole request on a kept connection got a reset 1.1 s after it was sent, with no answer, no server that had it and no line in the log. The instance had decided to close the connection since it had been idle for the limit, but the event loop closes a transport in its next turn, and this one came 1.3 s later, as the process stood still (by its own log, on a busy machine). A request that arrives in between lies unread, and the close turns into a reset. Any long step of the loop widens the gap, such as the decoding of a large configuration.

The end of the connection is sent before the transport is closed, so a client knows at the moment of the decision. That does not answer a request which is already on its way.

In the scenario the event loop has other work after the decision; before, the client saw nothing of the close meanwhile.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import enum
@@ -314,7 +315,7 @@
         elif self.cycle is None:
             self._begin_idle()
         else:
-            super().shutdown()
+            self._close_idle()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless its bound has been raised meanwhile.
@@ -331,7 +332,17 @@
             self._schedule_idle_timeout(0.0)
         else:
             self._report_unread_input("idle", overdue_seconds=-left)
-            super().timeout_keep_alive_handler()
+            self._close_idle()
+
+    def _close_idle(self) -> None:
+        """Close the connection; its client learns of it at once.
+
+        The event loop closes a transport in its next turn, which comes late on a busy
+        machine. A client that sends a request until then gets a reset for an answer.
+        """
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
+        self.transport.close()
 
     def _begin_idle(self) -> None:
         self._unset_keepalive_if_required()
--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -54,6 +54,12 @@
     Then kept: it gets statuses 400
     And kept: its connection is closed
 
+  # Guards against requests on a connection whose close is still due in the event loop.
+  Scenario: A client sees that its idle connection ends although the event loop is busy
+    Given kept: a server with limits of 0.2 s while idle and of 0.8 s for a head
+    When kept: the event loop has other work once an idle connection is to be closed
+    Then kept: its client sees the end of the connection meanwhile
+
   # Guards against clients that are refused since they wait to be asked for bodies.
   Scenario: A client that announces the bodies of its requests is asked for them
     Given kept: an instance with an idle time of 15000 ms
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import re
+from unittest import mock
 
 import behave
 
@@ -150,6 +151,41 @@
     context.route_runner.run(asyncio.wait_for(send(), route_world.WAIT_S))
 
 
+@behave.when(
+    "kept: the event loop has other work once an idle connection is to be closed"
+)
+def busy_at_close(context):
+    protocol = bounded_http.BoundedHttpProtocol
+    close = protocol.timeout_keep_alive_handler
+    loop_waits_s = 0.5
+
+    async def wait():
+        ended = asyncio.get_running_loop().create_future()
+
+        def close_and_work(self):
+            close(self)
+            if self.transport.is_closing() and not ended.done():
+                link.settimeout(loop_waits_s)
+                try:
+                    ended.set_result(link.recv(1))
+                except TimeoutError:
+                    ended.set_result(None)
+
+        with mock.patch.object(protocol, "timeout_keep_alive_handler", close_and_work):
+            application = unanswered_requests_steps.echo
+            async with unanswered_requests_steps.served(application) as (_, address):
+                link = unanswered_requests_steps.connected(address)
+                context.seen = await ended
+                link.close()
+
+    asyncio.run(wait())
+
+
+@behave.then("kept: its client sees the end of the connection meanwhile")
+def sees_end(context):
+    assert context.seen == b""
+
+
 @behave.then("kept: its connection is closed")
 def is_closed(context):
     assert context.closed
