Decide at one moment whether a stream is refused or goes on

What callers saw: nothing so far; found by reading, shown in virtual time. A stream whose first event is read in the step of the event loop in which its refusal falls due gets this event and is cut, up to 100 ms before its deadline.

Cause: what looks whether the response has been started only moved the time limit to now. The limit cancels the work one step later, and the work may start the response in between. On a busy instance a step takes milliseconds.

The work is cancelled at the moment at which nothing is found to have been started; a cancelled task starts nothing any more.

--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -175,10 +175,10 @@
         due = _seconds_until(request.answer_due, now)
         leaving = _seconds_until(_refused_unsent_at(request, progress), now)
         try:
-            async with asyncio.timeout(_seconds_until(request.deadline, now)) as limit:
+            async with asyncio.timeout(_seconds_until(request.deadline, now)):
                 with (
-                    _ended_early(limit, due, lambda: response.started),
-                    _ended_early(limit, leaving, lambda: progress.may_run),
+                    _ended_early(due, lambda: response.started),
+                    _ended_early(leaving, lambda: progress.may_run),
                 ):
                     finished = await self._attempt_repeatedly(
                         request, response, progress
@@ -393,17 +393,35 @@
 
 @contextlib.contextmanager
 def _ended_early(
-    limit: asyncio.Timeout, seconds: float, unless: abc.Callable[[], bool]
+    seconds: float, unless: abc.Callable[[], bool]
 ) -> abc.Generator[None, None, None]:
-    """End a time limit early, unless a condition holds then."""
+    """End what the running task does after a time, unless a condition holds then.
+
+    A refusal at the deadline itself would come when the client has left. A response
+    that has been started can't be refused any more, and may still end in time. The task
+    is cancelled as the condition is found not to hold: in a later step of the event
+    loop it could have started the response.
+
+    Raises:
+        TimeoutError: The condition did not hold.
+    """
+    current = asyncio.current_task()
+    assert current is not None
+    task, cancelled_before, is_ended = current, current.cancelling(), False
 
     def end() -> None:
-        if not unless() and not limit.expired():
-            limit.reschedule(loop.time())
+        nonlocal is_ended
+        if not unless():
+            is_ended = task.cancel()
 
-    loop = asyncio.get_running_loop()
-    timer = loop.call_later(seconds, end)
+    timer = asyncio.get_running_loop().call_later(seconds, end)
     try:
         yield
+    except asyncio.CancelledError:
+        if is_ended and task.cancelling() == cancelled_before + 1:
+            raise TimeoutError from None
+        raise
     finally:
         timer.cancel()
+        if is_ended:
+            task.uncancel()
--- a/tests/features/answer_times.feature
+++ b/tests/features/answer_times.feature
@@ -33,3 +33,9 @@
     Given answers: a stream request with a deadline of 8000 ms at a silent server
     When answers: it has begun
     Then answers: it ends at its deadline
+
+  # Guards against a stream that is cut as it begins just when its refusal is due.
+  Scenario: A stream that would begin when its refusal is due is refused whole
+    Given answers: a stream request with a deadline of 8000 ms at a silent server
+    When answers: it would begin when its refusal is due
+    Then answers: an answer that takes 0 ms to return finds the client there
--- a/tests/features/steps/answer_times_steps.py
+++ b/tests/features/steps/answer_times_steps.py
@@ -16,6 +16,8 @@
 from tests.support import route_world, virtual_time
 
 MS = datetime.timedelta(milliseconds=1)
+# Less than the resolution of the loop's clock.
+EARLIER_S = 1e-10
 KINDS = {"plain": "print", "stream": "draft"}
 
 
@@ -47,15 +49,25 @@
     )
 
 
+async def until_same_step(due):
+    """Wait until the step of the loop at a time, ahead of what else is due in it."""
+    arrived, loop = asyncio.Event(), asyncio.get_running_loop()
+    loop.call_at(due.total_seconds() - EARLIER_S, arrived.set)
+    await arrived.wait()
+
+
 class HeldStreams(stream_forwarder.StreamForwarder):
     """Has each request at an engine that sends nothing more."""
 
     begun = False
     sent = True
+    begins_when_due = False
 
     async def _attempt(self, request, response, progress):
         if self.sent:
             progress.delivery = body_exchange.Delivery(sent_at=request.arrived_at)
+        if self.begins_when_due:
+            await until_same_step(request.answer_due)
         if self.begun:
             await response.start(200, [])
         await asyncio.Event().wait()
@@ -107,6 +119,7 @@
         else plain_at_silent_server(time)
     )
     forwarder.begun, forwarder.sent = context.begun, context.sent
+    forwarder.begins_when_due = context.begins_when_due
     request = read_request(time, context.kind, context.deadline_ms)
     await forwarder.run(request, response)
     context.status, context.ended_at = response.status, loop.time()
@@ -122,7 +135,8 @@
 )
 def held(context, kind, deadline):
     context.kind, context.deadline_ms = kind, deadline
-    context.begun, context.sent = False, True
+    context.begun = context.begins_when_due = False
+    context.sent = True
 
 
 @behave.given(
@@ -138,6 +152,12 @@
     run(context, way)
 
 
+@behave.when("answers: it would begin when its refusal is due")
+def begin_when_due(context):
+    context.begun = context.begins_when_due = True
+    run(context, 0)
+
+
 @behave.when("answers: it has begun")
 def begin(context):
     context.begun = True
