--- a/src/pimentolatch/gateway/peers/peer_snapshots.py
+++ b/src/pimentolatch/gateway/peers/peer_snapshots.py
@@ -170,7 +170,8 @@
         lag: For how long peers have been ahead.
         announced: Returns the version that a beacon announces.
         known: Returns the version that is known here.
-        apply: Applies a response of a peer to a fetch that began at a time.
+        apply: Applies a response of a peer to a fetch that began at a time; False if it
+            is malformed.
         lag_logged: Whether the log says that this instance is behind.
         pending: Attempts that have not ended, with their tasks.
     """
@@ -180,7 +181,7 @@
     lag: peer_lag.PeerLag
     announced: abc.Callable[[beacons.Beacon], int]
     known: abc.Callable[[], int]
-    apply: abc.Callable[[str, Response, datetime.timedelta], None]
+    apply: abc.Callable[[str, Response, datetime.timedelta], bool]
     lag_logged: bool = False
     pending: dict[asyncio.Task[None], snapshot_attempts.Attempt] = dataclasses.field(
         default_factory=dict
@@ -361,13 +362,14 @@
         kind: "_Kind",
         attempt: snapshot_attempts.Attempt,
     ) -> Response | None:
-        """Fetch and apply a snapshot; return the response if there was one."""
+        """Fetch and apply a snapshot; return the response if it was one."""
         name, begun = peer.beacon.instance, attempt.begun_at
         self._sources.record_attempt(name, begun)
         address = settings.Address(host=peer.host, port=self._port)
         try:
             response = await self._receive(address, kind.path, attempt)
-            kind.apply(name, response, begun)
+            if not kind.apply(name, response, begun):
+                return None
             self._sources.record_answer(name)
             return response
         except (
@@ -404,7 +406,7 @@
 
     def _apply_configuration(
         self, name: str, response: Response, begun: datetime.timedelta
-    ) -> None:
+    ) -> bool:
         snapshot = snapshots.decode_configuration(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
@@ -412,16 +414,18 @@
                 peer=name,
                 reason=snapshot.reason,
             )
-        elif store_watch.apply_configuration(self._fleet, snapshot.spec):
+            return False
+        if store_watch.apply_configuration(self._fleet, snapshot.spec):
             _log.info(
                 "configuration from peer",
                 peer=name,
                 version=self._fleet.version,
             )
+        return True
 
     def _apply_servers(
         self, name: str, response: Response, begun: datetime.timedelta
-    ) -> None:
+    ) -> bool:
         snapshot = snapshots.decode_servers(response.body)
         if isinstance(snapshot, snapshots.Malformed):
             _log.warn(
@@ -429,7 +433,7 @@
                 peer=name,
                 reason=snapshot.reason,
             )
-            return
+            return False
         if snapshot.passed_over:
             _log.warn(
                 "servers passed over in snapshot from peer",
@@ -457,6 +461,7 @@
                 revision=snapshot.revision,
                 kept=len(expired),
             )
+        return True
 
     def _still_used(
         self, expired: abc.Mapping[str, datetime.timedelta]
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -63,6 +63,14 @@
     And readers: a server drains and a configuration is written 0.0 seconds later
     Then readers: all instances know of both within 2 seconds
 
+  # Guards against an instance that asks the same peer for ever, as it answers at once.
+  Scenario: Peers whose snapshots are malformed do not hold up a configuration
+    Given readers: 6 instances in domain "a" and 5 in domain "b"
+    When readers: "a-5" does not reach the store
+    And readers: snapshots of "a-0 a-1 a-2 a-3 a-4 b-0" are malformed
+    And readers: a server drains and a configuration is written 0.0 seconds later
+    Then readers: all instances know of both within 2 seconds
+
   # Guards against a fleet that reads the store with every instance in calm times.
   Scenario: Instances that peers keep up to date do not call the store
     Given readers: 6 instances in domain "a" and 5 in domain "b"
--- a/tests/features/steps/store_readers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -53,6 +53,11 @@
         context.world.transfer_s[name] = seconds
 
 
+@behave.when('readers: snapshots of "{names}" are malformed')
+def malformed(context, names):
+    context.world.malformed |= named(context, names)
+
+
 @behave.when("readers: open connections of all to the store fall silent")
 def silence(context):
     context.world.faults.silenced += 1
--- a/tests/support/reader_world.py
+++ b/tests/support/reader_world.py
@@ -67,6 +67,7 @@
     Attributes:
         lost_beacons: Pairs of sender and receiver whose beacons are lost.
         failed_fetches: Pairs of instance and peer from which it can't fetch.
+        malformed: Instances whose snapshots can't be decoded.
         fetched: Pairs of instance and peer of all fetches that were answered.
         calls: Calls to the store, as pairs of an instance and a name.
         transfer_s: How long the link of an instance, if not shared, takes for a
@@ -82,6 +83,7 @@
         self.table = object_table.ObjectTable()
         self.lost_beacons = set()
         self.failed_fetches = set()
+        self.malformed = set()
         self.fetched = []
         self.transfer_s = {}
         self._links = collections.defaultdict(asyncio.Lock)
@@ -194,6 +196,8 @@
         scope = {"type": "http", "path": path, "query_string": query.encode()}
         await peer.endpoint(scope, None, send)
         start, body = sent
+        if peer.name in self.malformed:
+            body["body"] = body["body"][:-1]
         return peer_snapshots.Response(tuple(start["headers"]), body["body"])
 
     async def _transfer(self, name, host, response, progress):
