Refuse a request whose body does not arrive before its client leaves

What callers saw: nothing; found by reading. A request of which the body does not arrive was refused with 408, "not run", when the deadline had passed that its client has named, so that the client, which counts from when it sent, had left.

Cause: the one wait left that ended at the deadline and not when the last answer is due.

Evidence: the scenario failed on the code before (1.0 s after the head was read, at a deadline of 1.0 s), in virtual time.

--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -240,7 +240,7 @@
         body = await self._read_body(
             receive,
             configuration.limits.body_bytes,
-            arrived_at + time_limit.duration,
+            arrived_at + time_limit.answer_within,
         )
         if not isinstance(body, bytes):
             return body
--- a/tests/features/answer_times.feature
+++ b/tests/features/answer_times.feature
@@ -39,3 +39,9 @@
     Given answers: a stream request with a deadline of 8000 ms at a silent server
     When answers: it would begin when its refusal is due
     Then answers: an answer that takes 0 ms to return finds the client there
+
+  # Guards against a refusal that is due when the client leaves.
+  Scenario: A request whose body does not arrive is refused before its client leaves
+    Given answers: a plain request with a deadline of 1000 ms at a silent server
+    When answers: its body does not arrive
+    Then answers: it is refused with 408 before its client leaves
--- a/tests/features/steps/answer_times_steps.py
+++ b/tests/features/steps/answer_times_steps.py
@@ -5,9 +5,11 @@
 import behave
 
 from pimentolatch.decisions import access
+from pimentolatch.entry import bounded_http, graceful_shutdown
 from pimentolatch.gateway import (
     body_exchange,
     client_request,
+    front_end,
     plain_forwarder,
     stream_forwarder,
 )
@@ -182,6 +184,55 @@
     assert returned_after < context.patience_ms / 1000, returned_after
 
 
+async def serve_without_body(context):
+    """Serve a request of which only the head comes; note when it is answered."""
+    loop = asyncio.get_running_loop()
+    context.sent_at, context.written = loop.time(), []
+
+    async def receive():
+        await asyncio.Event().wait()
+
+    async def send(message):
+        context.written.append((message.get("status"), loop.time()))
+
+    spec = route_world.configuration(1, route_world.ROUTES)
+    fleet = mock.MagicMock(configuration=configuration.decode(spec))
+    fleet.store_unreachable = fleet.configuration_behind = False
+    forwarders = (mock.MagicMock(), mock.MagicMock())
+    served = front_end.RouteFrontEnd(
+        *(fleet, forwarders, mock.MagicMock(), graceful_shutdown.GracefulShutdown()),
+        *(mock.MagicMock(), mock.MagicMock(), b"", virtual_time.LoopClock()),
+        wait_until_current=mock.AsyncMock(),
+    )
+    path = f"/{KINDS[context.kind]}/x"
+    scope = {
+        "method": "POST",
+        "headers": [
+            (b"host", b"site.example"),
+            (b"x-request-id", b"r"),
+            (b"x-deadline-ms", b"%d" % context.deadline_ms),
+        ],
+        "extensions": {
+            bounded_http.TARGET_EXTENSION: {"bytes": path.encode()},
+            bounded_http.PIPELINE_EXTENSION: {"waiting": False},
+        },
+    }
+    await served(scope, receive, send)
+
+
+@behave.when("answers: its body does not arrive")
+def no_body(context):
+    with asyncio.Runner(loop_factory=virtual_time.VirtualLoop) as runner:
+        runner.run(serve_without_body(context))
+
+
+@behave.then("answers: it is refused with {status:d} before its client leaves")
+def refused_before(context, status):
+    found, at = context.written[0]
+    assert found == status, context.written
+    assert at - context.sent_at < context.deadline_ms / 1000, at
+
+
 @behave.then("answers: it ends at its deadline")
 def at_deadline(context):
     lasted = context.ended_at - context.sent_at
