Bound how long a watch may be silent after a slow listing

What callers saw: nothing so far; found by a review of the mends. A listing may take up to six seconds since its response goes on while it arrives, and the next watch was allowed twice the time of the last listing: a connection that falls silent would have been noticed after twelve seconds and its wait, when a change must be in force within two or three.

Cause: the time of a listing stands for the store's latency, and now has the time of its transfer in it.

A watch may be silent for no longer than a change may take. Evidence: the scenario failed on the code before.

--- a/src/pimentolatch/decisions/watch_schedule.py
+++ b/src/pimentolatch/decisions/watch_schedule.py
@@ -13,7 +13,9 @@
 
 A store that is slow answers late on every connection. The listing that follows a watch
 without an answer shows how slow it is, and so does each watch without changes; the next
-one gets more time accordingly. Listings in place of watches would make it slower.
+one gets more time accordingly. Listings in place of watches would make it slower. A
+large listing also takes long because of the link that it comes by, which says nothing
+about a watch without changes; so there is a longest time.
 
 While the store does not answer, an instance asks again after a pause. Without it, all
 instances would ask a store that is overloaded without an end; with a long one, each of
@@ -60,6 +62,7 @@
     Attributes:
         wait: The store answers after this time even if nothing has changed.
         answer: Further time that an answer may take unless the store is slow.
+        longest_answer: The same if it is slow.
         longest_pause: Bound of the pause before a failed call is repeated.
         unconfirmed: Time since the state last matched the store after which an instance
             that learns from peers reads the store itself.
@@ -67,6 +70,7 @@
 
     wait: datetime.timedelta
     answer: datetime.timedelta
+    longest_answer: datetime.timedelta
     longest_pause: datetime.timedelta
     unconfirmed: datetime.timedelta
 
@@ -76,7 +80,8 @@
         Args:
             latency: How long the store took for its last answer, the wait left out.
         """
-        return max(self.answer, _LATENCY_FACTOR * latency)
+        by_latency = max(self.answer, _LATENCY_FACTOR * latency)
+        return min(by_latency, self.longest_answer)
 
 
 def watch_limits(in_force_within: datetime.timedelta) -> WatchLimits:
@@ -88,6 +93,7 @@
     return WatchLimits(
         wait=min(_WAIT_SHARE * in_force_within, MAX_WAIT),
         answer=_ANSWER_SHARE * in_force_within,
+        longest_answer=in_force_within,
         longest_pause=_RETRY_SHARE * in_force_within,
         unconfirmed=_UNCONFIRMED_SHARE * in_force_within,
     )
--- a/tests/features/routes_store.feature
+++ b/tests/features/routes_store.feature
@@ -149,6 +149,10 @@
       | 3.0    | 1.8     | 27      | 45    |
       | 11.0   | 6.6     | 27      | 13    |
 
+  # Guards against a silent watch that is believed in since a listing took long on a link.
+  Scenario: A listing that took 6 s lets no watch be silent for longer than a change may be
+    Then watch: after it a watch may be silent for 2 s, if a change is to be in force in 2 s
+
   # Guards against a slow store that gets a listing in place of each watch.
   Scenario: A store that has become slow does not count as silent again and again
     Given watch: a store with servers "a1" and "a2"
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -227,6 +227,16 @@
     assert limits.wait + limits.answer == datetime.timedelta(seconds=noticed), limits
 
 
+@behave.then(
+    "watch: after it a watch may be silent for {most:d} s, if a change is to be in"
+    " force in {within:d} s"
+)
+def silent_after_listing(context, most, within):
+    limits = watch_schedule.watch_limits(datetime.timedelta(seconds=within))
+    longest = limits.answer_limit(datetime.timedelta(seconds=6))
+    assert longest <= datetime.timedelta(seconds=most), longest
+
+
 @behave.then(
     "watch: {readers:d} instances make at most {calls:d} calls a second for it"
 )
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -138,7 +138,7 @@
 def _wait_for_silent_watches():
     """Lets watches of the store wait as long as the platform accepts."""
     longest = watch_schedule.WatchLimits(
-        watch_schedule.MAX_WAIT, SECOND, SECOND, watch_schedule.MAX_WAIT
+        watch_schedule.MAX_WAIT, SECOND, SECOND, SECOND, watch_schedule.MAX_WAIT
     )
     settings.watch_schedule.watch_limits = lambda in_force_within: longest
 
