Write once what tests and refusals shared

Three features started a world behind one server of their own in the same lines, and two refusals of cancelled requests differed by code and reason.

--- a/src/pimentolatch/decisions/snapshot_attempts.py
+++ b/src/pimentolatch/decisions/snapshot_attempts.py
@@ -59,7 +59,7 @@
         self.received_bytes += size
         self.received_at = now
 
-    def is_sent(self, now: datetime.timedelta) -> bool:
+    def is_arriving(self, now: datetime.timedelta) -> bool:
         """Tell whether the peer is sending the snapshot."""
         return self.received_at is not None and now - self.received_at < _ASK_NEXT_AFTER
 
@@ -76,8 +76,8 @@
     if sum(attempt.received_at is not None for attempt in pending) >= _MAX_SENDING:
         return False
     since_last = now - max(attempt.begun_at for attempt in pending)
-    is_sent = any(attempt.is_sent(now) for attempt in pending)
-    return since_last >= (_SLOW_AFTER if is_sent else _ASK_NEXT_AFTER)
+    is_arriving = any(attempt.is_arriving(now) for attempt in pending)
+    return since_last >= (_SLOW_AFTER if is_arriving else _ASK_NEXT_AFTER)
 
 
 def may_go_on(
--- a/src/pimentolatch/gateway/refusals.py
+++ b/src/pimentolatch/gateway/refusals.py
@@ -154,14 +154,8 @@
     Args:
         dispatched: Whether a server may have received it.
     """
-    if dispatched:
-        return outcome_unknown(_CLIENT_CLOSED)
-    return results.Refusal(
-        results.ResultCode.NO_BACKEND_SERVER,
-        _CLIENT_CLOSED,
-        results.Execution.NOT_RUN,
-        _NO_SERVER_RETRY,
-    )
+    code = results.ResultCode.NO_BACKEND_SERVER
+    return _cancelled(code, _CLIENT_CLOSED, dispatched=dispatched)
 
 
 def stopped(*, dispatched: bool) -> results.Refusal:
@@ -170,14 +164,15 @@
     Args:
         dispatched: Whether a server may have received it.
     """
+    return _cancelled(results.ResultCode.STOPPING, _STOPPED, dispatched=dispatched)
+
+
+def _cancelled(
+    code: results.ResultCode, reason: str, *, dispatched: bool
+) -> results.Refusal:
     if dispatched:
-        return outcome_unknown(_STOPPED)
-    return results.Refusal(
-        results.ResultCode.STOPPING,
-        _STOPPED,
-        results.Execution.NOT_RUN,
-        _NO_SERVER_RETRY,
-    )
+        return outcome_unknown(reason)
+    return results.Refusal(code, reason, results.Execution.NOT_RUN, _NO_SERVER_RETRY)
 
 
 def body_too_large(limit: int) -> results.Refusal:
--- a/tests/features/steps/closing_answers_steps.py
+++ b/tests/features/steps/closing_answers_steps.py
@@ -11,16 +11,7 @@
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
     closing = closing_server.ClosingServer("closing", service, stage, ending)
-
-    async def start():
-        await context.world.start_store()
-        await context.world.configure(1)
-        await closing.start()
-        context.world.extra_servers.append(closing)
-        await context.world.write("servers", closing.name, closing.entry())
-        await context.world.add_instance()
-
-    context.route_runner.run(start())
+    context.route_runner.run(context.world.start_before(closing))
 
 
 @behave.when('closing: "{route}" is asked for')
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -1,5 +1,3 @@
-import asyncio
-
 import behave
 
 from tests.support import closing_server, route_world
@@ -23,20 +21,11 @@
 
 @behave.given('odd answers: a server whose answers of "{route}" have {oddity}')
 def server(context, route, oddity):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
     odd = OddServer("odd", service, stage, oddity)
-
-    async def start():
-        await context.world.start_store()
-        await context.world.configure(1)
-        await odd.start()
-        context.world.extra_servers.append(odd)
-        await context.world.write("servers", odd.name, odd.entry())
-        await context.world.add_instance()
-
-    context.route_runner.run(start())
+    context.route_runner.run(context.world.start_before(odd))
 
 
 @behave.when('odd answers: "{route}" is asked for')
--- a/tests/features/steps/refused_in_time_steps.py
+++ b/tests/features/steps/refused_in_time_steps.py
@@ -34,7 +34,7 @@
 
 def start(context):
     """Start a world with one instance; return its plain server."""
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
 
     async def start_world():
@@ -60,21 +60,11 @@
 
 @behave.given('in time: an instance whose server of "{route}" reads nothing')
 def deaf(context, route):
-    context.route_runner = asyncio.Runner()
+    context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
-    context.route_runner.run(start_deaf(context.world, service, stage))
-
-
-async def start_deaf(world, service, stage):
-    """Start an instance with one server, which accepts connections."""
-    await world.start_store()
-    await world.configure(1)
     server = DeafServer("deaf", service, stage, "")
-    await server.start()
-    world.extra_servers.append(server)
-    await world.write("servers", server.name, server.entry())
-    await world.add_instance()
+    context.route_runner.run(context.world.start_before(server))
 
 
 @behave.when('in time: "{route}" is asked for with 1 second left')
--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -212,6 +212,15 @@
             }
         )
 
+    async def start_before(self, server):
+        """Start the store, one server of a test's own, and an instance before it."""
+        await self.start_store()
+        await self.configure(1)
+        await server.start()
+        self.extra_servers.append(server)
+        await self.write("servers", server.name, server.entry())
+        await self.add_instance()
+
     async def add_instance(
         self, name="one", seeds=(), host=HOST, ready=True, time=None
     ):
