Have the streams of one feature wait until their deadline

A scenario of an instance that has lost its path failed since streams that no engine has been sent are refused before their clients leave: it holds that the loss is noticed while a first request waits, and that stream was refused, as not run, after 1.9 s, before the second one was sent at 3 s.

Its route has a larger target for the first event now, so that clients wait until the deadline of 6 s, and the first stream is there as the second comes. The check is unchanged, and so are the times.

--- a/tests/features/steps/silent_servers_left_steps.py
+++ b/tests/features/steps/silent_servers_left_steps.py
@@ -12,11 +12,14 @@
 NEARLY_UP_S = int(partition_world.DEADLINE_MS) / 1000 - 0.2
 
 
+# With this target, clients wait for a first event until their deadline.
+PATIENT_MS = 5000
+
+
 def routes(attempts):
+    stream = {"resumable": True, "latency_target_ms": PATIENT_MS}
     return [
-        route_world.route(
-            "digest", "lm", "stream", resumable=True, max_attempts=attempts
-        ),
+        route_world.route("digest", "lm", "stream", max_attempts=attempts, **stream),
         route_world.route("notify", "app", "safe", max_attempts=attempts),
     ]
 
