Let a stream that has begun at a peer go on for as long as its client waits

Cause: an instance that was cut off had a peer go on with its stream. The peer took the request for one that waits for its first event and refused it after 1.9 s, as no engine had been sent it; the instance could only cut its client's stream.

A forwarded request whose response may have begun is bounded by its deadline only, as it is at the instance that began it.

--- a/src/pimentolatch/gateway/stream_forwarder.py
+++ b/src/pimentolatch/gateway/stream_forwarder.py
@@ -385,8 +385,11 @@
 
     Its client leaves without a first event, long before the deadline, and learns from a
     refusal that it may come back. One that an engine has been sent goes on: the event
-    may still come in time.
+    may still come in time. So does one that has begun at a peer, whose client would get
+    no refusal but a stream that is cut.
     """
+    if request.forwarded is not None and request.forwarded.started:
+        return request.answer_due
     leaves_at = request_progress.client_gives_up_at(request, progress)
     return leaves_at - answer_time.reserve(leaves_at - request.arrived_at)
 
--- a/tests/features/answer_times.feature
+++ b/tests/features/answer_times.feature
@@ -28,6 +28,14 @@
       | 8000     | 40  |
       | 2100     | 15  |
 
+  # Guards against streams that are cut at the instance that began them, since a peer that
+  # goes on with them counts its own way to a first event.
+  Scenario: A stream that has begun at a peer is not refused for want of an event
+    Given answers: a stream request with a deadline of 8000 ms at a silent server
+    And answers: no engine is sent it, and a peer has begun its response
+    When answers: it takes 0 ms to arrive
+    Then answers: it is refused as its answer is due
+
   # Guards against streams that end early for the sake of an answer they have begun.
   Scenario: A stream that has begun goes on until its deadline
     Given answers: a stream request with a deadline of 8000 ms at a silent server
--- a/tests/features/steps/answer_times_steps.py
+++ b/tests/features/steps/answer_times_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from pimentolatch.decisions import access
+from pimentolatch.decisions import access, answer_time
 from pimentolatch.entry import bounded_http, graceful_shutdown
 from pimentolatch.gateway import (
     body_exchange,
@@ -14,6 +14,7 @@
     stream_forwarder,
 )
 from pimentolatch.platform import configuration, http_headers
+from pimentolatch.protocol import forwarding
 from pimentolatch.requests import digests
 from tests.support import route_world, virtual_time
 
@@ -23,7 +24,7 @@
 KINDS = {"plain": "print", "stream": "draft"}
 
 
-def read_request(time, kind, deadline_ms):
+def read_request(time, kind, deadline_ms, forwarded):
     """Return a request as the front end reads it now."""
     spec = route_world.configuration(1, route_world.ROUTES)
     known = configuration.decode(spec)
@@ -48,6 +49,7 @@
         client_request.TimeLimit.shorter_of(route.timeout, head.time_left, 1),
         digests.RequestDigest(b"0" * 32),
         access.Access(None, route.rank),
+        forwarded=forwarded,
     )
 
 
@@ -122,7 +124,7 @@
     )
     forwarder.begun, forwarder.sent = context.begun, context.sent
     forwarder.begins_when_due = context.begins_when_due
-    request = read_request(time, context.kind, context.deadline_ms)
+    request = read_request(time, context.kind, context.deadline_ms, context.forwarded)
     await forwarder.run(request, response)
     context.status, context.ended_at = response.status, loop.time()
 
@@ -138,7 +140,7 @@
 def held(context, kind, deadline):
     context.kind, context.deadline_ms = kind, deadline
     context.begun = context.begins_when_due = False
-    context.sent = True
+    context.sent, context.forwarded = True, None
 
 
 @behave.given(
@@ -149,6 +151,12 @@
     context.sent, context.patience_ms = False, patience
 
 
+@behave.given("answers: no engine is sent it, and a peer has begun its response")
+def begun_at_peer(context):
+    context.sent = False
+    context.forwarded = forwarding.ForwardOptions(1, 1, started=True)
+
+
 @behave.when("answers: it takes {way:d} ms to arrive")
 def arrive(context, way):
     run(context, way)
@@ -233,6 +241,14 @@
     assert at - context.sent_at < context.deadline_ms / 1000, at
 
 
+@behave.then("answers: it is refused as its answer is due")
+def refused_when_due(context):
+    assert context.status == 503, context.status
+    reserve = answer_time.reserve(context.deadline_ms * MS)
+    lasted = round((context.ended_at - context.sent_at) * 1000)
+    assert lasted == context.deadline_ms - reserve / MS, lasted
+
+
 @behave.then("answers: it ends at its deadline")
 def at_deadline(context):
     lasted = context.ended_at - context.sent_at
