Retrieve the outcome of closing that a stop has cancelled

What operators saw: a traceback with CancelledError in the log of an instance whose stop ended by its grace period, after "stopped".

Cause: the stop cancels the closing of the connections at the end of the grace period and waits no longer for it; the event loop logs what nobody retrieved when it is collected, which is sometimes before the process ends.

The stop waits for it, which takes one turn of the loop. Evidence: the scenario of a grace period that ends has one more step, which failed on the code before (_GatheringFuture exception was never retrieved).

--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -487,6 +487,8 @@
             await self._shutdown.wait_drained(_LAST_ANSWERS)
             closing.cancel()
         await self.abort()
+        # A cancellation that nobody retrieves is logged as an internal error.
+        await asyncio.gather(closing, return_exceptions=True)
         _log.info("stopped")
 
     async def abort(self) -> None:
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import datetime
+import gc
 import json
 import re
 import socket
@@ -279,7 +280,12 @@
         permit_wait=lambda listed, ahead: datetime.timedelta(),
     )
 
+    context.unretrieved = []
+
     async def stop():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, failure: context.unretrieved.append(failure)
+        )
         instance.apply(chosen)
         asked = asyncio.create_task(context.world.ask("notify", "waits"))
         await context.world.until(lambda: instance.in_flight)
@@ -290,6 +296,12 @@
         context.reply = context.route_runner.run(stop())
 
 
+@behave.then("unanswered: the stop has left no failure that nobody retrieved")
+def all_retrieved(context):
+    gc.collect()
+    assert not context.unretrieved, context.unretrieved
+
+
 @behave.then("unanswered: it gets {status:d}, {execution}")
 def ended_with(context, status, execution):
     assert context.reply.status == status, context.reply
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -58,6 +58,7 @@
     Given unanswered: an instance with a server that does not answer
     When unanswered: the grace period ends as a request <waits>
     Then unanswered: it gets <answer>
+    And unanswered: the stop has left no failure that nobody retrieved
 
     Examples:
       | waits              | answer           |
