--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import datetime
+import functools
 import typing
 from collections import abc
 
@@ -82,7 +83,8 @@
 class _ByteStream(asyncio.Protocol):
     """Buffers the bytes received on a connection until they are read."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_data: abc.Callable[[], None]) -> None:
+        self._on_data = on_data
         self.transport: asyncio.Transport | None = None
         self.received = bytearray()
         self.at_end = False
@@ -95,6 +97,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer the data; pause reading while the buffer is full."""
+        self._on_data()
         self.received += data
         if len(self.received) > _READ_BUFFER_BYTES and self.transport is not None:
             self.transport.pause_reading()
@@ -437,11 +440,16 @@
     return framing.isdisjoint(name for name, _ in head.fields)
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing."""
+
+
 async def connect(
     address: settings.Address,
     limit: datetime.timedelta,
     *,
     acknowledgement_limit: datetime.timedelta = _ACKNOWLEDGEMENT_LIMIT,
+    on_data: abc.Callable[[], None] = _ignore,
 ) -> Channel:
     """Open a connection; raises `ConnectError`.
 
@@ -450,12 +458,13 @@
         limit: Time limit for opening the connection.
         acknowledgement_limit: How long the peer may leave a request without an
             acknowledgement before the connection is reset.
+        on_data: Called whenever data of the peer arrives.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(limit.total_seconds()):
             transport, stream = await loop.create_connection(
-                _ByteStream, address.host, address.port
+                functools.partial(_ByteStream, on_data), address.host, address.port
             )
     except (OSError, TimeoutError) as error:
         unresponsive = isinstance(error, TimeoutError)
@@ -489,6 +498,7 @@
         acknowledgement_limit: How long a peer may leave a request without an
             acknowledgement before the connection is reset.
         on_open: Called with the reason whenever a connection is opened.
+        on_data: Called with a server's key whenever data of it arrives.
     """
 
     def __init__(
@@ -496,9 +506,11 @@
         connect_limit: datetime.timedelta,
         *,
         acknowledgement_limit: datetime.timedelta = _ACKNOWLEDGEMENT_LIMIT,
-        on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
+        on_open: abc.Callable[[connection_reuse.Opening], None] = _ignore,
+        on_data: abc.Callable[[typing.Any], None] = _ignore,
     ) -> None:
         self._on_open = on_open
+        self._on_data = on_data
         self._connect_limit = connect_limit
         self._acknowledgement_limit = acknowledgement_limit
         self._idle: dict[abc.Hashable, list[_IdleConnection]] = {}
@@ -526,7 +538,7 @@
         if opened_before is not None:
             return self._idle_since(server, now, opened_before)
         if not reuse:
-            return await self._open(address, connection_reuse.Opening.REQUIRED)
+            return await self._open(server, address, connection_reuse.Opening.REQUIRED)
         why = connection_reuse.Opening.NONE_IDLE
         idle_connections = self._idle.get(server, [])
         while idle_connections:
@@ -537,7 +549,7 @@
             if why is connection_reuse.Opening.NONE_IDLE:
                 why = obstacle
             entry.channel.close()
-        return await self._open(address, why)
+        return await self._open(server, address, why)
 
     def release(
         self, server: abc.Hashable, channel: Channel, now: datetime.timedelta
@@ -576,14 +588,20 @@
         raise ConnectError(f"no idle connection that was open at {at}")
 
     async def _open(
-        self, address: settings.Address, why: connection_reuse.Opening
+        self,
+        server: abc.Hashable,
+        address: settings.Address,
+        why: connection_reuse.Opening,
     ) -> Channel:
         self._on_open(why)
-        return await self._connect(address)
+        return await self._connect(server, address)
 
-    async def _connect(self, address: settings.Address) -> Channel:
+    async def _connect(
+        self, server: abc.Hashable, address: settings.Address
+    ) -> Channel:
         return await connect(
             address,
             self._connect_limit,
             acknowledgement_limit=self._acknowledgement_limit,
+            on_data=functools.partial(self._on_data, server),
         )
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -10,7 +10,11 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import connection_reuse, reachability
+from pimentolatch.decisions import (
+    connection_reuse,
+    reachability,
+    server_liveness,
+)
 from pimentolatch.gateway import body_exchange, client_request, flow_control
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
@@ -163,6 +167,9 @@
             still read it although the connection is reset.
         kept_connection: Whether the connection had been used before.
         accepted: Whether the server was still listed and accepted requests.
+        whole: Whether the body had been written, too.
+        unheard_for: For how long the server had not been heard when it was written;
+            None if it never was.
     """
 
     server: servers.Server
@@ -171,6 +178,8 @@
     acknowledged: bool
     kept_connection: bool
     accepted: bool
+    whole: bool
+    unheard_for: datetime.timedelta | None
 
 
 Outcome = (
@@ -260,10 +269,12 @@
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
         self._on_silence: list[abc.Callable[[servers.Server], None]] = []
+        self._liveness = server_liveness.ServerLiveness()
         self._pool = channel.ChannelPool(
             _CONNECT_TIMEOUT,
             acknowledgement_limit=acknowledgement_limit,
             on_open=on_open,
+            on_data=self._record_data,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
@@ -278,6 +289,10 @@
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
         self._bodies.retain(incarnations)
+        self._liveness.retain(incarnations)
+
+    def _record_data(self, server: servers.Incarnation) -> None:
+        self._liveness.record(server, self._clock.monotonic())
 
     def close(self) -> None:
         """Close all pooled connections."""
@@ -346,6 +361,7 @@
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
             sent_at = self._clock.monotonic()
+            unheard_for = self._liveness.unheard_for(server.incarnation, sent_at)
             holds_body = self._bodies.is_held_back(server, request)
             link.send(
                 request.method,
@@ -354,7 +370,9 @@
                 request.body,
                 holds_body=holds_body,
             )
-            with self._abandoned_on_cancel(server, request, link, sent_at):
+            with self._abandoned_on_cancel(
+                server, request, link, sent_at, unheard_for, delivery
+            ):
                 if holds_body and not await self._send_body(
                     server, request, link, may_send
                 ):
@@ -415,6 +433,8 @@
         request: client_request.ClientRequest,
         link: channel.Channel,
         written_at: datetime.timedelta,
+        unheard_for: datetime.timedelta | None,
+        delivery: body_exchange.Delivery,
     ) -> abc.Generator[None, None, None]:
         """Report a request that is cancelled while it waits for an answer."""
         try:
@@ -428,6 +448,8 @@
                     acknowledged=link.acknowledged,
                     kept_connection=link.opened_by is not None,
                     accepted=self._accepts(server),
+                    whole=delivery.sent_at is not None,
+                    unheard_for=unheard_for,
                 )
             )
             raise
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -124,9 +124,19 @@
             acknowledged=abandonment.acknowledged,
             kept_connection=abandonment.kept_connection,
             accepted=abandonment.accepted,
+            whole=abandonment.whole,
+            unheard_ms=_milliseconds(abandonment.unheard_for),
         )
 
     def elapsed_ms(self, since: datetime.timedelta) -> int:
         """Return the time since `since` in whole milliseconds."""
         passed = self._clock.monotonic() - since
         return round(passed / datetime.timedelta(milliseconds=1))
+
+
+def _milliseconds(duration: datetime.timedelta | None) -> int | None:
+    return (
+        None
+        if duration is None
+        else round(duration / datetime.timedelta(milliseconds=1))
+    )
