Count a request at a server when its head is read, and show that heads arrive late

Stand-ins record heads, can ignore that bodies are announced, stop by themselves between a head and its body, and stutter.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -18,7 +18,9 @@
 import h11
 
 __all__ = [
+    "ASKS",
     "DEFAULT_VERSION",
+    "IGNORES",
     "EVENT_COUNT",
     "EVENT_FORMAT",
     "EVENT_PAUSE_S",
@@ -27,6 +29,9 @@
 ]
 
 HEALTH_TARGET = "/health"
+# What a server does about a head that announces its body.
+ASKS = "asks"
+IGNORES = "ignores"
 DEFAULT_VERSION = "v1"
 EVENT_COUNT = 6
 EVENT_FORMAT = "id: {number}\ndata: {mark}piece {number}\n\n"
@@ -90,6 +95,9 @@
             N` (the connection is closed or reset after so many bytes of the response).
         received: Received requests, in order.
         arrival_times: Times of their arrival, by the event loop's clock.
+        heads: Requests whose head was read, with no body, and when, by the same clock.
+            Those that are declined, and those whose body never comes, are among them.
+        body_requests: `ASKS` for a body that is announced, or `IGNORES` that it is.
         advertised_address: Address to list the server under, if it is not its own.
         cancelled: Ids of requests whose client closed the connection before the
             response.
@@ -125,6 +133,7 @@
         awake: Cleared while the server is silent: it accepts connections and reads and
             writes nothing.
         on_request: Called with each received request.
+        on_head: Called with each request whose head has been read.
     """
 
     def __init__(
@@ -144,6 +153,8 @@
         self.faults: collections.deque[str] = collections.deque()
         self.received: list[ReceivedRequest] = []
         self.arrival_times: list[float] = []
+        self.heads: list[tuple[ReceivedRequest, float]] = []
+        self.body_requests = ASKS
         self.advertised_address = ""
         self.cancelled: list[str] = []
         self.freed_handles: list[str] = []
@@ -173,6 +184,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.on_request: abc.Callable[[ReceivedRequest], None] = lambda request: None
+        self.on_head: abc.Callable[[ReceivedRequest], None] = lambda request: None
         self.port = 0
         self._check_ins = 0
         self._restarts = 0
@@ -270,7 +282,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         connection = _Connection(
-            reader, writer, self.notices, self.notified, self.awake
+            reader, writer, self.notices, self.notified, self.awake, self._read_head
         )
         self._connections.add(connection)
         incarnation = self._restarts
@@ -287,6 +299,12 @@
             self._connections.discard(connection)
             writer.close()
 
+    def _read_head(self, head: ReceivedRequest) -> bool:
+        """Record a head; return whether the server asks for an announced body."""
+        self.heads.append((head, asyncio.get_running_loop().time()))
+        self.on_head(head)
+        return self.body_requests == ASKS
+
     async def _respond(
         self, connection: "_Connection", request: ReceivedRequest
     ) -> bool:
@@ -479,6 +497,7 @@
         notices: The server's header fields for all responses; they may change.
         notified: The server's record of the responses with such fields.
         awake: Cleared while the server reads and writes nothing.
+        on_head: Called with each head; returns whether to ask for an announced body.
     """
 
     def __init__(
@@ -488,8 +507,10 @@
         notices: list[tuple[bytes, bytes]],
         notified: list[tuple[str, float]],
         awake: asyncio.Event,
+        on_head: abc.Callable[[ReceivedRequest], bool],
     ) -> None:
         self._awake = awake
+        self._on_head = on_head
         self._notices = notices
         self._notified = notified
         self._reader = reader
@@ -538,7 +559,8 @@
                 self._parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                if self._parser.they_are_waiting_for_100_continue:
+                asks = self._on_head(_parse_request(head, b""))
+                if asks and self._parser.they_are_waiting_for_100_continue:
                     await self._ask_for_body()
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/standins/route_server_process.py
+++ b/standins/route_server_process.py
@@ -2,26 +2,35 @@
 
 A stopped process reads nothing, while its kernel goes on accepting connections and
 bytes. Its settings are one JSON argument. It prints JSON lines: its port, and then each
-request that it has received.
+head that it has read and each request that it has received.
+
+On SIGUSR1 it stands still by itself as soon as it has read the next head of a client's
+request. A server that stutters stands still for half of the time.
 """
 
 import asyncio
 import json
+import os
 import signal
 import sys
+import time
 import typing
 
 from standins import route_server
 
-__all__ = ["main"]
+__all__ = ["STUTTER_S", "main"]
+
+# A server that stutters stands still for so long, and runs for as long, in turn.
+STUTTER_S = 0.05
 
 
 def _print(**fields: typing.Any) -> None:
     print(json.dumps(fields), flush=True)
 
 
-def _print_request(request: route_server.ReceivedRequest, at: float) -> None:
+def _print_request(what: str, request: route_server.ReceivedRequest, at: float) -> None:
     _print(
+        what=what,
         at=at,
         kind=request.kind,
         method=request.method,
@@ -31,10 +40,37 @@
     )
 
 
-async def _serve(server: route_server.RouteServer) -> None:
+class _HeadRecorder:
+    """Prints heads, and stops the process after one if it was told to."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stops = False
+        self._loop.add_signal_handler(signal.SIGUSR1, self._stop_after_next)
+
+    def __call__(self, head: route_server.ReceivedRequest) -> None:
+        """Record a head."""
+        _print_request("head", head, self._loop.time())
+        if self._stops and "x-request-id" in head.fields:
+            self._stops = False
+            os.kill(os.getpid(), signal.SIGSTOP)
+
+    def _stop_after_next(self) -> None:
+        self._stops = True
+
+
+def _stutter() -> None:
+    time.sleep(STUTTER_S)
+    asyncio.get_running_loop().call_later(STUTTER_S, _stutter)
+
+
+async def _serve(server: route_server.RouteServer, *, stutters: bool) -> None:
     loop = asyncio.get_running_loop()
-    server.on_request = lambda request: _print_request(request, loop.time())
+    server.on_request = lambda request: _print_request("whole", request, loop.time())
+    server.on_head = _HeadRecorder()
     await server.start()
+    if stutters:
+        _stutter()
     _print(port=server.port)
     await asyncio.Event().wait()
 
@@ -52,7 +88,8 @@
     )
     server.event_count = settings["event_count"]
     server.event_pause_s = settings["event_pause_s"]
-    asyncio.run(_serve(server))
+    server.body_requests = settings["body_requests"]
+    asyncio.run(_serve(server, stutters=settings["stutters"]))
 
 
 if __name__ == "__main__":
--- a/tests/support/stopped_servers.py
+++ b/tests/support/stopped_servers.py
@@ -44,6 +44,7 @@
 
     def __init__(self, folder, *description):
         super().__init__(*description)
+        self.stutters = False
         self._output = pathlib.Path(folder) / f"{self.server_id}.out"
         self._popen = None
 
@@ -66,20 +67,24 @@
         """Have the process stand still."""
         self._popen.send_signal(signal.SIGSTOP)
 
+    def suspend_after_head(self):
+        """Have the process stand still once it has read the head of a request."""
+        self._popen.send_signal(signal.SIGUSR1)
+
     def resume(self):
         """Have the process go on."""
         self._popen.send_signal(signal.SIGCONT)
 
     def load_requests(self):
         """Load the requests that the process has received so far."""
-        lines = self._lines()[1:]
-        self.arrival_times = [line.pop("at") for line in lines]
-        self.received = [
-            route_server.ReceivedRequest(
-                **line | {"body": line["body"].encode("latin-1")}
-            )
-            for line in lines
-        ]
+        self.heads, whole = [], []
+        for line in self._lines()[1:]:
+            what, at = line.pop("what"), line.pop("at")
+            line["body"] = line["body"].encode("latin-1")
+            request = route_server.ReceivedRequest(**line)
+            (self.heads if what == "head" else whole).append((request, at))
+        self.received = [request for request, _ in whole]
+        self.arrival_times = [at for _, at in whole]
 
     def _spawn(self):
         settings = {
@@ -89,6 +94,8 @@
             "stage": self.stage,
             "event_count": self.event_count,
             "event_pause_s": self.event_pause_s,
+            "body_requests": self.body_requests,
+            "stutters": self.stutters,
         }
         module = "standins.route_server_process"
         with self._output.open("wb") as output:
@@ -102,7 +109,15 @@
 
 
 class ProcessWorld(soak_world.SoakWorld):
-    """A world whose servers are processes without a relay before them."""
+    """A world whose servers are processes without a relay before them.
+
+    Attributes:
+        body_requests: What its servers do about bodies that are announced, in turn.
+        stutters: Whether its servers stand still for half of the time.
+    """
+
+    body_requests = (route_server.ASKS,)
+    stutters = False
 
     async def add_server(self, service, stage):
         name = f"{stage or service}-{next(self._numbers)}"
@@ -110,6 +125,10 @@
         server = ServerProcess(self._folder.name, name, service, domain, stage)
         server.event_count = self.event_count
         server.event_pause_s = self.event_pause_s
+        server.body_requests = self.body_requests[
+            len(self.servers) % len(self.body_requests)
+        ]
+        server.stutters = self.stutters
         await server.start()
         self.servers[name] = server
         await self.list_server(name)
@@ -127,18 +146,25 @@
         self.stopped_at = self.left_at = 0.0
         self.stopped = []
 
-    async def stop_servers(self, leave_after_s, seconds, *, listed):
+    async def stop_servers(
+        self, leave_after_s, seconds, *, listed, within_requests=False
+    ):
         """Stop a server of each kind, have them leave meanwhile, and let them go on.
 
         Args:
             leave_after_s: When they leave, after they have been stopped.
             seconds: For how long they are stopped.
             listed: Whether their entries stay and say that they drain.
+            within_requests: Whether they stop between the head of a request and its
+                body.
         """
         kinds = {s.stage: s for s in self.world.servers.values()}
         self.stopped = list(kinds.values())
         for server in self.stopped:
-            server.suspend()
+            if within_requests:
+                server.suspend_after_head()
+            else:
+                server.suspend()
         self.stopped_at = asyncio.get_running_loop().time()
         await asyncio.sleep(leave_after_s)
         table = self.world.platform.table
@@ -156,9 +182,10 @@
         await asyncio.sleep(WATCHED_S)
 
     def late_requests(self):
-        """Return the requests that reached a server too late.
+        """Return the requests whose heads reached a server too late.
 
-        Those that clients sent before it stood still may have been on their way.
+        A server hands a request to its handler when it has read the head. Those that
+        clients sent before it stood still may have been on their way.
         """
         for server in self.stopped:
             server.load_requests()
@@ -171,7 +198,7 @@
         return [
             LateRequest(server.server_id, request.kind, after_s)
             for server in self.stopped
-            for request, at in zip(server.received, server.arrival_times, strict=True)
+            for request, at in server.heads
             if request.kind in RUNS
             and request.fields.get("x-request-id") in sent_later
             and (after_s := at - self.left_at) > LATE_S
