Ask whether a server reads before anything of a request is written to it

What callers saw: nothing. Heads of requests reached servers that had stood still and left meanwhile, seconds after the store's word (DRAIN); servers that ignore that a body is announced got whole requests.

Cause: the head was written to find out whether the server reads. A sender can't recall what the receiver's kernel has acknowledged, and a usual server begins with the head.

Evidence: stopped_servers.feature counted by heads failed in seven rows before.

Why it works: the question comes before the request and may lie unread. A request is written only if data of its server arrived in the last 5 ms, on its own kept connection if it may not be repeated. The list and the permit are looked at after that.

The announcement (Expect: 100-continue) is taken away, so "not run" is never said once something was written.

--- a/src/pimentolatch/decisions/stall_check.py
+++ b/src/pimentolatch/decisions/stall_check.py
@@ -35,8 +35,8 @@
 # Reports come within milliseconds. One that takes longer was made by an engine that was
 # silent, which may not have read the request yet.
 _MAX_PROMPT_REPORT = datetime.timedelta(milliseconds=100)
-# An engine that goes on after a silence asks for the body of a request and reads it
-# within this time. It may answer for its report before.
+# An engine that goes on after a silence answers what it was asked before a request is
+# sent, and reads the request, within this time. It may answer for its report before.
 _MAX_READING = datetime.timedelta(milliseconds=100)
 UNDER_WAY_INTERVAL = _MAX_READING
 
@@ -85,8 +85,8 @@
     """Tell whether an engine may be reading a request that its report lacks.
 
     Args:
-        sent_at: When the request was sent whole; None if the engine has not asked for
-            its body.
+        sent_at: When the request was sent; None if the engine has not yet shown that
+            it reads.
         reported_at: When the report was asked for.
         now: The current time.
     """
--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -12,8 +12,8 @@
     placement_types,
 )
 from pimentolatch.gateway import (
-    body_exchange,
     client_request,
+    deliveries,
     dispatch,
     event_relay,
     kv_handles,
@@ -164,7 +164,7 @@
         repeatable = request.route.repeatable
         # If the deadline passes before the outcome is known, an engine that was sent
         # the whole request may be decoding.
-        progress.delivery = delivery = body_exchange.Delivery(repeatable)
+        progress.delivery = delivery = deliveries.Delivery(repeatable)
         call = self._context.client.open(
             place.engine.server,
             request,
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -15,7 +15,12 @@
     reachability,
     server_liveness,
 )
-from pimentolatch.gateway import body_exchange, client_request, flow_control
+from pimentolatch.gateway import (
+    client_request,
+    deliveries,
+    flow_control,
+    liveness_check,
+)
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
 
@@ -55,8 +60,9 @@
 _MISDIRECTED = 421
 # The largest status of HTTP (RFC 9110, section 15); larger ones can't be passed on.
 _MAX_STATUS = 599
-# Reports take milliseconds.
-_REPORT_TIMEOUT = datetime.timedelta(milliseconds=700)
+# Questions before one request whether its server reads. On a busy machine the answer to
+# the first may be too old when it is handled.
+_MAX_QUESTIONS = 2
 # Statuses that tell a client that its request did not run. A server's response with one
 # of these is not forwarded, since the request may have run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -167,9 +173,7 @@
             still read it although the connection is reset.
         kept_connection: Whether the connection had been used before.
         accepted: Whether the server was still listed and accepted requests.
-        whole: Whether the body had been written, too.
-        unheard_for: For how long the server had not been heard when it was written;
-            None if it never was.
+        heard_at: When the server was last heard before; None if it never was.
     """
 
     server: servers.Server
@@ -178,8 +182,7 @@
     acknowledged: bool
     kept_connection: bool
     accepted: bool
-    whole: bool
-    unheard_for: datetime.timedelta | None
+    heard_at: datetime.timedelta | None
 
 
 Outcome = (
@@ -262,9 +265,6 @@
         self._clock = time
         self._flow = flow
         self._on_abandoned = on_abandoned
-        self._bodies = body_exchange.BodyExchange(
-            lambda server, target: self.probe(server, target, _REPORT_TIMEOUT)
-        )
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -276,6 +276,13 @@
             on_open=on_open,
             on_data=self._record_data,
         )
+        self._checks = liveness_check.LivenessCheck(
+            self._pool,
+            self._liveness,
+            flow,
+            time,
+            lambda server: _notify(self._on_answer, server),
+        )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
         """Register a callback that runs after each response head of a server."""
@@ -288,11 +295,16 @@
     def retain(self, incarnations: abc.Container[servers.Incarnation]) -> None:
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
-        self._bodies.retain(incarnations)
         self._liveness.retain(incarnations)
+        self._checks.retain(incarnations)
+
+    def forget_signs(self) -> None:
+        """Have servers show anew that they read, after a pause of this process."""
+        self._liveness.forget_earlier(self._clock.monotonic())
 
-    def _record_data(self, server: servers.Incarnation) -> None:
-        self._liveness.record(server, self._clock.monotonic())
+    def _record_data(self, server: servers.Incarnation, link: channel.Channel) -> None:
+        link.heard_at = now = self._clock.monotonic()
+        self._liveness.record(server, now)
 
     def close(self) -> None:
         """Close all pooled connections."""
@@ -307,7 +319,7 @@
         new_connection: bool = False,
         may_send: abc.Callable[[], bool] = lambda: True,
         incarnation_check: IncarnationCheck = IncarnationCheck.NONE,
-        delivery: body_exchange.Delivery | None = None,
+        delivery: deliveries.Delivery | None = None,
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
 
@@ -329,7 +341,7 @@
                 listed one.
             delivery: Records how far the request gets.
         """
-        delivery = delivery or body_exchange.Delivery()
+        delivery = delivery or deliveries.Delivery()
         max_idle = (
             None
             if request.route.repeatable or options.prefill_only
@@ -344,58 +356,35 @@
                 reuse=not new_connection,
             )
         except channel.ConnectError as error:
-            # A refusal shows that the path is sound, and costs no caller any time.
-            if error.unresponsive:
-                _notify(self._on_silence, server)
-            return NotSent(str(error), error.unresponsive)
-        if incarnation_check is not IncarnationCheck.NONE:
-            unusable = await self._check_incarnation(server, link, incarnation_check)
-            if unusable is not None:
-                return unusable
+            return self._not_sent(server, error)
         try:
-            labelled = dataclasses.replace(options, customer=request.customer_name)
-            fields = http_headers.request_fields(request.fields, labelled)
-            await self._wait_until_current()
-            may_send_now = self._accepts(server) and may_send()
-            if not may_send_now or not self._flow.take(server):
+            link = await self._heard_link(
+                server,
+                request,
+                link,
+                incarnation_check,
+                on_link=max_idle is not None,
+            )
+        except (channel.BrokenError, channel.ConnectError) as error:
+            return self._not_sent(server, error)
+        if (
+            incarnation_check is IncarnationCheck.REQUIRE
+            and link.started_ms != server.started_ms
+        ):
+            self._pool.release(server.incarnation, link, self._clock.monotonic())
+            return NotSent("another incarnation than the listed one", replaced=True)
+        try:
+            # Nothing is awaited until the request is written.
+            if not (self._accepts(server) and may_send() and self._flow.take(server)):
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
+            labelled = dataclasses.replace(options, customer=request.customer_name)
+            fields = http_headers.request_fields(request.fields, labelled)
             sent_at = self._clock.monotonic()
-            unheard_for = self._liveness.unheard_for(server.incarnation, sent_at)
-            holds_body = self._bodies.is_held_back(server, request)
-            link.send(
-                request.method,
-                request.target,
-                fields,
-                request.body,
-                holds_body=holds_body,
-            )
-            with self._abandoned_on_cancel(
-                server, request, link, sent_at, unheard_for, delivery
-            ):
-                if holds_body and not await self._send_body(
-                    server, request, link, may_send
-                ):
-                    link.close()
-                    return Withheld()
-                # Nothing is awaited since, so a request that counts as unsent is.
-                delivery.sent_at = self._clock.monotonic()
-                opened = await self._opened(server, request, link, sent_at)
-            if (
-                holds_body
-                and isinstance(opened, OpenResponse)
-                and not self._bodies.record(server, link, opened.status)
-            ):
-                link.close()
-                return await self.open(
-                    server,
-                    request,
-                    options,
-                    may_send=may_send,
-                    incarnation_check=incarnation_check,
-                    delivery=delivery,
-                )
-            return opened
+            link.send(request.method, request.target, fields, request.body)
+            delivery.sent_at = sent_at
+            with self._abandoned_on_cancel(server, request, link, sent_at):
+                return await self._opened(server, request, link, sent_at)
         except channel.BrokenError as error:
             link.close()
             if isinstance(error, channel.UndeliveredError):
@@ -405,26 +394,58 @@
             link.close()
             raise
 
-    async def _send_body(
+    def _not_sent(
+        self,
+        server: servers.Server,
+        error: channel.BrokenError | channel.ConnectError,
+    ) -> NotSent:
+        """Return the outcome of a dispatch that failed before the request was sent."""
+        # A refusal shows that the path is sound, and costs no caller any time.
+        unresponsive = isinstance(error, channel.UndeliveredError) or (
+            isinstance(error, channel.ConnectError) and error.unresponsive
+        )
+        if unresponsive:
+            _notify(self._on_silence, server)
+        return NotSent(str(error), unresponsive)
+
+    async def _heard_link(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
         link: channel.Channel,
-        may_send: abc.Callable[[], bool],
-    ) -> bool:
-        """Send a body that the server asks for; False if it no longer may get it.
+        check: IncarnationCheck,
+        *,
+        on_link: bool,
+    ) -> channel.Channel:
+        """Return a connection to a server that has shown that it reads.
 
-        A server that stood still asks for it when it goes on. It may have left since.
+        On return this instance knows what it missed in a pause.
+
+        Raises:
+            BrokenError: The server was asked in vain.
+            ConnectError: No other connection could be opened.
         """
-        if await self._bodies.wait_until_requested(server, request, link):
+        target = (
+            request.service.health_target
+            if server.stage is None
+            else engines.REPORT_TARGET
+        )
+        try:
+            for _ in range(_MAX_QUESTIONS):
+                await self._wait_until_current()
+                is_known = (
+                    check is IncarnationCheck.NONE
+                    or server.started_ms is None
+                    or link.started_ms is not None
+                )
+                if is_known and self._checks.is_heard(server, link, on_link=on_link):
+                    return link
+                link = await self._checks.ask(server, link, target)
             await self._wait_until_current()
-            if not (self._accepts(server) and may_send()):
-                return False
-        # Also after an early answer, so that the connection can be used again. A server
-        # that closes it would reset it, and the rest of its answer would be lost.
-        if not link.ends_early:
-            link.send_body()
-        return True
+        except BaseException:
+            link.close()
+            raise
+        return link
 
     @contextlib.contextmanager
     def _abandoned_on_cancel(
@@ -433,10 +454,9 @@
         request: client_request.ClientRequest,
         link: channel.Channel,
         written_at: datetime.timedelta,
-        unheard_for: datetime.timedelta | None,
-        delivery: body_exchange.Delivery,
     ) -> abc.Generator[None, None, None]:
         """Report a request that is cancelled while it waits for an answer."""
+        heard_at = self._liveness.heard_at(server.incarnation)
         try:
             yield
         except asyncio.CancelledError:
@@ -448,49 +468,11 @@
                     acknowledged=link.acknowledged,
                     kept_connection=link.opened_by is not None,
                     accepted=self._accepts(server),
-                    whole=delivery.sent_at is not None,
-                    unheard_for=unheard_for,
+                    heard_at=heard_at,
                 )
             )
             raise
 
-    async def _check_incarnation(
-        self, server: servers.Server, link: channel.Channel, check: IncarnationCheck
-    ) -> NotSent | None:
-        """Learn the incarnation at the end of a connection; None if it may be used."""
-        if server.started_ms is None:
-            return None
-        if link.started_ms is None:
-            try:
-                async with asyncio.timeout(_REPORT_TIMEOUT.total_seconds()):
-                    await self._read_incarnation(server, link)
-            except (channel.BrokenError, TimeoutError) as error:
-                link.close()
-                if isinstance(error, channel.UndeliveredError):
-                    _notify(self._on_silence, server)
-                unresponsive = not isinstance(error, channel.BrokenError)
-                return NotSent(f"no report: {error!r}", unresponsive)
-            except BaseException:
-                link.close()
-                raise
-        if not link.reusable:
-            link.close()
-            return NotSent("connection was closed after the report")
-        if check is IncarnationCheck.REQUIRE and link.started_ms != server.started_ms:
-            self._pool.release(server.incarnation, link, self._clock.monotonic())
-            return NotSent("another incarnation than the listed one", replaced=True)
-        return None
-
-    async def _read_incarnation(
-        self, server: servers.Server, link: channel.Channel
-    ) -> None:
-        host = f"{server.address.host}:{server.address.port}".encode()
-        link.send("GET", engines.REPORT_TARGET, [(b"host", host)], b"")
-        start = await link.read_head()
-        content = await link.read_body(_MAX_CALL_BYTES)
-        report = engines.decode_report(content) if start.status == _OK else None
-        link.started_ms = None if report is None else report.started_ms
-
     async def probe(
         self, server: servers.Server, target: bytes, limit: datetime.timedelta
     ) -> reachability.ProbeResult:
@@ -530,7 +512,7 @@
         options: http_headers.DispatchOptions,
         *,
         new_connection: bool = False,
-        delivery: body_exchange.Delivery | None = None,
+        delivery: deliveries.Delivery | None = None,
     ) -> FullResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and read its response to the end; see `open`."""
         opened = await self.open(
--- /dev/null
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -0,0 +1,219 @@
+"""Has servers show that they read before requests are written to them.
+
+See `decisions.server_liveness` for the reasons.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+from collections import abc
+
+from pimentolatch import clock
+from pimentolatch.backend import channel
+from pimentolatch.decisions import server_liveness
+from pimentolatch.gateway import flow_control
+from pimentolatch.platform import engines, http_headers
+from pimentolatch.routes import servers
+
+__all__ = ["LivenessCheck"]
+
+# A connection that gives no answer for this long may have fallen silent alone. Long for
+# a server that reads, and short for a caller.
+_NEXT_CONNECTION_AFTER = datetime.timedelta(milliseconds=100)
+# A report is a few kilobytes.
+_MAX_ANSWER_BYTES = 1_000_000
+_OK = 200
+_MISDIRECTED = 421
+
+
+@dataclasses.dataclass(slots=True)
+class _Unanswered:
+    """Questions that a server has not answered.
+
+    Attributes:
+        since: When the first one was asked.
+        asking: Requests that ask now.
+        changed: Set when one of these ends.
+    """
+
+    since: datetime.timedelta
+    asking: int = 0
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+class LivenessCheck:
+    """Asks servers that have not been heard lately, over connections of a pool.
+
+    Args:
+        pool: Connections to servers.
+        liveness: When servers were heard.
+        flow: Records what servers ask for in their answers.
+        time: Clock of this instance.
+        on_answer: Called for each answer of a server.
+    """
+
+    def __init__(
+        self,
+        pool: channel.ChannelPool,
+        liveness: server_liveness.ServerLiveness,
+        flow: flow_control.FlowControl,
+        time: clock.Clock,
+        on_answer: abc.Callable[[servers.Server], None],
+    ) -> None:
+        self._pool = pool
+        self._liveness = liveness
+        self._flow = flow
+        self._clock = time
+        self._on_answer = on_answer
+        self._unanswered: dict[servers.Incarnation, _Unanswered] = {}
+
+    def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
+        """Forget the servers that are no longer listed and that nobody asks."""
+        for name, unanswered in list(self._unanswered.items()):
+            if name not in listed and not unanswered.asking:
+                del self._unanswered[name]
+
+    def is_heard(
+        self, server: servers.Server, link: channel.Channel, *, on_link: bool
+    ) -> bool:
+        """Tell whether a server has shown lately that it reads.
+
+        Args:
+            server: The server.
+            link: Connection that the request is written to.
+            on_link: Whether it has to have shown it over this connection. A new one
+                can't have fallen silent before.
+        """
+        is_kept = link.opened_by is not None
+        heard_at = (
+            link.heard_at
+            if on_link and is_kept
+            else self._liveness.heard_at(server.incarnation)
+        )
+        return self._liveness.is_recent(heard_at, self._clock.monotonic())
+
+    async def ask(
+        self, server: servers.Server, link: channel.Channel, target: bytes
+    ) -> channel.Channel:
+        """Ask a server until it answers; return a connection to it that can be used.
+
+        While a server leaves one request's questions unanswered, the others wait: all
+        questions would lie unread there, and be answered when nobody needs them.
+
+        Args:
+            server: The server.
+            link: The connection to ask over first; it is returned or closed.
+            target: What to ask for.
+
+        Raises:
+            BrokenError: The exchange failed, over a new connection as well.
+            ConnectError: No other connection could be opened.
+        """
+        unanswered = await self._wait_for_turn(server.incarnation)
+        unanswered.asking += 1
+        try:
+            link = await self._first_answer(server, link, target)
+            self._unanswered.pop(server.incarnation, None)
+        except (channel.BrokenError, channel.ConnectError):
+            self._unanswered.pop(server.incarnation, None)
+            raise
+        finally:
+            unanswered.asking -= 1
+            unanswered.changed.set()
+            unanswered.changed = asyncio.Event()
+        if link.reusable:
+            return link
+        link.close()
+        return await self._pool.acquire(
+            server.incarnation, server.address, self._clock.monotonic(), reuse=False
+        )
+
+    async def _wait_for_turn(self, server: servers.Incarnation) -> _Unanswered:
+        """Wait until a question may be asked; return those that are unanswered."""
+        while True:
+            now = self._clock.monotonic()
+            unanswered = self._unanswered.setdefault(server, _Unanswered(now))
+            overdue = now - unanswered.since > _NEXT_CONNECTION_AFTER
+            if not unanswered.asking or not overdue:
+                return unanswered
+            await unanswered.changed.wait()
+
+    async def _first_answer(
+        self, server: servers.Server, link: channel.Channel, target: bytes
+    ) -> channel.Channel:
+        """Ask over a connection, and over a new one if no answer comes there."""
+        exchanges = {asyncio.create_task(self._exchange(server, link, target))}
+        answered: asyncio.Task[channel.Channel] | None = None
+        try:
+            await asyncio.wait(
+                exchanges, timeout=_NEXT_CONNECTION_AFTER.total_seconds()
+            )
+            answered = _first_success(exchanges)
+            if answered is not None:
+                return answered.result()
+            exchanges.add(asyncio.create_task(self._exchange_anew(server, target)))
+            pending = set(exchanges)
+            while pending and answered is None:
+                _, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                answered = _first_success(exchanges)
+            if answered is None:
+                raise next(e for task in exchanges if (e := task.exception()))
+            return answered.result()
+        finally:
+            for task in exchanges - {answered}:
+                self._drop(server, task)
+
+    async def _exchange_anew(
+        self, server: servers.Server, target: bytes
+    ) -> channel.Channel:
+        link = await self._pool.acquire(
+            server.incarnation, server.address, self._clock.monotonic(), reuse=False
+        )
+        return await self._exchange(server, link, target)
+
+    async def _exchange(
+        self, server: servers.Server, link: channel.Channel, target: bytes
+    ) -> channel.Channel:
+        """Ask over one connection; it is closed on failure."""
+        host = f"{server.address.host}:{server.address.port}".encode()
+        sent_at = self._clock.monotonic()
+        try:
+            link.send("GET", target, [(b"host", host)], b"")
+            start = await link.read_head()
+            head = http_headers.parse_response_headers(start.fields, start.status)
+            if head.request_id:
+                # The answer to this question would be taken for one to the request.
+                raise channel.BrokenError("an answer to another request came")
+            content = await link.read_body(_MAX_ANSWER_BYTES)
+            if server.started_ms is not None and start.status == _OK:
+                report = engines.decode_report(content)
+                link.started_ms = None if report is None else report.started_ms
+        except BaseException:
+            link.close()
+            raise
+        if start.status != _MISDIRECTED:
+            self._flow.observe(server, head.notice, sent_at, "check")
+        self._on_answer(server)
+        return link
+
+    def _drop(
+        self, server: servers.Server, exchange: asyncio.Task[channel.Channel]
+    ) -> None:
+        """End an exchange that is not needed, and keep its connection if it can be."""
+        if not exchange.done():
+            exchange.cancel()
+        elif not exchange.cancelled() and exchange.exception() is None:
+            now = self._clock.monotonic()
+            self._pool.release(server.incarnation, exchange.result(), now)
+
+
+def _first_success(
+    exchanges: abc.Iterable[asyncio.Task[channel.Channel]],
+) -> asyncio.Task[channel.Channel] | None:
+    """Return an exchange that has succeeded; None if none has."""
+    for task in exchanges:
+        if task.done() and not task.cancelled() and task.exception() is None:
+            return task
+    return None
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -11,8 +11,8 @@
 from pimentolatch.backend import channel
 from pimentolatch.decisions import lateness, repeat_budget, server_choice, wait_policy
 from pimentolatch.gateway import (
-    body_exchange,
     client_request,
+    deliveries,
     dispatch,
     dispatch_check,
     fleet_state,
@@ -44,7 +44,7 @@
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=150)
 _NO_TIME = datetime.timedelta()
 _NO_ANSWER_IN_TIME = "no answer in time"
-_NOT_SENT_IN_TIME = "not sent whole in time"
+_NOT_SENT_IN_TIME = "not sent in time"
 # Most attempts for one request: those that reached no server and those declined count,
 # those whose permit another request took first do not.
 _MAX_ATTEMPTS = 4
@@ -147,7 +147,7 @@
                 break
             tried.add(server.incarnation)
             may_repeat = _may_repeat(request, possible_runs + 1)
-            delivery = body_exchange.Delivery(may_repeat)
+            delivery = deliveries.Delivery(may_repeat)
             sent_at = self._clock.now()
             begun = self._clock.monotonic()
             response.dispatched = True
@@ -349,7 +349,7 @@
         request: client_request.ClientRequest,
         tried: set[servers.Incarnation],
         repeats: "_Repeats",
-        delivery: body_exchange.Delivery,
+        delivery: deliveries.Delivery,
     ) -> bool:
         """Tell whether a request leaves a silent server, and pay for the next one.
 
@@ -374,7 +374,7 @@
         request: client_request.ClientRequest,
         time_left: datetime.timedelta,
         may_leave: abc.Callable[[], bool],
-        delivery: body_exchange.Delivery,
+        delivery: deliveries.Delivery,
     ) -> _Outcome:
         """Wait for the answer to a dispatch until it may leave or time is up."""
         patience = max(_TIMEOUT_FACTOR * request.route.latency_target, _MIN_TIMEOUT)
@@ -390,7 +390,7 @@
                 if time_left > _NO_TIME and may_leave():
                     if delivery.sent_at is None:
                         return dispatch.NotSent(
-                            "not asked for the body", unresponsive=True
+                            "not sent, as the server was not heard", unresponsive=True
                         )
                     break
             if delivery.sent_at is None:
@@ -405,7 +405,7 @@
         request: client_request.ClientRequest,
         may_leave: abc.Callable[[], bool],
         trace: late_answers.Trace,
-        delivery: body_exchange.Delivery,
+        delivery: deliveries.Delivery,
         *,
         new_connection: bool,
     ) -> _Outcome:
--- a/src/pimentolatch/gateway/prefill_client.py
+++ b/src/pimentolatch/gateway/prefill_client.py
@@ -11,8 +11,8 @@
     wait_policy,
 )
 from pimentolatch.gateway import (
-    body_exchange,
     client_request,
+    deliveries,
     dispatch,
     request_progress,
     takeover,
@@ -136,7 +136,7 @@
             wait_policy.refusal_time(client_gives_up_at)
             - self._context.clock.monotonic()
         )
-        delivery = body_exchange.Delivery()
+        delivery = deliveries.Delivery()
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 return await self._context.stall_checks.wait_unless_stalled(
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -124,19 +124,15 @@
             acknowledged=abandonment.acknowledged,
             kept_connection=abandonment.kept_connection,
             accepted=abandonment.accepted,
-            whole=abandonment.whole,
-            unheard_ms=_milliseconds(abandonment.unheard_for),
+            unheard_ms=None
+            if abandonment.heard_at is None
+            else _milliseconds(abandonment.written_at - abandonment.heard_at),
         )
 
     def elapsed_ms(self, since: datetime.timedelta) -> int:
         """Return the time since `since` in whole milliseconds."""
-        passed = self._clock.monotonic() - since
-        return round(passed / datetime.timedelta(milliseconds=1))
+        return _milliseconds(self._clock.monotonic() - since)
 
 
-def _milliseconds(duration: datetime.timedelta | None) -> int | None:
-    return (
-        None
-        if duration is None
-        else round(duration / datetime.timedelta(milliseconds=1))
-    )
+def _milliseconds(duration: datetime.timedelta) -> int:
+    return round(duration / datetime.timedelta(milliseconds=1))
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -14,8 +14,8 @@
     wait_policy,
 )
 from pimentolatch.gateway import (
-    body_exchange,
     client_request,
+    deliveries,
     dispatch,
     dispatch_check,
     fleet_state,
@@ -230,7 +230,7 @@
     trace: late_answers.Trace
     failed: set[servers.Incarnation] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
-    delivery: body_exchange.Delivery | None = None
+    delivery: deliveries.Delivery | None = None
     unanswered: bool = False
     withheld: bool = False
     placements: int = 0
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -8,7 +8,7 @@
 
 from pimentolatch import clock
 from pimentolatch.decisions import engine_loads, stall_check
-from pimentolatch.gateway import body_exchange, dispatch, request_log
+from pimentolatch.gateway import deliveries, dispatch, request_log
 from pimentolatch.platform import engines
 from pimentolatch.routes import engine_reports, servers
 
@@ -91,7 +91,7 @@
         call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
         expected: datetime.timedelta,
         chance: Chance,
-        delivery: body_exchange.Delivery | None = None,
+        delivery: deliveries.Delivery | None = None,
     ) -> _Outcome | dispatch.OutcomeUnknown | dispatch.NotSent:
         """Wait for a call for as long as its engine has the request.
 
@@ -142,7 +142,7 @@
         engine: engine_loads.EngineLoad,
         request_id: str,
         chance: Chance,
-        delivery: body_exchange.Delivery | None,
+        delivery: deliveries.Delivery | None,
     ) -> _Finding:
         """Ask an engine whether it still has a request, which may have to leave."""
         report = await self._report(engine.server)
@@ -238,11 +238,11 @@
 
 
 def _left(
-    verdict: stall_check.Verdict, delivery: body_exchange.Delivery | None
+    verdict: stall_check.Verdict, delivery: deliveries.Delivery | None
 ) -> dispatch.OutcomeUnknown | dispatch.NotSent:
     """Return the outcome of a call whose request leaves its engine."""
     if delivery is not None and delivery.sent_at is None:
-        reason = f"not asked for the body: {verdict.value}"
+        reason = f"not sent, as it was not heard before: {verdict.value}"
         return dispatch.NotSent(reason, unresponsive=True)
     crashed = verdict is not stall_check.Verdict.LOST
     return dispatch.OutcomeUnknown(verdict.value, server_crashed=crashed)
--- a/src/pimentolatch/gateway/stream_handover.py
+++ b/src/pimentolatch/gateway/stream_handover.py
@@ -3,8 +3,8 @@
 from pimentolatch.backend import channel
 from pimentolatch.decisions import lateness, repeat_budget
 from pimentolatch.gateway import (
-    body_exchange,
     client_request,
+    deliveries,
     dispatch,
     event_relay,
     refusals,
@@ -50,7 +50,7 @@
         resumed = None
         if progress.last_event > request.head.last_event:
             resumed = http_headers.Resumption(progress.last_event, request.origin_id)
-        progress.delivery = body_exchange.Delivery(sent_at=now)
+        progress.delivery = deliveries.Delivery(sent_at=now)
         progress.trace.timeline.enter(lateness.Phase.PEER, now)
         async with self._context.peers.open(
             request,
--- a/tests/features/endless_answers.feature
+++ b/tests/features/endless_answers.feature
@@ -68,6 +68,23 @@
       | engine       | draft | an event         |
       | engine       | draft | a refusal's body |
 
+  # Guards against a request that is held by a server which never ends its first answer.
+  Scenario Outline: A server that answers questions with <flood> without end gets no request
+    Given endless: a plain server that answers with <flood> without end
+    And endless: it answers questions whether it reads like that, too
+    When endless: "print" is asked for with 1 second left
+    Then endless: the client is told that the request has not run
+    And endless: the server got rid of no more than an answer may have
+    And endless: the connection is closed
+
+    Examples:
+      | flood                                |
+      | header lines                         |
+      | interim answers                      |
+      | a body                               |
+      | a body of single bytes               |
+      | a body that ends with its connection |
+
   # Guards against callers that get no answer although another server could give it.
   Scenario Outline: A request that may be repeated is served by another server
     Given endless: a plain server that answers with <flood> without end
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -26,6 +26,7 @@
 DEADLINE_PASSED = 504
 # Twice the twenty tokens that the client asks for, and a thousand comments or repeats.
 MOST_EVENTS = 1040
+NOT_RUN = 503
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -49,6 +50,7 @@
     context.server = flooding_server.FloodingServer(
         "trouble", service, stage, first, then, pause_s
     )
+    context.server.floods_questions = kind not in KINDS
     context.route_runner.run(start_world(context, kind in KINDS))
 
 
@@ -63,6 +65,11 @@
         await world.add_instance()
 
 
+@behave.given("endless: it answers questions whether it reads like that, too")
+def flooding_questions(context):
+    context.server.floods_questions = True
+
+
 @behave.given("endless: a sound plain server")
 def sound(context):
     async def add():
@@ -102,6 +109,11 @@
     assert (reply.status in NOT_RUN_STATUSES) == has_declined, reply
 
 
+@behave.then("endless: the client is told that the request has not run")
+def not_run(context):
+    assert context.reply.status == NOT_RUN, context.reply
+
+
 @behave.then("endless: the client hears of it before its time is up")
 def in_time(context):
     assert context.reply.status != DEADLINE_PASSED, context.reply
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -111,6 +111,7 @@
     )
     request = types.SimpleNamespace(
         route=types.SimpleNamespace(repeatable=True),
+        service=types.SimpleNamespace(health_target=b"/health"),
         customer_name=None,
         fields=[(b"host", b"x")],
         method="POST",
