Give up servers that are gone two seconds after the store's first answer

What callers saw: nothing that is known.

Cause: the grace period counted from the last call that failed, a lower bound of the return. While most servers are missing it was extended by the longest possible error of that bound, 1.5 s, although the first answer is an upper bound.

Evidence: five new rows of expired_servers.feature (one and six instances, virtual time, 2.6 s after the return) failed before.

Why it works: the period ends two seconds after the earlier of both upper bounds. Peers are told an end that is earlier by what they add. The earlier end made a scenario of two outages fail, as a list of up to 1.5 s ago counted as current: the list now has to be from within 1.2 s of the end.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -22,11 +22,15 @@
 The grace period runs from the store's return. An instance notices that up to a call's
 time limit and a pause later, so the begin of the last unanswered call, which lies
 before the return, serves as a lower bound. If most servers are still missing when the
-period ends by this bound, it is extended by the longest possible error. If the instance
-stood still meanwhile, it noticed the return later by as much.
+period ends by this bound, it is extended to an upper bound: the first answer came after
+the return, and so did the longest possible error of the lower bound. If the instance
+stood still meanwhile, it noticed the return later by as much. An instance that learns
+of the missing servers from a peer knows the lower bound only, so the peer tells it an
+end that is earlier by the error that it will add.
 
 If the store is down again before the entries are back, an instance can't learn of them.
-So a grace period ends only while the list is current, and begins anew after the outage.
+So a grace period ends only with a list from about that time, and begins anew after the
+outage.
 """
 
 import dataclasses
@@ -34,9 +38,11 @@
 
 __all__ = [
     "ListingGap",
-    "extended_until",
-    "extension",
+    "ends_at",
     "grace_ends_at",
+    "is_known_missing",
+    "told_end",
+    "upper_bound",
     "is_current",
     "may_have_expired",
 ]
@@ -52,6 +58,8 @@
 # Longest time between the begin of the last unanswered call and of the next one: the
 # limit of a call and the pause after it.
 _MAX_NOTICE_DELAY = datetime.timedelta(seconds=1.5)
+# The store answers a watch at least this often, or else counts as away.
+_MAX_UNSEEN = datetime.timedelta(seconds=1.2)
 # An instance that can read the store, or whose failure domain has readers that can,
 # seldom has an older list.
 _MAX_LIST_AGE = datetime.timedelta(seconds=1.5)
@@ -97,12 +105,24 @@
     return unanswered_since + _RETURN_TIME
 
 
-def extended_until(
+def is_known_missing(
+    end: datetime.timedelta, list_confirmed_at: datetime.timedelta
+) -> bool:
+    """Return whether a server that is still missing as its grace period ends has left.
+
+    Args:
+        end: When its grace period ends.
+        list_confirmed_at: When the list that lacks it last matched the store.
+    """
+    return end - list_confirmed_at <= _MAX_UNSEEN
+
+
+def upper_bound(
     unanswered_since: datetime.timedelta,
     stood_still: datetime.timedelta,
     answered_at: datetime.timedelta,
 ) -> datetime.timedelta:
-    """Return until when servers are used after a standstill if most are missing.
+    """Return by when entries of running servers are back for certain.
 
     Args:
         unanswered_since: When the last call began that the store did not answer.
@@ -113,11 +133,32 @@
     return min(noticed_by, answered_at) + _RETURN_TIME
 
 
-def extension(*, kept: int, listed: int) -> datetime.timedelta:
-    """Return for how much longer servers are used.
+def ends_at(
+    until: datetime.timedelta,
+    *,
+    kept: int,
+    listed: int,
+    back_by: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return when a server is given up whose entry is missing.
 
     Args:
+        until: End of its grace period by the lower bound of the store's return.
         kept: Number of servers that are used although their entries are missing.
         listed: Number of servers with an entry.
+        back_by: The upper bound; earlier than `until` if this instance does not know
+            it, as it has not read the store since.
+    """
+    if kept <= listed:
+        return until
+    return back_by if back_by >= until else until + _MAX_NOTICE_DELAY
+
+
+def told_end(until: datetime.timedelta, end: datetime.timedelta) -> datetime.timedelta:
+    """Return the end of a grace period to tell peers, which may add the error to it.
+
+    Args:
+        until: Its end by the lower bound.
+        end: When the server is given up here.
     """
-    return _MAX_NOTICE_DELAY if kept > listed else datetime.timedelta()
+    return until if end == until else end - _MAX_NOTICE_DELAY
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -33,7 +33,7 @@
         self._fleet = fleet
         self._clock = time
         self._until: dict[str, datetime.timedelta] = {}
-        self._extended_until = datetime.timedelta()
+        self._back_by = datetime.timedelta()
         self._any = asyncio.Event()
         fleet.kept_until = self._until
 
@@ -49,16 +49,18 @@
     def replace(
         self,
         until: abc.Mapping[str, datetime.timedelta],
-        extended_until: datetime.timedelta = datetime.timedelta(),
+        back_by: datetime.timedelta | None = None,
     ) -> None:
         """Replace the servers that are kept.
 
         Args:
             until: End of the grace period by server, by this instance's clock.
-            extended_until: Earliest end while most servers are kept.
+            back_by: By when entries of running servers are back for certain; None for
+                what is known already.
         """
         self._until = dict(until)
-        self._extended_until = max(self._extended_until, extended_until)
+        if back_by is not None:
+            self._back_by = back_by
         self._fleet.kept_until = self._until
         if self._until:
             self._any.set()
@@ -79,29 +81,41 @@
         return self._until
 
     def remaining(self) -> dict[str, datetime.timedelta]:
-        """Return the remaining grace period of each server; negative if extended."""
+        """Return the grace period left, to tell peers; negative if it is extended."""
         now = self._clock.monotonic()
-        return {name: at - now for name, at in self._until.items()}
+        return {
+            name: missing_servers.told_end(self._until[name], end) - now
+            for name, end in self._ends().items()
+        }
+
+    def _ends(self) -> dict[str, datetime.timedelta]:
+        """Return when each server is given up."""
+        kept = len(self._until)
+        listed = len(self._fleet.servers.all()) - kept
+        return {
+            name: missing_servers.ends_at(
+                at, kept=kept, listed=listed, back_by=self._back_by
+            )
+            for name, at in self._until.items()
+        }
 
     def _next_check(self) -> datetime.timedelta:
-        left = min(self.remaining().values(), default=_CHECK_INTERVAL)
+        now = self._clock.monotonic()
+        left = min((at - now for at in self._until.values()), default=_CHECK_INTERVAL)
         if left <= datetime.timedelta():
             return _CHECK_INTERVAL
         return min(left, _CHECK_INTERVAL)
 
     def _remove_overdue(self) -> None:
-        if self._fleet.store_unreachable or not missing_servers.is_current(
-            self._clock.monotonic() - self._fleet.servers_confirmed_at
-        ):
+        if self._fleet.store_unreachable:
             return
-        kept = len(self._until)
-        extension = missing_servers.extension(
-            kept=kept, listed=len(self._fleet.servers.all()) - kept
-        )
         now = self._clock.monotonic()
-        if extension and now < self._extended_until:
-            return
-        over = [name for name, at in self._until.items() if now >= at + extension]
+        confirmed_at = self._fleet.servers_confirmed_at
+        over = [
+            name
+            for name, end in self._ends().items()
+            if now >= end and missing_servers.is_known_missing(end, confirmed_at)
+        ]
         for name in over:
             del self._until[name]
         if over:
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -283,7 +283,8 @@
         self._unusable &= named
         listed = self._decode_usable(listing.objects)
         until = self._grace_periods(listing)
-        extended_until = self._extended_until()
+        is_current = missing_servers.is_current(self._list_age())
+        back_by = None if is_current else self._back_by()
         known = self._fleet.servers.all()
         kept = [server for server in known if server.server_id in until]
         if kept:
@@ -292,7 +293,7 @@
         if self._fleet.replace_servers(
             listing.revision, [*listed, *kept], unreadable=named - usable
         ):
-            self._expired.replace(until, extended_until)
+            self._expired.replace(until, back_by)
 
     def _grace_periods(self, listing: store.Listing) -> dict[str, datetime.timedelta]:
         """Return until when servers without an entry are kept, by server id."""
@@ -323,14 +324,11 @@
         """Return a time before which the store's last outage did not end."""
         return max(self._unanswered_since, self._fleet.servers_confirmed_at)
 
-    def _extended_until(self) -> datetime.timedelta:
-        """Return until when servers are kept while most are; zero without a pause."""
+    def _back_by(self) -> datetime.timedelta:
+        """Return by when entries of running servers are back for certain."""
         away_since = self._away_since()
-        stood_still = self._stood_still_since(away_since)
-        if not stood_still:
-            return datetime.timedelta()
-        return missing_servers.extended_until(
-            away_since, stood_still, self._clock.monotonic()
+        return missing_servers.upper_bound(
+            away_since, self._stood_still_since(away_since), self._clock.monotonic()
         )
 
     def _count_survivors(self, known: set[str], listing: store.Listing) -> int:
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -98,6 +98,21 @@
     And outage: 0.5 seconds pass
     Then outage: no instance uses "s1"
 
+  # Guards against a grace period that ends late since the store's return is not known.
+  Scenario Outline: Servers that left with most others are given up in time
+    Given outage: 6 servers and <count> instances
+    When outage: the store is away for <away> seconds and all entries expire
+    And outage: 2.6 seconds pass
+    Then outage: no instance uses "s1"
+
+    Examples:
+      | count | away |
+      | 1     | 4    |
+      | 1     | 6.3  |
+      | 6     | 4    |
+      | 6     | 6.3  |
+      | 6     | 9.7  |
+
   # Guards against an own outage that counts as one of the store although peers read it.
   Scenario: A server that leaves is not kept by an instance whose list a peer renewed
     Given outage: 6 servers and 3 instances
