Count the questions whether servers read

They are billed like health checks, and a rising share without an answer is a server that stands still: operators need both. A scenario has the counts.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -249,6 +249,7 @@
         wait_until_current: Waits after a pause of this process until that is known.
         on_open: Called with the reason whenever a connection is opened.
         on_abandoned: Called for each request that is given up after it was written.
+        on_question: Called for each question whether a server reads.
     """
 
     def __init__(
@@ -261,6 +262,7 @@
         wait_until_current: abc.Callable[[], abc.Awaitable[None]] = _no_wait,
         on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
         on_abandoned: abc.Callable[[Abandonment], None] = lambda abandonment: None,
+        on_question: liveness_check.OnQuestion = lambda *, answered: None,
     ) -> None:
         self._clock = time
         self._flow = flow
@@ -282,6 +284,7 @@
             flow,
             time,
             lambda server: _notify(self._on_answer, server),
+            on_question,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import datetime
+import typing
 from collections import abc
 
 from pimentolatch import clock
@@ -15,7 +16,7 @@
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
 
-__all__ = ["LivenessCheck"]
+__all__ = ["LivenessCheck", "OnQuestion"]
 
 # A connection that gives no answer for this long may have fallen silent alone. Long for
 # a server that reads, and short for a caller.
@@ -26,6 +27,13 @@
 _MISDIRECTED = 421
 
 
+class OnQuestion(typing.Protocol):
+    """Called when a question has ended."""
+
+    def __call__(self, *, answered: bool) -> None:
+        """Record a question and whether it was answered."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Unanswered:
     """Questions that a server has not answered.
@@ -50,6 +58,7 @@
         flow: Records what servers ask for in their answers.
         time: Clock of this instance.
         on_answer: Called for each answer of a server.
+        on_question: Called for each question with whether it was answered.
     """
 
     def __init__(
@@ -59,12 +68,14 @@
         flow: flow_control.FlowControl,
         time: clock.Clock,
         on_answer: abc.Callable[[servers.Server], None],
+        on_question: OnQuestion,
     ) -> None:
         self._pool = pool
         self._liveness = liveness
         self._flow = flow
         self._clock = time
         self._on_answer = on_answer
+        self._on_question = on_question
         self._unanswered: dict[servers.Incarnation, _Unanswered] = {}
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
@@ -192,7 +203,9 @@
                 link.started_ms = None if report is None else report.started_ms
         except BaseException:
             link.close()
+            self._on_question(answered=False)
             raise
+        self._on_question(answered=True)
         if start.status != _MISDIRECTED:
             self._flow.observe(server, head.notice, sent_at, "check")
         self._on_answer(server)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -107,6 +107,7 @@
             wait_until_current=self._pauses.wait_until_current,
             on_open=self._metrics.connection_opened,
             on_abandoned=self._request_log.write_abandoned,
+            on_question=self._metrics.question_ended,
         )
         self._silence.observe(self._client)
         self._server_choice = server_choice.ServerChoice(
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -81,6 +81,12 @@
             ["why"],
             registry=self.registry,
         )
+        self._questions = prometheus_client.Counter(
+            _PREFIX + "liveness_questions",
+            "Questions whether a server reads, by whether it has answered.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._cut = prometheus_client.Counter(
             _PREFIX + "cut_answers",
             "Answers whose connection this instance closed before their end.",
@@ -192,6 +198,10 @@
         """Count a connection that is opened to a server."""
         self._connections.labels(why.value).inc()
 
+    def question_ended(self, *, answered: bool) -> None:
+        """Count a question whether a server reads."""
+        self._questions.labels("answered" if answered else "unanswered").inc()
+
     def first_event(self, seconds: float) -> None:
         """Count the first event of a stream."""
         self._first_event.observe(seconds)
--- a/tests/features/server_liveness.feature
+++ b/tests/features/server_liveness.feature
@@ -74,6 +74,7 @@
     And liveness: it has not been heard for 0.1 s
     When liveness: it stands still, and 6 requests are given up, of which 5 came 0.3 s later
     Then liveness: it finds 2 questions when it goes on
+    And liveness: 1 question was answered and 2 were not
 
   # Guards against requests that wait for an answer to one which has left.
   Scenario: A request asks anew if the one that asked before it leaves
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import dataclasses
 import datetime
 import types
@@ -32,7 +33,9 @@
             flow_control.FlowControl(neighbours.Place("own", "here"), time),
             acknowledgement_limit=LIMIT,
             accepts=self.fleet.accepts,
+            on_question=self._count_question,
         )
+        self.questions = collections.Counter()
         self.outcomes = []
         self.sent = 0
 
@@ -63,6 +66,9 @@
             outcome = await self.client.fetch(self.listed, request, options)
         self.outcomes.append(outcome)
 
+    def _count_question(self, *, answered):
+        self.questions[answered] += 1
+
     async def wait(self, seconds):
         await asyncio.sleep(seconds)
         self.time.advance(datetime.timedelta(seconds=seconds))
@@ -235,6 +241,12 @@
     assert len(context.world.server.questions) == count, context.world.server.questions
 
 
+@behave.then("liveness: {answered:d} question was answered and {unanswered:d} were not")
+def counted(context, answered, unanswered):
+    expected = {True: answered, False: unanswered}
+    assert context.world.questions == expected, context.world.questions
+
+
 @behave.then("liveness: all are declined, over 1 connection")
 def declined(context):
     outcomes = context.world.outcomes
