--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -122,7 +122,7 @@
                 if found is None:
                     break
                 verdict = found.verdict
-                # It may have been sent whole while a place elsewhere was sought.
+                # It may have been sent while a place elsewhere was sought.
                 may_leave = delivery is None or delivery.may_leave
                 if found.leaves and may_leave and not task.done():
                     return _left(verdict, delivery)
