Ask a server after each request has come, not if it was heard just before

What callers saw: nothing.

Cause: data that arrives may have waited, in this process or on the way, so an instance that is slow takes old data for new; and within the time itself everything is sent.

Why it works: the question is asked after the request has come, over its own connection, so a request that comes after its server has stopped is never written. An answer that is handled over 50 ms after its question is followed by a second question. The records of what was heard when, in the pool and in the decision, are gone.

A server that closes its connection after each question now costs a connection a request.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import datetime
-import functools
 import typing
 from collections import abc
 
@@ -78,15 +77,10 @@
     fields: tuple[tuple[bytes, bytes], ...]
 
 
-def _ignore(*_: object) -> None:
-    """Do nothing."""
-
-
 class _ByteStream(asyncio.Protocol):
     """Buffers the bytes received on a connection until they are read."""
 
     def __init__(self) -> None:
-        self.on_data: abc.Callable[[], None] = _ignore
         self.transport: asyncio.Transport | None = None
         self.received = bytearray()
         self.at_end = False
@@ -99,7 +93,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer the data; pause reading while the buffer is full."""
-        self.on_data()
         self.received += data
         if len(self.received) > _READ_BUFFER_BYTES and self.transport is not None:
             self.transport.pause_reading()
@@ -185,8 +178,6 @@
         self.keep_alive: datetime.timedelta = _DEFAULT_KEEP_ALIVE
         # Time at which it is known to have been open; None before its first release.
         self.opened_by: datetime.timedelta | None = None
-        # When data of the peer last arrived; None if none has, or nobody records it.
-        self.heard_at: datetime.timedelta | None = None
         # Start time that the process at its end has reported over it; None if unknown.
         self.started_ms: int | None = None
 
@@ -230,10 +221,6 @@
         stream = self._stream
         return not stream.at_end and not stream.received
 
-    def on_data(self, call: abc.Callable[[], None]) -> None:
-        """Have a callback run whenever data of the peer arrives."""
-        self._stream.on_data = call
-
     def send(self, method: str, target: bytes, fields: Fields, body: bytes) -> None:
         """Send a request; raises `ValueError`, sending nothing, if it is malformed.
 
@@ -427,7 +414,6 @@
         acknowledgement_limit: How long a peer may leave a request without an
             acknowledgement before the connection is reset.
         on_open: Called with the reason whenever a connection is opened.
-        on_data: Called with a server's key and the connection whenever data arrives.
     """
 
     def __init__(
@@ -435,11 +421,9 @@
         connect_limit: datetime.timedelta,
         *,
         acknowledgement_limit: datetime.timedelta = _ACKNOWLEDGEMENT_LIMIT,
-        on_open: abc.Callable[[connection_reuse.Opening], None] = _ignore,
-        on_data: abc.Callable[[typing.Any, Channel], None] = _ignore,
+        on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
     ) -> None:
         self._on_open = on_open
-        self._on_data = on_data
         self._connect_limit = connect_limit
         self._acknowledgement_limit = acknowledgement_limit
         self._idle: dict[abc.Hashable, list[_IdleConnection]] = {}
@@ -467,7 +451,7 @@
         if opened_before is not None:
             return self._idle_since(server, now, opened_before)
         if not reuse:
-            return await self._open(server, address, connection_reuse.Opening.REQUIRED)
+            return await self._open(address, connection_reuse.Opening.REQUIRED)
         why = connection_reuse.Opening.NONE_IDLE
         idle_connections = self._idle.get(server, [])
         while idle_connections:
@@ -478,7 +462,7 @@
             if why is connection_reuse.Opening.NONE_IDLE:
                 why = obstacle
             entry.channel.close()
-        return await self._open(server, address, why)
+        return await self._open(address, why)
 
     def release(
         self, server: abc.Hashable, channel: Channel, now: datetime.timedelta
@@ -517,21 +501,14 @@
         raise ConnectError(f"no idle connection that was open at {at}")
 
     async def _open(
-        self,
-        server: abc.Hashable,
-        address: settings.Address,
-        why: connection_reuse.Opening,
+        self, address: settings.Address, why: connection_reuse.Opening
     ) -> Channel:
         self._on_open(why)
-        return await self._connect(server, address)
+        return await self._connect(address)
 
-    async def _connect(
-        self, server: abc.Hashable, address: settings.Address
-    ) -> Channel:
-        link = await connect(
+    async def _connect(self, address: settings.Address) -> Channel:
+        return await connect(
             address,
             self._connect_limit,
             acknowledgement_limit=self._acknowledgement_limit,
         )
-        link.on_data(functools.partial(self._on_data, server, link))
-        return link
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -60,8 +60,7 @@
 _MISDIRECTED = 421
 # The largest status of HTTP (RFC 9110, section 15); larger ones can't be passed on.
 _MAX_STATUS = 599
-# Questions before one request whether its server reads. On a busy machine the answer to
-# the first may be too old when it is handled.
+# Questions before one request whether its server reads, if answers are handled late.
 _MAX_QUESTIONS = 2
 # Statuses that tell a client that its request did not run. A server's response with one
 # of these is not forwarded, since the request may have run.
@@ -173,7 +172,7 @@
             still read it although the connection is reset.
         kept_connection: Whether the connection had been used before.
         accepted: Whether the server was still listed and accepted requests.
-        heard_at: When the server was last heard before; None if it never was.
+        asked_at: When the server had been asked whether it reads.
     """
 
     server: servers.Server
@@ -182,7 +181,7 @@
     acknowledged: bool
     kept_connection: bool
     accepted: bool
-    heard_at: datetime.timedelta | None
+    asked_at: datetime.timedelta
 
 
 Outcome = (
@@ -271,16 +270,13 @@
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
         self._on_silence: list[abc.Callable[[servers.Server], None]] = []
-        self._liveness = server_liveness.ServerLiveness()
         self._pool = channel.ChannelPool(
             _CONNECT_TIMEOUT,
             acknowledgement_limit=acknowledgement_limit,
             on_open=on_open,
-            on_data=self._record_data,
         )
         self._checks = liveness_check.LivenessCheck(
             self._pool,
-            self._liveness,
             flow,
             time,
             lambda server: _notify(self._on_answer, server),
@@ -298,17 +294,8 @@
     def retain(self, incarnations: abc.Container[servers.Incarnation]) -> None:
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
-        self._liveness.retain(incarnations)
         self._checks.retain(incarnations)
 
-    def forget_signs(self) -> None:
-        """Have servers show anew that they read, after a pause of this process."""
-        self._liveness.forget_earlier(self._clock.monotonic())
-
-    def _record_data(self, server: servers.Incarnation, link: channel.Channel) -> None:
-        link.heard_at = now = self._clock.monotonic()
-        self._liveness.record(server, now)
-
     def close(self) -> None:
         """Close all pooled connections."""
         self._pool.close()
@@ -361,17 +348,12 @@
         except channel.ConnectError as error:
             return self._not_sent(server, error)
         try:
-            link = await self._heard_link(
-                server,
-                request,
-                link,
-                incarnation_check,
-                on_link=max_idle is not None,
-            )
+            link, asked_at = await self._answered_link(server, request, link)
         except (channel.BrokenError, channel.ConnectError) as error:
             return self._not_sent(server, error)
         if (
             incarnation_check is IncarnationCheck.REQUIRE
+            and server.started_ms is not None
             and link.started_ms != server.started_ms
         ):
             self._pool.release(server.incarnation, link, self._clock.monotonic())
@@ -386,7 +368,7 @@
             sent_at = self._clock.monotonic()
             link.send(request.method, request.target, fields, request.body)
             delivery.sent_at = sent_at
-            with self._abandoned_on_cancel(server, request, link, sent_at):
+            with self._abandoned_on_cancel(server, request, link, sent_at, asked_at):
                 return await self._opened(server, request, link, sent_at)
         except channel.BrokenError as error:
             link.close()
@@ -411,16 +393,13 @@
             _notify(self._on_silence, server)
         return NotSent(str(error), unresponsive)
 
-    async def _heard_link(
+    async def _answered_link(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
         link: channel.Channel,
-        check: IncarnationCheck,
-        *,
-        on_link: bool,
-    ) -> channel.Channel:
-        """Return a connection to a server that has shown that it reads.
+    ) -> tuple[channel.Channel, datetime.timedelta]:
+        """Return a connection to a server that has shown that it reads, and since when.
 
         On return this instance knows what it missed in a pause.
 
@@ -436,19 +415,15 @@
         try:
             for _ in range(_MAX_QUESTIONS):
                 await self._wait_until_current()
-                is_known = (
-                    check is IncarnationCheck.NONE
-                    or server.started_ms is None
-                    or link.started_ms is not None
-                )
-                if is_known and self._checks.is_heard(server, link, on_link=on_link):
-                    return link
+                asked_at = self._clock.monotonic()
                 link = await self._checks.ask(server, link, target)
-            await self._wait_until_current()
+                await self._wait_until_current()
+                if server_liveness.is_recent(asked_at, self._clock.monotonic()):
+                    break
         except BaseException:
             link.close()
             raise
-        return link
+        return link, asked_at
 
     @contextlib.contextmanager
     def _abandoned_on_cancel(
@@ -457,9 +432,9 @@
         request: client_request.ClientRequest,
         link: channel.Channel,
         written_at: datetime.timedelta,
+        asked_at: datetime.timedelta,
     ) -> abc.Generator[None, None, None]:
         """Report a request that is cancelled while it waits for an answer."""
-        heard_at = self._liveness.heard_at(server.incarnation)
         try:
             yield
         except asyncio.CancelledError:
@@ -471,7 +446,7 @@
                     acknowledged=link.acknowledged,
                     kept_connection=link.opened_by is not None,
                     accepted=self._accepts(server),
-                    heard_at=heard_at,
+                    asked_at=asked_at,
                 )
             )
             raise
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -11,7 +11,6 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.decisions import server_liveness
 from pimentolatch.gateway import flow_control
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
@@ -50,11 +49,10 @@
 
 
 class LivenessCheck:
-    """Asks servers that have not been heard lately, over connections of a pool.
+    """Asks servers whether they read, over connections of a pool.
 
     Args:
         pool: Connections to servers.
-        liveness: When servers were heard.
         flow: Records what servers ask for in their answers.
         time: Clock of this instance.
         on_answer: Called for each answer of a server.
@@ -64,14 +62,12 @@
     def __init__(
         self,
         pool: channel.ChannelPool,
-        liveness: server_liveness.ServerLiveness,
         flow: flow_control.FlowControl,
         time: clock.Clock,
         on_answer: abc.Callable[[servers.Server], None],
         on_question: OnQuestion,
     ) -> None:
         self._pool = pool
-        self._liveness = liveness
         self._flow = flow
         self._clock = time
         self._on_answer = on_answer
@@ -84,25 +80,6 @@
             if name not in listed and not unanswered.asking:
                 del self._unanswered[name]
 
-    def is_heard(
-        self, server: servers.Server, link: channel.Channel, *, on_link: bool
-    ) -> bool:
-        """Tell whether a server has shown lately that it reads.
-
-        Args:
-            server: The server.
-            link: Connection that the request is written to.
-            on_link: Whether it has to have shown it over this connection. A new one
-                can't have fallen silent before.
-        """
-        is_kept = link.opened_by is not None
-        heard_at = (
-            link.heard_at
-            if on_link and is_kept
-            else self._liveness.heard_at(server.incarnation)
-        )
-        return self._liveness.is_recent(heard_at, self._clock.monotonic())
-
     async def ask(
         self, server: servers.Server, link: channel.Channel, target: bytes
     ) -> channel.Channel:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -97,7 +97,7 @@
         self._request_log = request_log.RequestLog(time, self._metrics)
         # The parts that learn from the store and from peers are built later.
         self._pauses = pause_monitor.PauseMonitor(
-            bounds.pause_limit, self._learn_what_was_missed, time
+            bounds.pause_limit, lambda: self._catch_up(), time
         )
         self._client = dispatch.ServerClient(
             time,
@@ -370,11 +370,6 @@
             admission=admission,
         )
 
-    async def _learn_what_was_missed(self) -> None:
-        """Learn after a pause what changed, and which servers read."""
-        await self._catch_up()
-        self._client.forget_signs()
-
     def _drop_unlisted(self) -> None:
         listed = frozenset(s.incarnation for s in self._fleet.servers.all())
         self._client.retain(listed)
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -124,9 +124,7 @@
             acknowledged=abandonment.acknowledged,
             kept_connection=abandonment.kept_connection,
             accepted=abandonment.accepted,
-            unheard_ms=None
-            if abandonment.heard_at is None
-            else _milliseconds(abandonment.written_at - abandonment.heard_at),
+            asked_ms=_milliseconds(abandonment.written_at - abandonment.asked_at),
         )
 
     def elapsed_ms(self, since: datetime.timedelta) -> int:
