Log answers of servers that come where another one was due

A line "extra answer" and a counter by what was due (request, call, question), and "declined ... again on its connection" in the line "sent". Nothing is decided by them.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -5,6 +5,7 @@
 where a response without a length ends, and unexpected bytes between the exchanges.
 """
 
+import array
 import asyncio
 import dataclasses
 import datetime
@@ -44,6 +45,8 @@
 # idle one can still be reset; see `sockets`.
 _MAX_KEEP_ALIVE = datetime.timedelta(seconds=30)
 _MAX_IDLE_PER_SERVER = 128
+# Requests of one connection whose ids are known: two kilobytes.
+_MAX_CARRIED = 256
 
 Fields = abc.Sequence[tuple[bytes, bytes]]
 
@@ -180,6 +183,7 @@
         self.opened_by: datetime.timedelta | None = None
         # Start time that the process at its end has reported over it; None if unknown.
         self.started_ms: int | None = None
+        self._carried = array.array("q")
 
     @property
     def reusable(self) -> bool:
@@ -221,6 +225,16 @@
         stream = self._stream
         return not stream.at_end and not stream.received
 
+    def carries(self, request_id: str) -> None:
+        """Record the id of a request that is about to be sent."""
+        if len(self._carried) == _MAX_CARRIED:
+            self._carried.pop(0)
+        self._carried.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with this id has been sent, or very rarely another."""
+        return hash(request_id) in self._carried
+
     def send(self, method: str, target: bytes, fields: Fields, body: bytes) -> None:
         """Send a request; raises `ValueError`, sending nothing, if it is malformed.
 
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -18,6 +18,7 @@
 from pimentolatch.gateway import (
     client_request,
     deliveries,
+    extra_answers,
     flow_control,
     liveness_check,
 )
@@ -98,9 +99,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
-    """The server states that it did not run the request."""
+    """The server states that it did not run the request.
+
+    Attributes:
+        carried_before: Whether the connection had carried the request before, so that
+            this may be a copy of the answer that it had then.
+    """
 
     status: int
+    carried_before: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,7 +215,8 @@
 
 @describe.register
 def _(outcome: Declined) -> str:
-    return f"declined with {outcome.status}, not run"
+    again = ", again on its connection" if outcome.carried_before else ""
+    return f"declined with {outcome.status}, not run{again}"
 
 
 @describe.register
@@ -249,6 +257,7 @@
         on_open: Called with the reason whenever a connection is opened.
         on_abandoned: Called for each request that is given up after it was written.
         on_question: Called for each question whether a server reads.
+        on_extra_answer: Called for each answer that came where another one was due.
     """
 
     def __init__(
@@ -262,10 +271,12 @@
         on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
         on_abandoned: abc.Callable[[Abandonment], None] = lambda abandonment: None,
         on_question: liveness_check.OnQuestion = lambda *, answered: None,
+        on_extra_answer: extra_answers.OnExtraAnswer = lambda answer: None,
     ) -> None:
         self._clock = time
         self._flow = flow
         self._on_abandoned = on_abandoned
+        self._on_extra_answer = on_extra_answer
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -281,6 +292,7 @@
             time,
             lambda server: _notify(self._on_answer, server),
             on_question,
+            on_extra_answer,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
@@ -366,10 +378,15 @@
             labelled = dataclasses.replace(options, customer=request.customer_name)
             fields = http_headers.request_fields(request.fields, labelled)
             sent_at = self._clock.monotonic()
+            carried_before = link.has_carried(request.request_id)
+            link.carries(request.request_id)
             link.send(request.method, request.target, fields, request.body)
             delivery.sent_at = sent_at
             with self._abandoned_on_cancel(server, request, link, sent_at, asked_at):
-                return await self._opened(server, request, link, sent_at)
+                outcome = await self._opened(server, request, link, sent_at)
+            if isinstance(outcome, Declined):
+                return dataclasses.replace(outcome, carried_before=carried_before)
+            return outcome
         except channel.BrokenError as error:
             link.close()
             if isinstance(error, channel.UndeliveredError):
@@ -569,6 +586,7 @@
             self._clock,
             new_connection=new_connection,
             opened_before=opened_before,
+            on_extra_answer=self._on_extra_answer,
         )
         try:
             yield calls
@@ -593,6 +611,16 @@
                 return await self._classified(
                     server, OpenResponse(start.status, head, link)
                 )
+            self._on_extra_answer(
+                extra_answers.ExtraAnswer(
+                    server,
+                    extra_answers.Due.REQUEST,
+                    request.request_id,
+                    head.request_id,
+                    start.status,
+                    head.sealed,
+                )
+            )
             await link.read_body(MAX_BODY_BYTES)
             link.skip_response()
         link.close()
@@ -642,7 +670,9 @@
         *,
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
+        on_extra_answer: extra_answers.OnExtraAnswer = lambda answer: None,
     ) -> None:
+        self._on_extra_answer = on_extra_answer
         self._new_connection = new_connection
         self._opened_before = opened_before
         self._server = server
@@ -673,6 +703,17 @@
                 link.send(method, target, [(b"host", host), *fields], body)
                 start = await link.read_head()
                 head = http_headers.parse_response_headers(start.fields, start.status)
+                if head.request_id:
+                    self._on_extra_answer(
+                        extra_answers.ExtraAnswer(
+                            self._server,
+                            extra_answers.Due.CALL,
+                            "",
+                            head.request_id,
+                            start.status,
+                            head.sealed,
+                        )
+                    )
                 if start.status != _MISDIRECTED:
                     self._flow.observe(self._server, head.notice, sent_at, "call")
                 content = await link.read_body(_MAX_CALL_BYTES)
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -11,7 +11,7 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.gateway import flow_control
+from pimentolatch.gateway import extra_answers, flow_control
 from pimentolatch.platform import engines, http_headers
 from pimentolatch.routes import servers
 
@@ -57,6 +57,7 @@
         time: Clock of this instance.
         on_answer: Called for each answer of a server.
         on_question: Called for each question with whether it was answered.
+        on_extra_answer: Called for each answer that came where another one was due.
     """
 
     def __init__(
@@ -66,12 +67,14 @@
         time: clock.Clock,
         on_answer: abc.Callable[[servers.Server], None],
         on_question: OnQuestion,
+        on_extra_answer: extra_answers.OnExtraAnswer,
     ) -> None:
         self._pool = pool
         self._flow = flow
         self._clock = time
         self._on_answer = on_answer
         self._on_question = on_question
+        self._on_extra_answer = on_extra_answer
         self._unanswered: dict[servers.Incarnation, _Unanswered] = {}
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
@@ -172,6 +175,16 @@
             start = await link.read_head()
             head = http_headers.parse_response_headers(start.fields, start.status)
             if head.request_id:
+                self._on_extra_answer(
+                    extra_answers.ExtraAnswer(
+                        server,
+                        extra_answers.Due.QUESTION,
+                        "",
+                        head.request_id,
+                        start.status,
+                        head.sealed,
+                    )
+                )
                 # The answer to this question would be taken for one to the request.
                 raise channel.BrokenError("an answer to another request came")
             content = await link.read_body(_MAX_ANSWER_BYTES)
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -18,6 +18,7 @@
     dispatch,
     dispatch_check,
     expired_entries,
+    extra_answers,
     fleet_state,
     flow_control,
     forwarded_admission,
@@ -108,6 +109,9 @@
             on_open=self._metrics.connection_opened,
             on_abandoned=self._request_log.write_abandoned,
             on_question=self._metrics.question_ended,
+            on_extra_answer=extra_answers.ExtraAnswerLog(
+                time, self._metrics.extra_answer
+            ).write,
         )
         self._silence.observe(self._client)
         self._server_choice = server_choice.ServerChoice(
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -15,6 +15,7 @@
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
     client_request,
+    extra_answers,
     fleet_state,
     flow_control,
     quarantine,
@@ -87,6 +88,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._extra_answers = prometheus_client.Counter(
+            _PREFIX + "extra_answers",
+            "Answers of servers that came where another one was due.",
+            ["due"],
+            registry=self.registry,
+        )
         self._cut = prometheus_client.Counter(
             _PREFIX + "cut_answers",
             "Answers whose connection this instance closed before their end.",
@@ -202,6 +209,10 @@
         """Count a question whether a server reads."""
         self._questions.labels("answered" if answered else "unanswered").inc()
 
+    def extra_answer(self, due: extra_answers.Due) -> None:
+        """Count an answer that came where another one was due."""
+        self._extra_answers.labels(due.value).inc()
+
     def first_event(self, seconds: float) -> None:
         """Count the first event of a stream."""
         self._first_event.observe(seconds)
