Add failing tests of copied refusals that pass for answers

What callers saw: a request answered "not run" had run (REFUSED), one that may run once ran twice (TWICE), and reports were not understood.

A stand-in refuses a request or its question once, and sends a copy of the refusal on the same connection where the next answer is due.

--- /dev/null
+++ b/tests/features/copied_answers.feature
@@ -0,0 +1,39 @@
+# Servers send copies of their refusals where a later answer is due, on the connection of
+# the refusal. The copy bears what the refusal bore: its request's id, or none.
+Feature: Copies of refusals are not taken for answers
+
+  # Guards against a promise "not run" to a client whose request runs.
+  Scenario Outline: A refused "<route>" that comes again is <status>, with a copy
+    Given copied answers: a server of "<route>" that refuses a request with <status>
+    When copied answers: "<route>" is asked for until it is not refused, under one id
+    Then copied answers: it ran once, and its client has the whole answer
+
+    Examples:
+      | route  | status |
+      | draft  | 503    |
+      | draft  | 429    |
+      | digest | 503    |
+      | digest | 421    |
+      | print  | 503    |
+      | print  | 421    |
+      | notify | 503    |
+
+  # Guards against the refusal of a question, which bears no id, being taken for one of
+  # the request that follows on the connection.
+  Scenario Outline: A question before "<route>" is refused, with a copy
+    Given copied answers: a server of "<route>" that refuses questions with 503
+    When copied answers: "<route>" is asked for until it is not refused, under one id
+    Then copied answers: it ran once, and its client has the whole answer
+
+    Examples:
+      | route  |
+      | draft  |
+      | digest |
+      | print  |
+      | notify |
+
+  # Guards against a sound engine that loses a stream, since an answer to another request
+  # came where its report was due.
+  Scenario: A report is due where a copy comes
+    When copied answers: a report is asked for after a refused request
+    Then copied answers: the report is the engine's own
