Send a request with one id once over a connection

What callers saw: a request that was answered "not run" had run (REFUSED), or ran twice (TWICE); a server had sent a copy of its refusal late.

Cause: the connection of a refusal went back to the pool, and the next try of the request (or the client's own, under the same id) took it. The copy bears the id of the request that is under way, so the id tells nothing. Class: an identifier that is unique for each request, used to tell two exchanges of one request apart.

Each connection knows the ids that it has carried, and a request with one of them goes over another. So an answer with the id of the exchange under way is that exchange's own, however late copies come and whatever they are copies of: 421, 500 or a success as well. Closing the connection of each refusal was weighed: it opens one for each refusal of a full fleet, where an opening holds a slot for a moment, and does nothing for copies of other answers. A connection is closed after 256 requests, so its ids take 2 KB.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -45,7 +45,7 @@
 # idle one can still be reset; see `sockets`.
 _MAX_KEEP_ALIVE = datetime.timedelta(seconds=30)
 _MAX_IDLE_PER_SERVER = 128
-# Requests of one connection whose ids are known: two kilobytes.
+# Requests that a connection carries before it is closed. Their ids take 2 KB.
 _MAX_CARRIED = 256
 
 Fields = abc.Sequence[tuple[bytes, bytes]]
@@ -190,7 +190,8 @@
         """Whether another request may be sent.
 
         Unexpected bytes, or a request body that the server has not received in full,
-        would be taken as part of the next exchange.
+        would be taken as part of the next exchange. No more ids are recorded of one
+        connection than `has_carried` can look through.
         """
         stream = self._stream
         return (
@@ -202,6 +203,7 @@
             and stream.transport.get_write_buffer_size() == 0
             and self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
+            and len(self._carried) < _MAX_CARRIED
         )
 
     @property
@@ -227,8 +229,6 @@
 
     def carries(self, request_id: str) -> None:
         """Record the id of a request that is about to be sent."""
-        if len(self._carried) == _MAX_CARRIED:
-            self._carried.pop(0)
         self._carried.append(hash(request_id))
 
     def has_carried(self, request_id: str) -> bool:
@@ -451,6 +451,7 @@
         max_idle: datetime.timedelta | None = None,
         reuse: bool = True,
         opened_before: datetime.timedelta | None = None,
+        request_id: str | None = None,
     ) -> Channel:
         """Return an idle connection or a new one; raises `ConnectError`.
 
@@ -461,6 +462,8 @@
             max_idle: Connections that were idle for longer are not reused.
             reuse: Whether an idle connection may be returned.
             opened_before: Return only an idle connection that was open at this time.
+            request_id: Return no connection that has carried a request with this id:
+                an answer that the server repeats later would be taken for the next one.
         """
         if opened_before is not None:
             return self._idle_since(server, now, opened_before)
@@ -468,8 +471,12 @@
             return await self._open(address, connection_reuse.Opening.REQUIRED)
         why = connection_reuse.Opening.NONE_IDLE
         idle_connections = self._idle.get(server, [])
-        while idle_connections:
-            entry = idle_connections.pop()
+        for index in reversed(range(len(idle_connections))):
+            entry = idle_connections[index]
+            if request_id is not None and entry.channel.has_carried(request_id):
+                why = connection_reuse.Opening.CARRIED
+                continue
+            del idle_connections[index]
             obstacle = entry.obstacle(now, max_idle)
             if obstacle is None:
                 return entry.channel
--- a/src/pimentolatch/decisions/connection_reuse.py
+++ b/src/pimentolatch/decisions/connection_reuse.py
@@ -20,13 +20,14 @@
     `REQUIRED` is a request that must use no kept one. `NONE_IDLE`: the server is new to
     this instance, or its connections are all in use. `TOO_OLD`: the idle ones are too
     old for a request that must not be repeated. `EXPIRED`: the server has closed the
-    idle ones or is about to.
+    idle ones or is about to. `CARRIED`: the idle ones have carried the same request.
     """
 
     REQUIRED = "required"
     NONE_IDLE = "none idle"
     TOO_OLD = "too old"
     EXPIRED = "expired"
+    CARRIED = "carried"
 
 
 def obstacle(
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -356,6 +356,7 @@
                 self._clock.monotonic(),
                 max_idle=max_idle,
                 reuse=not new_connection,
+                request_id=request.request_id,
             )
         except channel.ConnectError as error:
             return self._not_sent(server, error)
