Pass over answers to requests where a report is due

What callers saw: "report not understood, Expecting value: line 1 column 1" in the logs of three instances, up to nine times within two seconds, and streams of one engine that ended without a whole answer.

Cause: calls of the gateway's own bear no id, and took whatever answer came next. Class: an answer is matched to an exchange by its place on the connection.

Requests, calls and questions now find their answer in one way (answer_reader): an answer with another id is logged and passed over. A question whose connection carries a late answer no longer costs a new connection.

Its refused request is sent as a request now; as a call of the gateway's own, which bears no id, it could not get an answer that bears one.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -16,6 +16,7 @@
     server_liveness,
 )
 from pimentolatch.gateway import (
+    answer_reader,
     client_request,
     deliveries,
     extra_answers,
@@ -47,8 +48,6 @@
 # Longest idle time of a pooled connection that is used for a request that must not be
 # repeated: if the server closed it meanwhile, the outcome would be unknown.
 MAX_IDLE_FOR_UNREPEATABLE = datetime.timedelta(seconds=2)
-# Responses to earlier requests that are skipped on a connection before giving up.
-_MAX_STALE_RESPONSES = 3
 # Largest response body that is buffered before it is forwarded.
 MAX_BODY_BYTES = 8_000_000
 # Largest answer of a server's own interface; a report is a few kilobytes.
@@ -276,7 +275,7 @@
         self._clock = time
         self._flow = flow
         self._on_abandoned = on_abandoned
-        self._on_extra_answer = on_extra_answer
+        self._answers = answer_reader.AnswerReader(on_extra_answer)
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -292,7 +291,7 @@
             time,
             lambda server: _notify(self._on_answer, server),
             on_question,
-            on_extra_answer,
+            self._answers,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
@@ -584,10 +583,10 @@
             server,
             self._pool,
             self._flow,
+            self._answers,
             self._clock,
             new_connection=new_connection,
             opened_before=opened_before,
-            on_extra_answer=self._on_extra_answer,
         )
         try:
             yield calls
@@ -601,31 +600,20 @@
         link: channel.Channel,
         sent_at: datetime.timedelta,
     ) -> OpenResponse | Declined | OutcomeUnknown:
-        for _ in range(_MAX_STALE_RESPONSES):
-            start = await link.read_head()
-            _notify(self._on_answer, server)
-            head = http_headers.parse_response_headers(start.fields, start.status)
-            if head.request_id in ("", request.request_id):
-                # A misdirected request is answered by another server.
-                if start.status != _MISDIRECTED:
-                    self._flow.observe(server, head.notice, sent_at, "request")
-                return await self._classified(
-                    server, OpenResponse(start.status, head, link)
-                )
-            self._on_extra_answer(
-                extra_answers.ExtraAnswer(
-                    server,
-                    extra_answers.Due.REQUEST,
-                    request.request_id,
-                    head.request_id,
-                    start.status,
-                    head.sealed,
-                )
+        try:
+            answer = await self._answers.read(
+                server, link, extra_answers.Due.REQUEST, request.request_id
             )
-            await link.read_body(MAX_BODY_BYTES)
-            link.skip_response()
-        link.close()
-        return OutcomeUnknown("only answers to other requests came")
+        except answer_reader.OnlyExtraError as error:
+            link.close()
+            return OutcomeUnknown(str(error))
+        _notify(self._on_answer, server)
+        # A misdirected request is answered by another server.
+        if answer.status != _MISDIRECTED:
+            self._flow.observe(server, answer.head.notice, sent_at, "request")
+        return await self._classified(
+            server, OpenResponse(answer.status, answer.head, link)
+        )
 
     async def _classified(
         self, server: servers.Server, opened: OpenResponse
@@ -667,13 +655,13 @@
         server: servers.Server,
         pool: channel.ChannelPool,
         flow: flow_control.FlowControl,
+        answers: answer_reader.AnswerReader,
         time: clock.Clock,
         *,
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
-        on_extra_answer: extra_answers.OnExtraAnswer = lambda answer: None,
     ) -> None:
-        self._on_extra_answer = on_extra_answer
+        self._answers = answers
         self._new_connection = new_connection
         self._opened_before = opened_before
         self._server = server
@@ -702,21 +690,12 @@
             async with asyncio.timeout(limit.total_seconds()):
                 sent_at = self._clock.monotonic()
                 link.send(method, target, [(b"host", host), *fields], body)
-                start = await link.read_head()
-                head = http_headers.parse_response_headers(start.fields, start.status)
-                if head.request_id:
-                    self._on_extra_answer(
-                        extra_answers.ExtraAnswer(
-                            self._server,
-                            extra_answers.Due.CALL,
-                            "",
-                            head.request_id,
-                            start.status,
-                            head.sealed,
-                        )
-                    )
-                if start.status != _MISDIRECTED:
-                    self._flow.observe(self._server, head.notice, sent_at, "call")
+                answer = await self._answers.read(
+                    self._server, link, extra_answers.Due.CALL
+                )
+                if answer.status != _MISDIRECTED:
+                    notice = answer.head.notice
+                    self._flow.observe(self._server, notice, sent_at, "call")
                 content = await link.read_body(_MAX_CALL_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
@@ -725,7 +704,7 @@
         except BaseException:
             link.close()
             raise
-        return FullResponse(start.status, head, content, link)
+        return FullResponse(answer.status, answer.head, content, link)
 
     def end(self) -> None:
         """Return the connection to the pool, or close it if it can't be reused."""
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -11,8 +11,8 @@
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.gateway import extra_answers, flow_control
-from pimentolatch.platform import engines, http_headers
+from pimentolatch.gateway import answer_reader, extra_answers, flow_control
+from pimentolatch.platform import engines
 from pimentolatch.routes import servers
 
 __all__ = ["LivenessCheck", "OnQuestion"]
@@ -57,7 +57,7 @@
         time: Clock of this instance.
         on_answer: Called for each answer of a server.
         on_question: Called for each question with whether it was answered.
-        on_extra_answer: Called for each answer that came where another one was due.
+        answers: Reads the answers that are due.
     """
 
     def __init__(
@@ -67,14 +67,14 @@
         time: clock.Clock,
         on_answer: abc.Callable[[servers.Server], None],
         on_question: OnQuestion,
-        on_extra_answer: extra_answers.OnExtraAnswer,
+        answers: answer_reader.AnswerReader,
     ) -> None:
         self._pool = pool
         self._flow = flow
         self._clock = time
         self._on_answer = on_answer
         self._on_question = on_question
-        self._on_extra_answer = on_extra_answer
+        self._answers = answers
         self._unanswered: dict[servers.Incarnation, _Unanswered] = {}
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
@@ -172,23 +172,9 @@
         sent_at = self._clock.monotonic()
         try:
             link.send("GET", target, [(b"host", host)], b"")
-            start = await link.read_head()
-            head = http_headers.parse_response_headers(start.fields, start.status)
-            if head.request_id:
-                self._on_extra_answer(
-                    extra_answers.ExtraAnswer(
-                        server,
-                        extra_answers.Due.QUESTION,
-                        "",
-                        head.request_id,
-                        start.status,
-                        head.sealed,
-                    )
-                )
-                # The answer to this question would be taken for one to the request.
-                raise channel.BrokenError("an answer to another request came")
+            answer = await self._answers.read(server, link, extra_answers.Due.QUESTION)
             content = await link.read_body(_MAX_ANSWER_BYTES)
-            if server.started_ms is not None and start.status == _OK:
+            if server.started_ms is not None and answer.status == _OK:
                 report = engines.decode_report(content)
                 link.started_ms = None if report is None else report.started_ms
         except BaseException:
@@ -196,8 +182,8 @@
             self._on_question(answered=False)
             raise
         self._on_question(answered=True)
-        if start.status != _MISDIRECTED:
-            self._flow.observe(server, head.notice, sent_at, "check")
+        if answer.status != _MISDIRECTED:
+            self._flow.observe(server, answer.head.notice, sent_at, "check")
         self._on_answer(server)
         return link
 
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -1,17 +1,28 @@
 import datetime
 import json
+import types
 
 import behave
 
 from pimentolatch import clock
 from pimentolatch.decisions import neighbours
 from pimentolatch.gateway import dispatch, flow_control
-from pimentolatch.platform import engines, server_entries
+from pimentolatch.platform import engines, http_headers, server_entries
 from tests.support import closing_server, copying_server, route_world
 
 STREAMS = ("draft", "digest")
 LIMIT = datetime.timedelta(seconds=10)
 MAX_TRIES = 5
+REQUEST = types.SimpleNamespace(
+    route=types.SimpleNamespace(repeatable=False),
+    customer_name=None,
+    fields=[(b"host", b"x"), (b"x-request-id", b"asked")],
+    method="POST",
+    target=b"/draft/x",
+    body=b"",
+    request_id="asked",
+)
+OPTIONS = http_headers.DispatchOptions("engine", LIMIT)
 
 
 def start(context, route, refused, status):
@@ -75,12 +86,9 @@
             acknowledgement_limit=LIMIT,
         )
         listed = server_entries.decode(engine.name, engine.entry())
-        async with client.session(listed) as calls:
-            fields = [(b"x-request-id", b"asked")]
-            refused = await calls.call("POST", b"/draft/x", fields, limit=LIMIT)
-            assert isinstance(refused, dispatch.FullResponse), refused
-            assert refused.status == 503, refused
-            found = await calls.call("GET", engines.REPORT_TARGET, limit=LIMIT)
+        refused = await client.fetch(listed, REQUEST, OPTIONS)
+        assert refused == dispatch.Declined(503), refused
+        found = await client.call(listed, "GET", engines.REPORT_TARGET, limit=LIMIT)
         client.close()
         await engine.stop()
         return found
