Require the id or the seal of an answer to a request

What callers saw: see the postmortem; a request is answered "not run" and runs.

Cause: each request is preceded by a question over its connection, which bears no id. A question that is refused (plain servers reject health checks like any other request) may be copied as well, and the copy, which bears no id either, passed for the refusal of the request behind it. Class: what has no id was taken for whatever was due.

Servers repeat the request's id in their answers, so an answer without an id belongs to a request only if it is sealed, which only a run can be. Others are passed over and logged.

A row for the endless body of an answer that is passed over is new.

--- a/src/pimentolatch/gateway/answer_reader.py
+++ b/src/pimentolatch/gateway/answer_reader.py
@@ -19,7 +19,6 @@
 _MAX_EXTRA_ANSWERS = 16
 # Largest answer that is passed over.
 _MAX_EXTRA_BYTES = 8_000_000
-_REQUEST = extra_answers.Due.REQUEST
 
 
 class OnlyExtraError(channel.BrokenError):
@@ -65,9 +64,8 @@
         for _ in range(_MAX_EXTRA_ANSWERS + 1):
             start = await link.read_head()
             head = http_headers.parse_response_headers(start.fields, start.status)
-            if head.request_id == request_id or (
-                due is _REQUEST and not head.request_id
-            ):
+            # Only a server that has run the request can seal an answer to it.
+            if head.request_id == request_id or (head.sealed and not head.request_id):
                 return Answer(start.status, head)
             self._on_extra(
                 extra_answers.ExtraAnswer(
--- a/tests/features/endless_answers.feature
+++ b/tests/features/endless_answers.feature
@@ -25,6 +25,7 @@
       | a chunk's extension                  |
       | trailer fields                       |
       | a refusal's body                     |
+      | an extra answer's body               |
       | a failure's body                     |
 
   # Guards against streams that take up memory or processor time without end.
@@ -49,6 +50,7 @@
       | comments                  |
       | numbered events           |
       | a refusal's body          |
+      | an extra answer's body    |
       | a failure's body          |
 
   # Guards against callers that wait for the rest of an answer that is known already.
