End the connection of a refusal that names no dispatch

What callers of the first daemon could see: "not run" for a completion that an engine runs.

Cause: events of a stream name their dispatch, refusals do not. A copy of one that comes on the same connection after the next dispatch was sent is taken for its answer. With no id to tell them apart, the connection of a refusal is closed; refusals of engines are rare there, as this daemon knows their load. Calls of plain services that may not be repeated already have a connection each.

Evidence: the scenario failed before ("NotRun" for the second dispatch) and passes now.

--- a/src/pimentolatch/backend/connections.py
+++ b/src/pimentolatch/backend/connections.py
@@ -22,6 +22,7 @@
     "CONNECT_FAILURES",
     "ConnectError",
     "client",
+    "end_after",
     "has_unread",
     "timeouts",
 ]
@@ -121,3 +122,18 @@
     """Return whether received bytes of a response's body have not been read."""
     connection = getattr(response, "_connection", None)
     return isinstance(connection, _Connection) and connection.has_unread
+
+
+def end_after(response: aiosonic.HttpResponse) -> None:
+    """Close the connection of a response once its body has been read.
+
+    For responses that name no request: the server may repeat one later, and it would be
+    taken for the response to the next request on the connection.
+    """
+    connection = getattr(response, "_connection", None)
+    if not isinstance(connection, _Connection):
+        return
+    connection.keep = False
+    if not connection.blocked:
+        # The body has been read, and the connection is in the pool.
+        connection.close()
--- a/src/pimentolatch/backend/engine_client.py
+++ b/src/pimentolatch/backend/engine_client.py
@@ -106,6 +106,7 @@
             yield outcomes.OutcomeUnknown(repr(error), connection_lost=True)
             return
         if response.status_code != 200:
+            connections.end_after(response)
             yield await _parse_refusal(response)
             return
         events = checked_events(response, dispatch)
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -37,3 +37,9 @@
   Scenario: A report is due where a copy comes
     When copied answers: a report is asked for after a refused request
     Then copied answers: the report is the engine's own
+
+  # Guards against a refusal of an earlier dispatch, which names none, being taken for the
+  # answer to a later one that runs.
+  Scenario: An engine of the first daemon repeats a refusal
+    When copied answers: an engine that refuses, with a copy later, gets two dispatches
+    Then copied answers: the second one is not refused
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -1,14 +1,18 @@
+import asyncio
+import contextlib
 import datetime
 import json
+import re
 import types
 
 import behave
 
-from pimentolatch import clock
+from pimentolatch import clock, settings
+from pimentolatch.backend import engine_client, outcomes
 from pimentolatch.decisions import neighbours
 from pimentolatch.gateway import dispatch, flow_control
 from pimentolatch.platform import engines, http_headers, server_entries
-from tests.support import closing_server, copying_server, route_world
+from tests.support import closing_server, copying_server, raw_server, route_world
 
 STREAMS = ("draft", "digest")
 LIMIT = datetime.timedelta(seconds=10)
@@ -22,6 +26,13 @@
     body=b"",
     request_id="asked",
 )
+REFUSAL = raw_server.http_response(b'{"ran": false}', "503 Full")
+EVENTS = (
+    b'data: {"dispatch": "d2", "offset": 0, "token": "a"}\n\n'
+    b'data: {"dispatch": "d2", "done": true, "length": 1}\n\n'
+)
+STREAM = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+STREAM += b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENTS), EVENTS)
 OPTIONS = http_headers.DispatchOptions("engine", LIMIT)
 
 
@@ -102,3 +113,51 @@
     found = context.report
     assert isinstance(found, dispatch.FullResponse), found
     assert json.loads(found.body) == copying_server.REPORT, found
+
+
+class RepeatingEngine:
+    """Refuses the first dispatch, and repeats that before its connection's next one."""
+
+    def __init__(self):
+        self._refused = False
+
+    async def serve(self, reader, writer):
+        owed = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"content-length: (\d+)", head.lower())
+                await reader.readexactly(int(length[1]))
+                writer.write(owed + (STREAM if self._refused else REFUSAL))
+                owed = b"" if self._refused else REFUSAL
+                self._refused = True
+        writer.close()
+
+
+@behave.when(
+    "copied answers: an engine that refuses, with a copy later, gets two dispatches"
+)
+def dispatch_twice(context):
+    async def generate():
+        listening = await asyncio.start_server(RepeatingEngine().serve, "127.0.0.1")
+        port = listening.sockets[0].getsockname()[1]
+        address = settings.Address(host="127.0.0.1", port=port)
+        client = engine_client.EngineClient("one")
+        ends = []
+        for name in ("d1", "d2"):
+            sent = engine_client.Dispatch(name, "m", "prompt", 1)
+            events = [event async for event in client.generate(address, sent)]
+            ends.append(events[-1])
+        await client.aclose()
+        listening.close()
+        return ends
+
+    with route_world.runner() as runner:
+        context.ends = runner.run(generate())
+
+
+@behave.then("copied answers: the second one is not refused")
+def second_not_refused(context):
+    refused, served = context.ends
+    assert isinstance(refused, outcomes.NotRun), refused
+    assert served == outcomes.Finished(1), served
