Add a soak of refusals and late copies of answers

What callers saw: requests that were answered "not run" had run, or ran twice. No soak had servers that send an answer once more, nor clients that repeat a request under its id.

`--copies`: servers refuse a share of the requests and of the questions whether they read, and send copies of refusals and of other answers where later ones are due. Half of the runs have one gateway before one server of each kind, since many connections hide the fault. A run is taken for that of the attempt under which it began, so that a request which was refused and comes again under its id is judged as strictly as one with an id of its own. `--without "a request once a connection"` sends it again over a connection that carried it.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -17,6 +17,8 @@
 
 import h11
 
+from standins import answer_copies
+
 __all__ = [
     "ASKS",
     "DEFAULT_VERSION",
@@ -29,6 +31,7 @@
 ]
 
 HEALTH_TARGET = "/health"
+REPORT_TARGET = "/v1/report"
 # What a server does about a head that announces its body.
 ASKS = "asks"
 IGNORES = "ignores"
@@ -130,6 +133,7 @@
         declined: Request ids that it declined so, and when they arrived.
         notified: Request ids of the responses with such fields, and when they began,
             by the event loop's clock.
+        manners: What it refuses besides, and which answers it sends copies of.
         awake: Cleared while the server is silent: it accepts connections and reads and
             writes nothing.
         on_request: Called with each received request.
@@ -181,6 +185,7 @@
         self.notified: list[tuple[str, float]] = []
         self.retry_after: str | None = None
         self.declined: list[tuple[str, float]] = []
+        self.manners = answer_copies.Manners(server_id)
         self.awake = asyncio.Event()
         self.awake.set()
         self.on_request: abc.Callable[[ReceivedRequest], None] = lambda request: None
@@ -282,7 +287,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         connection = _Connection(
-            reader, writer, self.notices, self.notified, self.awake, self._read_head
+            reader,
+            writer,
+            self.notices,
+            self.notified,
+            self.awake,
+            self._read_head,
+            answer_copies.OwedCopies(self.manners),
         )
         self._connections.add(connection)
         incarnation = self._restarts
@@ -316,7 +327,13 @@
         if expected != self.server_id:
             await connection.send(421, [], b"")
             return True
-        if request.target == "/v1/report":
+        if request.target in (HEALTH_TARGET, REPORT_TARGET):
+            status = self.manners.refusal_of_question()
+            if status is not None:
+                self._forget_last()
+                await connection.refuse(status, [])
+                return True
+        if request.target == REPORT_TARGET:
             if self.unresponsive:
                 await connection.wait_closed()
                 return False
@@ -327,8 +344,7 @@
                 return False
             return True
         if request.target == HEALTH_TARGET:
-            self.received.pop()
-            self.arrival_times.pop()
+            self._forget_last()
             status = 200 if self.state == "ready" else 503
             identity = [(b"x-instance-id", self.server_id.encode())]
             await connection.send(status, identity, b"")
@@ -376,6 +392,10 @@
             rest = (b"retry-after", self.retry_after.encode())
             await connection.send(503, [*headers, (b"x-not-executed", b"1"), rest], b"")
             return True
+        if (status := self.manners.refusal_of_run()) is not None:
+            self._forget_last()
+            await connection.refuse(status, headers)
+            return True
         started_ms = self.started_ms
         lifetime = started_ms or self._restarts
         handle_suffix = f"-{lifetime}" if lifetime else ""
@@ -498,6 +518,7 @@
         notified: The server's record of the responses with such fields.
         awake: Cleared while the server reads and writes nothing.
         on_head: Called with each head; returns whether to ask for an announced body.
+        copies: Copies of answers that are to be sent.
     """
 
     def __init__(
@@ -508,7 +529,12 @@
         notified: list[tuple[str, float]],
         awake: asyncio.Event,
         on_head: abc.Callable[[ReceivedRequest], bool],
+        copies: answer_copies.OwedCopies,
     ) -> None:
+        self._copies = copies
+        self._answer = bytearray()
+        self._held = bytearray()
+        self._holds = False
         self._awake = awake
         self._on_head = on_head
         self._notices = notices
@@ -531,7 +557,10 @@
             ConnectionError: If the response is cut here.
         """
         part = data[: self._left]
-        self._writer.write(part)
+        self._answer += part
+        self._held += part
+        if not self._holds:
+            self._flush()
         if self._left is None:
             return
         self._left -= len(part)
@@ -602,9 +631,35 @@
         await self.send_chunk(body)
         await self.send_end()
 
+    async def refuse(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
+        """Send a refusal that says "not run", and what is owed at once behind it."""
+        self._holds = True
+        await self.send(status, [*fields, (b"x-not-executed", b"1")], b"")
+        self._holds = False
+        self._flush()
+
+    async def _send_copies(self, copies: list[answer_copies.Copy]) -> None:
+        """Send copies of earlier answers; raises `ConnectionError` after a cut one."""
+        for copy in copies:
+            if not copy.is_together:
+                self._flush()
+            self._held += copy.data
+            if not copy.is_together or copy.is_cut:
+                self._flush()
+                await self._writer.drain()
+            if copy.is_cut:
+                raise ConnectionAbortedError
+
+    def _flush(self) -> None:
+        """Write what is held back, in one packet."""
+        self._writer.write(bytes(self._held))
+        self._held.clear()
+
     async def send_head(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
-        """Send the status line and header fields."""
+        """Send the status line and header fields, after the copies that are due."""
         await self._awake.wait()
+        await self._send_copies(self._copies.due())
+        self._answer.clear()
         headers = [*fields, *self._notices]
         if self._notices:
             request_id = dict(fields).get(b"x-request-id", b"").decode()
@@ -626,6 +681,7 @@
         await self._awake.wait()
         self._write(self._parser.send(h11.EndOfMessage()) or b"")
         await self._writer.drain()
+        await self._send_copies(self._copies.after(bytes(self._answer)))
 
     async def wait_closed(self) -> None:
         """Wait until the client closes the connection."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,6 +13,7 @@
 `--releases` has streams resumed at a gateway that knows the servers' versions late.
 `--standstills` has gateways stand still while short limits are in force.
 `--stops` has servers stand still and leave while gateways are stopped in turn.
+`--copies` has servers refuse, and send copies of their answers where others are due.
 Each run also prints how its requests ended.
 """
 
@@ -84,7 +85,7 @@
         world.fatal_body = soak_clients.FATAL_BODY
         clients.append(soak_clients.FatalClient(world, len(clients), seed, clock))
     try:
-        await world.start(kind.gateway_count(seed), **kind.servers)
+        await world.start(kind.gateway_count(seed), **kind.server_counts(seed))
         tasks = [asyncio.create_task(client.run(stop)) for client in clients]
         if fatal:
             tasks.append(asyncio.create_task(world.replace_crashed(stop)))
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -11,6 +11,7 @@
 import sys
 
 from pimentolatch import clock, event_loop
+from pimentolatch.backend import channel
 from pimentolatch.decisions import (
     departures,
     missing_servers,
@@ -213,6 +214,11 @@
     liveness_check.LivenessCheck.ask = _keep_connection
 
 
+def _repeat_on_connections():
+    """Sends a request again over a connection that has carried it."""
+    channel.Channel.has_carried = lambda self, request_id: False
+
+
 SAFEGUARDS = {
     "one run of what may not be repeated": _retry_unsafe_requests,
     "truth of not run": _refuse_unknown_as_not_run,
@@ -236,6 +242,7 @@
     "confirmation by known changes": _believe_readers,
     "input before timers": _run_timers_before_input,
     "signs of reading": _send_unasked,
+    "a request once a connection": _repeat_on_connections,
 }
 
 
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -68,9 +68,9 @@
         unanswerable: Returns whether an attempt was ended since its time was up or a
             server could not be reached.
     """
-    runs = _runs_by_request(servers)
+    runs = _Runs(attempts, servers)
     for attempt in attempts:
-        yield from _run_violations(attempt, runs.get(attempt.request_id, ()))
+        yield from _run_violations(attempt, runs)
         yield from _response_violations(attempt, servers[0].event_count)
     yield from _drain_violations(attempts, servers, injector, margin_s)
     yield from _limit_violations(attempts, servers, injector, margin_s)
@@ -120,24 +120,49 @@
     ]
 
 
-def _runs_by_request(servers):
-    """Return the servers that ran each request, one entry for each run."""
-    runs = {}
-    for server in servers:
-        for request in server.received:
-            if request.kind == "run":
+class _Runs:
+    """Which servers ran requests, one entry for each run.
+
+    A client sends a refused request again under its id only once it has the refusal, so
+    a run is that of the last attempt which was sent before it began.
+    """
+
+    def __init__(self, attempts, servers):
+        sent = {}
+        for attempt in sorted(attempts, key=lambda attempt: attempt.sent_at):
+            sent.setdefault(attempt.request_id, []).append(attempt)
+        self._by_request = {}
+        self._by_attempt = {}
+        for server in servers:
+            arrived = zip(server.received, server.arrival_times, strict=True)
+            for request, at in arrived:
+                if request.kind != "run":
+                    continue
                 request_id = request.fields.get("x-request-id", "")
-                runs.setdefault(request_id, []).append(server.server_id)
-    return runs
+                self._by_request.setdefault(request_id, []).append(server.server_id)
+                tries = sent.get(request_id, ())
+                for attempt in [a for a in tries if a.sent_at <= at][-1:] or tries[:1]:
+                    key = (request_id, attempt.sent_at)
+                    self._by_attempt.setdefault(key, []).append(server.server_id)
+
+    def of_request(self, request_id):
+        """Return the runs of all requests with one id."""
+        return self._by_request.get(request_id, ())
+
+    def of_attempt(self, attempt):
+        """Return the runs of one attempt."""
+        return self._by_attempt.get((attempt.request_id, attempt.sent_at), ())
 
 
-def _run_violations(attempt, ran):
+def _run_violations(attempt, runs):
+    ran = runs.of_request(attempt.request_id)
     if attempt.route in NOT_REPEATABLE and len(ran) > 1:
         yield f"{attempt.request_id} ({attempt.route}) ran {len(ran)} times: {ran}"
+    ran = runs.of_attempt(attempt)
     if attempt.status in NOT_RUN_STATUSES and attempt.complete and ran:
         yield (
-            f"{attempt.request_id} got status {attempt.status}, not run, "
-            f"but ran on {ran}"
+            f"{attempt.request_id} ({attempt.route}) got status {attempt.status}, not "
+            f"run, but ran on {ran}"
         )
 
 
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -6,6 +6,7 @@
 from tests.support import (
     path_world,
     soak_clients,
+    soak_copies,
     soak_entries,
     soak_faults,
     soak_outages,
@@ -114,6 +115,7 @@
         gateways: Number of gateways.
         is_alone: Tells whether a seed has one gateway only.
         servers: Numbers of servers that differ from the usual ones.
+        alone_servers: The same for runs with one gateway; None for the same numbers.
         check: Returns more violations for attempts, servers, injector and margin.
         check_end: Returns violations that a world shows before it is stopped.
     """
@@ -126,6 +128,7 @@
     gateways: int = GATEWAYS
     is_alone: collections.abc.Callable = _never
     servers: dict = dataclasses.field(default_factory=dict)
+    alone_servers: dict | None = None
     check: collections.abc.Callable = _unchecked
     check_end: collections.abc.Callable = _unchecked_at_end
 
@@ -133,6 +136,12 @@
         """Return the number of gateways of a run."""
         return 1 if self.is_alone(seed) else self.gateways
 
+    def server_counts(self, seed):
+        """Return the numbers of servers of a run that differ from the usual ones."""
+        if self.alone_servers is None or not self.is_alone(seed):
+            return self.servers
+        return self.alone_servers
+
 
 STANDARD = Kind(draw=_draw)
 # By the name of the command's flag.
@@ -203,4 +212,15 @@
         gateways=soak_stops.GATEWAYS,
         servers=soak_stops.SERVERS,
     ),
+    "copies": Kind(
+        draw=soak_copies.draw,
+        injector=soak_copies.CopyInjector,
+        clients=soak_copies.clients,
+        prepare=soak_copies.prepare,
+        gateways=soak_copies.GATEWAYS,
+        is_alone=soak_copies.is_alone,
+        servers=soak_copies.SERVERS,
+        alone_servers=soak_copies.ALONE_SERVERS,
+        check=soak_copies.missing_copies,
+    ),
 }
