--- a/tests/support/route_world.py
+++ b/tests/support/route_world.py
@@ -147,9 +147,14 @@
 
 
 class RouteWorld:
-    """Store, servers and instances that a scenario starts."""
+    """Store, servers and instances that a scenario starts.
+
+    Attributes:
+        bounds: Bounds of the instances that differ from the usual ones.
+    """
 
     def __init__(self):
+        self.bounds = {}
         self.platform = platform.Platform()
         self.control = None
         self.extra_servers = []
@@ -208,7 +213,7 @@
                 },
                 "store": {"address": f"{HOST}:{self.store_port}"},
                 "control": self.control,
-                "bounds": {"repeat_slack": 100},
+                "bounds": {"repeat_slack": 100} | self.bounds,
             }
         )
 
