Limit requests that come after the stop signal to the grace period

What callers saw: streams that an instance accepted after it was told to stop were cut as it had to exit, seconds later and events before their end.

Cause: an instance refuses streams that are unlikely to end within their time limit, but the end of its own grace period was no such limit. Requests that come after the signal now have that moment as their limit, if theirs is later. So the check that exists refuses a stream at once, not run and with Retry-After, and servers are handed no more time than the instance has. Requests from before the signal keep theirs.

--- a/src/pimentolatch/entry/graceful_shutdown.py
+++ b/src/pimentolatch/entry/graceful_shutdown.py
@@ -23,6 +23,7 @@
         self._in_flight = 0
         self._stopping = False
         self._announced = False
+        self._ends_at: datetime.timedelta | None = None
         self._ending = False
         self._aborting = False
         self._on_end: set[abc.Callable[[], object]] = set()
@@ -54,9 +55,19 @@
         """Whether the load balancer should send requests to this instance."""
         return not self._announced
 
-    def announce_stop(self) -> None:
-        """End readiness; requests are still served."""
+    @property
+    def ends_at(self) -> datetime.timedelta | None:
+        """When requests in flight are ended; None while no stop is announced."""
+        return self._ends_at
+
+    def announce_stop(self, ends_at: datetime.timedelta | None = None) -> None:
+        """End readiness; requests are still served.
+
+        Args:
+            ends_at: When those in flight will be ended, if that is decided.
+        """
         self._announced = True
+        self._ends_at = ends_at
 
     def stop(self) -> None:
         """Refuse new requests from now on."""
--- a/src/pimentolatch/gateway/client_request.py
+++ b/src/pimentolatch/gateway/client_request.py
@@ -48,6 +48,7 @@
 
     CLIENT = "client"
     ROUTE = "route"
+    STOP = "stop"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +58,7 @@
     Attributes:
         duration: Longest time from the request's header to the end of its response.
         answer_within: Time within which the last answer is written; see `answer_time`.
-        source: Whose limit it is: the shorter of the two counts.
+        source: Whose limit it is: the shortest counts.
         version: Version of the configuration that the request was read with.
     """
 
@@ -82,6 +83,13 @@
             return cls(route_timeout, answer_within, LimitSource.ROUTE, version)
         return cls(client_limit, answer_within, LimitSource.CLIENT, version)
 
+    def ended_within(self, left: datetime.timedelta) -> "TimeLimit":
+        """Return the limit of a request at an instance that stops after this time."""
+        if left >= self.duration:
+            return self
+        answer_within = min(self.answer_within, left - answer_time.SHORTEST_RESERVE)
+        return TimeLimit(left, answer_within, LimitSource.STOP, self.version)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientRequest:
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -237,6 +237,8 @@
         time_limit = client_request.TimeLimit.shorter_of(
             route.timeout, head.time_left, configuration.version
         )
+        if (ends_at := self._shutdown.ends_at) is not None:
+            time_limit = time_limit.ended_within(ends_at - arrived_at)
         body = await self._read_body(
             receive,
             configuration.limits.body_bytes,
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -470,11 +470,12 @@
     async def stop(self) -> None:
         """Stop gracefully: requests that end within the grace period are completed."""
         _log.info("stopping", in_flight=self._shutdown.in_flight)
-        self._shutdown.announce_stop()
+        grace = datetime.timedelta(seconds=self._settings.bounds.stop_grace_s)
+        ends_at = self._clock.monotonic() + grace - _ABORT_MARGIN
+        self._shutdown.announce_stop(ends_at)
         self._leader_tasks.leadership.announce_stop()
         self._beacon_exchange.announce_stop()
         await self._clock.sleep(_DRAIN_DELAY)
-        grace = datetime.timedelta(seconds=self._settings.bounds.stop_grace_s)
         remaining = grace - _DRAIN_DELAY - _ABORT_MARGIN
         # Closes idle connections first, then waits for requests. If requests were
         # counted before that, there might be none, and one that arrived while the
