Go by the last known pace of engines when a planned stop limits a stream

What callers saw: streams that an instance accepted after it was told to stop were cut as it had to exit.

Cause: the pace of an engine counts as unknown after a second without an event there, so that a burst which has passed refuses nobody. While an instance stops its clients leave, so it soon knows no pace, and the check of whether a stream ends in time passes all. For requests whose limit is the stop the last pace counts, however old: other instances serve what is refused, and it is asked for during seconds only.

--- a/src/pimentolatch/decisions/event_pace.py
+++ b/src/pimentolatch/decisions/event_pace.py
@@ -55,8 +55,17 @@
         weight = max(_WEIGHT, 1 / self._samples)
         self._mean_ms += weight * (took / _MILLISECOND / events - self._mean_ms)
 
-    def stream_time(self, events: float, now: datetime.timedelta) -> datetime.timedelta:
-        """Return how long so many events take; 0 if the pace is not known."""
-        if self._samples < _MIN_SAMPLES or now - self._observed_at > _EXPIRY:
+    def stream_time(
+        self, events: float, now: datetime.timedelta, *, may_be_old: bool = False
+    ) -> datetime.timedelta:
+        """Return how long so many events take; 0 if the pace is not known.
+
+        Args:
+            events: Number of events.
+            now: The current time.
+            may_be_old: Whether to go by the last events, however long ago they were.
+        """
+        is_old = now - self._observed_at > _EXPIRY
+        if self._samples < _MIN_SAMPLES or (is_old and not may_be_old):
             return datetime.timedelta()
         return min(events * self._mean_ms, _MAX_STREAM_MS) * _MILLISECOND
--- a/src/pimentolatch/decisions/placement.py
+++ b/src/pimentolatch/decisions/placement.py
@@ -436,10 +436,16 @@
     request: placement_types.PlacementRequest,
     now: datetime.timedelta,
 ) -> bool:
-    """Tell whether the last event is in time at the present pace of the engine."""
+    """Tell whether the last event is in time at the present pace of the engine.
+
+    An instance that stops sends an engine ever less, and may have seen no event of its
+    for a while. What it takes for too slow by then has other instances to go to.
+    """
     if request.time_to_end is None:
         return True
-    stream_time = place.engine.pace.stream_time(request.required_events, now)
+    stream_time = place.engine.pace.stream_time(
+        request.required_events, now, may_be_old=request.ends_at_stop
+    )
     return place.expected + stream_time <= request.time_to_end
 
 
--- a/src/pimentolatch/decisions/placement_types.py
+++ b/src/pimentolatch/decisions/placement_types.py
@@ -101,6 +101,7 @@
         required_events: Events for which the stream must have the time; 0 if it is not
             known.
         time_to_end: Time left until its last event is due; None if that is not known.
+        ends_at_stop: Whether it is due then because this instance stops.
     """
 
     prompt: prompts.Prompt
@@ -113,3 +114,4 @@
     event_gap_target: datetime.timedelta = datetime.timedelta()
     required_events: float = 0.0
     time_to_end: datetime.timedelta | None = None
+    ends_at_stop: bool = False
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -203,6 +203,9 @@
                 event_gap_target=request.route.event_gap_target,
                 required_events=required_events,
                 time_to_end=request.deadline - now,
+                ends_at_stop=(
+                    request.time_limit.source is client_request.LimitSource.STOP
+                ),
             ),
             request.service.engine,
             now,
