Count the bytes that are held for clients

A gauge by kind (arriving and whole bodies, answers that are not read) on all ports of both daemons, and the memory of the machine, a new setting that the platform fills in. Nothing is decided by them.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -23,6 +23,7 @@
 
 from pimentolatch import results
 from pimentolatch.backend import sockets
+from pimentolatch.decisions import client_memory
 
 __all__ = [
     "ABORT_EXTENSION",
@@ -115,7 +116,24 @@
 
 
 class BoundedHttpProtocol(httptools_impl.HttpToolsProtocol):
-    """A caller's connection; subclasses override the bounds."""
+    """A caller's connection; subclasses override the bounds.
+
+    Args:
+        memory: Counts what is held for the clients of this process.
+    """
+
+    def __init__(
+        self,
+        *args: typing.Any,
+        memory: client_memory.ClientMemory,
+        **named: typing.Any,
+    ) -> None:
+        super().__init__(*args, **named)
+        self._memory = memory
+        self._bodies: dict[
+            httptools_impl.RequestResponseCycle, client_memory.Holding
+        ] = {}
+        self._unread_answers: client_memory.Holding | None = None
 
     @property
     def head_limit_bytes(self) -> int:
@@ -153,6 +171,10 @@
         """Cancel the timer, and what runs for the client."""
         self._cancel_timer()
         self._report_cut_requests()
+        for body in self._bodies.values():
+            self._memory.release(body)
+        self._bodies.clear()
+        self._release_unread_answers()
         super().connection_lost(exc)
         # The library tells the newest request only, which may be a pipelined one.
         running = self._running_cycle
@@ -211,6 +233,30 @@
         """Whether a request continues after its caller closed its sending side."""
         return path.startswith(_SERVICE_PATHS)
 
+    def _now(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=self.loop.time())
+
+    def _count_body(
+        self, cycle: httptools_impl.RequestResponseCycle, size: int
+    ) -> None:
+        holding = self._bodies.get(cycle)
+        if holding is None:
+            holding = self._memory.hold(client_memory.Kind.ARRIVING, self._now())
+            self._bodies[cycle] = holding
+        self._memory.add(holding, size)
+
+    def _release_body(self) -> None:
+        """Count the body of the request that has been answered no longer."""
+        if self._running_cycle is not None:
+            holding = self._bodies.pop(self._running_cycle, None)
+            if holding is not None:
+                self._memory.release(holding)
+
+    def _release_unread_answers(self) -> None:
+        if self._unread_answers is not None:
+            self._memory.release(self._unread_answers)
+            self._unread_answers = None
+
     def _announce_half_close(
         self, running: httptools_impl.RequestResponseCycle
     ) -> None:
@@ -256,13 +302,34 @@
             # The library reads no further, and would not notice that the client leaves.
             self.flow.resume_reading()
 
+    def on_body(self, body: bytes) -> None:
+        """Count a part of a body."""
+        super().on_body(body)
+        if not self.cycle.response_complete:
+            self._count_body(self.cycle, len(body))
+
     def on_message_complete(self) -> None:
         """Record that the request is complete."""
         self._in_message = False
         super().on_message_complete()
+        holding = self._bodies.get(self.cycle)
+        if holding is not None:
+            holding.kind = client_memory.Kind.WHOLE
+
+    def pause_writing(self) -> None:
+        """Count answers that the client does not read."""
+        super().pause_writing()
+        self._unread_answers = self._memory.hold(client_memory.Kind.UNREAD, self._now())
+        self._memory.add(self._unread_answers, self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Count answers no longer that the client has read."""
+        self._release_unread_answers()
+        super().resume_writing()
 
     def on_response_complete(self) -> None:
         """Start the idle timeout, and shorten that of a body that still arrives."""
+        self._release_body()
         if self._discarding_input:
             self.server_state.total_requests += 1
             return
--- a/src/pimentolatch/entry/http_server.py
+++ b/src/pimentolatch/entry/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+import functools
 import math
 import socket
 import typing
@@ -12,6 +13,7 @@
 import uvicorn
 
 from pimentolatch import settings
+from pimentolatch.decisions import client_memory
 from pimentolatch.entry import bounded_http
 
 __all__ = ["HttpServer"]
@@ -96,6 +98,7 @@
         address: Address to listen on.
         protocol: Returns the protocol of a new connection.
         close_timeout: Time that open responses have to end once the server stops.
+        memory: Counts what is held for clients; shared by the servers of a process.
     """
 
     def __init__(
@@ -104,7 +107,10 @@
         address: settings.Address,
         protocol: typing.Callable[..., typing.Any] = bounded_http.BoundedHttpProtocol,
         close_timeout: datetime.timedelta = _CLOSE_TIMEOUT,
+        memory: client_memory.ClientMemory | None = None,
     ) -> None:
+        memory = client_memory.ClientMemory() if memory is None else memory
+        protocol = functools.partial(protocol, memory=memory)
         self._server = _Server(
             uvicorn.Config(
                 application,
--- a/src/pimentolatch/entry/process.py
+++ b/src/pimentolatch/entry/process.py
@@ -9,7 +9,7 @@
 from pimentolatch import clock, fleet, metrics, settings, tasks
 from pimentolatch.backend import order_client
 from pimentolatch.control import domain_controller
-from pimentolatch.decisions import outstanding_work
+from pimentolatch.decisions import client_memory, outstanding_work
 from pimentolatch.entry import (
     caller_front_end,
     clients,
@@ -88,11 +88,17 @@
             time=time,
         )
         self._keyed_calls = self._build_keyed_calls()
+        memory = client_memory.ClientMemory(chosen.memory_mb)
+        self._metrics.observe_memory(memory)
         self._caller_server = http_server.HttpServer(
-            self._build_caller_front_end().application(), chosen.callers
+            self._build_caller_front_end().application(),
+            chosen.callers,
+            memory=memory,
         )
         self._operator_server = http_server.HttpServer(
-            self._build_operator_front_end().application(), chosen.operators
+            self._build_operator_front_end().application(),
+            chosen.operators,
+            memory=memory,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -11,7 +11,12 @@
 import logbook
 
 from pimentolatch import clock, logs, tasks, validation
-from pimentolatch.decisions import neighbours, repeat_budget, server_choice
+from pimentolatch.decisions import (
+    client_memory,
+    neighbours,
+    repeat_budget,
+    server_choice,
+)
 from pimentolatch.entry import graceful_shutdown, http_server
 from pimentolatch.gateway import (
     catch_up,
@@ -78,6 +83,7 @@
         self._settings = chosen
         self._clock = time
         self._shutdown = graceful_shutdown.GracefulShutdown()
+        self._memory = client_memory.ClientMemory(chosen.memory_mb)
         own_place = neighbours.Place(chosen.peers.host, chosen.failure_domain)
         self._flow = flow_control.FlowControl(own_place, time)
         self._fleet = fleet_state.FleetState(
@@ -228,6 +234,7 @@
             chosen.clients,
             http_protocol.protocol_class(self._fleet, self._request_log),
             grace,
+            self._memory,
         )
         self._peer_face = http_server.HttpServer(
             self._front_end(forwarded_admission.ForwardedAdmission(self._monitor)),
@@ -236,8 +243,11 @@
                 self._fleet, self._request_log, http_protocol.ForwardedProtocol
             ),
             grace,
+            self._memory,
+        )
+        self._readiness = http_server.HttpServer(
+            self._ready, chosen.readiness, memory=self._memory
         )
-        self._readiness = http_server.HttpServer(self._ready, chosen.readiness)
         self._fleet.on_change(self._drop_unlisted)
         self._tasks: list[asyncio.Task[None]] = []
         self._build_peer_parts()
@@ -252,13 +262,16 @@
                 self._monitor,
                 self._silence,
                 self._leader_tasks.server_needs,
+                self._memory,
                 time,
             )
         )
         self._metrics_server: http_server.HttpServer | None = None
         if chosen.metrics is not None:
             endpoint = route_metrics.MetricsEndpoint(self._metrics)
-            self._metrics_server = http_server.HttpServer(endpoint, chosen.metrics)
+            self._metrics_server = http_server.HttpServer(
+                endpoint, chosen.metrics, memory=self._memory
+            )
 
     @property
     def budget(self) -> repeat_budget.RepeatBudget:
@@ -322,6 +335,7 @@
         self._snapshots = http_server.HttpServer(
             peer_snapshots.SnapshotEndpoint(fleet, self._expired_servers, time),
             chosen.peers.address,
+            memory=self._memory,
         )
         self._server_watch = store_watch.ServerWatch(
             self._store,
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client import core, registry
 
 from pimentolatch import clock, results
-from pimentolatch.decisions import connection_reuse, prompt_sizes
+from pimentolatch.decisions import client_memory, connection_reuse, prompt_sizes
 from pimentolatch.entry import graceful_shutdown
 from pimentolatch.gateway import (
     client_request,
@@ -263,6 +263,7 @@
         monitor: Knows what this instance has lost the path to.
         silence: Knows which servers instances of this domain found silent.
         needs: Returns what is known of the servers that scaled services need.
+        memory: Counts what is held for clients.
         time: Clock of this instance.
     """
 
@@ -277,9 +278,11 @@
         monitor: reachability_monitor.ReachabilityMonitor,
         silence: silence_exchange.SilenceExchange,
         needs: abc.Callable[[], list[capacity_controller.ServiceNeed]],
+        memory: client_memory.ClientMemory,
         time: clock.Clock,
     ) -> None:
         self._needs = needs
+        self._memory = memory
         self._monitor = monitor
         self._silence = silence
         self._clock = time
@@ -393,10 +396,25 @@
                 sum(found.uneven for found in speeds),
             ),
             ("holds_duties", "Whether it reports and orders.", self._leadership.active),
+            (
+                "machine_memory_bytes",
+                "Memory of the machine, by the settings.",
+                self._memory.machine_bytes,
+            ),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
+        yield self._collect_memory()
         yield from self._collect_needs()
 
+    def _collect_memory(self) -> core.GaugeMetricFamily:
+        """Return what is held for clients, by kind."""
+        family = core.GaugeMetricFamily(
+            _PREFIX + "client_bytes", "Bytes held for clients.", labels=["kind"]
+        )
+        for kind in client_memory.Kind:
+            family.add_metric([kind.value], float(self._memory.held_bytes(kind)))
+        return family
+
     def _collect_needs(self) -> typing.Iterator[core.GaugeMetricFamily]:
         """Yield what orders of servers rest on, by service."""
         needs = self._needs()
--- a/src/pimentolatch/gateway/settings.py
+++ b/src/pimentolatch/gateway/settings.py
@@ -7,6 +7,7 @@
 
 from pimentolatch import settings, validation
 from pimentolatch.decisions import (
+    client_memory,
     crash_suspects,
     request_delivery,
     server_plan,
@@ -220,6 +221,7 @@
         balance: How requests are distributed over the servers of a service.
         digest_key: Key of the digests that identify requests in logs and between peers;
             the same on all instances of the fleet.
+        memory_mb: Memory of the machine, in megabytes.
     """
 
     instance: str = pydantic.Field(min_length=1)
@@ -236,6 +238,9 @@
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: settings.LogSettings = settings.LogSettings()
     digest_key: str = pydantic.Field(default="", max_length=64)
+    memory_mb: float = pydantic.Field(
+        default=client_memory.DEFAULT_MACHINE_MB, ge=client_memory.LEAST_MACHINE_MB
+    )
 
 
 def _watch_limits(in_force_within_ms: float) -> watch_schedule.WatchLimits:
--- a/src/pimentolatch/metrics.py
+++ b/src/pimentolatch/metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of an entry instance."""
 
+import functools
+
 import prometheus_client
 
+from pimentolatch.decisions import client_memory
+
 __all__ = ["Metrics"]
 
 # The buckets are dense around the latency targets: 1.9 s to the first token and 71 ms
@@ -57,6 +61,19 @@
             registry=self.registry,
         )
 
+        self._client_bytes = prometheus_client.Gauge(
+            _PREFIX + "client_bytes",
+            "Bytes held for clients.",
+            ["kind"],
+            registry=self.registry,
+        )
+
+    def observe_memory(self, memory: client_memory.ClientMemory) -> None:
+        """Report what is held for clients."""
+        for kind in client_memory.Kind:
+            gauge = self._client_bytes.labels(kind.value)
+            gauge.set_function(functools.partial(memory.held_bytes, kind))
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/pimentolatch/settings.py
+++ b/src/pimentolatch/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from pimentolatch import validation
+from pimentolatch.decisions import client_memory
 
 __all__ = [
     "Address",
@@ -130,6 +131,7 @@
         stop_grace_s: How long a graceful shutdown waits for requests in flight.
         max_body_bytes: Largest accepted request body.
         body_timeout_s: Time limit for receiving a request body.
+        memory_mb: Memory of the machine, in megabytes.
     """
 
     instance: Name
@@ -143,6 +145,9 @@
     stop_grace_s: float = pydantic.Field(default=120.0, gt=0, le=3600)
     max_body_bytes: int = pydantic.Field(default=4_000_000, ge=1024)
     body_timeout_s: float = pydantic.Field(default=10.0, gt=0, le=300)
+    memory_mb: float = pydantic.Field(
+        default=client_memory.DEFAULT_MACHINE_MB, ge=client_memory.LEAST_MACHINE_MB
+    )
 
     @pydantic.model_validator(mode="after")
     def _addresses_differ(self) -> typing.Self:
