Discard the fields behind a request's body

And a client could set any field past the checks of the head: a trailer named x-request-id had a server run the request under an id that no client had sent.

Cause: the parser reports trailers like the fields of a head, and they were added to the fields of the request, whose size had been checked before. Class: an input is checked at one moment and grows after it.

Trailers are discarded as they arrive: on all ports of both daemons, as one protocol serves them all, and also while the rest of a refused body is read. Nothing here uses trailers, and servers get bodies with a length, which have none.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -1,8 +1,9 @@
 """HTTP/1.1 protocol of callers' connections, with bounds on size and time.
 
-It mends four faults of the server library:
+It mends these faults of the server library:
 
 - The size of a request's head is unbounded, so one caller can hold any memory.
+- Trailers become fields of the head, unbounded as well.
 - So is the time a head takes to arrive, so one caller can hold a connection forever.
 - The response to a caller that half-closes its connection is dropped.
 - The error for a malformed pipelined request is written into the middle of a response
@@ -286,6 +287,14 @@
             PIPELINE_EXTENSION: {"waiting": self.pipeline},
         }
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a field of the head; those behind the body are discarded.
+
+        No check of the head has seen them, and nothing bounds their number.
+        """
+        if self._in_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Check the size of a head that arrived in one read."""
         size = len(self.url) + sum(len(n) + len(v) for n, v in self.headers)
