Parse what clients send ahead only as far as requests may wait

Cause: a read of up to 256 KB was parsed at once, so it became up to 10,000 requests that wait, each an object of 1.3 KB with its fields. Reading was paused then, and resumed by whatever the running request reads, so each answer let another read in. Class: a bound that is checked once per read, where a read holds any number.

What has been read is parsed in parts of 4 KB, while fewer than eight requests wait and the newest one's body is small. The rest stays as it is, the connection is not read, and parsing goes on with the next answer; no time limit of a request runs meanwhile that its client can't help. Requests that have been read are answered in order, as before, also at a stop and after their client closed its sending side. A head counts from where it begins: one behind a body in the same read could be refused for that body's size.

Weighed: pausing the parser within a read (the library can't), smaller reads (they cost each body more system calls, and still hold hundreds).

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -4,6 +4,8 @@
 
 - The size of a request's head is unbounded, so one caller can hold any memory.
 - Trailers become fields of the head, unbounded as well.
+- All pipelined requests of a read are parsed at once, thousands of them, and more are
+  read as each of them is served.
 - So is the time a head takes to arrive, so one caller can hold a connection forever.
 - The response to a caller that half-closes its connection is dropped.
 - The error for a malformed pipelined request is written into the middle of a response
@@ -20,7 +22,7 @@
 from collections import abc
 
 import logbook
-from uvicorn.protocols.http import httptools_impl
+from uvicorn.protocols.http import flow_control, httptools_impl
 
 from pimentolatch import results
 from pimentolatch.backend import sockets
@@ -64,6 +66,9 @@
 FIRST_REQUEST_SECONDS = 1.0
 # Pipelined requests beside which a connection is still read, to notice that it ends.
 _MAX_READ_AHEAD = 8
+# Bytes that are parsed before the requests that wait are counted. They may hold 150
+# requests; larger parts hold more, smaller ones make large bodies slow to parse.
+_PARSED_BYTES = 4096
 _SERVICE_PATHS = "/v1/services/"
 
 
@@ -116,6 +121,21 @@
         self._protocol.close_after_response()
 
 
+class _ReadControl(flow_control.FlowControl):
+    """Flow control that resumes reading only if the protocol takes more input."""
+
+    def __init__(
+        self, transport: asyncio.Transport, takes_input: abc.Callable[[], bool]
+    ) -> None:
+        super().__init__(transport)
+        self._takes_input = takes_input
+
+    def resume_reading(self) -> None:
+        """Resume reading, unless requests that have been read wait."""
+        if self._takes_input():
+            super().resume_reading()
+
+
 class BoundedHttpProtocol(httptools_impl.HttpToolsProtocol):
     """A caller's connection; subclasses override the bounds.
 
@@ -151,6 +171,8 @@
         """Longest time without a request on a connection, in seconds."""
         return IDLE_SECONDS
 
+    _unparsed: bytes | memoryview = b""
+    _begun_in_part = 0
     _head_bytes = 0
     _head_too_large = False
     _in_head = False
@@ -166,6 +188,7 @@
     def connection_made(self, transport: typing.Any) -> None:
         """Start the idle timeout."""
         super().connection_made(transport)
+        self.flow = _ReadControl(transport, self._takes_input)
         self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -175,6 +198,7 @@
         for body in self._bodies.values():
             self._memory.release(body)
         self._bodies.clear()
+        self._unparsed = b""
         self._release_unread_answers()
         super().connection_lost(exc)
         # The library tells the newest request only, which may be a pipelined one.
@@ -184,24 +208,34 @@
             running.message_event.set()
 
     def data_received(self, data: bytes) -> None:
-        """Parse the data, and start the timeout of a request that is incomplete.
+        """Parse the data as far as requests may wait, and start timeouts."""
+        if self._discarding_input:
+            return
+        self._unparsed = bytes(self._unparsed) + data if self._unparsed else data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what has been read, and start the timeout of an incomplete request.
 
         Most requests arrive in one read and need no timer.
         """
-        if self._discarding_input:
-            return
         was_in_head, was_in_message = self._in_head, self._in_message
-        super().data_received(data)
-        if self._discarding_input:
+        while self._unparsed and self._may_parse():
+            self._parse_part()
+            if self._discarding_input:
+                return
+        if self._unparsed:
+            # The rest of a request waits here for its turn, not for its client.
+            self._cancel_timer()
+            self.flow.pause_reading()
             return
+        if self.pipeline:
+            self.flow.resume_reading()
         if self._in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > self.head_limit_bytes:
-                self._refuse(431, self._head_too_large_message())
-            elif not was_in_head:
+            if not was_in_head or self._timer is None:
                 self._start_timer(self.head_seconds)
         elif self._in_message:
-            if was_in_head or not was_in_message:
+            if was_in_head or not was_in_message or self._timer is None:
                 self._start_timer(MESSAGE_SECONDS)
         else:
             self._cancel_timer()
@@ -209,6 +243,38 @@
                 # Nothing but empty lines, for which the library ends the idle timeout.
                 self.timeout_keep_alive_handler()
 
+    def _parse_part(self) -> None:
+        """Parse a part of what has been read."""
+        was_in_head, was_in_message = self._in_head, self._in_message
+        self._begun_in_part = 0
+        part: bytes | memoryview = self._unparsed
+        self._unparsed = b""
+        if len(part) > _PARSED_BYTES:
+            part = memoryview(part)
+            self._unparsed = part[_PARSED_BYTES:]
+            part = part[:_PARSED_BYTES]
+        super().data_received(typing.cast(bytes, part))
+        if self._in_head and not self._discarding_input:
+            # A part in which a head begins may hold other requests before it.
+            if was_in_head or not (was_in_message or self._begun_in_part > 1):
+                self._head_bytes += len(part)
+            if self._head_bytes > self.head_limit_bytes:
+                self._refuse(431, self._head_too_large_message())
+
+    def _may_parse(self) -> bool:
+        """Whether more requests may wait, and more of the newest one's body."""
+        if not self.pipeline:
+            return True
+        body = len(self.cycle.body)
+        return (
+            len(self.pipeline) < _MAX_READ_AHEAD
+            and body <= flow_control.HIGH_WATER_LIMIT
+        )
+
+    def _takes_input(self) -> bool:
+        """Whether the connection may be read."""
+        return self._discarding_input or (not self._unparsed and self._may_parse())
+
     def eof_received(self) -> bool | None:  # type: ignore[override]
         """Handle a caller that closed its sending side.
 
@@ -280,6 +346,7 @@
         """Start to count the head of a new request."""
         super().on_message_begin()
         self._in_head = self._in_message = True
+        self._begun_in_part += 1
         self._head_bytes = 0
         self.scope["extensions"] = {
             ABORT_EXTENSION: {"call": self.transport.abort},
@@ -350,6 +417,9 @@
             self._unset_keepalive_if_required()
         elif self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
+        if self._unparsed and not self.transport.is_closing():
+            self._parse()
+        self.flow.resume_reading()
 
     def close_after_response(self) -> None:
         """End the connection, after the rest of a body that still arrives.
@@ -358,7 +428,7 @@
         """
         if self.transport.is_closing():
             return
-        if self._in_message or self._has_unread_input():
+        if self._in_message or self._unparsed or self._has_unread_input():
             self._discard_input()
         else:
             self.transport.close()
@@ -494,6 +564,7 @@
         the caller would lose the refusal.
         """
         self._discarding_input = True
+        self._unparsed = b""
         self._cancel_timer()
         if self.pipeline or (self._in_head and self._response_pending()):
             # The response to an earlier request of the connection is still being sent.
@@ -519,6 +590,7 @@
     def _discard_input(self) -> None:
         """Close the sending side, and discard what still arrives for a while."""
         self._discarding_input = True
+        self._unparsed = b""
         self._cancel_timer()
         self.flow.resume_reading()
         self.transport.write_eof()
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -3,6 +3,7 @@
 import datetime
 import gc
 import json
+import random
 import re
 import socket
 import struct
@@ -66,6 +67,59 @@
     context.application = echo
 
 
+async def echo_body(scope, receive, send):
+    """Answer a request with its body (ASGI)."""
+    body, more = b"", True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+@behave.given("unanswered: an HTTP server that answers with the body")
+def echo_server(context):
+    context.application = echo_body
+
+
+@behave.when(
+    "unanswered: {count:d} requests with bodies of up to {size:d} bytes come in pieces"
+)
+def send_bodies_ahead(context, count, size):
+    choice = random.Random(size)
+    context.bodies = [choice.randbytes(choice.randrange(size)) for _ in range(count)]
+    context.replies = asyncio.run(replies_ahead(context, choice))
+
+
+async def replies_ahead(context, choice):
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n"
+    raw = b"".join(head % len(body) + body for body in context.bodies)
+    async with served(context.application) as (_, address):
+        reader, writer = await asyncio.open_connection(*address)
+
+        async def send():
+            at = 0
+            while at < len(raw):
+                size = choice.choice((1, 100, 5000, 300_000))
+                writer.write(raw[at : at + size])
+                await writer.drain()
+                at += size
+
+        async with asyncio.timeout(route_world.WAIT_S):
+            sending = asyncio.create_task(send())
+            replies = [await route_world.reply(reader) for _ in context.bodies]
+            await sending
+        writer.close()
+        return replies
+
+
+@behave.then("unanswered: each is answered with its own body, in order")
+def own_bodies(context):
+    assert [reply.body for reply in context.replies] == context.bodies
+
+
 @behave.when("unanswered: it stops as {count:d} requests came {how}")
 def stop_beside(context, count, how):
     context.raw, context.stopped = asyncio.run(stop_beside_requests(count, how))
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -8,13 +8,27 @@
     Then unanswered: <requests> were answered and the server has stopped
 
     Examples:
-      | requests   | how                                    |
-      | 1 requests | on a kept connection                   |
-      | 2 requests | on a kept connection                   |
-      | 1 requests | on a kept connection, in two parts     |
-      | 1 requests | on a new connection                    |
-      | 1 requests | on a connection that is being accepted |
-      | 1 requests | on a connection that has just opened   |
+      | requests      | how                                    |
+      | 1 requests    | on a kept connection                   |
+      | 2 requests    | on a kept connection                   |
+      | 1 requests    | on a kept connection, in two parts     |
+      | 1 requests    | on a new connection                    |
+      | 1 requests    | on a connection that is being accepted |
+      | 1 requests    | on a connection that has just opened   |
+      | 2000 requests | on a kept connection                   |
+      | 2000 requests | on a new connection                    |
+
+  # Guards against requests that are mixed up or left where a part of a read ends.
+  Scenario Outline: Requests sent ahead with bodies of up to <size> bytes get their own
+    Given unanswered: an HTTP server that answers with the body
+    When unanswered: 200 requests with bodies of up to <size> bytes come in pieces
+    Then unanswered: each is answered with its own body, in order
+
+    Examples:
+      | size   |
+      | 20     |
+      | 9000   |
+      | 200000 |
 
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
