Send no second answer to a request whose body goes on as rubbish

What callers saw: nothing reported. A client takes that for the answer to its next request.

Cause: a refusal of what arrives was written unless an answer was due or had begun, and none is due to the rest of a body whose request has been answered.

Evidence: the new scenario failed before with a 200 and a 400 on one connection.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -578,6 +578,10 @@
                 self.report_unanswered(Unanswered.REFUSED_WITHIN, self.headers)
                 self.transport.close()
                 return
+        elif self._in_message and not self._in_head:
+            # The request has been answered before the end of its body.
+            self._discard_input()
+            return
         body = json.dumps(results.invalid(message).to_json())
         self.transport.write(
             f"HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\n"
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -120,6 +120,27 @@
     assert [reply.body for reply in context.replies] == context.bodies
 
 
+@behave.when("unanswered: rubbish comes in a body whose request has been answered")
+def rubbish_behind_answer(context):
+    async def send():
+        async with served(context.application) as (_, address):
+            link = connected(address)
+            head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+            link.sendall(head)
+            raw = await received(link)
+            link.sendall(b"rubbish\r\n")
+            raw += await received(link, until=None)
+            link.close()
+            return raw
+
+    context.raw = asyncio.run(send())
+
+
+@behave.then("unanswered: there was one answer, and the connection ends")
+def one_answer(context):
+    assert context.raw.count(b"HTTP/1.1 ") == 1, context.raw
+
+
 @behave.when("unanswered: it stops as {count:d} requests came {how}")
 def stop_beside(context, count, how):
     context.raw, context.stopped = asyncio.run(stop_beside_requests(count, how))
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -30,6 +30,12 @@
       | 9000   |
       | 200000 |
 
+  # Guards against a second answer to a request, which its client takes for another one's.
+  Scenario: Rubbish in the rest of an answered request's body gets no answer
+    Given unanswered: an HTTP server
+    When unanswered: rubbish comes in a body whose request has been answered
+    Then unanswered: there was one answer, and the connection ends
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
