Bound what comes of a request without a byte of its body

Cause: the parser keeps an incomplete line, however long, and a single trailer has no end. Neither the limit of a head nor that of a body counts it. Class: bytes that belong to no counted part.

A request is refused with 431 once more than the limit of a head has come without a byte of its body: trailers, a trailer, extensions of a chunk. Such a request has not run, as nothing is sent on before its end.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -3,7 +3,7 @@
 It mends these faults of the server library:
 
 - The size of a request's head is unbounded, so one caller can hold any memory.
-- Trailers become fields of the head, unbounded as well.
+- Trailers become fields of the head, unbounded as well, and so is a single one.
 - All pipelined requests of a read are parsed at once, thousands of them, and more are
   read as each of them is served.
 - So is the time a head takes to arrive, so one caller can hold a connection forever.
@@ -173,6 +173,8 @@
 
     _unparsed: bytes | memoryview = b""
     _begun_in_part = 0
+    _body_in_part = False
+    _bytes_without_body = 0
     _head_bytes = 0
     _head_too_large = False
     _in_head = False
@@ -247,6 +249,7 @@
         """Parse a part of what has been read."""
         was_in_head, was_in_message = self._in_head, self._in_message
         self._begun_in_part = 0
+        self._body_in_part = False
         part: bytes | memoryview = self._unparsed
         self._unparsed = b""
         if len(part) > _PARSED_BYTES:
@@ -254,12 +257,20 @@
             self._unparsed = part[_PARSED_BYTES:]
             part = part[:_PARSED_BYTES]
         super().data_received(typing.cast(bytes, part))
-        if self._in_head and not self._discarding_input:
+        if self._discarding_input:
+            return
+        if self._in_head:
             # A part in which a head begins may hold other requests before it.
             if was_in_head or not (was_in_message or self._begun_in_part > 1):
                 self._head_bytes += len(part)
             if self._head_bytes > self.head_limit_bytes:
                 self._refuse(431, self._head_too_large_message())
+        elif self._body_in_part or not self._in_message:
+            self._bytes_without_body = 0
+        else:
+            self._bytes_without_body += len(part)
+            if self._bytes_without_body > self.head_limit_bytes:
+                self._refuse(431, self._trailers_too_large_message())
 
     def _may_parse(self) -> bool:
         """Whether more requests may wait, and more of the newest one's body."""
@@ -381,6 +392,7 @@
     def on_body(self, body: bytes) -> None:
         """Count a part of a body."""
         super().on_body(body)
+        self._body_in_part = True
         if not self.cycle.response_complete:
             self._count_body(self.cycle, len(body))
 
@@ -526,6 +538,12 @@
     def _head_too_large_message(self) -> str:
         return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
 
+    def _trailers_too_large_message(self) -> str:
+        return (
+            "what comes without a byte of the request's body is larger than the limit "
+            f"of {self.head_limit_bytes} bytes"
+        )
+
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
     ) -> None:
