Take no answer for whole whose request was cut short

What callers saw: a server answered a long upload at once with a sealed 200 without a length, sent a part of its body and ended while the upload was still being written. The client got that part as a whole answer, over plain routes, streams and peers.

Cause: an answer without a length is whole if its connection ends in order. A server that ends when it has read what has come is closed in order by its kernel, which resets the connection once more of the request arrives. The end is read first, and the reset behind it is dropped. Class: the end of one direction is taken for that of the exchange.

The end of a connection now counts as a break if the peer's kernel did not have all that was written by then: it acknowledges what it has with the end at the latest, so a server that has read its request is not concerned. An answer that is whole by its length or its chunks is not either. A server that ends its side of an answer without a length, and goes on reading the rest of the request, counts as broken off: the two look the same then.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -102,7 +102,15 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Record the end of the stream; the transport closes by itself."""
+        """Record the end of the stream; the transport closes by itself.
+
+        A peer that ends its side before it has all of a request has broken off: its
+        kernel resets the connection once more of the request arrives. The reset can't
+        be seen behind the end, and what the end completes would look whole.
+        """
+        assert self.transport is not None
+        if delivery_timer.transmission(self.transport).unacknowledged_bytes:
+            self.error = ConnectionResetError("ended before the request was delivered")
         self.at_end = True
         self._wake()
         return False
--- a/src/pimentolatch/backend/delivery_timer.py
+++ b/src/pimentolatch/backend/delivery_timer.py
@@ -3,13 +3,19 @@
 import asyncio
 import dataclasses
 import datetime
-import socket
 from collections import abc
 
 from pimentolatch.backend import sockets
 from pimentolatch.decisions import request_delivery
 
-__all__ = ["DeliveryTimer"]
+__all__ = ["DeliveryTimer", "transmission"]
+
+
+def transmission(transport: asyncio.Transport) -> request_delivery.Transmission:
+    """Return what neither the event loop nor the kernel has delivered."""
+    in_kernel = sockets.transmission(transport.get_extra_info("socket"))
+    undelivered = in_kernel.unacknowledged_bytes + transport.get_write_buffer_size()
+    return dataclasses.replace(in_kernel, unacknowledged_bytes=undelivered)
 
 
 class DeliveryTimer:
@@ -30,7 +36,6 @@
         on_timeout: abc.Callable[[str], None],
     ) -> None:
         self._transport = transport
-        self._socket: socket.socket = transport.get_extra_info("socket")
         self._limit = limit
         self._on_timeout = on_timeout
         self._timer: asyncio.TimerHandle | None = None
@@ -40,14 +45,16 @@
         """Whether the peer's kernel has all that was written, read or not."""
         return (
             not self._transport.is_closing()
-            and not self._transmission().unacknowledged_bytes
+            and not transmission(self._transport).unacknowledged_bytes
         )
 
     def begin(self) -> None:
         """Watch the request that has just been written."""
         self.end()
         if not self._transport.is_closing():
-            self._schedule(request_delivery.DeliveryCheck(self._transmission()))
+            self._schedule(
+                request_delivery.DeliveryCheck(transmission(self._transport))
+            )
 
     def end(self) -> None:
         """Stop watching, as the request was answered or its connection is closed."""
@@ -65,17 +72,9 @@
         self._timer = None
         if self._transport.is_closing():
             return
-        state = check.observe(self._transmission())
+        state = check.observe(transmission(self._transport))
         if state is request_delivery.Delivery.IN_PROGRESS:
             self._schedule(check)
         elif state is request_delivery.Delivery.TIMED_OUT:
             limit_s = self._limit.total_seconds()
             self._on_timeout(f"{state.value} within {limit_s:g} s, connection reset")
-
-    def _transmission(self) -> request_delivery.Transmission:
-        """Return what neither the event loop nor the kernel has delivered."""
-        in_kernel = sockets.transmission(self._socket)
-        in_loop = self._transport.get_write_buffer_size()
-        return dataclasses.replace(
-            in_kernel, unacknowledged_bytes=in_kernel.unacknowledged_bytes + in_loop
-        )
--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -3,16 +3,12 @@
 import datetime
 import json
 import re
-import types
 from unittest import mock
 
 import behave
 
-from pimentolatch import clock
 from pimentolatch.decisions import engine_loads, peer_choice
-from pimentolatch.gateway.peers import peer_table
-from pimentolatch.protocol import beacons
-from tests.support import cutting_server, route_world
+from tests.support import cutting_server, peer_detour, route_world
 
 SECOND = datetime.timedelta(seconds=1)
 SEAL = b"x-response-seal: s\r\n"
@@ -110,21 +106,11 @@
     context.servers = [server]
     context.route_runner.run(server.start())
     context.world.extra_servers.append(server)
-    beacon = beacons.Beacon("peer", "here", "1", 1, 1, False, (), ())
-    known = peer_table.Peer(
-        server.address.host, beacon, clock.SystemClock().monotonic()
-    )
     # A peer that has failed is not used for a while, and other requests are refused.
     no_backoff = mock.patch.object(peer_choice.PeerChoice, "failed")
     no_backoff.start()
     context.add_cleanup(no_backoff.stop)
-    # The instance has lost the path to all servers, and one peer has not.
-    forwarder = context.instance._peer_forwarder
-    forwarder._monitor = types.SimpleNamespace(is_cut_off=lambda service: True)
-    forwarder._table = types.SimpleNamespace(
-        live=lambda: [known], is_live=lambda instance: True
-    )
-    forwarder._port = server.address.port
+    peer_detour.lead(context.instance, server.address.host, server.address.port)
 
 
 async def ask(world, route, cut):
