Take no status that HTTP lacks for an answer

What callers saw: a plain server in trouble answered a call of the first daemon with the status 600, 799 or 999. The answer counted as the result, also under its idempotency key, and could not be written: the caller's connection ended without a byte, each time it asked.

Cause: the check stood in one of the readers of answers, the gateway's dispatch. Class: a rule of the protocol that each caller of a parser has to know.

The check is now where heads are read (backend.channel), for all who read there: both daemons' calls, peers, the store, the control API. Such an answer is a break, as one with the status 000 always was: to servers of the gateway that is new, the outcome is the same (502, or another try of what may be repeated).

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -28,6 +28,9 @@
     "connect",
 ]
 
+# The largest status of HTTP (RFC 9110, section 15); larger ones can't be passed on. The
+# parser refuses those below 100.
+_MAX_STATUS = 599
 _READ_BUFFER_BYTES = 262_144
 # Bytes that are parsed before other tasks may run.
 _PARSED_BYTES = 16_384
@@ -335,6 +338,8 @@
     def _response_head(self, event: typing.Any) -> ResponseHead:
         if not isinstance(event, h11.Response):
             raise BrokenError("connection closed before a response")
+        if event.status_code > _MAX_STATUS:
+            raise BrokenError(f"the status {event.status_code} is none of HTTP")
         fields = tuple(event.headers)
         self._read_keep_alive(fields)
         return ResponseHead(event.status_code, fields)
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -58,8 +58,6 @@
 _REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=100)
 _OK = 200
 _MISDIRECTED = 421
-# The largest status of HTTP (RFC 9110, section 15); larger ones can't be passed on.
-_MAX_STATUS = 599
 # Questions before one request whether its server reads, if answers are handled late.
 _MAX_QUESTIONS = 2
 # Statuses that tell a client that its request did not run. A server's response with one
@@ -629,9 +627,6 @@
         if opened.head.encoded:
             opened.link.close()
             return OutcomeUnknown("the body was recoded on the way")
-        if opened.status > _MAX_STATUS:
-            opened.link.close()
-            return OutcomeUnknown(f"the status {opened.status} is none of HTTP")
         return opened
 
 
--- a/tests/features/cut_answers.feature
+++ b/tests/features/cut_answers.feature
@@ -29,6 +29,21 @@
       | a forwarded call      | bare line feeds  |
       | a forwarded call      | an older version |
 
+  # Guards against an answer that no caller can get: its connection ends without a byte.
+  Scenario Outline: <call> is not answered by the status <status>
+    Given cut answers: an answer whose status is <status>
+    When cut answers: <call> is answered so
+    Then cut answers: each answer counts as lost, the whole one as well
+
+    Examples:
+      | call                  | status |
+      | a repeatable call     | 000    |
+      | a repeatable call     | 600    |
+      | a repeatable call     | 999    |
+      | a non-repeatable call | 799    |
+      | a forwarded call      | 000    |
+      | a forwarded call      | 799    |
+
   # Guards against a stream, a handle or a document that was cut and counts as whole.
   Scenario Outline: <call> succeeds only by the whole of <content> with <form>
     Given cut answers: <content> with <form> is cut after every byte
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -18,3 +18,16 @@
       | notify | the status 799                 | 502            |
       | draft  | the status 799                 | 502            |
       | digest | the status 799                 | 502            |
+      | print  | the status 000                 | 502            |
+      | print  | the status 099                 | 502            |
+      | print  | the status 101                 | 502            |
+      | print  | the status 600                 | 502            |
+      | print  | the status 999                 | 502            |
+      | print  | the status 20                  | 502            |
+      | print  | the status 1000                | 502            |
+      | notify | the status 000                 | 502            |
+      | notify | the status 101                 | 502            |
+      | draft  | the status 000                 | 502            |
+      | draft  | the status 101                 | 502            |
+      | digest | the status 000                 | 502            |
+      | digest | the status 101                 | 502            |
--- a/tests/features/steps/cut_answers_steps.py
+++ b/tests/features/steps/cut_answers_steps.py
@@ -125,6 +125,13 @@
     context.form = cutting_server.plain_forms(b"x-dispatch: d1\r\n")[form]
 
 
+@behave.given("cut answers: an answer whose status is {status:d}")
+def status_cut(context, status):
+    fields = b"x-dispatch: d1\r\n"
+    forms = cutting_server.plain_forms(fields, status=b"%03d Odd" % status)
+    context.form = forms["a length"]
+
+
 def token_events():
     texts = [{"offset": n, "token": token} for n, token in enumerate(TOKENS)]
     texts.append({"done": True, "length": len(TOKENS)})
@@ -164,6 +171,11 @@
     report(context, is_right)
 
 
+@behave.then("cut answers: each answer counts as lost, the whole one as well")
+def all_lost(context):
+    report(context, lambda cut, outcome: isinstance(outcome, outcomes.OutcomeUnknown))
+
+
 @behave.then("cut answers: nothing counts as whole without all of its content")
 def content_is_whole(context):
     form = context.form
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -3,10 +3,14 @@
 from tests.support import closing_server, route_world
 
 STREAMS = ("draft", "digest")
-HEADS = {
-    "a control character in a field": b"HTTP/1.1 200 OK\r\nx-note: a\x01b\r\n",
-    "the status 799": b"HTTP/1.1 799 Odd\r\n",
-}
+STATUS = "the status "
+
+
+def head_with(oddity):
+    """Return a head without its seal and length."""
+    if oddity.startswith(STATUS):
+        return f"HTTP/1.1 {oddity.removeprefix(STATUS)} Odd\r\n".encode()
+    return b"HTTP/1.1 200 OK\r\nx-note: a\x01b\r\n"
 
 
 class OddServer(closing_server.ClosingServer):
@@ -14,7 +18,7 @@
 
     async def _answer(self, writer):
         body = closing_server.PLAIN if self._stage is None else closing_server.EVENTS
-        writer.write(HEADS[self._ending] + closing_server.SEAL)
+        writer.write(head_with(self._ending) + closing_server.SEAL)
         writer.write(b"\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
         await writer.drain()
 
--- a/tests/support/early_server.py
+++ b/tests/support/early_server.py
@@ -58,8 +58,10 @@
         self._server = await asyncio.start_server(self._serve, sock=listening)
 
     async def _serve(self, reader, writer):
-        ends = (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError)
-        with contextlib.suppress(*ends):
+        # The client may have closed the connection before its end here.
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, OSError, asyncio.CancelledError
+        ):
             while await self._exchange(reader, writer):
                 pass
         writer.close()
