Take only a 503 of an engine for "not run"

What callers saw: nothing yet. An answer of an engine whose body says that it has not run counted as that promise whatever its status was, 000 and 799 included, so a caller whose completion had run could hear "not run".

Cause: any status but 200 was taken for a refusal. Class: an answer that is judged by its body alone.

Evidence: three new rows (000, 500, 799) failed before and pass now.

--- a/src/pimentolatch/backend/engine_client.py
+++ b/src/pimentolatch/backend/engine_client.py
@@ -17,6 +17,7 @@
 __all__ = ["Dispatch", "EngineClient", "checked_events"]
 
 _log = logbook.Logger("engine")
+_UNAVAILABLE = 503
 _EVENT_PREFIX = b"data: "
 _EVENT_END = b"\n\n"
 _DRAIN_SECONDS = 0.05
@@ -131,7 +132,8 @@
     except connections.ANSWER_FAILURES as error:
         return outcomes.OutcomeUnknown(repr(error))
     reason = f"status {response.status_code}: {body}"
-    if isinstance(body, dict) and body.get("ran") is False:
+    says_not_run = isinstance(body, dict) and body.get("ran") is False
+    if response.status_code == _UNAVAILABLE and says_not_run:
         return outcomes.NotRun(reason, reached=True)
     return outcomes.OutcomeUnknown(reason)
 
--- a/tests/features/cut_answers.feature
+++ b/tests/features/cut_answers.feature
@@ -44,6 +44,18 @@
       | a forwarded call      | 000    |
       | a forwarded call      | 799    |
 
+  # Guards against a promise "not run" by an answer that is none, or not a refusal.
+  Scenario Outline: A stream is not refused by the status <status>
+    Given cut answers: a refusal whose status is <status>
+    When cut answers: a stream is answered so
+    Then cut answers: each answer counts as lost, the whole one as well
+
+    Examples:
+      | status |
+      | 000    |
+      | 500    |
+      | 799    |
+
   # Guards against a stream, a handle or a document that was cut and counts as whole.
   Scenario Outline: <call> succeeds only by the whole of <content> with <form>
     Given cut answers: <content> with <form> is cut after every byte
--- a/tests/features/steps/cut_answers_steps.py
+++ b/tests/features/steps/cut_answers_steps.py
@@ -155,6 +155,15 @@
     context.form = forms[form]
 
 
+@behave.given("cut answers: a refusal whose status is {status:d}")
+def refusal_status(context, status):
+    _, pieces = CONTENTS["a refusal"]
+    forms = cutting_server.plain_forms(
+        b"", [piece.encode() for piece in pieces], b"%03d Odd" % status
+    )
+    context.form = forms["a length"]
+
+
 @behave.when("cut answers: {call} is answered so")
 def answered_so(context, call):
     context.outcomes = asyncio.run(with_each_cut(context.form, CALLS[call]))
@@ -173,7 +182,11 @@
 
 @behave.then("cut answers: each answer counts as lost, the whole one as well")
 def all_lost(context):
-    report(context, lambda cut, outcome: isinstance(outcome, outcomes.OutcomeUnknown))
+    def is_lost(cut, outcome):
+        end = outcome[-1] if isinstance(outcome, list) else outcome
+        return isinstance(end, outcomes.OutcomeUnknown)
+
+    report(context, is_lost)
 
 
 @behave.then("cut answers: nothing counts as whole without all of its content")
