--- a/tests/features/early_answers.feature
+++ b/tests/features/early_answers.feature
@@ -45,6 +45,21 @@
       | draft | chunks    | ends           | an answer broken off |
       | print | no length | reads the rest | a whole answer       |
 
+  # Guards against a call of the first daemon whose answer was cut and counts as whole.
+  Scenario Outline: <call> gets an answer with <form>, and then <ending>
+    Given early: a plain server whose answer has <form> and then <ending>
+    When early: <call> is made with 1000000 bytes
+    Then early: each call <outcome>
+
+    Examples:
+      | call             | form      | ending         | outcome      |
+      | a call           | no length | is reset       | is lost      |
+      | a call           | no length | ends           | is lost      |
+      | a call           | chunks    | ends           | is lost      |
+      | a call           | no length | reads the rest | is answered  |
+      | a forwarded call | no length | is reset       | is lost      |
+      | a forwarded call | no length | ends           | is lost      |
+
   # Guards against bytes of another request where the rest of one is due.
   Scenario Outline: A server of "<route>" answers <size> bytes at once and reads on later
     Given early: a server of "<route>" whose answer has a length and then reads the rest
--- a/tests/features/steps/early_answers_steps.py
+++ b/tests/features/steps/early_answers_steps.py
@@ -1,9 +1,12 @@
+import asyncio
 import datetime
 import re
 from unittest import mock
 
 import behave
 
+from pimentolatch import clock, settings
+from pimentolatch.backend import instance_client, outcomes, plain_client
 from pimentolatch.decisions import engine_loads, peer_choice
 from tests.support import closing_server, early_server, peer_detour, route_world
 
@@ -12,6 +15,7 @@
 # Far more than there are requests.
 REPEATS = 1000
 SECOND = datetime.timedelta(seconds=1)
+AMPLE = 20 * SECOND
 
 
 def start(context, *servers):
@@ -115,3 +119,59 @@
         # A connection may be closed before the rest of its request has been sent.
         assert sent.pop(name).startswith(body), name
     assert not sent, sent.keys()
+
+
+@behave.given("early: a plain server whose answer has {form} and then {ending}")
+def plain_server(context, form, ending):
+    context.server = early_server.EarlyServer("early", "app", None, form, ending)
+
+
+async def plain_call(address, body):
+    client = plain_client.PlainClient("test", clock.SystemClock())
+    call = plain_client.Call(
+        "d1", "booking", "confirm", body, "text/plain", False, AMPLE
+    )
+    outcome = await client.call(address, call)
+    client.close()
+    return outcome
+
+
+async def forwarded_call(address, body):
+    client = instance_client.InstanceClient("test", clock.SystemClock())
+    call = instance_client.Forward(
+        "r1", "booking", "confirm", body, "text/plain", "key", None, AMPLE
+    )
+    outcome = await client.forward(address, call)
+    client.close()
+    return outcome
+
+
+CALLS = {"a call": plain_call, "a forwarded call": forwarded_call}
+
+
+@behave.when("early: {call} is made with {size:d} bytes")
+def make_call(context, call, size):
+    async def calling():
+        await context.server.start()
+        address = settings.Address(host=route_world.HOST, port=context.server.port)
+        found = []
+        for pause_s in early_server.PAUSES_S:
+            context.server.pause_s = pause_s
+            found.append(await CALLS[call](address, bytes(size)))
+        await context.server.stop()
+        return found
+
+    context.outcomes = asyncio.run(calling())
+
+
+@behave.then("early: each call is lost")
+def lost(context):
+    for outcome in context.outcomes:
+        assert isinstance(outcome, outcomes.OutcomeUnknown), context.outcomes
+
+
+@behave.then("early: each call is answered")
+def answered(context):
+    for outcome in context.outcomes:
+        assert isinstance(outcome, outcomes.Response), context.outcomes
+        assert outcome.body == closing_server.PLAIN, outcome
--- a/tests/support/early_server.py
+++ b/tests/support/early_server.py
@@ -92,7 +92,8 @@
             field %= len(body)
         elif self._form == "chunks":
             body = b"%x\r\n%b\r\n" % (len(body), body)
-        name = re.search(rb"x-request-id: .*\r\n", head)[0]
+        # Calls of the first daemon may have none.
+        name = re.search(rb"x-request-id: .*\r\n|$", head)[0]
         seal = closing_server.SEAL + b"\r\n"
         return b"HTTP/1.1 200 OK\r\n" + seal + name + field + b"\r\n" + body
 
