Tell servers the time that is left as a request is written

Servers went on with requests for as long after their clients' deadline as they had taken to answer the question that precedes each request: the time left was counted before it.

The scenario failed before: a server that stood still for half a second was told 5 s of 5 s. The time is counted at the write now, where nothing is awaited any more.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -332,7 +332,7 @@
         Args:
             server: The server.
             request: The request.
-            options: Options of this dispatch.
+            options: Options of this dispatch, with the time that is left now.
             new_connection: Use no kept connection. A request that has got no answer
                 before may have met a silent one, and the next may be silent as well.
             may_send: Asked last; the request is withheld if this returns False.
@@ -341,6 +341,7 @@
             delivery: Records how far the request gets.
         """
         delivery = delivery or deliveries.Delivery()
+        begun = self._clock.monotonic()
         max_idle = (
             None
             if request.route.repeatable or options.prefill_only
@@ -373,9 +374,13 @@
             if not (self._accepts(server) and may_send() and self._flow.take(server)):
                 self._pool.release(server.incarnation, link, self._clock.monotonic())
                 return Withheld()
-            labelled = dataclasses.replace(options, customer=request.customer_name)
-            fields = http_headers.request_fields(request.fields, labelled)
             sent_at = self._clock.monotonic()
+            current = dataclasses.replace(
+                options,
+                customer=request.customer_name,
+                time_left=options.time_left - (sent_at - begun),
+            )
+            fields = http_headers.request_fields(request.fields, current)
             carried_before = link.has_carried(request.request_id)
             link.carries(request.request_id)
             link.send(request.method, request.target, fields, request.body)
--- a/tests/features/server_liveness.feature
+++ b/tests/features/server_liveness.feature
@@ -87,6 +87,12 @@
     When liveness: it stands still for 0.5 s, and a request is sent
     Then liveness: it is answered
 
+  # Guards against servers that work on a request when its client has left.
+  Scenario: A server is told the time that is left once it has shown that it reads
+    Given liveness: a server that answers
+    When liveness: it stands still for 0.5 s of the 5 s that a request has
+    Then liveness: it is told that 4.5 s are left
+
   # Guards against requests that are sent to a server which left before it went on.
   Scenario Outline: A server that <leaves> before it goes on gets no request
     Given liveness: a server that answers
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -194,6 +194,15 @@
     run(context, context.world.stand_still(lambda sending: asyncio.sleep(seconds)))
 
 
+@behave.when(
+    "liveness: it stands still for {seconds:g} s of the {limit:g} s that a request has"
+)
+def stand_still_within_limit(context, seconds, limit):
+    assert limit == LIMIT.total_seconds()
+    world = context.world
+    run(context, world.stand_still(lambda sending: world.wait(seconds)))
+
+
 @behave.when("liveness: it stands still, {leaves} and goes on while a request waits")
 def leave(context, leaves):
     async def leave(sending):
@@ -267,6 +276,12 @@
     assert context.world.server.bodies == [b"body 1", last]
 
 
+@behave.then("liveness: it is told that {seconds:g} s are left")
+def told_time_left(context, seconds):
+    told = [request.time_left_ms for request in context.world.server.requests]
+    assert told == [round(1000 * seconds)], told
+
+
 @behave.then("liveness: the request is withheld, and the server gets no other request")
 def withheld(context):
     assert isinstance(context.world.outcomes[-1], dispatch.Withheld)
--- a/tests/support/reading_server.py
+++ b/tests/support/reading_server.py
@@ -28,6 +28,7 @@
 
     connection: int
     announced: bool
+    time_left_ms: int
     body: bytes | None = None
 
 
@@ -95,7 +96,11 @@
             self.questions.append(number)
             self._answer_question(writer, is_kept=is_kept)
             return
-        request = Received(number, b"expect: 100-continue" in head)
+        request = Received(
+            number,
+            b"expect: 100-continue" in head,
+            int(_value(head, b"x-deadline-ms")),
+        )
         self.requests.append(request)
         if self.manner == "closes":
             raise ConnectionAbortedError
