Replace the incarnation check's enum by a flag

Each dispatch to an engine asks for its report since a question precedes each request, so ASK did what NONE did. What is left is whether the request may go to the listed incarnation only, which a flag says.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -173,7 +173,8 @@
             may_send=lambda: (
                 prefilled is None or not self._handles.is_doubtful(prefilled)
             ),
-            incarnation_check=_incarnation_check(request, progress),
+            # The version of the engine's software matters to what is resumed.
+            listed_incarnation=bool(progress.last_event),
             delivery=delivery,
         )
         return await self._context.stall_checks.wait_unless_stalled(
@@ -395,14 +396,3 @@
             generation.progress.usage_counted = True
             name = generation.request.customer_name
             self._context.usage.record_start(name, self._context.clock.now())
-
-
-def _incarnation_check(
-    request: client_request.ClientRequest, progress: request_progress.Progress
-) -> dispatch.IncarnationCheck:
-    """Return whether the version of the engine's software matters to a request."""
-    if progress.last_event:
-        return dispatch.IncarnationCheck.REQUIRE
-    if request.route.repeatable:
-        return dispatch.IncarnationCheck.ASK
-    return dispatch.IncarnationCheck.NONE
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import datetime
-import enum
 import functools
 from collections import abc
 
@@ -33,7 +32,6 @@
     "Abandonment",
     "Declined",
     "FullResponse",
-    "IncarnationCheck",
     "NotSent",
     "OpenResponse",
     "Outcome",
@@ -65,20 +63,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class IncarnationCheck(enum.Enum):
-    """Whether a request asks which incarnation its connection leads to.
-
-    Only an engine's own report tells, and a connection does not outlive the process at
-    its other end. So one report proves all requests that are sent over a connection.
-    """
-
-    NONE = enum.auto()
-    # Ask, and send the request whatever the answer is.
-    ASK = enum.auto()
-    # Ask, and send the request to the listed incarnation only.
-    REQUIRE = enum.auto()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
     """The server was not reached, so the request did not run.
@@ -317,7 +301,7 @@
         *,
         new_connection: bool = False,
         may_send: abc.Callable[[], bool] = lambda: True,
-        incarnation_check: IncarnationCheck = IncarnationCheck.NONE,
+        listed_incarnation: bool = False,
         delivery: deliveries.Delivery | None = None,
     ) -> OpenResponse | NotSent | Declined | OutcomeUnknown | Withheld:
         """Send a request and wait for the header of its response.
@@ -336,8 +320,9 @@
             new_connection: Use no kept connection. A request that has got no answer
                 before may have met a silent one, and the next may be silent as well.
             may_send: Asked last; the request is withheld if this returns False.
-            incarnation_check: Whether the server may be another incarnation than the
-                listed one.
+            listed_incarnation: Send it to the listed incarnation of an engine only, as
+                proven by the engine's report over the connection. A connection does not
+                outlive the process at its other end.
             delivery: Records how far the request gets.
         """
         delivery = delivery or deliveries.Delivery()
@@ -363,7 +348,7 @@
         except (channel.BrokenError, channel.ConnectError) as error:
             return self._not_sent(server, error)
         if (
-            incarnation_check is IncarnationCheck.REQUIRE
+            listed_incarnation
             and server.started_ms is not None
             and link.started_ms != server.started_ms
         ):
