--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -172,6 +172,19 @@
     asked_at: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reader:
+    """A connection to a server that has shown that it reads.
+
+    Attributes:
+        link: The connection.
+        asked_at: When the server was asked.
+    """
+
+    link: channel.Channel
+    asked_at: datetime.timedelta
+
+
 Outcome = (
     OpenResponse
     | FullResponse
@@ -344,9 +357,10 @@
         except channel.ConnectError as error:
             return self._not_sent(server, error)
         try:
-            link, asked_at = await self._answered_link(server, request, link)
+            reader = await self._reader(server, request, link)
         except (channel.BrokenError, channel.ConnectError) as error:
             return self._not_sent(server, error)
+        link = reader.link
         if (
             listed_incarnation
             and server.started_ms is not None
@@ -370,7 +384,7 @@
             link.carries(request.request_id)
             link.send(request.method, request.target, fields, request.body)
             delivery.sent_at = sent_at
-            with self._abandoned_on_cancel(server, request, link, sent_at, asked_at):
+            with self._abandoned_on_cancel(server, request, reader, sent_at):
                 outcome = await self._opened(server, request, link, sent_at)
             if isinstance(outcome, Declined):
                 return dataclasses.replace(outcome, carried_before=carried_before)
@@ -398,13 +412,13 @@
             _notify(self._on_silence, server)
         return NotSent(str(error), unresponsive)
 
-    async def _answered_link(
+    async def _reader(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
         link: channel.Channel,
-    ) -> tuple[channel.Channel, datetime.timedelta]:
-        """Return a connection to a server that has shown that it reads, and since when.
+    ) -> _Reader:
+        """Return a connection to a server that has shown that it reads.
 
         On return this instance knows what it missed in a pause.
 
@@ -428,16 +442,15 @@
         except BaseException:
             link.close()
             raise
-        return link, asked_at
+        return _Reader(link, asked_at)
 
     @contextlib.contextmanager
     def _abandoned_on_cancel(
         self,
         server: servers.Server,
         request: client_request.ClientRequest,
-        link: channel.Channel,
+        reader: _Reader,
         written_at: datetime.timedelta,
-        asked_at: datetime.timedelta,
     ) -> abc.Generator[None, None, None]:
         """Report a request that is cancelled while it waits for an answer."""
         try:
@@ -448,10 +461,10 @@
                     server,
                     request.request_id,
                     written_at,
-                    acknowledged=link.acknowledged,
-                    kept_connection=link.opened_by is not None,
+                    acknowledged=reader.link.acknowledged,
+                    kept_connection=reader.link.opened_by is not None,
                     accepted=self._accepts(server),
-                    asked_at=asked_at,
+                    asked_at=reader.asked_at,
                 )
             )
             raise
