--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -4,14 +4,18 @@
 """
 
 import asyncio
-import dataclasses
 import datetime
 import typing
 from collections import abc
 
 from pimentolatch import clock
 from pimentolatch.backend import channel
-from pimentolatch.gateway import answer_reader, extra_answers, flow_control
+from pimentolatch.gateway import (
+    answer_reader,
+    extra_answers,
+    flow_control,
+    question_turns,
+)
 from pimentolatch.platform import engines
 from pimentolatch.routes import servers
 
@@ -33,21 +37,6 @@
         """Record a question and whether it was answered."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Unanswered:
-    """Questions that a server has not answered.
-
-    Attributes:
-        since: When the first one was asked.
-        asking: Requests that ask now.
-        changed: Set when one of these ends.
-    """
-
-    since: datetime.timedelta
-    asking: int = 0
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-
 class LivenessCheck:
     """Asks servers whether they read, over connections of a pool.
 
@@ -75,21 +64,19 @@
         self._on_answer = on_answer
         self._on_question = on_question
         self._answers = answers
-        self._unanswered: dict[servers.Incarnation, _Unanswered] = {}
+        self._turns = question_turns.QuestionTurns(_NEXT_CONNECTION_AFTER, time)
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
         """Forget the servers that are no longer listed and that nobody asks."""
-        for name, unanswered in list(self._unanswered.items()):
-            if name not in listed and not unanswered.asking:
-                del self._unanswered[name]
+        self._turns.retain(listed)
 
     async def ask(
         self, server: servers.Server, link: channel.Channel, target: bytes
     ) -> channel.Channel:
         """Ask a server until it answers; return a connection to it that can be used.
 
-        While a server leaves one request's questions unanswered, the others wait: all
-        questions would lie unread there, and be answered when nobody needs them.
+        While a server leaves one request's questions unanswered, the others wait; see
+        `question_turns`.
 
         Args:
             server: The server.
@@ -100,18 +87,13 @@
             BrokenError: The exchange failed, over a new connection as well.
             ConnectError: No other connection could be opened.
         """
-        unanswered = await self._wait_for_turn(server.incarnation)
-        unanswered.asking += 1
-        try:
-            link = await self._first_answer(server, link, target)
-            self._unanswered.pop(server.incarnation, None)
-        except (channel.BrokenError, channel.ConnectError):
-            self._unanswered.pop(server.incarnation, None)
-            raise
-        finally:
-            unanswered.asking -= 1
-            unanswered.changed.set()
-            unanswered.changed = asyncio.Event()
+        async with self._turns.turn(server.incarnation):
+            try:
+                link = await self._first_answer(server, link, target)
+            except (channel.BrokenError, channel.ConnectError):
+                self._turns.ended(server.incarnation)
+                raise
+            self._turns.ended(server.incarnation)
         if link.reusable:
             return link
         link.close()
@@ -119,16 +101,6 @@
             server.incarnation, server.address, self._clock.monotonic(), reuse=False
         )
 
-    async def _wait_for_turn(self, server: servers.Incarnation) -> _Unanswered:
-        """Wait until a question may be asked; return those that are unanswered."""
-        while True:
-            now = self._clock.monotonic()
-            unanswered = self._unanswered.setdefault(server, _Unanswered(now))
-            overdue = now - unanswered.since > _NEXT_CONNECTION_AFTER
-            if not unanswered.asking or not overdue:
-                return unanswered
-            await unanswered.changed.wait()
-
     async def _first_answer(
         self, server: servers.Server, link: channel.Channel, target: bytes
     ) -> channel.Channel:
