Repeat the request's id in more answers of the stand-ins

Refusals, failures and prompts of the cutting server, and the 421 of the route server, bore no id, which the users' servers repeat in each answer. Requests to them waited for their deadline since an answer needs its id or the seal: cut_routes.feature took over ten minutes and failed.

--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -325,7 +325,7 @@
         self.arrival_times.append(asyncio.get_running_loop().time())
         self.on_request(request)
         if expected != self.server_id:
-            await connection.send(421, [], b"")
+            await connection.send(421, _repeated_id(request), b"")
             return True
         if request.target in (HEALTH_TARGET, REPORT_TARGET):
             status = self.manners.refusal_of_question()
@@ -694,6 +694,12 @@
         self._writer.transport.abort()
 
 
+def _repeated_id(request: ReceivedRequest) -> list[tuple[bytes, bytes]]:
+    """Return the id of a request as a field of its answer; a call may have none."""
+    name = request.fields.get("x-request-id")
+    return [] if name is None else [(b"x-request-id", name.encode())]
+
+
 def _parse_request(head: h11.Request, body: bytes) -> ReceivedRequest:
     fields = {n.decode().lower(): v.decode("latin-1") for n, v in head.headers}
     kind = "prefill" if fields.get("x-stage") == "prefill" else "run"
--- a/tests/features/steps/cut_routes_steps.py
+++ b/tests/features/steps/cut_routes_steps.py
@@ -22,12 +22,13 @@
 REPEATS = 100_000
 ROUTES_WITHOUT_REPEATS = ("print", "draft")
 STREAMS = ("draft", "digest")
+REFUSAL = b"x-not-executed: 1\r\n" + cutting_server.REQUEST_ID
 ANSWERS = {
     "answers": (SEAL, cutting_server.PIECES, b"200 OK"),
     "streams": (SEAL, EVENTS, b"200 OK"),
     "failures": (SEAL, [b"failed"], b"500 Failed"),
-    "refusals": (b"x-not-executed: 1\r\n", [b"full"], b"503 Full"),
-    "prompts": (b"", PROMPT, b"200 OK"),
+    "refusals": (REFUSAL, [b"full"], b"503 Full"),
+    "prompts": (cutting_server.REQUEST_ID, PROMPT, b"200 OK"),
     "own refusals": (b"x-result-code: 200\r\n", [b'{"error": {}}'], b"503 Refused"),
     "own failures": (b"x-result-code: 302\r\n", [b'{"error": {}}'], b"502 Refused"),
 }
--- a/tests/support/cutting_server.py
+++ b/tests/support/cutting_server.py
@@ -11,6 +11,7 @@
 __all__ = [
     "COMMENT",
     "ENDINGS",
+    "REQUEST_ID",
     "Cut",
     "CuttingEngine",
     "CuttingServer",
@@ -22,6 +23,10 @@
 ENDINGS = ("closed", "reset")
 # A request names its cut in any field of its head.
 CUT_NAME = re.compile(rb"cut-(\d+)-(closed|reset)")
+# Header field of an answer that repeats the id of its request, which is the name of its
+# cut. White space behind a value has no meaning.
+_ID_PLACEHOLDER = b"@" * len("cut-0000-closed")
+REQUEST_ID = b"x-request-id: " + _ID_PLACEHOLDER + b"\r\n"
 # Longer than it takes a client to read what was sent before a reset.
 RESET_AFTER_S = 0.02
 # Between the two halves of what is sent, so that a client reads them apart.
@@ -188,7 +193,9 @@
         if found is None:
             return HEALTHY, None
         self.seen.append(head)
-        return self._form.raw, Cut(int(found[1]), found[2].decode())
+        name = found[0].ljust(len(_ID_PLACEHOLDER))
+        raw = self._form.raw.replace(_ID_PLACEHOLDER, name)
+        return raw, Cut(int(found[1]), found[2].decode())
 
     async def _serve(self, reader, writer):
         try:
