Ask for the end of the grace period with requests from before and after the signal

The scenario counted a request as waiting when it was in flight, which it is before its limit is drawn; and a request that comes after the signal has the end of the grace period as its limit, so its answer is 504 (may have run) where one from before gets 502.

--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -21,6 +21,7 @@
 LATE_S = 0.15
 # Little more than an instance takes until it refuses new requests.
 GRACE_S = 3.5
+AFTER = "after"
 
 
 async def echo(scope, receive, send):
@@ -343,16 +344,19 @@
     assert [(line["outcome"], line["cut"]) for line in lines()] == [(outcome, True)]
 
 
-@behave.when("unanswered: the grace period ends as a request {waits}")
-def grace_ends(context, waits):
-    instance, flow = context.instance, context.instance.flow
-    chosen = context.world.settings("one")
+@behave.when(
+    "unanswered: the grace period ends as a request from {since} the signal {waits}"
+)
+def grace_ends(context, since, waits):
+    world, instance, flow = context.world, context.instance, context.instance.flow
+    chosen = world.settings("one")
     bounds = chosen.bounds.model_copy(update={"stop_grace_s": GRACE_S})
     chosen = chosen.model_copy(update={"bounds": bounds})
+    waiting = []
     full = mock.patch.multiple(
         flow,
         withheld=lambda listed, **_: {server.incarnation for server in listed},
-        permit_wait=lambda listed, ahead: datetime.timedelta(),
+        permit_wait=lambda listed, ahead: waiting.append(ahead) or datetime.timedelta(),
     )
 
     context.unretrieved = []
@@ -362,9 +366,13 @@
             lambda loop, failure: context.unretrieved.append(failure)
         )
         instance.apply(chosen)
-        asked = asyncio.create_task(context.world.ask("notify", "waits"))
-        await context.world.until(lambda: instance.in_flight)
-        await instance.stop()
+        stopping = None
+        if since == AFTER:
+            stopping = asyncio.create_task(instance.stop())
+            await asyncio.sleep(0)
+        asked = asyncio.create_task(world.ask("notify", "waits"))
+        await world.until(lambda: waiting or context.server.count_runs("waits"))
+        await (stopping or instance.stop())
         return await asked
 
     with full if "room" in waits else contextlib.nullcontext():
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -74,16 +74,18 @@
 
   # Guards against requests that get neither an answer nor a refusal, since the grace
   # period ends while they wait.
-  Scenario Outline: A request that <waits> as the grace period ends gets <answer>
+  Scenario Outline: A request from <since> the stop <waits> as the grace ends, and gets <answer>
     Given unanswered: an instance with a server that does not answer
-    When unanswered: the grace period ends as a request <waits>
+    When unanswered: the grace period ends as a request from <since> the signal <waits>
     Then unanswered: it gets <answer>
     And unanswered: the stop has left no failure that nobody retrieved
 
     Examples:
-      | waits              | answer           |
-      | waits for room     | 503, not run     |
-      | waits for a server | 502, may have run |
+      | since  | waits              | answer            |
+      | before | waits for room     | 503, not run      |
+      | before | waits for a server | 502, may have run |
+      | after  | waits for room     | 503, not run      |
+      | after  | waits for a server | 504, may have run |
 
   # Guards against failures of an instance that end in an answer of the HTTP library.
   Scenario: A request that an instance fails on before it forwards it is refused
