Take no answer to an earlier call for an engine that answers nobody

What callers saw: "report not understood", and streams without a whole answer (LOST).

Cause: a call of the gateway's own bears no id, so a copy of its refusal (a KV handle that is gone, an order) can't be told from the report that is due behind it on the connection. A request that waits asks for the report over a kept and a new connection; the first answer ended both, also one that is no report. The engine then counted as one that answers nobody and its stream left. Class: an answer is matched to an exchange by its place.

Only a report ends the wait now. A new connection carries no answer to an earlier call, and an engine that refuses one counts as full as before.

--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -202,7 +202,8 @@
         """Ask for a report over a kept and over a new connection at the same time.
 
         A kept one may have fallen silent, and a server at capacity accepts no new one:
-        either alone would make a running engine count as one that has stopped.
+        either alone would make a running engine count as one that has stopped. On a
+        kept one the answer to an earlier call may come instead, which no id tells.
         """
         calls = {
             asyncio.create_task(self._call(server, new_connection=new_connection))
@@ -213,7 +214,9 @@
             for completed in asyncio.as_completed(calls):
                 response = await completed
                 if isinstance(response, dispatch.FullResponse):
-                    return engines.decode_report(response.body)
+                    report = engines.decode_report(response.body)
+                    if report is not None:
+                        return report
                 is_full |= (
                     isinstance(response, dispatch.NotSent) and not response.unresponsive
                 )
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -38,6 +38,12 @@
     When copied answers: a report is asked for after a refused request
     Then copied answers: the report is the engine's own
 
+  # Guards against a sound engine that loses a stream, since the copy bears no id: it is
+  # of the refusal of a call, which bears none either.
+  Scenario: A report on which a stream depends is due where a copy of a call's comes
+    When copied answers: a stream waits at an engine that refused a call
+    Then copied answers: the stream stays there
+
   # Guards against a refusal of an earlier dispatch, which names none, being taken for the
   # answer to a later one that runs.
   Scenario: An engine of the first daemon repeats a refusal
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -9,8 +9,8 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.backend import engine_client, outcomes
-from pimentolatch.decisions import neighbours
-from pimentolatch.gateway import dispatch, flow_control
+from pimentolatch.decisions import engine_loads, neighbours
+from pimentolatch.gateway import dispatch, flow_control, request_log, stall_checker
 from pimentolatch.platform import engines, http_headers, server_entries
 from tests.support import closing_server, copying_server, raw_server, route_world
 
@@ -33,6 +33,9 @@
 )
 STREAM = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 STREAM += b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENTS), EVENTS)
+WHOLE = "whole stream"
+# Longer than an engine's report takes.
+STREAM_S = 0.5
 OPTIONS = http_headers.DispatchOptions("engine", LIMIT)
 
 
@@ -79,30 +82,35 @@
     assert context.server.refusals, "nothing was refused, so nothing was copied"
 
 
+@contextlib.asynccontextmanager
+async def engine_of_one_client():
+    """Yield an engine that sends copies where reports are due, and its client."""
+    engine = copying_server.CopyingServer(
+        "engine",
+        "lm",
+        "decode",
+        copying_server.REQUEST,
+        before=copying_server.QUESTION,
+    )
+    await engine.start()
+    time = clock.SystemClock()
+    client = dispatch.ServerClient(
+        time,
+        flow_control.FlowControl(neighbours.Place("one", "here"), time),
+        acknowledgement_limit=LIMIT,
+    )
+    yield server_entries.decode(engine.name, engine.entry()), client
+    client.close()
+    await engine.stop()
+
+
 @behave.when("copied answers: a report is asked for after a refused request")
 def ask_report(context):
     async def report():
-        engine = copying_server.CopyingServer(
-            "engine",
-            "lm",
-            "decode",
-            copying_server.REQUEST,
-            before=copying_server.QUESTION,
-        )
-        await engine.start()
-        time = clock.SystemClock()
-        client = dispatch.ServerClient(
-            time,
-            flow_control.FlowControl(neighbours.Place("one", "here"), time),
-            acknowledgement_limit=LIMIT,
-        )
-        listed = server_entries.decode(engine.name, engine.entry())
-        refused = await client.fetch(listed, REQUEST, OPTIONS)
-        assert refused == dispatch.Declined(503), refused
-        found = await client.call(listed, "GET", engines.REPORT_TARGET, limit=LIMIT)
-        client.close()
-        await engine.stop()
-        return found
+        async with engine_of_one_client() as (listed, client):
+            refused = await client.fetch(listed, REQUEST, OPTIONS)
+            assert refused == dispatch.Declined(503), refused
+            return await client.call(listed, "GET", engines.REPORT_TARGET, limit=LIMIT)
 
     with route_world.runner() as runner:
         context.report = runner.run(report())
@@ -115,6 +123,57 @@
     assert json.loads(found.body) == copying_server.REPORT, found
 
 
+class Uncounted:
+    """Counts no events."""
+
+    def observe(self, event, fields, *, wrong):
+        pass
+
+
+class Anywhere:
+    """Another engine can always take over."""
+
+    runs = 0
+    others = 1
+
+    async def reserve(self):
+        return True
+
+
+@behave.when("copied answers: a stream waits at an engine that refused a call")
+def wait_after_call(context):
+    async def stream():
+        await asyncio.sleep(STREAM_S)
+        return WHOLE
+
+    async def wait():
+        async with engine_of_one_client() as (listed, client):
+            target = engines.release_target("handle")
+            refused = await client.call(listed, "DELETE", target, limit=LIMIT)
+            assert refused.status == 503, refused
+            time = clock.SystemClock()
+            checker = stall_checker.StallChecker(
+                client, request_log.RequestLog(time, Uncounted()), time
+            )
+            loads = engine_loads.EngineLoads()
+            loads.update([listed])
+            return await checker.wait_unless_stalled(
+                loads.get(listed.server_id),
+                "asked",
+                stream(),
+                datetime.timedelta(),
+                Anywhere(),
+            )
+
+    with route_world.runner() as runner:
+        context.ended = runner.run(wait())
+
+
+@behave.then("copied answers: the stream stays there")
+def stays(context):
+    assert context.ended == WHOLE, context.ended
+
+
 class RepeatingEngine:
     """Refuses the first dispatch, and repeats that before its connection's next one."""
 
