Pass on a content type with control characters in the first daemon

What callers saw: a plain server answered with a control character in its content type, and the caller's connection ended without a byte, each time it asked under its key.

Cause: the parser takes what HTTP does not allow and the writer refuses it; the gateway replaced such characters in the fields that it passes on, the first daemon did not. Class: the same as for odd statuses, a rule that each caller of a parser has to know.

`channel.writable` makes a value fit to be passed on, and both use it. Values that are only read stay as they came: a limit with such a character is still reported as unreadable.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import datetime
+import re
 import typing
 from collections import abc
 
@@ -26,11 +27,15 @@
     "ConnectError",
     "UndeliveredError",
     "connect",
+    "writable",
 ]
 
 # The largest status of HTTP (RFC 9110, section 15); larger ones can't be passed on. The
 # parser refuses those below 100.
 _MAX_STATUS = 599
+# No field value may have these (RFC 9110, section 5.5). The parser takes them all the
+# same.
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _READ_BUFFER_BYTES = 262_144
 # Bytes that are parsed before other tasks may run.
 _PARSED_BYTES = 16_384
@@ -379,6 +384,11 @@
             raise BrokenError(str(error)) from error
 
 
+def writable(value: bytes) -> bytes:
+    """Return the value of a response's field as it can be passed on."""
+    return _CONTROL_CHARACTER.sub(b" ", value)
+
+
 def _usable_keep_alive(digits: bytes) -> datetime.timedelta:
     """Return how long a connection may stay idle, by the seconds its server states."""
     digits = digits.lstrip(b"0") or b"0"
--- a/src/pimentolatch/backend/full_response.py
+++ b/src/pimentolatch/backend/full_response.py
@@ -39,7 +39,9 @@
     def field(self, name: str, default: str = "") -> str:
         """Return the value of a header field, or the default if it is missing."""
         value = dict(self.fields).get(name.encode("latin-1"))
-        return default if value is None else value.decode("latin-1")
+        if value is None:
+            return default
+        return channel.writable(value).decode("latin-1")
 
 
 class FullResponseClient:
--- a/src/pimentolatch/platform/http_headers.py
+++ b/src/pimentolatch/platform/http_headers.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from pimentolatch import settings
+from pimentolatch.backend import channel
 from pimentolatch.requests import prompts
 from pimentolatch.routes import notices
 
@@ -61,9 +62,6 @@
 _MAX_TOKENS = 1_000_000_000
 # Decimal numbers up to the largest that is plausible; longer ones are not parsed.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
-# No field value may have these (RFC 9110, section 5.5). They are read all the same, and
-# can't be written.
-_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 # Only instances may set these fields. A client that sets one could claim KV cache
 # memory, another request's prompt, another priority or another customer's name.
@@ -358,7 +356,7 @@
         encoded=found.get(b"content-encoding", b"identity").lower() != b"identity",
         notice=_notice(fields, status),
         fields=tuple(
-            (name, _CONTROL_CHARACTER.sub(b" ", value))
+            (name, channel.writable(value))
             for name, value in fields
             if name.lower() not in dropped
         ),
--- a/tests/features/cut_answers.feature
+++ b/tests/features/cut_answers.feature
@@ -44,6 +44,18 @@
       | a forwarded call      | 000    |
       | a forwarded call      | 799    |
 
+  # Guards against a result that can't be written: its caller's connection ends without a
+  # byte.
+  Scenario Outline: <call> has a content type that can be passed on
+    Given cut answers: an answer whose content type has a control character
+    When cut answers: <call> is answered so
+    Then cut answers: the whole one counts as whole, and its content type has none
+
+    Examples:
+      | call              |
+      | a repeatable call |
+      | a forwarded call  |
+
   # Guards against a promise "not run" by an answer that is none, or not a refusal.
   Scenario Outline: A stream is not refused by the status <status>
     Given cut answers: a refusal whose status is <status>
--- a/tests/features/steps/cut_answers_steps.py
+++ b/tests/features/steps/cut_answers_steps.py
@@ -132,6 +132,12 @@
     context.form = forms["a length"]
 
 
+@behave.given("cut answers: an answer whose content type has a control character")
+def control_character(context):
+    fields = b"x-dispatch: d1\r\ncontent-type: a\x01b\r\n"
+    context.form = cutting_server.plain_forms(fields)["a length"]
+
+
 def token_events():
     texts = [{"offset": n, "token": token} for n, token in enumerate(TOKENS)]
     texts.append({"done": True, "length": len(TOKENS)})
@@ -189,6 +195,15 @@
     report(context, is_lost)
 
 
+@behave.then(
+    "cut answers: the whole one counts as whole, and its content type has none"
+)
+def content_type_written(context):
+    whole = context.outcomes[cutting_server.Cut(len(context.form.raw), "closed")]
+    assert isinstance(whole, outcomes.Response), whole
+    assert (whole.body, whole.content_type) == (context.form.body, "a b"), whole
+
+
 @behave.then("cut answers: nothing counts as whole without all of its content")
 def content_is_whole(context):
     form = context.form
