--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -31,3 +31,16 @@
       | draft  | the status 101                 | 502            |
       | digest | the status 000                 | 502            |
       | digest | the status 101                 | 502            |
+
+  # Guards against the same where a peer passes the answer on.
+  Scenario Outline: A client gets 502 for a peer's answer of "<route>" with <oddity>
+    Given odd answers: a peer whose answers of "<route>" have <oddity>
+    When odd answers: "<route>" is asked for
+    Then odd answers: the client gets 502
+
+    Examples:
+      | route  | oddity         |
+      | print  | the status 600 |
+      | notify | the status 799 |
+      | draft  | the status 999 |
+      | digest | the status 799 |
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -1,6 +1,6 @@
 import behave
 
-from tests.support import closing_server, route_world
+from tests.support import closing_server, peer_detour, route_world
 
 STREAMS = ("draft", "digest")
 STATUS = "the status "
@@ -28,8 +28,16 @@
     context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
-    odd = OddServer("odd", service, stage, oddity)
-    context.route_runner.run(context.world.start_before(odd))
+    context.odd = OddServer("odd", service, stage, oddity)
+    context.route_runner.run(context.world.start_before(context.odd))
+
+
+@behave.given('odd answers: a peer whose answers of "{route}" have {oddity}')
+def peer(context, route, oddity):
+    server(context, route, oddity)
+    _, instance = context.world.instances["one"]
+    host, _, port = context.odd.entry()["address"].partition(":")
+    peer_detour.lead(instance, host, int(port))
 
 
 @behave.when('odd answers: "{route}" is asked for')
