Order engines over connections that carry nothing else

What callers could see: a leader gives up its lease, or requests go to an engine that changes its stage and are refused there. Found by looking for the cause of the copied refusals elsewhere.

Cause: an order bears no id. A copy of the refusal (409, 412) of an earlier one, on a connection that went back to the pool, was taken for the next order's answer: an accepted order counted as refused, and a 412 ended the leader's tenure. In the pool the copy could also come where a report is due. Class: an answer is matched to an exchange by its place.

An order and the report before it have a connection of their own, which is closed after them. Orders are rare, so this opens few.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -571,6 +571,7 @@
         *,
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
+        exclusive: bool = False,
     ) -> abc.AsyncGenerator["Session", None]:
         """Make several calls to a server's own interface over one connection.
 
@@ -579,6 +580,9 @@
             new_connection: Use no kept connection; the new one is kept.
             opened_before: Use only a kept connection that was open at this time, so
                 that the calls reach the process that the server was then, or none.
+            exclusive: Use a connection that carries nothing else, before or after:
+                answers to calls bear no id, and one that the server repeats would be
+                taken for another call's.
         """
         calls = Session(
             server,
@@ -586,8 +590,9 @@
             self._flow,
             self._answers,
             self._clock,
-            new_connection=new_connection,
+            new_connection=new_connection or exclusive,
             opened_before=opened_before,
+            kept=not exclusive,
         )
         try:
             yield calls
@@ -658,8 +663,10 @@
         *,
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
+        kept: bool = True,
     ) -> None:
         self._answers = answers
+        self._kept = kept
         self._new_connection = new_connection
         self._opened_before = opened_before
         self._server = server
@@ -706,9 +713,13 @@
 
     def end(self) -> None:
         """Return the connection to the pool, or close it if it can't be reused."""
-        if self._link is not None:
+        if self._link is None:
+            return
+        if self._kept:
             now = self._clock.monotonic()
             self._pool.release(self._server.incarnation, self._link, now)
+        else:
+            self._link.close()
 
     async def _connection(self) -> channel.Channel:
         if self._link is None:
--- a/src/pimentolatch/gateway/leader/stage_controller.py
+++ b/src/pimentolatch/gateway/leader/stage_controller.py
@@ -88,7 +88,7 @@
             return False
         if not await self._leadership.acquire():
             return False
-        async with self._client.session(server) as calls:
+        async with self._client.session(server, exclusive=True) as calls:
             ordered = await self._order(calls, server, change)
         if ordered and not self._is_outcome_unknown(
             server.server_id, self._clock.monotonic()
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -44,6 +44,17 @@
     When copied answers: a stream waits at an engine that refused a call
     Then copied answers: the stream stays there
 
+  # Guards against a leader that takes the refusal of an earlier order for the next one's
+  # and gives up its lease, or goes on using an engine that changes its stage.
+  Scenario Outline: An order is refused with <status>, with a copy before the next one's
+    When copied answers: an engine that refuses an order with <status> gets two
+    Then copied answers: the second order counts as accepted
+
+    Examples:
+      | status |
+      | 409    |
+      | 412    |
+
   # Guards against a refusal of an earlier dispatch, which names none, being taken for the
   # answer to a later one that runs.
   Scenario: An engine of the first daemon repeats a refusal
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -9,9 +9,11 @@
 
 from pimentolatch import clock, settings
 from pimentolatch.backend import engine_client, outcomes
-from pimentolatch.decisions import engine_loads, neighbours
+from pimentolatch.decisions import engine_loads, neighbours, stage_plan
 from pimentolatch.gateway import dispatch, flow_control, request_log, stall_checker
+from pimentolatch.gateway.leader import stage_controller
 from pimentolatch.platform import engines, http_headers, server_entries
+from pimentolatch.routes import servers
 from tests.support import closing_server, copying_server, raw_server, route_world
 
 STREAMS = ("draft", "digest")
@@ -83,14 +85,10 @@
 
 
 @contextlib.asynccontextmanager
-async def engine_of_one_client():
+async def engine_of_one_client(status=503, before=copying_server.QUESTION):
     """Yield an engine that sends copies where reports are due, and its client."""
     engine = copying_server.CopyingServer(
-        "engine",
-        "lm",
-        "decode",
-        copying_server.REQUEST,
-        before=copying_server.QUESTION,
+        "engine", "lm", "decode", copying_server.REQUEST, status, before=before
     )
     await engine.start()
     time = clock.SystemClock()
@@ -174,6 +172,56 @@
     assert context.ended == WHOLE, context.ended
 
 
+class Leader:
+    """An instance that always leads, unless its fencing token is too old."""
+
+    fence = 1
+
+    def __init__(self):
+        self.is_fenced_off = False
+
+    async def acquire(self):
+        return True
+
+    def valid(self):
+        return True
+
+    def fenced_off(self):
+        self.is_fenced_off = True
+
+
+@behave.when("copied answers: an engine that refuses an order with {status:d} gets two")
+def order_twice(context, status):
+    async def order():
+        async with engine_of_one_client(status, copying_server.REQUEST) as (
+            listed,
+            client,
+        ):
+            fleet = types.SimpleNamespace(
+                servers={listed.server_id: listed}, engine_load=lambda engine: None
+            )
+            change = stage_plan.Change(
+                listed.incarnation, servers.Stage.PREFILL, 0.1, 1.2, 50.0
+            )
+            ordered = []
+            for _ in range(2):
+                leader = Leader()
+                controller = stage_controller.StageController(
+                    "one", fleet, None, leader, client, None, None, clock.SystemClock()
+                )
+                ordered.append(await controller.carry_out(change))
+            return ordered, leader
+
+    with route_world.runner() as runner:
+        context.ordered, context.leader = runner.run(order())
+
+
+@behave.then("copied answers: the second order counts as accepted")
+def second_accepted(context):
+    assert context.ordered == [False, True], context.ordered
+    assert not context.leader.is_fenced_off
+
+
 class RepeatingEngine:
     """Refuses the first dispatch, and repeats that before its connection's next one."""
 
--- a/tests/support/copying_server.py
+++ b/tests/support/copying_server.py
@@ -60,7 +60,7 @@
                 elif is_question:
                     writer.write(self._question_answer())
                 else:
-                    writer.write(self._run(fields["x-request-id"]))
+                    writer.write(self._run(fields.get("x-request-id")))
         writer.close()
 
     def _refuses(self, kind):
@@ -73,6 +73,8 @@
         return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
 
     def _run(self, request_id):
+        if request_id is None:
+            return b"HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n"
         self.runs.append(request_id)
         body = closing_server.PLAIN if self._stage is None else closing_server.EVENTS
         length = b"\r\ncontent-length: %d\r\n\r\n" % len(body)
