End the connection of a call to cancel a dispatch

What callers of the first daemon could see: "not run" for a completion that an engine runs. Found by looking for the cause of the copied refusals elsewhere.

Cause: calls to cancel share the connections of dispatches, and their answers name none. A copy of a refused one that came after a dispatch was sent was taken for its refusal. The connection of a refused dispatch is closed for this reason; that of a cancel was kept.

Evidence: the scenario failed before ("NotRun" for the dispatch) and passes now.

--- a/src/pimentolatch/backend/engine_client.py
+++ b/src/pimentolatch/backend/engine_client.py
@@ -118,12 +118,13 @@
     async def cancel(self, address: settings.Address, dispatch_id: str) -> None:
         """Cancel a stream at an engine; best effort."""
         with contextlib.suppress(*connections.ANSWER_FAILURES):
-            await self._client.post(
+            response = await self._client.post(
                 address.url + "/v1/cancel",
                 data=json.dumps({"dispatch": dispatch_id}).encode(),
                 headers=self._headers,
                 timeouts=self._timeouts,
             )
+            connections.end_after(response)
 
 
 async def _parse_refusal(response: aiosonic.HttpResponse) -> outcomes.EngineEvent:
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -59,4 +59,9 @@
   # answer to a later one that runs.
   Scenario: An engine of the first daemon repeats a refusal
     When copied answers: an engine that refuses, with a copy later, gets two dispatches
-    Then copied answers: the second one is not refused
+    Then copied answers: the dispatch is not refused
+
+  # Guards against the same by the refusal of a call to cancel.
+  Scenario: An engine of the first daemon repeats that it cancels nothing
+    When copied answers: an engine that refuses to cancel, with a copy later, gets a dispatch
+    Then copied answers: the dispatch is not refused
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -241,30 +241,50 @@
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def first_daemon():
+    """Yield a client of the first daemon, and the address of an engine."""
+    listening = await asyncio.start_server(RepeatingEngine().serve, "127.0.0.1")
+    port = listening.sockets[0].getsockname()[1]
+    client = engine_client.EngineClient("one")
+    yield client, settings.Address(host="127.0.0.1", port=port)
+    await client.aclose()
+    listening.close()
+
+
+async def end_of(client, address, name):
+    sent = engine_client.Dispatch(name, "m", "prompt", 1)
+    return [event async for event in client.generate(address, sent)][-1]
+
+
 @behave.when(
     "copied answers: an engine that refuses, with a copy later, gets two dispatches"
 )
 def dispatch_twice(context):
     async def generate():
-        listening = await asyncio.start_server(RepeatingEngine().serve, "127.0.0.1")
-        port = listening.sockets[0].getsockname()[1]
-        address = settings.Address(host="127.0.0.1", port=port)
-        client = engine_client.EngineClient("one")
-        ends = []
-        for name in ("d1", "d2"):
-            sent = engine_client.Dispatch(name, "m", "prompt", 1)
-            events = [event async for event in client.generate(address, sent)]
-            ends.append(events[-1])
-        await client.aclose()
-        listening.close()
-        return ends
+        async with first_daemon() as (client, address):
+            refused = await end_of(client, address, "d1")
+            assert isinstance(refused, outcomes.NotRun), refused
+            return await end_of(client, address, "d2")
+
+    with route_world.runner() as runner:
+        context.end = runner.run(generate())
+
+
+@behave.when(
+    "copied answers: an engine that refuses to cancel, with a copy later, gets a"
+    " dispatch"
+)
+def dispatch_after_cancel(context):
+    async def generate():
+        async with first_daemon() as (client, address):
+            await client.cancel(address, "d1")
+            return await end_of(client, address, "d2")
 
     with route_world.runner() as runner:
-        context.ends = runner.run(generate())
+        context.end = runner.run(generate())
 
 
-@behave.then("copied answers: the second one is not refused")
-def second_not_refused(context):
-    refused, served = context.ends
-    assert isinstance(refused, outcomes.NotRun), refused
-    assert served == outcomes.Finished(1), served
+@behave.then("copied answers: the dispatch is not refused")
+def not_refused(context):
+    assert context.end == outcomes.Finished(1), context.end
