Keep connections only of plain servers that name the call they answer

What callers of the first daemon could see: "not run" for a repeatable call that a server runs. Found by looking for the cause of the copied refusals elsewhere.

Cause: a response without the header that names its dispatch was taken for whatever call was due. Servers need not repeat the header, and calls that may be repeated share connections, so a copy of a refusal, or another caller's result, could pass for the answer.

After a response that names no dispatch the connection is closed. It costs a connection a call only at servers that never repeat the header.

--- a/src/pimentolatch/backend/full_response.py
+++ b/src/pimentolatch/backend/full_response.py
@@ -72,6 +72,7 @@
         *,
         time_limit: datetime.timedelta,
         reuse: bool,
+        repeated_field: str | None = None,
     ) -> FullResponse | outcomes.NotRun | outcomes.OutcomeUnknown:
         """Send a request and wait for the complete response.
 
@@ -84,6 +85,9 @@
             reuse: Whether the connection may have been used before and may be used
                 again. An idle one can be closed while a request is sent on it, and then
                 it is unknown whether the request ran.
+            repeated_field: Name of the header field that tells which request is
+                answered. A connection isn't used again after a response without it:
+                one that the server repeats would be taken for the next request's.
 
         Returns:
             `NotRun` only if no byte was sent.
@@ -102,13 +106,14 @@
                     content = await link.read_body(_MAX_BODY_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             return outcomes.OutcomeUnknown(repr(error))
-        if reuse:
+        response = FullResponse(head.status, head.fields, content)
+        if reuse and (repeated_field is None or response.field(repeated_field)):
             self._pool.release(address, link, self._clock.monotonic())
         else:
             link.close()
         if dict(head.fields).get(_ENCODING, _UNENCODED).lower() != _UNENCODED:
             return outcomes.OutcomeUnknown("the body was recoded on the way")
-        return FullResponse(head.status, head.fields, content)
+        return response
 
     async def _open(
         self, address: settings.Address, limit: datetime.timedelta, *, reuse: bool
--- a/src/pimentolatch/backend/plain_client.py
+++ b/src/pimentolatch/backend/plain_client.py
@@ -73,6 +73,7 @@
             call.body,
             time_limit=call.time_limit,
             reuse=call.repeatable,
+            repeated_field=_DISPATCH_HEADER,
         )
         if not isinstance(response, full_response.FullResponse):
             return response
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -65,3 +65,8 @@
   Scenario: An engine of the first daemon repeats that it cancels nothing
     When copied answers: an engine that refuses to cancel, with a copy later, gets a dispatch
     Then copied answers: the dispatch is not refused
+
+  # Guards against the same at servers that do not repeat the name of a call.
+  Scenario: A plain server of the first daemon repeats a refusal that names no call
+    When copied answers: a plain server that refuses, with a copy later, gets two calls
+    Then copied answers: only the first call is refused
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -8,7 +8,7 @@
 import behave
 
 from pimentolatch import clock, settings
-from pimentolatch.backend import engine_client, outcomes
+from pimentolatch.backend import engine_client, outcomes, plain_client
 from pimentolatch.decisions import engine_loads, neighbours, stage_plan
 from pimentolatch.gateway import dispatch, flow_control, request_log, stall_checker
 from pimentolatch.gateway.leader import stage_controller
@@ -285,6 +285,36 @@
         context.end = runner.run(generate())
 
 
+@behave.when(
+    "copied answers: a plain server that refuses, with a copy later, gets two calls"
+)
+def call_twice(context):
+    async def call():
+        async with first_daemon() as (_, address):
+            client = plain_client.PlainClient("one", clock.SystemClock())
+            answers = [
+                await client.call(
+                    address,
+                    plain_client.Call(
+                        name, "app", "notify", b"", "text/plain", repeatable=True
+                    ),
+                )
+                for name in ("d1", "d2")
+            ]
+            client.close()
+            return answers
+
+    with route_world.runner() as runner:
+        context.refused, context.end = runner.run(call())
+
+
+@behave.then("copied answers: only the first call is refused")
+def only_first_refused(context):
+    assert isinstance(context.refused, outcomes.NotRun), context.refused
+    assert isinstance(context.end, outcomes.Response), context.end
+    assert context.end.status == 200, context.end
+
+
 @behave.then("copied answers: the dispatch is not refused")
 def not_refused(context):
     assert context.end == outcomes.Finished(1), context.end
