Pass over as many extra answers as a connection may have left

What callers saw: 502 ("only answers to other requests came") for a request that ran.

Cause: 16 answers to other exchanges were passed over before one. A server that refuses more requests than that on one connection, and repeats all refusals late, owes more.

One more is passed over for each exchange of the connection.

Evidence: the scenario with 40 refusals failed before (502, though the request ran) and passes now.

--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -199,6 +199,8 @@
         self.opened_by: datetime.timedelta | None = None
         # Start time that the process at its end has reported over it; None if unknown.
         self.started_ms: int | None = None
+        # Requests sent, whatever for.
+        self.exchanges = 0
         self._carried = array.array("q")
 
     @property
@@ -276,6 +278,7 @@
         data += self._parser.send(h11.EndOfMessage()) or b""
         assert self._stream.transport is not None
         self._stream.transport.write(data)
+        self.exchanges += 1
         self._delivery.begin()
 
     async def read_head(self) -> ResponseHead:
--- a/src/pimentolatch/gateway/answer_reader.py
+++ b/src/pimentolatch/gateway/answer_reader.py
@@ -14,8 +14,8 @@
 
 __all__ = ["Answer", "AnswerReader", "OnlyExtraError"]
 
-# Each exchange of a connection may have left some; a server that sends more than these
-# before the one that is due is out of order.
+# A server that sends more than these and one for each exchange of the connection before
+# the answer that is due is out of order.
 _MAX_EXTRA_ANSWERS = 16
 # Largest answer that is passed over.
 _MAX_EXTRA_BYTES = 8_000_000
@@ -61,7 +61,7 @@
         Raises:
             BrokenError: The connection broke, or only other answers came.
         """
-        for _ in range(_MAX_EXTRA_ANSWERS + 1):
+        for _ in range(_MAX_EXTRA_ANSWERS + link.exchanges):
             start = await link.read_head()
             head = http_headers.parse_response_headers(start.fields, start.status)
             # Only a server that has run the request can seal an answer to it.
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -18,6 +18,13 @@
       | print  | 421    |
       | notify | 503    |
 
+  # Guards against a request that runs and whose client is told that its outcome is
+  # unknown, since copies of all earlier refusals come before its answer.
+  Scenario: Forty requests are refused, and the copies of all come at once
+    Given copied answers: a server that refuses 40 requests of "print"
+    When copied answers: "print" is asked for until one is not refused
+    Then copied answers: that one ran once, and its client has the whole answer
+
   # Guards against the refusal of a question, which bears no id, being taken for one of
   # the request that follows on the connection.
   Scenario Outline: A question before "<route>" is refused, with a copy
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -19,6 +19,7 @@
 STREAMS = ("draft", "digest")
 LIMIT = datetime.timedelta(seconds=10)
 MAX_TRIES = 5
+MAX_REFUSED = 50
 REQUEST = types.SimpleNamespace(
     route=types.SimpleNamespace(repeatable=False),
     customer_name=None,
@@ -41,12 +42,12 @@
 OPTIONS = http_headers.DispatchOptions("engine", LIMIT)
 
 
-def start(context, route, refused, status):
+def start(context, route, refused, status, **options):
     context.route_runner = route_world.runner()
     context.world = route_world.RouteWorld()
     service, stage = ("lm", "decode") if route in STREAMS else ("app", None)
     context.server = copying_server.CopyingServer(
-        "copying", service, stage, refused, status
+        "copying", service, stage, refused, status, **options
     )
     context.route_runner.run(context.world.start_before(context.server))
 
@@ -65,6 +66,26 @@
     start(context, route, copying_server.QUESTION, status)
 
 
+@behave.given('copied answers: a server that refuses {count:d} requests of "{route}"')
+def refuses_requests(context, count, route):
+    start(context, route, copying_server.REQUEST, 503, refused_requests=count)
+
+
+@behave.when('copied answers: "{route}" is asked for until one is not refused')
+def ask_others(context, route):
+    for number in range(MAX_REFUSED):
+        context.reply = context.route_runner.run(context.world.ask(route, f"r{number}"))
+        if context.server.runs or context.reply.status != 503:
+            break
+    context.request_id = f"r{number}"
+
+
+@behave.then("copied answers: that one ran once, and its client has the whole answer")
+def others_whole(context):
+    assert context.server.runs == [context.request_id], context.server.runs
+    assert (context.reply.status, context.reply.complete) == (200, True), context.reply
+
+
 @behave.when(
     'copied answers: "{route}" is asked for until it is not refused, under one id'
 )
--- a/tests/support/copying_server.py
+++ b/tests/support/copying_server.py
@@ -18,28 +18,39 @@
     """Refuses some exchanges, and sends copies of the refusals.
 
     A copy is sent on the connection of the refusal, before the next answer there to an
-    exchange of one kind. Others are answered in between.
+    exchange of one kind that is not refused. Others are answered in between.
 
     Args:
         name: Its id.
         service: Its service.
         stage: `decode` for an engine, None for a plain server.
-        refused: `REQUEST` to refuse the first one, `QUESTION` to refuse each question.
+        refused: `REQUEST` to refuse the first ones, `QUESTION` to refuse each question.
         status: Status of the refusals.
         before: `REQUEST` or `QUESTION`, before whose answer the copies are sent.
+        refused_requests: Number of requests to refuse.
 
     Attributes:
         runs: Ids of the requests that it ran.
         refusals: Number of exchanges that it refused.
     """
 
-    def __init__(self, name, service, stage, refused, status=503, before=REQUEST):
+    def __init__(
+        self,
+        name,
+        service,
+        stage,
+        refused,
+        status=503,
+        before=REQUEST,
+        refused_requests=1,
+    ):
         super().__init__(name, service, stage, "closed")
         self.runs = []
         self.refusals = 0
         self._refused = refused
         self._status = status
         self._before = before
+        self._refused_requests = refused_requests
 
     async def _serve(self, reader, writer):
         owed = []
@@ -50,10 +61,11 @@
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 is_question = head.startswith(closing_server.QUESTIONS)
                 kind = QUESTION if is_question else REQUEST
-                if kind == self._before:
+                refuses = self._refuses(kind)
+                if kind == self._before and not refuses:
                     writer.write(b"".join(owed))
                     owed.clear()
-                if self._refuses(kind):
+                if refuses:
                     self.refusals += 1
                     owed.append(_refusal(self._status, fields.get("x-request-id")))
                     writer.write(owed[-1])
@@ -66,7 +78,7 @@
     def _refuses(self, kind):
         if kind != self._refused:
             return False
-        return kind == QUESTION or not self.refusals
+        return kind == QUESTION or self.refusals < self._refused_requests
 
     def _question_answer(self):
         body = b"" if self._stage is None else json.dumps(REPORT).encode()
