Bound what all clients of a process hold together

Cause: each connection was bounded and their sum was not. Class: a bound for each client where clients choose their number.

One count for all ports of a process: bodies that arrive, whole ones until they are answered, requests and heads that wait, answers that are not read. If nothing can end, what asks is refused.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -66,6 +66,10 @@
 FIRST_REQUEST_SECONDS = 1.0
 # Pipelined requests beside which a connection is still read, to notice that it ends.
 _MAX_READ_AHEAD = 8
+# What a request that waits occupies beside its body, in bytes.
+_WAITING_BYTES = 2048
+# Time after which a request that was refused for want of memory may come back.
+_MEMORY_RETRY = datetime.timedelta(seconds=1)
 # Bytes that are parsed before the requests that wait are counted. They may hold 150
 # requests; larger parts hold more, smaller ones make large bodies slow to parse.
 _PARSED_BYTES = 4096
@@ -140,7 +144,7 @@
     """A caller's connection; subclasses override the bounds.
 
     Args:
-        memory: Counts what is held for the clients of this process.
+        memory: Bounds what is held for the clients of this process.
     """
 
     def __init__(
@@ -154,6 +158,7 @@
         self._bodies: dict[
             httptools_impl.RequestResponseCycle, client_memory.Holding
         ] = {}
+        self._waiting: client_memory.Holding | None = None
         self._unread_answers: client_memory.Holding | None = None
 
     @property
@@ -201,6 +206,7 @@
             self._memory.release(body)
         self._bodies.clear()
         self._unparsed = b""
+        self._release_waiting()
         self._release_unread_answers()
         super().connection_lost(exc)
         # The library tells the newest request only, which may be a pipelined one.
@@ -226,6 +232,10 @@
             self._parse_part()
             if self._discarding_input:
                 return
+        self._count_waiting()
+        if self._waiting is not None and not self._memory.has_room(self._waiting):
+            self._refuse_for_memory()
+            return
         if self._unparsed:
             # The rest of a request waits here for its turn, not for its client.
             self._cancel_timer()
@@ -257,6 +267,8 @@
             self._unparsed = part[_PARSED_BYTES:]
             part = part[:_PARSED_BYTES]
         super().data_received(typing.cast(bytes, part))
+        if self._body_in_part and not self._discarding_input:
+            self._ask_for_memory()
         if self._discarding_input:
             return
         if self._in_head:
@@ -264,13 +276,13 @@
             if was_in_head or not (was_in_message or self._begun_in_part > 1):
                 self._head_bytes += len(part)
             if self._head_bytes > self.head_limit_bytes:
-                self._refuse(431, self._head_too_large_message())
+                self._refuse(431, self._large_head())
         elif self._body_in_part or not self._in_message:
             self._bytes_without_body = 0
         else:
             self._bytes_without_body += len(part)
             if self._bytes_without_body > self.head_limit_bytes:
-                self._refuse(431, self._trailers_too_large_message())
+                self._refuse(431, self._large_trailers())
 
     def _may_parse(self) -> bool:
         """Whether more requests may wait, and more of the newest one's body."""
@@ -297,7 +309,9 @@
             True to keep the transport open for the response.
         """
         if self._in_message and not self._discarding_input:
-            self._refuse(400, "connection closed before the end of the request")
+            self._refuse(
+                400, results.invalid("connection closed before the end of the request")
+            )
         running = self._running_cycle
         if running is None or running.response_complete or running.disconnected:
             return None
@@ -319,10 +333,52 @@
     ) -> None:
         holding = self._bodies.get(cycle)
         if holding is None:
-            holding = self._memory.hold(client_memory.Kind.ARRIVING, self._now())
+            holding = self._memory.hold(
+                client_memory.Kind.ARRIVING, self._now(), self._refuse_for_memory
+            )
             self._bodies[cycle] = holding
         self._memory.add(holding, size)
 
+    def _ask_for_memory(self) -> None:
+        """Ask whether the body that has grown may stay as it is."""
+        holding = self._bodies.get(self.cycle)
+        if holding is None:
+            return
+        if not self.pipeline:
+            self._memory.make_room(holding, self._now())
+        elif not self._memory.has_room(holding):
+            # It is held until its turn comes.
+            self._refuse_for_memory()
+
+    def _count_waiting(self) -> None:
+        """Count what waits here for its turn or for the rest of a head."""
+        size = len(self.pipeline) * _WAITING_BYTES + len(self._unparsed)
+        if self._in_head:
+            size += self._head_bytes
+        if not size:
+            self._release_waiting()
+            return
+        if self._waiting is None:
+            self._waiting = self._memory.hold(
+                client_memory.Kind.WAITING, self._now(), self._refuse_for_memory
+            )
+        self._memory.add(self._waiting, size - self._waiting.size)
+
+    def _release_waiting(self) -> None:
+        if self._waiting is not None:
+            self._memory.release(self._waiting)
+            self._waiting = None
+
+    def _refuse_for_memory(self) -> None:
+        refusal = results.Refusal(
+            results.ResultCode.OVERLOADED,
+            "this instance has no memory left for the request",
+            results.Execution.NOT_RUN,
+            _MEMORY_RETRY,
+        )
+        self.report_refused(refusal, self.headers)
+        self._refuse(refusal.http_status, refusal)
+
     def _release_body(self) -> None:
         """Count the body of the request that has been answered no longer."""
         if self._running_cycle is not None:
@@ -349,9 +405,9 @@
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request without corrupting an earlier response."""
         if self._head_too_large:
-            self._refuse(431, self._head_too_large_message())
+            self._refuse(431, self._large_head())
         else:
-            self._refuse(400, "request is not valid HTTP/1.1")
+            self._refuse(400, results.invalid("request is not valid HTTP/1.1"))
 
     def on_message_begin(self) -> None:
         """Start to count the head of a new request."""
@@ -407,8 +463,12 @@
     def pause_writing(self) -> None:
         """Count answers that the client does not read."""
         super().pause_writing()
-        self._unread_answers = self._memory.hold(client_memory.Kind.UNREAD, self._now())
+        now = self._now()
+        self._unread_answers = self._memory.hold(
+            client_memory.Kind.UNREAD, now, self.transport.abort
+        )
         self._memory.add(self._unread_answers, self.transport.get_write_buffer_size())
+        self._memory.make_room(self._unread_answers, now)
 
     def resume_writing(self) -> None:
         """Count answers no longer that the client has read."""
@@ -431,6 +491,8 @@
             self._start_timer(LINGER_SECONDS)
         if self._unparsed and not self.transport.is_closing():
             self._parse()
+        else:
+            self._count_waiting()
         self.flow.resume_reading()
 
     def close_after_response(self) -> None:
@@ -455,6 +517,16 @@
             headers: Its header fields, as far as they have arrived.
         """
 
+    def report_refused(
+        self, refusal: results.Refusal, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Report a request that is refused for want of memory; subclasses log it.
+
+        Args:
+            refusal: The refusal.
+            headers: Its header fields, as far as they have arrived.
+        """
+
     def shutdown(self) -> None:
         """Close the connection once the requests that its client has sent are answered.
 
@@ -535,11 +607,13 @@
                 unread=unread,
             )
 
-    def _head_too_large_message(self) -> str:
-        return f"request head is larger than the limit of {self.head_limit_bytes} bytes"
+    def _large_head(self) -> results.Refusal:
+        return results.invalid(
+            f"request head is larger than the limit of {self.head_limit_bytes} bytes"
+        )
 
-    def _trailers_too_large_message(self) -> str:
-        return (
+    def _large_trailers(self) -> results.Refusal:
+        return results.invalid(
             "what comes without a byte of the request's body is larger than the limit "
             f"of {self.head_limit_bytes} bytes"
         )
@@ -574,7 +648,7 @@
     def _response_pending(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
-    def _refuse(self, status: int, message: str) -> None:
+    def _refuse(self, status: int, refusal: results.Refusal) -> None:
         """Refuse the request that is arriving, and parse nothing more.
 
         The sending side is closed at once, and incoming data is discarded for
@@ -600,12 +674,15 @@
             # The request has been answered before the end of its body.
             self._discard_input()
             return
-        body = json.dumps(results.invalid(message).to_json())
+        body = json.dumps(refusal.to_json())
+        retry = ""
+        if refusal.retry_after is not None:
+            retry = f"retry-after: {refusal.retry_after.total_seconds():.3f}\r\n"
         self.transport.write(
             f"HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\n"
             f"content-length: {len(body)}\r\nconnection: close\r\n"
-            f"{results.RESULT_HEADER}: {int(results.ResultCode.INVALID_REQUEST)}\r\n"
-            f"\r\n{body}".encode()
+            f"{results.RESULT_HEADER}: {int(refusal.code)}\r\n"
+            f"{retry}\r\n{body}".encode()
         )
         self._discard_input()
 
@@ -634,9 +711,8 @@
             overdue_seconds=self.loop.time() - self._timer.when(),
         )
         if self._in_head:
-            self._refuse(
-                408, f"request head did not arrive within {self.head_seconds:g} s"
-            )
+            message = f"request head did not arrive within {self.head_seconds:g} s"
+            self._refuse(408, results.invalid(message))
         elif not self._response_pending():
             # The rest of a refused body did not arrive.
             self.transport.abort()
--- a/src/pimentolatch/gateway/http_protocol.py
+++ b/src/pimentolatch/gateway/http_protocol.py
@@ -4,6 +4,7 @@
 import typing
 from collections import abc
 
+from pimentolatch import results
 from pimentolatch.entry import bounded_http
 from pimentolatch.gateway import fleet_state, request_log
 from pimentolatch.platform import http_headers
@@ -64,6 +65,19 @@
             reason=reason.value,
         )
 
+    def report_refused(
+        self, refusal: results.Refusal, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Log a request that is refused for want of memory."""
+        self._request_log.write(
+            request_log.ANSWERED,
+            http_headers.request_id(headers),
+            wrong=True,
+            status=refusal.http_status,
+            outcome=refusal.message,
+            version=self._fleet.version,
+        )
+
 
 class ForwardedProtocol(RouteProtocol):
     """One connection of a peer that forwards its clients' requests."""
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -293,7 +293,7 @@
         self._shutdown = shutdown
         self._flow = flow
 
-    def collect(self) -> typing.Iterator[core.GaugeMetricFamily]:
+    def collect(self) -> typing.Iterator[core.Metric]:
         """Yield the gauges."""
         fleet = self._fleet
         now = self._clock.monotonic()
@@ -404,6 +404,11 @@
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, text, value=float(value))
         yield self._collect_memory()
+        yield core.CounterMetricFamily(
+            _PREFIX + "ended_for_memory",
+            "Requests refused, and connections closed, for want of memory.",
+            value=float(self._memory.ended),
+        )
         yield from self._collect_needs()
 
     def _collect_memory(self) -> core.GaugeMetricFamily:
--- a/src/pimentolatch/metrics.py
+++ b/src/pimentolatch/metrics.py
@@ -68,11 +68,18 @@
             registry=self.registry,
         )
 
+        self._ended_for_memory = prometheus_client.Gauge(
+            _PREFIX + "ended_for_memory",
+            "Requests refused, and connections closed, for want of memory.",
+            registry=self.registry,
+        )
+
     def observe_memory(self, memory: client_memory.ClientMemory) -> None:
         """Report what is held for clients."""
         for kind in client_memory.Kind:
             gauge = self._client_bytes.labels(kind.value)
             gauge.set_function(functools.partial(memory.held_bytes, kind))
+        self._ended_for_memory.set_function(lambda: memory.ended)
 
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
