Join a body once, at its end

Cause: it was collected in a buffer that grows, which holds more than its content and is copied as it grows and once more at the end.

The parts are kept and joined at the end, in the gateway and the first daemon.

--- a/src/pimentolatch/entry/request_parsing.py
+++ b/src/pimentolatch/entry/request_parsing.py
@@ -78,12 +78,14 @@
     declared_length = request.headers.get("content-length", "0")
     if declared_length.isdigit() and int(declared_length) > limits.size:
         return _too_large(limits)
-    body = bytearray()
+    parts: list[bytes] = []
+    size = 0
     try:
         async with asyncio.timeout(limits.duration.total_seconds()):
             async for chunk in request.stream():
-                body += chunk
-                if len(body) > limits.size:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > limits.size:
                     return _too_large(limits)
     except TimeoutError:
         seconds = limits.duration.total_seconds()
@@ -94,7 +96,7 @@
         )
     except requests.ClientDisconnect:
         return results.invalid("connection closed before the end of the request body")
-    return bytes(body)
+    return b"".join(parts)
 
 
 def _too_large(limits: BodyLimits) -> results.Refusal:
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -284,7 +284,9 @@
     async def _read_body(
         self, receive: Receive, limit: int, deadline: datetime.timedelta
     ) -> bytes | results.Refusal | None:
-        body = bytearray()
+        # Joined once at the end: a buffer that grows holds more than the body.
+        parts: list[bytes] = []
+        size = 0
         left = min(_BODY_TIMEOUT, deadline - self._clock.monotonic())
         try:
             async with asyncio.timeout(max(0.0, left.total_seconds())):
@@ -292,11 +294,12 @@
                     message = await receive()
                     if message["type"] == "http.disconnect":
                         return None
-                    body += message["body"]
-                    if len(body) > limit:
+                    parts.append(message["body"])
+                    size += len(parts[-1])
+                    if size > limit:
                         return refusals.body_too_large(limit)
                     if not message["more_body"]:
-                        return bytes(body)
+                        return b"".join(parts)
         except TimeoutError:
             return refusals.body_too_slow()
 
