--- a/standins/answer_copies.py
+++ b/standins/answer_copies.py
@@ -12,10 +12,10 @@
 
 _NOT_EXECUTED = (b"x-not-executed", b"1")
 _MISDIRECTED = 421
-# A copy is sent before this answer at the latest, counted from the copied one.
-_MAX_LATER = 4
-# Of the copies so many are sent at once, before the next answer, or later.
-_WHEN_WEIGHTS = (1, 3, 2)
+# How many answers precede a copy, and how often; one with 0 is sent at once. A request
+# that comes again is mostly preceded by a question, so its answer is the second one.
+_ANSWERS_BEFORE = (0, 1, 2, 3, 4)
+_WEIGHTS = (1, 2, 4, 1, 1)
 # Of two copies that are due at once so many begin with the same answer.
 _TWICE_SHARE = 0.2
 
@@ -109,8 +109,7 @@
 
     def answers_before(self) -> int:
         """Return how many answers precede a copy; 0 sends it at once."""
-        later = self.rng.randint(2, _MAX_LATER)
-        return self.rng.choices((0, 1, later), _WHEN_WEIGHTS)[0]
+        return self.rng.choices(_ANSWERS_BEFORE, _WEIGHTS)[0]
 
     def _drawn(self, share: float) -> bool:
         return share > 0 and self.rng.random() < share
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -13,6 +13,8 @@
 PATHS_MARGIN_S = 3.0
 # Below the time by which servers that stand still read requests late.
 STOPS_MARGIN_S = 1.0
+# The soak of copies drains no server, so nothing in it is late.
+COPIES_MARGIN_S = MARGIN_S
 
 
 @behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
@@ -92,6 +94,13 @@
     _play(context, seed, seconds, soak_kinds.KINDS["stops"], STOPS_MARGIN_S)
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of refusals and copies"
+)
+def play_copies(context, seed, seconds):
+    _play(context, seed, seconds, soak_kinds.KINDS["copies"], COPIES_MARGIN_S)
+
+
 @behave.then("no promise was broken and most requests were served")
 def kept(context):
     result = context.result
--- a/tests/support/soak_copies.py
+++ b/tests/support/soak_copies.py
@@ -41,7 +41,7 @@
 # Fewer copies than these would show nothing.
 MIN_COPIES = 10
 # A client sends so many of its refused requests again, at most so often.
-REPEATED_SHARE = 0.6
+REPEATED_SHARE = 0.8
 MAX_REPEATS = 4
 REFUSALS = (429, 503)
 ALONE_CLIENTS = (1, 2, 4)
