--- a/src/pimentolatch/decisions/server_liveness.py
+++ b/src/pimentolatch/decisions/server_liveness.py
@@ -14,7 +14,10 @@
 comes unasked shows neither, as it may have waited here or on the way.
 
 Grounds: asking costs a round trip, a millisecond or two within a dispatch of tens of
-them. What remains is a server that stops within that time.
+them. What remains is a server that stops within that time. Each request asks for
+itself: another one's answer counts only if it was asked for after this request had
+come, and few are, since an instance sends to one server every half a second. It would
+say nothing about the connection that the request takes.
 """
 
 import datetime
