--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -64,10 +64,15 @@
 
   # Guards against a refusal of an earlier dispatch, which names none, being taken for the
   # answer to a later one that runs.
-  Scenario: An engine of the first daemon repeats a refusal
-    When copied answers: an engine that refuses, with a copy later, gets two dispatches
+  Scenario Outline: An engine of the first daemon refuses <how>, and repeats that
+    When copied answers: an engine that refuses <how>, with a copy later, gets two dispatches
     Then copied answers: the dispatch is not refused
 
+    Examples:
+      | how         |
+      | in one part |
+      | in chunks   |
+
   # Guards against the same by the refusal of a call to cancel.
   Scenario: An engine of the first daemon repeats that it cancels nothing
     When copied answers: an engine that refuses to cancel, with a copy later, gets a dispatch
--- a/tests/features/server_liveness.feature
+++ b/tests/features/server_liveness.feature
@@ -34,6 +34,12 @@
     When liveness: 3 requests are sent to it, one after the other
     Then liveness: all are declined, over 1 connection
 
+  # Guards against connections whose ids take up memory without end.
+  Scenario: A connection is closed after 256 requests
+    Given liveness: a server that declines
+    When liveness: 600 requests are sent to it, one after the other
+    Then liveness: all are declined, over 3 connections
+
   # Guards against answers that are lost since the server has not read the body.
   Scenario: A server that answers before the body and closes is heard to the end
     Given liveness: a server that answers at length and closes
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -30,6 +30,10 @@
     request_id="asked",
 )
 REFUSAL = raw_server.http_response(b'{"ran": false}', "503 Full")
+CHUNKED_REFUSAL = (
+    b"HTTP/1.1 503 Full\r\ntransfer-encoding: chunked\r\n\r\n"
+    b'e\r\n{"ran": false}\r\n0\r\n\r\n'
+)
 EVENTS = (
     b'data: {"dispatch": "d2", "offset": 0, "token": "a"}\n\n'
     b'data: {"dispatch": "d2", "done": true, "length": 1}\n\n'
@@ -246,7 +250,8 @@
 class RepeatingEngine:
     """Refuses the first dispatch, and repeats that before its connection's next one."""
 
-    def __init__(self):
+    def __init__(self, refusal):
+        self._refusal = refusal
         self._refused = False
 
     async def serve(self, reader, writer):
@@ -256,16 +261,17 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = re.search(rb"content-length: (\d+)", head.lower())
                 await reader.readexactly(int(length[1]))
-                writer.write(owed + (STREAM if self._refused else REFUSAL))
-                owed = b"" if self._refused else REFUSAL
+                writer.write(owed + (STREAM if self._refused else self._refusal))
+                owed = b"" if self._refused else self._refusal
                 self._refused = True
         writer.close()
 
 
 @contextlib.asynccontextmanager
-async def first_daemon():
+async def first_daemon(refusal=REFUSAL):
     """Yield a client of the first daemon, and the address of an engine."""
-    listening = await asyncio.start_server(RepeatingEngine().serve, "127.0.0.1")
+    engine = RepeatingEngine(refusal)
+    listening = await asyncio.start_server(engine.serve, "127.0.0.1")
     port = listening.sockets[0].getsockname()[1]
     client = engine_client.EngineClient("one")
     yield client, settings.Address(host="127.0.0.1", port=port)
@@ -279,11 +285,13 @@
 
 
 @behave.when(
-    "copied answers: an engine that refuses, with a copy later, gets two dispatches"
+    "copied answers: an engine that refuses {how}, with a copy later, gets two"
+    " dispatches"
 )
-def dispatch_twice(context):
+def dispatch_twice(context, how):
     async def generate():
-        async with first_daemon() as (client, address):
+        refusal = CHUNKED_REFUSAL if how == "in chunks" else REFUSAL
+        async with first_daemon(refusal) as (client, address):
             refused = await end_of(client, address, "d1")
             assert isinstance(refused, outcomes.NotRun), refused
             return await end_of(client, address, "d2")
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -249,9 +249,15 @@
 
 @behave.then("liveness: all are declined, over 1 connection")
 def declined(context):
+    declined_over(context, 1)
+
+
+@behave.then("liveness: all are declined, over {connections:d} connections")
+def declined_over(context, connections):
     outcomes = context.world.outcomes
     assert outcomes == [dispatch.Declined(503)] * len(outcomes), outcomes
-    assert {r.connection for r in context.world.server.requests} == {1}
+    found = {r.connection for r in context.world.server.requests}
+    assert found == set(range(1, connections + 1)), found
 
 
 @behave.then("liveness: both get the whole answer")
