Decide on an engine's requests by a report over a new connection

What callers could see: a stream that runs at two servers (TWICE), or is cut (LOST).

Cause: reports bear no id. A request that waits asks for one over a kept and a new connection, and took the first that came. Each request is preceded by a report over the kept one, which by then is older than the request: repeated late, it says that the engine doesn't have the request, which then leaves as lost. Class: an answer is matched to an exchange by its place.

The report over the new connection counts, which has carried nothing before; the other one only if none comes there. Both are asked for at the same time as before.

Evidence: the scenario failed before ("the engine has lost it") and passes now.

--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -203,16 +203,17 @@
 
         A kept one may have fallen silent, and a server at capacity accepts no new one:
         either alone would make a running engine count as one that has stopped. On a
-        kept one the answer to an earlier call may come instead, which no id tells.
+        kept one an answer to an earlier call may come instead, an older report as well,
+        which no id tells. So the report over the new one counts if both come.
         """
-        calls = {
+        calls = [
             asyncio.create_task(self._call(server, new_connection=new_connection))
-            for new_connection in (False, True)
-        }
+            for new_connection in (True, False)
+        ]
         is_full = False
         try:
-            for completed in asyncio.as_completed(calls):
-                response = await completed
+            for call in calls:
+                response = await call
                 if isinstance(response, dispatch.FullResponse):
                     report = engines.decode_report(response.body)
                     if report is not None:
--- a/tests/features/copied_answers.feature
+++ b/tests/features/copied_answers.feature
@@ -51,6 +51,12 @@
     When copied answers: a stream waits at an engine that refused a call
     Then copied answers: the stream stays there
 
+  # Guards against a stream that runs twice, since a report of before it was sent counts
+  # as the engine's present one.
+  Scenario: A report on which a stream depends is due where an older one comes again
+    When copied answers: a stream waits at an engine that repeats an older report
+    Then copied answers: the stream stays there
+
   # Guards against a leader that takes the refusal of an earlier order for the next one's
   # and gives up its lease, or goes on using an engine that changes its stage.
   Scenario Outline: An order is refused with <status>, with a copy before the next one's
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -115,6 +115,13 @@
     engine = copying_server.CopyingServer(
         "engine", "lm", "decode", copying_server.REQUEST, status, before=before
     )
+    async with client_of(engine) as listed_and_client:
+        yield listed_and_client
+
+
+@contextlib.asynccontextmanager
+async def client_of(engine):
+    """Yield an engine as it is listed, and a client of it."""
     await engine.start()
     time = clock.SystemClock()
     client = dispatch.ServerClient(
@@ -163,30 +170,73 @@
         return True
 
 
-@behave.when("copied answers: a stream waits at an engine that refused a call")
-def wait_after_call(context):
+async def wait_for_stream(listed, client):
+    """Wait for a stream that its engine runs, unless it leaves the engine."""
+
     async def stream():
         await asyncio.sleep(STREAM_S)
         return WHOLE
 
+    time = clock.SystemClock()
+    checker = stall_checker.StallChecker(
+        client, request_log.RequestLog(time, Uncounted()), time
+    )
+    loads = engine_loads.EngineLoads()
+    loads.update([listed])
+    return await checker.wait_unless_stalled(
+        loads.get(listed.server_id),
+        "asked",
+        stream(),
+        datetime.timedelta(),
+        Anywhere(),
+    )
+
+
+class RepeatedReport(closing_server.ClosingServer):
+    """An engine that begins to run a request after its first report.
+
+    It repeats a connection's first report where the next one is due there.
+    """
+
+    def __init__(self):
+        super().__init__("engine", "lm", "decode", "closed")
+        self._running = 0
+
+    async def _serve(self, reader, writer):
+        owed = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                report = copying_server.REPORT | {"running": self._running}
+                body = json.dumps(report).encode()
+                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+                writer.write(owed + head + body)
+                owed = head + body
+                self._running = 1
+        writer.close()
+
+
+@behave.when("copied answers: a stream waits at an engine that repeats an older report")
+def wait_after_report(context):
+    async def wait():
+        async with client_of(RepeatedReport()) as (listed, client):
+            target = engines.REPORT_TARGET
+            first = await client.call(listed, "GET", target, limit=LIMIT)
+            assert json.loads(first.body)["running"] == 0, first
+            return await wait_for_stream(listed, client)
+
+    with route_world.runner() as runner:
+        context.ended = runner.run(wait())
+
+
+@behave.when("copied answers: a stream waits at an engine that refused a call")
+def wait_after_call(context):
     async def wait():
         async with engine_of_one_client() as (listed, client):
             target = engines.release_target("handle")
             refused = await client.call(listed, "DELETE", target, limit=LIMIT)
             assert refused.status == 503, refused
-            time = clock.SystemClock()
-            checker = stall_checker.StallChecker(
-                client, request_log.RequestLog(time, Uncounted()), time
-            )
-            loads = engine_loads.EngineLoads()
-            loads.update([listed])
-            return await checker.wait_unless_stalled(
-                loads.get(listed.server_id),
-                "asked",
-                stream(),
-                datetime.timedelta(),
-                Anywhere(),
-            )
+            return await wait_for_stream(listed, client)
 
     with route_world.runner() as runner:
         context.ended = runner.run(wait())
