Refuse nothing for want of memory on a connection that is closing

What callers saw: nothing; found in a review of the bound on memory. A client that stays after its body was refused as malformed was chosen to end for others. The refusal could not be written behind the end of the connection's sending side, and the error closed the connection of the request that had asked for room.

Cause: what a refused body held was counted until its connection ended. Class: an account that outlives what it counts.

A refusal releases what its body held, and a connection that takes no more input is not refused again. A connection whose requests have all arrived, and for whose waiting ones there is no room, is not read further and answers them; it logged the newest of them as refused. Behind a request for another protocol the rest of the read is dropped, as it was before reads were parsed in parts.

Evidence: the new scenario failed before with a reset of the other client's connection.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -370,13 +370,22 @@
             self._waiting = None
 
     def _refuse_for_memory(self) -> None:
+        """Refuse the request that is arriving, or has just arrived."""
+        if self._discarding_input or self.transport.is_closing():
+            return
+        if self.pipeline and not self._in_message:
+            # All that has been parsed is answered in its turn.
+            self._take_no_more()
+            self.cycle.keep_alive = False
+            return
         refusal = results.Refusal(
             results.ResultCode.OVERLOADED,
             "this instance has no memory left for the request",
             results.Execution.NOT_RUN,
             _MEMORY_RETRY,
         )
-        self.report_refused(refusal, self.headers)
+        if not self._arrives_behind():
+            self.report_refused(refusal, self.headers)
         self._refuse(refusal.http_status, refusal)
 
     def _release_body(self) -> None:
@@ -429,6 +438,11 @@
         if self._in_head:
             super().on_header(name, value)
 
+    def _unsupported_upgrade_warning(self) -> None:
+        super()._unsupported_upgrade_warning()
+        # What the client has sent behind its request is in another protocol.
+        self._unparsed = b""
+
     def on_headers_complete(self) -> None:
         """Check the size of a head that arrived in one read."""
         size = len(self.url) + sum(len(n) + len(v) for n, v in self.headers)
@@ -655,15 +669,14 @@
         `LINGER_SECONDS`: closing a socket with unread bytes resets the connection, and
         the caller would lose the refusal.
         """
-        self._discarding_input = True
-        self._unparsed = b""
-        self._cancel_timer()
-        if self.pipeline or (self._in_head and self._response_pending()):
+        self._take_no_more()
+        if self._arrives_behind():
             # The response to an earlier request of the connection is still being sent.
             self.report_unanswered(Unanswered.REFUSED_BEHIND, self.headers)
             self.cycle.keep_alive = False
             return
         if self._response_pending():
+            self._release_body()
             self.cycle.disconnected = True
             self.cycle.message_event.set()
             if self.cycle.response_started:
@@ -686,11 +699,19 @@
         )
         self._discard_input()
 
-    def _discard_input(self) -> None:
-        """Close the sending side, and discard what still arrives for a while."""
+    def _arrives_behind(self) -> bool:
+        """Whether what arrives is behind a request that is due an answer."""
+        return bool(self.pipeline) or (self._in_head and self._response_pending())
+
+    def _take_no_more(self) -> None:
+        """Parse nothing more of what the client has sent or sends."""
         self._discarding_input = True
         self._unparsed = b""
         self._cancel_timer()
+
+    def _discard_input(self) -> None:
+        """Close the sending side, and discard what still arrives for a while."""
+        self._take_no_more()
         self.flow.resume_reading()
         self.transport.write_eof()
         self._timer = self.loop.call_later(LINGER_SECONDS, self.transport.abort)
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pimentolatch import results, settings
+from pimentolatch.decisions import client_memory
 from pimentolatch.entry import http_server
 from pimentolatch.gateway import dispatch_check, plain_forwarder
 from tests.support import route_world
@@ -32,10 +33,10 @@
 
 
 @contextlib.asynccontextmanager
-async def served(application):
+async def served(application, memory=None):
     """Serve an application; yields the server and its address."""
     address = settings.Address(host=route_world.HOST, port=route_world.free_port())
-    server = http_server.HttpServer(application, address)
+    server = http_server.HttpServer(application, address, memory=memory)
     await server.start()
     try:
         yield server, (address.host, address.port)
@@ -137,6 +138,38 @@
     context.raw = asyncio.run(send())
 
 
+@behave.when(
+    "unanswered: a client stays after rubbish in a body that fills half of the memory"
+)
+def rubbish_in_large_body(context):
+    memory = client_memory.ClientMemory(client_memory.LEAST_MACHINE_MB)
+    body = b"x" * int(memory.limit_bytes * 0.6)
+    head = b"POST / HTTP/1.1\r\nhost: x\r\n"
+    chunked = head + b"transfer-encoding: chunked\r\n\r\n"
+    whole = head + b"content-length: %d\r\n\r\n" % len(body) + body
+
+    async def send():
+        async with served(context.application, memory) as (_, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(chunked + b"%x\r\n%s\r\nrubbish\r\n" % (len(body), body))
+            assert (await route_world.reply(reader)).status == 400
+            other_reader, other = await asyncio.open_connection(*address)
+            other.write(whole)
+            async with asyncio.timeout(route_world.WAIT_S):
+                context.reply = await route_world.reply(other_reader)
+            other.close()
+            writer.close()
+        context.body = body
+
+    asyncio.run(send())
+
+
+@behave.then("unanswered: another one's body of that size is answered")
+def other_is_answered(context):
+    assert context.reply.status == 200, context.reply.status
+    assert context.reply.body == context.body
+
+
 @behave.then("unanswered: there was one answer, and the connection ends")
 def one_answer(context):
     assert context.raw.count(b"HTTP/1.1 ") == 1, context.raw
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -36,6 +36,12 @@
     When unanswered: rubbish comes in a body whose request has been answered
     Then unanswered: there was one answer, and the connection ends
 
+  # Guards against refusals for want of memory that fail on a connection that is closing.
+  Scenario: A refused request whose client stays does not keep others from being served
+    Given unanswered: an HTTP server that answers with the body
+    When unanswered: a client stays after rubbish in a body that fills half of the memory
+    Then unanswered: another one's body of that size is answered
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
