--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -355,7 +355,9 @@
     )
     context.told = []
     client.on_silence(context.told.append)
-    request = types.SimpleNamespace(route=types.SimpleNamespace(repeatable=True))
+    request = types.SimpleNamespace(
+        route=types.SimpleNamespace(repeatable=True), request_id="asked"
+    )
     with listener(does == "refuses connections") as (host, port):
         context.server = dataclasses.replace(
             listed(1, "there"), address=settings.Address(host=host, port=port)
