Answer what came whole ahead of a refused request

Callers that sent three requests or more ahead, the last of them malformed, too large, cut off by the end of the caller's side or refused for want of memory, got the answer to the first one only. The next ones were neither run nor answered nor logged, and the connection stayed open without any time limit, for good if its caller had closed its side.

Cause: once a request is refused nothing more is parsed, and the end of each answer took that for "nothing more is served" as well. The answer to close the connection was that of the newest request, which was never reached; if that one was the request that had been refused within its body, it could not be.

Now requests that wait are served one by one until the answer that closes the connection. A request that is refused within its body leaves the queue, its bytes are counted no longer, and the one before it closes the connection.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -494,6 +494,7 @@
         self._release_body()
         if self._discarding_input:
             self.server_state.total_requests += 1
+            self._serve_next()
             return
         super().on_response_complete()
         if self.timeout_keep_alive_task is not None:
@@ -509,6 +510,14 @@
             self._count_waiting()
         self.flow.resume_reading()
 
+    def _serve_next(self) -> None:
+        """Serve the next request ahead of one that was refused, if there is any."""
+        answered = self._running_cycle
+        assert answered is not None
+        if self.pipeline and answered.keep_alive and not self.transport.is_closing():
+            self._start_asgi_task(*self.pipeline.pop())
+        self._count_waiting()
+
     def close_after_response(self) -> None:
         """End the connection, after the rest of a body that still arrives.
 
@@ -673,6 +682,8 @@
         if self._arrives_behind():
             # The response to an earlier request of the connection is still being sent.
             self.report_unanswered(Unanswered.REFUSED_BEHIND, self.headers)
+            if self._in_message and not self._in_head:
+                self._drop_newest()
             self.cycle.keep_alive = False
             return
         if self._response_pending():
@@ -699,6 +710,16 @@
         )
         self._discard_input()
 
+    def _drop_newest(self) -> None:
+        """Drop the request that is arriving and waits for its turn."""
+        dropped, _ = self.pipeline.popleft()
+        holding = self._bodies.pop(dropped, None)
+        if holding is not None:
+            self._memory.release(holding)
+        earlier = self.pipeline[0][0] if self.pipeline else self._running_cycle
+        assert earlier is not None
+        self.cycle = earlier
+
     def _arrives_behind(self) -> bool:
         """Whether what arrives is behind a request that is due an answer."""
         return bool(self.pipeline) or (self._in_head and self._response_pending())
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -86,6 +86,17 @@
     context.application = echo_body
 
 
+async def echo_body_late(scope, receive, send):
+    """Answer a request with its body, once the client has sent on (ASGI)."""
+    await asyncio.sleep(LATE_S)
+    await echo_body(scope, receive, send)
+
+
+@behave.given("unanswered: an HTTP server that answers late with the body")
+def late_echo_server(context):
+    context.application = echo_body_late
+
+
 @behave.when(
     "unanswered: {count:d} requests with bodies of up to {size:d} bytes come in pieces"
 )
@@ -122,6 +133,46 @@
     assert [reply.body for reply in context.replies] == context.bodies
 
 
+REFUSED = {
+    "rubbish": b"rubbish\r\n\r\n",
+    "half a head": b"POST /v1/services/x HTTP/1.1\r\nho",
+    "half a body": b"POST /v1/services/x HTTP/1.1\r\ncontent-length: 10\r\n\r\nthird",
+    "a body with a chunk of rubbish": (
+        b"POST /v1/services/x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"5\r\nthird\r\nrubbish\r\n"
+    ),
+}
+
+
+@behave.when("unanswered: a client sends two requests ahead of {refused}")
+def ahead_of_refused(context, refused):
+    what, closes, _ = refused.partition(" and closes its sending side")
+    head = b"POST /v1/services/x HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n"
+
+    async def send():
+        async with served(context.application) as (_, address):
+            link = connected(address)
+            bodies = (b"first", b"second")
+            raw = b"".join(head % len(body) + body for body in bodies)
+            link.sendall(raw + REFUSED[what])
+            if closes:
+                link.shutdown(socket.SHUT_WR)
+            try:
+                return await received(link, until=None)
+            finally:
+                link.close()
+
+    context.raw = asyncio.run(send())
+
+
+@behave.then("unanswered: both are answered in order, and the connection has ended")
+def both_then_end(context):
+    answers = context.raw.split(b"HTTP/1.1 ")[1:]
+    assert [answer[:3] for answer in answers] == [b"200", b"200"], context.raw
+    bodies = [answer.rpartition(b"\r\n\r\n")[2] for answer in answers]
+    assert bodies == [b"first", b"second"], context.raw
+
+
 @behave.when("unanswered: rubbish comes in a body whose request has been answered")
 def rubbish_behind_answer(context):
     async def send():
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -42,6 +42,20 @@
     When unanswered: a client stays after rubbish in a body that fills half of the memory
     Then unanswered: another one's body of that size is answered
 
+  # Guards against requests that are lost, and connections that stay for good, as a later
+  # request on their connection is refused.
+  Scenario Outline: Two requests ahead of <refused> are answered, and the connection ends
+    Given unanswered: an HTTP server that answers late with the body
+    When unanswered: a client sends two requests ahead of <refused>
+    Then unanswered: both are answered in order, and the connection has ended
+
+    Examples:
+      | refused                                 |
+      | rubbish                                 |
+      | half a head and closes its sending side |
+      | half a body and closes its sending side |
+      | a body with a chunk of rubbish          |
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
