Count the bytes without a body for each request anew

A caller that sends requests ahead was refused with 431 although each of its requests was small: the count of what comes without a byte of a body went on from one request to the next if no read ended within a body or at the end of a request. Heads that come in two parts, the first with the body before it, are enough: some 17 requests with heads of 2,000 bytes.

The count now begins with each request.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -424,6 +424,7 @@
         self._in_head = self._in_message = True
         self._begun_in_part += 1
         self._head_bytes = 0
+        self._bytes_without_body = 0
         self.scope["extensions"] = {
             ABORT_EXTENSION: {"call": self.transport.abort},
             CLOSE_EXTENSION: {"call": self.transport.close},
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -20,6 +20,8 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 LATE_S = 0.15
+# Time after which what was written has been read.
+READ_APART_S = 0.02
 # Little more than an instance takes until it refuses new requests.
 GRACE_S = 3.5
 AFTER = "after"
@@ -173,6 +175,37 @@
     assert bodies == [b"first", b"second"], context.raw
 
 
+@behave.when(
+    "unanswered: {count:d} requests with heads of {size} bytes come, "
+    "each body with the next head's begin"
+)
+def bodies_with_next_head(context, count, size):
+    padding = b"x-padding: " + b"p" * int(size.replace(",", "")) + b"\r\n\r\n"
+    begin = b"POST /v1/services/x HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n"
+
+    async def send():
+        async with served(context.application) as (_, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(begin)
+            replies = []
+            async with asyncio.timeout(route_world.WAIT_S):
+                for _ in range(count):
+                    await asyncio.sleep(READ_APART_S)
+                    writer.write(padding)
+                    await asyncio.sleep(READ_APART_S)
+                    writer.write(b"whole" + begin)
+                    replies.append(await route_world.reply(reader))
+            writer.close()
+            return replies
+
+    context.replies = asyncio.run(send())
+
+
+@behave.then("unanswered: all {count:d} are answered with their bodies")
+def all_answered(context, count):
+    assert [reply.body for reply in context.replies] == [b"whole"] * count
+
+
 @behave.when("unanswered: rubbish comes in a body whose request has been answered")
 def rubbish_behind_answer(context):
     async def send():
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -56,6 +56,12 @@
       | half a body and closes its sending side |
       | a body with a chunk of rubbish          |
 
+  # Guards against limits of one request that count the bytes of those before it.
+  Scenario: Requests whose heads come in two parts, one behind the other, are answered
+    Given unanswered: an HTTP server that answers with the body
+    When unanswered: 40 requests with heads of 2,000 bytes come, each body with the next head's begin
+    Then unanswered: all 40 are answered with their bodies
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
