Count no bytes of an earlier head towards the limit of a head

A caller that sends requests ahead was refused with 431 although its head was below the limit: the read in which the head began, behind the last bytes of another head, counted as a whole.

A part counts now if it belongs to one head, or if one head begins in it with no request before.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -257,7 +257,7 @@
 
     def _parse_part(self) -> None:
         """Parse a part of what has been read."""
-        was_in_head, was_in_message = self._in_head, self._in_message
+        was_in_message = self._in_message
         self._begun_in_part = 0
         self._body_in_part = False
         part: bytes | memoryview = self._unparsed
@@ -273,7 +273,7 @@
             return
         if self._in_head:
             # A part in which a head begins may hold other requests before it.
-            if was_in_head or not (was_in_message or self._begun_in_part > 1):
+            if self._begun_in_part + was_in_message <= 1:
                 self._head_bytes += len(part)
             if self._head_bytes > self.head_limit_bytes:
                 self._refuse(431, self._large_head())
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -206,6 +206,36 @@
     assert [reply.body for reply in context.replies] == [b"whole"] * count
 
 
+@behave.when(
+    "unanswered: a head of 30,000 bytes begins behind the last 3,500 of another one"
+)
+def head_behind_head(context):
+    begin = b"GET / HTTP/1.1\r\nhost: x\r\nx-padding: "
+    large = begin + b"p" * (30_000 - len(begin) - 4) + b"\r\n\r\n"
+    large, end = large[:29_990], large[29_990:]
+    reads = [begin, b"p" * 3496 + b"\r\n\r\n" + large[:100]]
+    reads += [large[at : at + 4000] for at in range(100, len(large), 4000)]
+    reads.append(end)
+
+    async def send():
+        async with served(context.application) as (_, address):
+            reader, writer = await asyncio.open_connection(*address)
+            for part in reads:
+                writer.write(part)
+                await asyncio.sleep(READ_APART_S)
+            async with asyncio.timeout(route_world.WAIT_S):
+                replies = [await route_world.reply(reader) for _ in range(2)]
+            writer.close()
+            return replies
+
+    context.replies = asyncio.run(send())
+
+
+@behave.then("unanswered: both get 200")
+def both_get_200(context):
+    assert [reply.status for reply in context.replies] == [200, 200]
+
+
 @behave.when("unanswered: rubbish comes in a body whose request has been answered")
 def rubbish_behind_answer(context):
     async def send():
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -62,6 +62,12 @@
     When unanswered: 40 requests with heads of 2,000 bytes come, each body with the next head's begin
     Then unanswered: all 40 are answered with their bodies
 
+  # Guards against a limit of a head that counts the end of the head before it.
+  Scenario: A large head that begins in a read with the end of another one is answered
+    Given unanswered: an HTTP server
+    When unanswered: a head of 30,000 bytes begins behind the last 3,500 of another one
+    Then unanswered: both get 200
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
