Count the time of a head only while its connection is read

A caller that sends nine requests or more ahead lost the next one, logged as refused behind an earlier request, if a read ended within its head: the connection is not read while eight requests wait, and the time limit of the head went on meanwhile, so that a first request that takes longer than the limit cost one that had been sent in time.

The limit is now suspended whenever the connection is not read, and begins again as soon as it is. The scenario failed before (the tenth answer was missing) and passes; a head whose rest never comes still gets 408 behind the answers (tried by hand, no scenario).

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -236,7 +236,7 @@
         if self._waiting is not None and not self._memory.has_room(self._waiting):
             self._refuse_for_memory()
             return
-        if self._unparsed:
+        if not self._takes_input():
             # The rest of a request waits here for its turn, not for its client.
             self._cancel_timer()
             self.flow.pause_reading()
@@ -505,7 +505,7 @@
             self._unset_keepalive_if_required()
         elif self._in_message and not self.transport.is_closing():
             self._start_timer(LINGER_SECONDS)
-        if self._unparsed and not self.transport.is_closing():
+        if (self._unparsed or self._in_message) and not self.transport.is_closing():
             self._parse()
         else:
             self._count_waiting()
--- a/tests/features/steps/unanswered_requests_steps.py
+++ b/tests/features/steps/unanswered_requests_steps.py
@@ -14,7 +14,7 @@
 
 from pimentolatch import results, settings
 from pimentolatch.decisions import client_memory
-from pimentolatch.entry import http_server
+from pimentolatch.entry import bounded_http, http_server
 from pimentolatch.gateway import dispatch_check, plain_forwarder
 from tests.support import route_world
 
@@ -236,6 +236,32 @@
     assert [reply.status for reply in context.replies] == [200, 200]
 
 
+@behave.when(
+    "unanswered: the head behind {count:d} requests comes in two parts, in time"
+)
+def head_in_parts(context, count):
+    request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+    async def send():
+        async with served(context.application) as (_, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(request * count + request[:10])
+            await asyncio.sleep(READ_APART_S)
+            writer.write(request[10:])
+            async with asyncio.timeout(route_world.WAIT_S):
+                replies = [await route_world.reply(reader) for _ in range(count + 1)]
+            writer.close()
+            return replies
+
+    with mock.patch.object(bounded_http, "HEAD_SECONDS", LATE_S / 2):
+        context.replies = asyncio.run(send())
+
+
+@behave.then("unanswered: all {count:d} requests are answered")
+def all_requests_answered(context, count):
+    assert [reply.status for reply in context.replies] == [200] * count
+
+
 @behave.when("unanswered: rubbish comes in a body whose request has been answered")
 def rubbish_behind_answer(context):
     async def send():
--- a/tests/features/unanswered_requests.feature
+++ b/tests/features/unanswered_requests.feature
@@ -68,6 +68,12 @@
     When unanswered: a head of 30,000 bytes begins behind the last 3,500 of another one
     Then unanswered: both get 200
 
+  # Guards against a limit on a client's time that counts the time of its other requests.
+  Scenario: A head whose rest is not read until others are answered is not late
+    Given unanswered: an HTTP server that answers late with the body
+    When unanswered: the head behind 9 requests comes in two parts, in time
+    Then unanswered: all 10 requests are answered
+
   # Guards against requests that lie unread in a connection as its idle limit closes it.
   Scenario: A request that has arrived as an idle limit falls due is answered
     Given unanswered: an HTTP server
