--- a/src/pimentolatch/backend/channel.py
+++ b/src/pimentolatch/backend/channel.py
@@ -245,7 +245,7 @@
         stream = self._stream
         return not stream.at_end and not stream.received
 
-    def carries(self, request_id: str) -> None:
+    def record_id(self, request_id: str) -> None:
         """Record the id of a request that is about to be sent."""
         self._carried.append(hash(request_id))
 
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -381,7 +381,7 @@
             )
             fields = http_headers.request_fields(request.fields, current)
             carried_before = link.has_carried(request.request_id)
-            link.carries(request.request_id)
+            link.record_id(request.request_id)
             link.send(request.method, request.target, fields, request.body)
             delivery.sent_at = sent_at
             with self._abandoned_on_cancel(server, request, reader, sent_at):
