Remove a mark of refusals that can no longer be set

A refusal was marked, and logged with "again on its connection", if its connection had carried the request before. Since a connection carries a request with one id once, the mark is never set.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -80,15 +80,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
-    """The server states that it did not run the request.
-
-    Attributes:
-        carried_before: Whether the connection had carried the request before, so that
-            this may be a copy of the answer that it had then.
-    """
+    """The server states that it did not run the request."""
 
     status: int
-    carried_before: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,8 +203,7 @@
 
 @describe.register
 def _(outcome: Declined) -> str:
-    again = ", again on its connection" if outcome.carried_before else ""
-    return f"declined with {outcome.status}, not run{again}"
+    return f"declined with {outcome.status}, not run"
 
 
 @describe.register
@@ -380,15 +373,11 @@
                 time_left=options.time_left - (sent_at - begun),
             )
             fields = http_headers.request_fields(request.fields, current)
-            carried_before = link.has_carried(request.request_id)
             link.record_id(request.request_id)
             link.send(request.method, request.target, fields, request.body)
             delivery.sent_at = sent_at
             with self._abandoned_on_cancel(server, request, reader, sent_at):
-                outcome = await self._opened(server, request, link, sent_at)
-            if isinstance(outcome, Declined):
-                return dataclasses.replace(outcome, carried_before=carried_before)
-            return outcome
+                return await self._opened(server, request, link, sent_at)
         except channel.BrokenError as error:
             link.close()
             if isinstance(error, channel.UndeliveredError):
