Report calls of an instance's own that are given up

An unanswered question had no line, and its counter names no server, so that a record could not tell late questions from late requests of clients: both are calls that a server answers when it goes on. Now each call that is given up after it was written has a line (server, what for, target, whether the server's machine had it, whether the server was still accepted) within the log's budget, and is counted. A call whose connection its server has closed is not one: nothing of it can be read later.

A connection is closed by the exchange over it, no longer by its caller first: the new scenario found 'acknowledged' false for one of two.

--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -20,6 +20,7 @@
     deliveries,
     extra_answers,
     flow_control,
+    given_up_calls,
     liveness_check,
 )
 from pimentolatch.platform import engines, http_headers
@@ -245,6 +246,7 @@
         on_abandoned: Called for each request that is given up after it was written.
         on_question: Called for each question whether a server reads.
         on_extra_answer: Called for each answer that came where another one was due.
+        on_given_up: Called for each call of this instance's own that is given up.
     """
 
     def __init__(
@@ -259,11 +261,13 @@
         on_abandoned: abc.Callable[[Abandonment], None] = lambda abandonment: None,
         on_question: liveness_check.OnQuestion = lambda *, answered: None,
         on_extra_answer: extra_answers.OnExtraAnswer = lambda answer: None,
+        on_given_up: given_up_calls.OnGivenUp = lambda call: None,
     ) -> None:
         self._clock = time
         self._flow = flow
         self._on_abandoned = on_abandoned
         self._answers = answer_reader.AnswerReader(on_extra_answer)
+        self._given_up = given_up_calls.GivenUpCalls(time, accepts, on_given_up)
         self._accepts = accepts
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
@@ -280,6 +284,7 @@
             lambda server: _notify(self._on_answer, server),
             on_question,
             self._answers,
+            self._given_up,
         )
 
     def on_answer(self, call: abc.Callable[[servers.Server], None]) -> None:
@@ -420,18 +425,22 @@
             if server.stage is None
             else engines.REPORT_TARGET
         )
+        for _ in range(_MAX_QUESTIONS):
+            await self._catch_up(link)
+            asked_at = self._clock.monotonic()
+            link = await self._checks.ask(server, link, target)
+            await self._catch_up(link)
+            if server_liveness.is_recent(asked_at, self._clock.monotonic()):
+                break
+        return _Reader(link, asked_at)
+
+    async def _catch_up(self, link: channel.Channel) -> None:
+        """Learn what was missed in a pause; a connection is closed on failure."""
         try:
-            for _ in range(_MAX_QUESTIONS):
-                await self._wait_until_current()
-                asked_at = self._clock.monotonic()
-                link = await self._checks.ask(server, link, target)
-                await self._wait_until_current()
-                if server_liveness.is_recent(asked_at, self._clock.monotonic()):
-                    break
+            await self._wait_until_current()
         except BaseException:
             link.close()
             raise
-        return _Reader(link, asked_at)
 
     @contextlib.contextmanager
     def _abandoned_on_cancel(
@@ -477,8 +486,10 @@
                     server.incarnation, address, now, reuse=False
                 )
                 host = f"{address.host}:{address.port}".encode()
-                link.send("GET", target, [(b"host", host)], b"")
-                await link.read_head()
+                probe = given_up_calls.Kind.PROBE
+                with self._given_up.reported(server, link, probe, target):
+                    link.send("GET", target, [(b"host", host)], b"")
+                    await link.read_head()
             return reachability.ProbeResult.ANSWERED
         except TimeoutError:
             if link is None:
@@ -578,6 +589,7 @@
             self._pool,
             self._flow,
             self._answers,
+            self._given_up,
             self._clock,
             new_connection=new_connection or exclusive,
             opened_before=opened_before,
@@ -648,6 +660,7 @@
         pool: channel.ChannelPool,
         flow: flow_control.FlowControl,
         answers: answer_reader.AnswerReader,
+        given_up: given_up_calls.GivenUpCalls,
         time: clock.Clock,
         *,
         new_connection: bool = False,
@@ -655,6 +668,7 @@
         kept: bool = True,
     ) -> None:
         self._answers = answers
+        self._given_up = given_up
         self._kept = kept
         self._new_connection = new_connection
         self._opened_before = opened_before
@@ -680,17 +694,19 @@
             return NotSent(str(error), error.unresponsive)
         address = self._server.address
         host = f"{address.host}:{address.port}".encode()
+        kind = given_up_calls.Kind.CALL
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 sent_at = self._clock.monotonic()
-                link.send(method, target, [(b"host", host), *fields], body)
-                answer = await self._answers.read(
-                    self._server, link, extra_answers.Due.CALL
-                )
-                if answer.status != _MISDIRECTED:
-                    notice = answer.head.notice
-                    self._flow.observe(self._server, notice, sent_at, "call")
-                content = await link.read_body(_MAX_CALL_BYTES)
+                with self._given_up.reported(self._server, link, kind, target):
+                    link.send(method, target, [(b"host", host), *fields], body)
+                    answer = await self._answers.read(
+                        self._server, link, extra_answers.Due.CALL
+                    )
+                    if answer.status != _MISDIRECTED:
+                        notice = answer.head.notice
+                        self._flow.observe(self._server, notice, sent_at, "call")
+                    content = await link.read_body(_MAX_CALL_BYTES)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
             crashed = isinstance(error, channel.BrokenError)
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -14,6 +14,7 @@
     answer_reader,
     extra_answers,
     flow_control,
+    given_up_calls,
     question_turns,
 )
 from pimentolatch.platform import engines
@@ -47,6 +48,7 @@
         on_answer: Called for each answer of a server.
         on_question: Called for each question with whether it was answered.
         answers: Reads the answers that are due.
+        given_up: Reports the questions that are given up.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         on_answer: abc.Callable[[servers.Server], None],
         on_question: OnQuestion,
         answers: answer_reader.AnswerReader,
+        given_up: given_up_calls.GivenUpCalls,
     ) -> None:
         self._pool = pool
         self._flow = flow
@@ -64,6 +67,7 @@
         self._on_answer = on_answer
         self._on_question = on_question
         self._answers = answers
+        self._given_up = given_up
         self._turns = question_turns.QuestionTurns(_NEXT_CONNECTION_AFTER, time)
 
     def retain(self, listed: abc.Container[servers.Incarnation]) -> None:
@@ -87,13 +91,19 @@
             BrokenError: The exchange failed, over a new connection as well.
             ConnectError: No other connection could be opened.
         """
-        async with self._turns.turn(server.incarnation):
-            try:
+        is_turn = False
+        try:
+            async with self._turns.turn(server.incarnation):
+                is_turn = True
                 link = await self._first_answer(server, link, target)
-            except (channel.BrokenError, channel.ConnectError):
-                self._turns.ended(server.incarnation)
-                raise
+        except (channel.BrokenError, channel.ConnectError):
             self._turns.ended(server.incarnation)
+            raise
+        except BaseException:
+            if not is_turn:
+                link.close()
+            raise
+        self._turns.ended(server.incarnation)
         if link.reusable:
             return link
         link.close()
@@ -142,10 +152,14 @@
         """Ask over one connection; it is closed on failure."""
         host = f"{server.address.host}:{server.address.port}".encode()
         sent_at = self._clock.monotonic()
+        question = given_up_calls.Kind.QUESTION
         try:
-            link.send("GET", target, [(b"host", host)], b"")
-            answer = await self._answers.read(server, link, extra_answers.Due.QUESTION)
-            content = await link.read_body(_MAX_ANSWER_BYTES)
+            with self._given_up.reported(server, link, question, target):
+                link.send("GET", target, [(b"host", host)], b"")
+                answer = await self._answers.read(
+                    server, link, extra_answers.Due.QUESTION
+                )
+                content = await link.read_body(_MAX_ANSWER_BYTES)
             if server.started_ms is not None and answer.status == _OK:
                 report = engines.decode_report(content)
                 link.started_ms = None if report is None else report.started_ms
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -28,6 +28,7 @@
     flow_control,
     forwarded_admission,
     front_end,
+    given_up_calls,
     http_protocol,
     list_confirmation,
     pause_monitor,
@@ -118,6 +119,7 @@
             on_extra_answer=extra_answers.ExtraAnswerLog(
                 time, self._metrics.extra_answer
             ).write,
+            on_given_up=given_up_calls.CallLog(time, self._metrics.call_given_up).write,
         )
         self._silence.observe(self._client)
         self._server_choice = server_choice.ServerChoice(
--- a/src/pimentolatch/gateway/route_metrics.py
+++ b/src/pimentolatch/gateway/route_metrics.py
@@ -18,6 +18,7 @@
     extra_answers,
     fleet_state,
     flow_control,
+    given_up_calls,
     quarantine,
     reachability_monitor,
     request_log,
@@ -88,6 +89,13 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._given_up = prometheus_client.Counter(
+            _PREFIX + "given_up_calls",
+            "Calls of this instance's own that a server left unanswered, by what they"
+            " were for and whether its machine had acknowledged them.",
+            ["what", "acknowledged"],
+            registry=self.registry,
+        )
         self._extra_answers = prometheus_client.Counter(
             _PREFIX + "extra_answers",
             "Answers of servers that came where another one was due.",
@@ -209,6 +217,11 @@
         """Count a question whether a server reads."""
         self._questions.labels("answered" if answered else "unanswered").inc()
 
+    def call_given_up(self, call: given_up_calls.GivenUpCall) -> None:
+        """Count a call of this instance's own that was given up."""
+        acknowledged = "yes" if call.acknowledged else "no"
+        self._given_up.labels(call.kind.value, acknowledged).inc()
+
     def extra_answer(self, due: extra_answers.Due) -> None:
         """Count an answer that came where another one was due."""
         self._extra_answers.labels(due.value).inc()
--- a/tests/features/server_liveness.feature
+++ b/tests/features/server_liveness.feature
@@ -53,6 +53,12 @@
     When liveness: it stands still, and a request is given up 0.5 s later
     Then liveness: it gets no other request when it goes on
 
+  # Guards against unread calls of our own that no log tells from clients' requests.
+  Scenario: Questions that are given up are reported
+    Given liveness: a server that answers
+    When liveness: it stands still, and a request is given up 0.5 s later
+    Then liveness: 2 questions are reported that its machine had acknowledged
+
   # Guards against requests that lie at servers which an instance does not know yet.
   Scenario: A request for a server that stands still and has never answered is not sent
     Given liveness: a server that answers
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -34,7 +34,9 @@
             acknowledgement_limit=LIMIT,
             accepts=self.fleet.accepts,
             on_question=self._count_question,
+            on_given_up=lambda call: self.given_up.append(call),
         )
+        self.given_up = []
         self.questions = collections.Counter()
         self.outcomes = []
         self.sent = 0
@@ -247,6 +249,17 @@
     assert context.world.questions == expected, context.world.questions
 
 
+@behave.then(
+    "liveness: {count:d} questions are reported that its machine had acknowledged"
+)
+def reported(context, count):
+    found = [
+        (call.server, call.kind.value, call.acknowledged)
+        for call in context.world.given_up
+    ]
+    assert found == [(context.world.listed, "question", True)] * count, found
+
+
 @behave.then("liveness: all are declined, over 1 connection")
 def declined(context):
     declined_over(context, 1)
