Read only reports as reports

Each line took room from lines that mattered.

Fails before: an error is logged for each of two questions.

--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -160,7 +160,7 @@
                     server, link, extra_answers.Due.QUESTION
                 )
                 content = await link.read_body(_MAX_ANSWER_BYTES)
-            if server.started_ms is not None and answer.status == _OK:
+            if target == engines.REPORT_TARGET and answer.status == _OK:
                 report = engines.decode_report(content)
                 link.started_ms = None if report is None else report.started_ms
         except BaseException:
--- a/tests/features/server_liveness.feature
+++ b/tests/features/server_liveness.feature
@@ -59,6 +59,13 @@
     When liveness: it stands still, and a request is given up 0.5 s later
     Then liveness: 2 questions are reported that its machine had acknowledged
 
+  # Guards against errors that are logged for answers which are no reports.
+  Scenario: The health check of a plain server with a start time is not read as a report
+    Given liveness: a server that answers
+    And liveness: its entry tells when it started
+    When liveness: 2 requests are sent to it, one after the other
+    Then liveness: no error is logged
+
   # Guards against requests that lie at servers which an instance does not know yet.
   Scenario: A request for a server that stands still and has never answered is not sent
     Given liveness: a server that answers
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -5,6 +5,7 @@
 import types
 
 import behave
+import logbook
 
 from pimentolatch import clock, settings
 from pimentolatch.decisions import neighbours, stall_check
@@ -15,6 +16,7 @@
 
 LIMIT = datetime.timedelta(seconds=5)
 ALLOWED_S = 5.0
+STARTED_MS = 1_750_000_000_000
 
 
 class World:
@@ -108,6 +110,13 @@
     run(context, context.world.start())
 
 
+@behave.given("liveness: its entry tells when it started")
+def tells_start(context):
+    world = context.world
+    world.listed = dataclasses.replace(world.listed, started_ms=STARTED_MS)
+    world.fleet.replace_servers(2, [world.listed])
+
+
 @behave.given("liveness: it has answered a request")
 def has_answered(context):
     run(context, context.world.send())
@@ -117,8 +126,10 @@
 
 @behave.when("liveness: {count:d} requests are sent to it, one after the other")
 def send_each(context, count):
-    for _ in range(count):
-        run(context, context.world.send())
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(count):
+            run(context, context.world.send())
+    context.log = handler.records
 
 
 @behave.when("liveness: {ms:d} ms later another {kind} request is sent")
@@ -260,6 +271,11 @@
     assert found == [(context.world.listed, "question", True)] * count, found
 
 
+@behave.then("liveness: no error is logged")
+def no_errors(context):
+    assert not [r for r in context.log if r.level >= logbook.ERROR], context.log
+
+
 @behave.then("liveness: all are declined, over 1 connection")
 def declined(context):
     declined_over(context, 1)
