Tell in the log how an instance gets at the store

"store lost" was written once, on the way from reachable to unreachable, so a record that begins later could not tell an instance that the store turns away from one in touch. "store still lost" follows every ten seconds while it lasts, and the lines "placed" and "sent" say whether their list rests on the own reading, on peers, or on what is left of an unreachable store.

A scenario fails without the line (none after the first 25 s).

--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 import typing
 from collections import abc
 
@@ -9,13 +10,21 @@
 from pimentolatch.gateway import listed_servers
 from pimentolatch.routes import route_table, servers
 
-__all__ = ["STORE", "FleetState", "ServerListStatus"]
+__all__ = ["STORE", "FleetState", "ServerListStatus", "StoreAccess"]
 
 # Source of what this instance has read from the store itself; peers go by their names.
 STORE = "store"
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+class StoreAccess(enum.Enum):
+    """How this instance gets at what the store holds."""
+
+    READS = "reads"
+    UNREACHABLE = "unreachable"
+    THROUGH_PEERS = "through peers"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerListStatus:
     """What a decision that uses the server list rests on, for the log.
@@ -26,6 +35,7 @@
         age_ms: Time since it was last known to match the store.
         announced: Newest revision that peers announce; None if it is not newer.
         behind_ms: For how long peers have announced a newer one; None if they do not.
+        store: How this instance gets at what the store holds.
     """
 
     revision: int
@@ -33,6 +43,7 @@
     age_ms: int
     announced: int | None
     behind_ms: int | None
+    store: StoreAccess
 
 
 class FleetState:
@@ -112,6 +123,15 @@
         """Whether peers have a newer configuration."""
         return self.configuration_lag.announced > self.version
 
+    @property
+    def store_access(self) -> StoreAccess:
+        """How this instance gets at what the store holds."""
+        if not self.watches_store:
+            return StoreAccess.THROUGH_PEERS
+        if self.store_unreachable:
+            return StoreAccess.UNREACHABLE
+        return StoreAccess.READS
+
     @property
     def complete(self) -> bool:
         """Whether requests can be served."""
@@ -173,6 +193,7 @@
             round(age / _MILLISECOND),
             lag.announced if is_behind else None,
             round(lag.duration(now) / _MILLISECOND) if is_behind else None,
+            self.store_access,
         )
 
     def kept_ms(self, now: datetime.timedelta, *server_ids: str) -> int | None:
--- a/src/pimentolatch/gateway/plain_forwarder.py
+++ b/src/pimentolatch/gateway/plain_forwarder.py
@@ -450,6 +450,7 @@
             list_age_ms=listed.age_ms,
             list_announced=listed.announced,
             list_behind_ms=listed.behind_ms,
+            store=listed.store.value,
             kept_ms=kept_ms,
         )
         return outcome
--- a/src/pimentolatch/gateway/prompt_placer.py
+++ b/src/pimentolatch/gateway/prompt_placer.py
@@ -283,6 +283,7 @@
                 list_age_ms=listed.age_ms,
                 list_announced=listed.announced,
                 list_behind_ms=listed.behind_ms,
+                store=listed.store.value,
             )
             return
         prefill_engine = (
@@ -316,6 +317,7 @@
             list_age_ms=listed.age_ms,
             list_announced=listed.announced,
             list_behind_ms=listed.behind_ms,
+            store=listed.store.value,
             kept_ms=fleet.kept_ms(now, *chosen),
         )
 
--- a/src/pimentolatch/gateway/request_log.py
+++ b/src/pimentolatch/gateway/request_log.py
@@ -45,7 +45,7 @@
         *("urgency", "expected_ms", "withheld", "version", "after"),
         *("required_events", "stream_ms", "late_end"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
-        *("list_announced", "list_behind_ms"),
+        *("list_announced", "list_behind_ms", "store"),
     ),
     DOUBTED: (
         *("server", "verdict", "queued", "running", "listed"),
@@ -54,7 +54,7 @@
     SENT: (
         *("server", "what", "outcome", "ms", "digest", "events", "parts"),
         *("list_revision", "list_source", "list_age_ms", "kept_ms"),
-        *("list_announced", "list_behind_ms"),
+        *("list_announced", "list_behind_ms", "store"),
         *("handle", "handle_from", "handle_started_ms"),
         *("handle_age_ms", "handle_connected"),
     ),
--- a/src/pimentolatch/gateway/request_progress.py
+++ b/src/pimentolatch/gateway/request_progress.py
@@ -145,6 +145,7 @@
             events=events,
             parts=request.head.prompt.shared_names if failed else None,
             kept_ms=self.fleet.kept_ms(since, engine.server.server_id),
+            store=self.fleet.store_access.value,
             **({} if prefilled is None else self._handle_fields(prefilled, since)),
         )
 
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -28,6 +28,8 @@
 # server accepts requests for seconds, and a crash is noticed by failing requests.
 _COALESCE_INTERVAL = datetime.timedelta(milliseconds=300)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# Between two log lines while the store stays lost: a log that is cut short still tells.
+_LOST_LOG_INTERVAL = datetime.timedelta(seconds=10)
 # Longest list of servers in one log line.
 _MAX_LOGGED = 10
 
@@ -83,6 +85,7 @@
         self._answered_at = time.monotonic()
         self._unanswered_since = time.monotonic()
         self._latency = datetime.timedelta()
+        self._lost_logged_at = time.monotonic()
         self.unreachable = False
 
     @property
@@ -109,14 +112,7 @@
             outcome = await (self._list() if self._revision is None else self._watch())
             if isinstance(outcome, store.Unavailable):
                 self._unanswered_since = begun
-                if not self.unreachable:
-                    _log.warn(
-                        "store lost",
-                        kind=self.kind,
-                        reason=outcome.reason,
-                        revision=self._revision,
-                        silent_ms=self._silent_ms(),
-                    )
+                self._log_lost(outcome)
                 self.unreachable = True
                 self._revision = None
                 await self._clock.sleep(self._pause.next_pause())
@@ -175,6 +171,20 @@
     def _apply_changes(self, changes: store.Changes) -> None:
         raise NotImplementedError
 
+    def _log_lost(self, failure: store.Unavailable) -> None:
+        """Log that a call has failed, and now and then that calls still do."""
+        now = self._clock.monotonic()
+        if self.unreachable and now - self._lost_logged_at < _LOST_LOG_INTERVAL:
+            return
+        self._lost_logged_at = now
+        _log.warn(
+            "store still lost" if self.unreachable else "store lost",
+            kind=self.kind,
+            reason=failure.reason,
+            revision=self._revision,
+            silent_ms=self._silent_ms(),
+        )
+
     def _silent_ms(self) -> int:
         """Return the time since the store last answered a call of this watch."""
         silence = self._clock.monotonic() - self._answered_at
--- a/tests/features/instances_behind.feature
+++ b/tests/features/instances_behind.feature
@@ -130,3 +130,13 @@
       | b-0 b-1 a-0   |
       | b a-0         |
       | a             |
+
+  # Guards against a record that begins too late to show that the store turned one away.
+  Scenario: The log goes on to tell that an instance does not reach the store
+    Given readers: 4 instances in domain "a" and 1 in domain "b"
+    When readers: "a-0" does not reach the store
+    And readers: 25 seconds pass
+    Then readers: the log says 2 to 3 times for each kind that the store is still lost
+    And readers: "a-0" finds the store "unreachable"
+    And readers: "a-1" finds the store "reads"
+    And readers: "b-0" finds the store "reads"
--- a/tests/features/steps/store_readers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -1,7 +1,9 @@
 import asyncio
+import collections
 import datetime
 
 import behave
+import logbook
 
 from tests.support import reader_world, virtual_time
 
@@ -19,6 +21,9 @@
     )
     context.world.pass_time(SETTLE_S)
     context.calls_before = len(context.world.calls)
+    context.logged = logbook.TestHandler(bubble=True)
+    context.logged.push_application()
+    context.add_cleanup(context.logged.pop_application)
 
 
 def named(context, text):
@@ -185,3 +190,20 @@
     for name in named(context, names):
         longest = context.world.longest_behind[name]
         assert longest <= datetime.timedelta(seconds=seconds), (name, longest)
+
+
+@behave.then(
+    "readers: the log says {low:d} to {high:d} times for each kind that the store is"
+    " still lost"
+)
+def still_lost(context, low, high):
+    lines = [r for r in context.logged.records if "store still lost" in r.message]
+    counts = collections.Counter(record.kwargs["kind"] for record in lines)
+    assert set(counts) == {"config", "servers"}, counts
+    assert all(low <= count <= high for count in counts.values()), counts
+
+
+@behave.then('readers: "{name}" finds the store "{access}"')
+def finds_store(context, name, access):
+    fleet, now = context.world.instances[name].fleet, context.world.now()
+    assert fleet.server_list_status(now).store.value == access
