List servers that left and stay in use at an instance that is turned away

One instance can't reach the store for longer than all others can't; all entries expire and nobody comes back. Instances of this test world now tell each other what they have read from the store, and know whether they reach it, as the daemon's do. Where peers don't tell the age of their lists, they don't tell it in their beacons either, as releases from before that field.

--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -113,6 +113,22 @@
       | 6     | 6.3  |
       | 6     | 9.7  |
 
+  # Guards against servers that left and are kept by an instance which no call reaches.
+  Scenario Outline: Servers that left are given up in time by an instance that the store turns away
+    Given outage: 6 servers and <count> instances
+    When outage: "i0" is cut off from the store
+    And outage: 2 seconds pass
+    And outage: the store is away for <away> seconds and all entries expire
+    And outage: 2.6 seconds pass
+    Then outage: no instance uses "s1"
+
+    Examples:
+      | count | away |
+      | 2     | 4    |
+      | 6     | 4    |
+      | 6     | 6.3  |
+      | 6     | 9.7  |
+
   # Guards against an own outage that counts as one of the store although peers read it.
   Scenario: A server that leaves is not kept by an instance whose list a peer renewed
     Given outage: 6 servers and 3 instances
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -16,7 +16,12 @@
     settings,
     store_watch,
 )
-from pimentolatch.gateway.peers import departure_exchange, peer_snapshots, peer_table
+from pimentolatch.gateway.peers import (
+    departure_exchange,
+    peer_snapshots,
+    peer_table,
+    reader_exchange,
+)
 from pimentolatch.protocol import beacon_codec, beacons
 from standins import memory_store, object_table
 from tests.support import route_world
@@ -61,6 +66,7 @@
     endpoint: peer_snapshots.SnapshotEndpoint
     returned: readiness_checks.ReadinessChecks
     departures: departure_exchange.DepartureExchange
+    readers: reader_exchange.ReaderExchange
 
     def used(self):
         """Return the ids of the servers that requests may be sent to."""
@@ -83,7 +89,7 @@
         asked: Ids of the servers that were asked whether they are ready.
         said_leaving: Name of an instance, and a server's incarnation that has said in
             an answer to it that it leaves.
-        tells_age: False if instances send their lists without the age.
+        tells_age: False if instances do not tell how old what they know is.
     """
 
     def __init__(self, runner, servers, instances):
@@ -156,6 +162,7 @@
                 random.Random(name),
             ),
             departure_exchange.DepartureExchange(fleet),
+            reader_exchange.ReaderExchange(name, fleet, peers, self.clock),
         )
 
     async def _catch_up(self, name):
@@ -219,6 +226,8 @@
         """Let one step of time pass."""
         self.clock.advance(datetime.timedelta(seconds=STEP_S))
         self._steps += 1
+        for instance in self.instances.values():
+            instance.fleet.store_unreachable = instance.watch.unreachable
         if self._steps % BEACON_INTERVAL_STEPS == 0:
             self._exchange_beacons()
         self.runner.run(self._rounds())
@@ -242,7 +251,7 @@
                 1,
                 sender.fleet.servers_revision,
                 stopping=False,
-                readers=(),
+                readers=sender.readers.rows(stopping=False) if self.tells_age else (),
                 members=(),
                 demands=(
                     beacons.Demand(
@@ -260,6 +269,7 @@
                 if receiver is not sender:
                     receiver.peers.receive(sender.host, beacon)
                     receiver.departures.receive(beacon)
+                    receiver.readers.receive(beacon)
 
     def write(self, name, **fields):
         """Write a server's entry, by default with the number of its next check-in."""
