Give up servers that left at an instance which the store turns away

What callers saw: requests sent to servers that left in an outage, by one instance, until the store served that instance again, if ever.

Cause: a server whose entry is missing after an outage is used until its grace period ends. An instance that can't reach the store itself never let one end, as entries may come back that it can't read. But it learns the list from its peers, with the servers that they keep, and its own failing calls say nothing of what these read. Class: the own path to the store decides where knowledge comes from peers.

What the return was for: a store that goes away again before the entries are back, less than 1.2 s before the period ends.

A period now ends at an instance that reads the store, or that has heard a peer within 0.6 s which does. Peers that lose the store withdraw their offer with the next beacon. It holds as well for an instance that does not read the store since others do: it looked at the age of its list only.

A test world of an instance that reads the store says so now (routes_store_steps); its checks are the same.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -29,8 +29,8 @@
 end that is earlier by the error that it will add.
 
 If the store is down again before the entries are back, an instance can't learn of them.
-So a grace period ends only with a list from about that time, and begins anew after the
-outage.
+So a grace period ends only with a list from about that time, at an instance that reads
+the store or hears a peer that does, and begins anew after the outage.
 """
 
 import dataclasses
--- a/src/pimentolatch/decisions/store_readers.py
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -12,6 +12,10 @@
 served, finds new readers without coordination, and an instance without peers reads for
 itself.
 
+What is missing from the store can be judged only by an instance that would learn at
+once if it came back: it reads the store, or hears a peer that does. An instance that
+the store turns away for a day would otherwise wait for a return that it never sees.
+
 An offer shows that a reader lives, not that its changes arrive. An instance whose state
 is overdue reads too (`watch_schedule`). If it left the store again at the next beacon,
 it would list everything anew each few seconds while the paths from its peers are
@@ -22,7 +26,7 @@
 import datetime
 from collections import abc
 
-__all__ = ["Reader", "ReadingHysteresis", "is_reader", "select"]
+__all__ = ["Reader", "ReadingHysteresis", "is_heard", "is_reader", "select"]
 
 # Two readers may be frozen or rejected at the same time. In domains of up to three
 # instances all of them read.
@@ -30,6 +34,9 @@
 # Beacons are sent four times a second and take two hops through a domain; three lost
 # ones are tolerated. The shortest limit for applying a change is two seconds.
 _READER_LIFETIME = datetime.timedelta(milliseconds=1500)
+# A reader that loses the store says so in its next beacon. Beacons of a large fleet are
+# 400 ms apart.
+_HEARD_LIFETIME = datetime.timedelta(milliseconds=600)
 # A reader stops only after it has not been needed for this long: one that stopped and
 # started with each lost beacon would list everything again each time.
 _SHORTEST_HOLD = datetime.timedelta(seconds=2)
@@ -71,6 +78,16 @@
     return len(before) < _READER_COUNT
 
 
+def is_heard(offered_at: datetime.timedelta, now: datetime.timedelta) -> bool:
+    """Return whether a peer still reads the store, as far as beacons can tell.
+
+    Args:
+        offered_at: When a peer last offered to read the store, of itself.
+        now: Monotonic time.
+    """
+    return now - offered_at <= _HEARD_LIFETIME
+
+
 class ReadingHysteresis:
     """For how long an instance goes on reading the store after it was needed."""
 
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -107,9 +107,9 @@
         return min(left, _CHECK_INTERVAL)
 
     def _remove_overdue(self) -> None:
-        if self._fleet.store_unreachable:
-            return
         now = self._clock.monotonic()
+        if not self._fleet.follows_store(now):
+            return
         confirmed_at = self._fleet.servers_confirmed_at
         over = [
             name
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -6,7 +6,12 @@
 import typing
 from collections import abc
 
-from pimentolatch.decisions import engine_loads, peer_lag, server_speeds
+from pimentolatch.decisions import (
+    engine_loads,
+    peer_lag,
+    server_speeds,
+    store_readers,
+)
 from pimentolatch.gateway import listed_servers
 from pimentolatch.routes import route_table, servers
 
@@ -67,6 +72,7 @@
         servers_listed: Whether a server list has ever been received.
         watches_store: Whether this instance watches the store itself.
         store_unreachable: This instance watches the store and the last call failed.
+        peer_offered_at: Time at which a peer that reads the store was last heard.
         servers_confirmed_at: Time at which the server table last matched the store, as
             far as is known: by an answer of the store to this instance, or to a peer
             whose servers are all known here.
@@ -94,6 +100,7 @@
         self.servers_listed = False
         self.watches_store = False
         self.store_unreachable = False
+        self.peer_offered_at = datetime.timedelta()
         self.servers_confirmed_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
         self.servers_lag = peer_lag.PeerLag()
@@ -278,6 +285,14 @@
         """Tell whether the server table reflects at least this revision."""
         return self.servers_listed and self.servers_revision >= revision
 
+    def follows_store(self, now: datetime.timedelta) -> bool:
+        """Tell whether a change in the store becomes known here at once.
+
+        This instance reads the store, or hears a peer that does.
+        """
+        reads = self.store_access is StoreAccess.READS
+        return reads or store_readers.is_heard(self.peer_offered_at, now)
+
     def confirm_servers(self, at: datetime.timedelta) -> None:
         """Record that the server table matched the store at this time."""
         self.servers_confirmed_at = max(self.servers_confirmed_at, at)
--- a/src/pimentolatch/gateway/peers/reader_exchange.py
+++ b/src/pimentolatch/gateway/peers/reader_exchange.py
@@ -64,6 +64,7 @@
         for reader in beacon.readers:
             if reader.instance != beacon.instance:
                 continue
+            fleet.peer_offered_at = now
             servers_age = reader.servers_age_ms
             if servers_age is not None and fleet.has_servers(beacon.servers):
                 fleet.confirm_servers(now - servers_age * _MILLISECOND)
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -232,6 +232,24 @@
     When outage: 2 seconds pass
     Then outage: no instance uses "s1"
 
+  # Guards against an instance that takes peers for readers which have lost the store too.
+  Scenario Outline: A second outage leaves no instance without servers that the store turned away before
+    Given outage: 6 servers and 4 instances
+    When outage: "i0" is cut off from the store
+    And outage: 2 seconds pass
+    And outage: the store is away for 5 seconds and all entries expire
+    And outage: <between> seconds pass
+    And outage: the store is away for 5 seconds and all servers but "s1" are written again
+    Then outage: at each moment each instance used at least 3 servers
+    When outage: 2.6 seconds pass
+    Then outage: no instance uses "s1"
+
+    Examples:
+      | between |
+      | 0.6     |
+      | 1.0     |
+      | 1.3     |
+
   # Guards against a failure domain that loses its servers when it regains the store.
   Scenario: Servers that were cut off with their instances are used when they are listed
     Given outage: 6 servers and 4 instances
--- a/tests/features/steps/routes_store_steps.py
+++ b/tests/features/steps/routes_store_steps.py
@@ -292,6 +292,7 @@
         self.faults = memory_store.StoreFaults()
         self.table = object_table.ObjectTable()
         self.known = fleet_state.FleetState()
+        self.known.watches_store = True
         link = memory_store.MemoryStore(self.table, time=self.clock, faults=self.faults)
         self.watches = 0
         ask = link.watch
