--- a/tests/outages.py
+++ b/tests/outages.py
@@ -1,4 +1,4 @@
-"""Lets two servers leave during outages of the store and counts late requests.
+"""Lets servers leave during outages of the store and counts late requests.
 
 `python -m tests.outages --gateways 6` starts gateways as processes for each case, with
 clients that keep their connections, and prints how many requests each of the servers
@@ -19,20 +19,27 @@
     "rejected for long": lambda world: world.reject_reads(9.0, 8.9),
     "stopped, all expire": lambda world: world.expire_all(5.0, 1.5),
     "stopped for long, all expire": lambda world: world.expire_all(15.0, 1.9),
+    "most leave": lambda world: world.leave_in_outage(4.0),
+    "most leave, one is turned away": lambda world: world.leave_in_outage(
+        4.0, turned_away=True
+    ),
+    "most leave, one comes back later": lambda world: world.leave_in_outage(
+        4.0, turned_away=True, back_after_s=2.0
+    ),
     "slow": lambda world: world.slow(3.0, 1.0),
 }
 
 
-def play(case, gateways):
+def play(case, gateways, domains):
     """Play one case; returns the late requests by server, and the refused ones."""
     with asyncio.Runner() as runner:
         world = outage_world.Outages(runner)
+        world.world.failure_domains = tuple(f"domain-{n}" for n in range(domains))
         world.start(gateways)
         try:
-            leaving = world.leaving()
             runner.run(CASES[case](world))
             runner.run(world.watch_servers())
-            return world.late(leaving), world.endings()
+            return world.late(), world.endings()
         finally:
             runner.run(world.stop())
 
@@ -41,6 +48,7 @@
     """Play the cases; returns 1 if any request was late or not served."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--gateways", type=int, default=6)
+    parser.add_argument("--domains", type=int, default=1)
     parser.add_argument("--plays", type=int, default=1)
     parser.add_argument("--cases", nargs="+", choices=CASES, default=list(CASES))
     options = parser.parse_args()
@@ -48,7 +56,7 @@
     logging.getLogger("uvicorn.error").disabled = True
     failures = 0
     for case in options.cases * options.plays:
-        late, endings = play(case, options.gateways)
+        late, endings = play(case, options.gateways, options.domains)
         failures += sum(server.count for server in late) + endings.failed
         servers = ", ".join(
             f"{server.count} late at {server.server_id}"
--- a/tests/support/outage_world.py
+++ b/tests/support/outage_world.py
@@ -15,6 +15,8 @@
 # rest covers the way of a request on a busy machine.
 LATE_S = 2.2
 WATCHED_S = 6.0
+# How long before an outage of all the store turns the first gateway away.
+TURNED_AWAY_BEFORE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,12 +42,14 @@
     Attributes:
         gone_at: Time at which the store no longer had the servers that left.
         returned_at: Time at which the store was reachable again.
+        left: The servers that left.
     """
 
     def __init__(self, runner):
         super().__init__(runner)
         self.gone_at = 0.0
         self.returned_at = 0.0
+        self.left = []
 
     def leaving(self):
         """Return a decode engine and a plain server, which will leave."""
@@ -57,7 +61,34 @@
 
     async def leave(self):
         """Remove the entries of the two servers."""
-        await self._remove(self.leaving())
+        self.left = self.leaving()
+        await self._remove(self.left)
+
+    async def leave_in_outage(self, seconds, turned_away=False, back_after_s=None):
+        """Stop the store; most servers leave meanwhile.
+
+        Args:
+            seconds: For how long it is stopped.
+            turned_away: Whether the first gateway does not reach it from before.
+            back_after_s: When that gateway reaches it again, from its return on; never
+                by default.
+        """
+        relay_name = f"store of {next(iter(self.world.gateways))}"
+        if turned_away:
+            self.world.relays.make_unreachable(relay_name)
+            await asyncio.sleep(TURNED_AWAY_BEFORE_S)
+        servers = list(self.world.servers.values())
+        # More than half, of each kind all but one.
+        last = {(server.service, server.stage): server for server in servers}
+        self.left = [s for s in servers if s not in last.values()]
+        await self.world.store.stop()
+        await asyncio.sleep(seconds)
+        await self._remove(self.left)
+        await self.world.store.start()
+        self.returned_at = _now()
+        if turned_away and back_after_s is not None:
+            await asyncio.sleep(back_after_s)
+            self.world.relays.make_reachable(relay_name)
 
     async def reject_reads(self, seconds, leave_after_s):
         """Have the store reject all reads, while it accepts writes.
@@ -81,7 +112,7 @@
             seconds: For how long it is stopped.
             back_after_s: When the other entries are back, from its return on.
         """
-        leaving = self.leaving()
+        leaving = self.left = self.leaving()
         servers = list(self.world.servers.values())
         await self.world.store.stop()
         await asyncio.sleep(seconds)
@@ -108,10 +139,10 @@
         """Wait until requests that are sent too late would have arrived."""
         await asyncio.sleep(WATCHED_S)
 
-    def late(self, servers):
-        """Return the late requests that each of the servers got."""
+    def late(self):
+        """Return the late requests that each of the servers got which left."""
         allowed = max(self.gone_at, self.returned_at) + LATE_S
-        return [self._late(server, allowed) for server in servers]
+        return [self._late(server, allowed) for server in self.left]
 
     def _late(self, server, allowed):
         arrivals = zip(server.received, server.arrival_times, strict=True)
--- a/tests/support/silent_world.py
+++ b/tests/support/silent_world.py
@@ -1,7 +1,9 @@
 """Gateways, and peers of an instance, whose connections fall silent."""
 
 import asyncio
+import collections
 import dataclasses
+import itertools
 import json
 import random
 import signal
@@ -260,7 +262,11 @@
 
     @property
     def _readers(self):
-        return min(MAX_READERS, len(self.world.gateways))
+        domains = itertools.cycle(self.world.failure_domains)
+        sizes = collections.Counter(
+            domain for _, domain in zip(self.world.gateways, domains, strict=False)
+        )
+        return sum(min(MAX_READERS, size) for size in sizes.values())
 
     async def _until(self, condition):
         while not await condition():  # noqa: ASYNC110
