Count the grace period from the store's first answer to any instance

What callers saw: after an outage in which most servers left, requests to these for up to half a second longer at instances that asked the store late.

Cause: while most servers are missing, they are used until two seconds after the store's first answer to this instance, which asks after a pause of up to half a second. Others have had their answer by then. Class: what one instance knows is not used by the others.

A peer that reads the store again says so in its next beacon anyway, so its receipt bounds the return from above for all who lost the store. Answers before the own last failed call don't count, nor beacons of peers whose list is old: these may not have noticed the outage yet. Nothing is added to the messages.

Two rows in virtual time failed before.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -23,7 +23,8 @@
 time limit and a pause later, so the begin of the last unanswered call, which lies
 before the return, serves as a lower bound. If most servers are still missing when the
 period ends by this bound, it is extended to an upper bound: the first answer came after
-the return, and so did the longest possible error of the lower bound. If the instance
+the return, and so did the longest possible error of the lower bound. The first answer
+may be one to a peer, which tells of it (`store_return`). If the instance
 stood still meanwhile, it noticed the return later by as much. An instance that learns
 of the missing servers from a peer knows the lower bound only, so the peer tells it an
 end that is earlier by the error that it will add.
@@ -139,6 +140,7 @@
     kept: int,
     listed: int,
     back_by: datetime.timedelta,
+    answered_by: datetime.timedelta | None = None,
 ) -> datetime.timedelta:
     """Return when a server is given up whose entry is missing.
 
@@ -148,10 +150,15 @@
         listed: Number of servers with an entry.
         back_by: The upper bound; earlier than `until` if this instance does not know
             it, as it has not read the store since.
+        answered_by: By when the store had answered this instance or a peer again; None
+            if that is not known.
     """
     if kept <= listed:
         return until
-    return back_by if back_by >= until else until + _MAX_NOTICE_DELAY
+    end = back_by if back_by >= until else until + _MAX_NOTICE_DELAY
+    if answered_by is None:
+        return end
+    return max(until, min(end, answered_by + _RETURN_TIME))
 
 
 def told_end(until: datetime.timedelta, end: datetime.timedelta) -> datetime.timedelta:
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -94,7 +94,11 @@
         listed = len(self._fleet.servers.all()) - kept
         return {
             name: missing_servers.ends_at(
-                at, kept=kept, listed=listed, back_by=self._back_by
+                at,
+                kept=kept,
+                listed=listed,
+                back_by=self._back_by,
+                answered_by=self._fleet.store_return.answered_by,
             )
             for name, at in self._until.items()
         }
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -11,6 +11,7 @@
     peer_lag,
     server_speeds,
     store_readers,
+    store_return,
 )
 from pimentolatch.gateway import listed_servers
 from pimentolatch.routes import route_table, servers
@@ -72,6 +73,7 @@
         servers_listed: Whether a server list has ever been received.
         watches_store: Whether this instance watches the store itself.
         store_unreachable: This instance watches the store and the last call failed.
+        store_return: By when the store was back after its last outage.
         peer_offered_at: Time at which a peer that reads the store was last heard.
         servers_confirmed_at: Time at which the server table last matched the store, as
             far as is known: by an answer of the store to this instance, or to a peer
@@ -100,6 +102,7 @@
         self.servers_listed = False
         self.watches_store = False
         self.store_unreachable = False
+        self.store_return = store_return.StoreReturn()
         self.peer_offered_at = datetime.timedelta()
         self.servers_confirmed_at = datetime.timedelta()
         self.configuration_confirmed_at = datetime.timedelta()
--- a/src/pimentolatch/gateway/peers/reader_exchange.py
+++ b/src/pimentolatch/gateway/peers/reader_exchange.py
@@ -8,6 +8,7 @@
 import datetime
 
 from pimentolatch import clock
+from pimentolatch.decisions import missing_servers
 from pimentolatch.gateway import fleet_state
 from pimentolatch.gateway.peers import peer_table
 from pimentolatch.protocol import beacons
@@ -66,6 +67,11 @@
                 continue
             fleet.peer_offered_at = now
             servers_age = reader.servers_age_ms
+            # A peer that has just lost the store may not have noticed.
+            if servers_age is not None and missing_servers.is_current(
+                servers_age * _MILLISECOND
+            ):
+                fleet.store_return.record_answer(now)
             if servers_age is not None and fleet.has_servers(beacon.servers):
                 fleet.confirm_servers(now - servers_age * _MILLISECOND)
             age = reader.configuration_age_ms
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -52,6 +52,7 @@
         limits: How long the store may take to answer a watch.
         stood_still_since: Returns for how long this instance stood still since a
             moment.
+        rng: Draws the pauses between calls that fail.
 
     Attributes:
         kind: Kind of the watched objects.
@@ -72,6 +73,7 @@
         stood_still_since: abc.Callable[
             [datetime.timedelta], datetime.timedelta
         ] = _never_stood_still,
+        rng: random.Random | None = None,
     ) -> None:
         self._stood_still_since = stood_still_since
         self._store = source
@@ -79,7 +81,7 @@
         self._clock = time
         self.limits = limits
         self._pause = backoff.Backoff(
-            _FIRST_PAUSE, limits.longest_pause, random.Random()
+            _FIRST_PAUSE, limits.longest_pause, rng or random.Random()
         )
         self._revision: int | None = None
         self._answered_at = time.monotonic()
@@ -111,7 +113,7 @@
             begun = self._clock.monotonic()
             outcome = await (self._list() if self._revision is None else self._watch())
             if isinstance(outcome, store.Unavailable):
-                self._unanswered_since = begun
+                self._record_failure(begun)
                 self._log_lost(outcome)
                 self.unreachable = True
                 self._revision = None
@@ -171,6 +173,10 @@
     def _apply_changes(self, changes: store.Changes) -> None:
         raise NotImplementedError
 
+    def _record_failure(self, begun: datetime.timedelta) -> None:
+        """Record that a call failed that began at this time."""
+        self._unanswered_since = begun
+
     def _log_lost(self, failure: store.Unavailable) -> None:
         """Log that a call has failed, and now and then that calls still do."""
         now = self._clock.monotonic()
@@ -230,6 +236,7 @@
         time: Clock of this instance.
         limits: How long the store may take to answer a watch.
         stood_still_since: See `Watch`.
+        rng: See `Watch`.
     """
 
     kind = server_entries.SERVER_KIND
@@ -250,8 +257,9 @@
         stood_still_since: abc.Callable[
             [datetime.timedelta], datetime.timedelta
         ] = _never_stood_still,
+        rng: random.Random | None = None,
     ) -> None:
-        super().__init__(source, fleet, time, limits, stood_still_since)
+        super().__init__(source, fleet, time, limits, stood_still_since, rng)
         self._expired = expired_servers
         self._unusable: set[str] = set()
 
@@ -288,6 +296,10 @@
             self.kind, after=revision, wait=_MILLISECOND, answer_limit=limit
         )
 
+    def _record_failure(self, begun: datetime.timedelta) -> None:
+        super()._record_failure(begun)
+        self._fleet.store_return.record_failure(self._clock.monotonic())
+
     def _apply_listing(self, listing: store.Listing) -> None:
         named = {item.name for item in listing.objects}
         self._unusable &= named
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -113,6 +113,18 @@
       | 6     | 6.3  |
       | 6     | 9.7  |
 
+  # Guards against a grace period that is longer at instances which ask the store late.
+  Scenario Outline: Servers that left are given up by the first answer of the store to any instance
+    Given outage: 6 servers and 6 instances
+    When outage: the store is away for <away> seconds and all entries expire
+    And outage: 2.35 seconds pass
+    Then outage: no instance uses "s1"
+
+    Examples:
+      | away |
+      | 4    |
+      | 6.3  |
+
   # Guards against servers that left and are kept by an instance which no call reaches.
   Scenario Outline: Servers that left are given up in time by an instance that the store turns away
     Given outage: 6 servers and <count> instances
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -146,6 +146,7 @@
                 self.clock,
                 bounds.server_watch,
                 pauses.stood_still_since,
+                random.Random(name),
             ),
             pauses,
             peers,
