Judge the store for servers by the calls for servers

What callers saw: requests to servers that left, for as long as the store rejects reads of the configuration.

Cause: an instance counted as out of the store's reach if its calls for any kind failed, and then let no grace period end, though it read the servers throughout.

Each kind is judged by its own calls; one that still waits when a call for the other has failed counts only once it is answered. A list that matched the store after the period's end needs no reader at all. What a peer offered before this instance lost the store says nothing of the time after.

--- a/src/pimentolatch/decisions/missing_servers.py
+++ b/src/pimentolatch/decisions/missing_servers.py
@@ -107,15 +107,18 @@
 
 
 def is_known_missing(
-    end: datetime.timedelta, list_confirmed_at: datetime.timedelta
+    end: datetime.timedelta, list_confirmed_at: datetime.timedelta, *, followed: bool
 ) -> bool:
     """Return whether a server that is still missing as its grace period ends has left.
 
     Args:
         end: When its grace period ends.
         list_confirmed_at: When the list that lacks it last matched the store.
+        followed: Whether this instance would know by now if its entry were back.
     """
-    return end - list_confirmed_at <= _MAX_UNSEEN
+    if list_confirmed_at >= end:
+        return True
+    return followed and end - list_confirmed_at <= _MAX_UNSEEN
 
 
 def upper_bound(
--- a/src/pimentolatch/decisions/store_readers.py
+++ b/src/pimentolatch/decisions/store_readers.py
@@ -78,14 +78,21 @@
     return len(before) < _READER_COUNT
 
 
-def is_heard(offered_at: datetime.timedelta, now: datetime.timedelta) -> bool:
+def is_heard(
+    offered_at: datetime.timedelta,
+    now: datetime.timedelta,
+    *,
+    lost_at: datetime.timedelta,
+) -> bool:
     """Return whether a peer still reads the store, as far as beacons can tell.
 
     Args:
         offered_at: When a peer last offered to read the store, of itself.
         now: Monotonic time.
+        lost_at: When this instance itself lost the store; what was offered before says
+            nothing about peers that lost it at the same time.
     """
-    return now - offered_at <= _HEARD_LIFETIME
+    return offered_at > lost_at and now - offered_at <= _HEARD_LIFETIME
 
 
 class ReadingHysteresis:
--- a/src/pimentolatch/gateway/expired_entries.py
+++ b/src/pimentolatch/gateway/expired_entries.py
@@ -112,13 +112,13 @@
 
     def _remove_overdue(self) -> None:
         now = self._clock.monotonic()
-        if not self._fleet.follows_store(now):
-            return
         confirmed_at = self._fleet.servers_confirmed_at
+        followed = self._fleet.follows_servers(now)
         over = [
             name
             for name, end in self._ends().items()
-            if now >= end and missing_servers.is_known_missing(end, confirmed_at)
+            if now >= end
+            and missing_servers.is_known_missing(end, confirmed_at, followed=followed)
         ]
         for name in over:
             del self._until[name]
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -72,7 +72,10 @@
         servers_source: Where that was read: `STORE`, or the name of a peer.
         servers_listed: Whether a server list has ever been received.
         watches_store: Whether this instance watches the store itself.
-        store_unreachable: This instance watches the store and the last call failed.
+        servers_unreachable: This instance watches the servers in the store, and its
+            last call for them failed.
+        configuration_unreachable: The same for the configuration.
+        store_lost_at: Time at which calls of this instance began to fail.
         store_return: By when the store was back after its last outage.
         peer_offered_at: Time at which a peer that reads the store was last heard.
         servers_confirmed_at: Time at which the server table last matched the store, as
@@ -101,7 +104,9 @@
         self.servers_source = ""
         self.servers_listed = False
         self.watches_store = False
-        self.store_unreachable = False
+        self.servers_unreachable = False
+        self.configuration_unreachable = False
+        self.store_lost_at = datetime.timedelta()
         self.store_return = store_return.StoreReturn()
         self.peer_offered_at = datetime.timedelta()
         self.servers_confirmed_at = datetime.timedelta()
@@ -133,6 +138,11 @@
         """Whether peers have a newer configuration."""
         return self.configuration_lag.announced > self.version
 
+    @property
+    def store_unreachable(self) -> bool:
+        """Whether this instance watches the store and a last call failed."""
+        return self.servers_unreachable or self.configuration_unreachable
+
     @property
     def store_access(self) -> StoreAccess:
         """How this instance gets at what the store holds."""
@@ -288,13 +298,25 @@
         """Tell whether the server table reflects at least this revision."""
         return self.servers_listed and self.servers_revision >= revision
 
-    def follows_store(self, now: datetime.timedelta) -> bool:
-        """Tell whether a change in the store becomes known here at once.
+    def follows_servers(self, now: datetime.timedelta) -> bool:
+        """Tell whether a change of the servers in the store becomes known here at once.
 
-        This instance reads the store, or hears a peer that does.
+        This instance reads them, or hears a peer that does.
         """
-        reads = self.store_access is StoreAccess.READS
-        return reads or store_readers.is_heard(self.peer_offered_at, now)
+        reads = self._reads(self.servers_unreachable, self.servers_confirmed_at)
+        return reads or self._hears_reader(now)
+
+    def follows_configuration(self, now: datetime.timedelta) -> bool:
+        """Tell whether a new configuration becomes known here at once.
+
+        This instance reads it, or hears a peer that does, and none has a newer one.
+        """
+        if self.configuration_behind:
+            return False
+        reads = self._reads(
+            self.configuration_unreachable, self.configuration_confirmed_at
+        )
+        return reads or self._hears_reader(now)
 
     def confirm_servers(self, at: datetime.timedelta) -> None:
         """Record that the server table matched the store at this time."""
@@ -385,6 +407,18 @@
         """Return the engine loads of every model service, by service name."""
         return self._loads
 
+    def _reads(self, unreachable: bool, confirmed_at: datetime.timedelta) -> bool:
+        """Tell whether this instance reads a kind of object itself."""
+        if unreachable or not self.watches_store:
+            return False
+        # A call for one kind may still wait where one for the other has failed.
+        return not self.store_unreachable or confirmed_at > self.store_lost_at
+
+    def _hears_reader(self, now: datetime.timedelta) -> bool:
+        return store_readers.is_heard(
+            self.peer_offered_at, now, lost_at=self.store_lost_at
+        )
+
     def _change(
         self,
         changed: abc.Iterable[servers.Server],
--- a/src/pimentolatch/gateway/store_watch.py
+++ b/src/pimentolatch/gateway/store_watch.py
@@ -115,6 +115,8 @@
             if isinstance(outcome, store.Unavailable):
                 self._record_failure(begun)
                 self._log_lost(outcome)
+                if not self.unreachable:
+                    self._fleet.store_lost_at = self._clock.monotonic()
                 self.unreachable = True
                 self._revision = None
                 await self._clock.sleep(self._pause.next_pause())
--- a/src/pimentolatch/gateway/watch_controller.py
+++ b/src/pimentolatch/gateway/watch_controller.py
@@ -81,9 +81,9 @@
         else:
             self._stop()
         self._fleet.watches_store = bool(self._running)
-        self._fleet.store_unreachable = any(
-            watch.unreachable for watch in self._watches
-        )
+        configuration_watch, server_watch = self._watches
+        self._fleet.configuration_unreachable = configuration_watch.unreachable
+        self._fleet.servers_unreachable = server_watch.unreachable
 
     def _start(self) -> None:
         if self._running:
--- a/tests/features/expired_servers.feature
+++ b/tests/features/expired_servers.feature
@@ -141,6 +141,14 @@
       | 6     | 6.3  |
       | 6     | 9.7  |
 
+  # Guards against a store that rejects reads of one kind and counts as away for the other.
+  Scenario: Servers that left are given up although the configuration cannot be read
+    Given outage: 6 servers and 3 instances
+    When outage: the store rejects reads of the configuration from now on
+    And outage: the store is away for 4 seconds and all entries expire
+    And outage: 2.6 seconds pass
+    Then outage: no instance uses "s1"
+
   # Guards against an own outage that counts as one of the store although peers read it.
   Scenario: A server that leaves is not kept by an instance whose list a peer renewed
     Given outage: 6 servers and 3 instances
--- a/tests/features/steps/expired_servers_steps.py
+++ b/tests/features/steps/expired_servers_steps.py
@@ -135,6 +135,11 @@
     advance(context, LEARN_S)
 
 
+@behave.when("outage: the store rejects reads of the configuration from now on")
+def reject_configuration(context):
+    context.world.rejects_configuration = True
+
+
 @behave.when('outage: "{name}" is cut off from the store')
 def cut_off(context, name):
     context.world.faults.cut.add(name)
--- a/tests/support/watch_world.py
+++ b/tests/support/watch_world.py
@@ -89,6 +89,7 @@
         asked: Ids of the servers that were asked whether they are ready.
         said_leaving: Name of an instance, and a server's incarnation that has said in
             an answer to it that it leaves.
+        rejects_configuration: Whether the store rejects reads of the configuration.
         tells_age: False if instances do not tell how old what they know is.
     """
 
@@ -103,6 +104,7 @@
         self.asked = []
         self.said_leaving = set()
         self.tells_age = True
+        self.rejects_configuration = False
         self._steps = 0
         self._tasks = []
         self._check_ins = itertools.count(1)
@@ -228,7 +230,8 @@
         self.clock.advance(datetime.timedelta(seconds=STEP_S))
         self._steps += 1
         for instance in self.instances.values():
-            instance.fleet.store_unreachable = instance.watch.unreachable
+            instance.fleet.servers_unreachable = instance.watch.unreachable
+            instance.fleet.configuration_unreachable = self.rejects_configuration
         if self._steps % BEACON_INTERVAL_STEPS == 0:
             self._exchange_beacons()
         self.runner.run(self._rounds())
