Refuse unknown keys for good at instances that their peers keep current

What callers saw: 503 and a time to come back for a key that was taken away or never was, again and again, from an instance that the store turns away.

Cause: whether a key may have been added since was judged by the own calls to the store alone, while configurations also come from peers. An instance now follows the configuration if it reads it, or hears a peer that does, and nobody has a newer one. If peers lose the store too it still asks the client to come back.

--- a/src/pimentolatch/decisions/access.py
+++ b/src/pimentolatch/decisions/access.py
@@ -5,9 +5,9 @@
 before the body is read and before any queue, and an unknown key costs no more than a
 known one.
 
-An instance that has lost the store may lack a key that was added since, so it can't
-prove that a key is wrong. A client that is told so never retries; it is asked to retry
-instead.
+An instance that neither reads the store nor hears a peer that does may lack a key that
+was added since, so it can't prove that a key is wrong. A client that is told so never
+retries; it is asked to retry instead.
 """
 
 import dataclasses
--- a/src/pimentolatch/gateway/front_end.py
+++ b/src/pimentolatch/gateway/front_end.py
@@ -223,9 +223,7 @@
             configuration,
             route,
             head.api_keys,
-            current=not (
-                self._fleet.store_unreachable or self._fleet.configuration_behind
-            ),
+            current=self._fleet.follows_configuration(self._clock.monotonic()),
         )
         if isinstance(allowed, access.Denial):
             return _refusal_for(allowed)
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -77,6 +77,11 @@
     When customers: the store goes away and an unknown key is tried
     Then customers: it may come back later
 
+  # Guards against an unknown key that comes back for ever at one instance.
+  Scenario: An unknown key is refused for good by an instance that only its peers keep current
+    When customers: the store goes away, a peer goes on reading it and an unknown key is tried
+    Then customers: it is refused for good
+
   # Guards against a route or key that is refused for good by an instance which knows that
   # its peers have a newer configuration.
   Scenario Outline: What a newer configuration may allow is not refused for good
--- a/tests/features/steps/answer_times_steps.py
+++ b/tests/features/steps/answer_times_steps.py
@@ -205,7 +205,7 @@
 
     spec = route_world.configuration(1, route_world.ROUTES)
     fleet = mock.MagicMock(configuration=configuration.decode(spec))
-    fleet.store_unreachable = fleet.configuration_behind = False
+    fleet.configuration_behind = False
     forwarders = (mock.MagicMock(), mock.MagicMock())
     served = front_end.RouteFrontEnd(
         *(fleet, forwarders, mock.MagicMock(), graceful_shutdown.GracefulShutdown()),
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -6,7 +6,9 @@
 import behave
 import logbook
 
+from pimentolatch import clock
 from pimentolatch.gateway import store_watch
+from pimentolatch.gateway.peers import reader_exchange
 from pimentolatch.protocol import beacon_codec, beacons
 from pimentolatch.routes import notices
 from tests.features.steps import routes_serving_steps
@@ -268,6 +270,34 @@
     context.reply = context.run(both())
 
 
+@behave.when(
+    "customers: the store goes away, a peer goes on reading it and an unknown key is"
+    " tried"
+)
+def unknown_while_turned_away(context):
+    async def both():
+        await context.world.stop_store()
+        _, instance = context.world.instances["one"]
+        fleet = instance.fleet
+        await context.world.until(lambda: fleet.store_unreachable)
+        exchange = reader_exchange.ReaderExchange(
+            "one", fleet, instance.peers, clock.SystemClock()
+        )
+        row = beacons.Reader("two", 0, 0, 0)
+        exchange.receive(
+            beacons.Beacon("two", "here", "1", fleet.version, 0, False, (row,), ())
+        )
+        return await ask(context, "notify", UNKNOWN)
+
+    context.reply = context.run(both())
+
+
+@behave.then("customers: it is refused for good")
+def refused_for_good(context):
+    assert context.reply.status == 401, context.reply
+    assert received(context) == []
+
+
 @behave.when("customers: a peer announces a newer configuration and {what} is tried")
 def tried_while_behind(context, what):
     place, key = {
