Add a soak in which the store turns one gateway away beside its outages

An outage of all and one gateway that is turned away for longer were never drawn together: the soak of outages turns nobody away, and its faults of one gateway excuse what comes late.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -38,6 +38,11 @@
     When the soak plays seed 3 for 8 seconds of outages
     Then no promise was broken and most requests were served
 
+  # Guards against an instance that uses servers which left while the store answers others.
+  Scenario: No promise is broken while the store turns gateways away in turn
+    When the soak plays seed 4 for 12 seconds of outages and gateways that are turned away
+    Then no promise was broken and most requests were served
+
   # Guards against leavings that are undone by earlier check-ins, or happen in a pause.
   Scenario: No promise is broken while check-ins are late and gateways stand still
     When the soak plays seed 2 for 5 seconds of late check-ins and pauses of gateways
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -13,6 +13,8 @@
 PATHS_MARGIN_S = 3.0
 # Below the time by which servers that stand still read requests late.
 STOPS_MARGIN_S = 1.0
+# Seconds beyond which an instance that is turned away uses servers for ever.
+TURNED_AWAY_MARGIN_S = 1.0
 # The soak of copies drains no server, so nothing in it is late.
 COPIES_MARGIN_S = MARGIN_S
 
@@ -49,6 +51,14 @@
     _play(context, seed, seconds, soak_kinds.KINDS["outages"])
 
 
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds of outages and gateways that"
+    " are turned away"
+)
+def play_turned_away(context, seed, seconds):
+    _play(context, seed, seconds, soak_kinds.KINDS["turned-away"], TURNED_AWAY_MARGIN_S)
+
+
 @behave.when(
     "the soak plays seed {seed:d} for {seconds:d} seconds of late check-ins and pauses"
     " of gateways"
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,6 +4,7 @@
 safeguard off, which the checks must then detect. `--list` prints the safeguards.
 `--pauses` lets servers fall silent for a second and go on, with planned changes only.
 `--outages` lets the store reject reads or lose all entries while servers leave unsaid.
+`--turned-away` has the store turn one gateway at a time away besides, for longer.
 `--silence` lets connections fall silent and changes come, and nothing else, so that no
 other fault gives an instance a new connection; every other run has one gateway only.
 `--entries` has earlier check-ins of servers reach the store after their leaving, and
--- a/tests/support/safeguard_removal.py
+++ b/tests/support/safeguard_removal.py
@@ -161,6 +161,19 @@
     missing_servers.grace_ends_at = lambda unanswered_since: now() + 2 * SECOND
 
 
+def _wait_for_the_own_store():
+    """Uses missing servers for as long as the own calls to the store fail."""
+    known_missing = missing_servers.is_known_missing
+
+    def is_known_missing(end, list_confirmed_at, *, followed):
+        return followed and known_missing(end, list_confirmed_at, followed=True)
+
+    missing_servers.is_known_missing = is_known_missing
+    fleet_state.FleetState.follows_servers = lambda self, now: (
+        not self.store_unreachable
+    )
+
+
 def _avoid_reported_servers_for_long():
     """Avoids servers that instances reported silent for ten times as long."""
     silent_servers._EXPIRY *= 10
@@ -234,6 +247,7 @@
     "bound on silent watches": _wait_for_silent_watches,
     "stay at silent engines": _leave_silent_engines,
     "grace from the store's return": _keep_missing_servers,
+    "end of grace by what peers read": _wait_for_the_own_store,
     "end of avoidance": _avoid_reported_servers_for_long,
     "judgement of entries": _believe_older_entries,
     "questions to returned servers": _use_unconfirmed,
--- a/tests/support/soak_kinds.py
+++ b/tests/support/soak_kinds.py
@@ -160,6 +160,11 @@
         is_alone=_every_fourth,
         check=soak_outages.late_violations,
     ),
+    "turned-away": Kind(
+        draw=soak_outages.draw_turned_away,
+        injector=soak_outages.OutageInjector,
+        check=soak_outages.late_violations,
+    ),
     "uneven": Kind(
         draw=soak_uneven.draw,
         injector=soak_uneven.UnevenInjector,
--- a/tests/support/soak_outages.py
+++ b/tests/support/soak_outages.py
@@ -3,7 +3,8 @@
 The store rejects all reads, while servers renew their entries, or it is down for so
 long that all entries expire and are written again one by one. Servers leave at any
 time: their entries are removed, and they go on serving. Gateways are killed, restarted
-and told to read their settings, and routes are added.
+and told to read their settings, and routes are added. The store may turn one gateway at
+a time away besides, for longer than the others.
 """
 
 import asyncio
@@ -11,7 +12,13 @@
 
 from tests.support import soak_checks, soak_faults
 
-__all__ = ["OutageInjector", "between", "draw", "late_violations"]
+__all__ = [
+    "OutageInjector",
+    "between",
+    "draw",
+    "draw_turned_away",
+    "late_violations",
+]
 
 OUTAGE_KINDS = ("store rejects", "store rejects", "store expires")
 LEAVE_KINDS = ("leave unsaid",)
@@ -19,6 +26,9 @@
 # Outages last for longer than an entry that is not renewed, or not.
 REJECTS_S = (0.5, 7.0)
 EXPIRES_S = (4.0, 7.0)
+# Longer than an outage and the time for which missing servers are used after it.
+TURNED_AWAY_S = (4.0, 14.0)
+TURNED_AWAY_INTERVAL_S = 5.0
 # Longer than the interval in which several restarts of a gateway look at its process.
 RESTART_S = (0.3, 3.0)
 # Servers write their entries again within this time of the store's return.
@@ -47,6 +57,16 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_turned_away(seed, seconds):
+    """Return the faults of a run in which the store turns gateways away, in order."""
+    rng = random.Random(f"turned away of {seed}")
+    faults = [
+        soak_faults.Fault(at, "turned away", rng.random(), rng.uniform(*TURNED_AWAY_S))
+        for at in _times(rng, seconds, TURNED_AWAY_INTERVAL_S)
+    ]
+    return sorted([*draw(seed, seconds), *faults], key=lambda fault: fault.at)
+
+
 def _times(rng, seconds, interval_s):
     """Return moments that are `interval_s` apart in the mean, some of them at once."""
     at = rng.uniform(0.3, interval_s)
@@ -68,6 +88,7 @@
         self.left_at = {}
         self.outages = []
         self._away = 0
+        self._one_turned_away = asyncio.Lock()
 
     async def _store_rejects(self, fault, injected):
         begin = self._begin_outage()
@@ -92,6 +113,13 @@
             )
         )
 
+    async def _turned_away(self, fault, injected):
+        async with self._one_turned_away:
+            name = f"store of {self._gateway(fault, injected).name}"
+            self._world.relays.make_unreachable(name)
+            await asyncio.sleep(fault.duration_s)
+            self._world.relays.make_reachable(name)
+
     def _begin_outage(self):
         self._away += 1
         return self._clock()
