Ask servers for nothing but their health before anything else

What callers saw: nothing; the servers saw calls long after they had left. Requests to leaving servers crowd out what still has to end there.

Cause: whether a server reads was found out by a call for its report if it is an engine, by each instance and over two connections. At an engine that stands still these lie unread, and are read seconds after it has left. So are other calls of our own, which ask nothing first: reports of stall checks, freed KV handles, probes. Class: what is sent on one's own account is not held to what clients' requests are held to.

The question is the health check now, which a leaving server may be asked for at any time; calls of our own ask it first, and the start time of an engine is asked for once a connection that has just answered.

Tests: the stand-in that reports nothing does not tell its health either, as its scenario says ("neither the prompt nor the question for it is answered"); the check is the same. The health target of a client is required: with a default of / a test's server took the question for a request.

--- a/src/pimentolatch/gateway/decode_client.py
+++ b/src/pimentolatch/gateway/decode_client.py
@@ -361,6 +361,7 @@
     ) -> None:
         """Record the end of prefill at the first event, and later the gap."""
         engine = generation.place.engine
+        self._context.client.heard(engine.server)
         if generation.first_event_at is None:
             generation.first_event_at = now
             engine.prefill_tokens[generation.place.level] -= generation.unprefilled
--- a/src/pimentolatch/gateway/dispatch.py
+++ b/src/pimentolatch/gateway/dispatch.py
@@ -23,7 +23,7 @@
     given_up_calls,
     liveness_check,
 )
-from pimentolatch.platform import engines, http_headers
+from pimentolatch.platform import http_headers
 from pimentolatch.routes import servers
 
 __all__ = [
@@ -241,6 +241,7 @@
         acknowledgement_limit: How long a server may leave a request without an
             acknowledgement before its connection is reset.
         accepts: Tells whether a server is listed and accepts new requests.
+        health_target: Returns the target of a server's health check.
         wait_until_current: Waits after a pause of this process until that is known.
         on_open: Called with the reason whenever a connection is opened.
         on_abandoned: Called for each request that is given up after it was written.
@@ -256,6 +257,7 @@
         *,
         acknowledgement_limit: datetime.timedelta,
         accepts: abc.Callable[[servers.Server], bool] = lambda server: True,
+        health_target: abc.Callable[[servers.Server], bytes],
         wait_until_current: abc.Callable[[], abc.Awaitable[None]] = _no_wait,
         on_open: abc.Callable[[connection_reuse.Opening], None] = lambda why: None,
         on_abandoned: abc.Callable[[Abandonment], None] = lambda abandonment: None,
@@ -269,6 +271,8 @@
         self._answers = answer_reader.AnswerReader(on_extra_answer)
         self._given_up = given_up_calls.GivenUpCalls(time, accepts, on_given_up)
         self._accepts = accepts
+        self._health_target = health_target
+        self._heard_at: dict[servers.Incarnation, datetime.timedelta] = {}
         self._wait_until_current = wait_until_current
         self._on_answer: list[abc.Callable[[servers.Server], None]] = []
         self._on_silence: list[abc.Callable[[servers.Server], None]] = []
@@ -281,7 +285,7 @@
             self._pool,
             flow,
             time,
-            lambda server: _notify(self._on_answer, server),
+            self._answered,
             on_question,
             self._answers,
             self._given_up,
@@ -298,8 +302,23 @@
     def retain(self, incarnations: abc.Container[servers.Incarnation]) -> None:
         """Close pooled connections to incarnations that are no longer listed."""
         self._pool.retain(incarnations)
+        for name in [name for name in self._heard_at if name not in incarnations]:
+            del self._heard_at[name]
         self._checks.retain(incarnations)
 
+    def accepts(self, server: servers.Server) -> bool:
+        """Tell whether a server is listed and accepts new requests."""
+        return self._accepts(server)
+
+    def heard(self, server: servers.Server) -> None:
+        """Record that a server has sent something."""
+        self._heard_at[server.incarnation] = self._clock.monotonic()
+
+    def heard_since(self, server: servers.Server, moment: datetime.timedelta) -> bool:
+        """Tell whether a server has sent something after a moment."""
+        at = self._heard_at.get(server.incarnation)
+        return at is not None and at > moment
+
     def close(self) -> None:
         """Close all pooled connections."""
         self._pool.close()
@@ -355,7 +374,7 @@
         except channel.ConnectError as error:
             return self._not_sent(server, error)
         try:
-            reader = await self._reader(server, request, link)
+            reader = await self._reader(server, link)
         except (channel.BrokenError, channel.ConnectError) as error:
             return self._not_sent(server, error)
         link = reader.link
@@ -409,26 +428,27 @@
     async def _reader(
         self,
         server: servers.Server,
-        request: client_request.ClientRequest,
         link: channel.Channel,
     ) -> _Reader:
         """Return a connection to a server that has shown that it reads.
 
-        On return this instance knows what it missed in a pause.
+        The question is the server's health check: one that stands still answers it when
+        it goes on, and one that has left by then may be asked for its health, but for
+        nothing else. On return this instance knows what it missed in a pause.
 
         Raises:
             BrokenError: The server was asked in vain.
             ConnectError: No other connection could be opened.
         """
-        target = (
-            request.service.health_target
-            if server.stage is None
-            else engines.REPORT_TARGET
-        )
+        target = self._health_target(server)
+        tells_start = server.stage is not None and server.started_ms is not None
         for _ in range(_MAX_QUESTIONS):
             await self._catch_up(link)
             asked_at = self._clock.monotonic()
             link = await self._checks.ask(server, link, target)
+            if tells_start and link.started_ms is None and self._accepts(server):
+                asked_at = self._clock.monotonic()
+                link = await self._checks.read_start(server, link)
             await self._catch_up(link)
             if server_liveness.is_recent(asked_at, self._clock.monotonic()):
                 break
@@ -549,6 +569,7 @@
         *,
         limit: datetime.timedelta,
         new_connection: bool = False,
+        asks: bool = True,
     ) -> FullResponse | NotSent | OutcomeUnknown:
         """Call the server's own interface over a connection of the pool.
 
@@ -560,10 +581,30 @@
             body: Body of the call.
             limit: Time limit from the connection to the end of the response.
             new_connection: Use no kept connection; the new one is kept.
+            asks: Ask the server for its health first; see `session`.
         """
-        async with self.session(server, new_connection=new_connection) as calls:
+        async with self.session(
+            server, new_connection=new_connection, asks=asks
+        ) as calls:
             return await calls.call(method, target, fields, body, limit=limit)
 
+    async def ask(
+        self,
+        server: servers.Server,
+        *,
+        limit: datetime.timedelta,
+        new_connection: bool = False,
+    ) -> FullResponse | NotSent | OutcomeUnknown:
+        """Ask a server for its health; see `call`."""
+        return await self.call(
+            server,
+            "GET",
+            self._health_target(server),
+            limit=limit,
+            new_connection=new_connection,
+            asks=False,
+        )
+
     @contextlib.asynccontextmanager
     async def session(
         self,
@@ -572,6 +613,7 @@
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
         exclusive: bool = False,
+        asks: bool = True,
     ) -> abc.AsyncGenerator["Session", None]:
         """Make several calls to a server's own interface over one connection.
 
@@ -583,6 +625,9 @@
             exclusive: Use a connection that carries nothing else, before or after:
                 answers to calls bear no id, and one that the server repeats would be
                 taken for another call's.
+            asks: Ask the server for its health before the first call, which would lie
+                unread at one that stands still, and be read after it has left. An
+                exclusive session asks over another connection.
         """
         calls = Session(
             server,
@@ -591,6 +636,7 @@
             self._answers,
             self._given_up,
             self._clock,
+            self._health_target(server) if asks else None,
             new_connection=new_connection or exclusive,
             opened_before=opened_before,
             kept=not exclusive,
@@ -600,6 +646,10 @@
         finally:
             calls.end()
 
+    def _answered(self, server: servers.Server) -> None:
+        self.heard(server)
+        _notify(self._on_answer, server)
+
     async def _opened(
         self,
         server: servers.Server,
@@ -614,7 +664,7 @@
         except answer_reader.OnlyExtraError as error:
             link.close()
             return OutcomeUnknown(str(error))
-        _notify(self._on_answer, server)
+        self._answered(server)
         # A misdirected request is answered by another server.
         if answer.status != _MISDIRECTED:
             self._flow.observe(server, answer.head.notice, sent_at, "request")
@@ -662,6 +712,7 @@
         answers: answer_reader.AnswerReader,
         given_up: given_up_calls.GivenUpCalls,
         time: clock.Clock,
+        question: bytes | None,
         *,
         new_connection: bool = False,
         opened_before: datetime.timedelta | None = None,
@@ -669,6 +720,7 @@
     ) -> None:
         self._answers = answers
         self._given_up = given_up
+        self._question = question
         self._kept = kept
         self._new_connection = new_connection
         self._opened_before = opened_before
@@ -692,21 +744,13 @@
             link = await self._connection()
         except channel.ConnectError as error:
             return NotSent(str(error), error.unresponsive)
-        address = self._server.address
-        host = f"{address.host}:{address.port}".encode()
-        kind = given_up_calls.Kind.CALL
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                sent_at = self._clock.monotonic()
-                with self._given_up.reported(self._server, link, kind, target):
-                    link.send(method, target, [(b"host", host), *fields], body)
-                    answer = await self._answers.read(
-                        self._server, link, extra_answers.Due.CALL
-                    )
-                    if answer.status != _MISDIRECTED:
-                        notice = answer.head.notice
-                        self._flow.observe(self._server, notice, sent_at, "call")
-                    content = await link.read_body(_MAX_CALL_BYTES)
+                if self._question is not None:
+                    link = await self._ask(link, self._question)
+                return await self._exchange(link, method, target, fields, body)
+        except channel.ConnectError as error:
+            return NotSent(str(error), error.unresponsive)
         except (channel.BrokenError, TimeoutError) as error:
             link.close()
             crashed = isinstance(error, channel.BrokenError)
@@ -714,6 +758,51 @@
         except BaseException:
             link.close()
             raise
+
+    async def _ask(self, link: channel.Channel, question: bytes) -> channel.Channel:
+        """Have the server show that it reads; return a connection that can be used."""
+        if self._kept:
+            await self._exchange(link, "GET", question, (), b"")
+        else:
+            await self._ask_apart(question)
+        self._question = None
+        if self._opened_before is None and not link.reusable:
+            link.close()
+            self._link = None
+        return await self._connection()
+
+    async def _ask_apart(self, question: bytes) -> None:
+        """Ask over a connection of the pool; that of the calls carries nothing else."""
+        incarnation, now = self._server.incarnation, self._clock.monotonic()
+        link = await self._pool.acquire(incarnation, self._server.address, now)
+        try:
+            await self._exchange(link, "GET", question, (), b"")
+        except BaseException:
+            link.close()
+            raise
+        self._pool.release(incarnation, link, self._clock.monotonic())
+
+    async def _exchange(
+        self,
+        link: channel.Channel,
+        method: str,
+        target: bytes,
+        fields: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> FullResponse:
+        address = self._server.address
+        host = f"{address.host}:{address.port}".encode()
+        kind = given_up_calls.Kind.CALL
+        sent_at = self._clock.monotonic()
+        with self._given_up.reported(self._server, link, kind, target):
+            link.send(method, target, [(b"host", host), *fields], body)
+            answer = await self._answers.read(
+                self._server, link, extra_answers.Due.CALL
+            )
+            if answer.status != _MISDIRECTED:
+                notice = answer.head.notice
+                self._flow.observe(self._server, notice, sent_at, "call")
+            content = await link.read_body(_MAX_CALL_BYTES)
         return FullResponse(answer.status, answer.head, content, link)
 
     def end(self) -> None:
--- a/src/pimentolatch/gateway/fleet_state.py
+++ b/src/pimentolatch/gateway/fleet_state.py
@@ -20,6 +20,7 @@
 
 # Source of what this instance has read from the store itself; peers go by their names.
 STORE = "store"
+_ANY_TARGET = b"/"
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -390,6 +391,17 @@
             and not listed.draining
         )
 
+    def health_target(self, server: servers.Server) -> bytes:
+        """Return the target of a server's health check.
+
+        A service that is no longer configured has none; its servers answer all the
+        same.
+        """
+        configuration = self.configuration
+        services = {} if configuration is None else configuration.services
+        service = services.get(server.service)
+        return _ANY_TARGET if service is None else service.health_target
+
     def is_replaced(self, incarnation: servers.Incarnation) -> bool:
         """Tell whether a later incarnation of the same server is listed instead.
 
--- a/src/pimentolatch/gateway/kv_handles.py
+++ b/src/pimentolatch/gateway/kv_handles.py
@@ -63,9 +63,14 @@
         return may_use
 
     def release(self, prefilled: request_progress.PrefilledPrompt) -> None:
-        """Release the KV cache of a prompt that no engine will fetch."""
+        """Release the KV cache of a prompt that no engine will fetch.
+
+        An engine that leaves needs no room for other prompts, and drops it by itself.
+        """
         if self._evidence(prefilled).replaced:
             return
+        if not self._context.client.accepts(prefilled.engine.server):
+            return
         task = asyncio.create_task(self._release(prefilled))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
--- a/src/pimentolatch/gateway/liveness_check.py
+++ b/src/pimentolatch/gateway/liveness_check.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -38,6 +39,12 @@
         """Record a question and whether it was answered."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    answer: answer_reader.Answer
+    content: bytes
+
+
 class LivenessCheck:
     """Asks servers whether they read, over connections of a pool.
 
@@ -104,12 +111,7 @@
                 link.close()
             raise
         self._turns.ended(server.incarnation)
-        if link.reusable:
-            return link
-        link.close()
-        return await self._pool.acquire(
-            server.incarnation, server.address, self._clock.monotonic(), reuse=False
-        )
+        return await self._usable(server, link)
 
     async def _first_answer(
         self, server: servers.Server, link: channel.Channel, target: bytes
@@ -150,29 +152,69 @@
         self, server: servers.Server, link: channel.Channel, target: bytes
     ) -> channel.Channel:
         """Ask over one connection; it is closed on failure."""
-        host = f"{server.address.host}:{server.address.port}".encode()
         sent_at = self._clock.monotonic()
-        question = given_up_calls.Kind.QUESTION
         try:
-            with self._given_up.reported(server, link, question, target):
-                link.send("GET", target, [(b"host", host)], b"")
-                answer = await self._answers.read(
-                    server, link, extra_answers.Due.QUESTION
-                )
-                content = await link.read_body(_MAX_ANSWER_BYTES)
-            if target == engines.REPORT_TARGET and answer.status == _OK:
-                report = engines.decode_report(content)
-                link.started_ms = None if report is None else report.started_ms
+            reply = await self._call(server, link, target)
         except BaseException:
             link.close()
             self._on_question(answered=False)
             raise
         self._on_question(answered=True)
-        if answer.status != _MISDIRECTED:
-            self._flow.observe(server, answer.head.notice, sent_at, "check")
+        if reply.answer.status != _MISDIRECTED:
+            self._flow.observe(server, reply.answer.head.notice, sent_at, "check")
         self._on_answer(server)
         return link
 
+    async def read_start(
+        self, server: servers.Server, link: channel.Channel
+    ) -> channel.Channel:
+        """Learn when the process at the end of a connection started.
+
+        A report may not lie unread at a server that leaves, so it is asked for only
+        over a connection over which the server has just answered.
+
+        Args:
+            server: An engine that tells when it started.
+            link: The connection; it is returned or closed.
+
+        Returns:
+            A connection that can be used.
+
+        Raises:
+            BrokenError: The exchange failed.
+            ConnectError: No other connection could be opened.
+        """
+        try:
+            reply = await self._call(server, link, engines.REPORT_TARGET)
+        except BaseException:
+            link.close()
+            raise
+        if reply.answer.status == _OK:
+            report = engines.decode_report(reply.content)
+            link.started_ms = None if report is None else report.started_ms
+        return await self._usable(server, link)
+
+    async def _usable(
+        self, server: servers.Server, link: channel.Channel
+    ) -> channel.Channel:
+        """Return a connection, or a new one if the server closes it."""
+        if link.reusable:
+            return link
+        link.close()
+        return await self._pool.acquire(
+            server.incarnation, server.address, self._clock.monotonic(), reuse=False
+        )
+
+    async def _call(
+        self, server: servers.Server, link: channel.Channel, target: bytes
+    ) -> _Reply:
+        host = f"{server.address.host}:{server.address.port}".encode()
+        question = given_up_calls.Kind.QUESTION
+        with self._given_up.reported(server, link, question, target):
+            link.send("GET", target, [(b"host", host)], b"")
+            answer = await self._answers.read(server, link, extra_answers.Due.QUESTION)
+            return _Reply(answer, await link.read_body(_MAX_ANSWER_BYTES))
+
     def _drop(
         self, server: servers.Server, exchange: asyncio.Task[channel.Channel]
     ) -> None:
--- a/src/pimentolatch/gateway/process.py
+++ b/src/pimentolatch/gateway/process.py
@@ -112,6 +112,7 @@
             self._flow,
             acknowledgement_limit=bounds.acknowledgement_limit,
             accepts=self._fleet.accepts,
+            health_target=self._fleet.health_target,
             wait_until_current=self._pauses.wait_until_current,
             on_open=self._metrics.connection_opened,
             on_abandoned=self._request_log.write_abandoned,
@@ -152,7 +153,7 @@
         )
         self._readiness_checks = readiness_checks.ReadinessChecks(
             self._fleet,
-            readiness_checks.HealthCheck(self._fleet, self._client),
+            readiness_checks.HealthCheck(self._client),
             lambda: self._peer_table.instances,
             self._peer_table.is_first_for,
             time,
--- a/src/pimentolatch/gateway/reachability_monitor.py
+++ b/src/pimentolatch/gateway/reachability_monitor.py
@@ -9,7 +9,6 @@
 from pimentolatch import clock
 from pimentolatch.decisions import reachability
 from pimentolatch.gateway import dispatch, fleet_state
-from pimentolatch.platform import engines
 from pimentolatch.routes import servers
 
 __all__ = ["ReachabilityMonitor"]
@@ -21,8 +20,6 @@
 # Servers are probed one after the other at this distance: most questions are answered
 # by the first, which takes a millisecond or two.
 _NEXT_PROBE_AFTER = datetime.timedelta(milliseconds=50)
-# Target for servers of a service that is no longer configured; any answer will do.
-_ANY_TARGET = b"/"
 _PROBE_TIMEOUT = datetime.timedelta(milliseconds=700)
 
 
@@ -143,15 +140,6 @@
 
     async def _reaches(self, group: reachability.Group, server: servers.Server) -> bool:
         since = self._clock.monotonic()
-        target = self._target(server)
+        target = self._fleet.health_target(server)
         result = await self._client.probe(server, target, _PROBE_TIMEOUT)
         return self._reachability.shows_path(result, group, since)
-
-    def _target(self, server: servers.Server) -> bytes:
-        """Return what to ask a server for: an engine's report needs no slot."""
-        if server.stage is not None:
-            return engines.REPORT_TARGET
-        configuration = self._fleet.configuration
-        services = {} if configuration is None else configuration.services
-        service = services.get(server.service)
-        return _ANY_TARGET if service is None else service.health_target
--- a/src/pimentolatch/gateway/readiness_checks.py
+++ b/src/pimentolatch/gateway/readiness_checks.py
@@ -32,7 +32,6 @@
 # ask one after the other, since each answer takes one of the server's slots.
 _SPREAD_PER_INSTANCE = datetime.timedelta(milliseconds=2)
 _HEALTHY = 200
-_ANY_TARGET = b"/"
 
 
 class Answer(enum.Enum):
@@ -50,24 +49,16 @@
     """Asks a server by its health check.
 
     Args:
-        fleet: Tells the targets of health checks.
         client: Opens connections to servers.
     """
 
-    def __init__(
-        self, fleet: fleet_state.FleetState, client: dispatch.ServerClient
-    ) -> None:
-        self._fleet = fleet
+    def __init__(self, client: dispatch.ServerClient) -> None:
         self._client = client
 
     async def __call__(self, server: servers.Server) -> Answer:
         """Return what a server says of itself."""
-        response = await self._client.call(
-            server,
-            "GET",
-            self._target(server),
-            limit=_TIME_LIMIT,
-            new_connection=True,
+        response = await self._client.ask(
+            server, limit=_TIME_LIMIT, new_connection=True
         )
         if not isinstance(response, dispatch.FullResponse):
             return Answer.NONE
@@ -77,12 +68,6 @@
             return Answer.NONE
         return Answer.READY if response.status == _HEALTHY else Answer.NOT_READY
 
-    def _target(self, server: servers.Server) -> bytes:
-        configuration = self._fleet.configuration
-        services = {} if configuration is None else configuration.services
-        service = services.get(server.service)
-        return _ANY_TARGET if service is None else service.health_target
-
 
 class ReadinessChecks:
     """Confirms the servers of a fleet once they say that they are ready.
--- a/src/pimentolatch/gateway/stall_checker.py
+++ b/src/pimentolatch/gateway/stall_checker.py
@@ -18,6 +18,8 @@
 # time left to try another engine for a client that waits two seconds for its first
 # event.
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
+# Stands for the report of an engine that runs and has not told more.
+_RUNNING = engine_reports.EngineReport(servers.Stage.DECODE, False, 0, queued=1)
 _Outcome = typing.TypeVar("_Outcome")
 
 
@@ -193,43 +195,56 @@
     async def _timed_report(
         self, server: servers.Server, since: datetime.timedelta
     ) -> _Report:
-        content = await self._fetch_report(server)
+        content = await self._fetch_report(server, since)
         return _Report(content, since, self._clock.monotonic() - since)
 
     async def _fetch_report(
-        self, server: servers.Server
+        self, server: servers.Server, since: datetime.timedelta
     ) -> engine_reports.EngineReport | None:
         """Ask for a report over a kept and over a new connection at the same time.
 
+        An engine that leaves is asked for its health only.
+
         A kept one may have fallen silent, and a server at capacity accepts no new one:
         either alone would make a running engine count as one that has stopped. On a
         kept one an answer to an earlier call may come instead, an older report as well,
         which no id tells. So the report over the new one counts if both come.
         """
+        is_leaving = not self._client.accepts(server)
+        call = self._ask_health if is_leaving else self._ask_report
         calls = [
-            asyncio.create_task(self._call(server, new_connection=new_connection))
+            asyncio.create_task(call(server, new_connection=new_connection))
             for new_connection in (True, False)
         ]
-        is_full = False
+        is_running = False
         try:
-            for call in calls:
-                response = await call
+            for task in calls:
+                response = await task
                 if isinstance(response, dispatch.FullResponse):
+                    if is_leaving:
+                        return _RUNNING
                     report = engines.decode_report(response.body)
                     if report is not None:
                         return report
-                is_full |= (
+                # It refuses further connections, so it is running and at capacity.
+                is_running |= (
                     isinstance(response, dispatch.NotSent) and not response.unresponsive
                 )
         finally:
-            for call in calls:
-                call.cancel()
-        if is_full:
-            # It refuses further connections, so it is running and at capacity.
-            return engine_reports.EngineReport(servers.Stage.DECODE, False, 0, queued=1)
-        return None
-
-    async def _call(
+            for task in calls:
+                task.cancel()
+        # The question waits for a place like a request, and others keep it busy.
+        is_running |= self._client.heard_since(server, since)
+        return _RUNNING if is_running else None
+
+    async def _ask_health(
+        self, server: servers.Server, *, new_connection: bool
+    ) -> dispatch.FullResponse | dispatch.NotSent | dispatch.OutcomeUnknown:
+        return await self._client.ask(
+            server, limit=_REPORT_TIMEOUT, new_connection=new_connection
+        )
+
+    async def _ask_report(
         self, server: servers.Server, *, new_connection: bool
     ) -> dispatch.FullResponse | dispatch.NotSent | dispatch.OutcomeUnknown:
         return await self._client.call(
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -26,6 +26,7 @@
     "EVENT_COUNT",
     "EVENT_FORMAT",
     "EVENT_PAUSE_S",
+    "HEALTH_TARGET",
     "ReceivedRequest",
     "RouteServer",
 ]
@@ -106,7 +107,7 @@
             response.
         freed_handles: KV handles that were freed.
         orders: Accepted orders of the current incarnation.
-        unresponsive: Whether requests for its report get no response either.
+        unresponsive: Whether requests for its report or health get no response either.
         started_ms: Unix time of its start in milliseconds; None if not reported.
         event_count: Number of events of a stream.
         event_format: Format of an event, with the fields `number` and `mark`.
@@ -333,10 +334,10 @@
                 self._forget_last()
                 await connection.refuse(status, [])
                 return True
-        if request.target == REPORT_TARGET:
             if self.unresponsive:
                 await connection.wait_closed()
                 return False
+        if request.target == REPORT_TARGET:
             await connection.send(200, [], json.dumps(self._report()).encode())
             if self.restart_before_order:
                 self.restart_before_order = False
--- a/standins/route_server_process.py
+++ b/standins/route_server_process.py
@@ -92,6 +92,7 @@
     server.event_count = settings["event_count"]
     server.event_pause_s = settings["event_pause_s"]
     server.body_requests = settings["body_requests"]
+    server.started_ms = settings["started_ms"]
     asyncio.run(_serve(server, stutters=settings["stutters"]))
 
 
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -128,6 +128,7 @@
         time,
         flow_control.FlowControl(neighbours.Place("one", "here"), time),
         acknowledgement_limit=LIMIT,
+        health_target=lambda server: b"/health",
     )
     yield server_entries.decode(engine.name, engine.entry()), client
     client.close()
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -175,7 +175,12 @@
 def client_and_server(address):
     time = clock.SystemClock()
     flow = flow_control.FlowControl(neighbours.Place("own", "here"), time)
-    client = dispatch.ServerClient(time, flow, acknowledgement_limit=SECOND)
+    client = dispatch.ServerClient(
+        time,
+        flow,
+        acknowledgement_limit=SECOND,
+        health_target=lambda server: b"/health",
+    )
     return client, servers.Server("s", "app", address, "here", False, None, 1)
 
 
--- a/tests/features/steps/pauses_steps.py
+++ b/tests/features/steps/pauses_steps.py
@@ -107,6 +107,7 @@
         flow_control.FlowControl(neighbours.Place("own", "here"), time),
         acknowledgement_limit=SECOND,
         accepts=fleet.accepts,
+        health_target=lambda server: b"/health",
         wait_until_current=change,
     )
     request = types.SimpleNamespace(
--- a/tests/features/steps/routes_incarnations_steps.py
+++ b/tests/features/steps/routes_incarnations_steps.py
@@ -225,7 +225,10 @@
     table = peer_table.PeerTable("one", place, time, random.Random(1))
     flow = flow_control.FlowControl(place, time)
     client = dispatch.ServerClient(
-        time, flow, acknowledgement_limit=datetime.timedelta(seconds=1)
+        time,
+        flow,
+        acknowledgement_limit=datetime.timedelta(seconds=1),
+        health_target=lambda server: b"/health",
     )
     held = leadership.Leadership("one", "127.0.0.1", table, context.lease, time)
     return stage_controller.StageController(
--- a/tests/features/steps/server_liveness_steps.py
+++ b/tests/features/steps/server_liveness_steps.py
@@ -35,6 +35,7 @@
             flow_control.FlowControl(neighbours.Place("own", "here"), time),
             acknowledgement_limit=LIMIT,
             accepts=self.fleet.accepts,
+            health_target=lambda server: b"/health",
             on_question=self._count_question,
             on_given_up=lambda call: self.given_up.append(call),
         )
--- a/tests/features/steps/shared_silence_steps.py
+++ b/tests/features/steps/shared_silence_steps.py
@@ -351,7 +351,10 @@
 @behave.when("silence: a request is sent to a server that {does}")
 def send_request(context, does):
     client = dispatch.ServerClient(
-        clock.SystemClock(), None, acknowledgement_limit=SECOND
+        clock.SystemClock(),
+        None,
+        acknowledgement_limit=SECOND,
+        health_target=lambda server: b"/health",
     )
     context.told = []
     client.on_silence(context.told.append)
--- a/tests/features/steps/stopped_servers_steps.py
+++ b/tests/features/steps/stopped_servers_steps.py
@@ -3,6 +3,8 @@
 from standins import route_server
 from tests.support import route_world, stopped_servers
 
+FIRST_START_MS = 1_750_000_000_000
+
 
 @behave.given("stopped: {count:d} gateways before servers as processes")
 def start(context, count):
@@ -17,7 +19,9 @@
     context.world = stopped_servers.StoppedServers(context.route_runner)
     if manner == "stands still for half of the time":
         context.world.world.stutters = True
-    else:
+    elif manner == "tells when it started":
+        context.world.world.first_start_ms = FIRST_START_MS
+    elif manner != "does not tell when started":
         assert manner == "ignores that bodies are announced"
         context.world.world.body_requests = (route_server.IGNORES,)
     context.world.start(count)
@@ -49,6 +53,12 @@
     assert not late, late
 
 
+@behave.then("stopped: no call of a gateway's own but health checks reaches it later")
+def no_late_calls(context):
+    late = context.world.late_calls()
+    assert not late, late
+
+
 @behave.then("stopped: all clients are served")
 def all_served(context):
     context.route_runner.run(context.world.stop_clients())
--- a/tests/features/stopped_servers.feature
+++ b/tests/features/stopped_servers.feature
@@ -15,6 +15,18 @@
       | 4        | has its entry removed   | 0.3   | 4       |
       | 4        | has its entry removed   | 3.6   | 6.5     |
 
+  # Guards against questions that a server reads seconds after it has left.
+  Scenario Outline: A server that <told> and stood still as it left is asked nothing but its health later
+    Given stopped: <gateways> gateways before servers, each of which <told>
+    When stopped: a server of each kind stands still for 4 s and <how> after <after> s
+    Then stopped: no call of a gateway's own but health checks reaches it later
+
+    Examples:
+      | gateways | told                       | how                    | after |
+      | 4        | tells when it started      | has its entry removed  | 0.3   |
+      | 4        | does not tell when started | has its entry removed  | 0.3   |
+      | 4        | tells when it started      | reports that it drains | 1.2   |
+
   # Guards against callers who pay for a server that is kept from reading a request late.
   Scenario Outline: Clients are served although a server stood still as it left
     Given stopped: 4 gateways before servers as processes
--- a/tests/support/stopped_servers.py
+++ b/tests/support/stopped_servers.py
@@ -103,6 +103,7 @@
             "event_count": self.event_count,
             "event_pause_s": self.event_pause_s,
             "body_requests": self.body_requests,
+            "started_ms": self.started_ms,
             "stutters": self.stutters,
         }
         module = "standins.route_server_process"
@@ -137,6 +138,7 @@
             len(self.servers) % len(self.body_requests)
         ]
         server.stutters = self.stutters
+        server.started_ms = self.first_start_ms
         await server.start()
         self.servers[name] = server
         await self.list_server(name)
@@ -200,8 +202,6 @@
         A server hands a request to its handler when it has read the head. Those that
         clients sent before it stood still may have been on their way.
         """
-        for server in self.stopped:
-            server.load_requests()
         sent_at = {
             attempt.request_id: attempt.sent_at
             for client in self.clients
@@ -209,14 +209,29 @@
         }
         return [
             LateRequest(server.server_id, request.kind, after_s)
-            for server in self.stopped
-            for request, at in server.heads
+            for server, request, after_s in self._late_heads()
             if request.kind in RUNS
             and sent_at.get(request.fields.get("x-request-id"), 0.0)
             > self._stopped_at[server.server_id]
-            and (after_s := at - self.left_at) > LATE_S
         ]
 
+    def late_calls(self):
+        """Return the gateways' own calls, but health checks, that came too late."""
+        return [
+            LateRequest(server.server_id, request.target, after_s)
+            for server, request, after_s in self._late_heads()
+            if "x-request-id" not in request.fields
+            and request.target != route_server.HEALTH_TARGET
+        ]
+
+    def _late_heads(self):
+        for server in self.stopped:
+            server.load_requests()
+            for request, at in server.heads:
+                after_s = at - self.left_at
+                if after_s > LATE_S:
+                    yield server, request, after_s
+
     def failed(self):
         """Return the requests that ended without success."""
         ended = [a for c in self.clients for a in c.attempts if a.ended_at]
