Give other callers their turn beside bodies in tiny chunks

What callers saw: beside 20 clients that send chunks of one byte, one or two of four ordinary requests had no answer within ten seconds.

Cause: all that a read holds is parsed at once. A read of 256 kB holds 40,000 such chunks, each of which goes through several calls and extends the body; 20 connections took all of the process's time, a second and more in each round of the event loop. Class: work that is bounded by bytes, though its cost goes by pieces.

A connection parses 256 chunks of bodies, or the part of 4 kB that goes beyond, and lets others have their turn before it goes on; it is not read meanwhile. Reads of ordinary bodies hold fewer.

--- a/src/pimentolatch/entry/bounded_http.py
+++ b/src/pimentolatch/entry/bounded_http.py
@@ -6,6 +6,8 @@
 - Trailers become fields of the head, unbounded as well, and so is a single one.
 - All pipelined requests of a read are parsed at once, thousands of them, and more are
   read as each of them is served.
+- A read of a body in tiny chunks takes as long to parse as thousands of requests, and
+  delays all other callers meanwhile.
 - So is the time a head takes to arrive, so one caller can hold a connection forever.
 - The response to a caller that half-closes its connection is dropped.
 - The error for a malformed pipelined request is written into the middle of a response
@@ -73,6 +75,9 @@
 # Bytes that are parsed before the requests that wait are counted. They may hold 150
 # requests; larger parts hold more, smaller ones make large bodies slow to parse.
 _PARSED_BYTES = 4096
+# Chunks of bodies that a connection has parsed before others have their turn. A read of
+# an ordinary body holds fewer.
+_CHUNKS_PER_TURN = 256
 _SERVICE_PATHS = "/v1/services/"
 
 
@@ -179,6 +184,7 @@
     _unparsed: bytes | memoryview = b""
     _begun_in_part = 0
     _body_in_part = False
+    _chunks_in_turn = 0
     _bytes_without_body = 0
     _head_bytes = 0
     _head_too_large = False
@@ -228,7 +234,8 @@
         Most requests arrive in one read and need no timer.
         """
         was_in_head, was_in_message = self._in_head, self._in_message
-        while self._unparsed and self._may_parse():
+        self._chunks_in_turn = 0
+        while self._unparsed and self._may_parse() and not self._is_turn_over():
             self._parse_part()
             if self._discarding_input:
                 return
@@ -236,12 +243,15 @@
         if self._waiting is not None and not self._memory.has_room(self._waiting):
             self._refuse_for_memory()
             return
-        if not self._takes_input():
+        if self._is_turn_over() and self._unparsed and self._may_parse():
+            self.flow.pause_reading()
+            self.loop.call_soon(self._parse_next_turn)
+        elif not self._takes_input():
             # The rest of a request waits here for its turn, not for its client.
             self._cancel_timer()
             self.flow.pause_reading()
             return
-        if self.pipeline:
+        elif self.pipeline:
             self.flow.resume_reading()
         if self._in_head:
             if not was_in_head or self._timer is None:
@@ -255,6 +265,18 @@
                 # Nothing but empty lines, for which the library ends the idle timeout.
                 self.timeout_keep_alive_handler()
 
+    def _is_turn_over(self) -> bool:
+        return self._chunks_in_turn > _CHUNKS_PER_TURN
+
+    def _parse_next_turn(self) -> None:
+        """Go on parsing what has been read."""
+        if not self._unparsed or self._discarding_input:
+            return
+        self._parse()
+        # The library resumes reading once a handler has taken a larger body.
+        if len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT:
+            self.flow.resume_reading()
+
     def _parse_part(self) -> None:
         """Parse a part of what has been read."""
         was_in_message = self._in_message
@@ -464,6 +486,7 @@
         """Count a part of a body."""
         super().on_body(body)
         self._body_in_part = True
+        self._chunks_in_turn += 1
         if not self.cycle.response_complete:
             self._count_body(self.cycle, len(body))
 
--- a/tests/features/hostile_clients.feature
+++ b/tests/features/hostile_clients.feature
@@ -37,6 +37,12 @@
       | 40      | whole bodies                                   |
       | 16      | requests ahead                                 |
 
+  # Guards against clients whose input takes all of a process's time.
+  Scenario: Ordinary requests are answered beside clients that send chunks of one byte
+    Given hostile: a gateway
+    When hostile: 4 requests are sent beside 20 clients with chunks of one byte
+    Then hostile: all of them are answered
+
   # Guards against fields that a client smuggles behind its body, past the checks of the
   # head.
   Scenario Outline: The field "<name>" behind a body reaches no server
--- a/tests/features/steps/hostile_clients_steps.py
+++ b/tests/features/steps/hostile_clients_steps.py
@@ -64,6 +64,21 @@
     assert world.gateway.running
 
 
+@behave.when(
+    "hostile: {count:d} requests are sent beside {clients:d} clients with {what}"
+)
+def requests_beside(context, count, clients, what):
+    raw = [route_world.request("notify", f"beside-{n}", b"small") for n in range(count)]
+    asked = context.world.ask_beside(clients, what, raw)
+    context.replies = context.route_runner.run(asked)
+
+
+@behave.then("hostile: all of them are answered")
+def all_answered(context):
+    statuses = [reply and reply.status for reply in context.replies]
+    assert statuses == [200] * len(statuses), statuses
+
+
 @behave.then("hostile: an ordinary call is answered")
 def ordinary_call(context):
     assert context.status == 200
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -26,6 +26,8 @@
 SENDING_S = 8.0
 # All stay open for this time before anything is checked: what they sent is read then.
 STAYING_S = 2.0
+# The crowd is in full swing by then.
+BESIDE_AFTER_S = 1.0
 PORTS = {
     "clients": soak_world.CLIENTS_PORT,
     "readiness": soak_world.READY_PORT,
@@ -103,6 +105,14 @@
         yield _chunk(b"x" * PIECE_BYTES)
 
 
+def one_byte_chunks(head):
+    """Yield a body in chunks of one byte, without end."""
+    yield _chunked(head)
+    chunks = _chunk(b"x") * (PIECE_BYTES // 6)
+    for _ in range(ENDLESS_BYTES // len(chunks)):
+        yield chunks
+
+
 def whole_body(head):
     """Yield a whole body."""
     yield _whole(head)
@@ -119,6 +129,7 @@
     "a trailer line without end": trailer_line,
     "bodies just short of their end": open_body,
     "bodies just short of their end, piece by piece": open_pieces,
+    "chunks of one byte": one_byte_chunks,
     "whole bodies": whole_body,
     "requests ahead": ahead,
 }
@@ -198,6 +209,21 @@
         finally:
             writer.close()
 
+    async def ask_beside(self, count, kind, raw_requests):
+        """Send requests one after the other while a crowd sends; return the replies."""
+        crowd = Crowd(self.target("clients"), kind, count)
+        self.crowds.append(crowd)
+        sending = asyncio.create_task(crowd.send())
+        await asyncio.sleep(BESIDE_AFTER_S)
+        replies = []
+        for raw in raw_requests:
+            try:
+                replies.append(await self.ask(raw))
+            except TimeoutError:
+                replies.append(None)
+        sending.cancel()
+        return replies
+
     async def ask_all(self, count):
         """Send whole bodies at once; return the replies by request id."""
         ids = [f"whole-{number}" for number in range(count)]
