Announce a lease as released once no call is under way

Cause: on SIGTERM the lease is announced as released at once, so that the next instance takes it without a wait, while a report or an order is still on its way. A lost packet holds it for a second. Class: a hand-over that does not wait for what is in flight.

Leadership counts the calls that are made under it, and announces a release when the last one has ended; nothing new is sent meanwhile. A call that has no answer by its time limit may still be carried out later, as before.

A scenario of usage.feature fails without it. Two test doubles of a leadership got the new method.

--- a/src/pimentolatch/gateway/leader/capacity_controller.py
+++ b/src/pimentolatch/gateway/leader/capacity_controller.py
@@ -233,7 +233,8 @@
         server_order = control_api.ServerOrder(
             service, order.failure_domain, order.count, order.spot
         )
-        outcome = await self._receiver.order_servers(holder, server_order)
+        with self._leadership.call():
+            outcome = await self._receiver.order_servers(holder, server_order)
         need = self._need_of(service)
         share = scaling.spot_price if order.spot else 1.0
         _log.info(
--- a/src/pimentolatch/gateway/leader/leadership.py
+++ b/src/pimentolatch/gateway/leader/leadership.py
@@ -1,8 +1,10 @@
 """Leader election: which instance runs the leader tasks, and how peers learn of it."""
 
 import asyncio
+import contextlib
 import datetime
 import typing
+from collections import abc
 
 import logbook
 
@@ -69,6 +71,8 @@
         # must see that, or it would take back what peers were told is released.
         self._lock = asyncio.Lock()
         self._ended_tenures = 0
+        self._calls = 0
+        self._release_due = False
         self._listeners: list[Listener] = []
         self.since = time.now()
 
@@ -126,12 +130,14 @@
         now = self._clock.monotonic()
         if acquired and self._ended_tenures != ended_tenures:
             # Leadership was given up while the call was in flight.
-            self._receive_release(now)
             self._lease.give_up()
+            self._release_due = True
+            self._announce_release()
             return False
         if acquired:
             began = self._last_acquired is None
             self._last_acquired = now
+            self._release_due = False
             if began:
                 self.since = self._clock.now()
                 _log.info("tenure begun", fence=self._lease.fence)
@@ -148,6 +154,20 @@
             self._yield_to_peers("the lease could not be renewed")
         return False
 
+    @contextlib.contextmanager
+    def call(self) -> abc.Iterator[None]:
+        """Mark a call that this instance makes as the leader as under way.
+
+        The lease is announced as released only after it: the next leader acts at once
+        then, and the call might arrive behind that leader's.
+        """
+        self._calls += 1
+        try:
+            yield
+        finally:
+            self._calls -= 1
+            self._announce_release()
+
     def fenced_off(self) -> None:
         """Give up leadership: another instance has acted with a higher fence."""
         self._end("fenced off")
@@ -215,13 +235,18 @@
             return
         now = self._clock.monotonic()
         self._abstains_until = now + _ABSTAIN_FACTOR * self._lease.handover_gap
-        self._receive_release(now)
         self._end(reason)
-        self._notify_listeners()
+        self._release_due = True
+        self._announce_release()
 
-    def _receive_release(self, now: datetime.timedelta) -> None:
+    def _announce_release(self) -> None:
+        """Announce a release that is due, unless a call is under way."""
+        if self._calls or not self._release_due:
+            return
+        self._release_due = False
         claim = leader_election.Claim(self._host, self._lease.fence, released=True)
-        self._leader_tracker.receive(claim, now)
+        self._leader_tracker.receive(claim, self._clock.monotonic())
+        self._notify_listeners()
 
     def _notify_listeners(self) -> None:
         notice = self.announcement()
--- a/src/pimentolatch/gateway/leader/stage_controller.py
+++ b/src/pimentolatch/gateway/leader/stage_controller.py
@@ -151,13 +151,14 @@
             self._leadership.fence,
             state.accepted_orders,
         )
-        answer = await calls.call(
-            "POST",
-            engines.ORDER_TARGET,
-            engines.order_fields(server.server_id),
-            engines.encode_stage_order(order),
-            limit=_CALL_TIMEOUT,
-        )
+        with self._leadership.call():
+            answer = await calls.call(
+                "POST",
+                engines.ORDER_TARGET,
+                engines.order_fields(server.server_id),
+                engines.encode_stage_order(order),
+                limit=_CALL_TIMEOUT,
+            )
         _log.info(
             "stage ordered",
             server=server.server_id,
--- a/src/pimentolatch/gateway/leader/usage_reports.py
+++ b/src/pimentolatch/gateway/leader/usage_reports.py
@@ -181,7 +181,8 @@
         if not await self._leadership.acquire() or not self._leadership.valid():
             return False
         holder = control_api.Holder(self._name, self._leadership.fence)
-        outcome = await self._receiver.report_usage(holder, window, counts)
+        with self._leadership.call():
+            outcome = await self._receiver.report_usage(holder, window, counts)
         _log.info(
             "usage reported",
             window=window,
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import itertools
@@ -177,6 +178,9 @@
 class Tenure:
     """A tenure that is held for as long as a test says."""
 
+    def call(self):
+        return contextlib.nullcontext()
+
     def __init__(self):
         self.active = True
         self.fence = 1
--- a/tests/features/steps/copied_answers_steps.py
+++ b/tests/features/steps/copied_answers_steps.py
@@ -262,6 +262,9 @@
     def valid(self):
         return True
 
+    def call(self):
+        return contextlib.nullcontext()
+
     def fenced_off(self):
         self.is_fenced_off = True
 
--- a/tests/features/steps/usage_steps.py
+++ b/tests/features/steps/usage_steps.py
@@ -535,6 +535,25 @@
     context.pair.one.leadership.announce_stop()
 
 
+@behave.when("usage: the leader stops while a call of it is under way")
+def leader_stops_in_call(context):
+    context.call = context.pair.one.leadership.call()
+    context.call.__enter__()
+    context.pair.one.leadership.announce_stop()
+    assert not context.pair.one.leadership.valid()
+
+
+@behave.then("usage: the other one does not know that the lease is released")
+def knows_no_release(context):
+    assert context.pair.two.leadership.host == context.pair.one.host
+    assert not context.pair.two.leadership.should_lead()
+
+
+@behave.when("usage: the call is answered")
+def call_answered(context):
+    context.call.__exit__(None, None, None)
+
+
 @behave.then("usage: the other one knows that the lease is released")
 def knows_release(context):
     assert context.pair.two.leadership.host is None
--- a/tests/features/usage.feature
+++ b/tests/features/usage.feature
@@ -113,6 +113,14 @@
     When usage: it yields and then the store answers
     Then usage: it does not lead, and its latest fence is announced as released
 
+  # Guards against a stopped leader whose call arrives behind its successor's.
+  Scenario: A lease is released only after the calls that its holder has under way
+    Given usage: exchanges of two instances, of which one becomes the leader
+    When usage: the leader stops while a call of it is under way
+    Then usage: the other one does not know that the lease is released
+    When usage: the call is answered
+    Then usage: the other one knows that the lease is released
+
   # Guards against an instance that becomes the leader while it stops, so that nobody leads
   # until its lease has run out.
   Scenario Outline: An instance that stops <when> does not become the leader
